--- /dev/null
+++ b/crates/celerytide-dispatch/src/lib.rs
@@ -0,0 +1,4 @@
+//! The dispatch daemon: owns pools of endpoints and grants permits.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
--- /dev/null
+++ b/crates/celerytide-types/tests/types.rs
@@ -0,0 +1,65 @@
+//! Tests of ids, words and clocks.
+
+use std::time::Duration;
+
+use celerytide_types::{Boot, Word, new_request_id, now_boot, rendezvous_weight};
+
+struct WordCase {
+    word: Word,
+    text: &'static str,
+}
+
+#[test]
+fn words_are_stable_text() {
+    let cases = [
+        WordCase {
+            word: Word::Done,
+            text: "done",
+        },
+        WordCase {
+            word: Word::NotRun,
+            text: "not-run",
+        },
+        WordCase {
+            word: Word::Unknown,
+            text: "unknown",
+        },
+    ];
+    for case in cases {
+        assert_eq!(case.word.as_str(), case.text);
+    }
+}
+
+#[test]
+fn request_ids_differ() {
+    assert_ne!(new_request_id(), new_request_id());
+}
+
+#[test]
+fn boot_never_goes_back() {
+    let before = now_boot();
+    let after = now_boot();
+    assert!(after >= before);
+    assert_eq!(Boot::from_start(Duration::ZERO).since(after), Duration::ZERO);
+}
+
+#[test]
+fn removing_a_node_moves_only_its_keys() {
+    let nodes: Vec<String> = (0..9).map(|n| format!("entry-{n}")).collect();
+    let owner = |key: &str, skip: usize| {
+        let mut best = (0, usize::MAX);
+        for (i, node) in nodes.iter().enumerate() {
+            let weight = rendezvous_weight(key, node);
+            if i != skip && weight > best.0 {
+                best = (weight, i);
+            }
+        }
+        best.1
+    };
+    for k in 0..500 {
+        let key = format!("pool/{k}");
+        let before = owner(&key, usize::MAX);
+        let after = owner(&key, 3);
+        assert!(before == after || before == 3, "{key} moved from {before} to {after}");
+    }
+}
