feat(manifest): the manifest as typed data

Cause: policy, entry and dispatch need one set of types to build against. Ruled out: untyped maps (no field names in errors).

--- a/crates/celerytide-manifest/src/lib.rs
+++ b/crates/celerytide-manifest/src/lib.rs
@@ -2,3 +2,10 @@
 
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
+
+mod model;
+
+pub use model::{
+    Action, Class, Customer, EndpointSpec, Event, Manifest, Order, OrderKind, Service, ServiceKind, TicketRule, Zone,
+    ZoneState,
+};
--- /dev/null
+++ b/crates/celerytide-manifest/src/model/mod.rs
@@ -0,0 +1,260 @@
+//! The manifest as typed data. Text becomes a [`Manifest`] only through the checks of this crate.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use celerytide_types::{ClassName, CustomerId, EndpointId, RegionId, ServiceId, Tier, Version, ZoneId, data};
+
+data! {
+    /// One event's manifest, as operators ship it.
+    #[serde(deny_unknown_fields)]
+    pub struct Manifest {
+        /// Format of this document; 1.
+        pub format: u32,
+        /// Version; only a higher one replaces it.
+        pub version: Version,
+        /// The event the manifest is for.
+        pub event: Event,
+        /// Availability zones and whether they take work.
+        pub zones: Vec<Zone>,
+        /// Services and their endpoints.
+        pub services: Vec<Service>,
+        /// Classes of requests.
+        pub classes: Vec<Class>,
+        /// Customers and their limits.
+        pub customers: Vec<Customer>,
+        /// Orders to endpoints.
+        #[serde(default)]
+        pub orders: Vec<Order>,
+    }
+
+    /// An event with a known start.
+    #[serde(deny_unknown_fields)]
+    pub struct Event {
+        /// Name for people.
+        pub name: String,
+        /// Start, RFC 3339 in UTC.
+        pub start: String,
+    }
+
+    /// One availability zone.
+    #[serde(deny_unknown_fields)]
+    pub struct Zone {
+        /// Zone id.
+        pub id: ZoneId,
+        /// Region that holds it.
+        pub region: RegionId,
+        /// Whether it takes new work.
+        #[serde(default)]
+        pub state: ZoneState,
+    }
+
+    /// Whether a zone takes new work.
+    #[derive(Copy, Eq, Default)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum ZoneState {
+        /// In service.
+        #[default]
+        In,
+        /// Out of service: no new work, work in flight finishes.
+        Out,
+    }
+
+    /// A named group of equal endpoints.
+    #[serde(deny_unknown_fields)]
+    pub struct Service {
+        /// Service id; the path prefix of a plain service.
+        pub id: ServiceId,
+        /// What its endpoints speak.
+        pub kind: ServiceKind,
+        /// Model names its endpoints serve; for kind `model` only.
+        #[serde(default)]
+        pub models: Vec<String>,
+        /// Number of pools its endpoints are spread over.
+        #[serde(default = "default_pools")]
+        pub pools: u32,
+        /// The endpoints.
+        pub endpoints: Vec<EndpointSpec>,
+        /// At-most-once actions; for kind `plain` only.
+        #[serde(default)]
+        pub actions: Vec<Action>,
+    }
+
+    /// What endpoints of a service speak.
+    #[derive(Copy, Eq)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum ServiceKind {
+        /// A model engine.
+        Model,
+        /// A plain HTTP service.
+        Plain,
+    }
+
+    /// One endpoint and what it bears.
+    #[serde(deny_unknown_fields)]
+    pub struct EndpointSpec {
+        /// Endpoint id.
+        pub id: EndpointId,
+        /// Where it listens.
+        pub address: SocketAddr,
+        /// Its availability zone.
+        pub zone: ZoneId,
+        /// Requests it bears at once when warm.
+        pub slots: u32,
+        /// Requests it bears at once in cold start.
+        pub cold_slots: u32,
+        /// Prompt tokens it may have in prefill at once; 0 for no bound.
+        #[serde(default)]
+        pub prefill_tokens: u32,
+        /// Refuses an order that bears an old fencing number.
+        #[serde(default)]
+        pub fenced: bool,
+        /// Checks who gives it an order.
+        #[serde(default)]
+        pub checks_sender: bool,
+        /// Resumes a stream from text already produced.
+        #[serde(default)]
+        pub resumes: bool,
+    }
+
+    /// A call of a plain service that must not be repeated.
+    #[serde(deny_unknown_fields)]
+    pub struct Action {
+        /// Name for logs and metrics.
+        pub name: String,
+        /// HTTP method.
+        pub method: String,
+        /// Path below the service's prefix; a trailing `*` matches any rest.
+        pub path: String,
+        /// Whether a ticket is needed.
+        #[serde(default)]
+        pub ticket: TicketRule,
+        /// The endpoint itself refuses a second run under one `Idempotency-Key`.
+        #[serde(default)]
+        pub refuses_duplicates: bool,
+        /// Statuses by which the endpoint says that the request did not run.
+        #[serde(default)]
+        pub not_run_status: Vec<u16>,
+    }
+
+    /// Whether a protected call needs a ticket.
+    #[derive(Copy, Eq, Default)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum TicketRule {
+        /// A call without a ticket is refused.
+        #[default]
+        Required,
+        /// A call without a ticket runs at most once by itself; the caller's own retry is another request.
+        Optional,
+    }
+
+    /// A class of requests.
+    #[serde(deny_unknown_fields)]
+    pub struct Class {
+        /// Class name.
+        pub name: ClassName,
+        /// The service it is for.
+        pub service: ServiceId,
+        /// Tier; 1 is the highest, 6 the lowest.
+        pub tier: Tier,
+        /// Order inside a tier; a higher one goes first.
+        #[serde(default)]
+        pub priority: u8,
+        /// Target for the first token, or for the whole answer of a plain service.
+        #[serde(with = "humantime_serde")]
+        pub first_token: Duration,
+        /// Target between tokens; for kind `model` only.
+        #[serde(default, with = "humantime_serde::option")]
+        pub between_tokens: Option<Duration>,
+        /// Share of the service's slots that the class keeps under any pressure, 0 to 1.
+        #[serde(default)]
+        pub guaranteed_share: f64,
+        /// Whether requests of the service that name no class belong to this one.
+        #[serde(default)]
+        pub default: bool,
+        /// Whether its work may be preempted and resumed.
+        #[serde(default)]
+        pub preemptible: bool,
+    }
+
+    /// A customer and its limits.
+    #[serde(deny_unknown_fields)]
+    pub struct Customer {
+        /// Customer id.
+        pub id: CustomerId,
+        /// Hex SHA-256 of its key.
+        pub key_sha256: String,
+        /// Requests a second over all entries.
+        pub requests_per_second: f64,
+        /// Requests it may send at once.
+        pub burst: u32,
+        /// Weight among customers inside a class.
+        #[serde(default = "default_weight")]
+        pub weight: u32,
+    }
+
+    /// An order to an endpoint.
+    #[serde(deny_unknown_fields)]
+    pub struct Order {
+        /// The endpoint.
+        pub endpoint: EndpointId,
+        /// What it shall do.
+        pub kind: OrderKind,
+        /// Name of the model, adapter, version or role.
+        pub name: String,
+    }
+
+    /// What an order asks.
+    #[derive(Copy, Eq)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum OrderKind {
+        /// Load a model.
+        LoadModel,
+        /// Load an adapter.
+        LoadAdapter,
+        /// Load a version.
+        LoadVersion,
+        /// Take a role.
+        SetRole,
+    }
+}
+
+fn default_pools() -> u32 {
+    1
+}
+
+fn default_weight() -> u32 {
+    1
+}
+
+impl Manifest {
+    /// The service of that id.
+    pub fn service(&self, id: &str) -> Option<&Service> {
+        self.services.iter().find(|s| s.id == id)
+    }
+
+    /// The service that serves `model`.
+    pub fn service_of_model(&self, model: &str) -> Option<&Service> {
+        self.services.iter().find(|s| s.models.iter().any(|m| m == model))
+    }
+
+    /// The class of that name.
+    pub fn class(&self, name: &str) -> Option<&Class> {
+        self.classes.iter().find(|c| c.name == name)
+    }
+
+    /// The class of requests to `service` that name none.
+    pub fn default_class(&self, service: &str) -> Option<&Class> {
+        self.classes.iter().find(|c| c.default && c.service == service)
+    }
+
+    /// The customer of that id.
+    pub fn customer(&self, id: &str) -> Option<&Customer> {
+        self.customers.iter().find(|c| c.id == id)
+    }
+
+    /// The zone of that id.
+    pub fn zone(&self, id: &str) -> Option<&Zone> {
+        self.zones.iter().find(|z| z.id == id)
+    }
+}
