--- /dev/null
+++ b/crates/celerytide-http/src/client/answer.rs
@@ -0,0 +1,123 @@
+//! An answer, read as it arrives.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode};
+use monoio::time::timeout;
+
+use super::conn::Conn;
+use super::error::{SendError, Stage, failed};
+use super::pool::Pool;
+use super::{Call, Cause};
+use crate::guard::{answer_framing, wants_close};
+use crate::wire::{AnswerHead, Body, Piece};
+
+const REQUEST_ID: &str = "x-request-id";
+
+/// An answer whose head has been read. Dropped before its end it closes the connection.
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    body: Body,
+    conn: Option<Conn>,
+    keep: bool,
+    started: bool,
+    addr: SocketAddr,
+    first_byte: Duration,
+    between_bytes: Duration,
+    pool: Rc<Pool>,
+}
+
+impl Answer {
+    pub(super) fn new(head: AnswerHead, conn: Conn, call: &Call, pool: Rc<Pool>) -> Result<Self, SendError> {
+        if crossed(call, &head.headers) {
+            return Err(failed(Stage::Written, Cause::Crossed));
+        }
+        let framing = answer_framing(&call.method, head.status, head.version, &head.headers);
+        let framing = framing.map_err(|fault| failed(Stage::Body, fault.into()))?;
+        let mut answer = Answer {
+            keep: !wants_close(head.version, &head.headers),
+            status: head.status,
+            headers: head.headers,
+            body: Body::new(framing),
+            conn: Some(conn),
+            started: false,
+            addr: call.addr,
+            first_byte: call.bounds.first_byte,
+            between_bytes: call.bounds.between_bytes,
+            pool,
+        };
+        if answer.body.ended() {
+            answer.release();
+        }
+        Ok(answer)
+    }
+
+    /// The next data of the body; `None` only after its proper end. After an error the connection is closed and
+    /// every further call gives [`Cause::Closed`].
+    pub async fn next(&mut self) -> Option<Result<Bytes, SendError>> {
+        if self.body.ended() {
+            return None;
+        }
+        let Some(mut conn) = self.conn.take() else {
+            return Some(Err(failed(Stage::Body, Cause::Closed)));
+        };
+        match self.read(&mut conn).await {
+            Ok(data) => {
+                self.conn = Some(conn);
+                if self.body.ended() {
+                    self.release();
+                }
+                data.map(Ok)
+            }
+            Err(cause) => Some(Err(failed(Stage::Body, cause))),
+        }
+    }
+
+    async fn read(&mut self, conn: &mut Conn) -> Result<Option<Bytes>, Cause> {
+        loop {
+            match self.body.take(&mut conn.reader)? {
+                Piece::End => return Ok(None),
+                Piece::Data(data) => {
+                    self.started = true;
+                    return Ok(Some(data));
+                }
+                Piece::More => self.fill(conn).await?,
+            }
+        }
+    }
+
+    async fn fill(&mut self, conn: &mut Conn) -> Result<(), Cause> {
+        let (bound, late) = if self.started {
+            (self.between_bytes, Cause::BetweenBytesTimeout)
+        } else {
+            (self.first_byte, Cause::FirstByteTimeout)
+        };
+        match timeout(bound, conn.reader.fill()).await {
+            Err(_) => Err(late),
+            Ok(Ok(0)) => Err(Cause::Closed),
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(source)) => Err(Cause::Read { source }),
+        }
+    }
+
+    fn release(&mut self) {
+        if let Some(conn) = self.conn.take()
+            && self.keep
+        {
+            self.pool.put(self.addr, conn);
+        }
+    }
+}
+
+fn crossed(call: &Call, headers: &HeaderMap) -> bool {
+    let Some(own) = call.headers.get(REQUEST_ID) else {
+        return false;
+    };
+    headers.get_all(REQUEST_ID).iter().any(|id| id != own)
+}
--- /dev/null
+++ b/crates/celerytide-http/src/client/call.rs
@@ -0,0 +1,92 @@
+//! What is asked of an endpoint, and within which bounds.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
+
+use super::Cause;
+
+const CONNECT: Duration = Duration::from_secs(2);
+const FIRST_BYTE: Duration = Duration::from_secs(60);
+const BETWEEN_BYTES: Duration = Duration::from_secs(20);
+const MAX_HEAD: usize = 64 * 1024;
+
+/// Bounds on one call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Time for a new connection.
+    pub connect: Duration,
+    /// Wait for the first byte of the answer, and again for the first byte of its body.
+    pub first_byte: Duration,
+    /// Wait for each further byte.
+    pub between_bytes: Duration,
+    /// Bytes of the answer's head.
+    pub max_head: usize,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Bounds {
+            connect: CONNECT,
+            first_byte: FIRST_BYTE,
+            between_bytes: BETWEEN_BYTES,
+            max_head: MAX_HEAD,
+        }
+    }
+}
+
+/// One request to an endpoint.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// The endpoint.
+    pub addr: SocketAddr,
+    /// Method.
+    pub method: Method,
+    /// Path and query, from its leading slash.
+    pub path: String,
+    /// Headers; host and framing headers are written by the client.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// Use a new connection only.
+    pub fresh: bool,
+    /// Bounds.
+    pub bounds: Bounds,
+}
+
+impl Call {
+    /// A call without headers or body, with default bounds.
+    pub fn new(addr: SocketAddr, method: Method, path: &str) -> Self {
+        Call {
+            addr,
+            method,
+            path: path.to_owned(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            fresh: false,
+            bounds: Bounds::default(),
+        }
+    }
+
+    /// Refuses a path that would break the request line.
+    pub(super) fn check(&self) -> Result<(), Cause> {
+        let clean = self.path.bytes().all(|b| b.is_ascii_graphic());
+        if clean && self.path.starts_with('/') && self.method != Method::CONNECT {
+            return Ok(());
+        }
+        Err(Cause::Target)
+    }
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct Whole {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
--- /dev/null
+++ b/crates/celerytide-http/src/client/mod.rs
@@ -0,0 +1,116 @@
+//! Calls endpoints over pooled connections.
+//!
+//! A failure says how far the request got ([`Stage`]). Before a pooled connection is used it is looked at: one that
+//! has ended or holds bytes that nobody asked for is dropped, and the next one is tried. From the moment the
+//! first write is called the request may have left; nothing is retried from then on.
+//!
+//! Dropping the future of [`Client::send`] or an [`Answer`] before its end closes the connection, which is how an
+//! endpoint learns that its work is no longer wanted.
+
+mod answer;
+mod call;
+mod conn;
+mod error;
+mod pool;
+
+use std::rc::Rc;
+
+use bytes::{Bytes, BytesMut};
+use tokio_util::sync::CancellationToken;
+
+pub use answer::Answer;
+pub use call::{Bounds, Call, Whole};
+pub use conn::MAX_INTERIM;
+pub use error::{Cause, SendError, Stage};
+pub use pool::Options;
+
+use conn::Conn;
+use error::failed;
+use pool::Pool;
+
+/// Calls endpoints; clones share one pool.
+#[derive(Clone)]
+pub struct Client {
+    pool: Rc<Pool>,
+}
+
+impl Client {
+    /// A client with an empty pool.
+    pub fn new(opts: Options) -> Self {
+        Client {
+            pool: Rc::new(Pool::new(opts)),
+        }
+    }
+
+    /// Idle connections held now.
+    pub fn idle(&self) -> usize {
+        self.pool.idle()
+    }
+
+    /// Sends `call` and waits for the head of its answer.
+    pub async fn send(&self, call: Call, cx: &CancellationToken) -> Result<Answer, SendError> {
+        let mut stage = Stage::Connect;
+        let work = self.exchange(call, &mut stage);
+        let done = cx.run_until_cancelled(work).await;
+        match done {
+            Some(answer) => answer,
+            None => Err(failed(stage, Cause::Cancelled)),
+        }
+    }
+
+    /// Sends `call` and gathers its answer, up to `max_body` bytes.
+    pub async fn send_whole(&self, call: Call, max_body: usize, cx: &CancellationToken) -> Result<Whole, SendError> {
+        let answer = self.send(call, cx).await?;
+        match cx.run_until_cancelled(gather(answer, max_body)).await {
+            Some(whole) => whole,
+            None => Err(failed(Stage::Body, Cause::Cancelled)),
+        }
+    }
+
+    async fn exchange(&self, call: Call, stage: &mut Stage) -> Result<Answer, SendError> {
+        call.check().map_err(|cause| failed(Stage::Connect, cause))?;
+        let mut conn = match self.reusable(&call) {
+            Some(conn) => conn,
+            None => self.open(&call).await?,
+        };
+        *stage = Stage::Written;
+        conn.write(&call).await.map_err(|cause| failed(Stage::Written, cause))?;
+        let head = conn
+            .read_head(&call)
+            .await
+            .map_err(|cause| failed(Stage::Written, cause))?;
+        Answer::new(head, conn, &call, Rc::clone(&self.pool))
+    }
+
+    fn reusable(&self, call: &Call) -> Option<Conn> {
+        if call.fresh { None } else { self.pool.take(call.addr) }
+    }
+
+    async fn open(&self, call: &Call) -> Result<Conn, SendError> {
+        let opened = Conn::open(call.addr, call.bounds.connect, self.pool.options()).await;
+        opened.map_err(|cause| failed(Stage::Connect, cause))
+    }
+}
+
+async fn gather(mut answer: Answer, max: usize) -> Result<Whole, SendError> {
+    let mut first = Bytes::new();
+    let mut rest = BytesMut::new();
+    while let Some(data) = answer.next().await {
+        let data = data?;
+        if first.len() + rest.len() + data.len() > max {
+            return Err(failed(Stage::Body, Cause::TooLarge));
+        }
+        if first.is_empty() {
+            first = data;
+        } else {
+            rest.extend_from_slice(&data);
+        }
+    }
+    let body = if rest.is_empty() {
+        first
+    } else {
+        [first, rest.freeze()].concat().into()
+    };
+    let (status, headers) = (answer.status, std::mem::take(&mut answer.headers));
+    Ok(Whole { status, headers, body })
+}
--- /dev/null
+++ b/crates/celerytide-http/src/client/pool.rs
@@ -0,0 +1,114 @@
+//! Idle connections, by endpoint.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use celerytide_types::{Boot, now_boot};
+
+use super::conn::Conn;
+
+const IDLE_PER_ADDR: usize = 64;
+const IDLE_TOTAL: usize = 1024;
+const IDLE_AGE: Duration = Duration::from_secs(20);
+const SILENCE: Duration = Duration::from_secs(20);
+const WRITE_STALL: Duration = Duration::from_secs(20);
+
+/// Settings of a client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Options {
+    /// Idle connections kept for one endpoint.
+    pub idle_per_addr: usize,
+    /// Idle connections kept in all.
+    pub idle_total: usize,
+    /// Age at which an idle connection is dropped; suspended time counts.
+    pub idle_age: Duration,
+    /// Time after which the system ends a connection whose peer acknowledges nothing.
+    pub silence: Duration,
+    /// Time for which a single write may make no progress.
+    pub write: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            idle_per_addr: IDLE_PER_ADDR,
+            idle_total: IDLE_TOTAL,
+            idle_age: IDLE_AGE,
+            silence: SILENCE,
+            write: WRITE_STALL,
+        }
+    }
+}
+
+struct Idle {
+    conn: Conn,
+    since: Boot,
+}
+
+/// Idle connections.
+pub(super) struct Pool {
+    opts: Options,
+    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    swept: Cell<Boot>,
+}
+
+impl Pool {
+    pub(super) fn new(opts: Options) -> Self {
+        Pool {
+            opts,
+            idle: RefCell::new(HashMap::new()),
+            swept: Cell::new(now_boot()),
+        }
+    }
+
+    pub(super) fn options(&self) -> &Options {
+        &self.opts
+    }
+
+    pub(super) fn idle(&self) -> usize {
+        self.idle.borrow().values().map(Vec::len).sum()
+    }
+
+    /// Takes the connection that was used last and is still open and silent; drops those that are not.
+    pub(super) fn take(&self, addr: SocketAddr) -> Option<Conn> {
+        let now = now_boot();
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(&addr)?;
+        while let Some(entry) = list.pop() {
+            if now.since(entry.since) < self.opts.idle_age && entry.conn.is_quiet() {
+                return Some(entry.conn);
+            }
+        }
+        idle.remove(&addr);
+        None
+    }
+
+    /// Keeps a connection whose last answer ended properly.
+    pub(super) fn put(&self, addr: SocketAddr, conn: Conn) {
+        let now = now_boot();
+        self.sweep(now);
+        if !conn.is_quiet() || self.idle() >= self.opts.idle_total {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.entry(addr).or_default();
+        if list.len() < self.opts.idle_per_addr {
+            list.push(Idle { conn, since: now });
+        }
+    }
+
+    /// Drops what has grown old, at most once per idle age.
+    fn sweep(&self, now: Boot) {
+        let age = self.opts.idle_age;
+        if now.since(self.swept.get()) < age {
+            return;
+        }
+        self.swept.set(now);
+        self.idle.borrow_mut().retain(|_, list| {
+            list.retain(|entry| now.since(entry.since) < age);
+            !list.is_empty()
+        });
+    }
+}
--- /dev/null
+++ b/crates/celerytide-http/src/server/listen.rs
@@ -0,0 +1,138 @@
+//! Accepts connections, counts them, and waits for their end.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::channel::mpsc;
+use futures::future::{Either, select};
+use monoio::net::{TcpListener, TcpStream};
+use monoio::time::sleep;
+use snafu::{ResultExt, Snafu};
+use tokio_util::sync::CancellationToken;
+use tracing::{debug, warn};
+
+use super::{Handler, conn};
+use crate::{Limits, wire};
+
+/// Pause after a failed accept, so that a lack of descriptors doesn't spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Failed accepts in a row after which the listener is given up.
+const MAX_ACCEPT_FAILURES: u32 = 200;
+/// Share of the connection bound that may be busy with refusals beyond it.
+const REFUSAL_SHARE: usize = 8;
+
+/// The listener can't be used.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// Binding failed.
+    #[snafu(display("can't listen on {addr}: {source}"))]
+    Bind {
+        /// The address asked for.
+        addr: SocketAddr,
+        /// The system's error.
+        source: io::Error,
+    },
+    /// Accepting kept failing.
+    #[snafu(display("can't accept connections: {source}"))]
+    Accept {
+        /// The system's error.
+        source: io::Error,
+    },
+}
+
+/// Opens a listener whose connections carry `TCP_NODELAY` and `TCP_USER_TIMEOUT` (`limits.write`).
+pub fn bind(addr: SocketAddr, limits: &Limits) -> Result<TcpListener, Error> {
+    wire::listen(addr, limits.write).context(BindSnafu { addr })
+}
+
+/// Held by every live connection.
+#[derive(Clone)]
+struct Slot {
+    count: Rc<()>,
+    _live: mpsc::Sender<Infallible>,
+}
+
+/// Serves until `cx` is cancelled and every connection has ended.
+///
+/// On cancellation no connection is accepted any more, idle ones are closed, and the others finish their request.
+pub async fn serve<H: Handler>(
+    listener: TcpListener,
+    limits: Limits,
+    handler: Rc<H>,
+    cx: CancellationToken,
+) -> Result<(), Error> {
+    let (live, mut ended) = mpsc::channel(0);
+    let slot = Slot {
+        count: Rc::new(()),
+        _live: live,
+    };
+    let res = accept_all(&listener, limits, &handler, &slot, &cx).await;
+    drop(listener);
+    drop(slot);
+    // Yields nothing; ends when the last connection has dropped its slot.
+    ended.next().await;
+    res
+}
+
+async fn accept_all<H: Handler>(
+    listener: &TcpListener,
+    limits: Limits,
+    handler: &Rc<H>,
+    slot: &Slot,
+    cx: &CancellationToken,
+) -> Result<(), Error> {
+    let mut cancelled = std::pin::pin!(cx.cancelled());
+    let mut failures = 0;
+    loop {
+        let accept = std::pin::pin!(listener.accept());
+        let accepted = match select(cancelled.as_mut(), accept).await {
+            Either::Left(_) => return Ok(()),
+            Either::Right((accepted, _)) => accepted,
+        };
+        match accepted {
+            Ok((stream, peer)) => {
+                failures = 0;
+                admit(stream, peer, limits, handler, slot, cx);
+            }
+            Err(e) if failures >= MAX_ACCEPT_FAILURES => return Err(e).context(AcceptSnafu),
+            Err(e) => {
+                failures += 1;
+                warn!(error = %e, "http: accept failed");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn admit<H: Handler>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    limits: Limits,
+    handler: &Rc<H>,
+    slot: &Slot,
+    cx: &CancellationToken,
+) {
+    if let Err(e) = stream.set_nodelay(true) {
+        debug!(error = %e, "http: connection ended before it was served");
+        return;
+    }
+    let live = Rc::strong_count(&slot.count) - 1;
+    let slot = slot.clone();
+    if live < limits.connections {
+        let (handler, cx) = (Rc::clone(handler), cx.clone());
+        monoio::spawn(async move {
+            conn::run(stream, peer, limits, handler, cx).await;
+            drop(slot);
+        });
+    } else if live < limits.connections + limits.connections / REFUSAL_SHARE + 1 {
+        warn!("http: too many connections");
+        monoio::spawn(async move {
+            conn::turn_away(stream, limits).await;
+            drop(slot);
+        });
+    }
+}
--- /dev/null
+++ b/crates/celerytide-http/src/server/out.rs
@@ -0,0 +1,287 @@
+//! The bytes between a handler and its connection.
+//!
+//! The handler's side appends, the connection's side takes. Small pieces gather in one buffer and leave in one
+//! write; a large one is handed on without a copy. The handler waits while more than [`ROOM`] bytes wait.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::future::poll_fn;
+use std::task::{Poll, Waker};
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, Method, StatusCode};
+
+use super::responder::Gone;
+use crate::wire::{Length, answer_head, chunk_end, chunk_line};
+
+/// Bytes that may wait before a sender has to.
+const ROOM: usize = 4 * 1024;
+/// Pieces up to this size are copied to the gathering buffer, in bytes.
+const COPY_MAX: usize = 8 * 1024;
+
+/// How far an answer is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// No head yet.
+    Head,
+    /// The head is out; chunks follow.
+    Chunks,
+    /// Properly ended.
+    Done,
+    /// Given up by the handler.
+    Cut,
+    /// The caller is gone.
+    Gone,
+}
+
+/// What the request decides about its answer.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Style {
+    /// The answer carries no body.
+    pub(super) head_only: bool,
+    /// The caller understands chunks.
+    pub(super) chunked: bool,
+    /// The connection ends with the answer.
+    pub(super) close: bool,
+}
+
+impl Style {
+    pub(super) fn new(method: &Method, http11: bool, close: bool) -> Self {
+        Style {
+            head_only: *method == Method::HEAD,
+            chunked: http11,
+            close,
+        }
+    }
+}
+
+struct State {
+    phase: Phase,
+    bodiless: bool,
+    parts: VecDeque<Bytes>,
+    tail: BytesMut,
+    waiting: usize,
+    writing: bool,
+    sender: Option<Waker>,
+    pump: Option<Waker>,
+}
+
+/// An answer on its way to the caller.
+pub(super) struct Out {
+    style: Style,
+    state: RefCell<State>,
+}
+
+impl Out {
+    pub(super) fn new(style: Style) -> Self {
+        let state = State {
+            phase: Phase::Head,
+            bodiless: false,
+            parts: VecDeque::new(),
+            tail: BytesMut::new(),
+            waiting: 0,
+            writing: false,
+            sender: None,
+            pump: None,
+        };
+        Out {
+            style,
+            state: RefCell::new(state),
+        }
+    }
+
+    pub(super) fn phase(&self) -> Phase {
+        self.state.borrow().phase
+    }
+
+    pub(super) fn style(&self) -> Style {
+        self.style
+    }
+
+    /// Appends a whole answer.
+    pub(super) fn whole(&self, status: StatusCode, headers: &HeaderMap, body: Bytes, close: bool) -> Result<(), Gone> {
+        let mut state = self.state.borrow_mut();
+        state.check()?;
+        let length = if forbids_body(status) {
+            Length::Absent
+        } else {
+            Length::Fixed(body.len())
+        };
+        answer_head(&mut state.tail, status, headers, length, close || self.style.close);
+        state.waiting = state.tail.len();
+        if !self.style.head_only && !forbids_body(status) {
+            state.push(body);
+        }
+        state.enter(Phase::Done);
+        Ok(())
+    }
+
+    /// Appends the head of a chunked answer.
+    pub(super) fn head(&self, status: StatusCode, headers: &HeaderMap) -> Result<(), Gone> {
+        let mut state = self.state.borrow_mut();
+        state.check()?;
+        let length = if forbids_body(status) {
+            Length::Absent
+        } else {
+            Length::Chunked
+        };
+        answer_head(&mut state.tail, status, headers, length, self.style.close);
+        state.waiting = state.tail.len();
+        state.bodiless = self.style.head_only || forbids_body(status);
+        state.enter(Phase::Chunks);
+        Ok(())
+    }
+
+    /// Appends a chunk once there is room.
+    pub(super) async fn chunk(&self, data: Bytes) -> Result<(), Gone> {
+        if data.is_empty() {
+            return self.state.borrow().check();
+        }
+        self.room().await?;
+        let mut state = self.state.borrow_mut();
+        if state.bodiless {
+            return Ok(());
+        }
+        let before = state.tail.len();
+        chunk_line(&mut state.tail, data.len());
+        state.waiting += state.tail.len() - before;
+        state.push(data);
+        state.tail.extend_from_slice(b"\r\n");
+        state.wake_pump();
+        Ok(())
+    }
+
+    /// Appends the end of a chunked answer.
+    pub(super) fn end(&self) -> Result<(), Gone> {
+        let mut state = self.state.borrow_mut();
+        state.check()?;
+        if !state.bodiless {
+            chunk_end(&mut state.tail);
+        }
+        state.enter(Phase::Done);
+        Ok(())
+    }
+
+    /// Gives the answer up: what waits is written, the end is not.
+    pub(super) fn cut(&self) {
+        let mut state = self.state.borrow_mut();
+        if matches!(state.phase, Phase::Head | Phase::Chunks) {
+            state.enter(Phase::Cut);
+        }
+    }
+
+    /// Notes that the caller can't be written to.
+    pub(super) fn lose(&self) {
+        let mut state = self.state.borrow_mut();
+        state.parts.clear();
+        state.tail.clear();
+        state.waiting = 0;
+        state.writing = false;
+        state.phase = Phase::Gone;
+        state.wake_sender();
+    }
+
+    /// Waits until everything appended has been written.
+    pub(super) async fn drained(&self) -> Result<(), Gone> {
+        poll_fn(|cx| {
+            let mut state = self.state.borrow_mut();
+            if state.phase == Phase::Gone {
+                return Poll::Ready(Err(Gone));
+            }
+            if state.waiting == 0 && state.tail.is_empty() && !state.writing {
+                return Poll::Ready(Ok(()));
+            }
+            state.sender = Some(cx.waker().clone());
+            Poll::Pending
+        })
+        .await
+    }
+
+    /// The next bytes to write; `None` at the answer's end, proper or not.
+    pub(super) async fn next(&self) -> Option<Bytes> {
+        poll_fn(|cx| {
+            let mut state = self.state.borrow_mut();
+            state.writing = false;
+            if let Some(part) = state.take() {
+                state.writing = true;
+                state.wake_sender();
+                return Poll::Ready(Some(part));
+            }
+            state.wake_sender();
+            if !matches!(state.phase, Phase::Head | Phase::Chunks) {
+                return Poll::Ready(None);
+            }
+            state.pump = Some(cx.waker().clone());
+            Poll::Pending
+        })
+        .await
+    }
+
+    async fn room(&self) -> Result<(), Gone> {
+        poll_fn(|cx| {
+            let mut state = self.state.borrow_mut();
+            if state.phase != Phase::Chunks {
+                return Poll::Ready(Err(Gone));
+            }
+            if state.waiting < ROOM {
+                return Poll::Ready(Ok(()));
+            }
+            state.sender = Some(cx.waker().clone());
+            Poll::Pending
+        })
+        .await
+    }
+}
+
+impl State {
+    fn check(&self) -> Result<(), Gone> {
+        match self.phase {
+            Phase::Head | Phase::Chunks => Ok(()),
+            Phase::Done | Phase::Cut | Phase::Gone => Err(Gone),
+        }
+    }
+
+    fn enter(&mut self, phase: Phase) {
+        self.phase = phase;
+        self.wake_pump();
+    }
+
+    fn push(&mut self, data: Bytes) {
+        self.waiting += data.len();
+        if data.len() <= COPY_MAX {
+            self.tail.extend_from_slice(&data);
+            return;
+        }
+        let before = self.tail.split().freeze();
+        if !before.is_empty() {
+            self.parts.push_back(before);
+        }
+        self.parts.push_back(data);
+    }
+
+    fn take(&mut self) -> Option<Bytes> {
+        let part = match self.parts.pop_front() {
+            Some(part) => part,
+            None if self.tail.is_empty() => return None,
+            None => self.tail.split().freeze(),
+        };
+        self.waiting = self.tail.len() + self.parts.iter().map(Bytes::len).sum::<usize>();
+        Some(part)
+    }
+
+    fn wake_pump(&mut self) {
+        if let Some(waker) = self.pump.take() {
+            waker.wake();
+        }
+    }
+
+    fn wake_sender(&mut self) {
+        if let Some(waker) = self.sender.take() {
+            waker.wake();
+        }
+    }
+}
+
+fn forbids_body(status: StatusCode) -> bool {
+    status.is_informational() || status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED
+}
--- /dev/null
+++ b/crates/celerytide-http/src/wire/encode.rs
@@ -0,0 +1,95 @@
+//! Heads and chunk framing as bytes.
+//!
+//! Framing headers given by the user of this crate are dropped: the framing is written from what is really sent.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+
+use bytes::BytesMut;
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, TRANSFER_ENCODING};
+use http::{Method, StatusCode};
+
+const HEAD_ROOM: usize = 256;
+const HEADER_ROOM: usize = 48;
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// Length that a head states.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Length {
+    /// None.
+    Absent,
+    /// Bytes.
+    Fixed(usize),
+    /// Chunked coding.
+    Chunked,
+}
+
+/// Appends the head of an answer.
+pub(crate) fn answer_head(dst: &mut BytesMut, status: StatusCode, headers: &HeaderMap, length: Length, close: bool) {
+    dst.reserve(HEAD_ROOM + headers.len() * HEADER_ROOM);
+    dst.extend_from_slice(b"HTTP/1.1 ");
+    dst.extend_from_slice(status.as_str().as_bytes());
+    dst.extend_from_slice(b" ");
+    dst.extend_from_slice(status.canonical_reason().unwrap_or_default().as_bytes());
+    dst.extend_from_slice(b"\r\n");
+    put_headers(dst, headers, |_| true);
+    put_length(dst, length);
+    if close {
+        dst.extend_from_slice(b"connection: close\r\n");
+    }
+    dst.extend_from_slice(b"\r\n");
+}
+
+/// Appends the head of a request.
+pub(crate) fn request_head(
+    dst: &mut BytesMut,
+    method: &Method,
+    path: &str,
+    addr: SocketAddr,
+    headers: &HeaderMap,
+    length: Length,
+) {
+    dst.reserve(HEAD_ROOM + path.len() + headers.len() * HEADER_ROOM);
+    dst.extend_from_slice(method.as_str().as_bytes());
+    dst.extend_from_slice(b" ");
+    dst.extend_from_slice(path.as_bytes());
+    dst.extend_from_slice(b" HTTP/1.1\r\n");
+    // Writing to a growing buffer can't fail.
+    let _ = write!(dst, "host: {addr}\r\n");
+    put_headers(dst, headers, |name| *name != HOST);
+    put_length(dst, length);
+    dst.extend_from_slice(b"\r\n");
+}
+
+/// Appends the size line of a chunk.
+pub(crate) fn chunk_line(dst: &mut BytesMut, len: usize) {
+    let _ = write!(dst, "{len:x}\r\n");
+}
+
+/// Appends the chunk that ends a body.
+pub(crate) fn chunk_end(dst: &mut BytesMut) {
+    dst.extend_from_slice(LAST_CHUNK);
+}
+
+fn put_headers(dst: &mut BytesMut, headers: &HeaderMap, keep: fn(&HeaderName) -> bool) {
+    for (name, value) in headers {
+        let framing = *name == CONTENT_LENGTH || *name == TRANSFER_ENCODING || *name == CONNECTION;
+        if framing || !keep(name) {
+            continue;
+        }
+        dst.extend_from_slice(name.as_ref());
+        dst.extend_from_slice(b": ");
+        dst.extend_from_slice(value.as_bytes());
+        dst.extend_from_slice(b"\r\n");
+    }
+}
+
+fn put_length(dst: &mut BytesMut, length: Length) {
+    match length {
+        Length::Absent => {}
+        Length::Fixed(len) => {
+            let _ = write!(dst, "content-length: {len}\r\n");
+        }
+        Length::Chunked => dst.extend_from_slice(b"transfer-encoding: chunked\r\n"),
+    }
+}
--- /dev/null
+++ b/crates/celerytide-http/tests/echo.rs
@@ -0,0 +1,96 @@
+//! A request and its answer over loopback, whole and streamed.
+
+mod support;
+
+use celerytide_http::Limits;
+use celerytide_http::client::{Call, Client, Options};
+use celerytide_http::server::{Handler, Request, Responder};
+use http::{HeaderMap, Method, StatusCode};
+use support::{Echo, Server, body, run};
+use tokio_util::sync::CancellationToken;
+
+/// Streams the request's body back, one chunk a byte.
+struct Spell;
+
+impl Handler for Spell {
+    async fn handle(&self, req: Request, out: Responder, _cx: CancellationToken) {
+        let mut out = out.stream(StatusCode::OK, HeaderMap::new()).await.expect("head");
+        for at in 0..req.body.len() {
+            out.send(req.body.slice(at..at + 1)).await.expect("chunk");
+        }
+        out.finish().await.expect("end");
+    }
+}
+
+struct Case {
+    name: &'static str,
+    method: Method,
+    size: usize,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "no body",
+        method: Method::GET,
+        size: 0,
+    },
+    Case {
+        name: "empty post",
+        method: Method::POST,
+        size: 0,
+    },
+    Case {
+        name: "small",
+        method: Method::POST,
+        size: 11,
+    },
+    Case {
+        name: "over the copy bound",
+        method: Method::PUT,
+        size: 100_000,
+    },
+    Case {
+        name: "at the body bound",
+        method: Method::POST,
+        size: 4 * 1024 * 1024,
+    },
+];
+
+#[test]
+fn whole_answers_come_back_on_one_connection() {
+    run(async {
+        let server = Server::start(Limits::default(), Echo);
+        let client = Client::new(Options::default());
+        let cx = CancellationToken::new();
+        for case in CASES {
+            let mut call = Call::new(server.addr, case.method.clone(), "/echo?q=1");
+            call.body = vec![b'x'; case.size].into();
+            let got = client.send_whole(call.clone(), case.size, &cx).await.expect(case.name);
+            assert_eq!((got.status, &got.body), (StatusCode::OK, &call.body), "{}", case.name);
+            assert_eq!(client.idle(), 1, "{}", case.name);
+        }
+        drop(client);
+        server.stop().await;
+    });
+}
+
+#[test]
+fn streamed_answers_come_back_in_order() {
+    run(async {
+        let server = Server::start(Limits::default(), Spell);
+        let client = Client::new(Options::default());
+        let cx = CancellationToken::new();
+        let mut call = Call::new(server.addr, Method::POST, "/");
+        call.body = body("forty-two letters, one after the other ...");
+        let mut answer = client.send(call.clone(), &cx).await.expect("answer");
+        let mut chunks = Vec::new();
+        while let Some(data) = answer.next().await {
+            chunks.push(data.expect("data"));
+        }
+        assert_eq!(chunks.len(), call.body.len());
+        assert_eq!(chunks.concat(), call.body);
+        assert!(answer.next().await.is_none());
+        assert_eq!(client.idle(), 1);
+        server.stop().await;
+    });
+}
--- /dev/null
+++ b/crates/celerytide-http/tests/support/mod.rs
@@ -0,0 +1,147 @@
+//! A runtime, a server and a raw peer for tests.
+#![allow(dead_code)]
+
+use std::future::Future;
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::thread::{JoinHandle, spawn};
+use std::time::Duration;
+
+use bytes::Bytes;
+use celerytide_http::Limits;
+use celerytide_http::server::{self, Handler, Request, Responder};
+use http::{HeaderMap, StatusCode};
+use monoio::{LegacyDriver, RuntimeBuilder};
+use tokio_util::sync::CancellationToken;
+
+pub const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+/// Time after which a test that hangs is ended.
+pub const HANG: Duration = Duration::from_secs(20);
+
+/// Runs `work` on the driver that the daemons use.
+pub fn run<T>(work: impl Future<Output = T>) -> T {
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("runtime");
+    runtime.block_on(async {
+        let bounded = monoio::time::timeout(HANG, work).await;
+        bounded.expect("the test hung")
+    })
+}
+
+/// Short bounds, so that slow peers are ended within a test.
+pub fn short_limits() -> Limits {
+    Limits {
+        head: Duration::from_millis(300),
+        body: Duration::from_millis(300),
+        idle: Duration::from_millis(300),
+        write: Duration::from_millis(300),
+        ..Limits::default()
+    }
+}
+
+/// Answers each request with its own body.
+pub struct Echo;
+
+impl Handler for Echo {
+    async fn handle(&self, req: Request, out: Responder, _cx: CancellationToken) {
+        let _ = out.whole(StatusCode::OK, HeaderMap::new(), req.body).await;
+    }
+}
+
+/// A running server.
+pub struct Server {
+    pub addr: SocketAddr,
+    pub cx: CancellationToken,
+    task: monoio::task::JoinHandle<Result<(), server::Error>>,
+}
+
+impl Server {
+    pub fn start<H: Handler>(limits: Limits, handler: H) -> Server {
+        let listener = server::bind(ANY_PORT, &limits).expect("listener");
+        let addr = listener.local_addr().expect("address");
+        let cx = CancellationToken::new();
+        let task = monoio::spawn(server::serve(listener, limits, Rc::new(handler), cx.clone()));
+        Server { addr, cx, task }
+    }
+
+    pub async fn stop(self) {
+        self.cx.cancel();
+        self.task.await.expect("serve");
+    }
+}
+
+/// What a raw peer got back.
+#[derive(Debug, Default)]
+pub struct Got {
+    pub text: String,
+    /// The connection ended by a reset instead of a close.
+    pub reset: bool,
+}
+
+impl Got {
+    pub fn status(&self) -> Option<u16> {
+        self.text.strip_prefix("HTTP/1.1 ")?.get(..3)?.parse().ok()
+    }
+}
+
+/// Sends raw bytes from a thread of its own and reads until the server closes.
+pub async fn raw(addr: SocketAddr, input: Vec<u8>, end: bool) -> Got {
+    let thread = spawn(move || raw_blocking(addr, &input, end));
+    join(thread).await
+}
+
+fn raw_blocking(addr: SocketAddr, input: &[u8], end: bool) -> Got {
+    let mut peer = TcpStream::connect(addr).expect("connect");
+    peer.set_read_timeout(Some(HANG)).expect("timeout");
+    // The server may refuse and close before everything is written.
+    let _ = peer.write_all(input);
+    if end {
+        let _ = peer.shutdown(Shutdown::Write);
+    }
+    read_all(&mut peer)
+}
+
+pub fn read_all(peer: &mut TcpStream) -> Got {
+    let mut bytes = Vec::new();
+    let reset = match peer.read_to_end(&mut bytes) {
+        Ok(_) => false,
+        Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => true,
+        Err(e) => panic!("the server did not close: {e}"),
+    };
+    Got {
+        text: String::from_utf8_lossy(&bytes).into_owned(),
+        reset,
+    }
+}
+
+/// Waits for a thread without blocking the runtime.
+pub async fn join<T>(thread: JoinHandle<T>) -> T {
+    while !thread.is_finished() {
+        monoio::time::sleep(Duration::from_millis(2)).await;
+    }
+    thread.join().expect("thread")
+}
+
+/// An endpoint that sends `answer` to each connection after it has read `wait_for` bytes, then closes or stays open.
+pub fn endpoint(answer: &'static [u8], close: bool) -> (SocketAddr, JoinHandle<()>) {
+    let listener = std::net::TcpListener::bind(ANY_PORT).expect("listener");
+    let addr = listener.local_addr().expect("address");
+    let thread = spawn(move || {
+        let (mut peer, _) = listener.accept().expect("accept");
+        let mut buf = [0; 4096];
+        let _ = peer.read(&mut buf);
+        let _ = peer.write_all(answer);
+        if !close {
+            // Ends when the client closes.
+            while matches!(peer.read(&mut buf), Ok(n) if n > 0) {}
+        }
+    });
+    (addr, thread)
+}
+
+pub fn body(text: &str) -> Bytes {
+    Bytes::copy_from_slice(text.as_bytes())
+}
