feat(standin): engine, plain service and configuration service as processes, with faults

Cause: nothing stood at the interfaces against which the daemons could be run. Ruled out: dropping the responder for a reset (the server then answers 500, as it should), so the process shuts the socket down itself; ports from bind(0) for later use (another process got the port in 2 of 3 runs of the tests, because a child that was being started held the probing socket), so ports come from below the system's range, under a lock. Conclusion: each fault of the list has a test against the real process.

--- /dev/null
+++ b/crates/celerytide-standin/src/config/calls.rs
@@ -0,0 +1,72 @@
+//! Counts calls by second.
+
+use std::time::Instant;
+
+celerytide_types::data! {
+    /// Calls of the system so far; a waiting watch counts as one call.
+    #[derive(Eq, Default)]
+    pub struct Calls {
+        /// Since the start.
+        pub total: u64,
+        /// In the last whole second.
+        pub last_second: u64,
+        /// In the busiest second.
+        pub peak_second: u64,
+    }
+}
+
+/// Counts calls.
+#[derive(Debug)]
+pub struct Counter {
+    start: Instant,
+    second: u64,
+    current: u64,
+    calls: Calls,
+}
+
+impl Counter {
+    /// Counts from now on.
+    pub fn new() -> Self {
+        Self {
+            start: Instant::now(),
+            second: 0,
+            current: 0,
+            calls: Calls::default(),
+        }
+    }
+
+    /// Counts one call at `now`.
+    pub fn add(&mut self, now: Instant) {
+        self.roll(now);
+        self.current += 1;
+        self.calls.total += 1;
+        self.calls.peak_second = self.calls.peak_second.max(self.current);
+    }
+
+    /// The counts at `now`.
+    pub fn read(&mut self, now: Instant) -> Calls {
+        self.roll(now);
+        self.calls.clone()
+    }
+
+    fn roll(&mut self, now: Instant) {
+        let second = now.saturating_duration_since(self.start).as_secs();
+        if second == self.second {
+            return;
+        }
+        self.calls.last_second = if second == self.second + 1 { self.current } else { 0 };
+        self.second = second;
+        self.current = 0;
+    }
+
+    /// The instant at which the count began.
+    pub fn start(&self) -> Instant {
+        self.start
+    }
+}
+
+impl Default for Counter {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/celerytide-standin/src/config/store.rs
@@ -0,0 +1,101 @@
+//! Published documents, each change with its index, and the view that a lagging reader has of them.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use futures::channel::oneshot;
+
+/// Index of a document that was never published.
+pub const EMPTY_INDEX: u64 = 1;
+
+/// One published state of a document.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Edition {
+    /// Index of the change; grows over all documents.
+    pub index: u64,
+    /// The document.
+    pub body: Bytes,
+    published: Instant,
+}
+
+/// All documents and those who wait for a change.
+#[derive(Default)]
+pub struct Store {
+    last: Cell<u64>,
+    documents: RefCell<HashMap<String, Vec<Edition>>>,
+    frozen_at: Cell<Option<Instant>>,
+    waiters: RefCell<Vec<oneshot::Sender<()>>>,
+}
+
+impl Store {
+    /// Publishes a new edition of `name`.
+    pub fn publish(&self, name: &str, body: Bytes) -> u64 {
+        let index = self.last.get().max(EMPTY_INDEX) + 1;
+        self.last.set(index);
+        let edition = Edition {
+            index,
+            body,
+            published: Instant::now(),
+        };
+        self.documents
+            .borrow_mut()
+            .entry(name.to_owned())
+            .or_default()
+            .push(edition);
+        self.wake();
+        index
+    }
+
+    /// What a reader sees whose view is `lag` old.
+    pub fn read(&self, name: &str, lag: Duration) -> Option<Edition> {
+        let now = self.frozen_at.get().unwrap_or_else(Instant::now);
+        let documents = self.documents.borrow();
+        documents
+            .get(name)?
+            .iter()
+            .rev()
+            .find(|edition| edition.published + lag <= now)
+            .cloned()
+    }
+
+    /// When the next edition of `name` comes into a view that is `lag` old.
+    pub fn next_visible(&self, name: &str, lag: Duration) -> Option<Instant> {
+        if self.frozen_at.get().is_some() {
+            return None;
+        }
+        let now = Instant::now();
+        let documents = self.documents.borrow();
+        documents
+            .get(name)?
+            .iter()
+            .map(|edition| edition.published + lag)
+            .find(|visible| *visible > now)
+    }
+
+    /// Keeps every view as it is now, or lets the views move again.
+    pub fn set_stale(&self, stale: bool) {
+        self.frozen_at.set(stale.then(Instant::now));
+        self.wake();
+    }
+
+    /// Resolves at the next change.
+    pub fn changed(&self) -> oneshot::Receiver<()> {
+        let (tx, rx) = oneshot::channel();
+        let mut waiters = self.waiters.borrow_mut();
+        waiters.retain(|tx| !tx.is_canceled());
+        waiters.push(tx);
+        rx
+    }
+
+    /// Wakes all who wait.
+    pub fn wake(&self) {
+        for tx in self.waiters.borrow_mut().drain(..) {
+            // A waiter whose caller left needs no wake-up.
+            let _ = tx.send(());
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerytide-standin/src/daemon/mod.rs
@@ -0,0 +1,84 @@
+//! The life of one stand-in process: bind, say where, serve.
+
+use std::{io, io::Write, net::SocketAddr, rc::Rc, time::Duration};
+
+use celerytide_http::{Limits, server};
+use monoio::{LegacyDriver, RuntimeBuilder};
+use snafu::{ResultExt, Snafu};
+use tokio_util::sync::CancellationToken;
+
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+const IDLE: Duration = Duration::from_secs(3600);
+const MAX_CONNECTIONS: usize = 16 * 1024;
+
+/// Why a stand-in did not start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The runtime could not be built.
+    #[snafu(display("runtime: {source}"))]
+    Runtime {
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The address could not be used.
+    #[snafu(display("{source}"), context(false))]
+    Serve {
+        /// What the server said.
+        source: server::Error,
+    },
+    /// The bound address could not be read.
+    #[snafu(display("listen on {addr}: {source}"))]
+    Listen {
+        /// The wanted address.
+        addr: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// A file that an option names could not be read.
+    #[snafu(display("read {path}: {source}"))]
+    Read {
+        /// The named file.
+        path: String,
+        /// What the system said.
+        source: io::Error,
+    },
+}
+
+/// Serves the handler that `make` builds on `listen` until the process ends.
+///
+/// `make` runs inside the runtime, so that it may spawn tasks.
+pub fn run<H, F>(listen: SocketAddr, make: F) -> Result<(), Error>
+where
+    H: server::Handler + 'static,
+    F: FnOnce() -> Result<Rc<H>, Error>,
+{
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .context(RuntimeSnafu)?;
+    runtime.block_on(async move {
+        let limits = limits();
+        let listener = server::bind(listen, &limits)?;
+        let addr = listener.local_addr().context(ListenSnafu { addr: listen })?;
+        let handler = make()?;
+        announce(addr);
+        Ok(server::serve(listener, limits, handler, CancellationToken::new()).await?)
+    })
+}
+
+/// Wide bounds: what is under test bounds itself.
+fn limits() -> Limits {
+    Limits {
+        max_body: MAX_BODY_BYTES,
+        idle: IDLE,
+        connections: MAX_CONNECTIONS,
+        ..Limits::default()
+    }
+}
+
+fn announce(addr: SocketAddr) {
+    let mut out = io::stdout();
+    // The stand-in serves on when nobody reads its output.
+    let _ = writeln!(out, "{}{addr}", crate::launch::READY_PREFIX);
+    let _ = out.flush();
+}
--- /dev/null
+++ b/crates/celerytide-standin/src/engine/batch.rs
@@ -0,0 +1,176 @@
+//! Continuous batching: which requests run in a step, how long the step takes, which tokens come out of it.
+
+use std::{cmp::Reverse, time::Duration};
+
+use futures::channel::mpsc::UnboundedSender;
+
+/// Prompt tokens that are read in one step at most, so that a long prompt does not stop the whole batch.
+const PREFILL_TOKENS_PER_STEP: usize = 512;
+
+/// How fast an engine reads and writes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Pace {
+    /// Time to read one prompt token, in microseconds.
+    pub prefill_us_per_token: f64,
+    /// Time of a decode step of a batch of one, in milliseconds.
+    pub decode_ms: f64,
+    /// Part of a decode step that each further request adds.
+    pub batch_slowdown: f64,
+}
+
+impl Pace {
+    /// Time of one step that reads `prefill` prompt tokens and decodes for `running` requests.
+    pub fn step(&self, prefill: usize, running: usize) -> Duration {
+        let read = prefill as f64 * self.prefill_us_per_token / 1e6;
+        let factor = 1.0 + self.batch_slowdown * running.saturating_sub(1) as f64;
+        let decode = if running == 0 {
+            0.0
+        } else {
+            self.decode_ms * factor / 1e3
+        };
+        Duration::try_from_secs_f64(read + decode).unwrap_or_default()
+    }
+}
+
+/// What a request's handler learns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Progress {
+    /// Token with this index.
+    Token(usize),
+    /// All tokens have been sent.
+    End,
+}
+
+/// One request in the engine.
+#[derive(Debug)]
+pub struct Job {
+    /// 1 is the highest.
+    pub priority: u8,
+    /// Prompt tokens that are still to be read.
+    pub prefill: usize,
+    /// Index of the next token.
+    pub next: usize,
+    /// Index past the last token.
+    pub end: usize,
+    /// Takes the tokens; closed when the caller has left.
+    pub tx: UnboundedSender<Progress>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    number: u64,
+    job: Job,
+}
+
+/// All requests in the engine.
+#[derive(Debug)]
+pub struct Batch {
+    pace: Pace,
+    slots: usize,
+    arrivals: u64,
+    waiting: Vec<Waiting>,
+    running: Vec<Job>,
+}
+
+impl Batch {
+    /// An empty batch of at most `slots` requests.
+    pub fn new(pace: Pace, slots: usize) -> Self {
+        Self {
+            pace,
+            slots,
+            arrivals: 0,
+            waiting: Vec::new(),
+            running: Vec::new(),
+        }
+    }
+
+    /// Takes a request in.
+    pub fn add(&mut self, job: Job) {
+        self.arrivals += 1;
+        self.waiting.push(Waiting {
+            number: self.arrivals,
+            job,
+        });
+    }
+
+    /// Requests in the batch.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Requests before the batch.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Drops every request.
+    pub fn clear(&mut self) {
+        self.waiting.clear();
+        self.running.clear();
+    }
+
+    /// Drops requests whose caller left.
+    pub fn prune(&mut self) {
+        self.waiting.retain(|waiting| !waiting.job.tx.is_closed());
+        self.running.retain(|job| !job.tx.is_closed());
+    }
+
+    /// Fills free slots, by priority and then by arrival, and reads prompts; gives the length of the step, or `None`
+    /// when there is nothing to do.
+    pub fn begin_step(&mut self) -> Option<Duration> {
+        self.prune();
+        self.admit();
+        if self.running.is_empty() {
+            return None;
+        }
+        let prefill = self.read_prompts();
+        let decoding = self.running.iter().filter(|job| job.prefill == 0).count();
+        Some(self.pace.step(prefill, decoding))
+    }
+
+    /// Hands out the tokens of the step; gives their count.
+    pub fn end_step(&mut self) -> usize {
+        let mut tokens = 0;
+        self.running.retain_mut(|job| {
+            if job.prefill > 0 {
+                return true;
+            }
+            if job.next < job.end {
+                // A closed channel is found by the next pruning.
+                let _ = job.tx.unbounded_send(Progress::Token(job.next));
+                job.next += 1;
+                tokens += 1;
+            }
+            let is_done = job.next >= job.end;
+            if is_done {
+                let _ = job.tx.unbounded_send(Progress::End);
+            }
+            !is_done
+        });
+        tokens
+    }
+
+    fn admit(&mut self) {
+        if self.running.len() >= self.slots || self.waiting.is_empty() {
+            return;
+        }
+        self.waiting
+            .sort_by_key(|waiting| Reverse((waiting.job.priority, waiting.number)));
+        while self.running.len() < self.slots {
+            let Some(first) = self.waiting.pop() else {
+                return;
+            };
+            self.running.push(first.job);
+        }
+    }
+
+    fn read_prompts(&mut self) -> usize {
+        let mut left = PREFILL_TOKENS_PER_STEP;
+        for job in &mut self.running {
+            let now = job.prefill.min(left);
+            job.prefill -= now;
+            left -= now;
+        }
+        PREFILL_TOKENS_PER_STEP - left
+    }
+}
--- /dev/null
+++ b/crates/celerytide-standin/src/engine/cache.rs
@@ -0,0 +1,128 @@
+//! The prefix cache: leading blocks of prompts, in limited memory, the least recently used leave first.
+//!
+//! Its events are published late and with gaps: a seeded part of them is lost.
+
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    time::Duration,
+};
+
+use celerytide_types::{Millis, now_unix_ms};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+/// Tokens in a block.
+pub const BLOCK_TOKENS: usize = 64;
+/// Part of the events that nobody sees.
+const EVENT_LOSS: f64 = 0.05;
+/// Events that are kept for readers.
+const EVENTS_KEPT: usize = 4096;
+
+celerytide_types::data! {
+    /// A change of the cache.
+    #[derive(Eq)]
+    pub struct CacheEvent {
+        /// Number of the event; gaps are lost events.
+        pub seq: u64,
+        /// `stored` or `removed`.
+        pub kind: String,
+        /// Hash of the block and all blocks before it.
+        pub block: u64,
+        /// When it happened.
+        pub at_unix_ms: Millis,
+    }
+}
+
+/// A prefix cache.
+#[derive(Debug)]
+pub struct Cache {
+    capacity: usize,
+    clock: u64,
+    used: HashMap<u64, u64>,
+    by_age: BTreeMap<u64, u64>,
+    events: VecDeque<CacheEvent>,
+    seq: u64,
+    rng: StdRng,
+}
+
+impl Cache {
+    /// An empty cache for so many tokens.
+    pub fn new(tokens: usize, seed: u64) -> Self {
+        Self {
+            capacity: tokens / BLOCK_TOKENS,
+            clock: 0,
+            used: HashMap::new(),
+            by_age: BTreeMap::new(),
+            events: VecDeque::new(),
+            seq: 0,
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Reads a prompt's blocks through the cache; gives the count of leading blocks that it held.
+    pub fn read(&mut self, blocks: &[u64]) -> usize {
+        let held = blocks.iter().take_while(|block| self.used.contains_key(block)).count();
+        for block in blocks.iter().take(self.capacity) {
+            self.touch(*block);
+        }
+        self.shrink();
+        held
+    }
+
+    /// Forgets everything.
+    pub fn clear(&mut self) {
+        let blocks: Vec<u64> = self.by_age.values().copied().collect();
+        self.used.clear();
+        self.by_age.clear();
+        for block in blocks {
+            self.tell("removed", block);
+        }
+    }
+
+    /// Events after `since` that are at least `lag` old.
+    pub fn events(&self, since: u64, lag: Duration) -> Vec<CacheEvent> {
+        let until = now_unix_ms().saturating_sub(u64::try_from(lag.as_millis()).unwrap_or(u64::MAX));
+        let seen = self
+            .events
+            .iter()
+            .filter(|event| event.seq > since && event.at_unix_ms <= until);
+        seen.cloned().collect()
+    }
+
+    fn touch(&mut self, block: u64) {
+        self.clock += 1;
+        match self.used.insert(block, self.clock) {
+            Some(before) => {
+                self.by_age.remove(&before);
+            }
+            None => self.tell("stored", block),
+        }
+        self.by_age.insert(self.clock, block);
+    }
+
+    fn shrink(&mut self) {
+        while self.used.len() > self.capacity {
+            let Some((_, block)) = self.by_age.pop_first() else {
+                return;
+            };
+            self.used.remove(&block);
+            self.tell("removed", block);
+        }
+    }
+
+    fn tell(&mut self, kind: &str, block: u64) {
+        self.seq += 1;
+        if self.rng.random_bool(EVENT_LOSS) {
+            return;
+        }
+        if self.events.len() >= EVENTS_KEPT {
+            self.events.pop_front();
+        }
+        let event = CacheEvent {
+            seq: self.seq,
+            kind: kind.to_owned(),
+            block,
+            at_unix_ms: now_unix_ms(),
+        };
+        self.events.push_back(event);
+    }
+}
--- /dev/null
+++ b/crates/celerytide-standin/src/launch/ports.rs
@@ -0,0 +1,42 @@
+//! Loopback ports for processes that have to be told theirs.
+
+use std::{
+    collections::HashSet,
+    io,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    ops::RangeInclusive,
+    sync::{LazyLock, Mutex, PoisonError},
+};
+
+use rand::Rng;
+use snafu::ResultExt;
+
+use super::{Error, SystemSnafu};
+
+/// Below the range from which the system takes ports by itself.
+const PORTS: RangeInclusive<u16> = 12_000..=31_999;
+/// Draws before the search is given up.
+const MAX_DRAWS: u32 = 1000;
+
+/// Ports that this process has given out.
+///
+/// A child that is being started holds the sockets of this process for a moment, so the lock is also taken for that.
+pub(super) static GIVEN: LazyLock<Mutex<HashSet<u16>>> = LazyLock::new(Mutex::default);
+
+/// A loopback port that is free and that this process has not given out before.
+pub fn free_port() -> Result<u16, Error> {
+    let mut given = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
+    for _ in 0..MAX_DRAWS {
+        let port = rand::rng().random_range(PORTS);
+        if !given.contains(&port) && TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok() {
+            given.insert(port);
+            return Ok(port);
+        }
+    }
+    Err(io::Error::from(io::ErrorKind::AddrInUse)).context(SystemSnafu)
+}
+
+/// A loopback address with a port of [`free_port`].
+pub fn free_addr() -> Result<SocketAddr, Error> {
+    Ok(SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()?)))
+}
--- /dev/null
+++ b/crates/celerytide-standin/tests/common/mod.rs
@@ -0,0 +1,93 @@
+//! A kept-alive connection and a few requests for the tests of the stand-ins.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::{
+    io::{self, Read, Write},
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
+
+use celerytide_standin::{
+    launch::Process,
+    probe::{self, Reply},
+};
+
+/// A wait after which nothing more is expected to come.
+pub const QUIET: Duration = Duration::from_millis(300);
+
+/// A body of a chat call.
+pub fn chat(text: &str, rest: &str) -> Vec<u8> {
+    format!(r#"{{"model":"stand-in","messages":[{{"role":"user","content":"{text}"}}]{rest}}}"#).into_bytes()
+}
+
+/// Sends a chat call by a connection of its own.
+pub fn call(process: &Process, id: &str, body: &[u8]) -> Result<Reply, probe::Error> {
+    probe::send(
+        process.addr(),
+        "POST",
+        "/v1/chat/completions",
+        &[("x-request-id", id)],
+        body,
+    )
+}
+
+/// An engine with quick steps and the given further arguments.
+pub fn engine(args: &[&str]) -> Process {
+    let mut all = vec!["--id", "e1", "--prefill-us-per-token", "1"];
+    all.extend(args);
+    if !args.contains(&"--decode-ms") {
+        all.extend(["--decode-ms", "1"]);
+    }
+    Process::standin("engine", &all).expect("engine")
+}
+
+/// A plain service.
+pub fn plain() -> Process {
+    Process::standin("plain", &["--id", "p1"]).expect("plain")
+}
+
+/// Tokens `from..to` as an engine writes them.
+pub fn words(from: usize, to: usize) -> String {
+    (from..to).map(|i| format!("w{i} ")).collect()
+}
+
+/// The text of a streamed answer, and whether it ended with `[DONE]`.
+pub fn read_stream(reply: &Reply) -> (String, bool) {
+    let body = reply.text();
+    let events: Vec<&str> = body
+        .split("\n\n")
+        .filter_map(|event| event.strip_prefix("data: "))
+        .collect();
+    let done = events.last() == Some(&"[DONE]");
+    let text = events.iter().filter_map(|event| {
+        let event: serde_json::Value = serde_json::from_str(event).ok()?;
+        Some(event["choices"][0]["delta"]["content"].as_str()?.to_owned())
+    });
+    (text.collect(), done)
+}
+
+/// A connection that stays open between requests.
+pub struct Kept {
+    stream: TcpStream,
+}
+
+impl Kept {
+    pub fn open(addr: SocketAddr) -> Self {
+        let stream = TcpStream::connect(addr).expect("connect");
+        Self { stream }
+    }
+
+    pub fn send(&mut self, id: &str) {
+        let head = format!("GET /ping HTTP/1.1\r\nhost: here\r\nx-request-id: {id}\r\n\r\n");
+        self.stream.write_all(head.as_bytes()).expect("write");
+    }
+
+    /// What comes within `bound`: bytes, nothing (end), or an error.
+    pub fn read(&mut self, bound: Duration) -> io::Result<Vec<u8>> {
+        self.stream.set_read_timeout(Some(bound)).expect("timeout");
+        let mut buf = vec![0; 64 * 1024];
+        let n = self.stream.read(&mut buf)?;
+        buf.truncate(n);
+        Ok(buf)
+    }
+}
--- /dev/null
+++ b/crates/celerytide-standin/tests/engine.rs
@@ -0,0 +1,251 @@
+//! The engine: answers, limits, cold start, resume, cancel, reports and orders.
+
+mod common;
+
+use std::{
+    io::Write,
+    net::TcpStream,
+    thread,
+    time::{Duration, Instant},
+};
+
+use celerytide_standin::{
+    engine::{CacheEvent, Load, Order},
+    probe,
+};
+use common::{call, chat, engine, read_stream, words};
+
+#[test]
+fn answers_whole_and_streamed_with_the_same_text() {
+    let engine = engine(&[]);
+    let whole = call(&engine, "r-1", &chat("hi", r#","max_tokens":20"#)).expect("whole");
+    let streamed = call(&engine, "r-1", &chat("hi", r#","max_tokens":20,"stream":true"#)).expect("streamed");
+    assert_eq!(
+        (whole.header("x-request-id"), streamed.header("x-request-id")),
+        (Some("r-1"), Some("r-1"))
+    );
+    let body: serde_json::Value = serde_json::from_slice(&whole.body).expect("json");
+    assert_eq!(body["id"], "r-1");
+    assert_eq!(body["choices"][0]["message"]["content"], words(0, 20));
+    assert_eq!(body["usage"]["completion_tokens"], 20);
+    assert_eq!(read_stream(&streamed), (words(0, 20), true));
+    assert!(
+        streamed
+            .text()
+            .lines()
+            .next()
+            .expect("first event")
+            .contains(r#""id":"r-1""#)
+    );
+}
+
+#[test]
+fn resumes_from_the_tokens_that_were_sent() {
+    let first = engine(&["--seed", "7"]);
+    let second = engine(&["--seed", "7"]);
+    let whole = call(&first, "r-2", &chat("hi", r#","stream":true"#)).expect("whole");
+    let rest = call(&second, "r-2", &chat("hi", r#","stream":true,"resume_from":3"#)).expect("rest");
+    let (whole, rest) = (read_stream(&whole), read_stream(&rest));
+    assert!(whole.1 && rest.1);
+    assert_eq!(whole.0, words(0, 3) + &rest.0);
+}
+
+#[test]
+fn refuses_what_it_cannot_read_or_hold() {
+    let engine = engine(&["--slots", "1", "--decode-ms", "50"]);
+    for body in ["", "{}", r#"{"messages":5}"#] {
+        assert_eq!(
+            call(&engine, "r", body.as_bytes()).expect("answer").status,
+            400,
+            "{body}"
+        );
+    }
+    let busy: Vec<TcpStream> = (0..2).map(|_| begin(&engine, 1000)).collect();
+    wait_for(&engine, |load| load.running + load.waiting == 2);
+    let full = call(&engine, "r", &chat("hi", "")).expect("answer");
+    assert_eq!((full.status, full.header("retry-after")), (503, Some("1")));
+    drop(busy);
+    wait_for(&engine, |load| load.running + load.waiting == 0);
+    assert_eq!(
+        call(&engine, "r", &chat("hi", r#","max_tokens":1"#))
+            .expect("answer")
+            .status,
+        200
+    );
+}
+
+#[test]
+fn falls_over_when_cold_and_given_too_much() {
+    let engine = engine(&["--cold-slots", "1", "--cold-seconds", "60", "--decode-ms", "20"]);
+    assert_eq!(
+        call(&engine, "r", &chat("hi", r#","max_tokens":2"#))
+            .expect("one is borne")
+            .status,
+        200
+    );
+    let started = load(&engine).started_unix_ms;
+    let addr = engine.addr();
+    let first = thread::spawn(move || {
+        let body = chat("hi", r#","max_tokens":4000,"stream":true"#);
+        probe::send(addr, "POST", "/v1/chat/completions", &[], &body).is_err()
+    });
+    wait_for(&engine, |load| load.running == 1);
+    assert!(call(&engine, "r", &chat("hi", "")).is_err(), "the second is reset");
+    assert!(first.join().expect("thread"), "the first is reset as well");
+    wait_for(&engine, |load| {
+        load.cold && load.running == 0 && load.started_unix_ms > started
+    });
+}
+
+#[test]
+fn turns_cold_with_or_without_a_signal() {
+    for (fault, told) in [
+        (r#"{"kind":"cold","signal":true}"#, true),
+        (r#"{"kind":"cold"}"#, false),
+    ] {
+        let engine = engine(&["--cold-slots", "0", "--cold-seconds", "60"]);
+        probe::fault(engine.addr(), r#"{"kind":"none"}"#).expect("none");
+        probe::fault(engine.addr(), fault).expect("cold");
+        wait_for(&engine, |load| load.cold == told);
+        assert!(call(&engine, "r", &chat("hi", "")).is_err(), "it bears nothing");
+    }
+}
+
+#[test]
+fn serves_the_higher_priority_first() {
+    let engine = engine(&["--slots", "2", "--decode-ms", "30"]);
+    let busy = [begin(&engine, 1000), begin(&engine, 1000)];
+    wait_for(&engine, |load| load.running == 2);
+    let addr = engine.addr();
+    let ask = move |priority: &'static str| {
+        let body = chat("hi", r#","max_tokens":3"#);
+        let headers = [("x-priority", priority)];
+        assert_eq!(
+            probe::send(addr, "POST", "/v1/chat/completions", &headers, &body)
+                .expect("answer")
+                .status,
+            200
+        );
+        Instant::now()
+    };
+    let low = thread::spawn(move || ask("5"));
+    wait_for(&engine, |load| load.waiting == 1);
+    let high = thread::spawn(move || ask("1"));
+    wait_for(&engine, |load| load.waiting == 2);
+    let [leaving, _staying] = busy;
+    drop(leaving);
+    let (low, high) = (low.join().expect("low"), high.join().expect("high"));
+    assert!(high < low, "the later request of higher priority ended first");
+}
+
+#[test]
+fn cuts_and_crosses_streams() {
+    let engine = engine(&[]);
+    probe::fault(engine.addr(), r#"{"kind":"cut-mid-answer","after":4}"#).expect("cut");
+    let body = chat("hi", r#","max_tokens":20,"stream":true"#);
+    assert!(call(&engine, "r", &body).is_err(), "no terminator");
+    probe::fault(engine.addr(), r#"{"kind":"crossed"}"#).expect("crossed");
+    let addr = engine.addr();
+    let other = thread::spawn(move || {
+        let body = chat("hi", r#","max_tokens":6,"stream":true"#);
+        let reply = probe::send(addr, "POST", "/v1/chat/completions", &[("x-request-id", "b")], &body).expect("b");
+        (reply.header("x-request-id").map(str::to_owned), read_stream(&reply).0)
+    });
+    let own = call(&engine, "a", &chat("hi", r#","max_tokens":3,"stream":true"#)).expect("a");
+    assert_eq!(
+        (own.header("x-request-id"), read_stream(&own).0),
+        (Some("b"), words(0, 6))
+    );
+    assert_eq!(other.join().expect("thread"), (Some("a".to_owned()), words(0, 3)));
+}
+
+#[test]
+fn reports_load_with_its_lag() {
+    let lag = Duration::from_millis(500);
+    let engine = engine(&["--report-lag-ms", "500", "--decode-ms", "20"]);
+    let start = Instant::now();
+    let _busy = begin(&engine, 1000);
+    wait_for(&engine, |load| load.running == 1);
+    assert!(start.elapsed() >= lag, "the report came after {:?}", start.elapsed());
+}
+
+#[test]
+fn keeps_prefixes_and_tells_of_them() {
+    let engine = engine(&[]);
+    let long = "x".repeat(256 * 40);
+    call(&engine, "r", &chat(&long, r#","max_tokens":1"#)).expect("answer");
+    let path = "/cache-events?since=0";
+    let events: Vec<CacheEvent> = probe::get_json(engine.addr(), path).expect("events");
+    assert!(events.iter().all(|event| event.kind == "stored"));
+    assert!(events.len() > 20 && events.len() <= 40, "{}", events.len());
+    let last = events.last().expect("an event").seq;
+    let later: Vec<CacheEvent> =
+        probe::get_json(engine.addr(), &format!("/cache-events?since={last}")).expect("events");
+    assert!(later.is_empty());
+}
+
+#[test]
+fn refuses_old_orders_only_when_fenced() {
+    struct Case {
+        args: &'static [&'static str],
+        want: [u16; 3],
+        accepted: usize,
+    }
+    let cases = [
+        Case {
+            args: &["--fenced"],
+            want: [200, 409, 200],
+            accepted: 2,
+        },
+        Case {
+            args: &[],
+            want: [200, 200, 200],
+            accepted: 3,
+        },
+    ];
+    for case in &cases {
+        let engine = engine(case.args);
+        let got = [5, 4, 5].map(|number| {
+            let order = format!(r#"{{"kind":"load","name":"m-{number}","number":{number},"sender":"a"}}"#);
+            probe::send(engine.addr(), "POST", "/orders", &[], order.as_bytes())
+                .expect("answer")
+                .status
+        });
+        assert_eq!(got, case.want, "{:?}", case.args);
+        let accepted: Vec<Order> = probe::get_json(engine.addr(), "/orders").expect("orders");
+        assert_eq!(accepted.len(), case.accepted, "{:?}", case.args);
+        let models: serde_json::Value = probe::get_json(engine.addr(), "/v1/models").expect("models");
+        assert!(models.to_string().contains("m-5"));
+    }
+}
+
+/// Starts a streamed call and leaves its answer unread.
+fn begin(engine: &celerytide_standin::launch::Process, max_tokens: usize) -> TcpStream {
+    let body = chat("hi", &format!(r#","max_tokens":{max_tokens},"stream":true"#));
+    let mut stream = TcpStream::connect(engine.addr()).expect("connect");
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: e\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    stream
+        .write_all(head.as_bytes())
+        .and_then(|()| stream.write_all(&body))
+        .expect("write");
+    stream
+}
+
+fn load(engine: &celerytide_standin::launch::Process) -> Load {
+    probe::get_json(engine.addr(), "/load").expect("load")
+}
+
+fn wait_for(engine: &celerytide_standin::launch::Process, wanted: impl Fn(&Load) -> bool) {
+    let until = Instant::now() + Duration::from_secs(5);
+    loop {
+        let load = load(engine);
+        if wanted(&load) {
+            return;
+        }
+        assert!(Instant::now() < until, "never seen; last {load:?}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
--- /dev/null
+++ b/crates/celerytide-standin/tests/launch.rs
@@ -0,0 +1,48 @@
+//! Child processes: start, signals, end.
+
+use std::time::Duration;
+
+use celerytide_standin::{
+    launch::{self, Error, Options, Process},
+    probe,
+};
+
+#[test]
+fn a_child_ends_with_its_handle() {
+    let process = Process::standin("plain", &["--id", "p"]).expect("start");
+    let addr = process.addr();
+    assert_eq!(probe::send(addr, "GET", "/", &[], b"").expect("answer").status, 200);
+    drop(process);
+    assert!(probe::send(addr, "GET", "/", &[], b"").is_err());
+}
+
+#[test]
+fn a_child_takes_signals() {
+    let mut process = Process::standin("plain", &["--id", "p"]).expect("start");
+    process.pause().expect("pause");
+    process.term().expect("term");
+    assert!(
+        process.wait(Duration::from_millis(200)).is_none(),
+        "a paused child does not end"
+    );
+    process.resume().expect("resume");
+    assert!(process.wait(Duration::from_secs(5)).is_some());
+    assert!(!process.is_running());
+}
+
+#[test]
+fn says_why_a_child_did_not_start() {
+    assert!(matches!(launch::sibling("no-such-binary"), Err(Error::NoBinary { .. })));
+    let bad = Process::standin("plain", &["--no-such-option"]);
+    assert!(matches!(bad, Err(Error::NotReady { .. })));
+    let mut options = Options::standin("plain", &[]).expect("options");
+    options.program = "/no/such/program".into();
+    assert!(matches!(Process::start(&options), Err(Error::Spawn { .. })));
+}
+
+#[test]
+fn free_addresses_can_be_bound() {
+    let addr = launch::free_addr().expect("address");
+    assert!(addr.ip().is_loopback());
+    std::net::TcpListener::bind(addr).expect("bind");
+}
