feat(kernel,wire): named services, audit trail, readiness, signals; typed messages over h2

Cause: the daemons need one kernel and one way to talk to each other. Ruled out: TCP_USER_TIMEOUT on these connections (monoio's stream gives no safe borrowed descriptor; h2 pings find silence). Before: none. After: cargo test -p celerytide-kernel 4 passed, -p celerytide-wire 3 passed (a silent connection fails within the bound while a new one to the same peer works). Conclusion: entry and dispatch build on these.

--- /dev/null
+++ b/crates/celerytide-kernel/src/logs/mod.rs
@@ -0,0 +1,44 @@
+//! Structured logs on standard error.
+
+use snafu::{ResultExt, Snafu};
+use tracing_subscriber::EnvFilter;
+
+/// How lines look.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Format {
+    /// For people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Why logging could not start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The level is not one that is known.
+    #[snafu(display("logs: unknown level {level}"))]
+    Level {
+        /// What was given.
+        level: String,
+        /// The parser's error.
+        source: tracing_subscriber::filter::ParseError,
+    },
+    /// A subscriber was installed before.
+    #[snafu(display("logs: already started"))]
+    Started,
+}
+
+/// Starts logging at `level` (`error`, `warn`, `info`, `debug`, `trace`).
+pub fn init(format: Format, level: &str) -> Result<(), Error> {
+    let directives = format!("{level},h2=warn,monoio=warn,monoio_http=warn");
+    let filter = EnvFilter::try_new(directives).context(LevelSnafu { level })?;
+    let base = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .with_target(false);
+    let started = match format {
+        Format::Text => base.with_ansi(false).try_init(),
+        Format::Json => base.json().flatten_event(true).try_init(),
+    };
+    started.map_err(|_| Error::Started)
+}
--- /dev/null
+++ b/crates/celerytide-kernel/src/metrics/mod.rs
@@ -0,0 +1,38 @@
+//! The metrics registry of a process and its OpenMetrics text.
+
+use std::cell::RefCell;
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::registry::Registry;
+
+/// Content type of [`Metrics::text`].
+pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// The registry; services add their metrics when the process starts.
+pub struct Metrics {
+    registry: RefCell<Registry>,
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        Metrics {
+            registry: RefCell::new(Registry::with_prefix("celerytide")),
+        }
+    }
+}
+
+impl Metrics {
+    /// Runs `add` with the registry.
+    pub fn register(&self, add: impl FnOnce(&mut Registry)) {
+        add(&mut self.registry.borrow_mut());
+    }
+
+    /// All metrics as OpenMetrics text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        match encode(&mut text, &self.registry.borrow()) {
+            Ok(()) => text,
+            Err(_) => String::from("# EOF\n"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerytide-kernel/tests/kernel.rs
@@ -0,0 +1,59 @@
+//! Tests of the registry, audit trail, request trail and readiness.
+
+use std::rc::Rc;
+
+use celerytide_kernel::audit::{Audit, Kind};
+use celerytide_kernel::ready::Ready;
+use celerytide_kernel::trail::Trail;
+use celerytide_kernel::{Error, Kernel};
+use celerytide_types::Word;
+
+#[test]
+fn services_are_found_by_name_and_type() {
+    let kernel = Kernel::new();
+    kernel.register("audit", Rc::new(Audit::default())).expect("free name");
+    assert!(kernel.find::<Audit>("audit").is_ok());
+    assert_eq!(
+        kernel.find::<Ready>("audit").err(),
+        Some(Error::OtherType { name: "audit" })
+    );
+    assert_eq!(
+        kernel.find::<Ready>("ready").err(),
+        Some(Error::Absent { name: "ready" })
+    );
+    let again = kernel.register("audit", Rc::new(Audit::default()));
+    assert_eq!(again.err(), Some(Error::Taken { name: "audit" }));
+}
+
+#[test]
+fn audit_keeps_the_last_records_in_order() {
+    let audit = Audit::with_capacity(3);
+    for version in 1..=5 {
+        audit.record(Kind::ConfigurationApplied, "manifest", "published", version);
+    }
+    let versions: Vec<u64> = audit.since(0).iter().map(|r| r.version).collect();
+    assert_eq!(versions, [3, 4, 5]);
+    assert_eq!(audit.since(4).len(), 1);
+}
+
+#[test]
+fn trail_is_bounded_and_tells_the_word() {
+    let trail = Trail::with_capacity(2);
+    for id in ["a", "b", "c"] {
+        trail.step(id, "accepted", "");
+        trail.word(id, Word::Done, "answered");
+    }
+    assert!(trail.story("a").is_none());
+    assert_eq!(trail.story("c").and_then(|s| s.word), Some(Word::Done));
+}
+
+#[test]
+fn ready_needs_every_condition() {
+    let ready = Ready::default();
+    ready.set("manifest", false);
+    ready.set("listening", true);
+    assert!(!ready.is_ready());
+    assert_eq!(ready.missing(), ["manifest"]);
+    ready.set("manifest", true);
+    assert!(ready.is_ready());
+}
--- /dev/null
+++ b/crates/celerytide-wire/src/messages/mod.rs
@@ -0,0 +1,325 @@
+//! Every message between our processes. A change here changes the protocol: raise [`PROTOCOL`].
+
+use std::net::SocketAddr;
+
+use celerytide_types::{
+    ClassName, CustomerId, Digest, EndpointId, FinalWord, Incarnation, InstanceId, Millis, PermitId, PoolId, RequestId,
+    TicketId, Version, data,
+};
+
+/// Version of this protocol; part of every method's path.
+pub const PROTOCOL: u32 = 1;
+
+/// What an exchange is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Method {
+    /// Entry to dispatch: a permit for one request.
+    Permit,
+    /// Entry to dispatch: a permit of a former owner goes on under the new one.
+    Adopt,
+    /// Dispatch to entry: report permits in flight for a pool and follow its new owner.
+    Muster,
+    /// Dispatch to dispatch: a pool was handed over.
+    Handover,
+    /// Any to any: versions held.
+    Gossip,
+    /// Any to any: the manifest's text.
+    Manifest,
+    /// Entry to entry: a ticketed call goes to its home.
+    Relay,
+    /// Entry to entry: what a ticket's home knows of it.
+    Look,
+    /// Entry to entry: outcomes of an entry that stops.
+    Outcomes,
+}
+
+struct Named {
+    method: Method,
+    path: &'static str,
+}
+
+const METHODS: [Named; 9] = [
+    Named {
+        method: Method::Permit,
+        path: "/1/permit",
+    },
+    Named {
+        method: Method::Adopt,
+        path: "/1/adopt",
+    },
+    Named {
+        method: Method::Muster,
+        path: "/1/muster",
+    },
+    Named {
+        method: Method::Handover,
+        path: "/1/handover",
+    },
+    Named {
+        method: Method::Gossip,
+        path: "/1/gossip",
+    },
+    Named {
+        method: Method::Manifest,
+        path: "/1/manifest",
+    },
+    Named {
+        method: Method::Relay,
+        path: "/1/relay",
+    },
+    Named {
+        method: Method::Look,
+        path: "/1/look",
+    },
+    Named {
+        method: Method::Outcomes,
+        path: "/1/outcomes",
+    },
+];
+
+impl Method {
+    /// Path of the h2 request.
+    pub fn path(self) -> &'static str {
+        METHODS.iter().find(|m| m.method == self).map_or("/", |m| m.path)
+    }
+
+    /// The method of a path.
+    pub fn from_path(path: &str) -> Option<Method> {
+        METHODS.iter().find(|m| m.path == path).map(|m| m.method)
+    }
+}
+
+data! {
+    /// Who owns a pool, since which list. Entries follow the highest term they saw.
+    #[derive(Copy, Eq, PartialOrd, Ord)]
+    pub struct Term {
+        /// Version of the instance list by which the owner owns.
+        pub list_version: Version,
+        /// The owner's incarnation.
+        pub incarnation: Incarnation,
+    }
+
+    /// First message of a permit exchange.
+    pub struct Ask {
+        /// The pool asked.
+        pub pool: PoolId,
+        /// The request.
+        pub request: RequestId,
+        /// Its class.
+        pub class: ClassName,
+        /// Its customer.
+        pub customer: CustomerId,
+        /// It must begin within this time from now.
+        pub begin_within_ms: Millis,
+        /// Time it has waited so far.
+        pub waited_ms: Millis,
+        /// Length of its prompt.
+        pub prompt_tokens: u32,
+        /// Bound on its answer's length, if it names one.
+        pub max_tokens: Option<u32>,
+        /// Hashes of the prompt's leading blocks.
+        pub prefix: Vec<u64>,
+        /// Endpoints that failed it already.
+        pub avoid: Vec<EndpointId>,
+    }
+
+    /// The owner's answer to [`Ask`].
+    pub enum Reply {
+        /// The request may run.
+        Granted(Granted),
+        /// It may not, and did not.
+        Refused(FinalWord),
+        /// The process asked doesn't own the pool.
+        NotOwner(Term),
+        /// The request that runs under this permit must stop and ask again; sent after `Granted` only.
+        Preempt,
+    }
+
+    /// A permit.
+    pub struct Granted {
+        /// Number of the permit.
+        pub permit: PermitId,
+        /// The endpoint.
+        pub endpoint: EndpointId,
+        /// Its address.
+        pub address: SocketAddr,
+        /// The owner's term.
+        pub term: Term,
+        /// The permit ends by itself after this time.
+        pub lasts_ms: Millis,
+    }
+
+    /// What the entry says of a running request.
+    pub enum Note {
+        /// Tokens received since the last note.
+        Progress(u32),
+        /// The request ended; the last note.
+        Settle(Ended),
+    }
+
+    /// How a request under a permit ended.
+    #[derive(Copy, Eq)]
+    pub enum Ended {
+        /// Whole answer.
+        Whole {
+            /// Tokens of it.
+            tokens: u32,
+        },
+        /// Reset, truncated or died.
+        Failed,
+        /// A bound on time was passed.
+        Slow,
+        /// The caller left or the request was preempted.
+        Cancelled,
+        /// No connection came up.
+        NotStarted,
+    }
+
+    /// A permit in flight that a former owner granted.
+    pub struct Adopt {
+        /// The pool.
+        pub pool: PoolId,
+        /// The request.
+        pub request: RequestId,
+        /// The endpoint it runs on.
+        pub endpoint: EndpointId,
+        /// Its class.
+        pub class: ClassName,
+        /// Its customer.
+        pub customer: CustomerId,
+    }
+
+    /// A new owner calls for permits in flight.
+    pub struct Muster {
+        /// The pool.
+        pub pool: PoolId,
+        /// The new owner's term.
+        pub term: Term,
+        /// Where the new owner listens.
+        pub owner: SocketAddr,
+    }
+
+    /// The entry's answer, sent once each of its permits in flight was adopted.
+    pub struct Mustered {
+        /// Whether the entry follows this term; false if it saw a higher one.
+        pub followed: bool,
+        /// Permits in flight that were adopted.
+        pub adopted: u32,
+    }
+
+    /// The former owner has stopped granting.
+    pub struct Handover {
+        /// The pool.
+        pub pool: PoolId,
+        /// Who hands over.
+        pub from: InstanceId,
+        /// Term that ends.
+        pub term: Term,
+        /// Permits in flight by endpoint.
+        pub in_flight: Vec<EndpointWork>,
+    }
+
+    /// Work of one endpoint.
+    pub struct EndpointWork {
+        /// The endpoint.
+        pub endpoint: EndpointId,
+        /// Permits in flight.
+        pub permits: u32,
+        /// Whether it counts as warm.
+        pub warm: bool,
+    }
+
+    /// A plain acknowledgement.
+    pub struct Ack {
+        /// Whether the message was taken.
+        pub taken: bool,
+    }
+
+    /// Versions that a process holds.
+    pub struct Gossip {
+        /// The sender's instance.
+        pub from: InstanceId,
+        /// The sender's incarnation.
+        pub incarnation: Incarnation,
+        /// Version of the manifest in force.
+        pub manifest_version: Version,
+        /// Its digest.
+        pub manifest_digest: Digest,
+        /// Version of the instance list.
+        pub list_version: Version,
+        /// Version of the endpoint list.
+        pub endpoints_version: Version,
+        /// Time since the service last confirmed the sender's views.
+        pub confirmed_ms_ago: Option<Millis>,
+        /// Instances that the sender's list shows as leaving.
+        pub leaving: Vec<InstanceId>,
+    }
+
+    /// Asks for the manifest's text.
+    pub struct ManifestAsk {
+        /// Version wanted, at least.
+        pub version: Version,
+    }
+
+    /// The manifest's text.
+    pub struct ManifestText {
+        /// Its version; zero if there is none.
+        pub version: Version,
+        /// The text.
+        pub text: String,
+    }
+
+    /// A header of a relayed call.
+    pub struct Header {
+        /// Name, lower case.
+        pub name: String,
+        /// Value as bytes.
+        pub value: Vec<u8>,
+    }
+
+    /// A ticketed call on its way to the ticket's home.
+    pub struct Relay {
+        /// The ticket.
+        pub ticket: TicketId,
+        /// The request.
+        pub request: RequestId,
+        /// The customer, already known to the entry that took the call.
+        pub customer: CustomerId,
+        /// HTTP method.
+        pub method: String,
+        /// Path and query as the caller sent them.
+        pub path: String,
+        /// Headers as the caller sent them.
+        pub headers: Vec<Header>,
+        /// Body.
+        pub body: Vec<u8>,
+    }
+
+    /// The home's whole answer to a relayed call.
+    pub struct Relayed {
+        /// HTTP status.
+        pub status: u16,
+        /// Headers.
+        pub headers: Vec<Header>,
+        /// Body.
+        pub body: Vec<u8>,
+    }
+
+    /// Asks a ticket's home what became of it.
+    pub struct Look {
+        /// The ticket.
+        pub ticket: TicketId,
+    }
+
+    /// What became of a ticket.
+    pub enum Seen {
+        /// Issued, not used yet.
+        Unused,
+        /// Its action runs now.
+        Running,
+        /// It has its final word.
+        Finished(FinalWord),
+        /// Not known here.
+        Unknown,
+    }
+}
