feat(policy): the pool's API with tiers, shares, ramps and deadlines

Cause: dispatch needs the queue and the one counter per endpoint to code against. Ruled out: a thin queue to be thrown away; the state is laid out for the indexed decision from the start. Before/After: nothing before; five rule tests pass.

--- /dev/null
+++ b/crates/celerytide-policy/src/endpoint/mod.rs
@@ -0,0 +1,125 @@
+//! One endpoint as its owner sees it: the exact count of its work and what it bears.
+
+pub(crate) mod sign;
+pub(crate) mod table;
+
+use celerytide_types::Boot;
+
+use crate::ask::Trust;
+use crate::options::{DeliberateFault, Options};
+use crate::plan::EndpointPlan;
+use crate::ramp::Ramp;
+use crate::status::{EndpointState, EndpointStatus};
+use sign::Signs;
+
+/// State of one endpoint.
+#[derive(Debug)]
+pub(crate) struct Endpoint {
+    pub plan: EndpointPlan,
+    /// No longer in the plan; kept while work is counted against it and for a while after.
+    pub gone: bool,
+    pub ramp: Ramp,
+    pub signs: Signs,
+    pub in_flight: u32,
+    pub orphans: u32,
+    /// Prompt tokens of permits whose first token is still out.
+    pub prefill: u64,
+    /// Last sign of life.
+    pub last_sign: Boot,
+    /// Whether a report made under this owner shows no foreign work.
+    pub witnessed: bool,
+    /// Sequence of its latest grant; the least lately used of equals goes first.
+    pub last_grant: u64,
+}
+
+impl Endpoint {
+    pub fn new(now: Boot, plan: EndpointPlan, opts: &Options) -> Endpoint {
+        Endpoint {
+            ramp: Ramp::new(plan.slots, plan.cold_slots, opts.cold_successes_per_slot),
+            plan,
+            gone: false,
+            signs: Signs::default(),
+            in_flight: 0,
+            orphans: 0,
+            prefill: 0,
+            last_sign: now,
+            witnessed: false,
+            last_grant: 0,
+        }
+    }
+
+    /// Takes over a changed plan.
+    pub fn replan(&mut self, plan: EndpointPlan) {
+        self.ramp.resize(plan.slots, plan.cold_slots);
+        self.plan = plan;
+        self.gone = false;
+    }
+
+    /// From now on a report has to show that nobody else sends work.
+    pub fn begin_witness(&mut self) {
+        self.witnessed = false;
+    }
+
+    pub fn is_open(&self) -> bool {
+        self.plan.open && !self.gone
+    }
+
+    /// Permits that it may bear under this trust; work that others sent takes from it.
+    pub fn limit(&self, trust: Trust, fault: Option<DeliberateFault>) -> u32 {
+        if fault == Some(DeliberateFault::IgnoreCold) {
+            return self.plan.slots;
+        }
+        let bears = self.ramp.limit().saturating_sub(self.signs.foreign());
+        match (trust, self.ramp.is_cold()) {
+            (Trust::Settled, _) => bears,
+            (Trust::Taking { .. }, true) if self.witnessed => bears / 2,
+            (Trust::Taking { .. }, true) => 0,
+            (Trust::Taking { share }, false) => (f64::from(bears) * share.clamp(0.0, 1.0)).floor() as u32,
+            (Trust::Stale, true) => 0,
+            (Trust::Stale, false) => bears,
+        }
+    }
+
+    /// Prompt tokens that may still go into prefill.
+    pub fn prefill_room(&self) -> u64 {
+        if self.plan.prefill_tokens == 0 || self.prefill == 0 {
+            return u64::MAX;
+        }
+        u64::from(self.plan.prefill_tokens).saturating_sub(self.prefill)
+    }
+
+    pub fn chill(&mut self) {
+        self.ramp.chill();
+        self.signs.forget_speed();
+    }
+
+    /// Halves the limit, and judges the endpoint anew by what it does next.
+    pub fn slow(&mut self) {
+        self.ramp.slow();
+        self.signs.forget_speed();
+    }
+
+    pub fn state(&self) -> EndpointState {
+        if !self.is_open() {
+            EndpointState::Closed
+        } else if self.ramp.is_cold() {
+            EndpointState::Cold
+        } else if self.ramp.is_suspect() {
+            EndpointState::Suspect
+        } else {
+            EndpointState::Warm
+        }
+    }
+
+    pub fn status(&self, trust: Trust) -> EndpointStatus {
+        EndpointStatus {
+            id: self.plan.id.clone(),
+            zone: self.plan.zone.clone(),
+            state: self.state(),
+            in_flight: self.in_flight,
+            orphans: self.orphans,
+            limit: self.limit(trust, None),
+            prefill_tokens: self.prefill,
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerytide-policy/src/pool/baseline/mod.rs
@@ -0,0 +1,39 @@
+//! Baselines: what routers do without tiers, shares and ramps. For comparison only.
+
+use celerytide_types::Boot;
+use rand::Rng;
+
+use super::Pool;
+use crate::ask::{AskId, Grant};
+use crate::options::Baseline;
+
+impl Pool {
+    pub(super) fn next_baseline(&mut self, now: Boot) -> Option<Grant> {
+        let at = self.baseline_endpoint()?;
+        let id = self.first_arrived()?;
+        let class = self.asks.get(&id)?.class;
+        self.grant(now, class, id, at)
+    }
+
+    fn first_arrived(&self) -> Option<AskId> {
+        self.asks.keys().copied().min()
+    }
+
+    fn baseline_endpoint(&mut self) -> Option<usize> {
+        if self.opts.baseline == Some(Baseline::FirstCome) {
+            return self.table.with_room().next();
+        }
+        let is_open = |at: &usize| self.table.get(*at).is_some_and(|endpoint| endpoint.is_open());
+        let open: Vec<usize> = self.table.indices().into_iter().filter(is_open).collect();
+        if open.is_empty() {
+            return None;
+        }
+        let in_flight = |at: &usize| self.table.get(*at).map_or(u32::MAX, |endpoint| endpoint.in_flight);
+        let turn = usize::try_from(self.grant_sequence).unwrap_or(0) % open.len();
+        match self.opts.baseline {
+            Some(Baseline::RoundRobin) => open.get(turn).copied(),
+            Some(Baseline::LeastInFlight) => open.into_iter().min_by_key(in_flight),
+            _ => open.get(self.rng.random_range(0..open.len())).copied(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerytide-policy/src/pool/report/mod.rs
@@ -0,0 +1,117 @@
+//! Load reports, and signs that are found by looking from time to time.
+
+use celerytide_types::{Boot, PermitId};
+
+use super::Pool;
+use crate::ask::LoadReport;
+use crate::endpoint::Endpoint;
+use crate::endpoint::sign::Shown;
+use crate::plan::EndpointPlan;
+
+impl Pool {
+    /// Takes a load report in. Reports lag, so they only lower trust: a changed start time or a cold endpoint's own
+    /// word makes it cold, work that this pool didn't send takes from its limit, and orphans that it no longer shows
+    /// are released. Reports older than one already seen are ignored.
+    pub fn report(&mut self, now: Boot, endpoint: &str, load: LoadReport) {
+        let Some(at) = self.table.find(endpoint) else { return };
+        let shown = self.table.update(at, |row| {
+            let shown = row.signs.report(now, &load);
+            row.heed(now, shown);
+            shown
+        });
+        match shown {
+            Some(Shown::Restarted) => self.release_all_orphans(at),
+            Some(Shown::Usual | Shown::Cold) => self.release_shown(at, &load),
+            _ => {}
+        }
+    }
+
+    /// Marks endpoints cold that were silent too long, and forgets those that are gone.
+    pub(super) fn sweep(&mut self, now: Boot) {
+        let lag = self.opts.report_lag;
+        for at in self.table.indices() {
+            self.chill_if_silent(now, at);
+            self.table.update(at, |row| row.signs.forget_report(now, lag));
+            let silence = self.opts.silence;
+            let row = self.table.get(at);
+            if row.is_some_and(|row| row.gone && row.in_flight == 0 && now.since(row.last_sign) > silence) {
+                self.table.remove(at);
+            }
+        }
+    }
+
+    /// Marks an endpoint cold that was silent too long; says whether it did.
+    pub(super) fn chill_if_silent(&mut self, now: Boot, at: usize) -> bool {
+        let silence = self.opts.silence;
+        let silent = |row: &Endpoint| !row.ramp.is_cold() && now.since(row.last_sign) > silence;
+        let is_silent = self.table.get(at).is_some_and(silent);
+        if is_silent {
+            self.table.update(at, |row| {
+                row.chill();
+                row.last_sign = now;
+            });
+        }
+        is_silent
+    }
+
+    /// A row for an endpoint that no plan names, so that its work can be counted.
+    pub(super) fn insert_gone(&mut self, now: Boot, id: &str) -> usize {
+        let plan = EndpointPlan {
+            id: id.to_owned(),
+            zone: String::new(),
+            slots: 1,
+            cold_slots: 1,
+            prefill_tokens: 0,
+            resumes: false,
+            open: false,
+        };
+        let mut endpoint = Endpoint::new(now, plan, &self.opts);
+        endpoint.gone = true;
+        self.table.insert(endpoint)
+    }
+
+    fn release_all_orphans(&mut self, at: usize) {
+        for permit in self.orphans_of(at) {
+            self.release(permit);
+        }
+    }
+
+    /// Releases orphans that a report made long enough after their loss no longer shows.
+    fn release_shown(&mut self, at: usize, load: &LoadReport) {
+        let shown = load.running.saturating_add(load.waiting);
+        let counted = self.table.get(at).map_or(0, |row| row.in_flight);
+        let missing = counted.saturating_sub(shown) as usize;
+        let lag_ms = u64::try_from(self.opts.report_lag.as_millis()).unwrap_or(u64::MAX);
+        let proven = |permit: &PermitId| {
+            let orphaned = self.flights.get(permit).and_then(|flight| flight.orphaned);
+            let before = orphaned.and_then(|orphan| orphan.observed_unix_ms);
+            before.is_some_and(|before| load.observed_unix_ms >= before.saturating_add(lag_ms))
+        };
+        let gone: Vec<PermitId> = self.orphans_of(at).into_iter().filter(proven).take(missing).collect();
+        for permit in gone {
+            self.release(permit);
+        }
+    }
+
+    fn orphans_of(&self, at: usize) -> Vec<PermitId> {
+        if self.table.get(at).is_none_or(|row| row.orphans == 0) {
+            return Vec::new();
+        }
+        let orphans = self.orphans.iter().map(|&(_, permit)| permit);
+        let here = |permit: &PermitId| self.flights.get(permit).is_some_and(|flight| flight.endpoint == at);
+        orphans.filter(here).collect()
+    }
+}
+
+impl Endpoint {
+    fn heed(&mut self, now: Boot, shown: Shown) {
+        if shown == Shown::Stale {
+            return;
+        }
+        self.last_sign = now;
+        if shown != Shown::Usual && !(shown == Shown::Cold && self.ramp.is_cold()) {
+            self.chill();
+        }
+        self.witnessed = self.signs.reported() <= self.in_flight;
+    }
+}
--- /dev/null
+++ b/crates/celerytide-policy/tests/common/mod.rs
@@ -0,0 +1,78 @@
+//! Plans and asks that several tests share.
+
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use celerytide_policy::{Ask, AskId, ClassPlan, EndpointPlan, Grant, Offer, Options, Pool, PoolPlan};
+use celerytide_types::{Boot, PermitId};
+
+pub fn at_ms(ms: u64) -> Boot {
+    Boot::from_start(Duration::from_millis(1_000_000 + ms))
+}
+
+pub fn endpoint(id: &str, slots: u32, cold_slots: u32) -> EndpointPlan {
+    EndpointPlan {
+        id: id.to_owned(),
+        zone: "a".to_owned(),
+        slots,
+        cold_slots,
+        prefill_tokens: 0,
+        resumes: true,
+        open: true,
+    }
+}
+
+pub fn class(name: &str, tier: u8, share: f64) -> ClassPlan {
+    ClassPlan {
+        name: name.to_owned(),
+        tier,
+        priority: 0,
+        first_token: Duration::from_secs(1),
+        guaranteed_share: share,
+        preemptible: tier > 2,
+    }
+}
+
+pub fn ask(class: &str, customer: &str, deadline_ms: u64) -> Ask {
+    Ask {
+        request: "req".to_owned(),
+        class: class.to_owned(),
+        customer: customer.to_owned(),
+        deadline: at_ms(deadline_ms),
+        arrived: at_ms(0),
+        prompt_tokens: 0,
+        max_tokens: None,
+        prefix: Vec::new(),
+        avoid: Vec::new(),
+    }
+}
+
+pub fn pool(opts: Options, endpoints: Vec<EndpointPlan>, classes: Vec<ClassPlan>) -> Pool {
+    let mut pool = Pool::new(opts);
+    let customers = Vec::new();
+    pool.apply(
+        at_ms(0),
+        PoolPlan {
+            endpoints,
+            classes,
+            customers,
+        },
+    );
+    pool
+}
+
+pub fn queue(pool: &mut Pool, now: Boot, ask: Ask) -> AskId {
+    match pool.offer(now, ask) {
+        Offer::Queued(id) => id,
+        Offer::Refused(refused) => panic!("refused: {:?}", refused.why),
+    }
+}
+
+pub fn grants(pool: &mut Pool, now: Boot) -> Vec<Grant> {
+    std::iter::from_fn(|| pool.next(now)).collect()
+}
+
+pub fn permits(grants: &[Grant]) -> Vec<PermitId> {
+    grants.iter().map(|grant| grant.permit).collect()
+}
--- /dev/null
+++ b/crates/celerytide-policy/tests/pool.rs
@@ -0,0 +1,136 @@
+//! Single rules of the pool, one case at a time.
+
+mod common;
+
+use celerytide_policy::{Ended, Offer, Options, PoolPlan, Refusal};
+use common::{ask, at_ms, class, endpoint, grants, pool, queue};
+
+#[test]
+fn higher_tier_is_granted_first() {
+    let mut pool = pool(
+        Options::default(),
+        vec![endpoint("e", 1, 1)],
+        vec![class("low", 3, 0.0), class("high", 1, 0.0)],
+    );
+    let low = queue(&mut pool, at_ms(0), ask("low", "c", 10_000));
+    let high = queue(&mut pool, at_ms(0), ask("high", "c", 10_000));
+    let first = grants(&mut pool, at_ms(1));
+    assert_eq!(first.len(), 1);
+    assert_eq!(first[0].ask, high);
+    pool.settle(at_ms(2), first[0].permit, Ended::Whole { tokens: 10 });
+    assert_eq!(grants(&mut pool, at_ms(3))[0].ask, low);
+}
+
+#[test]
+fn cold_endpoint_gets_its_cold_slots_then_ramps() {
+    let mut pool = pool(Options::default(), vec![endpoint("e", 8, 2)], vec![class("a", 1, 0.0)]);
+    for _ in 0..40 {
+        queue(&mut pool, at_ms(0), ask("a", "c", 100_000));
+    }
+    let mut running = grants(&mut pool, at_ms(1));
+    assert_eq!(running.len(), 2);
+    assert!(running[0].cold);
+    let mut widths = Vec::new();
+    for round in 0..6 {
+        let now = at_ms(100 * (round + 1));
+        for grant in running.drain(..) {
+            pool.settle(now, grant.permit, Ended::Whole { tokens: 10 });
+        }
+        running = grants(&mut pool, now);
+        widths.push(running.len());
+    }
+    assert_eq!(widths, [2, 2, 4, 8, 8, 8]);
+}
+
+#[test]
+fn closed_endpoint_gets_nothing_and_keeps_its_count() {
+    let classes = vec![class("a", 1, 0.0)];
+    let mut pool = pool(
+        Options::default(),
+        vec![endpoint("e", 2, 2), endpoint("f", 2, 2)],
+        classes.clone(),
+    );
+    for _ in 0..8 {
+        queue(&mut pool, at_ms(0), ask("a", "c", 100_000));
+    }
+    let running = grants(&mut pool, at_ms(0));
+    assert_eq!(running.len(), 4);
+    let mut closed = endpoint("e", 2, 2);
+    closed.open = false;
+    let endpoints = vec![closed, endpoint("f", 2, 2)];
+    pool.apply(
+        at_ms(1),
+        PoolPlan {
+            endpoints,
+            classes,
+            customers: Vec::new(),
+        },
+    );
+    let status = pool.status();
+    assert!(status.endpoints.iter().all(|row| row.in_flight == 2));
+    for grant in running {
+        pool.settle(at_ms(2), grant.permit, Ended::Whole { tokens: 1 });
+    }
+    let next = grants(&mut pool, at_ms(2));
+    assert_eq!(next.len(), 2);
+    assert!(next.iter().all(|grant| grant.endpoint == "f"));
+}
+
+#[test]
+fn deadline_in_the_queue_is_refused_once() {
+    let mut pool = pool(Options::default(), vec![endpoint("e", 1, 1)], vec![class("a", 1, 0.0)]);
+    queue(&mut pool, at_ms(0), ask("a", "c", 1000));
+    let late = queue(&mut pool, at_ms(0), ask("a", "c", 2000));
+    assert_eq!(grants(&mut pool, at_ms(0)).len(), 1);
+    assert_eq!(pool.next_expiry(), Some(at_ms(2000)));
+    assert!(pool.expire(at_ms(1999)).is_empty());
+    let refused = pool.expire(at_ms(2000));
+    assert_eq!(refused.len(), 1);
+    assert_eq!((refused[0].ask, refused[0].why), (late, Refusal::DeadlinePassed));
+    assert!(refused[0].retry_after >= Options::default().retry_floor);
+    assert!(pool.expire(at_ms(3000)).is_empty());
+}
+
+struct Rejected {
+    name: &'static str,
+    class: &'static str,
+    deadline_ms: u64,
+    open: bool,
+    want: Refusal,
+}
+
+#[test]
+fn hopeless_asks_are_refused_at_once() {
+    let cases = [
+        Rejected {
+            name: "unknown class",
+            class: "none",
+            deadline_ms: 1000,
+            open: true,
+            want: Refusal::UnknownClass,
+        },
+        Rejected {
+            name: "deadline passed",
+            class: "a",
+            deadline_ms: 10,
+            open: true,
+            want: Refusal::DeadlinePassed,
+        },
+        Rejected {
+            name: "no open endpoint",
+            class: "a",
+            deadline_ms: 1000,
+            open: false,
+            want: Refusal::NoEndpoint,
+        },
+    ];
+    for case in cases {
+        let mut only = endpoint("e", 1, 1);
+        only.open = case.open;
+        let mut pool = pool(Options::default(), vec![only], vec![class("a", 1, 0.0)]);
+        match pool.offer(at_ms(10), ask(case.class, "c", case.deadline_ms)) {
+            Offer::Refused(refused) => assert_eq!(refused.why, case.want, "{}", case.name),
+            Offer::Queued(_) => panic!("{}: queued", case.name),
+        }
+    }
+}
