feat(once): tickets, their home, and copies of outcomes

Cause: at-most-once actions need a local one-way step that no partition or restart can undo. Ruled out: a second begin of one ticket after not-run: a delayed duplicate would run after its caller heard not-run.

--- /dev/null
+++ b/crates/celerytide-once/src/copies/mod.rs
@@ -0,0 +1,119 @@
+//! Outcomes of homes that stopped, held by other entries.
+//!
+//! A copy answers questions and repeated calls with the recorded outcome. It holds no right to run: nothing in this
+//! module can produce an [`Attempt`](crate::Attempt).
+
+use std::cell::RefCell;
+use std::collections::{HashMap, VecDeque};
+
+use celerytide_types::{InstanceId, TicketId, data, rendezvous_weight};
+
+use crate::home::{Begin, Look, Outcome};
+use crate::ticket::Ticket;
+
+data! {
+    /// One ticket's outcome at the time its home closed.
+    pub struct OutcomeCopy {
+        /// The ticket's text.
+        pub ticket: TicketId,
+        /// What it was used for; absent if it was not used.
+        pub fingerprint: Option<u64>,
+        /// How it ended.
+        pub outcome: Outcome,
+    }
+}
+
+/// Copies within bounds; the oldest are dropped first.
+#[derive(Debug)]
+pub struct Copies {
+    max_bytes: usize,
+    inner: RefCell<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    by_ticket: HashMap<TicketId, OutcomeCopy>,
+    order: VecDeque<TicketId>,
+    bytes: usize,
+}
+
+/// Bytes a copy takes besides its answer.
+const COPY_BYTES: usize = 256;
+
+impl Copies {
+    /// Holds copies up to `max_bytes`, counted with a fixed share per copy.
+    pub fn new(max_bytes: usize) -> Copies {
+        Copies {
+            max_bytes,
+            inner: RefCell::default(),
+        }
+    }
+
+    /// Takes copies in; the first copy of a ticket stays.
+    pub fn import(&self, copies: Vec<OutcomeCopy>) {
+        let mut inner = self.inner.borrow_mut();
+        for copy in copies {
+            inner.put(copy, self.max_bytes);
+        }
+    }
+
+    /// The outcome of a ticket, if a copy is held.
+    pub fn look(&self, ticket: &Ticket) -> Option<Look> {
+        let inner = self.inner.borrow();
+        let copy = inner.by_ticket.get(&ticket.id())?;
+        Some(Look::Finished(copy.outcome.clone()))
+    }
+
+    /// The answer to a repeated call, if a copy is held: the recorded outcome or a refusal, never a run.
+    pub fn begin(&self, ticket: &Ticket, fingerprint: u64) -> Option<Begin> {
+        let inner = self.inner.borrow();
+        let copy = inner.by_ticket.get(&ticket.id())?;
+        match copy.fingerprint {
+            None => Some(Begin::Expired),
+            Some(used) if used != fingerprint => Some(Begin::OtherRequest),
+            Some(_) => Some(Begin::Finished(copy.outcome.clone())),
+        }
+    }
+
+    /// Copies held.
+    pub fn len(&self) -> usize {
+        self.inner.borrow().by_ticket.len()
+    }
+
+    /// Whether none is held.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+impl Inner {
+    fn put(&mut self, copy: OutcomeCopy, max_bytes: usize) {
+        let bytes = copy.bytes();
+        if bytes > max_bytes || self.by_ticket.contains_key(&copy.ticket) {
+            return;
+        }
+        self.bytes += bytes;
+        self.order.push_back(copy.ticket.clone());
+        self.by_ticket.insert(copy.ticket.clone(), copy);
+        while self.bytes > max_bytes {
+            let Some(oldest) = self.order.pop_front() else { return };
+            let dropped = self.by_ticket.remove(&oldest);
+            self.bytes -= dropped.map_or(0, |c| c.bytes());
+        }
+    }
+}
+
+impl OutcomeCopy {
+    fn bytes(&self) -> usize {
+        COPY_BYTES + self.outcome.answer.as_ref().map_or(0, |a| a.bytes())
+    }
+}
+
+/// The `count` instances that hold copies of a stopped home's outcomes: those of highest rendezvous weight, the home
+/// itself left out. Sender and asker agree on them as far as their lists agree.
+pub fn holders<'a>(home: &str, instances: &'a [InstanceId], count: usize) -> Vec<&'a InstanceId> {
+    let mut others: Vec<&InstanceId> = instances.iter().filter(|id| id.as_str() != home).collect();
+    others.sort_by_key(|id| std::cmp::Reverse(rendezvous_weight(home, id)));
+    others.truncate(count);
+    others
+}
--- /dev/null
+++ b/crates/celerytide-once/src/ticket/mod.rs
@@ -0,0 +1,117 @@
+//! The ticket's text: `tk1.{instance}.{incarnation}.{nonce}`.
+//!
+//! The incarnation has 16 hex digits and the nonce 32, both in lower case, so that one ticket has exactly one text.
+
+use std::fmt;
+
+use celerytide_types::{Incarnation, InstanceId, TicketId, data};
+use rand::Rng;
+use snafu::{OptionExt, Snafu, ensure};
+
+const PREFIX: &str = "tk1";
+const INCARNATION_DIGITS: usize = 16;
+const NONCE_DIGITS: usize = 32;
+const MAX_INSTANCE_BYTES: usize = 64;
+
+data! {
+    /// One life of one entry process.
+    #[derive(Eq, Hash, PartialOrd, Ord)]
+    pub struct HomeId {
+        /// The instance it runs on.
+        pub instance: InstanceId,
+        /// Its incarnation.
+        pub incarnation: Incarnation,
+    }
+
+    /// A ticket for one at-most-once action.
+    #[derive(Eq, Hash, PartialOrd, Ord)]
+    pub struct Ticket {
+        /// The only process that may run the action.
+        pub home: HomeId,
+        /// Random part; can't be guessed by other callers.
+        pub nonce: u128,
+    }
+}
+
+/// Why a text is not a ticket.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum TicketError {
+    /// Not four parts, or another prefix.
+    #[snafu(display("not a ticket: expected {PREFIX}.INSTANCE.INCARNATION.NONCE"))]
+    Shape,
+    /// The instance is empty, too long, or has characters beyond letters, digits, `-`, `_`, `.`.
+    #[snafu(display("bad instance in ticket"))]
+    Instance,
+    /// The incarnation is not 16 lower-case hex digits, or zero.
+    #[snafu(display("bad incarnation in ticket"))]
+    Incarnation,
+    /// The nonce is not 32 lower-case hex digits.
+    #[snafu(display("bad nonce in ticket"))]
+    Nonce,
+}
+
+impl HomeId {
+    /// Whether a ticket can name this home.
+    pub fn is_valid(&self) -> bool {
+        self.incarnation != 0 && instance_is_valid(&self.instance)
+    }
+}
+
+impl Ticket {
+    /// Draws a new ticket for `home`.
+    pub fn draw(home: &HomeId, rng: &mut impl Rng) -> Ticket {
+        Ticket {
+            home: home.clone(),
+            nonce: rng.random(),
+        }
+    }
+
+    /// Reads a ticket's text.
+    ///
+    /// # Errors
+    /// [`TicketError`] names the part that is wrong.
+    pub fn parse(text: &str) -> Result<Ticket, TicketError> {
+        let rest = text
+            .strip_prefix(PREFIX)
+            .and_then(|rest| rest.strip_prefix('.'))
+            .context(ShapeSnafu)?;
+        let (rest, nonce) = rest.rsplit_once('.').context(ShapeSnafu)?;
+        let (instance, incarnation) = rest.rsplit_once('.').context(ShapeSnafu)?;
+        ensure!(instance_is_valid(instance), InstanceSnafu);
+        let incarnation = parse_hex(incarnation, INCARNATION_DIGITS).context(IncarnationSnafu)?;
+        let incarnation = Incarnation::try_from(incarnation).ok().context(IncarnationSnafu)?;
+        ensure!(incarnation != 0, IncarnationSnafu);
+        let nonce = parse_hex(nonce, NONCE_DIGITS).context(NonceSnafu)?;
+        let home = HomeId {
+            instance: instance.to_owned(),
+            incarnation,
+        };
+        Ok(Ticket { home, nonce })
+    }
+
+    /// The ticket's text.
+    pub fn id(&self) -> TicketId {
+        self.to_string()
+    }
+}
+
+impl fmt::Display for Ticket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let HomeId { instance, incarnation } = &self.home;
+        write!(f, "{PREFIX}.{instance}.{incarnation:016x}.{:032x}", self.nonce)
+    }
+}
+
+fn instance_is_valid(instance: &str) -> bool {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+    !instance.is_empty() && instance.len() <= MAX_INSTANCE_BYTES && instance.bytes().all(plain)
+}
+
+fn parse_hex(text: &str, digits: usize) -> Option<u128> {
+    let lower_hex = |b: u8| matches!(b, b'0'..=b'9' | b'a'..=b'f');
+    let well_formed = text.len() == digits && text.bytes().all(lower_hex);
+    if !well_formed {
+        return None;
+    }
+    u128::from_str_radix(text, 16).ok()
+}
