feat(manifest): parse settings and manifests through check functions

Cause: the daemons need typed settings and a checked manifest to start from. Ruled out: one struct for both processes; their fields and timeouts differ.

--- /dev/null
+++ b/crates/celerytide-manifest/src/settings/mod.rs
@@ -0,0 +1,268 @@
+//! Settings of the daemons, one YAML document for each process.
+//!
+//! Every span of time is written with its unit (`30s`, `500ms`, `15m`). Every size in bytes says so in its name.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use celerytide_types::{InstanceId, RegionId, ZoneId, data};
+
+data! {
+    /// Settings of one entry process.
+    #[serde(deny_unknown_fields)]
+    pub struct EntrySettings {
+        /// Instance the process runs on.
+        pub instance: InstanceId,
+        /// Availability zone of the instance.
+        pub zone: ZoneId,
+        /// Region of the zone.
+        pub region: RegionId,
+        /// Where callers connect.
+        pub caller_address: SocketAddr,
+        /// Where operators read health, metrics, status and audit.
+        pub operator_address: SocketAddr,
+        /// Where the project's other processes connect.
+        pub peer_address: SocketAddr,
+        /// The platform's services and the peers to ask in their place.
+        pub platform: Platform,
+        /// Bounds towards callers.
+        #[serde(default)]
+        pub limits: HttpLimits,
+        /// Timeouts.
+        #[serde(default)]
+        pub timeouts: EntryTimeouts,
+        /// Logs.
+        #[serde(default)]
+        pub log: LogSettings,
+    }
+
+    /// Settings of one dispatch process.
+    #[serde(deny_unknown_fields)]
+    pub struct DispatchSettings {
+        /// Instance the process runs on.
+        pub instance: InstanceId,
+        /// Availability zone of the instance.
+        pub zone: ZoneId,
+        /// Region of the zone.
+        pub region: RegionId,
+        /// Where operators read health, metrics, status and audit.
+        pub operator_address: SocketAddr,
+        /// Where the project's other processes connect.
+        pub peer_address: SocketAddr,
+        /// The platform's services and the peers to ask in their place.
+        pub platform: Platform,
+        /// Timeouts.
+        #[serde(default)]
+        pub timeouts: DispatchTimeouts,
+        /// Logs.
+        #[serde(default)]
+        pub log: LogSettings,
+    }
+
+    /// How a process reads the platform's services.
+    #[serde(deny_unknown_fields)]
+    pub struct Platform {
+        /// Addresses of the configuration service; tried in turn.
+        pub config_service: Vec<SocketAddr>,
+        /// Longest wait of one watch.
+        #[serde(default = "default_watch_wait", with = "humantime_serde")]
+        pub watch_wait: Duration,
+        /// Longest wait for an answer that is no watch.
+        #[serde(default = "default_read_timeout", with = "humantime_serde")]
+        pub read_timeout: Duration,
+        /// Upper bound of the random delay before the first read.
+        #[serde(default = "default_start_jitter", with = "humantime_serde")]
+        pub start_jitter: Duration,
+        /// Peers to ask when the configuration service is down at start.
+        #[serde(default)]
+        pub peers: Vec<SocketAddr>,
+    }
+
+    /// Bounds towards callers.
+    #[derive(Copy, Eq)]
+    #[serde(default, deny_unknown_fields)]
+    pub struct HttpLimits {
+        /// Largest head of a request, in bytes.
+        pub max_head_bytes: usize,
+        /// Largest body of a request, in bytes.
+        pub max_body_bytes: usize,
+        /// Most callers' connections at once.
+        pub max_connections: usize,
+        /// Most tickets kept at once.
+        pub max_ticket_count: usize,
+        /// Bytes of answers kept for repeated ticketed calls, in total.
+        pub max_outcome_bytes: usize,
+    }
+
+    /// Timeouts of an entry process.
+    #[derive(Copy, Eq)]
+    #[serde(default, deny_unknown_fields)]
+    pub struct EntryTimeouts {
+        /// Longest wait for a whole head from a caller.
+        #[serde(with = "humantime_serde")]
+        pub head: Duration,
+        /// Longest wait for a whole body from a caller.
+        #[serde(with = "humantime_serde")]
+        pub body: Duration,
+        /// Longest idle life of a caller's connection.
+        #[serde(with = "humantime_serde")]
+        pub idle: Duration,
+        /// Longest wait for a caller that does not read its answer.
+        #[serde(with = "humantime_serde")]
+        pub write: Duration,
+        /// Longest wait for a connection to an endpoint.
+        #[serde(with = "humantime_serde")]
+        pub connect: Duration,
+        /// Longest wait for an endpoint's first byte.
+        #[serde(with = "humantime_serde")]
+        pub first_byte: Duration,
+        /// Longest wait between two parts of an endpoint's answer.
+        #[serde(with = "humantime_serde")]
+        pub between_bytes: Duration,
+        /// Longest wait in the queue for a permit.
+        #[serde(with = "humantime_serde")]
+        pub permit: Duration,
+        /// Longest graceful shutdown.
+        #[serde(with = "humantime_serde")]
+        pub stop: Duration,
+        /// Life of a ticket.
+        #[serde(with = "humantime_serde")]
+        pub ticket: Duration,
+        /// Interval of pings to a peer.
+        #[serde(with = "humantime_serde")]
+        pub peer_ping: Duration,
+        /// Silence after which a peer's connection counts as dead.
+        #[serde(with = "humantime_serde")]
+        pub peer_silence: Duration,
+    }
+
+    /// Timeouts of a dispatch process.
+    #[derive(Copy, Eq)]
+    #[serde(default, deny_unknown_fields)]
+    pub struct DispatchTimeouts {
+        /// Longest life of a permit.
+        #[serde(with = "humantime_serde")]
+        pub permit_age: Duration,
+        /// Wait of a new owner for lagging views.
+        #[serde(with = "humantime_serde")]
+        pub hold: Duration,
+        /// Interval of reads of an endpoint's load.
+        #[serde(with = "humantime_serde")]
+        pub report_interval: Duration,
+        /// Longest wait for an endpoint's load.
+        #[serde(with = "humantime_serde")]
+        pub report_timeout: Duration,
+        /// Longest graceful shutdown.
+        #[serde(with = "humantime_serde")]
+        pub stop: Duration,
+        /// Interval of pings to a peer.
+        #[serde(with = "humantime_serde")]
+        pub peer_ping: Duration,
+        /// Silence after which a peer's connection counts as dead.
+        #[serde(with = "humantime_serde")]
+        pub peer_silence: Duration,
+        /// Interval at which peers exchange versions.
+        #[serde(with = "humantime_serde")]
+        pub gossip_interval: Duration,
+        /// Age after which a view counts as stale.
+        #[serde(with = "humantime_serde")]
+        pub view_age: Duration,
+    }
+
+    /// Logs of a process.
+    #[derive(Copy, Eq, Default)]
+    #[serde(default, deny_unknown_fields)]
+    pub struct LogSettings {
+        /// Form of a line.
+        pub format: LogFormat,
+        /// Least severe level that is written.
+        pub level: LogLevel,
+    }
+
+    /// Form of a log line.
+    #[derive(Copy, Eq, Default)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum LogFormat {
+        /// Text for people.
+        #[default]
+        Text,
+        /// One JSON object a line.
+        Json,
+    }
+
+    /// Least severe level that is written.
+    #[derive(Copy, Eq, Default)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum LogLevel {
+        /// Errors only.
+        Error,
+        /// Warnings and above.
+        Warn,
+        /// Normal events and above.
+        #[default]
+        Info,
+        /// Details of decisions and above.
+        Debug,
+        /// Everything.
+        Trace,
+    }
+}
+
+impl Default for HttpLimits {
+    fn default() -> HttpLimits {
+        HttpLimits {
+            max_head_bytes: 64 * 1024,
+            max_body_bytes: 4 * 1024 * 1024,
+            max_connections: 4096,
+            max_ticket_count: 100_000,
+            max_outcome_bytes: 8 * 1024 * 1024,
+        }
+    }
+}
+
+impl Default for EntryTimeouts {
+    fn default() -> EntryTimeouts {
+        EntryTimeouts {
+            head: Duration::from_secs(10),
+            body: Duration::from_secs(30),
+            idle: Duration::from_secs(60),
+            write: Duration::from_secs(30),
+            connect: Duration::from_secs(1),
+            first_byte: Duration::from_secs(60),
+            between_bytes: Duration::from_secs(30),
+            permit: Duration::from_secs(30),
+            stop: Duration::from_secs(60),
+            ticket: Duration::from_secs(15 * 60),
+            peer_ping: Duration::from_secs(1),
+            peer_silence: Duration::from_secs(3),
+        }
+    }
+}
+
+impl Default for DispatchTimeouts {
+    fn default() -> DispatchTimeouts {
+        DispatchTimeouts {
+            permit_age: Duration::from_secs(10 * 60),
+            hold: Duration::from_secs(5),
+            report_interval: Duration::from_millis(500),
+            report_timeout: Duration::from_millis(500),
+            stop: Duration::from_secs(60),
+            peer_ping: Duration::from_secs(1),
+            peer_silence: Duration::from_secs(3),
+            gossip_interval: Duration::from_secs(1),
+            view_age: Duration::from_secs(5),
+        }
+    }
+}
+
+fn default_watch_wait() -> Duration {
+    Duration::from_secs(20)
+}
+
+fn default_read_timeout() -> Duration {
+    Duration::from_secs(2)
+}
+
+fn default_start_jitter() -> Duration {
+    Duration::from_millis(500)
+}
--- /dev/null
+++ b/crates/celerytide-manifest/tests/settings.rs
@@ -0,0 +1,32 @@
+//! Tests of the settings' checks.
+
+use std::time::Duration;
+
+use celerytide_manifest::{EntryTimeouts, HttpLimits, LogSettings, check_entry_settings, hash_key};
+
+const ENTRY: &str = "\
+instance: entry-1
+zone: lima-a
+region: lima-region
+caller_address: 127.0.0.1:8080
+operator_address: 127.0.0.1:9080
+peer_address: 127.0.0.1:7080
+platform:
+  config_service: [127.0.0.1:8500]
+";
+
+#[test]
+fn defaults_fill_what_is_absent() {
+    let cfg = check_entry_settings("entry.yaml", ENTRY).expect("valid settings");
+    assert_eq!(cfg.limits, HttpLimits::default());
+    assert_eq!(cfg.timeouts, EntryTimeouts::default());
+    assert_eq!(cfg.log, LogSettings::default());
+    assert_eq!(cfg.platform.watch_wait, Duration::from_secs(20));
+    assert!(cfg.platform.peers.is_empty());
+}
+
+#[test]
+fn keys_are_hashed_by_sha256() {
+    let want = "2c70e12b7a0646f92279f427c7b38e7334d8e5389cff167a1dc30e73f826b683";
+    assert_eq!(hash_key("key"), want);
+}
