feat(membership): views, freshness, watches, peers and ownership

Cause: processes need views that never revert and a clock that shows when not to trust them. Ruled out: taking any lower list index; a rebuilt list service is told from a stale one by time, reads and a ceiling.

--- /dev/null
+++ b/crates/celerytide-membership/src/ownership/held.rs
@@ -0,0 +1,129 @@
+//! What the owner of one pool knows of its tenure.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use celerytide_types::{Boot, InstanceId};
+
+use super::standing::{Assessment, Former, Standing};
+use super::term::Term;
+use crate::fresh::{Freshness, PeersSay};
+use crate::view::View;
+
+const FULL: f64 = 1.0;
+const HALF: f64 = 0.5;
+
+/// One pool's tenure.
+#[derive(Debug)]
+pub(super) struct Held {
+    pub(super) standing: Standing,
+    pub(super) layout: u64,
+    pub(super) term: Term,
+    pub(super) since: Boot,
+    pub(super) round: u64,
+    pub(super) settled_once: bool,
+    pub(super) doubted: bool,
+    pub(super) slept: bool,
+    pub(super) handed_over: bool,
+    pub(super) superseded: Option<Term>,
+    pub(super) mustered: BTreeMap<InstanceId, Former>,
+    pub(super) missing: BTreeSet<InstanceId>,
+}
+
+impl Held {
+    pub(super) fn new(now: Boot, term: Term, layout: u64) -> Held {
+        Held {
+            standing: Standing::Taking {
+                since: now,
+                share: HALF,
+            },
+            layout,
+            term,
+            since: now,
+            round: 0,
+            settled_once: false,
+            doubted: false,
+            slept: false,
+            handed_over: false,
+            superseded: None,
+            mustered: BTreeMap::new(),
+            missing: BTreeSet::new(),
+        }
+    }
+
+    pub(super) fn retake(&mut self, now: Boot, term: Term) {
+        let round = self.round + 1;
+        *self = Held {
+            round,
+            ..Held::new(now, term, self.layout)
+        };
+    }
+
+    pub(super) fn count_missing(&mut self, view: &View) {
+        let listed: BTreeSet<InstanceId> = view.instances.iter().map(|i| i.id.clone()).collect();
+        self.mustered.retain(|id, _| listed.contains(id));
+        self.missing = listed
+            .into_iter()
+            .filter(|id| !self.mustered.contains_key(id))
+            .collect();
+        if self.superseded.is_some_and(|by| view.list_version >= by.list_version) {
+            self.superseded = None;
+        }
+    }
+
+    pub(super) fn judge(&mut self, now: Boot, on: Assessment<'_>, hold: Duration) -> Standing {
+        let slept = on.freshness == Freshness::Woken;
+        if slept && !self.slept {
+            self.muster_again();
+        }
+        self.slept = slept;
+        if self.superseded.is_some() {
+            return Standing::Stale { share: 0.0 };
+        }
+        let complete = self.missing.is_empty();
+        self.doubted &= !complete;
+        match on.freshness {
+            Freshness::Woken if complete => Standing::Stale { share: HALF },
+            Freshness::Woken => Standing::Woken,
+            Freshness::Stale { .. } => Standing::Stale {
+                share: self.stale_share(on.peers),
+            },
+            Freshness::Fresh => self.judge_fresh(now, hold),
+        }
+    }
+
+    fn judge_fresh(&mut self, now: Boot, hold: Duration) -> Standing {
+        let complete = self.missing.is_empty();
+        self.settled_once |= complete && self.former_is_gone(now, hold);
+        if self.settled_once && complete {
+            return Standing::Settled;
+        }
+        let share = if self.settled_once && !self.doubted { FULL } else { HALF };
+        Standing::Taking {
+            since: self.since,
+            share,
+        }
+    }
+
+    fn former_is_gone(&self, now: Boot, hold: Duration) -> bool {
+        let own = Former::Seen(self.term);
+        let none_known = self.mustered.values().all(|f| *f == Former::Nobody || *f == own);
+        self.handed_over || none_known || now.since(self.since) >= hold
+    }
+
+    /// Answers from before a sleep don't count: an entry may follow another owner by now.
+    fn muster_again(&mut self) {
+        self.round += 1;
+        self.doubted = true;
+        self.missing.extend(std::mem::take(&mut self.mustered).into_keys());
+    }
+
+    fn stale_share(&self, peers: PeersSay) -> f64 {
+        let service_down_for_all = peers == PeersSay::AlsoStale;
+        if self.settled_once && !self.doubted && service_down_for_all {
+            FULL
+        } else {
+            HALF
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerytide-membership/src/ownership/term.rs
@@ -0,0 +1,79 @@
+//! Terms of owners and the entry's guard against older ones.
+
+use std::collections::BTreeMap;
+
+use celerytide_types::{Incarnation, PoolId, Version, data};
+
+use crate::view::View;
+
+data! {
+    /// Who owns a pool, since which list; ordered by list first.
+    #[derive(Copy, Eq, PartialOrd, Ord, Hash)]
+    pub struct Term {
+        /// Version of the instance list by which the owner owns.
+        pub list_version: Version,
+        /// The owner's incarnation, or one above that of an earlier life of the same instance.
+        pub incarnation: Incarnation,
+    }
+}
+
+/// What the guard says of a term.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admitted {
+    /// The highest so far; work under it may start.
+    Yes,
+    /// An entry has seen a higher one.
+    Older {
+        /// The highest seen.
+        highest: Term,
+    },
+    /// It names a list of an earlier life of the list service.
+    OtherLife,
+}
+
+/// The highest term an entry has seen of each pool: a one-way step per pool and life of the list service.
+#[derive(Debug, Default)]
+pub struct TermGuard {
+    epoch: u64,
+    highest: BTreeMap<PoolId, Term>,
+}
+
+impl TermGuard {
+    /// A guard that has seen nothing.
+    pub fn new() -> TermGuard {
+        TermGuard::default()
+    }
+
+    /// Whether work under `term` may start; a higher term than any before raises the guard.
+    pub fn admit(&mut self, view: &View, pool: &str, term: Term) -> Admitted {
+        self.enter(view.list_epoch);
+        if view.list_ceiling.is_some_and(|ceiling| term.list_version >= ceiling) {
+            return Admitted::OtherLife;
+        }
+        match self.highest.get(pool).copied() {
+            Some(highest) if term < highest => Admitted::Older { highest },
+            Some(highest) if term == highest => Admitted::Yes,
+            _ => {
+                self.highest.insert(pool.to_owned(), term);
+                Admitted::Yes
+            }
+        }
+    }
+
+    /// The highest term seen of a pool.
+    pub fn highest(&self, pool: &str) -> Option<Term> {
+        self.highest.get(pool).copied()
+    }
+
+    /// Forgets pools that `keep` doesn't name, for example after the manifest dropped them.
+    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.highest.retain(|pool, _| keep(pool));
+    }
+
+    fn enter(&mut self, epoch: u64) {
+        if epoch > self.epoch {
+            self.epoch = epoch;
+            self.highest.clear();
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerytide-membership/src/state/heard.rs
@@ -0,0 +1,103 @@
+//! What peers said of late: who is ahead, and which manifest to fetch.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use celerytide_types::{Boot, InstanceId, Version};
+
+use crate::fresh::PeersSay;
+use crate::view::ViewDigest;
+
+const MAX_PEERS: usize = 4096;
+
+/// What to fetch from a peer after its digest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Wanted {
+    /// The manifest's text, to be offered as a peer's.
+    pub manifest: bool,
+    /// The lists, to be offered by [`Membership::offer_peer_lists`](crate::Membership::offer_peer_lists).
+    pub lists: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Fetch {
+    version: Version,
+    since: Boot,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Said {
+    at: Boot,
+    confirmed_age: Option<Duration>,
+}
+
+/// Digests of peers in short form.
+#[derive(Debug, Default)]
+pub(crate) struct Heard {
+    peers: BTreeMap<InstanceId, Said>,
+    manifest_fetch: Option<Fetch>,
+    lists_fetch: Option<Fetch>,
+    ahead_since: Option<Boot>,
+}
+
+impl Heard {
+    /// Notes a digest.
+    pub(crate) fn note(&mut self, now: Boot, from: &InstanceId, digest: &ViewDigest) {
+        let confirmed_age = digest.confirmed_ms_ago.map(Duration::from_millis);
+        if self.peers.len() >= MAX_PEERS && !self.peers.contains_key(from) {
+            return;
+        }
+        self.peers.insert(from.clone(), Said { at: now, confirmed_age });
+    }
+
+    /// Forgets peers that `keep` doesn't name.
+    pub(crate) fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.peers.retain(|id, _| keep(id));
+    }
+
+    /// Notes that a peer with a confirmed list was ahead of the own list, or that none is any more.
+    pub(crate) fn ahead(&mut self, now: Boot, ahead: bool) {
+        match ahead {
+            true => self.ahead_since = self.ahead_since.or(Some(now)),
+            false => self.ahead_since = None,
+        }
+    }
+
+    /// How long a peer has been ahead.
+    pub(crate) fn ahead_for(&self, now: Boot) -> Duration {
+        self.ahead_since.map_or(Duration::ZERO, |since| now.since(since))
+    }
+
+    /// Whether to fetch the manifest of `version` now: not if a fetch of it or a later one began within `fetch_for`.
+    pub(crate) fn start_manifest_fetch(&mut self, now: Boot, version: Version, fetch_for: Duration) -> bool {
+        start_fetch(&mut self.manifest_fetch, now, version, fetch_for)
+    }
+
+    /// The same for the lists.
+    pub(crate) fn start_lists_fetch(&mut self, now: Boot, version: Version, fetch_for: Duration) -> bool {
+        start_fetch(&mut self.lists_fetch, now, version, fetch_for)
+    }
+
+    /// Sums up what peers said within `within` against the bound of freshness.
+    pub(crate) fn sum_up(&self, now: Boot, within: Duration, fresh_for: Duration) -> PeersSay {
+        let mut of_late = self.peers.values().filter(|s| now.since(s.at) <= within).peekable();
+        if of_late.peek().is_none() {
+            return PeersSay::Silent;
+        }
+        let fresh = |s: &Said| s.confirmed_age.is_some_and(|age| age + now.since(s.at) <= fresh_for);
+        if of_late.any(fresh) {
+            PeersSay::Fresher
+        } else {
+            PeersSay::AlsoStale
+        }
+    }
+}
+
+fn start_fetch(fetch: &mut Option<Fetch>, now: Boot, version: Version, fetch_for: Duration) -> bool {
+    let running = |f: &Fetch| f.version >= version && now.since(f.since) < fetch_for;
+    if fetch.as_ref().is_some_and(running) {
+        return false;
+    }
+    *fetch = Some(Fetch { version, since: now });
+    true
+}
--- /dev/null
+++ b/crates/celerytide-membership/src/state/mod.rs
@@ -0,0 +1,246 @@
+//! The views of one process, fed by the service's watches and by peers.
+
+mod heard;
+mod inner;
+mod lists;
+mod manifests;
+
+use std::cell::RefCell;
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::Duration;
+
+use celerytide_manifest::check_manifest;
+use celerytide_types::{Boot, Incarnation, InstanceId, Version};
+
+use crate::fresh::{Freshness, PeersSay};
+use crate::news::News;
+use crate::view::{EndpointEntry, Instance, PeerLists, View, ViewDigest, Watched};
+
+pub use heard::Wanted;
+use inner::Inner;
+pub use lists::ListApplied;
+pub use manifests::{Applied, Check};
+
+/// Bounds and the check of manifests.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// This process's incarnation.
+    pub incarnation: Incarnation,
+    /// Checks a manifest's text; arguments are the name that faults bear and the text.
+    pub check: Check,
+    /// Views are fresh for this long after the service's answer; longer than a blocking read may last.
+    pub fresh_for: Duration,
+    /// A longer gap between ticks counts as a pause.
+    pub pause_bound: Duration,
+    /// A peer may be ahead for this long before the own views count as stale.
+    pub ahead_bound: Duration,
+    /// A peer's digest counts for this long.
+    pub heard_for: Duration,
+    /// A fetch from a peer may last this long before another is begun.
+    pub fetch_for: Duration,
+    /// A lower list index is taken as a rebuilt list service after this long.
+    pub reset_after: Duration,
+    /// And after this many reads, none of them at the former index.
+    pub reset_reads: u32,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            incarnation: celerytide_types::new_incarnation(),
+            check: check_manifest,
+            fresh_for: Duration::from_secs(30),
+            pause_bound: Duration::from_secs(2),
+            ahead_bound: Duration::from_secs(5),
+            heard_for: Duration::from_secs(10),
+            fetch_for: Duration::from_secs(5),
+            reset_after: Duration::from_secs(60),
+            reset_reads: 3,
+        }
+    }
+}
+
+/// Where an offer came from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Origin {
+    /// The configuration service.
+    Service,
+    /// A peer.
+    Peer(InstanceId),
+}
+
+/// The views of one process; clones share one state.
+#[derive(Debug, Clone)]
+pub struct Membership {
+    inner: Rc<RefCell<Inner>>,
+}
+
+impl Membership {
+    /// Views that hold nothing yet; `now` is the start of the process.
+    pub fn new(now: Boot, opts: Options) -> Membership {
+        let inner = Inner::new(now, opts);
+        Membership {
+            inner: Rc::new(RefCell::new(inner)),
+        }
+    }
+
+    /// The present view.
+    pub fn view(&self) -> Rc<View> {
+        self.inner.borrow().view.clone()
+    }
+
+    /// Waits until the view's generation is beyond `seen` and returns it.
+    pub async fn changed(&self, seen: u64) -> u64 {
+        poll_fn(|task| {
+            let mut inner = self.inner.borrow_mut();
+            let generation = inner.view.generation;
+            if generation > seen {
+                return Poll::Ready(generation);
+            }
+            let known = inner.wakers.iter().any(|w| w.will_wake(task.waker()));
+            if !known {
+                inner.wakers.push(task.waker().clone());
+            }
+            Poll::Pending
+        })
+        .await
+    }
+
+    /// Offers a manifest's text; only a valid one of a higher version takes force.
+    pub fn offer_manifest(&self, origin: &Origin, text: &str) -> Applied {
+        let mut inner = self.inner.borrow_mut();
+        let check = inner.opts.check;
+        let (applied, version) = inner.manifests.offer(check, origin.name(), text);
+        if applied == Applied::Applied {
+            inner.refresh_view();
+        }
+        let cause = match &applied {
+            Applied::Same => return applied,
+            Applied::Applied => "applied",
+            Applied::Older => "older-version",
+            Applied::OtherDigest => "same-version-other-digest",
+            Applied::Invalid(_) => "invalid",
+        };
+        inner.tell(Watched::Manifest, applied == Applied::Applied, cause, origin, version);
+        applied
+    }
+
+    /// Text of the manifest in force, for peers.
+    pub fn manifest_text(&self) -> Option<Rc<str>> {
+        self.inner.borrow().manifests.text()
+    }
+
+    /// Offers an instance list that the service answered.
+    pub fn offer_instances(&self, now: Boot, version: Version, list: Vec<Instance>) -> ListApplied {
+        let mut inner = self.inner.borrow_mut();
+        let rule = inner.reset_rule();
+        let applied = inner.instances.offer(now, version, list, rule);
+        inner.list_offered(Watched::Instances, applied, &Origin::Service, version);
+        applied
+    }
+
+    /// Offers an endpoint list that the service answered.
+    pub fn offer_endpoints(&self, now: Boot, version: Version, list: Vec<EndpointEntry>) -> ListApplied {
+        let mut inner = self.inner.borrow_mut();
+        let rule = inner.reset_rule();
+        let applied = inner.endpoints.offer(now, version, list, rule);
+        inner.list_offered(Watched::Endpoints, applied, &Origin::Service, version);
+        applied
+    }
+
+    /// The lists held, for a peer that wants them.
+    pub fn peer_lists(&self) -> PeerLists {
+        let view = self.view();
+        PeerLists {
+            instances: view.instances.to_vec(),
+            list_version: view.list_version,
+            endpoints: view.endpoints.to_vec(),
+            endpoints_version: view.endpoints_version,
+        }
+    }
+
+    /// Offers a peer's copy of the lists; only higher versions are taken, and only while the service doesn't answer.
+    /// It is no confirmation.
+    pub fn offer_peer_lists(&self, now: Boot, from: &InstanceId, lists: PeerLists) {
+        let mut inner = self.inner.borrow_mut();
+        if !inner.takes_peer_lists(now) {
+            return;
+        }
+        let origin = Origin::Peer(from.clone());
+        if lists.list_version > inner.instances.version {
+            let applied = inner.instances.offer_higher(lists.list_version, lists.instances);
+            inner.list_offered(Watched::Instances, applied, &origin, lists.list_version);
+        }
+        if lists.endpoints_version > inner.endpoints.version {
+            let applied = inner.endpoints.offer_higher(lists.endpoints_version, lists.endpoints);
+            inner.list_offered(Watched::Endpoints, applied, &origin, lists.endpoints_version);
+        }
+    }
+
+    /// What to tell peers.
+    pub fn digest(&self, now: Boot) -> ViewDigest {
+        let inner = self.inner.borrow();
+        let age = inner.clockwork.confirmed_age(now);
+        ViewDigest {
+            manifest_version: inner.view.manifest_version,
+            manifest_digest: inner.view.manifest_digest.clone(),
+            list_version: inner.view.list_version,
+            endpoints_version: inner.view.endpoints_version,
+            incarnation: inner.opts.incarnation,
+            confirmed_ms_ago: age.map(|age| age.as_millis().try_into().unwrap_or(u64::MAX)),
+        }
+    }
+
+    /// Takes a peer's digest and says what to fetch.
+    pub fn heard(&self, now: Boot, from: &InstanceId, digest: &ViewDigest) -> Wanted {
+        let mut inner = self.inner.borrow_mut();
+        inner.heard.note(now, from, digest);
+        inner.compare_lists(now, digest);
+        inner.wanted(now, from, digest)
+    }
+
+    /// Notes the service's answer to a read sent at `asked`. False if a pause lies between: read again.
+    pub fn confirmed(&self, now: Boot, what: Watched, asked: Boot) -> bool {
+        self.inner.borrow_mut().clockwork.confirmed(now, what, asked)
+    }
+
+    /// How far the views may be trusted now.
+    pub fn freshness(&self, now: Boot) -> Freshness {
+        let inner = self.inner.borrow();
+        let by_service = inner.clockwork.freshness(now);
+        let behind = inner.heard.ahead_for(now) > inner.opts.ahead_bound;
+        if by_service == Freshness::Fresh && behind {
+            return Freshness::Stale {
+                age: inner.clockwork.age(now),
+            };
+        }
+        by_service
+    }
+
+    /// What peers' digests tell about the own views.
+    pub fn peers_say(&self, now: Boot) -> PeersSay {
+        let inner = self.inner.borrow();
+        inner.heard.sum_up(now, inner.opts.heard_for, inner.opts.fresh_for)
+    }
+
+    /// Notes that the process runs; call it several times within the pause bound.
+    pub fn tick(&self, now: Boot) {
+        self.inner.borrow_mut().clockwork.tick(now);
+    }
+
+    /// Takes the changes and refusals since the last call, for the audit trail.
+    pub fn take_news(&self) -> Vec<News> {
+        self.inner.borrow_mut().news.drain()
+    }
+}
+
+impl Origin {
+    pub(super) fn name(&self) -> &str {
+        match self {
+            Origin::Service => "service",
+            Origin::Peer(id) => id,
+        }
+    }
+}
