feat(load): a deployment on loopback, a caller, and the demonstration

Cause: the path has to be shown end to end, each daemon a process of its own. Ruled out: leaving children in the terminal's process group (a Ctrl-C would reach them beside the demo's own SIGTERM, and a second signal ends a daemon at once), so the demo starts them in groups of their own and ends them itself. The demo itself was not run yet. Conclusion: generated settings, manifest and lists pass the checks and parsers of the daemons' crates.

--- /dev/null
+++ b/crates/celerytide-load/src/fleet/settings.rs
@@ -0,0 +1,93 @@
+//! The settings of each instance's daemons.
+
+use std::{net::SocketAddr, time::Duration};
+
+use celerytide_manifest::{
+    DispatchSettings, DispatchTimeouts, EntrySettings, EntryTimeouts, HttpLimits, LogSettings, Platform,
+};
+use celerytide_standin::launch::{self, free_addr};
+use celerytide_types::{InstanceId, ZoneId};
+
+use super::Deployment;
+
+/// Random delay before the first read; small, because all processes share one machine.
+const START_JITTER: Duration = Duration::from_millis(100);
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Where one instance listens.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Addresses {
+    /// Instance id.
+    pub id: InstanceId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For operators, at the entry process.
+    pub entry_operator: SocketAddr,
+    /// For operators, at the dispatch process.
+    pub dispatch_operator: SocketAddr,
+    /// For other processes, at the entry process.
+    pub entry_peer: SocketAddr,
+    /// For other processes, at the dispatch process.
+    pub dispatch_peer: SocketAddr,
+}
+
+impl Addresses {
+    /// Free addresses for the instance with this index.
+    pub fn pick(plan: &Deployment, index: usize) -> Result<Self, launch::Error> {
+        Ok(Self {
+            id: format!("i-{index}"),
+            zone: plan.zone(index),
+            caller: free_addr()?,
+            entry_operator: free_addr()?,
+            dispatch_operator: free_addr()?,
+            entry_peer: free_addr()?,
+            dispatch_peer: free_addr()?,
+        })
+    }
+}
+
+/// Settings of an instance's entry process.
+pub fn entry(plan: &Deployment, instance: &Addresses, config: SocketAddr) -> EntrySettings {
+    EntrySettings {
+        instance: instance.id.clone(),
+        zone: instance.zone.clone(),
+        region: plan.region.clone(),
+        caller_address: instance.caller,
+        operator_address: instance.entry_operator,
+        peer_address: instance.entry_peer,
+        platform: platform(config),
+        limits: HttpLimits::default(),
+        timeouts: EntryTimeouts::default(),
+        log: LogSettings::default(),
+    }
+}
+
+/// Settings of an instance's dispatch process.
+pub fn dispatch(plan: &Deployment, instance: &Addresses, config: SocketAddr) -> DispatchSettings {
+    DispatchSettings {
+        instance: instance.id.clone(),
+        zone: instance.zone.clone(),
+        region: plan.region.clone(),
+        operator_address: instance.dispatch_operator,
+        peer_address: instance.dispatch_peer,
+        platform: platform(config),
+        timeouts: DispatchTimeouts {
+            hold: plan.hold,
+            ..DispatchTimeouts::default()
+        },
+        log: LogSettings::default(),
+    }
+}
+
+fn platform(config: SocketAddr) -> Platform {
+    Platform {
+        config_service: vec![config],
+        watch_wait: WATCH_WAIT,
+        read_timeout: READ_TIMEOUT,
+        start_jitter: START_JITTER,
+        peers: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/celerytide-load/src/main.rs
@@ -0,0 +1,36 @@
+//! The command line of the load tool.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use celerytide_load::demo;
+
+/// Demonstration, comparison and load over stand-ins on loopback.
+#[derive(FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Demo(demo::Options),
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let done = match args.command {
+        Command::Demo(options) => demo::run(&options).map_err(|e| e.to_string()),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("load: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerytide-load/tests/caller.rs
@@ -0,0 +1,70 @@
+//! What a caller makes of the answers of the stand-ins.
+
+use std::net::SocketAddr;
+
+use celerytide_http::client::{Client, Options};
+use celerytide_load::caller::{self, Ask, Outcome};
+use celerytide_standin::{launch::Process, probe};
+use monoio::{LegacyDriver, RuntimeBuilder};
+use tokio_util::sync::CancellationToken;
+
+fn ask(addr: SocketAddr, tokens: usize) -> (Outcome, String) {
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("runtime");
+    runtime.block_on(async {
+        let client = Client::new(Options::default());
+        let mut text = String::new();
+        let ask = Ask::chat(addr, "key", "r-1", "m", "hello", Some(tokens));
+        let outcome = caller::send(&client, &ask, &CancellationToken::new(), |token| text.push_str(token)).await;
+        (outcome, text)
+    })
+}
+
+#[test]
+fn tells_whole_answers_from_broken_ones() {
+    struct Case {
+        name: &'static str,
+        fault: &'static str,
+        want: (u16, bool, usize),
+    }
+    let cases = [
+        Case {
+            name: "whole",
+            fault: r#"{"kind":"none"}"#,
+            want: (200, true, 5),
+        },
+        Case {
+            name: "cut",
+            fault: r#"{"kind":"cut-mid-answer","after":3}"#,
+            want: (200, false, 3),
+        },
+        Case {
+            name: "reset",
+            fault: r#"{"kind":"reset"}"#,
+            want: (0, false, 0),
+        },
+        Case {
+            name: "status",
+            fault: r#"{"kind":"status","code":503}"#,
+            want: (503, true, 0),
+        },
+    ];
+    let engine =
+        Process::standin("engine", &["--id", "e", "--decode-ms", "1"]).expect("build celerytide-standin first");
+    for case in &cases {
+        probe::fault(engine.addr(), case.fault).expect(case.name);
+        let (outcome, text) = ask(engine.addr(), 5);
+        assert_eq!(
+            (outcome.status, outcome.whole, outcome.tokens),
+            case.want,
+            "{}: {outcome:?}",
+            case.name
+        );
+        assert_eq!(outcome.is_done(), case.name == "whole", "{}", case.name);
+        let want: String = (0..case.want.2).map(|i| format!("w{i} ")).collect();
+        assert_eq!(text, want, "{}", case.name);
+        assert_eq!(outcome.gaps.len(), case.want.2.saturating_sub(1), "{}", case.name);
+    }
+}
--- /dev/null
+++ b/crates/celerytide-load/tests/fleet.rs
@@ -0,0 +1,81 @@
+//! What a deployment writes is what the daemons accept.
+
+use std::net::SocketAddr;
+
+use celerytide_load::fleet::{Addresses, Deployment, Running, WorkDir, documents, settings};
+use celerytide_manifest::{check_dispatch_settings, check_entry_settings, check_manifest};
+use celerytide_membership::watch::{parse_endpoints, parse_instances};
+
+fn addr(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn running(plan: &Deployment, name: &str, count: usize) -> Vec<Running> {
+    let one = |i: usize| Running {
+        id: format!("{name}-{i}"),
+        zone: plan.zone(i),
+        addr: addr(20_000 + i as u16),
+    };
+    (0..count).map(one).collect()
+}
+
+#[test]
+fn the_manifest_passes_its_checks() {
+    let plan = Deployment::demo(2).expect("deployment");
+    let engines = running(&plan, "engine", plan.engines.count);
+    let plains = running(&plan, "plain", plan.plain.count);
+    let manifest = documents::manifest(&plan, 7, &engines, &plains);
+    let text = serde_saphyr::to_string(&manifest).expect("yaml");
+    let checked = check_manifest("manifest.yaml", &text).unwrap_or_else(|faults| panic!("{faults:?}\n{text}"));
+    assert_eq!(checked.manifest, manifest);
+}
+
+#[test]
+fn the_settings_pass_their_checks() {
+    let plan = Deployment::demo(2).expect("deployment");
+    let instance = Addresses::pick(&plan, 1).expect("addresses");
+    let entry = settings::entry(&plan, &instance, addr(1000));
+    let text = serde_saphyr::to_string(&entry).expect("yaml");
+    assert_eq!(check_entry_settings("entry.yaml", &text).expect(&text), entry);
+    let dispatch = settings::dispatch(&plan, &instance, addr(1000));
+    let text = serde_saphyr::to_string(&dispatch).expect("yaml");
+    assert_eq!(check_dispatch_settings("dispatch.yaml", &text).expect(&text), dispatch);
+}
+
+#[test]
+fn the_lists_can_be_read() {
+    let plan = Deployment::demo(2).expect("deployment");
+    let instances: Vec<Addresses> = (0..2).map(|i| Addresses::pick(&plan, i).expect("addresses")).collect();
+    let list = documents::instance_list(&plan, &instances).to_string();
+    let parsed = parse_instances(list.as_bytes()).expect("instances");
+    assert_eq!(parsed.len(), 2);
+    for (want, got) in instances.iter().zip(&parsed) {
+        assert_eq!((&want.id, &want.zone, want.caller), (&got.id, &got.zone, got.caller));
+        assert_eq!(
+            (want.entry_peer, want.dispatch_peer),
+            (got.entry_peer, got.dispatch_peer)
+        );
+        assert!(got.live);
+    }
+    let engines = running(&plan, "engine", 3);
+    let list = serde_json::Value::Array(documents::endpoint_list(&plan, "assist", &engines)).to_string();
+    let parsed = parse_endpoints(list.as_bytes()).expect("endpoints");
+    let ids: Vec<&str> = parsed.iter().map(|endpoint| endpoint.id.as_str()).collect();
+    assert_eq!(ids, ["engine-0", "engine-1", "engine-2"]);
+}
+
+#[test]
+fn zones_take_turns() {
+    let plan = Deployment::demo(2).expect("deployment");
+    let zones: Vec<String> = (0..3).map(|i| plan.zone(i)).collect();
+    assert_eq!(zones, ["zone-a", "zone-b", "zone-a"]);
+}
+
+#[test]
+fn a_work_folder_goes_with_its_owner() {
+    let dir = WorkDir::create().expect("folder");
+    let file = dir.write("x.yaml", "a: 1").expect("file");
+    assert!(file.is_file());
+    drop(dir);
+    assert!(!file.exists());
+}
--- a/crates/celerytide-standin/src/launch/mod.rs
+++ b/crates/celerytide-standin/src/launch/mod.rs
@@ -3,8 +3,10 @@
 mod ports;
 
 use std::{
+    fs::File,
     io::{self, BufRead, BufReader},
     net::{Ipv4Addr, SocketAddr},
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, ChildStdout, Command, ExitStatus, Stdio},
     sync::{
@@ -81,8 +83,10 @@
     pub args: Vec<String>,
     /// Text before the address in the line that says that it is ready; `None`: ready at once.
     pub ready_prefix: Option<&'static str>,
-    /// File that takes its standard error; `None`: inherited.
+    /// File that takes its standard error, and its output if it prints no address; `None`: inherited.
     pub log: Option<PathBuf>,
+    /// Give it a process group of its own, out of the reach of the terminal's signals.
+    pub own_group: bool,
 }
 
 impl Options {
@@ -96,6 +100,7 @@
             args: all,
             ready_prefix: Some(READY_PREFIX),
             log: None,
+            own_group: false,
         })
     }
 }
@@ -113,15 +118,20 @@
         let program = &options.program;
         let mut command = Command::new(program);
         command.args(&options.args).stdin(Stdio::null()).stdout(Stdio::piped());
+        if options.own_group {
+            command.process_group(0);
+        }
         if let Some(path) = &options.log {
-            command.stderr(std::fs::File::create(path).context(SpawnSnafu { program })?);
+            log_to(&mut command, path, options.ready_prefix.is_none()).context(SpawnSnafu { program })?;
         }
         let child = {
             let _ports = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
             command.spawn().context(SpawnSnafu { program })?
         };
         let mut process = Self { child, addr: None };
-        let stdout = process.child.stdout.take().context(NotReadySnafu { program })?;
+        let Some(stdout) = process.child.stdout.take() else {
+            return Ok(process);
+        };
         let rx = read_lines(stdout, options.ready_prefix);
         if options.ready_prefix.is_some() {
             let addr = rx.recv_timeout(START_TIMEOUT).ok().context(NotReadySnafu { program })?;
@@ -211,6 +221,16 @@
     }
 }
 
+/// Sends standard error, and standard output if nobody reads it, to a file.
+fn log_to(command: &mut Command, path: &Path, with_output: bool) -> io::Result<()> {
+    let file = File::create(path)?;
+    if with_output {
+        command.stdout(file.try_clone()?);
+    }
+    command.stderr(file);
+    Ok(())
+}
+
 /// Reads the child's output to its end, so that the child never blocks on it; passes on the address it prints.
 fn read_lines(stdout: ChildStdout, prefix: Option<&'static str>) -> Receiver<SocketAddr> {
     let (tx, rx) = mpsc::channel();
