feat(entry,dispatch,node,operator): the daemons, permits end to end

Cause: the path needs its two daemons around the library crates. Ruled out: a relay through the owner (docs/design/path.md); a plain key for at-most-once calls without the endpoint's own check. Before: libraries only. After: both daemons build, clippy clean; not yet run end to end (the process test follows). Conclusion: next is the process test over the stand-ins.

--- /dev/null
+++ b/crates/celerytide-dispatch/src/daemon/mod.rs
@@ -0,0 +1,94 @@
+//! Start and graceful stop of the dispatch.
+
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use celerytide_kernel::Kernel;
+use celerytide_kernel::audit::Kind;
+use celerytide_manifest::DispatchSettings;
+use celerytide_node::{Error, Identity, Node, Role, listen};
+use monoio::time::sleep;
+
+use crate::dispatch::{Dispatch, Peers};
+use crate::status::DispatchStatus;
+use crate::{muster, report};
+
+/// Time between looks at deadlines, standings and plans.
+const TICK: Duration = Duration::from_millis(20);
+/// Exit code after a stop that could not hand everything over.
+const EXIT_CUT: u8 = 1;
+/// Time for entries to take their permits to the next owners after a handover.
+const SETTLE_TIME: Duration = Duration::from_millis(200);
+
+/// Runs the dispatch until a signal stops it.
+pub async fn run(kernel: Kernel, settings: DispatchSettings) -> Result<ExitCode, Error> {
+    let wire = wire(&settings);
+    let view_age = settings.timeouts.view_age + settings.platform.watch_wait;
+    let node = Node::start(&kernel, identity(&settings), &settings.platform, Some(view_age), wire)?;
+    let dispatch = Rc::new(Dispatch::new(node.clone(), settings.clone()));
+    node.serve_operators(
+        &kernel,
+        settings.operator_address,
+        Rc::new(DispatchStatus(dispatch.clone())),
+    )?;
+    let peers = listen(settings.peer_address)?;
+    let service = Rc::new(Peers(dispatch.clone()));
+    monoio::spawn(celerytide_wire::serve(peers, wire, service, node.abort.clone()));
+    monoio::spawn(refresh(dispatch.clone()));
+    monoio::spawn(muster::run(node.clone(), dispatch.pools.clone(), settings.peer_address));
+    monoio::spawn(report::run(dispatch.clone()));
+    tracing::info!(instance = node.instance, address = %settings.peer_address, "dispatch: serving entries");
+    node.stop.cancelled().await;
+    Ok(stop(&dispatch).await)
+}
+
+async fn refresh(dispatch: Rc<Dispatch>) {
+    loop {
+        dispatch.pools.refresh();
+        sleep(TICK).await;
+    }
+}
+
+async fn stop(dispatch: &Rc<Dispatch>) -> ExitCode {
+    let node = &dispatch.node;
+    node.ready.set("serving", false);
+    node.audit.record(Kind::Process, &node.instance, "stopping", 0);
+    let retired = dispatch.pools.all();
+    dispatch.pools.give_up();
+    let moved = async {
+        while retired.iter().any(|slot| slot.status().in_flight > 0) {
+            sleep(TICK).await;
+        }
+        sleep(SETTLE_TIME).await;
+    };
+    let done = monoio::select! {
+        () = moved => true,
+        () = sleep(dispatch.settings.timeouts.stop) => false,
+        () = node.abort.cancelled() => false,
+    };
+    if done {
+        tracing::info!("dispatch: stopped; every permit ended or moved");
+        return ExitCode::SUCCESS;
+    }
+    let left: u64 = retired.iter().map(|slot| slot.status().in_flight).sum();
+    tracing::warn!(left, "dispatch: stopped with permits in flight; their requests go on");
+    ExitCode::from(EXIT_CUT)
+}
+
+fn identity(settings: &DispatchSettings) -> Identity {
+    Identity {
+        role: Role::Dispatch,
+        instance: settings.instance.clone(),
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+    }
+}
+
+fn wire(settings: &DispatchSettings) -> celerytide_wire::Options {
+    celerytide_wire::Options {
+        connect: settings.timeouts.peer_ping,
+        ping: settings.timeouts.peer_ping,
+        silence: settings.timeouts.peer_silence,
+    }
+}
--- /dev/null
+++ b/crates/celerytide-dispatch/src/dispatch/mod.rs
@@ -0,0 +1,57 @@
+//! What every exchange of this daemon shares, and the exchanges by method.
+
+use std::rc::Rc;
+
+use celerytide_manifest::DispatchSettings;
+use celerytide_node::Node;
+use celerytide_wire::messages::Method;
+use celerytide_wire::{Exchange, Service};
+
+use crate::metrics::DispatchMetrics;
+use crate::pools::Pools;
+use crate::{handover, permit};
+
+/// Everything that exchanges share. One per process.
+pub struct Dispatch {
+    /// What the process shares with its kernel and peers.
+    pub node: Rc<Node>,
+    /// Settings in force.
+    pub settings: DispatchSettings,
+    /// Owned pools.
+    pub pools: Rc<Pools>,
+    /// Counters.
+    pub metrics: DispatchMetrics,
+}
+
+impl Dispatch {
+    /// A dispatch of `node`.
+    pub fn new(node: Rc<Node>, settings: DispatchSettings) -> Dispatch {
+        let metrics = DispatchMetrics::default();
+        node.metrics.register(|registry| metrics.register(registry));
+        let pools = Rc::new(Pools::new(node.clone(), &settings));
+        Dispatch {
+            node,
+            settings,
+            pools,
+            metrics,
+        }
+    }
+}
+
+/// Serves our other processes.
+pub struct Peers(pub Rc<Dispatch>);
+
+impl Service for Peers {
+    async fn serve(&self, method: Method, ex: Exchange) {
+        let dispatch = &self.0;
+        match method {
+            Method::Permit => permit::serve_permit(dispatch, ex).await,
+            Method::Adopt => permit::serve_adopt(dispatch, ex).await,
+            Method::Handover => handover::serve(&dispatch.pools, ex).await,
+            Method::Gossip | Method::Manifest | Method::Lists => dispatch.node.serve(method, ex).await,
+            Method::Muster | Method::Relay | Method::Look | Method::Outcomes => {
+                tracing::warn!(?method, "dispatch: a method for an entry came here");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerytide-dispatch/src/handover/mod.rs
@@ -0,0 +1,95 @@
+//! Handing a pool to its next owner: the former one stops granting first, then says so.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use celerytide_membership::ownership::{Term as OwnerTerm, owner_of};
+use celerytide_node::Node;
+use celerytide_policy::EndpointState;
+use celerytide_types::RegionId;
+use celerytide_wire::Exchange;
+use celerytide_wire::messages::{Ack, EndpointWork, Handover, Method, Term};
+use monoio::time::{sleep, timeout};
+
+use crate::pools::Pools;
+use crate::slot::Slot;
+
+/// Attempts to reach the next owner; it may learn of its ownership later.
+const ATTEMPTS: u32 = 10;
+/// Time between attempts.
+const WAIT: Duration = Duration::from_millis(300);
+/// Time for one attempt.
+const ATTEMPT_TIME: Duration = Duration::from_secs(1);
+
+/// Tells the next owner of the pool in `slot`, in a task of its own.
+pub fn send(node: Rc<Node>, slot: Rc<Slot>, region: RegionId, term: OwnerTerm) {
+    monoio::spawn(async move {
+        for _ in 0..ATTEMPTS {
+            let told = timeout(ATTEMPT_TIME, send_once(&node, &slot, &region, term)).await;
+            if told == Ok(true) {
+                return;
+            }
+            sleep(WAIT).await;
+        }
+        tracing::info!(
+            pool = slot.id,
+            "handover: the next owner was not reached; it waits out its hold"
+        );
+    });
+}
+
+async fn send_once(node: &Node, slot: &Slot, region: &str, term: OwnerTerm) -> bool {
+    let view = node.membership.view();
+    let next = owner_of(&slot.id, region, &view.instances).filter(|i| i.id != node.instance);
+    let Some(next) = next else {
+        return false;
+    };
+    let message = Handover {
+        pool: slot.id.clone(),
+        from: node.instance.clone(),
+        term: wire_term(term),
+        in_flight: work_of(slot),
+    };
+    let answer = node
+        .links
+        .call::<_, Ack>(next.dispatch_peer, Method::Handover, &message)
+        .await;
+    matches!(answer, Ok(Ack { taken: true }))
+}
+
+fn work_of(slot: &Slot) -> Vec<EndpointWork> {
+    let status = slot.status();
+    let work = status.endpoints.iter().map(|e| EndpointWork {
+        endpoint: e.id.clone(),
+        permits: e.in_flight,
+        warm: e.state == EndpointState::Warm,
+    });
+    work.collect()
+}
+
+/// Serves a former owner's handover.
+pub async fn serve(pools: &Pools, mut ex: Exchange) {
+    let Ok(handover) = ex.recv_some::<Handover>().await else {
+        return;
+    };
+    let taken = pools.handed_over(&handover.pool, owner_term(handover.term));
+    if ex.send_last(&Ack { taken }).await.is_err() {
+        tracing::debug!(pool = handover.pool, "handover: the former owner is gone");
+    }
+}
+
+/// A term as it stands in messages.
+pub fn wire_term(term: OwnerTerm) -> Term {
+    Term {
+        list_version: term.list_version,
+        incarnation: term.incarnation,
+    }
+}
+
+/// A term from a message.
+pub fn owner_term(term: Term) -> OwnerTerm {
+    OwnerTerm {
+        list_version: term.list_version,
+        incarnation: term.incarnation,
+    }
+}
--- /dev/null
+++ b/crates/celerytide-dispatch/src/plan/mod.rs
@@ -0,0 +1,72 @@
+//! What a pool's owner reads from the view: endpoints with their state, classes, customers' weights.
+
+use std::collections::HashMap;
+
+use celerytide_manifest::{Class, EndpointSpec, Manifest};
+use celerytide_membership::ownership::Pool;
+use celerytide_membership::{View, open};
+use celerytide_policy::{ClassPlan, CustomerPlan, EndpointPlan, PoolPlan};
+
+use crate::slot::Planned;
+
+/// The plan of `pool` by `view`.
+pub fn plan_of(view: &View, manifest: &Manifest, pool: &Pool) -> Planned {
+    let Some(service) = manifest.service(&pool.service) else {
+        return Planned {
+            plan: PoolPlan::default(),
+            addresses: HashMap::new(),
+        };
+    };
+    let specs: Vec<&EndpointSpec> = service
+        .endpoints
+        .iter()
+        .filter(|e| pool.endpoints.contains(&e.id))
+        .collect();
+    let addresses = specs.iter().map(|e| (e.id.clone(), e.address)).collect();
+    let plan = PoolPlan {
+        endpoints: specs.iter().map(|e| endpoint(view, e)).collect(),
+        classes: manifest
+            .classes
+            .iter()
+            .filter(|c| c.service == service.id)
+            .map(class)
+            .collect(),
+        customers: manifest
+            .customers
+            .iter()
+            .filter(|c| c.weight != 1)
+            .map(customer)
+            .collect(),
+    };
+    Planned { plan, addresses }
+}
+
+fn endpoint(view: &View, spec: &EndpointSpec) -> EndpointPlan {
+    EndpointPlan {
+        id: spec.id.clone(),
+        zone: spec.zone.clone(),
+        slots: spec.slots,
+        cold_slots: spec.cold_slots,
+        prefill_tokens: spec.prefill_tokens,
+        resumes: spec.resumes,
+        open: open(view, spec),
+    }
+}
+
+fn class(class: &Class) -> ClassPlan {
+    ClassPlan {
+        name: class.name.clone(),
+        tier: class.tier,
+        priority: class.priority,
+        first_token: class.first_token,
+        guaranteed_share: class.guaranteed_share,
+        preemptible: class.preemptible,
+    }
+}
+
+fn customer(customer: &celerytide_manifest::Customer) -> CustomerPlan {
+    CustomerPlan {
+        id: customer.id.clone(),
+        weight: customer.weight,
+    }
+}
--- /dev/null
+++ b/crates/celerytide-dispatch/src/pools/mod.rs
@@ -0,0 +1,225 @@
+//! All pools that this process owns, and its standing towards each.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+use celerytide_kernel::audit::Kind;
+use celerytide_manifest::DispatchSettings;
+use celerytide_membership::View;
+use celerytide_membership::ownership::{
+    Assessment, Change, Former, MusterCall, Options as OwnershipOptions, Ownership, Pool, Standing, Term, pools_of,
+};
+use celerytide_node::Node;
+use celerytide_policy::{Options, Trust};
+use celerytide_types::{PoolId, now_boot};
+
+use crate::handover;
+use crate::plan::plan_of;
+use crate::slot::Slot;
+
+/// Pools by id, with their ownership.
+pub struct Pools {
+    node: Rc<Node>,
+    opts: Options,
+    ownership: RefCell<Ownership>,
+    slots: RefCell<BTreeMap<PoolId, Rc<Slot>>>,
+    known: RefCell<Known>,
+}
+
+#[derive(Default)]
+struct Known {
+    generation: u64,
+    pools: Rc<HashMap<PoolId, Pool>>,
+}
+
+impl Pools {
+    /// Owns nothing yet.
+    pub fn new(node: Rc<Node>, settings: &DispatchSettings) -> Pools {
+        let ownership = OwnershipOptions {
+            own: node.instance.clone(),
+            incarnation: node.incarnation,
+            hold: settings.timeouts.hold,
+        };
+        let opts = Options {
+            seed: node.incarnation,
+            orphan_max_age: settings.timeouts.permit_age,
+            ..Options::default()
+        };
+        Pools {
+            node,
+            opts,
+            ownership: RefCell::new(Ownership::new(ownership)),
+            slots: RefCell::default(),
+            known: RefCell::default(),
+        }
+    }
+
+    /// The pool, if this process owns it.
+    pub fn owned(&self, pool: &str) -> Option<Rc<Slot>> {
+        self.slots.borrow().get(pool).cloned()
+    }
+
+    /// Every owned pool.
+    pub fn all(&self) -> Vec<Rc<Slot>> {
+        self.slots.borrow().values().cloned().collect()
+    }
+
+    /// The standing towards a pool.
+    pub fn standing(&self, pool: &str) -> Standing {
+        self.ownership.borrow().standing(pool)
+    }
+
+    /// Brings ownership, plans and trust up to date with the view, and pumps every queue.
+    pub fn refresh(&self) {
+        let view = self.node.membership.view();
+        let changes = self.assess(&view);
+        for change in &changes {
+            self.record(change, &view);
+        }
+        let pools = self.pools_by(&view);
+        self.drop_lost(&view);
+        self.keep_owned(&view, &pools);
+    }
+
+    /// The calls that entries have yet to answer.
+    pub fn musters(&self) -> Vec<MusterCall> {
+        let ownership = self.ownership.borrow();
+        ownership.pools().flat_map(|pool| ownership.musters(pool)).collect()
+    }
+
+    /// Notes an entry's answer.
+    pub fn mustered(&self, call: &MusterCall, former: Former) {
+        self.ownership.borrow_mut().mustered(call, former);
+    }
+
+    /// Notes that an entry follows a higher term.
+    pub fn refused(&self, pool: &str, highest: Term) {
+        let view = self.node.membership.view();
+        self.ownership.borrow_mut().refused(now_boot(), pool, highest, &view);
+    }
+
+    /// Notes that the former owner stopped; false if this process doesn't own the pool yet.
+    pub fn handed_over(&self, pool: &str, former: Term) -> bool {
+        let mut ownership = self.ownership.borrow_mut();
+        let owned = ownership.term(pool).is_some();
+        ownership.handed_over(pool, former);
+        owned
+    }
+
+    /// Gives every pool up for a graceful stop.
+    pub fn give_up(&self) {
+        let lost = self.ownership.borrow_mut().give_up();
+        let view = self.node.membership.view();
+        for (pool, term) in lost {
+            self.lose(&view, &pool, term);
+        }
+    }
+
+    /// Permits in flight that this process granted or adopted.
+    pub fn in_flight(&self) -> u64 {
+        self.slots.borrow().values().map(|s| s.status().in_flight).sum()
+    }
+
+    fn assess(&self, view: &View) -> Vec<Change> {
+        let now = now_boot();
+        let on = Assessment {
+            view,
+            freshness: self.node.membership.freshness(now),
+            peers: self.node.membership.peers_say(now),
+        };
+        self.ownership.borrow_mut().assess(now, on)
+    }
+
+    fn record(&self, change: &Change, view: &View) {
+        let cause = format!("{} -> {}", name_of(change.from), name_of(change.to));
+        self.node
+            .audit
+            .record(Kind::OwnershipChanged, &change.pool, &cause, view.list_version);
+    }
+
+    fn drop_lost(&self, view: &View) {
+        let lost: Vec<Rc<Slot>> = {
+            let ownership = self.ownership.borrow();
+            self.slots
+                .borrow()
+                .values()
+                .filter(|s| !ownership.standing(&s.id).owns())
+                .cloned()
+                .collect()
+        };
+        for slot in lost {
+            self.lose(view, &slot.id, slot.term());
+        }
+    }
+
+    fn lose(&self, view: &View, pool: &str, term: Term) {
+        let Some(slot) = self.slots.borrow_mut().remove(pool) else {
+            return;
+        };
+        slot.give_up();
+        let region = self
+            .pools_by(view)
+            .get(pool)
+            .map(|p| p.region.clone())
+            .unwrap_or_default();
+        handover::send(self.node.clone(), slot, region, term);
+    }
+
+    fn keep_owned(&self, view: &Rc<View>, pools: &HashMap<PoolId, Pool>) {
+        let Some(manifest) = &view.manifest else {
+            return;
+        };
+        let owned: Vec<PoolId> = self.ownership.borrow().pools().cloned().collect();
+        for id in owned {
+            let (Some(pool), Some(term)) = (pools.get(&id), self.ownership.borrow().term(&id)) else {
+                continue;
+            };
+            let slot = self.slot(&id, term);
+            slot.set_term(term);
+            slot.apply(view.generation, || plan_of(view, manifest, pool));
+            slot.trust(trust_of(self.standing(&id)));
+            slot.pump();
+        }
+    }
+
+    fn slot(&self, id: &str, term: Term) -> Rc<Slot> {
+        let mut slots = self.slots.borrow_mut();
+        let new = || Rc::new(Slot::new(id.to_owned(), term, self.opts.clone()));
+        slots.entry(id.to_owned()).or_insert_with(new).clone()
+    }
+
+    fn pools_by(&self, view: &View) -> Rc<HashMap<PoolId, Pool>> {
+        let mut known = self.known.borrow_mut();
+        if known.generation != view.generation {
+            let pools = view.manifest.as_deref().map(pools_of).unwrap_or_default();
+            let by_id = pools.into_iter().map(|p| (p.id.clone(), p)).collect();
+            *known = Known {
+                generation: view.generation,
+                pools: Rc::new(by_id),
+            };
+        }
+        known.pools.clone()
+    }
+}
+
+/// The name of a standing, for the audit trail and status.
+pub fn name_of(standing: Standing) -> &'static str {
+    match standing {
+        Standing::NotOwner => "not-owner",
+        Standing::Taking { .. } => "taking",
+        Standing::Settled => "settled",
+        Standing::Stale { .. } => "stale",
+        Standing::Woken => "woken",
+    }
+}
+
+fn trust_of(standing: Standing) -> Trust {
+    match standing {
+        Standing::Settled => Trust::Settled,
+        Standing::Taking { share, .. } => Trust::Taking { share },
+        Standing::Stale { share } if share >= 1.0 => Trust::Stale,
+        Standing::Stale { share } => Trust::Taking { share },
+        Standing::Woken | Standing::NotOwner => Trust::Taking { share: 0.0 },
+    }
+}
--- /dev/null
+++ b/crates/celerytide-entry/src/entry/peers.rs
@@ -0,0 +1,70 @@
+//! Exchanges that our other processes open with this entry.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use celerytide_membership::ownership::Admitted;
+use celerytide_wire::messages::{Method, Muster, Mustered};
+use celerytide_wire::{Exchange, Service};
+use monoio::time::timeout;
+
+use super::Entry;
+use crate::permit::wire_term;
+use crate::ticket;
+
+/// Time for a new owner to adopt all permits of a pool.
+const MOVE_TIME: Duration = Duration::from_secs(2);
+
+/// Serves our other processes.
+pub struct Peers(pub Rc<Entry>);
+
+impl Service for Peers {
+    async fn serve(&self, method: Method, ex: Exchange) {
+        let entry = &self.0;
+        match method {
+            Method::Muster => muster(entry, ex).await,
+            Method::Relay => ticket::serve_relay(entry, ex).await,
+            Method::Look => ticket::serve_look(entry, ex).await,
+            Method::Outcomes => ticket::take_in_outcomes(entry, ex).await,
+            Method::Gossip | Method::Manifest | Method::Lists => entry.node.serve(method, ex).await,
+            Method::Permit | Method::Adopt | Method::Handover => {
+                tracing::warn!(?method, "entry: a method for dispatch came here");
+            }
+        }
+    }
+}
+
+async fn muster(entry: &Entry, mut ex: Exchange) {
+    let Ok(muster) = ex.recv_some::<Muster>().await else {
+        return;
+    };
+    let former = entry.acquire.followed(&muster.pool);
+    let mustered = match entry.acquire.follow(&muster.pool, muster.term) {
+        Admitted::Yes => adopted(entry, &muster, former).await,
+        Admitted::Older { highest } => refused(Some(wire_term(highest))),
+        Admitted::OtherLife => refused(None),
+    };
+    if ex.send_last(&mustered).await.is_err() {
+        tracing::debug!(pool = muster.pool, "entry: the mustering owner is gone");
+    }
+}
+
+async fn adopted(entry: &Entry, muster: &Muster, other: Option<celerytide_wire::messages::Term>) -> Mustered {
+    let moved = timeout(MOVE_TIME, entry.acquire.leases().move_all(&muster.pool, muster.owner)).await;
+    let adopted = moved.ok().flatten();
+    Mustered {
+        followed: true,
+        complete: adopted.is_some(),
+        other,
+        adopted: adopted.unwrap_or(0),
+    }
+}
+
+fn refused(other: Option<celerytide_wire::messages::Term>) -> Mustered {
+    Mustered {
+        followed: false,
+        complete: false,
+        other,
+        adopted: 0,
+    }
+}
--- /dev/null
+++ b/crates/celerytide-entry/src/permit/acquire.rs
@@ -0,0 +1,221 @@
+//! Asks a pool's owner until it grants, refuses, or the time to begin has passed.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use celerytide_membership::Membership;
+use celerytide_membership::ownership::{Admitted, Term as OwnerTerm, TermGuard};
+use celerytide_types::{
+    Boot, ClassName, CustomerId, EndpointId, FinalWord, Millis, PoolId, RequestId, ServiceId, now_boot,
+};
+use celerytide_wire::messages::{Adopt, Ask, Granted, Method, Reply, Term};
+use celerytide_wire::{Exchange, Links};
+use http::StatusCode;
+use monoio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use super::lease::{Holder, Lease};
+use super::leases::Leases;
+use crate::answer::Final;
+use crate::owner::Owners;
+
+/// First wait after an owner was not found or not reached.
+const FIRST_WAIT: Duration = Duration::from_millis(10);
+/// Longest such wait.
+const LONGEST_WAIT: Duration = Duration::from_millis(200);
+/// Time beyond the deadline for the owner's own refusal to arrive.
+const REPLY_GRACE: Duration = Duration::from_millis(500);
+/// Time to come back that is told when no owner could be asked.
+const NO_OWNER_RETRY: Duration = Duration::from_secs(1);
+
+/// What a permit is wanted for.
+#[derive(Debug, Clone)]
+pub struct Wanted {
+    /// The service.
+    pub service: ServiceId,
+    /// The request.
+    pub request: RequestId,
+    /// Its class.
+    pub class: ClassName,
+    /// Its customer.
+    pub customer: CustomerId,
+    /// When it arrived.
+    pub arrived: Boot,
+    /// When it must have begun.
+    pub begin_by: Boot,
+    /// Length of its prompt.
+    pub prompt_tokens: u32,
+    /// Bound on its answer.
+    pub max_tokens: Option<u32>,
+    /// Hashes of its prompt's leading blocks.
+    pub prefix: Vec<u64>,
+    /// Endpoints that failed it.
+    pub avoid: Vec<EndpointId>,
+}
+
+/// Why there is no permit. The request did not run.
+#[derive(Debug)]
+pub enum Denied {
+    /// The caller left.
+    Left,
+    /// The final answer.
+    Final(Final),
+}
+
+/// Asks for permits.
+pub struct Acquire {
+    membership: Rc<Membership>,
+    owners: Rc<Owners>,
+    links: Links,
+    leases: Leases,
+    guard: RefCell<TermGuard>,
+}
+
+enum Asked {
+    Granted(Box<Granted>, Exchange),
+    Refused(FinalWord),
+    Again,
+}
+
+impl Acquire {
+    /// Asks owners that `membership` names, over `links`.
+    pub fn new(membership: Rc<Membership>, owners: Rc<Owners>, links: Links, leases: Leases) -> Acquire {
+        Acquire {
+            membership,
+            owners,
+            links,
+            leases,
+            guard: RefCell::default(),
+        }
+    }
+
+    /// All permits held.
+    pub fn leases(&self) -> &Leases {
+        &self.leases
+    }
+
+    /// Follows `term` for `pool` unless a higher one was seen.
+    pub fn follow(&self, pool: &str, term: Term) -> Admitted {
+        let view = self.membership.view();
+        self.guard.borrow_mut().admit(&view, pool, owner_term(term))
+    }
+
+    /// The highest term followed for `pool`.
+    pub fn followed(&self, pool: &str) -> Option<Term> {
+        self.guard.borrow().highest(pool).map(wire_term)
+    }
+
+    /// Gets a permit.
+    pub async fn permit(&self, wanted: &Wanted, cx: &CancellationToken) -> Result<Lease, Denied> {
+        let mut wait = FIRST_WAIT;
+        loop {
+            if now_boot() >= wanted.begin_by {
+                return Err(Denied::Final(too_late()));
+            }
+            let asked = monoio::select! {
+                asked = self.ask_once(wanted) => asked,
+                () = cx.cancelled() => return Err(Denied::Left),
+            };
+            match asked {
+                Asked::Granted(granted, ex) => return Ok(self.start(*granted, ex, wanted)),
+                Asked::Refused(word) => return Err(Denied::Final(Final::refused(word))),
+                Asked::Again => {}
+            }
+            monoio::select! {
+                () = sleep(wait) => {}
+                () = cx.cancelled() => return Err(Denied::Left),
+            }
+            wait = (wait * 2).min(LONGEST_WAIT);
+        }
+    }
+
+    async fn ask_once(&self, wanted: &Wanted) -> Asked {
+        let Some(pool) = self.owners.pick(&wanted.service) else {
+            return Asked::Again;
+        };
+        let Some(owner) = self.owners.address(&pool) else {
+            return Asked::Again;
+        };
+        let now = now_boot();
+        let left = wanted.begin_by.since(now);
+        let ask = ask_of(wanted, pool, now, left);
+        let Ok(mut ex) = self.links.open(owner, Method::Permit, &ask).await else {
+            return Asked::Again;
+        };
+        match timeout(left + REPLY_GRACE, ex.recv_some::<Reply>()).await {
+            Ok(Ok(Reply::Granted(granted))) => self.check_term(&ask.pool, granted, ex),
+            Ok(Ok(Reply::Refused(word))) => Asked::Refused(word),
+            Ok(Ok(Reply::NotOwner(_) | Reply::Preempt)) | Ok(Err(_)) | Err(_) => Asked::Again,
+        }
+    }
+
+    /// A permit of an older term than one followed is dropped unused; the drop tells its owner.
+    fn check_term(&self, pool: &str, granted: Granted, ex: Exchange) -> Asked {
+        if self.follow(pool, granted.term) == Admitted::Yes {
+            return Asked::Granted(Box::new(granted), ex);
+        }
+        tracing::warn!(
+            pool,
+            endpoint = granted.endpoint,
+            "permit: dropped one of an older term"
+        );
+        Asked::Again
+    }
+
+    fn start(&self, granted: Granted, ex: Exchange, wanted: &Wanted) -> Lease {
+        let adopt = Adopt {
+            pool: granted.pool.clone(),
+            request: wanted.request.clone(),
+            endpoint: granted.endpoint.clone(),
+            class: wanted.class.clone(),
+            customer: wanted.customer.clone(),
+        };
+        let holder = Holder {
+            owners: self.owners.clone(),
+            links: self.links.clone(),
+            adopt,
+        };
+        Lease::start(granted, ex, holder, &self.leases)
+    }
+}
+
+fn ask_of(wanted: &Wanted, pool: PoolId, now: Boot, left: Duration) -> Ask {
+    Ask {
+        pool,
+        request: wanted.request.clone(),
+        class: wanted.class.clone(),
+        customer: wanted.customer.clone(),
+        begin_within_ms: millis(left),
+        waited_ms: millis(now.since(wanted.arrived)),
+        prompt_tokens: wanted.prompt_tokens,
+        max_tokens: wanted.max_tokens,
+        prefix: wanted.prefix.clone(),
+        avoid: wanted.avoid.clone(),
+    }
+}
+
+fn millis(span: Duration) -> Millis {
+    span.as_millis().try_into().unwrap_or(Millis::MAX)
+}
+
+/// A term from a message.
+fn owner_term(term: Term) -> OwnerTerm {
+    OwnerTerm {
+        list_version: term.list_version,
+        incarnation: term.incarnation,
+    }
+}
+
+/// The same term as it stands in messages.
+pub fn wire_term(term: OwnerTerm) -> Term {
+    Term {
+        list_version: term.list_version,
+        incarnation: term.incarnation,
+    }
+}
+
+fn too_late() -> Final {
+    let message = "no owner of the service's endpoints could grant it in time";
+    Final::not_run(StatusCode::SERVICE_UNAVAILABLE, "no-permit-in-time", message).retry_after(NO_OWNER_RETRY)
+}
--- /dev/null
+++ b/crates/celerytide-entry/src/ticket/look.rs
@@ -0,0 +1,127 @@
+//! What became of a ticket, for callers, for other entries, and after the home has stopped.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use celerytide_once::{Look, Outcome, OutcomeCopy, Ticket};
+use celerytide_types::{Boot, FinalWord, Word, data, now_boot};
+use celerytide_wire::Exchange;
+use celerytide_wire::messages::{Ack, Look as LookAsk, Method, Seen};
+use http::StatusCode;
+
+use super::{bad_ticket, home};
+use crate::answer::Final;
+use crate::entry::Entry;
+
+/// Time to come back where the home could not be reached.
+const HOME_RETRY: Duration = Duration::from_secs(1);
+
+data! {
+    /// What `GET /v1/tickets/ID` answers.
+    pub struct TicketState {
+        /// The ticket.
+        pub ticket: String,
+        /// `unused`, `running` or `finished`.
+        pub state: String,
+        /// The final word, once finished.
+        pub word: Option<Word>,
+        /// Its cause.
+        pub cause: Option<String>,
+    }
+}
+
+/// Answers a caller's question.
+pub async fn look(entry: &Rc<Entry>, text: &str) -> Result<TicketState, Final> {
+    let ticket = Ticket::parse(text).map_err(|error| bad_ticket(&error))?;
+    let seen = match here(entry, &ticket, now_boot()) {
+        Some(seen) => seen,
+        None => elsewhere(entry, &ticket).await?,
+    };
+    Ok(state(&ticket, seen))
+}
+
+/// Serves another entry's question.
+pub async fn serve_look(entry: &Rc<Entry>, mut ex: Exchange) {
+    let Ok(ask) = ex.recv_some::<LookAsk>().await else {
+        return;
+    };
+    let ticket = Ticket::parse(&ask.ticket).ok();
+    let seen = ticket
+        .and_then(|t| here(entry, &t, now_boot()))
+        .unwrap_or(Seen::Unknown);
+    if ex.send_last(&seen).await.is_err() {
+        tracing::debug!("ticket: the asking entry is gone");
+    }
+}
+
+/// Takes in the outcomes of an entry that stops.
+pub async fn take_in_outcomes(entry: &Rc<Entry>, mut ex: Exchange) {
+    while let Ok(Some(copies)) = ex.recv::<Vec<OutcomeCopy>>().await {
+        entry.copies.import(copies);
+    }
+    if ex.send_last(&Ack { taken: true }).await.is_err() {
+        tracing::debug!("ticket: the stopping entry is gone");
+    }
+}
+
+fn here(entry: &Entry, ticket: &Ticket, now: Boot) -> Option<Seen> {
+    if let Some(copied) = entry.copies.look(ticket) {
+        return Some(seen(copied));
+    }
+    match entry.home.look(ticket, now) {
+        Look::NotHome(_) => None,
+        known => Some(seen(known)),
+    }
+}
+
+fn seen(look: Look) -> Seen {
+    match look {
+        Look::Unused => Seen::Unused,
+        Look::Running => Seen::Running,
+        Look::Finished(Outcome { word, .. }) => Seen::Finished(word),
+        Look::NotHome(_) => Seen::Unknown,
+    }
+}
+
+async fn elsewhere(entry: &Entry, ticket: &Ticket) -> Result<Seen, Final> {
+    let view = entry.node.membership.view();
+    if let Some(home) = view.instances.iter().find(|i| i.id == ticket.home.instance) {
+        let ask = LookAsk { ticket: ticket.id() };
+        let asked = entry
+            .node
+            .links
+            .call::<_, Seen>(home.entry_peer, Method::Look, &ask)
+            .await;
+        return asked.map_err(|_| unreachable());
+    }
+    for holder in entry.holders_of(&ticket.home.instance) {
+        let ask = LookAsk { ticket: ticket.id() };
+        let asked = entry.node.links.call::<_, Seen>(holder, Method::Look, &ask).await;
+        if let Ok(Seen::Finished(word)) = asked {
+            return Ok(Seen::Finished(word));
+        }
+    }
+    Ok(Seen::Finished(home::gone().word))
+}
+
+fn state(ticket: &Ticket, seen: Seen) -> TicketState {
+    let unknown = || home::gone().word;
+    let (name, word) = match seen {
+        Seen::Unused => ("unused", None),
+        Seen::Running => ("running", None),
+        Seen::Finished(word) => ("finished", Some(word)),
+        Seen::Unknown => ("finished", Some(unknown())),
+    };
+    let cause = word.as_ref().map(|w: &FinalWord| w.cause.clone());
+    TicketState {
+        ticket: ticket.id(),
+        state: name.to_owned(),
+        word: word.map(|w| w.word),
+        cause,
+    }
+}
+
+fn unreachable() -> Final {
+    let message = "the ticket's home could not be reached; ask again";
+    Final::unknown(StatusCode::SERVICE_UNAVAILABLE, "home-unreachable", message).retry_after(HOME_RETRY)
+}
--- /dev/null
+++ b/crates/celerytide-node/src/gossip/mod.rs
@@ -0,0 +1,132 @@
+//! Versions between peers: a newer manifest or list reaches every process even if the service reaches only one.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use celerytide_membership::{Origin, PeerLists, PeerOptions, ViewDigest, Wanted, pick_peers};
+use celerytide_types::{InstanceId, now_boot};
+use celerytide_wire::messages::{Gossip, ListsAsk, ManifestAsk, ManifestText, Method};
+use celerytide_wire::{Error, Exchange};
+use monoio::time::{sleep, timeout};
+use rand::Rng;
+
+use crate::Node;
+use crate::peer_address;
+
+/// Time for one exchange with a peer.
+const EXCHANGE_TIME: Duration = Duration::from_secs(2);
+/// Time between two rounds; each is drawn within a quarter around it.
+const ROUND: Duration = Duration::from_secs(1);
+
+/// Exchanges digests with a few peers in each round, until the process stops.
+pub(crate) async fn run(node: Rc<Node>) {
+    let mut round = 0;
+    while !node.abort.is_cancelled() {
+        one_round(&node, round).await;
+        round += 1;
+        sleep(ROUND.mul_f64(rand::rng().random_range(0.75..1.25))).await;
+    }
+}
+
+async fn one_round(node: &Rc<Node>, round: u64) {
+    for addr in targets(node, round) {
+        let exchanged = timeout(EXCHANGE_TIME, exchange(node, addr)).await;
+        if let Ok(Err(error)) = exchanged {
+            tracing::debug!(%addr, %error, "gossip: exchange failed");
+        }
+    }
+}
+
+/// Peers of the list; the settings' peers while there is none.
+fn targets(node: &Node, round: u64) -> Vec<SocketAddr> {
+    let view = node.membership.view();
+    if view.instances.is_empty() {
+        return node.seed_peers.clone();
+    }
+    let chosen = pick_peers(&node.instance, &view.instances, round, PeerOptions::default());
+    let instances = chosen.iter().filter_map(|id| view.instance(id));
+    instances.map(|i| peer_address(node.role, i)).collect()
+}
+
+async fn exchange(node: &Rc<Node>, addr: SocketAddr) -> Result<(), Error> {
+    let own = own_digest(node);
+    let theirs: Gossip<ViewDigest> = node.links.call(addr, Method::Gossip, &own).await?;
+    let wanted = node.membership.heard(now_boot(), &theirs.from, &theirs.digest);
+    fetch(node, addr, &theirs.from, wanted).await
+}
+
+async fn fetch(node: &Rc<Node>, addr: SocketAddr, from: &InstanceId, wanted: Wanted) -> Result<(), Error> {
+    if wanted.lists {
+        let ask = ListsAsk {
+            from: node.instance.clone(),
+        };
+        let lists: PeerLists = node.links.call(addr, Method::Lists, &ask).await?;
+        node.membership.offer_peer_lists(now_boot(), from, lists);
+    }
+    if wanted.manifest {
+        let ask = ManifestAsk {
+            version: node.membership.view().manifest_version + 1,
+        };
+        let answer: ManifestText = node.links.call(addr, Method::Manifest, &ask).await?;
+        if answer.version > 0 {
+            node.membership
+                .offer_manifest(&Origin::Peer(from.clone()), &answer.text);
+        }
+    }
+    Ok(())
+}
+
+fn own_digest(node: &Node) -> Gossip<ViewDigest> {
+    Gossip {
+        from: node.instance.clone(),
+        digest: node.membership.digest(now_boot()),
+    }
+}
+
+/// Serves a peer's exchange about views.
+pub(crate) async fn serve(node: &Rc<Node>, method: Method, ex: Exchange) {
+    let served = match method {
+        Method::Gossip => serve_gossip(node, ex).await,
+        Method::Manifest => serve_manifest(node, ex).await,
+        Method::Lists => serve_lists(node, ex).await,
+        _ => Ok(()),
+    };
+    if let Err(error) = served {
+        tracing::debug!(?method, %error, "gossip: a peer's exchange failed");
+    }
+}
+
+async fn serve_gossip(node: &Rc<Node>, mut ex: Exchange) -> Result<(), Error> {
+    let theirs: Gossip<ViewDigest> = ex.recv_some().await?;
+    ex.send_last(&own_digest(node)).await?;
+    let wanted = node.membership.heard(now_boot(), &theirs.from, &theirs.digest);
+    let view = node.membership.view();
+    if let Some(peer) = view.instance(&theirs.from) {
+        let addr = peer_address(node.role, peer);
+        return fetch(node, addr, &theirs.from, wanted).await;
+    }
+    Ok(())
+}
+
+async fn serve_manifest(node: &Rc<Node>, mut ex: Exchange) -> Result<(), Error> {
+    let ask: ManifestAsk = ex.recv_some().await?;
+    let version = node.membership.view().manifest_version;
+    let text = node.membership.manifest_text().filter(|_| version >= ask.version);
+    let answer = match text {
+        Some(text) => ManifestText {
+            version,
+            text: text.to_string(),
+        },
+        None => ManifestText {
+            version: 0,
+            text: String::new(),
+        },
+    };
+    ex.send_last(&answer).await
+}
+
+async fn serve_lists(node: &Rc<Node>, mut ex: Exchange) -> Result<(), Error> {
+    let _: ListsAsk = ex.recv_some().await?;
+    ex.send_last(&node.membership.peer_lists()).await
+}
--- /dev/null
+++ b/crates/celerytide-node/src/lib.rs
@@ -0,0 +1,25 @@
+//! What both daemons share: kernel services, membership, gossip, start and stop.
+//!
+//! A [`Node`] is one process among its peers. It keeps the views up to date from the configuration service and from peers,
+//! answers peers' questions about them, and records every change in the audit trail.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+mod gossip;
+mod source;
+mod start;
+mod tick;
+
+pub use start::{Error, HttpSnafu, Identity, Node, Role, listen, run_process};
+
+use celerytide_membership::Instance;
+use std::net::SocketAddr;
+
+/// Where peers reach the process of that role on `instance`.
+pub fn peer_address(role: Role, instance: &Instance) -> SocketAddr {
+    match role {
+        Role::Entry => instance.entry_peer,
+        Role::Dispatch => instance.dispatch_peer,
+    }
+}
--- a/crates/celerytide-wire/src/error.rs
+++ b/crates/celerytide-wire/src/error.rs
@@ -66,4 +66,9 @@
     pub fn nothing_sent(&self) -> bool {
         matches!(self, Error::Connect { .. } | Error::ConnectTimeout { .. })
     }
+
+    /// Whether the peer itself reset the exchange, on a connection that works.
+    pub fn is_reset_by_peer(&self) -> bool {
+        matches!(self, Error::H2 { source } if source.is_reset() && source.is_remote())
+    }
 }
--- a/crates/celerytide-wire/src/messages/mod.rs
+++ b/crates/celerytide-wire/src/messages/mod.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use celerytide_types::{
-    ClassName, CustomerId, Digest, EndpointId, FinalWord, Incarnation, InstanceId, Millis, PermitId, PoolId, RequestId,
-    TicketId, Version, data,
+    ClassName, CustomerId, EndpointId, FinalWord, Incarnation, InstanceId, Millis, PermitId, PoolId, RequestId,
+    ServiceId, TicketId, Version, data,
 };
 
 /// Version of this protocol; part of every method's path.
@@ -25,6 +25,8 @@
     Gossip,
     /// Any to any: the manifest's text.
     Manifest,
+    /// Any to any: the lists, for a process that can't read the service.
+    Lists,
     /// Entry to entry: a ticketed call goes to its home.
     Relay,
     /// Entry to entry: what a ticket's home knows of it.
@@ -38,7 +40,7 @@
     path: &'static str,
 }
 
-const METHODS: [Named; 9] = [
+const METHODS: [Named; 10] = [
     Named {
         method: Method::Permit,
         path: "/1/permit",
@@ -63,6 +65,10 @@
         method: Method::Manifest,
         path: "/1/manifest",
     },
+    Named {
+        method: Method::Lists,
+        path: "/1/lists",
+    },
     Named {
         method: Method::Relay,
         path: "/1/relay",
@@ -139,6 +145,8 @@
     pub struct Granted {
         /// Number of the permit.
         pub permit: PermitId,
+        /// The pool.
+        pub pool: PoolId,
         /// The endpoint.
         pub endpoint: EndpointId,
         /// Its address.
@@ -201,8 +209,12 @@
 
     /// The entry's answer, sent once each of its permits in flight was adopted.
     pub struct Mustered {
-        /// Whether the entry follows this term; false if it saw a higher one.
+        /// Whether the entry follows this term.
         pub followed: bool,
+        /// Whether every permit in flight was adopted.
+        pub complete: bool,
+        /// The term that it followed before, or the higher one that it follows instead.
+        pub other: Option<Term>,
         /// Permits in flight that were adopted.
         pub adopted: u32,
     }
@@ -235,24 +247,18 @@
         pub taken: bool,
     }
 
-    /// Versions that a process holds.
-    pub struct Gossip {
+    /// Asks for the lists; answered by `PeerLists`.
+    pub struct ListsAsk {
+        /// The asker.
+        pub from: InstanceId,
+    }
+
+    /// Versions that a process holds; each side sends one. `digest` is the membership crate's own message.
+    pub struct Gossip<D> {
         /// The sender's instance.
         pub from: InstanceId,
-        /// The sender's incarnation.
-        pub incarnation: Incarnation,
-        /// Version of the manifest in force.
-        pub manifest_version: Version,
-        /// Its digest.
-        pub manifest_digest: Digest,
-        /// Version of the instance list.
-        pub list_version: Version,
-        /// Version of the endpoint list.
-        pub endpoints_version: Version,
-        /// Time since the service last confirmed the sender's views.
-        pub confirmed_ms_ago: Option<Millis>,
-        /// Instances that the sender's list shows as leaving.
-        pub leaving: Vec<InstanceId>,
+        /// What it holds.
+        pub digest: D,
     }
 
     /// Asks for the manifest's text.
@@ -285,9 +291,11 @@
         pub request: RequestId,
         /// The customer, already known to the entry that took the call.
         pub customer: CustomerId,
+        /// The service.
+        pub service: ServiceId,
         /// HTTP method.
         pub method: String,
-        /// Path and query as the caller sent them.
+        /// Path and query below the service's prefix.
         pub path: String,
         /// Headers as the caller sent them.
         pub headers: Vec<Header>,
