test(load): the demonstration serves, ends on a signal and leaves no process

Cause: the demonstration is the first command of a newcomer. Conclusion: both entries stream, the ticketed call runs once, every child is gone after SIGINT.

--- /dev/null
+++ b/crates/celerytide-load/tests/demo.rs
@@ -0,0 +1,75 @@
+//! The demonstration serves its requests, ends on a signal, and leaves nothing behind.
+//!
+//! Needs the daemons' binaries beside the test's own: `cargo build --workspace --bins`.
+
+use std::{
+    fs,
+    path::PathBuf,
+    thread,
+    time::{Duration, Instant},
+};
+
+use celerytide_load::fleet::WorkDir;
+use celerytide_standin::launch::{Options, Process, Signal};
+
+const BOUND: Duration = Duration::from_secs(60);
+/// Configuration service, two engines, one plain service, and two daemons on each of two instances.
+const CHILDREN: usize = 8;
+
+fn demo(dir: &WorkDir, args: &[&str]) -> (Process, PathBuf) {
+    let log = dir.path().join("demo.log");
+    let options = Options {
+        program: env!("CARGO_BIN_EXE_celerytide-load").into(),
+        args: args.iter().map(|arg| (*arg).to_owned()).collect(),
+        ready_prefix: None,
+        log: Some(log.clone()),
+        own_group: false,
+    };
+    (Process::start(&options).expect("start"), log)
+}
+
+fn children(parent: u32) -> Vec<u32> {
+    let pids = fs::read_dir("/proc").expect("proc").flatten();
+    let pids = pids.filter_map(|entry| entry.file_name().to_str()?.parse::<u32>().ok());
+    pids.filter(|pid| parent_of(*pid) == Some(parent)).collect()
+}
+
+fn parent_of(pid: u32) -> Option<u32> {
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    stat.rsplit_once(") ")?.1.split(' ').nth(1)?.parse().ok()
+}
+
+#[test]
+fn once_serves_every_request_and_ends() {
+    let dir = WorkDir::create().expect("folder");
+    let (mut process, log) = demo(&dir, &["demo", "--once"]);
+    let status = process.wait(BOUND);
+    let text = fs::read_to_string(log).expect("log");
+    assert!(status.is_some_and(|status| status.success()), "{text}");
+    assert_eq!(text.matches("24 tokens, word \"done\"").count(), 2, "{text}");
+    assert_eq!(
+        text.matches("\"ran\":true,\"request_id\":\"demo-submit-0\"").count(),
+        2,
+        "one run, seen twice: {text}"
+    );
+    assert!(!text.contains("demo-submit-1"), "{text}");
+}
+
+#[test]
+fn a_signal_ends_every_process() {
+    let dir = WorkDir::create().expect("folder");
+    let (mut process, log) = demo(&dir, &["demo"]);
+    let until = Instant::now() + BOUND;
+    let text = || fs::read_to_string(&log).unwrap_or_default();
+    while !text().contains("Ctrl-C ends everything") {
+        assert!(process.is_running() && Instant::now() < until, "{}", text());
+        thread::sleep(Duration::from_millis(20));
+    }
+    let children = children(process.pid());
+    assert_eq!(children.len(), CHILDREN, "{}", text());
+    process.signal(Signal::SIGINT).expect("signal");
+    let status = process.wait(BOUND);
+    assert!(status.is_some_and(|status| status.success()), "{}", text());
+    let left: Vec<u32> = children.into_iter().filter(|pid| parent_of(*pid).is_some()).collect();
+    assert!(left.is_empty(), "still there: {left:?}");
+}
