feat(load): compare direct calls with calls through an entry

Cause: the added cost has to be measured beside direct calls in the same run. Conclusion: the table is written by celerytide-load compare; figures need a release build on a quiet machine.

--- /dev/null
+++ b/crates/celerytide-load/src/compare/latency.rs
@@ -0,0 +1,199 @@
+//! Latencies open loop, counted from the time at which each request was to be sent.
+
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use celerytide_http::client::{self, Client};
+use celerytide_types::new_request_id;
+use hdrhistogram::Histogram;
+use monoio::{LegacyDriver, RuntimeBuilder};
+use tokio_util::sync::CancellationToken;
+
+use super::{Error, Options};
+use crate::{
+    caller::{self, Ask, Outcome},
+    fleet::Fleet,
+    pace,
+};
+
+/// Longest latency that is told apart.
+const MAX_NANOS: u64 = 120_000_000_000;
+/// Digits that are kept of each latency.
+const DIGITS: u8 = 3;
+/// Requests before this time are sent but not counted.
+const WARM_UP: Duration = Duration::from_secs(1);
+const PROMPT: &str = "May unused leave be carried over to the next year?";
+
+celerytide_types::data! {
+    /// Quantiles in milliseconds.
+    #[derive(Copy, Default)]
+    pub struct Quantiles {
+        /// Count of values.
+        pub count: u64,
+        /// Median.
+        pub p50_ms: f64,
+        /// 95 of 100 are below.
+        pub p95_ms: f64,
+        /// 99 of 100 are below.
+        pub p99_ms: f64,
+        /// The largest value.
+        pub max_ms: f64,
+    }
+
+    /// One kind of latency both ways.
+    pub struct Latency {
+        /// Straight to the stand-in.
+        pub direct: Quantiles,
+        /// Through an entry.
+        pub through: Quantiles,
+        /// Requests that were not served whole, direct and through.
+        pub failed: [u64; 2],
+        /// Causes of the first failure through the entry.
+        pub first_failure: String,
+    }
+}
+
+impl Quantiles {
+    /// The quantiles of a histogram of nanoseconds.
+    pub fn of(histogram: &Histogram<u64>) -> Self {
+        let at = |quantile: f64| histogram.value_at_quantile(quantile) as f64 / 1e6;
+        Self {
+            count: histogram.len(),
+            p50_ms: at(0.5),
+            p95_ms: at(0.95),
+            p99_ms: at(0.99),
+            max_ms: histogram.max() as f64 / 1e6,
+        }
+    }
+}
+
+/// A histogram of nanoseconds.
+pub(crate) fn histogram() -> Histogram<u64> {
+    // Both bounds are constants within what the library takes; the fallback grows by itself.
+    Histogram::new_with_bounds(1, MAX_NANOS, DIGITS).unwrap_or_else(|_| empty())
+}
+
+fn empty() -> Histogram<u64> {
+    Histogram::new(1).expect("one digit is within 0 to 5")
+}
+
+/// Adds a latency to a histogram of nanoseconds.
+pub(crate) fn record(histogram: &mut Histogram<u64>, latency: Duration) {
+    histogram.saturating_record(u64::try_from(latency.as_nanos()).unwrap_or(u64::MAX));
+}
+
+pub(super) struct Both {
+    pub first_token: Latency,
+    pub between_tokens: Latency,
+}
+
+struct Side {
+    first: Histogram<u64>,
+    gaps: Histogram<u64>,
+    failed: u64,
+    first_failure: String,
+}
+
+impl Side {
+    fn new() -> Self {
+        Self {
+            first: histogram(),
+            gaps: histogram(),
+            failed: 0,
+            first_failure: String::new(),
+        }
+    }
+
+    fn add(&mut self, due: Instant, outcome: &Outcome) {
+        let Some(first) = outcome.first_token.filter(|_| outcome.is_done()) else {
+            self.failed += 1;
+            if self.first_failure.is_empty() {
+                self.first_failure = format!("status {}: {}", outcome.status, outcome.cause);
+            }
+            return;
+        };
+        record(&mut self.first, first.saturating_duration_since(due));
+        for gap in &outcome.gaps {
+            record(&mut self.gaps, *gap);
+        }
+    }
+}
+
+/// Sends requests of so many tokens both ways.
+pub(super) fn measure(fleet: &Fleet, options: &Options, tokens: usize) -> Result<Both, Error> {
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
+    let [direct, through] = runtime.block_on(both_ways(fleet, options, tokens));
+    let (direct, through) = (direct.borrow(), through.borrow());
+    let latency = |direct_values: &Histogram<u64>, through_values: &Histogram<u64>| Latency {
+        direct: Quantiles::of(direct_values),
+        through: Quantiles::of(through_values),
+        failed: [direct.failed, through.failed],
+        first_failure: through.first_failure.clone(),
+    };
+    Ok(Both {
+        first_token: latency(&direct.first, &through.first),
+        between_tokens: latency(&direct.gaps, &through.gaps),
+    })
+}
+
+async fn both_ways(fleet: &Fleet, options: &Options, tokens: usize) -> [Rc<RefCell<Side>>; 2] {
+    let sides = [Rc::new(RefCell::new(Side::new())), Rc::new(RefCell::new(Side::new()))];
+    let client = Client::new(client::Options::default());
+    let key = fleet
+        .plan
+        .customers
+        .first()
+        .map(|customer| customer.key())
+        .unwrap_or_default();
+    let engines: Vec<SocketAddr> = fleet.engines.iter().map(|engine| engine.running.addr).collect();
+    let entries: Vec<SocketAddr> = fleet
+        .instances
+        .iter()
+        .map(|instance| instance.addresses.caller)
+        .collect();
+    let targets = [engines, entries];
+    let start = Instant::now();
+    let mut tasks = Vec::new();
+    for (i, (at, side)) in schedule(options).into_iter().enumerate() {
+        let Some(addr) = targets[side].get(i % targets[side].len().max(1)).copied() else {
+            continue;
+        };
+        let due = start + at;
+        pace::until(due).await;
+        let ask = Ask::chat(
+            addr,
+            &key,
+            &new_request_id(),
+            &fleet.plan.engines.model,
+            PROMPT,
+            Some(tokens),
+        );
+        let (client, counted) = (client.clone(), (at >= WARM_UP).then(|| sides[side].clone()));
+        tasks.push(monoio::spawn(async move {
+            let outcome = caller::send(&client, &ask, &CancellationToken::new(), |_| {}).await;
+            if let Some(side) = counted {
+                side.borrow_mut().add(due, &outcome);
+            }
+        }));
+    }
+    for task in tasks {
+        task.await;
+    }
+    sides
+}
+
+/// Arrivals both ways in one order of time; side 0 is direct.
+fn schedule(options: &Options) -> Vec<(Duration, usize)> {
+    let span = WARM_UP + options.span();
+    let of = |side: usize| {
+        let times = pace::arrivals(options.rate, span, options.seed.wrapping_add(side as u64));
+        times.into_iter().map(move |at| (at, side))
+    };
+    let mut all: Vec<(Duration, usize)> = of(0).chain(of(1)).collect();
+    all.sort_unstable();
+    all
+}
--- a/crates/celerytide-load/src/lib.rs
+++ b/crates/celerytide-load/src/lib.rs
@@ -7,5 +7,8 @@
 #![deny(missing_docs)]
 
 pub mod caller;
+pub mod compare;
 pub mod demo;
 pub mod fleet;
+pub mod machine;
+pub mod pace;
--- a/crates/celerytide-load/src/main.rs
+++ b/crates/celerytide-load/src/main.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use celerytide_load::demo;
+use celerytide_load::{compare, demo};
 
 /// Demonstration, comparison and load over stand-ins on loopback.
 #[derive(FromArgs)]
@@ -19,11 +19,13 @@
 #[argh(subcommand)]
 enum Command {
     Demo(demo::Options),
+    Compare(compare::Options),
 }
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     let done = match args.command {
+        Command::Compare(options) => compare::run(&options).map_err(|e| e.to_string()),
         Command::Demo(options) => demo::run(&options).map_err(|e| e.to_string()),
     };
     match done {
--- a/crates/celerytide-standin/src/engine/chat.rs
+++ b/crates/celerytide-standin/src/engine/chat.rs
@@ -2,7 +2,9 @@
 
 use std::{
     fmt::Write,
+    future::poll_fn,
     rc::Rc,
+    task::Poll,
     time::{Duration, Instant},
 };
 
@@ -80,15 +82,27 @@
 /// Sleeps to `due`, or lets other tasks run once if it has passed.
 async fn pause(due: &mut Instant) {
     let now = Instant::now();
-    match due.checked_duration_since(now) {
-        Some(left) => time::sleep(left).await,
-        None => {
-            if now.duration_since(*due) > MAX_LAG {
-                *due = now;
-            }
-            time::sleep(Duration::ZERO).await;
-        }
+    if *due > now {
+        return time::sleep(*due - now).await;
+    }
+    if now.duration_since(*due) > MAX_LAG {
+        *due = now;
     }
+    give_way().await;
+}
+
+/// Lets other tasks run once; a sleep of no length would wait for the timer's next step.
+async fn give_way() {
+    let mut was_polled = false;
+    poll_fn(|cx| {
+        if was_polled {
+            return Poll::Ready(());
+        }
+        was_polled = true;
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
 }
 
 /// Answers one call.
