feat(policy): rules as checks over recorded histories, each shown able to fail

Cause: nothing stated what must hold of a pool independently of its code. Ruled out: asserts inside the pool, which share its mistakes.

--- /dev/null
+++ b/crates/celerytide-policy/src/check/cold/mod.rs
@@ -0,0 +1,233 @@
+//! Model of endpoints: which are closed, and how much each bears.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use celerytide_types::{Boot, EndpointId, PermitId};
+
+use super::{Entry, Event, Rule};
+use crate::ask::{Ended, Grant, LoadReport, Trust};
+use crate::options::Options;
+use crate::plan::EndpointPlan;
+
+#[derive(Debug)]
+struct Row {
+    plan: EndpointPlan,
+    named: bool,
+    in_flight: u32,
+    bears: u32,
+    missing: u32,
+    /// Number of cold starts; only work granted after the last one counts as evidence.
+    epoch: u32,
+    started: Option<u64>,
+    observed: u64,
+    last_sign: Boot,
+}
+
+#[derive(Debug)]
+struct Running {
+    endpoint: EndpointId,
+    epoch: u32,
+    counted: bool,
+}
+
+/// Endpoints and the work on them, replayed.
+#[derive(Debug)]
+pub(super) struct Model {
+    rows: HashMap<EndpointId, Row>,
+    running: HashMap<PermitId, Running>,
+    trust: Trust,
+    per_slot: u32,
+    silence: Duration,
+    bounded: bool,
+}
+
+impl Row {
+    fn chill(&mut self, per_slot: u32) {
+        self.bears = cold_bound(&self.plan);
+        self.missing = self.bears.saturating_mul(per_slot).max(1);
+        self.epoch += 1;
+    }
+
+    fn bound(&self, trust: Trust) -> u32 {
+        match trust {
+            Trust::Stale if self.missing > 0 => 0,
+            Trust::Taking { .. } if self.missing > 0 => self.bears / 2,
+            _ => self.bears,
+        }
+    }
+
+    fn succeed(&mut self) {
+        if self.missing > 0 {
+            self.missing -= 1;
+        } else {
+            self.bears = (self.bears + 1).min(self.plan.slots.max(1));
+        }
+    }
+
+    fn replan(&mut self, plan: EndpointPlan) {
+        self.bears = self.bears.min(plan.slots.max(1));
+        if self.missing > 0 {
+            self.bears = self.bears.min(cold_bound(&plan));
+        }
+        if !self.named {
+            // The pool may have forgotten it, and its first report since then tells nothing.
+            self.started = None;
+        }
+        self.plan = plan;
+        self.named = true;
+    }
+}
+
+/// Requests that an endpoint of this plan bears when cold.
+fn cold_bound(plan: &EndpointPlan) -> u32 {
+    plan.cold_slots.clamp(1, plan.slots.max(1))
+}
+
+impl Model {
+    pub fn new(opts: &Options) -> Model {
+        Model {
+            rows: HashMap::new(),
+            running: HashMap::new(),
+            trust: Trust::Settled,
+            per_slot: opts.cold_successes_per_slot,
+            silence: opts.silence,
+            bounded: opts.baseline.is_none(),
+        }
+    }
+
+    pub fn step(&mut self, entry: &Entry, report: &mut impl FnMut(Rule, String)) {
+        match &entry.event {
+            Event::Applied(plan) => self.apply(entry.at, &plan.endpoints),
+            Event::Trusted(trust) => self.trust = *trust,
+            Event::Granted(grant) => self.grant(entry.at, grant, report),
+            Event::Adopted(permit, endpoint, _) => self.run(*permit, endpoint),
+            Event::Orphaned(permit) => self.uncount(*permit),
+            Event::Progressed(permit, _) => self.sign(entry.at, *permit),
+            Event::Settled(permit, ended) => self.settle(entry.at, *permit, *ended),
+            Event::Reported(endpoint, load) => self.reported(entry.at, endpoint, load),
+            _ => {}
+        }
+    }
+
+    fn apply(&mut self, now: Boot, plans: &[EndpointPlan]) {
+        self.drop_unnamed(plans);
+        for plan in plans {
+            if let Some(row) = self.rows.get_mut(&plan.id) {
+                row.replan(plan.clone());
+                continue;
+            }
+            let mut row = Row {
+                plan: plan.clone(),
+                named: true,
+                in_flight: 0,
+                bears: 0,
+                missing: 0,
+                epoch: 0,
+                started: None,
+                observed: 0,
+                last_sign: now,
+            };
+            row.chill(self.per_slot);
+            self.rows.insert(plan.id.clone(), row);
+        }
+    }
+
+    fn drop_unnamed(&mut self, plans: &[EndpointPlan]) {
+        for (id, row) in &mut self.rows {
+            row.named &= plans.iter().any(|plan| plan.id == *id);
+        }
+    }
+
+    fn grant(&mut self, now: Boot, grant: &Grant, report: &mut impl FnMut(Rule, String)) {
+        let (trust, per_slot) = (self.trust, self.per_slot);
+        let Some(row) = self.rows.get_mut(&grant.endpoint) else {
+            report(Rule::ClosedEndpoint, format!("{} is unknown", grant.endpoint));
+            return;
+        };
+        if !row.plan.open || !row.named {
+            report(Rule::ClosedEndpoint, format!("{} got a grant", grant.endpoint));
+        }
+        if now.since(row.last_sign) > self.silence {
+            row.chill(per_slot);
+            row.last_sign = now;
+        }
+        let bound = row.bound(trust);
+        if self.bounded && row.in_flight >= bound {
+            let what = format!("{} has {} and bears {bound}", grant.endpoint, row.in_flight + 1);
+            report(Rule::ColdBound, what);
+        }
+        if row.in_flight == 0 {
+            row.last_sign = now;
+        }
+        self.run(grant.permit, &grant.endpoint);
+    }
+
+    fn run(&mut self, permit: PermitId, endpoint: &str) {
+        let Some(row) = self.rows.get_mut(endpoint) else { return };
+        row.in_flight += 1;
+        let running = Running {
+            endpoint: endpoint.to_owned(),
+            epoch: row.epoch,
+            counted: true,
+        };
+        self.running.insert(permit, running);
+    }
+
+    /// An orphan may be released at any time, so the model counts it no longer.
+    fn uncount(&mut self, permit: PermitId) {
+        let Some(running) = self.running.get_mut(&permit) else {
+            return;
+        };
+        let was_counted = std::mem::replace(&mut running.counted, false);
+        if let Some(row) = self.rows.get_mut(&running.endpoint) {
+            row.in_flight -= u32::from(was_counted);
+        }
+    }
+
+    fn sign(&mut self, now: Boot, permit: PermitId) {
+        let row = self
+            .running
+            .get(&permit)
+            .and_then(|running| self.rows.get_mut(&running.endpoint));
+        if let Some(row) = row {
+            row.last_sign = now;
+        }
+    }
+
+    fn settle(&mut self, now: Boot, permit: PermitId, ended: Ended) {
+        self.uncount(permit);
+        let Some(running) = self.running.remove(&permit) else {
+            return;
+        };
+        let Some(row) = self.rows.get_mut(&running.endpoint) else {
+            return;
+        };
+        match ended {
+            Ended::Whole { .. } => {
+                row.last_sign = now;
+                if running.epoch == row.epoch {
+                    row.succeed();
+                }
+            }
+            Ended::Failed | Ended::NotStarted => row.chill(self.per_slot),
+            Ended::Slow | Ended::Cancelled => {}
+        }
+    }
+
+    fn reported(&mut self, now: Boot, endpoint: &str, load: &LoadReport) {
+        let Some(row) = self.rows.get_mut(endpoint) else { return };
+        if row.started.is_some() && load.observed_unix_ms < row.observed {
+            return;
+        }
+        row.last_sign = now;
+        row.observed = load.observed_unix_ms;
+        let restarted = row
+            .started
+            .replace(load.started_unix_ms)
+            .is_some_and(|seen| seen != load.started_unix_ms);
+        if restarted || (load.cold == Some(true) && row.missing == 0) {
+            row.chill(self.per_slot);
+        }
+    }
+}
--- a/crates/celerytide-policy/src/lib.rs
+++ b/crates/celerytide-policy/src/lib.rs
@@ -14,6 +14,7 @@
 mod pool;
 mod status;
 
+pub mod check;
 pub mod drain;
 pub mod fair;
 pub mod lengths;
--- a/crates/celerytide-policy/src/options/mod.rs
+++ b/crates/celerytide-policy/src/options/mod.rs
@@ -35,6 +35,8 @@
     IgnoreAvoid,
     /// Preemption takes any running permit.
     PreemptAny,
+    /// Asks are granted after their deadline.
+    GrantLate,
 }
 
 /// Settings of a pool.
--- a/crates/celerytide-policy/src/pool/grant/mod.rs
+++ b/crates/celerytide-policy/src/pool/grant/mod.rs
@@ -32,7 +32,7 @@
             if self.asks.is_empty() || busy {
                 return None;
             }
-            if let Some(id) = self.overdue_head(now) {
+            if let Some(id) = self.overdue(now) {
                 self.shed(now, id, Refusal::DeadlinePassed);
                 continue;
             }
@@ -41,10 +41,11 @@
         }
     }
 
-    /// An ask at the head of its class whose deadline passed.
-    fn overdue_head(&self, now: Boot) -> Option<AskId> {
+    /// An ask whose deadline passed.
+    fn overdue(&self, now: Boot) -> Option<AskId> {
         let &(deadline, id) = self.deadlines.first()?;
-        (deadline <= now).then_some(id)
+        let late = deadline <= now && self.opts.fault != Some(DeliberateFault::GrantLate);
+        late.then_some(id)
     }
 
     fn choose(&mut self, now: Boot) -> Option<(usize, AskId, usize)> {
--- a/crates/celerytide-policy/src/pool/offer/mod.rs
+++ b/crates/celerytide-policy/src/pool/offer/mod.rs
@@ -34,9 +34,11 @@
         Offer::Queued(id)
     }
 
-    /// Takes an ask out of the queue at its caller's wish.
+    /// Takes an ask out of the queue at its caller's wish; a refusal of it that is still due is dropped.
     pub fn withdraw(&mut self, _now: Boot, ask: AskId) {
-        self.take(ask);
+        if self.take(ask).is_none() {
+            self.shed.retain(|refused| refused.ask != ask);
+        }
     }
 
     /// Refusals that are due: deadlines that passed, and asks that were shed since the last call.
--- a/crates/celerytide-policy/src/pool/report/mod.rs
+++ b/crates/celerytide-policy/src/pool/report/mod.rs
@@ -40,10 +40,11 @@
         }
     }
 
-    /// Marks an endpoint cold that was silent too long; says whether it did.
+    /// Marks an endpoint cold that was silent too long, also one that was cold before: what it showed until then no
+    /// longer counts. Says whether it did.
     pub(super) fn chill_if_silent(&mut self, now: Boot, at: usize) -> bool {
         let silence = self.opts.silence;
-        let silent = |row: &Endpoint| !row.ramp.is_cold() && now.since(row.last_sign) > silence;
+        let silent = |row: &Endpoint| now.since(row.last_sign) > silence;
         let is_silent = self.table.get(at).is_some_and(silent);
         if is_silent {
             self.table.update(at, |row| {
