--- /dev/null
+++ b/crates/celerytide-once/tests/home.rs
@@ -0,0 +1,382 @@
+//! Steps of one home, one by one.
+
+use std::time::Duration;
+
+use celerytide_once::{
+    Begin, Copies, Home, HomeId, HomeOptions, IssueError, Look, Outcome, StoredAnswer, Ticket, holders,
+};
+use celerytide_types::{Boot, Word};
+
+const CONTENT: u64 = 1;
+const OTHER_CONTENT: u64 = 2;
+
+fn at(seconds: u64) -> Boot {
+    Boot::from_start(Duration::from_secs(seconds))
+}
+
+fn home(opts: HomeOptions) -> Home {
+    Home::new(
+        HomeId {
+            instance: "i-1".into(),
+            incarnation: 5,
+        },
+        opts,
+    )
+}
+
+fn options() -> HomeOptions {
+    HomeOptions {
+        max_tickets: 3,
+        unused_for: Duration::from_secs(60),
+        outcome_for: Duration::from_secs(600),
+        max_answer_bytes: 10,
+    }
+}
+
+fn answer(body: &str) -> Option<StoredAnswer> {
+    Some(StoredAnswer {
+        status: 200,
+        headers: Vec::new(),
+        body: body.into(),
+    })
+}
+
+fn name(begin: &Begin) -> &'static str {
+    match begin {
+        Begin::Run(_) => "run",
+        Begin::Running => "running",
+        Begin::Finished(outcome) => outcome.word.word.as_str(),
+        Begin::Expired => "expired",
+        Begin::Unknown => "unknown-ticket",
+        Begin::NotHome(_) => "not-home",
+        Begin::OtherRequest => "other-request",
+    }
+}
+
+#[test]
+fn begin_answers_by_state() {
+    struct Case {
+        name: &'static str,
+        prepare: fn(&Home, &Ticket),
+        ticket: fn(Ticket) -> Ticket,
+        at: Boot,
+        content: u64,
+        want: &'static str,
+    }
+    let same = |t: Ticket| t;
+    let other_home = |t: Ticket| Ticket {
+        home: HomeId {
+            instance: "i-2".into(),
+            ..t.home
+        },
+        ..t
+    };
+    let other_life = |t: Ticket| Ticket {
+        home: HomeId {
+            incarnation: 4,
+            ..t.home
+        },
+        ..t
+    };
+    let other_nonce = |t: Ticket| Ticket { nonce: !t.nonce, ..t };
+    let nothing = |_: &Home, _: &Ticket| {};
+    let run = |h: &Home, t: &Ticket| std::mem::forget(h.begin(t, at(1), CONTENT));
+    let not_run = |h: &Home, t: &Ticket| drop(h.begin(t, at(1), CONTENT));
+    let closed = |h: &Home, _: &Ticket| drop(h.export(at(1)));
+    let expired_look = |h: &Home, t: &Ticket| drop(h.look(t, at(61)));
+    let cases = [
+        Case {
+            name: "fresh",
+            prepare: nothing,
+            ticket: same,
+            at: at(60),
+            content: CONTENT,
+            want: "run",
+        },
+        Case {
+            name: "twice",
+            prepare: run,
+            ticket: same,
+            at: at(2),
+            content: CONTENT,
+            want: "running",
+        },
+        Case {
+            name: "other body",
+            prepare: run,
+            ticket: same,
+            at: at(2),
+            content: OTHER_CONTENT,
+            want: "other-request",
+        },
+        Case {
+            name: "after not-run",
+            prepare: not_run,
+            ticket: same,
+            at: at(2),
+            content: CONTENT,
+            want: "not-run",
+        },
+        Case {
+            name: "unused too long",
+            prepare: nothing,
+            ticket: same,
+            at: at(61),
+            content: CONTENT,
+            want: "expired",
+        },
+        Case {
+            name: "said expired",
+            prepare: expired_look,
+            ticket: same,
+            at: at(59),
+            content: CONTENT,
+            want: "expired",
+        },
+        Case {
+            name: "closed",
+            prepare: closed,
+            ticket: same,
+            at: at(2),
+            content: CONTENT,
+            want: "expired",
+        },
+        Case {
+            name: "other home",
+            prepare: nothing,
+            ticket: other_home,
+            at: at(1),
+            content: CONTENT,
+            want: "not-home",
+        },
+        Case {
+            name: "other life",
+            prepare: nothing,
+            ticket: other_life,
+            at: at(1),
+            content: CONTENT,
+            want: "unknown-ticket",
+        },
+        Case {
+            name: "never issued",
+            prepare: nothing,
+            ticket: other_nonce,
+            at: at(1),
+            content: CONTENT,
+            want: "unknown-ticket",
+        },
+    ];
+    for case in cases {
+        let home = home(options());
+        let ticket = home.issue(at(0)).expect("an empty home issues");
+        (case.prepare)(&home, &ticket);
+        let got = home.begin(&(case.ticket)(ticket), case.at, case.content);
+        assert_eq!(name(&got), case.want, "{}", case.name);
+    }
+}
+
+#[test]
+fn the_word_of_an_attempt_is_never_better_than_its_steps() {
+    struct Case {
+        name: &'static str,
+        left: bool,
+        refused: bool,
+        said: Option<Word>,
+        want: Word,
+    }
+    let cases = [
+        Case {
+            name: "nothing left",
+            left: false,
+            refused: false,
+            said: Some(Word::NotRun),
+            want: Word::NotRun,
+        },
+        Case {
+            name: "a byte left",
+            left: true,
+            refused: false,
+            said: Some(Word::NotRun),
+            want: Word::Unknown,
+        },
+        Case {
+            name: "contract",
+            left: true,
+            refused: true,
+            said: Some(Word::NotRun),
+            want: Word::NotRun,
+        },
+        Case {
+            name: "done",
+            left: true,
+            refused: false,
+            said: Some(Word::Done),
+            want: Word::Done,
+        },
+        Case {
+            name: "unknown",
+            left: true,
+            refused: false,
+            said: Some(Word::Unknown),
+            want: Word::Unknown,
+        },
+        Case {
+            name: "dropped early",
+            left: false,
+            refused: false,
+            said: None,
+            want: Word::NotRun,
+        },
+        Case {
+            name: "dropped late",
+            left: true,
+            refused: false,
+            said: None,
+            want: Word::Unknown,
+        },
+    ];
+    for case in cases {
+        let home = home(options());
+        let ticket = home.issue(at(0)).expect("an empty home issues");
+        let Begin::Run(mut attempt) = home.begin(&ticket, at(1), CONTENT) else {
+            panic!("{}", case.name)
+        };
+        if case.left {
+            attempt.leaving();
+        }
+        if case.refused {
+            attempt.endpoint_refused();
+        }
+        match case.said {
+            Some(word) => drop(home.finish(at(2), attempt, Outcome::bare(word, "test").word, None)),
+            None => drop(attempt),
+        }
+        let Look::Finished(outcome) = home.look(&ticket, at(3)) else {
+            panic!("{}: no outcome", case.name)
+        };
+        assert_eq!(outcome.word.word, case.want, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_full_home_issues_again_once_tickets_are_forgotten() {
+    let home = home(options());
+    for _ in 0..3 {
+        home.issue(at(0)).expect("below the bound");
+    }
+    assert_eq!(home.issue(at(60)), Err(IssueError::Full { held: 3 }));
+    assert_eq!(
+        home.issue(at(120)),
+        Err(IssueError::Full { held: 3 }),
+        "expired ones still answer"
+    );
+    assert!(home.issue(at(121)).is_ok());
+    assert_eq!(home.sizes().tickets, 1);
+    home.export(at(122));
+    assert_eq!(home.issue(at(122)), Err(IssueError::Closed));
+}
+
+#[test]
+fn outcomes_outlive_their_answers_and_both_end() {
+    let home = home(options());
+    let tickets: Vec<Ticket> = (0..2).map(|_| home.issue(at(0)).expect("below the bound")).collect();
+    for ticket in &tickets {
+        let Begin::Run(attempt) = home.begin(ticket, at(1), CONTENT) else {
+            panic!("a fresh ticket runs")
+        };
+        home.finish(at(2), attempt, Outcome::bare(Word::Done, "ok").word, answer("sixsix"));
+    }
+    let bodies: Vec<bool> = tickets
+        .iter()
+        .map(|t| matches!(home.look(t, at(3)), Look::Finished(o) if o.answer.is_some()))
+        .collect();
+    assert_eq!(bodies, [false, true], "the oldest answer made room");
+    assert_eq!(home.sizes().answer_bytes, 6);
+    home.sweep(at(602));
+    assert_eq!(home.sizes().tickets, 2);
+    home.sweep(at(603));
+    assert_eq!(home.sizes(), Default::default());
+    assert_eq!(
+        home.look(&tickets[1], at(603)),
+        Look::Finished(Outcome::unknown("ticket-not-held"))
+    );
+}
+
+#[test]
+fn copies_answer_and_never_run() {
+    let home = home(options());
+    let [done, unused, running] = [0; 3].map(|_| home.issue(at(0)).expect("below the bound"));
+    let Begin::Run(attempt) = home.begin(&done, at(1), CONTENT) else {
+        panic!("a fresh ticket runs")
+    };
+    home.finish(at(1), attempt, Outcome::bare(Word::Done, "ok").word, answer("body"));
+    let Begin::Run(_attempt) = home.begin(&running, at(1), CONTENT) else {
+        panic!("a fresh ticket runs")
+    };
+    let exported = home.export(at(2));
+    let copies = Copies::new(4096);
+    copies.import(exported.clone());
+    copies.import(exported);
+    assert_eq!(copies.len(), 3);
+    struct Case<'a> {
+        ticket: &'a Ticket,
+        content: u64,
+        want: &'static str,
+    }
+    let cases = [
+        Case {
+            ticket: &done,
+            content: CONTENT,
+            want: "done",
+        },
+        Case {
+            ticket: &done,
+            content: OTHER_CONTENT,
+            want: "other-request",
+        },
+        Case {
+            ticket: &unused,
+            content: CONTENT,
+            want: "expired",
+        },
+        Case {
+            ticket: &running,
+            content: CONTENT,
+            want: "unknown",
+        },
+    ];
+    for case in cases {
+        let got = copies.begin(case.ticket, case.content).expect("a copy is held");
+        assert_eq!(name(&got), case.want);
+    }
+    assert!(matches!(copies.look(&done), Some(Look::Finished(o)) if o.answer.is_some()));
+    assert!(copies.begin(&Ticket { nonce: 1, ..done }, CONTENT).is_none());
+}
+
+#[test]
+fn copies_stay_within_their_bytes() {
+    let home = home(HomeOptions {
+        max_tickets: 100,
+        ..options()
+    });
+    for _ in 0..100 {
+        home.issue(at(0)).expect("below the bound");
+    }
+    let copies = Copies::new(1024);
+    copies.import(home.export(at(1)));
+    assert_eq!(copies.len(), 4);
+}
+
+#[test]
+fn sender_and_asker_name_the_same_holders() {
+    let ids: Vec<String> = (0..9).map(|n| format!("i-{n}")).collect();
+    let without_one: Vec<String> = ids.iter().filter(|id| *id != "i-8").cloned().collect();
+    let at_sender = holders("i-3", &ids, 2);
+    assert_eq!(at_sender.len(), 2);
+    assert!(!at_sender.iter().any(|id| *id == "i-3"));
+    let shared = holders("i-3", &without_one, 2)
+        .into_iter()
+        .filter(|id| at_sender.contains(id))
+        .count();
+    assert!(shared >= 1, "lists that differ by one entry share a holder");
+}
