feat(membership): cold permits only to entries that follow, handover by term, lost entries

Cause: an owner that takes a pool must not grant cold work while a listed entry may still take it from the former owner. Ruled out: half of a cold bound by a witness alone; a lagging report says nothing of a former owner that still grants.

--- a/crates/celerytide-membership/src/ownership/cold.rs
+++ b/crates/celerytide-membership/src/ownership/cold.rs
@@ -36,7 +36,7 @@
     }
     match standing {
         Standing::Settled => case.bound,
-        Standing::Taking { .. } if case.shows_no_foreign_work() => case.bound / 2,
+        Standing::Taking { mustered: true, .. } if case.shows_no_foreign_work() => case.bound / 2,
         Standing::Taking { .. } | Standing::Stale { .. } | Standing::Woken | Standing::NotOwner => 0,
     }
 }
--- a/crates/celerytide-membership/src/ownership/held.rs
+++ b/crates/celerytide-membership/src/ownership/held.rs
@@ -24,7 +24,7 @@
     pub(super) settled_once: bool,
     pub(super) doubted: bool,
     pub(super) slept: bool,
-    pub(super) handed_over: bool,
+    pub(super) handed_over: Option<Term>,
     pub(super) superseded: Option<Term>,
     pub(super) mustered: BTreeMap<InstanceId, Former>,
     pub(super) missing: BTreeSet<InstanceId>,
@@ -36,6 +36,7 @@
             standing: Standing::Taking {
                 since: now,
                 share: HALF,
+                mustered: false,
             },
             layout,
             term,
@@ -44,7 +45,7 @@
             settled_once: false,
             doubted: false,
             slept: false,
-            handed_over: false,
+            handed_over: None,
             superseded: None,
             mustered: BTreeMap::new(),
             missing: BTreeSet::new(),
@@ -93,22 +94,37 @@
     }
 
     fn judge_fresh(&mut self, now: Boot, hold: Duration) -> Standing {
-        let complete = self.missing.is_empty();
-        self.settled_once |= complete && self.former_is_gone(now, hold);
-        if self.settled_once && complete {
+        let mustered = self.missing.is_empty();
+        self.settled_once |= mustered && self.former_is_gone(now, hold);
+        if self.settled_once && !self.doubted {
             return Standing::Settled;
         }
-        let share = if self.settled_once && !self.doubted { FULL } else { HALF };
         Standing::Taking {
             since: self.since,
-            share,
+            share: HALF,
+            mustered,
         }
     }
 
     fn former_is_gone(&self, now: Boot, hold: Duration) -> bool {
-        let own = Former::Seen(self.term);
-        let none_known = self.mustered.values().all(|f| *f == Former::Nobody || *f == own);
-        self.handed_over || none_known || now.since(self.since) >= hold
+        self.former_stopped() || now.since(self.since) >= hold
+    }
+
+    /// Whether the latest owner that any entry followed before has handed over, or there was none.
+    fn former_stopped(&self) -> bool {
+        let stopped = |former: &Former| match former {
+            Former::Nobody => true,
+            Former::Seen(term) => *term == self.term || Some(*term) <= self.handed_over,
+            Former::NotSaid => self.handed_over.is_some(),
+        };
+        self.mustered.values().all(stopped)
+    }
+
+    pub(super) fn entry_lost(&mut self, entry: &str) {
+        if let Some((id, _)) = self.mustered.remove_entry(entry) {
+            self.round += 1;
+            self.missing.insert(id);
+        }
     }
 
     /// Answers from before a sleep don't count: an entry may follow another owner by now.
--- a/crates/celerytide-membership/src/ownership/standing.rs
+++ b/crates/celerytide-membership/src/ownership/standing.rs
@@ -16,14 +16,16 @@
 pub enum Standing {
     /// Another instance owns it.
     NotOwner,
-    /// Owner that can't rule out a second one yet, or that has entries left to muster.
+    /// Owner that can't rule out a second one yet.
     Taking {
         /// Since when.
         since: Boot,
         /// Share of each warm endpoint's slots.
         share: f64,
+        /// Whether every listed entry follows it, so that only the hold is left to wait for.
+        mustered: bool,
     },
-    /// The only owner as far as any listed entry is concerned.
+    /// Owner that every entry listed at its taking has followed; see [`Ownership::follows`] for cold endpoints.
     Settled,
     /// Owner whose views are not fresh: nothing cold.
     Stale {
@@ -179,6 +181,18 @@
         }
     }
 
+    /// Whether the entry follows the present term. A permit for a cold endpoint goes only to an entry that does.
+    pub fn follows(&self, pool: &str, entry: &str) -> bool {
+        self.pools.get(pool).is_some_and(|h| h.mustered.contains_key(entry))
+    }
+
+    /// Notes that the connection to an entry broke: it may have restarted and forgotten whom it followed.
+    pub fn entry_lost(&mut self, entry: &str) {
+        for held in self.pools.values_mut() {
+            held.entry_lost(entry);
+        }
+    }
+
     /// Notes that an entry follows a higher term. An earlier life of this instance is outbid; a later list is waited for.
     pub fn refused(&mut self, now: Boot, pool: &str, highest: Term, view: &View) {
         let Some(held) = self.pools.get_mut(pool).filter(|h| h.term < highest) else {
@@ -202,10 +216,13 @@
         );
     }
 
-    /// Notes that the former owner stopped granting in that pool; `former` is its term.
+    /// Notes that a former owner stopped granting in that pool; `former` is its term. It spares the hold if no mustered
+    /// entry followed a later owner than that.
     pub fn handed_over(&mut self, pool: &str, former: Term) {
-        let Some(held) = self.pools.get_mut(pool) else { return };
-        held.handed_over |= former < held.term;
+        let Some(held) = self.pools.get_mut(pool).filter(|h| former < h.term) else {
+            return;
+        };
+        held.handed_over = held.handed_over.max(Some(former));
     }
 
     /// Gives every pool up for good, for a graceful stop; returns each with the term that ends.
--- a/crates/celerytide-membership/src/state/heard.rs
+++ b/crates/celerytide-membership/src/state/heard.rs
@@ -31,13 +31,21 @@
     confirmed_age: Option<Duration>,
 }
 
+/// Versions that a peer had and the own views have not.
+#[derive(Debug, Clone, Copy)]
+struct Ahead {
+    since: Boot,
+    list: Version,
+    endpoints: Version,
+}
+
 /// Digests of peers in short form.
 #[derive(Debug, Default)]
 pub(crate) struct Heard {
     peers: BTreeMap<InstanceId, Said>,
     manifest_fetch: Option<Fetch>,
     lists_fetch: Option<Fetch>,
-    ahead_since: Option<Boot>,
+    ahead: Option<Ahead>,
 }
 
 impl Heard {
@@ -55,17 +63,33 @@
         self.peers.retain(|id, _| keep(id));
     }
 
-    /// Notes that a peer with a confirmed list was ahead of the own list, or that none is any more.
-    pub(crate) fn ahead(&mut self, now: Boot, ahead: bool) {
-        match ahead {
-            true => self.ahead_since = self.ahead_since.or(Some(now)),
-            false => self.ahead_since = None,
+    /// Notes that a peer whose lists are confirmed is ahead of the own lists.
+    pub(crate) fn peer_is_ahead(&mut self, now: Boot, list: Version, endpoints: Version) {
+        self.ahead = Some(match self.ahead {
+            Some(ahead) => Ahead {
+                list: ahead.list.max(list),
+                endpoints: ahead.endpoints.max(endpoints),
+                ..ahead
+            },
+            None => Ahead {
+                since: now,
+                list,
+                endpoints,
+            },
+        });
+    }
+
+    /// Forgets who was ahead once the own lists have caught up, or at once if the list service was rebuilt.
+    pub(crate) fn caught_up(&mut self, list: Version, endpoints: Version, rebuilt: bool) {
+        let reached = |a: &Ahead| list >= a.list && endpoints >= a.endpoints;
+        if rebuilt || self.ahead.as_ref().is_some_and(reached) {
+            self.ahead = None;
         }
     }
 
     /// How long a peer has been ahead.
     pub(crate) fn ahead_for(&self, now: Boot) -> Duration {
-        self.ahead_since.map_or(Duration::ZERO, |since| now.since(since))
+        self.ahead.map_or(Duration::ZERO, |ahead| now.since(ahead.since))
     }
 
     /// Whether to fetch the manifest of `version` now: not if a fetch of it or a later one began within `fetch_for`.
--- a/crates/celerytide-membership/src/state/inner.rs
+++ b/crates/celerytide-membership/src/state/inner.rs
@@ -59,7 +59,8 @@
         };
         if in_force {
             self.refresh_view();
-            self.heard.ahead(Boot::default(), false);
+            let (list, endpoints) = (self.instances.version, self.endpoints.version);
+            self.heard.caught_up(list, endpoints, applied == ListApplied::Reset);
         }
         self.tell(what, in_force, cause, origin, version);
     }
@@ -91,7 +92,8 @@
         let confirmed = digest.confirmed_ms_ago.is_some_and(|ms| u128::from(ms) <= fresh_ms);
         let newer = digest.list_version > self.instances.version || digest.endpoints_version > self.endpoints.version;
         if comparable && confirmed && newer {
-            self.heard.ahead(now, true);
+            self.heard
+                .peer_is_ahead(now, digest.list_version, digest.endpoints_version);
         }
     }
 
