--- a/crates/celerytide-membership/src/watch/mod.rs
+++ b/crates/celerytide-membership/src/watch/mod.rs
@@ -7,6 +7,7 @@
 mod backoff;
 mod consul;
 mod document;
+mod http;
 mod read;
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/celerytide-membership/tests/common/manifest.rs
@@ -0,0 +1,22 @@
+//! Small manifests for tests.
+
+use celerytide_manifest::Manifest;
+
+/// Text of a valid manifest of that version; `zone_state` is the state of zone `z-0`.
+pub fn text(version: u64, zone_state: &str) -> String {
+    format!(
+        "format: 1\nversion: {version}\nevent: {{ name: opening, start: \"2026-03-01T12:00:00Z\" }}\n\
+         zones:\n  - {{ id: z-0, region: r, state: {zone_state} }}\n  - {{ id: z-1, region: r }}\n\
+         services:\n  - id: llm\n    kind: model\n    models: [m]\n    endpoints:\n\
+         \x20     - {{ id: e-0, address: \"127.0.0.1:1\", zone: z-0, slots: 8, cold_slots: 2 }}\n\
+         classes:\n  - {{ name: c, service: llm, tier: 1, first_token: 1s, default: true }}\n\
+         customers:\n  - {{ id: a, key_sha256: {key}, requests_per_second: 1.0, burst: 1 }}\n",
+        key = "0".repeat(64),
+    )
+}
+
+/// The same, checked.
+pub fn manifest(version: u64, zone_state: &str) -> Manifest {
+    let checked = celerytide_manifest::check_manifest("test", &text(version, zone_state));
+    checked.unwrap_or_else(|faults| panic!("{faults:?}")).manifest
+}
