--- a/crates/celerytide-load/src/compare/latency.rs
+++ b/crates/celerytide-load/src/compare/latency.rs
@@ -17,33 +17,15 @@
 use crate::{
     caller::{self, Ask, Outcome},
     fleet::Fleet,
+    measure::{Quantiles, histogram, record},
     pace,
 };
 
-/// Longest latency that is told apart.
-const MAX_NANOS: u64 = 120_000_000_000;
-/// Digits that are kept of each latency.
-const DIGITS: u8 = 3;
 /// Requests before this time are sent but not counted.
 const WARM_UP: Duration = Duration::from_secs(1);
 const PROMPT: &str = "May unused leave be carried over to the next year?";
 
 celerytide_types::data! {
-    /// Quantiles in milliseconds.
-    #[derive(Copy, Default)]
-    pub struct Quantiles {
-        /// Count of values.
-        pub count: u64,
-        /// Median.
-        pub p50_ms: f64,
-        /// 95 of 100 are below.
-        pub p95_ms: f64,
-        /// 99 of 100 are below.
-        pub p99_ms: f64,
-        /// The largest value.
-        pub max_ms: f64,
-    }
-
     /// One kind of latency both ways.
     pub struct Latency {
         /// Straight to the stand-in.
@@ -57,35 +39,6 @@
     }
 }
 
-impl Quantiles {
-    /// The quantiles of a histogram of nanoseconds.
-    pub fn of(histogram: &Histogram<u64>) -> Self {
-        let at = |quantile: f64| histogram.value_at_quantile(quantile) as f64 / 1e6;
-        Self {
-            count: histogram.len(),
-            p50_ms: at(0.5),
-            p95_ms: at(0.95),
-            p99_ms: at(0.99),
-            max_ms: histogram.max() as f64 / 1e6,
-        }
-    }
-}
-
-/// A histogram of nanoseconds.
-pub(crate) fn histogram() -> Histogram<u64> {
-    // Both bounds are constants within what the library takes; the fallback grows by itself.
-    Histogram::new_with_bounds(1, MAX_NANOS, DIGITS).unwrap_or_else(|_| empty())
-}
-
-fn empty() -> Histogram<u64> {
-    Histogram::new(1).expect("one digit is within 0 to 5")
-}
-
-/// Adds a latency to a histogram of nanoseconds.
-pub(crate) fn record(histogram: &mut Histogram<u64>, latency: Duration) {
-    histogram.saturating_record(u64::try_from(latency.as_nanos()).unwrap_or(u64::MAX));
-}
-
 pub(super) struct Both {
     pub first_token: Latency,
     pub between_tokens: Latency,
--- a/crates/celerytide-load/src/compare/mod.rs
+++ b/crates/celerytide-load/src/compare/mod.rs
@@ -18,7 +18,7 @@
     machine::Machine,
 };
 
-pub use latency::{Latency, Quantiles};
+pub use latency::Latency;
 pub use throughput::{Load, Throughput};
 
 /// How long the daemons may take to be ready.
--- a/crates/celerytide-load/src/compare/throughput.rs
+++ b/crates/celerytide-load/src/compare/throughput.rs
@@ -15,14 +15,12 @@
 use monoio::{LegacyDriver, RuntimeBuilder};
 use tokio_util::sync::CancellationToken;
 
-use super::{
-    Error, Options, Quantiles,
-    latency::{histogram, record},
-};
+use super::{Error, Options};
 use crate::{
     caller::{self, Ask},
     fleet::Fleet,
     machine::Usage,
+    measure::{Quantiles, histogram, record},
 };
 
 const PROMPT: &str = "Summarise the clause on parental leave.";
--- a/crates/celerytide-load/src/lib.rs
+++ b/crates/celerytide-load/src/lib.rs
@@ -11,4 +11,8 @@
 pub mod demo;
 pub mod fleet;
 pub mod machine;
+pub mod measure;
 pub mod pace;
+pub mod report;
+pub mod run;
+pub mod scenario;
--- a/crates/celerytide-load/src/main.rs
+++ b/crates/celerytide-load/src/main.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use celerytide_load::{compare, demo};
+use celerytide_load::{compare, demo, run};
 
 /// Demonstration, comparison and load over stand-ins on loopback.
 #[derive(FromArgs)]
@@ -19,6 +19,7 @@
 #[argh(subcommand)]
 enum Command {
     Demo(demo::Options),
+    Run(run::Options),
     Compare(compare::Options),
 }
 
@@ -27,6 +28,7 @@
     let done = match args.command {
         Command::Compare(options) => compare::run(&options).map_err(|e| e.to_string()),
         Command::Demo(options) => demo::run(&options).map_err(|e| e.to_string()),
+        Command::Run(options) => run::run(&options).map_err(|e| e.to_string()),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/celerytide-load/src/report/mod.rs
@@ -0,0 +1,124 @@
+//! A run's results as JSON, Markdown and plots.
+
+mod plots;
+
+use std::{fmt::Write, fs, io, path::Path};
+
+use snafu::Snafu;
+
+use crate::run::{ClassResult, Results};
+
+const GIB: f64 = 1024.0 * 1024.0 * 1024.0;
+const PERCENT: f64 = 100.0;
+/// Causes that the table shows for each class.
+const MAX_CAUSES: usize = 4;
+
+/// Why a report could not be written.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// A file could not be written.
+    #[snafu(display("{source}"), context(false))]
+    File {
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The results have no JSON form.
+    #[snafu(display("{source}"), context(false))]
+    Json {
+        /// What the encoder said.
+        source: serde_json::Error,
+    },
+    /// A plot could not be drawn.
+    #[snafu(display("plot {name}: {message}"))]
+    Plot {
+        /// Its file.
+        name: String,
+        /// What the library said.
+        message: String,
+    },
+}
+
+/// Writes `results.json`, `report.md` and the plots into a folder that exists.
+pub fn write(results: &Results, folder: &Path) -> Result<(), Error> {
+    fs::write(folder.join("results.json"), serde_json::to_vec_pretty(results)?)?;
+    let mut text = markdown(results);
+    for (title, name) in plots::draw(results, folder)? {
+        // Writing to a string does not fail.
+        let _ = writeln!(text, "\n## {title}\n\n![{title}]({name})");
+    }
+    fs::write(folder.join("report.md"), text)?;
+    Ok(())
+}
+
+/// The results as Markdown, without plots.
+pub fn markdown(results: &Results) -> String {
+    let mut text = format!("# {}\n\n", results.scenario);
+    let machine = &results.machine;
+    let _ = writeln!(
+        text,
+        "{}\n\nSeed {}. {} cores of {:?}, {:.0} GiB; {} build; load averages at the start {}.\n",
+        results.about,
+        results.seed,
+        machine.cores,
+        machine.processor,
+        machine.memory_bytes as f64 / GIB,
+        machine.build,
+        machine.load
+    );
+    tokens(&mut text, results);
+    text.push_str("\n| class | tier | phase | sent | done | not run | unknown | no word | attained % ");
+    text.push_str("| first p50 ms | p99 ms | refusal p99 ms |\n");
+    text.push_str("|---|---|---|---|---|---|---|---|---|---|---|---|\n");
+    for class in &results.classes {
+        row(&mut text, class);
+    }
+    text.push_str("\nRequests that were not served:\n\n");
+    for class in results.classes.iter().filter(|class| class.phase.is_none()) {
+        causes(&mut text, class);
+    }
+    text
+}
+
+fn tokens(text: &mut String, results: &Results) {
+    let generated = results.generated_tokens.max(1) as f64;
+    let wasted = results.generated_tokens.saturating_sub(results.delivered_tokens) as f64;
+    let _ = writeln!(
+        text,
+        "Tokens: {} generated, {} in whole answers, {} in answers that met their targets; {:.2} % wasted. \
+         Calls to the configuration service: {}, at most {} in a second. Daemons stopped by themselves: {}.",
+        results.generated_tokens,
+        results.delivered_tokens,
+        results.good_tokens,
+        PERCENT * wasted / generated,
+        results.config_calls.total,
+        results.config_calls.peak_second,
+        results.stopped
+    );
+}
+
+fn row(text: &mut String, class: &ClassResult) {
+    let _ = writeln!(
+        text,
+        "| {} | {} | {} | {} | {} | {} | {} | {} | {:.1} | {:.0} | {:.0} | {:.1} |",
+        class.class,
+        class.tier,
+        class.phase.as_deref().unwrap_or("**all**"),
+        class.sent,
+        class.done,
+        class.not_run,
+        class.unknown,
+        class.wordless,
+        PERCENT * class.attainment,
+        class.first.p50_ms,
+        class.first.p99_ms,
+        class.refusal.p99_ms
+    );
+}
+
+fn causes(text: &mut String, class: &ClassResult) {
+    let mut causes: Vec<(&String, &u64)> = class.causes.iter().collect();
+    causes.sort_by_key(|(_, count)| std::cmp::Reverse(**count));
+    for (cause, count) in causes.into_iter().take(MAX_CAUSES) {
+        let _ = writeln!(text, "- {}: {count} × {cause}", class.class);
+    }
+}
--- /dev/null
+++ b/crates/celerytide-load/src/run/send.rs
@@ -0,0 +1,218 @@
+//! Sends every request at its time, whatever became of those before, and records what its caller saw.
+
+use std::{
+    cell::RefCell,
+    fmt, io,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use celerytide_http::client::{self, Client};
+use celerytide_manifest::ServiceKind;
+use http::Method;
+use monoio::{LegacyDriver, RuntimeBuilder};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    caller::{self, Ask, Outcome},
+    fleet::Fleet,
+    pace,
+    scenario::{Arrival, Scenario, arrivals},
+};
+
+celerytide_types::data! {
+    /// One request as its caller saw it. Times count from when it was to be sent.
+    pub struct Record {
+        /// Index of the phase.
+        pub phase: usize,
+        /// Index of the class.
+        pub class: usize,
+        /// Index of the customer.
+        pub customer: usize,
+        /// When it was to be sent, from the start of the run.
+        pub at: Duration,
+        /// HTTP status; 0 if no answer came.
+        pub status: u16,
+        /// Final word; empty if none was said.
+        pub word: String,
+        /// Cause of the final word, or of a broken answer.
+        pub cause: String,
+        /// Whether the whole answer came.
+        pub done: bool,
+        /// Time to the first token, or to the end of a plain answer.
+        pub first: Option<Duration>,
+        /// Time between tokens below which 95 of 100 lie.
+        pub gap_p95: Duration,
+        /// Time to the end.
+        pub total: Duration,
+        /// Tokens that came.
+        pub tokens: usize,
+    }
+}
+
+/// Counts that change while the run goes on.
+#[derive(Debug, Default)]
+pub struct Progress {
+    sent: AtomicU64,
+    done: AtomicU64,
+    not_run: AtomicU64,
+    other: AtomicU64,
+}
+
+impl fmt::Display for Progress {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let read = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        let (sent, done, not_run, other) = (
+            read(&self.sent),
+            read(&self.done),
+            read(&self.not_run),
+            read(&self.other),
+        );
+        let open = sent.saturating_sub(done + not_run + other);
+        write!(
+            f,
+            "sent {sent}, done {done}, not run {not_run}, other {other}, open {open}"
+        )
+    }
+}
+
+impl Progress {
+    fn ended(&self, outcome: &Outcome) {
+        let count = match outcome.word.as_str() {
+            _ if outcome.is_done() => &self.done,
+            "not-run" => &self.not_run,
+            _ => &self.other,
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// All that the sending thread needs.
+pub struct Plan {
+    start: Instant,
+    arrivals: Vec<Arrival>,
+    entries: Vec<SocketAddr>,
+    keys: Vec<String>,
+    scenario: Scenario,
+    progress: Arc<Progress>,
+}
+
+impl Plan {
+    /// The plan of a run that begins at `start`.
+    pub fn new(scenario: &Scenario, fleet: &Fleet, start: Instant, progress: Arc<Progress>) -> Self {
+        Self {
+            start,
+            arrivals: arrivals(scenario),
+            entries: fleet
+                .instances
+                .iter()
+                .map(|instance| instance.addresses.caller)
+                .collect(),
+            keys: scenario
+                .deployment
+                .customers
+                .iter()
+                .map(|customer| customer.key())
+                .collect(),
+            scenario: scenario.clone(),
+            progress,
+        }
+    }
+
+    fn ask(&self, number: usize, arrival: &Arrival) -> Option<Ask> {
+        let deployment = &self.scenario.deployment;
+        let addr = *self.entries.get(arrival.instance % self.entries.len().max(1))?;
+        let key = self.keys.get(arrival.customer)?;
+        let class = deployment.classes.get(arrival.class)?;
+        let traffic = self
+            .scenario
+            .traffic
+            .iter()
+            .find(|traffic| traffic.class == class.name)?;
+        let id = format!("{}-{number}", self.scenario.name);
+        let ask = match arrival.kind {
+            ServiceKind::Model => Ask::chat(
+                addr,
+                key,
+                &id,
+                &deployment.engines.model,
+                &arrival.prompt,
+                traffic.max_tokens,
+            ),
+            ServiceKind::Plain => {
+                let path = format!("/services/{}{}", deployment.plain.service, traffic.path);
+                Ask {
+                    body: Bytes::from_static(b"{}"),
+                    ..Ask::plain(addr, key, &id, Method::POST, &path)
+                }
+            }
+        };
+        Some(Ask {
+            class: Some(class.name.clone()),
+            ..ask
+        })
+    }
+}
+
+/// Sends all requests and waits for their ends.
+pub fn all(plan: &Plan) -> io::Result<Vec<Record>> {
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
+    Ok(runtime.block_on(send_all(plan)))
+}
+
+async fn send_all(plan: &Plan) -> Vec<Record> {
+    let client = Client::new(client::Options::default());
+    let records = Rc::new(RefCell::new(Vec::with_capacity(plan.arrivals.len())));
+    let mut tasks = Vec::with_capacity(plan.arrivals.len());
+    for (number, arrival) in plan.arrivals.iter().enumerate() {
+        let Some(ask) = plan.ask(number, arrival) else {
+            continue;
+        };
+        let due = plan.start + arrival.at;
+        pace::until(due).await;
+        plan.progress.sent.fetch_add(1, Ordering::Relaxed);
+        let (client, records, progress) = (client.clone(), records.clone(), plan.progress.clone());
+        let arrival = Arrival {
+            prompt: String::new(),
+            ..arrival.clone()
+        };
+        tasks.push(monoio::spawn(async move {
+            let outcome = caller::send(&client, &ask, &CancellationToken::new(), |_| {}).await;
+            progress.ended(&outcome);
+            records.borrow_mut().push(record(&arrival, due, &outcome));
+        }));
+    }
+    for task in tasks {
+        task.await;
+    }
+    records.take()
+}
+
+fn record(arrival: &Arrival, due: Instant, outcome: &Outcome) -> Record {
+    let since = |at: Instant| at.saturating_duration_since(due);
+    let total = outcome.ended.map(since).unwrap_or_default();
+    let first = match arrival.kind {
+        ServiceKind::Model => outcome.first_token.map(since),
+        ServiceKind::Plain => outcome.is_done().then_some(total),
+    };
+    Record {
+        phase: arrival.phase,
+        class: arrival.class,
+        customer: arrival.customer,
+        at: arrival.at,
+        status: outcome.status,
+        word: outcome.word.clone(),
+        cause: outcome.cause.clone(),
+        done: outcome.is_done(),
+        first,
+        gap_p95: outcome.gap_p95(),
+        total,
+        tokens: outcome.tokens,
+    }
+}
--- /dev/null
+++ b/crates/celerytide-load/src/run/watch.rs
@@ -0,0 +1,82 @@
+//! Samples of queues and work while a run goes on.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use celerytide_standin::{engine::Load, probe};
+use celerytide_types::{Tier, ZoneId};
+use serde::Deserialize;
+
+use crate::fleet::Fleet;
+
+celerytide_types::data! {
+    /// What the dispatch processes said at one time.
+    #[derive(Default)]
+    pub struct Sample {
+        /// Time since the run began.
+        pub at: Duration,
+        /// Queued requests by tier.
+        pub queued: BTreeMap<Tier, u64>,
+        /// Requests in flight by zone of their endpoint.
+        pub in_flight: BTreeMap<ZoneId, u64>,
+    }
+}
+
+#[derive(Deserialize)]
+struct Status {
+    pools: Vec<Pool>,
+}
+
+#[derive(Deserialize)]
+struct Pool {
+    status: PoolStatus,
+}
+
+#[derive(Deserialize)]
+struct PoolStatus {
+    tiers: Vec<TierStatus>,
+    endpoints: Vec<EndpointStatus>,
+}
+
+#[derive(Deserialize)]
+struct TierStatus {
+    tier: Tier,
+    queued: u64,
+}
+
+#[derive(Deserialize)]
+struct EndpointStatus {
+    zone: ZoneId,
+    in_flight: u64,
+}
+
+/// Asks every dispatch process; one that does not answer adds nothing.
+pub fn sample(fleet: &Fleet, at: Duration) -> Sample {
+    let mut sample = Sample {
+        at,
+        ..Sample::default()
+    };
+    for instance in &fleet.instances {
+        if let Ok(status) = probe::get_json::<Status>(instance.addresses.dispatch_operator, "/status") {
+            add(&mut sample, status);
+        }
+    }
+    sample
+}
+
+fn add(sample: &mut Sample, status: Status) {
+    for pool in status.pools {
+        for tier in pool.status.tiers {
+            *sample.queued.entry(tier.tier).or_default() += tier.queued;
+        }
+        for endpoint in pool.status.endpoints {
+            *sample.in_flight.entry(endpoint.zone).or_default() += endpoint.in_flight;
+        }
+    }
+}
+
+/// Tokens that the engines have generated so far, whoever asked for them.
+pub fn generated(fleet: &Fleet) -> u64 {
+    let load = |addr| probe::get_json::<Load>(addr, celerytide_standin::engine::LOAD_PATH);
+    let totals = fleet.engines.iter().filter_map(|engine| load(engine.running.addr).ok());
+    totals.map(|load| load.tokens_total).sum()
+}
--- /dev/null
+++ b/crates/celerytide-load/tests/scenario.rs
@@ -0,0 +1,149 @@
+//! Scenarios: the files of this repository, their checks, and the arrivals that follow from them.
+
+use std::{fs, path::PathBuf, time::Duration};
+
+use celerytide_load::{
+    fleet::{Running, documents},
+    pace,
+    scenario::{Scenario, arrivals},
+};
+use celerytide_manifest::{ServiceKind, check_manifest};
+
+const SEEDS: [u64; 4] = [1, 2, 3, 4];
+
+fn files() -> Vec<PathBuf> {
+    let folder = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../scenarios");
+    let entries = fs::read_dir(folder).expect("folder").flatten();
+    entries.map(|entry| entry.path()).collect()
+}
+
+fn smoke() -> Scenario {
+    let path = files()
+        .into_iter()
+        .find(|path| path.ends_with("smoke.yaml"))
+        .expect("smoke.yaml");
+    Scenario::load(&path).expect("scenario")
+}
+
+#[test]
+fn every_file_is_a_scenario_whose_manifest_passes_its_checks() {
+    let files = files();
+    assert!(files.len() >= 3);
+    for path in files {
+        let scenario = Scenario::load(&path).unwrap_or_else(|e| panic!("{e}"));
+        let plan = &scenario.deployment;
+        let running = |name: &str, count: usize| -> Vec<Running> {
+            let one = |i: usize| Running {
+                id: format!("{name}-{i}"),
+                zone: plan.zone(i),
+                addr: ([127, 0, 0, 1], 20_000 + i as u16).into(),
+            };
+            (0..count).map(one).collect()
+        };
+        let engines = running(&plan.engines.service, plan.engines.count);
+        let plains: Vec<Running> = running(&plan.plain.service, plan.plain.count)
+            .into_iter()
+            .map(|plain| Running {
+                addr: (plain.addr.ip(), plain.addr.port() + 1000).into(),
+                ..plain
+            })
+            .collect();
+        let manifest = documents::manifest(plan, 1, &engines, &plains);
+        let text = serde_saphyr::to_string(&manifest).expect("yaml");
+        check_manifest("manifest.yaml", &text).unwrap_or_else(|faults| panic!("{}: {faults:?}", path.display()));
+    }
+}
+
+#[test]
+fn unknown_names_are_refused() {
+    struct Case {
+        name: &'static str,
+        from: &'static str,
+        to: &'static str,
+        want: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "zone",
+            from: "zone-in: { zone: zone-b }",
+            to: "zone-in: { zone: zone-x }",
+            want: "zone-x",
+        },
+        Case {
+            name: "rate",
+            from: "{ lookup: 5, draft: 2, form: 5 }",
+            to: "{ nothing: 5 }",
+            want: "nothing",
+        },
+        Case {
+            name: "traffic",
+            from: "class: draft, prompt",
+            to: "class: drift, prompt",
+            want: "drift",
+        },
+        Case {
+            name: "field",
+            from: "hold: 500ms",
+            to: "hald: 500ms",
+            want: "hald",
+        },
+    ];
+    let path = files()
+        .into_iter()
+        .find(|path| path.ends_with("smoke.yaml"))
+        .expect("smoke.yaml");
+    let text = fs::read_to_string(path).expect("text");
+    let dir = celerytide_load::fleet::WorkDir::create().expect("folder");
+    for case in &cases {
+        assert!(text.contains(case.from), "{}", case.name);
+        let file = dir
+            .write("scenario.yaml", &text.replace(case.from, case.to))
+            .expect("file");
+        let error = Scenario::load(&file).expect_err(case.name).to_string();
+        assert!(error.contains(case.want), "{}: {error}", case.name);
+    }
+}
+
+#[test]
+fn arrivals_follow_from_the_seed() {
+    for seed in SEEDS {
+        let scenario = Scenario { seed, ..smoke() };
+        let all = arrivals(&scenario);
+        assert_eq!(all, arrivals(&scenario));
+        assert_ne!(
+            all,
+            arrivals(&Scenario {
+                seed: seed + 100,
+                ..smoke()
+            })
+        );
+        assert!(all.is_sorted_by_key(|arrival| arrival.at));
+        assert!(all.iter().all(|arrival| arrival.at < scenario.span()));
+        for arrival in &all {
+            let before: f64 = scenario.phases[..arrival.phase].iter().map(|phase| phase.seconds).sum();
+            let at = arrival.at.as_secs_f64();
+            assert!(at >= before && at < before + scenario.phases[arrival.phase].seconds);
+            assert_eq!(arrival.prompt.is_empty(), arrival.kind == ServiceKind::Plain);
+        }
+    }
+}
+
+#[test]
+fn arrivals_keep_their_rate() {
+    for seed in SEEDS {
+        let times = pace::arrivals(100.0, Duration::from_secs(100), seed);
+        // Five standard deviations of a Poisson count of 10,000.
+        assert!((9_500..=10_500).contains(&times.len()), "seed {seed}: {}", times.len());
+    }
+    for rate in [0.0, -1.0, f64::NAN, f64::INFINITY] {
+        assert!(pace::arrivals(rate, Duration::from_secs(1), 1).is_empty());
+    }
+}
+
+#[test]
+fn heavy_customers_come_more_often() {
+    let scenario = smoke();
+    let all = arrivals(&scenario);
+    let count = |customer: usize| all.iter().filter(|arrival| arrival.customer == customer).count();
+    assert!(count(0) > 2 * count(1), "{} against {}", count(0), count(1));
+}
--- a/crates/celerytide-standin/src/engine/load.rs
+++ b/crates/celerytide-standin/src/engine/load.rs
@@ -35,6 +35,8 @@
         pub cold: bool,
         /// Tokens a second since the observation before.
         pub tokens_per_second: f64,
+        /// Tokens generated since the process began, whoever asked for them.
+        pub tokens_total: u64,
     }
 }
 
@@ -44,6 +46,7 @@
     lag: Duration,
     seen: VecDeque<(Instant, Load)>,
     tokens: u64,
+    total: u64,
 }
 
 impl LoadLog {
@@ -53,12 +56,14 @@
             lag,
             seen: VecDeque::new(),
             tokens: 0,
+            total: 0,
         }
     }
 
     /// Counts tokens that were generated.
     pub fn count(&mut self, tokens: usize) {
         self.tokens += tokens as u64;
+        self.total += tokens as u64;
     }
 
     /// Adds an observation.
@@ -67,6 +72,7 @@
             let seconds = now.duration_since(*before).as_secs_f64();
             load.tokens_per_second = self.tokens as f64 / seconds.max(f64::EPSILON);
         }
+        load.tokens_total = self.total;
         self.tokens = 0;
         self.seen.push_back((now, load));
         while self.seen.get(1).is_some_and(|(at, _)| *at + self.lag <= now) {
--- a/crates/celerytide-standin/src/engine/mod.rs
+++ b/crates/celerytide-standin/src/engine/mod.rs
@@ -120,6 +120,7 @@
             observed_unix_ms: now_unix_ms(),
             cold: self.is_cold() && self.cold_told.get(),
             tokens_per_second: 0.0,
+            tokens_total: 0,
         }
     }
 
