test(faults): the whole path on real processes

Cause: the path stood without a test over real sockets and processes. Ruled out: one process with tasks (it can't show descriptors, children, or a second process's view). Before: demo run by hand only.

--- /dev/null
+++ b/crates/celerytide-faults/src/rig/mod.rs
@@ -0,0 +1,246 @@
+//! A deployment under test.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use celerytide_http::client::{Client, Options as ClientOptions};
+use celerytide_load::caller::{Ask, Outcome, send};
+use celerytide_load::fleet::{Deployment, Error, Fleet, Options};
+use celerytide_standin::plain::Run;
+use celerytide_standin::probe;
+use http::Method;
+use monoio::{LegacyDriver, RuntimeBuilder};
+use serde_json::Value;
+use tokio_util::sync::CancellationToken;
+
+/// Time in which a deployment must be ready.
+const READY: Duration = Duration::from_secs(20);
+/// Time between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// How a deployment under test differs from the demonstration.
+#[derive(Debug, Clone)]
+pub struct RigOptions {
+    /// Instances.
+    pub instances: usize,
+    /// Model engines.
+    pub engines: usize,
+    /// Replicas of the plain service.
+    pub plains: usize,
+    /// Slots of each engine.
+    pub slots: u32,
+    /// Slots of an engine in cold start.
+    pub cold_slots: u32,
+    /// Length of an engine's cold start in seconds.
+    pub cold_seconds: f64,
+    /// Time of a decode step in milliseconds.
+    pub decode_ms: f64,
+    /// Time that a run of the plain service takes, in milliseconds.
+    pub delay_ms: u64,
+    /// Age of the lists that the configuration service answers, in milliseconds.
+    pub list_lag_ms: u64,
+}
+
+impl Default for RigOptions {
+    fn default() -> RigOptions {
+        RigOptions {
+            instances: 2,
+            engines: 2,
+            plains: 1,
+            slots: 8,
+            cold_slots: 2,
+            cold_seconds: 0.0,
+            decode_ms: 5.0,
+            delay_ms: 0,
+            list_lag_ms: 0,
+        }
+    }
+}
+
+/// What a caller was told of one request.
+pub type Told = Outcome;
+
+/// A whole deployment and its callers.
+pub struct Rig {
+    /// The processes.
+    pub fleet: Fleet,
+    client: Client,
+    cx: CancellationToken,
+}
+
+impl Rig {
+    /// Starts a deployment and waits until it is ready.
+    pub fn start(opts: &RigOptions) -> Result<Rig, Error> {
+        Rig::start_with(opts, |_| {})
+    }
+
+    /// The same after a change of the plan.
+    pub fn start_with(opts: &RigOptions, change: impl FnOnce(&mut Deployment)) -> Result<Rig, Error> {
+        let mut plan = plan(opts);
+        change(&mut plan);
+        let mut fleet = Fleet::start(&plan, Options::default())?;
+        fleet.wait_ready(READY)?;
+        Ok(Rig {
+            fleet,
+            client: Client::new(ClientOptions::default()),
+            cx: CancellationToken::new(),
+        })
+    }
+
+    /// Runs `test` on a runtime of its own.
+    pub fn block_on<F: Future>(test: F) -> F::Output {
+        let built = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build();
+        let mut runtime = built.expect("the epoll runtime starts on Linux");
+        runtime.block_on(test)
+    }
+
+    /// Callers' address of an instance's entry.
+    pub fn entry(&self, index: usize) -> SocketAddr {
+        self.fleet.instances[index].addresses.caller
+    }
+
+    /// A streamed chat call of `tokens` tokens.
+    pub async fn chat(&self, entry: usize, request: &str, tokens: usize) -> Told {
+        let ask = Ask::chat(
+            self.entry(entry),
+            &self.key(),
+            request,
+            &self.model(),
+            "hello",
+            Some(tokens),
+        );
+        self.send(&ask).await
+    }
+
+    /// Sends a request.
+    pub async fn send(&self, ask: &Ask) -> Told {
+        send(&self.client, ask, &self.cx, |_| {}).await
+    }
+
+    /// A ticket from an entry.
+    pub async fn ticket(&self, entry: usize) -> Option<String> {
+        let ask = Ask::plain(
+            self.entry(entry),
+            &self.key(),
+            "take-ticket",
+            Method::POST,
+            "/v1/tickets",
+        );
+        let told = self.send(&ask).await;
+        let body: Value = serde_json::from_slice(&told.body).ok()?;
+        body.get("ticket")?.as_str().map(str::to_owned)
+    }
+
+    /// What an entry says became of a ticket: state and word.
+    pub async fn look(&self, entry: usize, ticket: &str) -> Option<Value> {
+        let path = format!("/v1/tickets/{ticket}");
+        let ask = Ask::plain(self.entry(entry), &self.key(), "look-ticket", Method::GET, &path);
+        let told = self.send(&ask).await;
+        serde_json::from_slice(&told.body).ok().filter(|_| told.status == 200)
+    }
+
+    /// The protected call of the plain service.
+    pub async fn submit(&self, entry: usize, request: &str, ticket: Option<&str>) -> Told {
+        let ask = Ask {
+            ticket: ticket.map(str::to_owned),
+            body: Bytes::from(format!("{{\"x-run-id\":\"{request}\"}}")),
+            ..Ask::plain(
+                self.entry(entry),
+                &self.key(),
+                request,
+                Method::POST,
+                "/services/forms/submit",
+            )
+        };
+        self.send(&ask).await
+    }
+
+    /// An unprotected call of the plain service.
+    pub async fn plain(&self, entry: usize, request: &str, method: Method, path: &str) -> Told {
+        self.send(&Ask::plain(self.entry(entry), &self.key(), request, method, path))
+            .await
+    }
+
+    /// Every run that the plain services recorded.
+    pub fn runs(&self) -> Vec<Run> {
+        let runs = self
+            .fleet
+            .plains
+            .iter()
+            .map(|p| probe::runs(p.process.addr()).unwrap_or_default());
+        runs.flatten().collect()
+    }
+
+    /// Requests of that id that the plain services ran.
+    pub fn runs_of(&self, request: &str) -> usize {
+        self.runs()
+            .iter()
+            .filter(|r| r.request_id == request || r.run == request)
+            .count()
+    }
+
+    /// `/status` of an instance's dispatch.
+    pub fn dispatch_status(&self, index: usize) -> Value {
+        let addr = self.fleet.instances[index].addresses.dispatch_operator;
+        probe::get_json(addr, "/status").unwrap_or_default()
+    }
+
+    /// `/status` of an instance's entry.
+    pub fn entry_status(&self, index: usize) -> Value {
+        let addr = self.fleet.instances[index].addresses.entry_operator;
+        probe::get_json(addr, "/status").unwrap_or_default()
+    }
+
+    /// Index of the instance that owns the pool of `service`, once it is settled.
+    pub fn owner_of(&self, service: &str) -> Option<usize> {
+        let prefix = format!("{service}/");
+        let owns = |index: &usize| {
+            let status = self.dispatch_status(*index);
+            let pools = status
+                .get("pools")
+                .and_then(Value::as_array)
+                .cloned()
+                .unwrap_or_default();
+            pools
+                .iter()
+                .any(|p| p["pool"].as_str().is_some_and(|id| id.starts_with(&prefix)) && p["standing"] == "settled")
+        };
+        (0..self.fleet.instances.len()).find(owns)
+    }
+
+    /// The model that engines serve.
+    pub fn model(&self) -> String {
+        self.fleet.plan.engines.model.clone()
+    }
+
+    /// The first customer's key.
+    pub fn key(&self) -> String {
+        self.fleet.plan.customers.first().map(|c| c.key()).unwrap_or_default()
+    }
+}
+
+fn plan(opts: &RigOptions) -> Deployment {
+    let mut plan = Deployment::demo(opts.instances).expect("the embedded deployment is valid");
+    plan.engines.count = opts.engines;
+    plan.engines.slots = opts.slots;
+    plan.engines.cold_slots = opts.cold_slots;
+    plan.engines.cold_seconds = opts.cold_seconds;
+    plan.engines.decode_ms = opts.decode_ms;
+    plan.plain.count = opts.plains;
+    plan.plain.delay_ms = opts.delay_ms;
+    plan.list_lag_ms = opts.list_lag_ms;
+    plan
+}
+
+/// Waits until `holds`; false after `bound`.
+pub async fn until(bound: Duration, mut holds: impl FnMut() -> bool) -> bool {
+    let end = Instant::now() + bound;
+    while Instant::now() < end {
+        if holds() {
+            return true;
+        }
+        monoio::time::sleep(LOOK).await;
+    }
+    holds()
+}
