feat(manifest): check each field and what fields say together, with file, line and field

Cause: a faulty document must be refused with every fault at its line, not only the first. Ruled out: reading into the typed structs alone (stops at the first fault); a hand-written table of fields beside the structs (two sources); so the JSON Schema made from the structs drives the first pass, and a faulty value is replaced so that the checks between fields still run. Before/After: one fault without its field; now all of them.

--- /dev/null
+++ b/crates/celerytide-manifest/examples/time_check.rs
@@ -0,0 +1,62 @@
+//! Prints how long the check of a generated manifest near the largest size takes.
+
+use std::fmt::Write;
+use std::time::{Duration, Instant};
+
+use celerytide_manifest::{DOCUMENT_MAX_BYTES, check_manifest, hash_key};
+
+const ENDPOINTS: usize = 750;
+const ROUNDS: usize = 15;
+
+fn main() {
+    let valid = generate();
+    let faulty = valid.replace("weight: 1", "weight: 0");
+    time("valid", &valid);
+    time("a fault for each customer", &faulty);
+}
+
+fn time(name: &str, text: &str) {
+    let mut times: Vec<Duration> = (0..ROUNDS).map(|_| time_once(text)).collect();
+    times.sort();
+    let faults = check_manifest("generated.yaml", text)
+        .err()
+        .map_or(0, |faults| faults.len());
+    let (median, longest) = (times[ROUNDS / 2], times[ROUNDS - 1]);
+    println!(
+        "{name}: {} bytes, {faults} faults, median {median:?}, longest {longest:?} of {ROUNDS}",
+        text.len()
+    );
+}
+
+fn time_once(text: &str) -> Duration {
+    let start = Instant::now();
+    let result = check_manifest("generated.yaml", text);
+    let elapsed = start.elapsed();
+    drop(result);
+    elapsed
+}
+
+/// Endpoints of the target size, then customers up to the largest document.
+fn generate() -> String {
+    let mut text = String::from("format: 1\nversion: 1\nevent: {name: e, start: 2027-01-01T00:00:00Z}\n");
+    text.push_str("zones: [{id: a, region: r}]\n");
+    text.push_str("classes: [{name: c, service: s, tier: 1, first_token: 1s, default: true}]\n");
+    text.push_str("services:\n  - id: s\n    kind: model\n    models: [m]\n    endpoints:\n");
+    for i in 0..ENDPOINTS {
+        let address = format!("10.0.{}.{}:80", i / 250, i % 250 + 1);
+        let entry = format!("      - {{id: e{i}, address: {address}, zone: a, slots: 8, cold_slots: 2}}\n");
+        text.push_str(&entry);
+    }
+    text.push_str("customers:\n");
+    for i in 0.. {
+        let mut entry = String::new();
+        let key = hash_key(&i.to_string());
+        let fields = format!("    key_sha256: \"{key}\"\n    requests_per_second: 1\n    burst: 2\n    weight: 1\n");
+        write!(entry, "  - id: c{i}\n{fields}").unwrap_or_default();
+        if text.len() + entry.len() > DOCUMENT_MAX_BYTES {
+            break;
+        }
+        text.push_str(&entry);
+    }
+    text
+}
--- a/crates/celerytide-manifest/src/check/mod.rs
+++ b/crates/celerytide-manifest/src/check/mod.rs
@@ -1,10 +1,23 @@
 //! Text becomes a typed document only through these checks.
+//!
+//! A check has two passes. The first looks at each field by itself: its name, type, format and bounds, as the JSON
+//! Schema states them. The second looks at what fields say together. Both report every fault that they find.
+
+mod manifest;
+mod settings;
+mod unique;
 
 use celerytide_types::{Digest, data};
 use serde::de::DeserializeOwned;
 use sha2::{Digest as _, Sha256};
 
-use crate::{DispatchSettings, EntrySettings, Fault, Manifest};
+use crate::node::{self, Place};
+use crate::report::Report;
+use crate::shape;
+use crate::{DispatchSettings, DocumentKind, EntrySettings, Fault, Manifest};
+
+/// Largest document, in bytes.
+pub const DOCUMENT_MAX_BYTES: usize = 1024 * 1024;
 
 data! {
     /// A manifest that passed every check.
@@ -18,7 +31,7 @@
 
 /// Checks a manifest's text; `file` is the name that faults bear.
 pub fn check_manifest(file: &str, text: &str) -> Result<Checked, Vec<Fault>> {
-    let manifest = parse(file, text)?;
+    let manifest = check(DocumentKind::Manifest, file, text, manifest::check)?;
     Ok(Checked {
         manifest,
         digest: sha256_hex(text),
@@ -27,12 +40,12 @@
 
 /// Checks the settings of an entry process.
 pub fn check_entry_settings(file: &str, text: &str) -> Result<EntrySettings, Vec<Fault>> {
-    parse(file, text)
+    check(DocumentKind::Entry, file, text, settings::check_entry)
 }
 
 /// Checks the settings of a dispatch process.
 pub fn check_dispatch_settings(file: &str, text: &str) -> Result<DispatchSettings, Vec<Fault>> {
-    parse(file, text)
+    check(DocumentKind::Dispatch, file, text, settings::check_dispatch)
 }
 
 /// Hex SHA-256 of a customer's key, as the manifest holds it.
@@ -44,16 +57,45 @@
     format!("{:x}", Sha256::digest(text.as_bytes()))
 }
 
-fn parse<T: DeserializeOwned>(file: &str, text: &str) -> Result<T, Vec<Fault>> {
-    serde_saphyr::from_str(text).map_err(|error| {
-        let at = error.location();
-        vec![Fault {
-            file: file.to_owned(),
-            line: at.map_or(1, |at| at.line() as usize),
-            column: at.map_or(1, |at| at.column() as usize),
-            field: String::new(),
-            message: error.without_snippet().to_string(),
-            allowed: "a YAML document of the documented fields".to_owned(),
-        }]
-    })
+fn check<T: DeserializeOwned>(
+    kind: DocumentKind,
+    file: &str,
+    text: &str,
+    between_fields: impl Fn(&T, &mut Report<'_>),
+) -> Result<T, Vec<Fault>> {
+    if text.len() > DOCUMENT_MAX_BYTES {
+        let message = format!("the document has {} bytes", text.len());
+        return Err(vec![whole(
+            file,
+            START,
+            message,
+            format!("at most {DOCUMENT_MAX_BYTES} bytes"),
+        )]);
+    }
+    let root = node::parse(text)
+        .map_err(|error| vec![whole(file, error.place, error.message, "one YAML document".to_owned())])?;
+    let shape = shape::compile(&kind.schema())
+        .map_err(|error| vec![whole(file, START, error.to_string(), "a schema with shapes".to_owned())])?;
+    let mut report = Report::new(file, &root);
+    let value = shape::walk(&shape, &root, &mut report);
+    let document = serde_json::from_value::<T>(value)
+        .map_err(|error| vec![whole(file, root.place, error.to_string(), shape.allowed())])?;
+    between_fields(&document, &mut report);
+    match report.into_faults() {
+        faults if faults.is_empty() => Ok(document),
+        faults => Err(faults),
+    }
+}
+
+const START: Place = Place { line: 1, column: 1 };
+
+fn whole(file: &str, place: Place, message: String, allowed: String) -> Fault {
+    Fault {
+        file: file.to_owned(),
+        line: place.line,
+        column: place.column,
+        field: String::new(),
+        message,
+        allowed,
+    }
 }
--- a/crates/celerytide-manifest/src/lib.rs
+++ b/crates/celerytide-manifest/src/lib.rs
@@ -5,15 +5,21 @@
 
 mod check;
 mod fault;
+mod formats;
 mod model;
+mod node;
+mod report;
+mod schema;
 mod settings;
+mod shape;
 
-pub use check::{Checked, check_dispatch_settings, check_entry_settings, check_manifest, hash_key};
+pub use check::{Checked, DOCUMENT_MAX_BYTES, check_dispatch_settings, check_entry_settings, check_manifest, hash_key};
 pub use fault::Fault;
 pub use model::{
     Action, Class, Customer, EndpointSpec, Event, Manifest, Order, OrderKind, Service, ServiceKind, TicketRule, Zone,
     ZoneState,
 };
+pub use schema::DocumentKind;
 pub use settings::{
     DispatchSettings, DispatchTimeouts, EntrySettings, EntryTimeouts, HttpLimits, LogFormat, LogLevel, LogSettings,
     Platform,
--- a/crates/celerytide-manifest/src/model/mod.rs
+++ b/crates/celerytide-manifest/src/model/mod.rs
@@ -4,14 +4,20 @@
 use std::time::Duration;
 
 use celerytide_types::{ClassName, CustomerId, EndpointId, RegionId, ServiceId, Tier, Version, ZoneId, data};
+use schemars::JsonSchema;
+
+use crate::schema;
 
 data! {
     /// One event's manifest, as operators ship it.
+    #[derive(JsonSchema)]
     #[serde(deny_unknown_fields)]
     pub struct Manifest {
         /// Format of this document; 1.
+        #[schemars(range(min = 1, max = 1))]
         pub format: u32,
         /// Version; only a higher one replaces it.
+        #[schemars(range(min = 1))]
         pub version: Version,
         /// The event the manifest is for.
         pub event: Event,
@@ -29,20 +35,26 @@
     }
 
     /// An event with a known start.
+    #[derive(JsonSchema)]
     #[serde(deny_unknown_fields)]
     pub struct Event {
         /// Name for people.
+        #[schemars(schema_with = "schema::label")]
         pub name: String,
         /// Start, RFC 3339 in UTC.
+        #[schemars(schema_with = "schema::start")]
         pub start: String,
     }
 
     /// One availability zone.
+    #[derive(JsonSchema)]
     #[serde(deny_unknown_fields)]
     pub struct Zone {
         /// Zone id.
+        #[schemars(schema_with = "schema::id")]
         pub id: ZoneId,
         /// Region that holds it.
+        #[schemars(schema_with = "schema::id")]
         pub region: RegionId,
         /// Whether it takes new work.
         #[serde(default)]
@@ -50,7 +62,7 @@
     }
 
     /// Whether a zone takes new work.
-    #[derive(Copy, Eq, Default)]
+    #[derive(Copy, Eq, Default, JsonSchema)]
     #[serde(rename_all = "kebab-case")]
     pub enum ZoneState {
         /// In service.
@@ -61,17 +73,21 @@
     }
 
     /// A named group of equal endpoints.
+    #[derive(JsonSchema)]
     #[serde(deny_unknown_fields)]
     pub struct Service {
         /// Service id; the path prefix of a plain service.
+        #[schemars(schema_with = "schema::id")]
         pub id: ServiceId,
         /// What its endpoints speak.
         pub kind: ServiceKind,
         /// Model names its endpoints serve; for kind `model` only.
         #[serde(default)]
+        #[schemars(schema_with = "schema::models")]
         pub models: Vec<String>,
         /// Number of pools its endpoints are spread over.
         #[serde(default = "default_pools")]
+        #[schemars(range(min = 1))]
         pub pools: u32,
         /// The endpoints.
         pub endpoints: Vec<EndpointSpec>,
@@ -81,7 +97,7 @@
     }
 
     /// What endpoints of a service speak.
-    #[derive(Copy, Eq)]
+    #[derive(Copy, Eq, JsonSchema)]
     #[serde(rename_all = "kebab-case")]
     pub enum ServiceKind {
         /// A model engine.
@@ -91,17 +107,23 @@
     }
 
     /// One endpoint and what it bears.
+    #[derive(JsonSchema)]
     #[serde(deny_unknown_fields)]
     pub struct EndpointSpec {
         /// Endpoint id.
+        #[schemars(schema_with = "schema::id")]
         pub id: EndpointId,
         /// Where it listens.
+        #[schemars(schema_with = "schema::address")]
         pub address: SocketAddr,
         /// Its availability zone.
+        #[schemars(schema_with = "schema::id")]
         pub zone: ZoneId,
         /// Requests it bears at once when warm.
+        #[schemars(range(min = 1))]
         pub slots: u32,
         /// Requests it bears at once in cold start.
+        #[schemars(range(min = 1))]
         pub cold_slots: u32,
         /// Prompt tokens it may have in prefill at once; 0 for no bound.
         #[serde(default)]
@@ -118,13 +140,17 @@
     }
 
     /// A call of a plain service that must not be repeated.
+    #[derive(JsonSchema)]
     #[serde(deny_unknown_fields)]
     pub struct Action {
         /// Name for logs and metrics.
+        #[schemars(schema_with = "schema::id")]
         pub name: String,
         /// HTTP method.
+        #[schemars(schema_with = "schema::method")]
         pub method: String,
         /// Path below the service's prefix; a trailing `*` matches any rest.
+        #[schemars(schema_with = "schema::path")]
         pub path: String,
         /// Whether a ticket is needed.
         #[serde(default)]
@@ -134,11 +160,12 @@
         pub refuses_duplicates: bool,
         /// Statuses by which the endpoint says that the request did not run.
         #[serde(default)]
+        #[schemars(inner(range(min = 400, max = 599)))]
         pub not_run_status: Vec<u16>,
     }
 
     /// Whether a protected call needs a ticket.
-    #[derive(Copy, Eq, Default)]
+    #[derive(Copy, Eq, Default, JsonSchema)]
     #[serde(rename_all = "kebab-case")]
     pub enum TicketRule {
         /// A call without a ticket is refused.
@@ -149,25 +176,32 @@
     }
 
     /// A class of requests.
+    #[derive(JsonSchema)]
     #[serde(deny_unknown_fields)]
     pub struct Class {
         /// Class name.
+        #[schemars(schema_with = "schema::id")]
         pub name: ClassName,
         /// The service it is for.
+        #[schemars(schema_with = "schema::id")]
         pub service: ServiceId,
         /// Tier; 1 is the highest, 6 the lowest.
+        #[schemars(range(min = 1, max = 6))]
         pub tier: Tier,
         /// Order inside a tier; a higher one goes first.
         #[serde(default)]
         pub priority: u8,
         /// Target for the first token, or for the whole answer of a plain service.
         #[serde(with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_1h")]
         pub first_token: Duration,
         /// Target between tokens; for kind `model` only.
         #[serde(default, with = "humantime_serde::option")]
+        #[schemars(schema_with = "schema::span_1h")]
         pub between_tokens: Option<Duration>,
         /// Share of the service's slots that the class keeps under any pressure, 0 to 1.
         #[serde(default)]
+        #[schemars(range(min = 0, max = 1))]
         pub guaranteed_share: f64,
         /// Whether requests of the service that name no class belong to this one.
         #[serde(default)]
@@ -178,34 +212,43 @@
     }
 
     /// A customer and its limits.
+    #[derive(JsonSchema)]
     #[serde(deny_unknown_fields)]
     pub struct Customer {
         /// Customer id.
+        #[schemars(schema_with = "schema::id")]
         pub id: CustomerId,
         /// Hex SHA-256 of its key.
+        #[schemars(schema_with = "schema::sha256")]
         pub key_sha256: String,
         /// Requests a second over all entries.
+        #[schemars(extend("exclusiveMinimum" = 0))]
         pub requests_per_second: f64,
         /// Requests it may send at once.
+        #[schemars(range(min = 1))]
         pub burst: u32,
         /// Weight among customers inside a class.
         #[serde(default = "default_weight")]
+        #[schemars(range(min = 1))]
         pub weight: u32,
     }
 
     /// An order to an endpoint.
+    #[derive(JsonSchema)]
     #[serde(deny_unknown_fields)]
     pub struct Order {
         /// The endpoint.
+        #[schemars(schema_with = "schema::id")]
         pub endpoint: EndpointId,
         /// What it shall do.
         pub kind: OrderKind,
         /// Name of the model, adapter, version or role.
+        #[schemars(schema_with = "schema::name")]
         pub name: String,
     }
 
     /// What an order asks.
-    #[derive(Copy, Eq)]
+    #[derive(Copy, Eq, JsonSchema)]
     #[serde(rename_all = "kebab-case")]
     pub enum OrderKind {
         /// Load a model.
--- a/crates/celerytide-manifest/src/settings/mod.rs
+++ b/crates/celerytide-manifest/src/settings/mod.rs
@@ -6,22 +6,32 @@
 use std::time::Duration;
 
 use celerytide_types::{InstanceId, RegionId, ZoneId, data};
+use schemars::JsonSchema;
+
+use crate::schema;
 
 data! {
     /// Settings of one entry process.
+    #[derive(JsonSchema)]
     #[serde(deny_unknown_fields)]
     pub struct EntrySettings {
         /// Instance the process runs on.
+        #[schemars(schema_with = "schema::id")]
         pub instance: InstanceId,
         /// Availability zone of the instance.
+        #[schemars(schema_with = "schema::id")]
         pub zone: ZoneId,
         /// Region of the zone.
+        #[schemars(schema_with = "schema::id")]
         pub region: RegionId,
         /// Where callers connect.
+        #[schemars(schema_with = "schema::address")]
         pub caller_address: SocketAddr,
         /// Where operators read health, metrics, status and audit.
+        #[schemars(schema_with = "schema::address")]
         pub operator_address: SocketAddr,
         /// Where the project's other processes connect.
+        #[schemars(schema_with = "schema::address")]
         pub peer_address: SocketAddr,
         /// The platform's services and the peers to ask in their place.
         pub platform: Platform,
@@ -37,17 +47,23 @@
     }
 
     /// Settings of one dispatch process.
+    #[derive(JsonSchema)]
     #[serde(deny_unknown_fields)]
     pub struct DispatchSettings {
         /// Instance the process runs on.
+        #[schemars(schema_with = "schema::id")]
         pub instance: InstanceId,
         /// Availability zone of the instance.
+        #[schemars(schema_with = "schema::id")]
         pub zone: ZoneId,
         /// Region of the zone.
+        #[schemars(schema_with = "schema::id")]
         pub region: RegionId,
         /// Where operators read health, metrics, status and audit.
+        #[schemars(schema_with = "schema::address")]
         pub operator_address: SocketAddr,
         /// Where the project's other processes connect.
+        #[schemars(schema_with = "schema::address")]
         pub peer_address: SocketAddr,
         /// The platform's services and the peers to ask in their place.
         pub platform: Platform,
@@ -60,117 +76,149 @@
     }
 
     /// How a process reads the platform's services.
+    #[derive(JsonSchema)]
     #[serde(deny_unknown_fields)]
     pub struct Platform {
         /// Addresses of the configuration service; tried in turn.
+        #[schemars(schema_with = "schema::addresses_some")]
         pub config_service: Vec<SocketAddr>,
         /// Longest wait of one watch.
         #[serde(default = "default_watch_wait", with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub watch_wait: Duration,
         /// Longest wait for an answer that is no watch.
         #[serde(default = "default_read_timeout", with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub read_timeout: Duration,
         /// Upper bound of the random delay before the first read.
         #[serde(default = "default_start_jitter", with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub start_jitter: Duration,
         /// Peers to ask when the configuration service is down at start.
         #[serde(default)]
+        #[schemars(schema_with = "schema::addresses")]
         pub peers: Vec<SocketAddr>,
     }
 
     /// Bounds towards callers.
-    #[derive(Copy, Eq)]
+    #[derive(Copy, Eq, JsonSchema)]
     #[serde(default, deny_unknown_fields)]
     pub struct HttpLimits {
         /// Largest head of a request, in bytes.
+        #[schemars(range(min = 1))]
         pub max_head_bytes: usize,
         /// Largest body of a request, in bytes.
+        #[schemars(range(min = 1))]
         pub max_body_bytes: usize,
         /// Most callers' connections at once.
+        #[schemars(range(min = 1))]
         pub max_connections: usize,
         /// Most tickets kept at once.
+        #[schemars(range(min = 1))]
         pub max_ticket_count: usize,
         /// Bytes of answers kept for repeated ticketed calls, in total.
+        #[schemars(range(min = 1))]
         pub max_outcome_bytes: usize,
     }
 
     /// Timeouts of an entry process.
-    #[derive(Copy, Eq)]
+    #[derive(Copy, Eq, JsonSchema)]
     #[serde(default, deny_unknown_fields)]
     pub struct EntryTimeouts {
         /// Longest wait for a whole head from a caller.
         #[serde(with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub head: Duration,
         /// Longest wait for a whole body from a caller.
         #[serde(with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub body: Duration,
         /// Longest idle life of a caller's connection.
         #[serde(with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub idle: Duration,
         /// Longest wait for a caller that does not read its answer.
         #[serde(with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub write: Duration,
         /// Longest wait for a connection to an endpoint.
         #[serde(with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub connect: Duration,
         /// Longest wait for an endpoint's first byte.
         #[serde(with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub first_byte: Duration,
         /// Longest wait between two parts of an endpoint's answer.
         #[serde(with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub between_bytes: Duration,
         /// Longest wait in the queue for a permit.
         #[serde(with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub permit: Duration,
         /// Longest graceful shutdown.
         #[serde(with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub stop: Duration,
         /// Life of a ticket.
         #[serde(with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub ticket: Duration,
         /// Interval of pings to a peer.
         #[serde(with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub peer_ping: Duration,
         /// Silence after which a peer's connection counts as dead.
         #[serde(with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub peer_silence: Duration,
     }
 
     /// Timeouts of a dispatch process.
-    #[derive(Copy, Eq)]
+    #[derive(Copy, Eq, JsonSchema)]
     #[serde(default, deny_unknown_fields)]
     pub struct DispatchTimeouts {
         /// Longest life of a permit.
         #[serde(with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub permit_age: Duration,
         /// Wait of a new owner for lagging views.
         #[serde(with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub hold: Duration,
         /// Interval of reads of an endpoint's load.
         #[serde(with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub report_interval: Duration,
         /// Longest wait for an endpoint's load.
         #[serde(with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub report_timeout: Duration,
         /// Longest graceful shutdown.
         #[serde(with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub stop: Duration,
         /// Interval of pings to a peer.
         #[serde(with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub peer_ping: Duration,
         /// Silence after which a peer's connection counts as dead.
         #[serde(with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub peer_silence: Duration,
         /// Interval at which peers exchange versions.
         #[serde(with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub gossip_interval: Duration,
         /// Age after which a view counts as stale.
         #[serde(with = "humantime_serde")]
+        #[schemars(schema_with = "schema::span_24h")]
         pub view_age: Duration,
     }
 
     /// Logs of a process.
-    #[derive(Copy, Eq, Default)]
+    #[derive(Copy, Eq, Default, JsonSchema)]
     #[serde(default, deny_unknown_fields)]
     pub struct LogSettings {
         /// Form of a line.
@@ -180,7 +228,7 @@
     }
 
     /// Form of a log line.
-    #[derive(Copy, Eq, Default)]
+    #[derive(Copy, Eq, Default, JsonSchema)]
     #[serde(rename_all = "kebab-case")]
     pub enum LogFormat {
         /// Text for people.
@@ -191,7 +239,7 @@
     }
 
     /// Least severe level that is written.
-    #[derive(Copy, Eq, Default)]
+    #[derive(Copy, Eq, Default, JsonSchema)]
     #[serde(rename_all = "kebab-case")]
     pub enum LogLevel {
         /// Errors only.
--- /dev/null
+++ b/crates/celerytide-manifest/src/shape/mod.rs
@@ -0,0 +1,92 @@
+//! Names, types and bounds of single fields, compiled from a JSON Schema.
+
+mod compile;
+mod walk;
+
+pub(crate) use compile::compile;
+pub(crate) use walk::walk;
+
+use crate::formats::Format;
+
+/// What one field may hold.
+#[derive(Debug, Clone)]
+pub(crate) enum Shape {
+    /// A block with exactly these fields.
+    Object(Vec<FieldShape>),
+    /// A list.
+    List { item: Box<Shape>, min_items: usize },
+    /// Text of a format.
+    Text(Format),
+    /// One of these words.
+    Choice(Vec<String>),
+    /// A whole number.
+    Integer { min: i128, max: i128 },
+    /// A number.
+    Number(NumberRange),
+    /// True or false.
+    Bool,
+}
+
+/// One field of an object.
+#[derive(Debug, Clone)]
+pub(crate) struct FieldShape {
+    pub(crate) name: String,
+    pub(crate) required: bool,
+    pub(crate) shape: Shape,
+}
+
+/// Bounds of a number.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct NumberRange {
+    pub(crate) min: f64,
+    /// Whether `min` itself is refused.
+    pub(crate) above: bool,
+    pub(crate) max: f64,
+}
+
+impl NumberRange {
+    fn contains(self, value: f64) -> bool {
+        if !value.is_finite() {
+            return false;
+        }
+        let enough = if self.above {
+            value > self.min
+        } else {
+            value >= self.min
+        };
+        enough && value <= self.max
+    }
+
+    fn allowed(self) -> String {
+        match (self.above, self.max.is_finite()) {
+            (true, false) => format!("a number above {}", self.min),
+            (true, true) => format!("a number above {} and up to {}", self.min, self.max),
+            (false, false) => format!("a number of at least {}", self.min),
+            (false, true) => format!("a number from {} to {}", self.min, self.max),
+        }
+    }
+}
+
+impl Shape {
+    /// What the field may hold, for people.
+    pub(crate) fn allowed(&self) -> String {
+        match self {
+            Shape::Object(fields) => format!("a block with the fields {}", field_names(fields)),
+            Shape::List { min_items: 0, .. } => "a list".to_owned(),
+            Shape::List { min_items, .. } => format!("a list of at least {min_items}"),
+            Shape::Text(format) => format.allowed().to_owned(),
+            Shape::Choice(words) => format!("one of {}", words.join(", ")),
+            Shape::Integer { min, max } if min == max => format!("{min}"),
+            Shape::Integer { min, max } if *max == u64::MAX.into() => format!("a whole number of at least {min}"),
+            Shape::Integer { min, max } => format!("a whole number from {min} to {max}"),
+            Shape::Number(range) => range.allowed(),
+            Shape::Bool => "true or false".to_owned(),
+        }
+    }
+}
+
+/// The fields' names, for people.
+pub(crate) fn field_names(fields: &[FieldShape]) -> String {
+    let names: Vec<&str> = fields.iter().map(|field| field.name.as_str()).collect();
+    names.join(", ")
+}
--- /dev/null
+++ b/crates/celerytide-manifest/src/shape/walk.rs
@@ -0,0 +1,162 @@
+//! The first pass of a check: each field by itself.
+//!
+//! A faulty value is replaced by one of its shape, so that the document can still be read as its type and the checks
+//! between fields still run. They pass over the replaced fields.
+
+use std::collections::HashSet;
+
+use serde_json::{Map, Value};
+
+use super::{FieldShape, Shape, field_names};
+use crate::node::{Content, Entry, Node};
+use crate::report::Report;
+
+/// Checks each field of `node` by itself; returns the document with each faulty value replaced.
+pub(crate) fn walk(shape: &Shape, node: &Node, report: &mut Report<'_>) -> Value {
+    let mut walker = Walker {
+        report,
+        path: String::new(),
+    };
+    walker.value(shape, node)
+}
+
+struct Walker<'r, 'n> {
+    report: &'r mut Report<'n>,
+    path: String,
+}
+
+impl Walker<'_, '_> {
+    fn value(&mut self, shape: &Shape, node: &Node) -> Value {
+        match (shape, &node.content) {
+            (Shape::Object(fields), Content::Object(entries)) => self.object(fields, entries, node),
+            (Shape::List { item, min_items }, Content::List(nodes)) => {
+                if nodes.len() < *min_items {
+                    self.replace(shape, node, "too few entries".to_owned());
+                }
+                self.list(item, nodes)
+            }
+            (Shape::Text(format), Content::Text(text)) => match format.fault(text) {
+                Some(message) => self.replace(shape, node, message),
+                None => Value::from(text.as_str()),
+            },
+            (Shape::Choice(words), Content::Text(text)) => match words.contains(text) {
+                true => Value::from(text.as_str()),
+                false => self.replace(shape, node, format!("{text:?} is unknown")),
+            },
+            (Shape::Integer { min, max }, Content::Integer(value)) => match integer(*value, *min, *max) {
+                Some(value) => value,
+                None => self.replace(shape, node, format!("{value} is out of range")),
+            },
+            (Shape::Number(range), Content::Integer(_) | Content::Float(_)) => {
+                let value = number(&node.content);
+                match range.contains(value) {
+                    true => Value::from(value),
+                    false => self.replace(shape, node, format!("{value} is out of range")),
+                }
+            }
+            (Shape::Bool, Content::Bool(value)) => Value::from(*value),
+            (_, found) => self.replace(shape, node, mismatch(shape, found)),
+        }
+    }
+
+    fn object(&mut self, fields: &[FieldShape], entries: &[Entry], node: &Node) -> Value {
+        let mut seen = HashSet::with_capacity(entries.len());
+        for entry in entries {
+            if !seen.insert(entry.key.as_str()) {
+                self.refuse_key(entry, "repeated field", "each field once".to_owned());
+            } else if !fields.iter().any(|field| field.name == entry.key) {
+                self.refuse_key(entry, "unknown field", format!("one of {}", field_names(fields)));
+            }
+        }
+        let mut object = Map::with_capacity(fields.len());
+        for field in fields {
+            let depth = self.path.len();
+            self.enter(&field.name);
+            if let Some(value) = self.field(field, node) {
+                object.insert(field.name.clone(), value);
+            }
+            self.path.truncate(depth);
+        }
+        Value::Object(object)
+    }
+
+    fn field(&mut self, field: &FieldShape, node: &Node) -> Option<Value> {
+        match node.entry(&field.name) {
+            Some(entry) => Some(self.value(&field.shape, &entry.value)),
+            None if field.required => Some(self.replace(&field.shape, node, "missing".to_owned())),
+            None => None,
+        }
+    }
+
+    fn list(&mut self, item: &Shape, nodes: &[Node]) -> Value {
+        let mut values = Vec::with_capacity(nodes.len());
+        for (i, node) in nodes.iter().enumerate() {
+            let depth = self.path.len();
+            self.path.push_str(&format!("[{i}]"));
+            values.push(self.value(item, node));
+            self.path.truncate(depth);
+        }
+        Value::Array(values)
+    }
+
+    fn refuse_key(&mut self, entry: &Entry, message: &str, allowed: String) {
+        let depth = self.path.len();
+        self.enter(&entry.key);
+        self.report
+            .add_at(entry.key_place, &self.path, message.to_owned(), allowed);
+        self.path.truncate(depth);
+    }
+
+    fn replace(&mut self, shape: &Shape, node: &Node, message: String) -> Value {
+        self.report.add_at(node.place, &self.path, message, shape.allowed());
+        self.report.distrust(&self.path);
+        placeholder(shape)
+    }
+
+    fn enter(&mut self, name: &str) {
+        if !self.path.is_empty() {
+            self.path.push('.');
+        }
+        self.path.push_str(name);
+    }
+}
+
+fn integer(value: i128, min: i128, max: i128) -> Option<Value> {
+    if value < min || value > max {
+        return None;
+    }
+    u64::try_from(value).ok().map(Value::from)
+}
+
+fn number(content: &Content) -> f64 {
+    match content {
+        Content::Integer(value) => *value as f64,
+        Content::Float(value) => *value,
+        _ => f64::NAN,
+    }
+}
+
+fn mismatch(shape: &Shape, found: &Content) -> String {
+    let is_scalar = matches!(found, Content::Bool(_) | Content::Integer(_) | Content::Float(_));
+    let hint = match shape {
+        Shape::Text(format) if is_scalar => format.hint(),
+        _ => "",
+    };
+    format!("found {}{hint}", found.describe())
+}
+
+fn placeholder(shape: &Shape) -> Value {
+    match shape {
+        Shape::Object(fields) => {
+            let required = fields.iter().filter(|field| field.required);
+            let entries = required.map(|field| (field.name.clone(), placeholder(&field.shape)));
+            Value::Object(entries.collect())
+        }
+        Shape::List { .. } => Value::Array(Vec::new()),
+        Shape::Text(format) => Value::from(format.sample()),
+        Shape::Choice(words) => words.first().map_or(Value::Null, |word| Value::from(word.as_str())),
+        Shape::Integer { min, .. } => u64::try_from(*min).map_or(Value::Null, Value::from),
+        Shape::Number(range) => Value::from(if range.above { range.min + 1.0 } else { range.min }),
+        Shape::Bool => Value::from(false),
+    }
+}
--- /dev/null
+++ b/crates/celerytide-manifest/tests/documents.rs
@@ -0,0 +1,145 @@
+//! Properties of the checks over many documents.
+
+use arbtest::arbitrary::{Result, Unstructured};
+use arbtest::arbtest;
+use celerytide_manifest::{
+    DOCUMENT_MAX_BYTES, DocumentKind, Manifest, check_dispatch_settings, check_entry_settings, check_manifest,
+};
+
+const MANIFEST: &str = include_str!("data/manifest.yaml");
+const SEED_COUNT: u64 = 300;
+const ENTROPY_BYTES: u64 = 512;
+
+/// Fixed seeds; the low half of each is the length of its entropy.
+fn seeds() -> impl Iterator<Item = u64> {
+    (1..=SEED_COUNT).map(|seed| seed << 32 | ENTROPY_BYTES)
+}
+
+/// Changes digits, and now and then replaces, doubles or drops a line.
+fn edited(u: &mut Unstructured<'_>) -> Result<String> {
+    let mut lines: Vec<String> = MANIFEST.lines().map(str::to_owned).collect();
+    for _ in 0..u.int_in_range(1..=3)? {
+        let at = u.choose_index(lines.len())?;
+        let other = lines[u.choose_index(lines.len())?].clone();
+        match u.int_in_range(0..=11)? {
+            0 => drop(lines.remove(at)),
+            1 => lines.insert(at, other),
+            2 => lines[at] = other,
+            3 => lines[at] = lines[at].replace(['a', ':'], u.choose(&["", "-", "é", ": ", "["])?),
+            _ => lines[at] = lines[at].replace(['1', '2', '5'], u.choose(&["0", "1", "3", "9"])?),
+        }
+    }
+    Ok(lines.join("\n"))
+}
+
+#[test]
+fn what_passes_reads_the_same_without_the_checks() {
+    let mut passed = 0;
+    for seed in seeds() {
+        arbtest(|u| {
+            let text = edited(u)?;
+            if let Ok(checked) = check_manifest("m.yaml", &text) {
+                let plain: Manifest = serde_saphyr::from_str(&text).expect("a checked manifest reads as its type");
+                assert_eq!(plain, checked.manifest);
+                passed += 1;
+            }
+            Ok(())
+        })
+        .seed(seed)
+        .run();
+    }
+    assert!(passed > SEED_COUNT / 10, "only {passed} documents passed");
+}
+
+#[test]
+fn what_the_type_refuses_does_not_pass() {
+    for seed in seeds() {
+        arbtest(|u| {
+            let text = edited(u)?;
+            if serde_saphyr::from_str::<Manifest>(&text).is_err() {
+                assert!(check_manifest("m.yaml", &text).is_err(), "passed: {text}");
+            }
+            Ok(())
+        })
+        .seed(seed)
+        .run();
+    }
+}
+
+#[test]
+fn faults_lie_inside_the_document() {
+    for seed in seeds() {
+        arbtest(|u| {
+            let text = edited(u)?;
+            let faults = check_manifest("m.yaml", &text).err().unwrap_or_default();
+            for fault in faults {
+                assert!(fault.line >= 1 && fault.line <= text.lines().count() + 1, "{fault}");
+                assert!(fault.column >= 1, "{fault}");
+            }
+            Ok(())
+        })
+        .seed(seed)
+        .run();
+    }
+}
+
+#[test]
+fn any_text_gets_an_answer() {
+    for seed in seeds() {
+        arbtest(|u| {
+            let text: String = u.arbitrary()?;
+            assert!(check_manifest("m.yaml", &text).is_err());
+            assert!(check_entry_settings("e.yaml", &text).is_err());
+            assert!(check_dispatch_settings("d.yaml", &text).is_err());
+            Ok(())
+        })
+        .seed(seed)
+        .run();
+    }
+}
+
+#[test]
+fn a_document_of_the_bound_is_read_and_a_longer_one_is_not() {
+    let padding = DOCUMENT_MAX_BYTES - MANIFEST.len() - 1;
+    let largest = format!("{MANIFEST}#{}", "x".repeat(padding));
+    check_manifest("m.yaml", &largest).expect("a document of the bound");
+    let faults = check_manifest("m.yaml", &format!("{largest}x")).expect_err("a longer document");
+    let shown: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    assert_eq!(
+        shown,
+        ["m.yaml:1:1: the document has 1048577 bytes (allowed: at most 1048576 bytes)"]
+    );
+}
+
+#[test]
+fn aliases_cannot_grow_a_document_without_bound() {
+    let mut text = "a0: &a0 [x, x, x, x, x, x, x, x, x, x]\n".to_owned();
+    for level in 1..10 {
+        let aliases = vec![format!("*a{}", level - 1); 10].join(", ");
+        text.push_str(&format!("a{level}: &a{level} [{aliases}]\n"));
+    }
+    let faults = check_manifest("m.yaml", &text).expect_err("too large when expanded");
+    assert_eq!(faults.len(), 1, "{faults:?}");
+}
+
+#[test]
+fn digests_follow_the_text() {
+    let first = check_manifest("m.yaml", MANIFEST).expect("valid");
+    let second = check_manifest("m.yaml", &format!("{MANIFEST}# end\n")).expect("valid");
+    assert_eq!(first.manifest, second.manifest);
+    assert_ne!(first.digest, second.digest);
+    assert_eq!(first.digest, celerytide_manifest::hash_key(MANIFEST));
+}
+
+#[test]
+fn committed_schemas_are_the_generated_ones() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../schema");
+    for kind in DocumentKind::ALL {
+        let path = format!("{folder}/{}.schema.json", kind.as_str());
+        let committed = std::fs::read_to_string(&path).unwrap_or_default();
+        assert!(
+            committed == kind.schema_text(),
+            "{path} is old: cargo run -p celerytide-manifest --example schema"
+        );
+    }
+}
