--- a/crates/celerytide-policy/src/check/cold/mod.rs
+++ b/crates/celerytide-policy/src/check/cold/mod.rs
@@ -101,7 +101,10 @@
             Event::Applied(plan) => self.apply(entry.at, &plan.endpoints),
             Event::Trusted(trust) => self.trust = *trust,
             Event::Granted(grant) => self.grant(entry.at, grant, report),
-            Event::Adopted(permit, endpoint, _) => self.run(*permit, endpoint),
+            Event::Adopted(permit, endpoint, _) => {
+                self.chill_if_silent(entry.at, endpoint);
+                self.run(*permit, endpoint);
+            }
             Event::Orphaned(permit) => self.uncount(*permit),
             Event::Progressed(permit, _) => self.sign(entry.at, *permit),
             Event::Settled(permit, ended) => self.settle(entry.at, *permit, *ended),
@@ -140,7 +143,8 @@
     }
 
     fn grant(&mut self, now: Boot, grant: &Grant, report: &mut impl FnMut(Rule, String)) {
-        let (trust, per_slot) = (self.trust, self.per_slot);
+        self.chill_if_silent(now, &grant.endpoint);
+        let trust = self.trust;
         let Some(row) = self.rows.get_mut(&grant.endpoint) else {
             report(Rule::ClosedEndpoint, format!("{} is unknown", grant.endpoint));
             return;
@@ -148,10 +152,6 @@
         if !row.plan.open || !row.named {
             report(Rule::ClosedEndpoint, format!("{} got a grant", grant.endpoint));
         }
-        if now.since(row.last_sign) > self.silence {
-            row.chill(per_slot);
-            row.last_sign = now;
-        }
         let bound = row.bound(trust);
         if self.bounded && row.in_flight >= bound {
             let what = format!("{} has {} and bears {bound}", grant.endpoint, row.in_flight + 1);
@@ -163,6 +163,14 @@
         self.run(grant.permit, &grant.endpoint);
     }
 
+    fn chill_if_silent(&mut self, now: Boot, endpoint: &str) {
+        let Some(row) = self.rows.get_mut(endpoint) else { return };
+        if now.since(row.last_sign) > self.silence {
+            row.chill(self.per_slot);
+            row.last_sign = now;
+        }
+    }
+
     fn run(&mut self, permit: PermitId, endpoint: &str) {
         let Some(row) = self.rows.get_mut(endpoint) else { return };
         row.in_flight += 1;
@@ -186,16 +194,24 @@
     }
 
     fn sign(&mut self, now: Boot, permit: PermitId) {
-        let row = self
-            .running
-            .get(&permit)
-            .and_then(|running| self.rows.get_mut(&running.endpoint));
-        if let Some(row) = row {
+        let endpoint = self.running.get(&permit).map(|running| running.endpoint.clone());
+        if let Some(endpoint) = endpoint {
+            self.sign_of(now, &endpoint);
+        }
+    }
+
+    /// A sign of life; one that ends too long a silence makes the endpoint cold.
+    fn sign_of(&mut self, now: Boot, endpoint: &str) {
+        self.chill_if_silent(now, endpoint);
+        if let Some(row) = self.rows.get_mut(endpoint) {
             row.last_sign = now;
         }
     }
 
     fn settle(&mut self, now: Boot, permit: PermitId, ended: Ended) {
+        if matches!(ended, Ended::Whole { .. }) {
+            self.sign(now, permit);
+        }
         self.uncount(permit);
         let Some(running) = self.running.remove(&permit) else {
             return;
@@ -204,29 +220,26 @@
             return;
         };
         match ended {
-            Ended::Whole { .. } => {
-                row.last_sign = now;
-                if running.epoch == row.epoch {
-                    row.succeed();
-                }
-            }
+            Ended::Whole { .. } if running.epoch == row.epoch => row.succeed(),
+            Ended::Whole { .. } => {}
             Ended::Failed | Ended::NotStarted => row.chill(self.per_slot),
             Ended::Slow | Ended::Cancelled => {}
         }
     }
 
     fn reported(&mut self, now: Boot, endpoint: &str, load: &LoadReport) {
-        let Some(row) = self.rows.get_mut(endpoint) else { return };
+        let Some(row) = self.rows.get(endpoint) else { return };
         if row.started.is_some() && load.observed_unix_ms < row.observed {
             return;
         }
-        row.last_sign = now;
+        self.sign_of(now, endpoint);
+        let Some(row) = self.rows.get_mut(endpoint) else { return };
         row.observed = load.observed_unix_ms;
         let restarted = row
             .started
             .replace(load.started_unix_ms)
             .is_some_and(|seen| seen != load.started_unix_ms);
-        if restarted || (load.cold == Some(true) && row.missing == 0) {
+        if restarted || load.cold == Some(true) {
             row.chill(self.per_slot);
         }
     }
--- a/crates/celerytide-policy/src/check/queue/mod.rs
+++ b/crates/celerytide-policy/src/check/queue/mod.rs
@@ -120,6 +120,8 @@
         self.answered.insert(id, how);
         if let Some(row) = self.rows.get_mut(&ask.class) {
             row.queued -= 1;
+            // A class is owed only while it waits.
+            row.lag = if row.queued == 0 { 0.0 } else { row.lag };
             row.avoiding -= usize::from(!ask.avoid.is_empty());
             row.prompted -= usize::from(ask.prompt_tokens > 0);
         }
@@ -175,7 +177,6 @@
         if let Err(what) = self.answer(refused.ask, why.as_str()) {
             report(Rule::OneAnswer, what);
         }
-        self.reset_empty();
     }
 
     fn check_shed(&self, shed: &Row, why: Refusal, report: &mut impl FnMut(Rule, String)) {
@@ -201,13 +202,6 @@
     fn withdrawn(&mut self, id: AskId) {
         // A withdrawal may cross the answer on its way; only the first of the two counts.
         let _ = self.answer(id, "withdrawn");
-        self.reset_empty();
-    }
-
-    fn reset_empty(&mut self) {
-        for row in self.rows.values_mut().filter(|row| row.queued == 0) {
-            row.lag = 0.0;
-        }
     }
 
     fn closed(&self, report: &mut impl FnMut(Rule, String)) {
--- a/crates/celerytide-policy/src/check/record/mod.rs
+++ b/crates/celerytide-policy/src/check/record/mod.rs
@@ -68,9 +68,11 @@
         offer
     }
 
-    /// See [`Pool::next`].
+    /// See [`Pool::next`]; also takes the refusals of asks whose deadline it found passed.
     pub fn next(&mut self, now: Boot) -> Option<Grant> {
-        let grant = self.pool.next(now)?;
+        let grant = self.pool.next(now);
+        self.expire(now);
+        let grant = grant?;
         self.note(now, Event::Granted(grant.clone()));
         Some(grant)
     }
--- a/crates/celerytide-policy/src/endpoint/mod.rs
+++ b/crates/celerytide-policy/src/endpoint/mod.rs
@@ -3,6 +3,8 @@
 pub(crate) mod sign;
 pub(crate) mod table;
 
+use std::time::Duration;
+
 use celerytide_types::Boot;
 
 use crate::ask::Trust;
@@ -93,6 +95,14 @@
         self.signs.forget_speed();
     }
 
+    /// Takes note of a sign of life. One that ends too long a silence makes the endpoint cold.
+    pub fn sign(&mut self, now: Boot, silence: Duration) {
+        if now.since(self.last_sign) > silence {
+            self.chill();
+        }
+        self.last_sign = now;
+    }
+
     /// Halves the limit, and judges the endpoint anew by what it does next.
     pub fn slow(&mut self) {
         self.ramp.slow();
--- a/crates/celerytide-policy/src/pool/flight/mod.rs
+++ b/crates/celerytide-policy/src/pool/flight/mod.rs
@@ -82,8 +82,9 @@
         let (prompt_tokens, took, epoch) = (flight.prompt_tokens, now.since(flight.granted), flight.epoch);
         self.rate.note(now, new);
         let (jump, floor) = (self.opts.first_token_jump, self.opts.first_token_floor);
+        let silence = self.opts.silence;
         self.table.update(at, |endpoint| {
-            endpoint.last_sign = now;
+            endpoint.sign(now, silence);
             if !began {
                 return;
             }
@@ -151,6 +152,7 @@
             .table
             .find(endpoint)
             .unwrap_or_else(|| self.insert_gone(now, endpoint));
+        self.chill_if_silent(now, at);
         let lag = self.opts.report_lag;
         let epoch = self.table.update(at, |row| {
             row.in_flight += 1;
@@ -239,9 +241,9 @@
         self.correct(flight, work(flight.prompt_tokens, u64::from(tokens)));
         let seconds = self.seconds_per_token(now, flight, tokens);
         let usual = self.seconds_per_token.known();
-        let epoch = flight.epoch;
+        let (epoch, silence) = (flight.epoch, self.opts.silence);
         self.table.update(flight.endpoint, |endpoint| {
-            endpoint.last_sign = now;
+            endpoint.sign(now, silence);
             if let Some(seconds) = seconds {
                 endpoint.signs.seconds_per_token.add(seconds);
             }
--- a/crates/celerytide-policy/src/pool/report/mod.rs
+++ b/crates/celerytide-policy/src/pool/report/mod.rs
@@ -1,5 +1,7 @@
 //! Load reports, and signs that are found by looking from time to time.
 
+use std::time::Duration;
+
 use celerytide_types::{Boot, PermitId};
 
 use super::Pool;
@@ -14,9 +16,10 @@
     /// are released. Reports older than one already seen are ignored.
     pub fn report(&mut self, now: Boot, endpoint: &str, load: LoadReport) {
         let Some(at) = self.table.find(endpoint) else { return };
+        let silence = self.opts.silence;
         let shown = self.table.update(at, |row| {
             let shown = row.signs.report(now, &load);
-            row.heed(now, shown);
+            row.heed(now, silence, shown);
             shown
         });
         match shown {
@@ -105,12 +108,13 @@
 }
 
 impl Endpoint {
-    fn heed(&mut self, now: Boot, shown: Shown) {
+    fn heed(&mut self, now: Boot, silence: Duration, shown: Shown) {
         if shown == Shown::Stale {
             return;
         }
-        self.last_sign = now;
-        if shown != Shown::Usual && !(shown == Shown::Cold && self.ramp.is_cold()) {
+        self.sign(now, silence);
+        if shown != Shown::Usual {
+            // Also if it is cold already: what it bore before it said so tells nothing about now.
             self.chill();
         }
         self.witnessed = self.signs.reported() <= self.in_flight;
