--- a/crates/celerytide-http/tests/fuzz.rs
+++ b/crates/celerytide-http/tests/fuzz.rs
@@ -187,14 +187,9 @@
                     b"\r\n",
                     end,
                 ];
-                let got = throw(server.addr, [&input.concat()[..], b"\r\n"].concat()).await;
+                let got = throw(server.addr, [&input.concat()[..], b"\r\n\r\n"].concat()).await;
                 let expected = got.starts_with(b"HTTP/1.1 200") || got.starts_with(b"HTTP/1.1 400");
-                assert!(expected || got.is_empty(), "{byte:#x} at {place}");
-                let token = place != 0 && place != 2 || byte.is_ascii_alphanumeric();
-                assert!(
-                    !(got.is_empty() && token && byte > b' '),
-                    "{byte:#x} at {place}: no answer"
-                );
+                assert!(expected, "{byte:#x} at {place}: {}", String::from_utf8_lossy(&got));
             }
         }
         server.stop().await;
