fix(load): leave fields without a value out of published documents

Cause: the manifest's check takes an empty between_tokens for a fault, so a plain service's class was refused. Conclusion: documents are written without empty fields. The test's own endpoints had one address twice; mended.

--- a/crates/celerytide-load/src/fleet/mod.rs
+++ b/crates/celerytide-load/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 pub mod documents;
 pub mod settings;
 mod start;
+pub mod yaml;
 
 use std::{
     fs, io,
@@ -20,7 +21,7 @@
     probe,
 };
 use celerytide_types::EndpointId;
-use snafu::{ResultExt, Snafu};
+use snafu::Snafu;
 
 pub use deployment::{CustomerPlan, Deployment, EngineGroup, PlainGroup};
 pub use dir::WorkDir;
@@ -57,10 +58,10 @@
         source: io::Error,
     },
     /// A document has no YAML form.
-    #[snafu(display("{source}"))]
+    #[snafu(display("{source}"), context(false))]
     Yaml {
         /// What the encoder said.
-        source: serde_saphyr::ser::Error,
+        source: yaml::Error,
     },
     /// A daemon was not ready in time, or ended.
     #[snafu(display("{name} is not ready; the end of its log:\n{log}"))]
@@ -205,7 +206,7 @@
 }
 
 fn publish_manifest(config: SocketAddr, manifest: &Manifest) -> Result<(), Error> {
-    let text = serde_saphyr::to_string(manifest).context(YamlSnafu)?;
+    let text = yaml::to_yaml(manifest)?;
     Ok(probe::put(config, TEST_MANIFEST_PATH, text.as_bytes())?)
 }
 
--- a/crates/celerytide-load/src/fleet/start.rs
+++ b/crates/celerytide-load/src/fleet/start.rs
@@ -5,11 +5,10 @@
 use celerytide_standin::launch::{self, Process};
 use serde::Serialize;
 use serde_json::Value;
-use snafu::ResultExt;
 
 use super::{
-    Addresses, Deployment, ENDPOINT_LIST, Endpoint, Error, Fleet, INSTANCE_LIST, Instance, Running, WorkDir, YamlSnafu,
-    documents, publish_list, publish_manifest, settings,
+    Addresses, Deployment, ENDPOINT_LIST, Endpoint, Error, Fleet, INSTANCE_LIST, Instance, Running, WorkDir, documents,
+    publish_list, publish_manifest, settings, yaml,
 };
 
 pub(super) const ENTRY: &str = "celerytide-entry";
@@ -152,7 +151,7 @@
     dir: &WorkDir,
     options: Options,
 ) -> Result<Process, Error> {
-    let text = serde_saphyr::to_string(settings).context(YamlSnafu)?;
+    let text = yaml::to_yaml(settings)?;
     let file = dir.write(&format!("{name}-{instance}.yaml"), &text)?;
     let launch = launch::Options {
         program: launch::sibling(name)?,
--- a/crates/celerytide-load/tests/fleet.rs
+++ b/crates/celerytide-load/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use celerytide_load::fleet::{Addresses, Deployment, Running, WorkDir, documents, settings};
+use celerytide_load::fleet::{Addresses, Deployment, Running, WorkDir, documents, settings, yaml};
 use celerytide_manifest::{check_dispatch_settings, check_entry_settings, check_manifest};
 use celerytide_membership::watch::{parse_endpoints, parse_instances};
 
@@ -10,11 +10,11 @@
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
-fn running(plan: &Deployment, name: &str, count: usize) -> Vec<Running> {
+fn running(plan: &Deployment, name: &str, first: u16, count: usize) -> Vec<Running> {
     let one = |i: usize| Running {
         id: format!("{name}-{i}"),
         zone: plan.zone(i),
-        addr: addr(20_000 + i as u16),
+        addr: addr(first + i as u16),
     };
     (0..count).map(one).collect()
 }
@@ -22,10 +22,10 @@
 #[test]
 fn the_manifest_passes_its_checks() {
     let plan = Deployment::demo(2).expect("deployment");
-    let engines = running(&plan, "engine", plan.engines.count);
-    let plains = running(&plan, "plain", plan.plain.count);
+    let engines = running(&plan, "engine", 20_000, plan.engines.count);
+    let plains = running(&plan, "plain", 21_000, plan.plain.count);
     let manifest = documents::manifest(&plan, 7, &engines, &plains);
-    let text = serde_saphyr::to_string(&manifest).expect("yaml");
+    let text = yaml::to_yaml(&manifest).expect("yaml");
     let checked = check_manifest("manifest.yaml", &text).unwrap_or_else(|faults| panic!("{faults:?}\n{text}"));
     assert_eq!(checked.manifest, manifest);
 }
@@ -35,10 +35,10 @@
     let plan = Deployment::demo(2).expect("deployment");
     let instance = Addresses::pick(&plan, 1).expect("addresses");
     let entry = settings::entry(&plan, &instance, addr(1000));
-    let text = serde_saphyr::to_string(&entry).expect("yaml");
+    let text = yaml::to_yaml(&entry).expect("yaml");
     assert_eq!(check_entry_settings("entry.yaml", &text).expect(&text), entry);
     let dispatch = settings::dispatch(&plan, &instance, addr(1000));
-    let text = serde_saphyr::to_string(&dispatch).expect("yaml");
+    let text = yaml::to_yaml(&dispatch).expect("yaml");
     assert_eq!(check_dispatch_settings("dispatch.yaml", &text).expect(&text), dispatch);
 }
 
@@ -57,7 +57,7 @@
         );
         assert!(got.live);
     }
-    let engines = running(&plan, "engine", 3);
+    let engines = running(&plan, "engine", 20_000, 3);
     let list = serde_json::Value::Array(documents::endpoint_list(&plan, "assist", &engines)).to_string();
     let parsed = parse_endpoints(list.as_bytes()).expect("endpoints");
     let ids: Vec<&str> = parsed.iter().map(|endpoint| endpoint.id.as_str()).collect();
--- a/crates/celerytide-load/tests/scenario.rs
+++ b/crates/celerytide-load/tests/scenario.rs
@@ -3,7 +3,7 @@
 use std::{fs, path::PathBuf, time::Duration};
 
 use celerytide_load::{
-    fleet::{Running, documents},
+    fleet::{Running, documents, yaml},
     pace,
     scenario::{Scenario, arrivals},
 };
@@ -49,7 +49,7 @@
             })
             .collect();
         let manifest = documents::manifest(plan, 1, &engines, &plains);
-        let text = serde_saphyr::to_string(&manifest).expect("yaml");
+        let text = yaml::to_yaml(&manifest).expect("yaml");
         check_manifest("manifest.yaml", &text).unwrap_or_else(|faults| panic!("{}: {faults:?}", path.display()));
     }
 }
