--- /dev/null
+++ b/crates/celerytide-standin/src/engine/answer.rs
@@ -0,0 +1,161 @@
+//! What an answer carries, and how it goes out: token by token or whole.
+
+use std::{fmt::Write, net::SocketAddr};
+
+use bytes::Bytes;
+use celerytide_http::server::{ChunkWriter, Responder};
+use celerytide_types::RequestId;
+use futures::{StreamExt, channel::mpsc::UnboundedReceiver};
+use http::StatusCode;
+use tokio_util::sync::CancellationToken;
+
+use super::{Engine, Progress};
+use crate::reply::{self, Closed};
+
+/// What an answer is made from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Identity {
+    pub(super) id: RequestId,
+    pub(super) model: String,
+    pub(super) is_chat: bool,
+    pub(super) prompt_tokens: usize,
+    /// Length of the whole answer, tokens sent elsewhere included.
+    pub(super) end: usize,
+    pub(super) is_cut: bool,
+}
+
+/// Sends one answer.
+pub(super) struct Sender<'a> {
+    pub(super) engine: &'a Engine,
+    pub(super) peer: SocketAddr,
+    pub(super) cut_after: Option<usize>,
+    pub(super) cx: &'a CancellationToken,
+}
+
+impl Sender<'_> {
+    pub(super) async fn stream(
+        &self,
+        own: &Identity,
+        first: usize,
+        mut rx: UnboundedReceiver<Progress>,
+        out: Responder,
+    ) -> Result<(), Closed> {
+        let mut headers = reply::headers("text/event-stream", &own.id);
+        headers.insert(http::header::CACHE_CONTROL, http::HeaderValue::from_static("no-cache"));
+        self.engine.faults.pass(self.peer, self.cx).await?;
+        let mut chunks = out.stream(StatusCode::OK, headers).await?;
+        let (head, tail) = (own.event_head(), own.event_tail());
+        while let Some(Progress::Token(i)) = rx.next().await {
+            if self.cut_after.is_some_and(|after| i >= first + after) {
+                return Ok(());
+            }
+            self.send(&mut chunks, format!("{head}w{i} {tail}")).await?;
+        }
+        self.send(&mut chunks, own.last_event()).await?;
+        self.send(&mut chunks, "data: [DONE]\n\n".to_owned()).await?;
+        Ok(chunks.finish().await?)
+    }
+
+    async fn send(&self, chunks: &mut ChunkWriter, event: String) -> Result<(), Closed> {
+        if !self.engine.faults.is_calm() {
+            self.engine.faults.pass(self.peer, self.cx).await?;
+        }
+        Ok(chunks.send(Bytes::from(event)).await?)
+    }
+
+    pub(super) async fn whole(
+        &self,
+        own: &Identity,
+        mut rx: UnboundedReceiver<Progress>,
+        out: Responder,
+    ) -> Result<(), Closed> {
+        let mut text = String::new();
+        let mut tokens = 0;
+        while let Some(Progress::Token(i)) = rx.next().await {
+            // Writing to a string does not fail.
+            let _ = write!(text, "w{i} ");
+            tokens += 1;
+        }
+        self.engine.faults.pass(self.peer, self.cx).await?;
+        let body = reply::to_json(&own.whole(&text, tokens));
+        let headers = reply::headers("application/json", &own.id);
+        let Some(after) = self.cut_after else {
+            return Ok(out.whole(StatusCode::OK, headers, body).await?);
+        };
+        let mut chunks = out.stream(StatusCode::OK, headers).await?;
+        chunks.send(body.slice(..after.min(body.len()))).await?;
+        Ok(())
+    }
+}
+
+impl Identity {
+    fn finish(&self) -> &'static str {
+        if self.is_cut { "length" } else { "stop" }
+    }
+
+    /// The last event before `[DONE]`.
+    fn last_event(&self) -> String {
+        let choice = match self.is_chat {
+            true => serde_json::json!({ "index": 0, "delta": {}, "finish_reason": self.finish() }),
+            false => serde_json::json!({ "index": 0, "text": "", "finish_reason": self.finish() }),
+        };
+        let event = serde_json::json!({
+            "id": self.id,
+            "object": self.chunk_object(),
+            "model": self.model,
+            "choices": [choice],
+        });
+        format!("data: {event}\n\n")
+    }
+
+    /// What stands before the text in each event; made once, because an answer has many.
+    fn event_head(&self) -> String {
+        let (id, model) = (serde_json::json!(self.id), serde_json::json!(self.model));
+        let object = self.chunk_object();
+        let text = if self.is_chat {
+            r#""delta":{"role":"assistant","content":""#
+        } else {
+            r#""text":""#
+        };
+        format!(r#"data: {{"id":{id},"object":"{object}","model":{model},"choices":[{{"index":0,{text}"#)
+    }
+
+    /// What stands after the text in each event.
+    fn event_tail(&self) -> &'static str {
+        if self.is_chat {
+            "\"},\"finish_reason\":null}]}\n\n"
+        } else {
+            "\",\"finish_reason\":null}]}\n\n"
+        }
+    }
+
+    fn chunk_object(&self) -> &'static str {
+        if self.is_chat {
+            "chat.completion.chunk"
+        } else {
+            "text_completion"
+        }
+    }
+
+    fn whole(&self, text: &str, tokens: usize) -> serde_json::Value {
+        let choice = match self.is_chat {
+            true => serde_json::json!({
+                "index": 0,
+                "message": { "role": "assistant", "content": text },
+                "finish_reason": self.finish(),
+            }),
+            false => serde_json::json!({ "index": 0, "text": text, "finish_reason": self.finish() }),
+        };
+        serde_json::json!({
+            "id": self.id,
+            "object": if self.is_chat { "chat.completion" } else { "text_completion" },
+            "model": self.model,
+            "choices": [choice],
+            "usage": {
+                "prompt_tokens": self.prompt_tokens,
+                "completion_tokens": tokens,
+                "total_tokens": self.prompt_tokens + tokens,
+            },
+        })
+    }
+}
--- a/crates/celerytide-standin/src/engine/mod.rs
+++ b/crates/celerytide-standin/src/engine/mod.rs
@@ -1,11 +1,14 @@
 //! A model engine with continuous batching.
 //!
-//! [`batch`] decides in which step a request's prompt is read and its tokens appear; [`chat`] speaks the callers'
-//! interface; [`cache`] keeps prompt prefixes in limited memory; [`load`] reports with a lag; [`orders`] takes orders.
+//! [`batch`] decides in which step a request's prompt is read and its tokens appear, and [`drive`] gives it its clock;
+//! [`chat`] takes calls and [`answer`] sends what they get; [`cache`] keeps prompt prefixes in limited memory; [`load`]
+//! reports with a lag; [`orders`] takes orders.
 
+mod answer;
 mod batch;
 mod cache;
 mod chat;
+mod drive;
 mod load;
 mod options;
 mod orders;
@@ -60,7 +63,7 @@
     /// Cancelled and replaced whenever the engine falls over.
     life: RefCell<CancellationToken>,
     faults: Faults,
-    crossing: Crossing<chat::Identity>,
+    crossing: Crossing<answer::Identity>,
 }
 
 impl Engine {
@@ -81,7 +84,7 @@
             crossing: Crossing::default(),
             options: options.clone(),
         });
-        monoio::spawn(chat::drive(engine.clone()));
+        monoio::spawn(drive::drive(engine.clone()));
         monoio::spawn(load::observe(engine.clone()));
         Ok(engine)
     }
