--- a/crates/celerytide-load/src/report/mod.rs
+++ b/crates/celerytide-load/src/report/mod.rs
@@ -1,6 +1,7 @@
 //! A run's results as JSON, Markdown and plots.
 
 mod plots;
+mod seeds;
 
 use std::{fmt::Write, fs, io, path::Path};
 
@@ -8,6 +9,8 @@
 
 use crate::run::{ClassResult, Results};
 
+pub use seeds::seeds;
+
 const GIB: f64 = 1024.0 * 1024.0 * 1024.0;
 const PERCENT: f64 = 100.0;
 /// Causes that the table shows for each class.
--- a/crates/celerytide-load/src/run/mod.rs
+++ b/crates/celerytide-load/src/run/mod.rs
@@ -6,7 +6,7 @@
 
 use std::{
     fs, io,
-    path::PathBuf,
+    path::{Path, PathBuf},
     sync::Arc,
     thread,
     time::{Duration, Instant},
@@ -24,7 +24,7 @@
     scenario::{self, Action, Scenario},
 };
 
-pub use results::{ClassResult, Results, Second, summarise};
+pub use results::{ClassResult, PhaseEnd, Results, Second, attains, summarise};
 pub use send::{Progress, Record};
 pub use watch::Sample;
 
@@ -51,9 +51,9 @@
     /// folder for the results
     #[argh(option)]
     pub out: Option<PathBuf>,
-    /// seed in place of the scenario's
+    /// seed in place of the scenario's; more than one: a run each, and a table of all
     #[argh(option)]
-    pub seed: Option<u64>,
+    pub seed: Vec<u64>,
 }
 
 /// Why a run failed.
@@ -100,20 +100,49 @@
     action: Action,
 }
 
-/// Runs the scenario and writes its results.
+/// Runs the scenario with each seed and writes the results.
 pub fn run(options: &Options) -> Result<(), Error> {
-    let mut scenario = Scenario::load(&options.scenario)?;
-    scenario.seed = options.seed.unwrap_or(scenario.seed);
-    let results = measure(&scenario)?;
-    println!("{}", report::markdown(&results));
-    if let Some(folder) = &options.out {
-        fs::create_dir_all(folder)?;
-        report::write(&results, folder)?;
-        println!("written to {}", folder.display());
+    let scenario = Scenario::load(&options.scenario)?;
+    let own = [scenario.seed];
+    let seeds = if options.seed.is_empty() {
+        own.as_slice()
+    } else {
+        &options.seed
+    };
+    let mut all = Vec::new();
+    for seed in seeds {
+        let results = measure(&Scenario {
+            seed: *seed,
+            ..scenario.clone()
+        })?;
+        println!("{}", report::markdown(&results));
+        if let Some(folder) = &options.out {
+            let folder = if seeds.len() > 1 {
+                folder.join(format!("seed-{seed}"))
+            } else {
+                folder.clone()
+            };
+            write(&results, &folder)?;
+        }
+        all.push(results);
+    }
+    if all.len() > 1 {
+        let table = report::seeds(&all);
+        println!("{table}");
+        if let Some(folder) = &options.out {
+            fs::write(folder.join("seeds.md"), table)?;
+        }
     }
     Ok(())
 }
 
+fn write(results: &Results, folder: &Path) -> Result<(), Error> {
+    fs::create_dir_all(folder)?;
+    report::write(results, folder)?;
+    println!("written to {}", folder.display());
+    Ok(())
+}
+
 /// Runs the scenario.
 pub fn measure(scenario: &Scenario) -> Result<Results, Error> {
     let machine = Machine::read();
--- /dev/null
+++ b/crates/celerytide-load/tests/results.rs
@@ -0,0 +1,186 @@
+//! From single requests to figures, and from figures to tables.
+
+use std::time::Duration;
+
+use celerytide_load::{
+    fleet::Deployment,
+    machine::{Machine, Usage},
+    report,
+    run::{Record, Results, attains, summarise},
+    scenario::Scenario,
+};
+use celerytide_standin::config::Calls;
+
+fn scenario() -> Scenario {
+    Scenario {
+        name: "made-up".to_owned(),
+        about: String::new(),
+        seed: 1,
+        deployment: Deployment::demo(2).expect("deployment"),
+        traffic: Vec::new(),
+        phases: serde_saphyr::from_str("[{ name: p, seconds: 10, rates: {} }]").expect("phases"),
+    }
+}
+
+/// A request of the demo's first class: 1 s to the first token, 100 ms between tokens.
+fn request() -> Record {
+    Record {
+        phase: 0,
+        class: 0,
+        customer: 0,
+        at: Duration::from_millis(1500),
+        status: 200,
+        word: "done".to_owned(),
+        cause: String::new(),
+        done: true,
+        first: Some(Duration::from_millis(900)),
+        gap_p95: Duration::from_millis(90),
+        total: Duration::from_secs(2),
+        tokens: 10,
+    }
+}
+
+fn refused() -> Record {
+    let word = "not-run".to_owned();
+    let cause = "queue-full".to_owned();
+    Record {
+        status: 503,
+        word,
+        cause,
+        done: false,
+        first: None,
+        tokens: 0,
+        ..request()
+    }
+}
+
+fn results(seed: u64, records: &[Record]) -> Results {
+    let scenario = Scenario { seed, ..scenario() };
+    summarise(
+        &scenario,
+        Machine::read(),
+        records,
+        Vec::new(),
+        100,
+        Calls::default(),
+        true,
+    )
+}
+
+#[test]
+fn a_request_attains_only_with_all_its_targets() {
+    struct Case {
+        name: &'static str,
+        record: Record,
+        want: bool,
+    }
+    let late = Duration::from_millis(1001);
+    let cases = [
+        Case {
+            name: "all met",
+            record: request(),
+            want: true,
+        },
+        Case {
+            name: "first token late",
+            record: Record {
+                first: Some(late),
+                ..request()
+            },
+            want: false,
+        },
+        Case {
+            name: "tokens slow",
+            record: Record {
+                gap_p95: Duration::from_millis(101),
+                ..request()
+            },
+            want: false,
+        },
+        Case {
+            name: "broken",
+            record: Record {
+                done: false,
+                ..request()
+            },
+            want: false,
+        },
+        Case {
+            name: "refused",
+            record: refused(),
+            want: false,
+        },
+    ];
+    let class = &scenario().deployment.classes[0];
+    for case in &cases {
+        assert_eq!(attains(class, &case.record), case.want, "{}", case.name);
+    }
+}
+
+#[test]
+fn figures_add_up() {
+    let unknown = Record {
+        word: "unknown".to_owned(),
+        status: 502,
+        ..refused()
+    };
+    let wordless = Record {
+        word: String::new(),
+        status: 0,
+        ..refused()
+    };
+    let slow = Record {
+        first: Some(Duration::from_secs(3)),
+        ..request()
+    };
+    let records = [request(), slow, refused(), refused(), unknown, wordless];
+    let results = results(1, &records);
+    let whole = results
+        .classes
+        .iter()
+        .find(|class| class.phase.is_none())
+        .expect("first class");
+    assert_eq!(
+        (whole.sent, whole.done, whole.not_run, whole.unknown, whole.wordless),
+        (6, 2, 2, 1, 1)
+    );
+    assert_eq!((whole.attained, whole.first.count, whole.refusal.count), (1, 2, 2));
+    assert!((whole.attainment - 1.0 / 6.0).abs() < 1e-9);
+    assert_eq!(whole.causes.get("503 not-run: queue-full"), Some(&2));
+    assert_eq!((results.delivered_tokens, results.good_tokens), (20, 10));
+    assert_eq!(
+        (
+            results.seconds[0].second,
+            results.seconds[0].sent,
+            results.seconds[0].attained
+        ),
+        (1, 6, 1)
+    );
+    let text = report::markdown(&results);
+    assert!(text.contains("80.00 % wasted"), "{text}");
+    assert!(
+        text.contains("| lookup | 1 | **all** | 6 | 2 | 2 | 1 | 1 | 16.7 |"),
+        "{text}"
+    );
+}
+
+#[test]
+fn several_seeds_are_told_by_their_median() {
+    let one = results(1, &[request(), request()]);
+    let two = results(2, &[request(), refused()]);
+    let three = results(3, &[refused(), refused()]);
+    let text = report::seeds(&[two, three, one]);
+    assert!(text.contains("seeds 2, 3, 1"), "{text}");
+    assert!(text.contains("| lookup | 1 | **all** | 50.0 | 0.0 | 100.0 |"), "{text}");
+}
+
+#[test]
+fn a_process_use_of_the_machine_can_be_read() {
+    let before = Usage::read(std::process::id());
+    assert!(before.resident_bytes > 0);
+    let mut sum = 0_u64;
+    while Usage::read(std::process::id()).since(&before) < Duration::from_millis(30) {
+        sum = (0..100_000_u64).fold(sum, u64::wrapping_add);
+    }
+    assert_eq!(Usage::read(u32::MAX).resident_bytes, 0, "no such process");
+}
