--- a/crates/celerytide-membership/src/state/mod.rs
+++ b/crates/celerytide-membership/src/state/mod.rs
@@ -11,7 +11,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use celerytide_manifest::check_manifest;
+use celerytide_manifest::{Fault, check_manifest};
 use celerytide_types::{Boot, Incarnation, InstanceId, Version};
 
 use crate::fresh::{Freshness, PeersSay};
@@ -121,7 +121,7 @@
             Applied::Applied => "applied",
             Applied::Older => "older-version",
             Applied::OtherDigest => "same-version-other-digest",
-            Applied::Invalid(_) => "invalid",
+            Applied::Invalid(faults) => &invalid(faults),
         };
         inner.tell(Watched::Manifest, applied == Applied::Applied, cause, origin, version);
         applied
@@ -236,6 +236,15 @@
     }
 }
 
+/// The first fault and how many there are; each names line and field.
+fn invalid(faults: &[Fault]) -> String {
+    match faults {
+        [] => String::from("invalid"),
+        [only] => format!("invalid: {only}"),
+        [first, rest @ ..] => format!("invalid: {first} (and {} more)", rest.len()),
+    }
+}
+
 impl Origin {
     pub(super) fn name(&self) -> &str {
         match self {
