--- a/crates/celerytide-http/src/server/mod.rs
+++ b/crates/celerytide-http/src/server/mod.rs
@@ -7,6 +7,7 @@
 mod conn;
 mod listen;
 mod out;
+mod queue;
 mod refuse;
 mod responder;
 
--- a/crates/celerytide-http/src/server/out.rs
+++ b/crates/celerytide-http/src/server/out.rs
@@ -1,24 +1,22 @@
 //! The bytes between a handler and its connection.
 //!
-//! The handler's side appends, the connection's side takes. Small pieces gather in one buffer and leave in one
-//! write; a large one is handed on without a copy. The handler waits while more than [`ROOM`] bytes wait.
+//! The handler's side appends to a [`Queue`], the connection's side takes from it. The handler waits while [`ROOM`]
+//! bytes or more wait.
 
 use std::cell::RefCell;
-use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::task::{Poll, Waker};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
 use tokio_util::sync::CancellationToken;
 
+use super::queue::Queue;
 use super::responder::Gone;
 use crate::wire::{Length, answer_head, chunk_end, chunk_line};
 
 /// Bytes that may wait before a sender has to.
 const ROOM: usize = 4 * 1024;
-/// Pieces up to this size are copied to the gathering buffer, in bytes.
-const COPY_MAX: usize = 8 * 1024;
 
 /// How far an answer is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -60,9 +58,7 @@
     phase: Phase,
     bodiless: bool,
     close: bool,
-    parts: VecDeque<Bytes>,
-    tail: BytesMut,
-    waiting: usize,
+    queue: Queue,
     writing: bool,
     sender: Option<Waker>,
     pump: Option<Waker>,
@@ -81,9 +77,7 @@
             phase: Phase::Head,
             bodiless: false,
             close: style.close,
-            parts: VecDeque::new(),
-            tail: BytesMut::new(),
-            waiting: 0,
+            queue: Queue::default(),
             writing: false,
             sender: None,
             pump: None,
@@ -119,10 +113,9 @@
         } else {
             Length::Fixed(body.len())
         };
-        answer_head(&mut state.tail, status, headers, length, close);
-        state.waiting = state.tail.len();
+        answer_head(state.queue.tail(), status, headers, length, close);
         if !self.style.head_only && !forbids_body(status) {
-            state.push(body);
+            state.queue.push(body);
         }
         state.enter(Phase::Done);
         Ok(())
@@ -139,8 +132,7 @@
         } else {
             Length::Chunked
         };
-        answer_head(&mut state.tail, status, headers, length, close);
-        state.waiting = state.tail.len();
+        answer_head(state.queue.tail(), status, headers, length, close);
         state.bodiless = self.style.head_only || forbids_body(status);
         state.enter(Phase::Chunks);
         Ok(())
@@ -156,11 +148,9 @@
         if state.bodiless {
             return Ok(());
         }
-        let before = state.tail.len();
-        chunk_line(&mut state.tail, data.len());
-        state.waiting += state.tail.len() - before;
-        state.push(data);
-        state.tail.extend_from_slice(b"\r\n");
+        chunk_line(state.queue.tail(), data.len());
+        state.queue.push(data);
+        state.queue.tail().extend_from_slice(b"\r\n");
         state.wake_pump();
         Ok(())
     }
@@ -170,7 +160,7 @@
         let mut state = self.state.borrow_mut();
         state.check()?;
         if !state.bodiless {
-            chunk_end(&mut state.tail);
+            chunk_end(state.queue.tail());
         }
         state.enter(Phase::Done);
         Ok(())
@@ -187,9 +177,7 @@
     /// Notes that the caller can't be written to.
     pub(super) fn lose(&self) {
         let mut state = self.state.borrow_mut();
-        state.parts.clear();
-        state.tail.clear();
-        state.waiting = 0;
+        state.queue.clear();
         state.writing = false;
         state.phase = Phase::Gone;
         state.wake_sender();
@@ -202,7 +190,7 @@
             if state.phase == Phase::Gone {
                 return Poll::Ready(Err(Gone));
             }
-            if state.waiting == 0 && state.tail.is_empty() && !state.writing {
+            if state.queue.len() == 0 && !state.writing {
                 return Poll::Ready(Ok(()));
             }
             state.sender = Some(cx.waker().clone());
@@ -216,7 +204,7 @@
         poll_fn(|cx| {
             let mut state = self.state.borrow_mut();
             state.writing = false;
-            if let Some(part) = state.take() {
+            if let Some(part) = state.queue.take() {
                 state.writing = true;
                 state.wake_sender();
                 return Poll::Ready(Some(part));
@@ -237,7 +225,7 @@
             if state.phase != Phase::Chunks {
                 return Poll::Ready(Err(Gone));
             }
-            if state.waiting < ROOM {
+            if state.queue.len() < ROOM {
                 return Poll::Ready(Ok(()));
             }
             state.sender = Some(cx.waker().clone());
@@ -260,29 +248,6 @@
         self.wake_pump();
     }
 
-    fn push(&mut self, data: Bytes) {
-        self.waiting += data.len();
-        if data.len() <= COPY_MAX {
-            self.tail.extend_from_slice(&data);
-            return;
-        }
-        let before = self.tail.split().freeze();
-        if !before.is_empty() {
-            self.parts.push_back(before);
-        }
-        self.parts.push_back(data);
-    }
-
-    fn take(&mut self) -> Option<Bytes> {
-        let part = match self.parts.pop_front() {
-            Some(part) => part,
-            None if self.tail.is_empty() => return None,
-            None => self.tail.split().freeze(),
-        };
-        self.waiting = self.tail.len() + self.parts.iter().map(Bytes::len).sum::<usize>();
-        Some(part)
-    }
-
     fn wake_pump(&mut self) {
         if let Some(waker) = self.pump.take() {
             waker.wake();
