feat(http): callers' bodies share a bound

Cause: 4096 connections times 4 MiB of body could hold 16 GiB. Ruled out: a further field in Limits (entry builds it whole); the bound is 64 bodies of the largest size. Before: bodies_of_all_callers_share_a_bound fails with the bound switched off. After: it passes; 40 tests pass. Conclusion: with the defaults bodies hold at most 256 MiB; beyond that callers get 503, not run, with retry-after.

--- a/crates/celerytide-http/src/limits.rs
+++ b/crates/celerytide-http/src/limits.rs
@@ -16,7 +16,7 @@
 pub struct Limits {
     /// Bytes of a head, its empty line included.
     pub max_head: usize,
-    /// Bytes of a body.
+    /// Bytes of a body. All connections together hold 64 times as much; a body beyond that is refused with 503.
     pub max_body: usize,
     /// Time for a whole head, from its first byte (on a new connection, from its start).
     pub head: Duration,
--- a/crates/celerytide-http/src/server/conn.rs
+++ b/crates/celerytide-http/src/server/conn.rs
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 use tracing::debug;
 
+use super::budget::{Budget, Hold};
 use super::out::{Out, Phase, Style};
 use super::refuse::{self, Refusal};
 use super::{Handler, Request, Responder};
@@ -56,6 +57,7 @@
     peer: SocketAddr,
     limits: Limits,
     handler: Rc<H>,
+    budget: Budget,
     cx: CancellationToken,
 }
 
@@ -65,6 +67,7 @@
     peer: SocketAddr,
     limits: Limits,
     handler: Rc<H>,
+    budget: Budget,
     cx: CancellationToken,
 ) {
     let (r, w) = stream.into_split();
@@ -74,6 +77,7 @@
         peer,
         limits,
         handler,
+        budget,
         cx,
     };
     let mut idle = limits.head;
@@ -127,7 +131,8 @@
         self.wait_first_byte(idle).await?;
         let head = self.read_head().await?;
         let framing = request_framing(&head.method, head.version, &head.headers)?;
-        let body = self.read_body(&head, framing).await?;
+        let mut hold = self.budget.hold();
+        let body = self.read_body(&head, framing, &mut hold).await?;
         self.answer(head, body).await
     }
 
@@ -152,15 +157,16 @@
         }
     }
 
-    async fn read_body(&mut self, head: &RequestHead, framing: Framing) -> Result<Bytes, End> {
+    async fn read_body(&mut self, head: &RequestHead, framing: Framing, hold: &mut Hold) -> Result<Bytes, End> {
         match framing {
             Framing::Empty => return Ok(Bytes::new()),
             Framing::Length(len) if len > self.limits.max_body => return Err(Fault::BodyTooLarge.into()),
+            Framing::Length(len) if !hold.grow(len) => return Err(End::Refuse(refuse::too_much())),
             Framing::Length(_) | Framing::Chunked => {}
         }
         self.welcome_body(&head.headers).await?;
         let max = self.limits.max_body;
-        let read = collect(&mut self.reader, framing, max);
+        let read = collect(&mut self.reader, framing, max, hold);
         match timeout(self.limits.body, read).await {
             Ok(body) => body,
             Err(_) => Err(End::Refuse(refuse::too_slow())),
@@ -232,7 +238,7 @@
     pending().await
 }
 
-async fn collect(reader: &mut Reader, framing: Framing, max: usize) -> Result<Bytes, End> {
+async fn collect(reader: &mut Reader, framing: Framing, max: usize, hold: &mut Hold) -> Result<Bytes, End> {
     if let Framing::Length(len) = framing {
         return collect_fixed(reader, len).await;
     }
@@ -242,6 +248,7 @@
         match body.take(reader)? {
             Piece::End => return Ok(whole.freeze()),
             Piece::Data(data) if whole.len() + data.len() > max => return Err(Fault::BodyTooLarge.into()),
+            Piece::Data(data) if !hold.grow(data.len()) => return Err(End::Refuse(refuse::too_much())),
             Piece::Data(data) => whole.extend_from_slice(&data),
             Piece::More => fill(reader).await?,
         }
--- a/crates/celerytide-http/src/server/listen.rs
+++ b/crates/celerytide-http/src/server/listen.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 use tracing::{debug, warn};
 
+use super::budget::Budget;
 use super::{Handler, conn};
 use crate::{Limits, wire};
 
@@ -25,6 +26,9 @@
 /// Share of the connection bound that may be busy with refusals beyond it.
 const REFUSAL_SHARE: usize = 8;
 
+/// Bodies of the largest size that all connections may hold at once.
+const HELD_BODIES: usize = 64;
+
 /// The listener can't be used.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -53,6 +57,7 @@
 #[derive(Clone)]
 struct Slot {
     count: Rc<()>,
+    budget: Budget,
     _live: mpsc::Sender<Infallible>,
 }
 
@@ -68,6 +73,7 @@
     let (live, mut ended) = mpsc::channel(0);
     let slot = Slot {
         count: Rc::new(()),
+        budget: Budget::new(limits.max_body.saturating_mul(HELD_BODIES)),
         _live: live,
     };
     let res = accept_all(&listener, limits, &handler, &slot, &cx).await;
@@ -125,7 +131,7 @@
     if live < limits.connections {
         let (handler, cx) = (Rc::clone(handler), cx.clone());
         monoio::spawn(async move {
-            conn::run(stream, peer, limits, handler, cx).await;
+            conn::run(stream, peer, limits, handler, slot.budget.clone(), cx).await;
             drop(slot);
         });
     } else if live < limits.connections + limits.connections / REFUSAL_SHARE + 1 {
--- a/crates/celerytide-http/src/server/mod.rs
+++ b/crates/celerytide-http/src/server/mod.rs
@@ -4,6 +4,7 @@
 //! [`Responder`], whole or in chunks. The connection's own task writes: what the handler hands over in one go leaves
 //! in one write, and a handler waits while its caller is slow.
 
+mod budget;
 mod conn;
 mod listen;
 mod out;
--- a/crates/celerytide-http/src/server/refuse.rs
+++ b/crates/celerytide-http/src/server/refuse.rs
@@ -72,14 +72,16 @@
 
 /// All connections are in use; nothing was read.
 pub(super) fn too_many() -> Refusal {
-    let message = "too many connections";
-    let mut answer = refusal(
-        StatusCode::SERVICE_UNAVAILABLE,
-        SERVER,
-        "connections-full",
-        message,
-        Word::NotRun,
-    );
+    busy("connections-full", "too many connections")
+}
+
+/// The memory for bodies is in use; nothing was forwarded.
+pub(super) fn too_much() -> Refusal {
+    busy("memory-full", "too many bytes of requests are held")
+}
+
+fn busy(code: &str, message: &str) -> Refusal {
+    let mut answer = refusal(StatusCode::SERVICE_UNAVAILABLE, SERVER, code, message, Word::NotRun);
     answer.headers.insert(RETRY_AFTER, RETRY_SECONDS);
     answer
 }
--- a/crates/celerytide-http/tests/callers.rs
+++ b/crates/celerytide-http/tests/callers.rs
@@ -468,3 +468,45 @@
         server.stop().await;
     });
 }
+
+fn hold(addr: std::net::SocketAddr, input: &str) -> std::net::TcpStream {
+    let mut peer = std::net::TcpStream::connect(addr).expect("connect");
+    std::io::Write::write_all(&mut peer, input.as_bytes()).expect("held");
+    peer
+}
+
+#[test]
+fn bodies_of_all_callers_share_a_bound() {
+    run(async {
+        let limits = Limits {
+            max_body: 60,
+            ..Limits::default()
+        };
+        let server = Server::start(limits, Echo);
+        let half = format!("{POST}content-length: 60\r\n\r\nhalf");
+        let held: Vec<_> = (0..63).map(|_| hold(server.addr, &half)).collect();
+        let rest = hold(server.addr, &half.replace("60", "20"));
+        monoio::time::sleep(Duration::from_millis(50)).await;
+        let inputs = [
+            format!("{POST}content-length: 60\r\n\r\n"),
+            format!("{CHUNKED}28\r\n{}\r\n14\r\n", "z".repeat(40)) + &"z".repeat(20) + "\r\n",
+        ];
+        for input in inputs {
+            let got = raw(server.addr, input.into(), false).await;
+            assert_eq!(got.status(), Some(503), "{got:?}");
+            assert!(
+                got.text.contains("memory-full") && got.text.contains("celerytide-word: not-run"),
+                "{got:?}"
+            );
+        }
+        let fits = format!(
+            "{POST}connection: close\r\ncontent-length: 40\r\n\r\n{}",
+            "z".repeat(40)
+        );
+        for _ in 0..3 {
+            assert_eq!(raw(server.addr, fits.clone().into(), false).await.status(), Some(200));
+        }
+        drop((held, rest));
+        server.stop().await;
+    });
+}
