feat(cli): check, status, audit, explain and version

Cause: operators and pipelines need one command for documents and for what daemons say of themselves. Not run: against real daemons.

--- /dev/null
+++ b/crates/celerytide-cli/src/args/mod.rs
@@ -0,0 +1,137 @@
+//! The command line's arguments.
+
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+use celerytide_manifest::DocumentKind;
+
+/// Checks documents and asks daemons. Exit codes: 0 fine, 1 findings, 2 usage, 3 unreachable.
+#[derive(Debug, PartialEq, FromArgs)]
+pub struct Args {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+/// What the command line asks for.
+#[derive(Debug, PartialEq, FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    /// Check documents.
+    Check(Check),
+    /// Show daemons' state.
+    Status(Status),
+    /// Show a daemon's changes.
+    Audit(Audit),
+    /// Show a request's steps.
+    Explain(Explain),
+    /// Show the version.
+    Version(Version),
+}
+
+/// Check manifests and settings; each fault names file, line, column and field.
+#[derive(Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct Check {
+    /// files to check
+    #[argh(positional)]
+    pub files: Vec<String>,
+    /// manifest, entry or dispatch; told from a document's fields when absent
+    #[argh(option, from_str_fn(parse_kind))]
+    pub kind: Option<DocumentKind>,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Show what daemons say of themselves, and whether they agree on the manifest.
+#[derive(Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct Status {
+    /// operators' addresses, IP:PORT
+    #[argh(positional)]
+    pub addresses: Vec<SocketAddr>,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Show the changes that a daemon applied or refused.
+#[derive(Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "audit")]
+pub struct Audit {
+    /// operators' address, IP:PORT
+    #[argh(positional)]
+    pub address: SocketAddr,
+    /// show changes after this number only
+    #[argh(option, default = "0")]
+    pub since: u64,
+    /// yes to go on and show changes as they come; no (the default) to end
+    #[argh(option, default = "false", from_str_fn(parse_yes_no))]
+    pub follow: bool,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Show the steps of a request and its final word.
+#[derive(Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct Explain {
+    /// the request's id, as the answer's x-request-id gives it
+    #[argh(positional)]
+    pub request: String,
+    /// operators' address to ask, IP:PORT; further ones may follow it
+    #[argh(option)]
+    pub at: Vec<SocketAddr>,
+    /// further operators' addresses
+    #[argh(positional)]
+    pub more: Vec<SocketAddr>,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Show the version.
+#[derive(Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "version")]
+pub struct Version {
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Why the command line names nothing to do.
+pub(crate) enum Stop {
+    /// Help was asked for.
+    Help(String),
+    /// The command line is wrong.
+    Usage(String),
+}
+
+/// Reads the command line.
+pub(crate) fn parse(command: &str, args: &[&str]) -> Result<Command, Stop> {
+    let args = Args::from_args(&[command], args).map_err(|exit| match exit.status {
+        Ok(()) => Stop::Help(exit.output),
+        Err(()) => Stop::Usage(exit.output),
+    })?;
+    match &args.command {
+        Command::Check(cmd) if cmd.files.is_empty() => Err(Stop::Usage("check needs a file".to_owned())),
+        Command::Status(cmd) if cmd.addresses.is_empty() => Err(Stop::Usage("status needs an address".to_owned())),
+        Command::Explain(cmd) if cmd.at.is_empty() => Err(Stop::Usage("explain needs --at with an address".to_owned())),
+        _ => Ok(args.command),
+    }
+}
+
+fn parse_kind(text: &str) -> Result<DocumentKind, String> {
+    let kind = DocumentKind::ALL.into_iter().find(|kind| kind.as_str() == text);
+    kind.ok_or_else(|| "a kind is manifest, entry or dispatch".to_owned())
+}
+
+fn parse_yes_no(text: &str) -> Result<bool, String> {
+    match text {
+        "yes" => Ok(true),
+        "no" => Ok(false),
+        _ => Err("follow is yes or no".to_owned()),
+    }
+}
--- /dev/null
+++ b/crates/celerytide-manifest/src/check/guess.rs
@@ -0,0 +1,56 @@
+//! The kind of a document, told from its fields.
+
+use super::DOCUMENT_MAX_BYTES;
+use crate::DocumentKind;
+use crate::node::{self, Content};
+
+const MANIFEST_FIELDS: [&str; 8] = [
+    "format",
+    "version",
+    "event",
+    "zones",
+    "services",
+    "classes",
+    "customers",
+    "orders",
+];
+const ENTRY_FIELDS: [&str; 2] = ["caller_address", "limits"];
+const SETTINGS_FIELDS: [&str; 8] = [
+    "instance",
+    "zone",
+    "region",
+    "operator_address",
+    "peer_address",
+    "platform",
+    "timeouts",
+    "log",
+];
+
+/// The kind whose fields stand at the document's top, if any do.
+pub fn guess_kind(text: &str) -> Option<DocumentKind> {
+    let keys = top_keys(text);
+    let has = |names: &[&str]| keys.iter().any(|key| names.contains(&key.as_str()));
+    if has(&ENTRY_FIELDS) {
+        return Some(DocumentKind::Entry);
+    }
+    if has(&SETTINGS_FIELDS) {
+        return Some(DocumentKind::Dispatch);
+    }
+    has(&MANIFEST_FIELDS).then_some(DocumentKind::Manifest)
+}
+
+/// The top fields; where the text is no YAML, the words before a colon at the start of a line.
+fn top_keys(text: &str) -> Vec<String> {
+    let root = (text.len() <= DOCUMENT_MAX_BYTES)
+        .then(|| node::parse(text).ok())
+        .flatten();
+    match root.map(|root| root.content) {
+        Some(Content::Object(entries)) => entries.into_iter().map(|entry| entry.key).collect(),
+        Some(_) => Vec::new(),
+        None => text
+            .lines()
+            .filter_map(|line| line.split_once(':'))
+            .map(|(key, _)| key.to_owned())
+            .collect(),
+    }
+}
--- a/crates/celerytide-manifest/src/check/mod.rs
+++ b/crates/celerytide-manifest/src/check/mod.rs
@@ -3,10 +3,13 @@
 //! A check has two passes. The first looks at each field by itself: its name, type, format and bounds, as the JSON
 //! Schema states them. The second looks at what fields say together. Both report every fault that they find.
 
+mod guess;
 mod manifest;
 mod settings;
 mod unique;
 
+pub use guess::guess_kind;
+
 use celerytide_types::{Digest, data};
 use serde::de::DeserializeOwned;
 use sha2::{Digest as _, Sha256};
--- a/crates/celerytide-manifest/src/lib.rs
+++ b/crates/celerytide-manifest/src/lib.rs
@@ -13,7 +13,9 @@
 mod settings;
 mod shape;
 
-pub use check::{Checked, DOCUMENT_MAX_BYTES, check_dispatch_settings, check_entry_settings, check_manifest, hash_key};
+pub use check::{
+    Checked, DOCUMENT_MAX_BYTES, check_dispatch_settings, check_entry_settings, check_manifest, guess_kind, hash_key,
+};
 pub use fault::Fault;
 pub use model::{
     Action, Class, Customer, EndpointSpec, Event, Manifest, Order, OrderKind, Service, ServiceKind, TicketRule, Zone,
