--- a/crates/celerytide-manifest/examples/time_check.rs
+++ b/crates/celerytide-manifest/examples/time_check.rs
@@ -13,6 +13,8 @@
     let faulty = valid.replace("weight: 1", "weight: 0");
     time("valid", &valid);
     time("a fault for each customer", &faulty);
+    time("many services and classes", &generate_services());
+    time("many unknown fields", &generate_unknown());
 }
 
 fn time(name: &str, text: &str) {
@@ -36,6 +38,39 @@
     elapsed
 }
 
+/// As many services as fit, each with one class.
+fn generate_services() -> String {
+    const PAIRS: usize = 9000;
+    let mut text = String::from("format: 1\nversion: 1\nevent: {name: e, start: 2027-01-01T00:00:00Z}\n");
+    text.push_str("zones: []\ncustomers: []\nservices:\n");
+    for i in 0..PAIRS {
+        text.push_str(&format!("- {{id: s{i}, kind: plain, endpoints: []}}\n"));
+    }
+    text.push_str("classes:\n");
+    for i in 0..PAIRS {
+        text.push_str(&format!(
+            "- {{name: c{i}, service: s{i}, tier: 1, first_token: 1s, default: true}}\n"
+        ));
+    }
+    text
+}
+
+/// Unknown fields up to the largest document.
+fn generate_unknown() -> String {
+    let lines = (0..).map(|i| format!("k{i}: 1\n"));
+    let mut text = String::new();
+    for line in lines.take_while({
+        let mut bytes = 0;
+        move |line| {
+            bytes += line.len();
+            bytes <= DOCUMENT_MAX_BYTES
+        }
+    }) {
+        text.push_str(&line);
+    }
+    text
+}
+
 /// Endpoints of the target size, then customers up to the largest document.
 fn generate() -> String {
     let mut text = String::from("format: 1\nversion: 1\nevent: {name: e, start: 2027-01-01T00:00:00Z}\n");
--- a/crates/celerytide-manifest/src/check/settings.rs
+++ b/crates/celerytide-manifest/src/check/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::unique::Unique;
 use crate::report::Report;
 use crate::{DispatchSettings, EntrySettings, Platform};
 
@@ -100,13 +101,11 @@
 }
 
 fn remotes(field: &str, addresses: &[SocketAddr], report: &mut Report<'_>) {
+    let mut seen = Unique::new("each address once");
     for (i, address) in addresses.iter().enumerate() {
         let path = format!("{field}[{i}]");
         reachable(&path, *address, REMOTE_ALLOWED, report);
-        if let Some(first) = addresses[..i].iter().position(|earlier| earlier == address) {
-            let message = format!("{address} repeats {field}[{first}]");
-            report.add(&path, message, "each address once");
-        }
+        seen.note(address, &address.to_string(), path, report);
     }
 }
 
--- a/crates/celerytide-manifest/src/report/mod.rs
+++ b/crates/celerytide-manifest/src/report/mod.rs
@@ -5,11 +5,16 @@
 use crate::Fault;
 use crate::node::{Node, Place};
 
+/// Most faults kept of one document; all further ones are counted.
+const FAULTS_MAX: usize = 10_000;
+
 /// Collects the faults of one document.
 pub(crate) struct Report<'n> {
     file: &'n str,
     root: &'n Node,
     faults: Vec<Fault>,
+    /// Faults beyond the most that are kept.
+    unshown: usize,
     /// Paths whose value was replaced.
     distrusted: BTreeSet<String>,
 }
@@ -21,12 +26,17 @@
             file,
             root,
             faults: Vec::new(),
+            unshown: 0,
             distrusted: BTreeSet::new(),
         }
     }
 
     /// Adds a fault at a known place.
     pub(crate) fn add_at(&mut self, place: Place, path: &str, message: String, allowed: String) {
+        if self.faults.len() == FAULTS_MAX {
+            self.unshown += 1;
+            return;
+        }
         self.faults.push(Fault {
             file: self.file.to_owned(),
             line: place.line,
@@ -68,8 +78,20 @@
 
     /// The faults in the document's order.
     pub(crate) fn into_faults(self) -> Vec<Fault> {
+        let (file, unshown) = (self.file.to_owned(), self.unshown);
+        let end = self.root.place;
         let mut faults = self.faults;
         faults.sort_by(|a, b| (a.line, a.column, &a.field).cmp(&(b.line, b.column, &b.field)));
+        if unshown > 0 {
+            faults.push(Fault {
+                file,
+                line: end.line,
+                column: end.column,
+                field: String::new(),
+                message: format!("{unshown} further faults are not shown"),
+                allowed: format!("a report of {FAULTS_MAX} faults"),
+            });
+        }
         faults
     }
 }
--- a/crates/celerytide-manifest/tests/documents.rs
+++ b/crates/celerytide-manifest/tests/documents.rs
@@ -111,6 +111,19 @@
     );
 }
 
+#[test]
+fn a_report_is_bounded_and_says_so() {
+    let text: String = (0..10_100).map(|i| format!("k{i}: 1\n")).collect();
+    let faults = check_manifest("m.yaml", &text).expect_err("unknown fields");
+    assert_eq!(faults.len(), 10_001);
+    let last = faults.last().map(ToString::to_string).unwrap_or_default();
+    // 10100 unknown fields and the seven required ones that are missing, less those shown.
+    assert_eq!(
+        last,
+        "m.yaml:1:1: 107 further faults are not shown (allowed: a report of 10000 faults)"
+    );
+}
+
 #[test]
 fn aliases_cannot_grow_a_document_without_bound() {
     let mut text = "a0: &a0 [x, x, x, x, x, x, x, x, x, x]\n".to_owned();
