--- a/crates/celerytide-manifest/tests/documents.rs
+++ b/crates/celerytide-manifest/tests/documents.rs
@@ -156,3 +156,34 @@
         );
     }
 }
+
+/// Every field of a schema, nested ones by their own name.
+fn field_names(schema: &serde_json::Value) -> Vec<String> {
+    let blocks = schema["$defs"].as_object().into_iter().flat_map(|defs| defs.values());
+    let objects = blocks
+        .chain([schema])
+        .filter_map(|block| block["properties"].as_object());
+    objects.flat_map(|fields| fields.keys().cloned()).collect()
+}
+
+#[test]
+fn the_pages_name_every_field() {
+    let pages = [
+        (DocumentKind::Manifest, "MANIFEST.md"),
+        (DocumentKind::Entry, "SETTINGS.md"),
+        (DocumentKind::Dispatch, "SETTINGS.md"),
+    ];
+    for (kind, page) in pages {
+        let path = format!("{}/../../docs/{page}", env!("CARGO_MANIFEST_DIR"));
+        let text = std::fs::read_to_string(path).expect("a page");
+        let names = field_names(&kind.schema());
+        assert!(names.len() > 20, "{names:?}");
+        for name in names {
+            let rows = [format!("| `{name}` |"), format!(".{name}` |")];
+            assert!(
+                rows.iter().any(|row| text.contains(row.as_str())),
+                "{page} has no row for {name}"
+            );
+        }
+    }
+}
