--- a/crates/celerytide-policy/src/lib.rs
+++ b/crates/celerytide-policy/src/lib.rs
@@ -14,10 +14,12 @@
 mod pool;
 mod status;
 
+pub mod budget;
 pub mod check;
 pub mod drain;
 pub mod fair;
 pub mod lengths;
+pub mod limits;
 pub mod place;
 pub mod ramp;
 
--- /dev/null
+++ b/crates/celerytide-policy/src/limits/bucket/mod.rs
@@ -0,0 +1,52 @@
+//! A token bucket that needs no timer.
+
+use std::time::Duration;
+
+use celerytide_types::Boot;
+
+use super::Limit;
+
+/// Longest wait that is told.
+const WAIT_MAX_SECONDS: f64 = 3600.0;
+
+/// Tokens of one customer.
+#[derive(Debug, Clone)]
+pub struct Bucket {
+    tokens: f64,
+    limit: Limit,
+    at: Boot,
+}
+
+impl Bucket {
+    /// A full bucket.
+    pub fn full(now: Boot, limit: Limit) -> Bucket {
+        Bucket {
+            tokens: limit.burst,
+            limit,
+            at: now,
+        }
+    }
+
+    /// Takes a token under a limit that may have changed; the time until one comes free if there is none.
+    pub fn take(&mut self, now: Boot, limit: Limit) -> Option<Duration> {
+        self.limit = limit;
+        self.tokens = self.tokens_at(now);
+        self.at = self.at.max(now);
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return None;
+        }
+        let seconds = (1.0 - self.tokens) / limit.per_second.max(1e-9);
+        Some(Duration::from_secs_f64(seconds.min(WAIT_MAX_SECONDS)))
+    }
+
+    /// Whether it is full again, so that it need not be kept.
+    pub fn is_full(&self, now: Boot) -> bool {
+        self.tokens_at(now) >= self.limit.burst
+    }
+
+    fn tokens_at(&self, now: Boot) -> f64 {
+        let earned = now.since(self.at).as_secs_f64() * self.limit.per_second;
+        (self.tokens + earned).min(self.limit.burst)
+    }
+}
