--- a/crates/celerytide-policy/tests/rules.rs
+++ b/crates/celerytide-policy/tests/rules.rs
@@ -61,6 +61,12 @@
     assert_eq!(pool.preempt(at_ms(700)), None, "one slot is enough for one ask");
     pool.settle(at_ms(710), victim, Ended::Cancelled);
     assert_eq!(grants(&mut pool, at_ms(710))[0].ask, urgent);
+    queue(&mut pool, at_ms(720), ask("high", "c", 900));
+    assert_eq!(
+        pool.preempt(at_ms(720)),
+        Some(running[2]),
+        "the next urgent ask takes the next one"
+    );
 }
 
 #[test]
@@ -395,6 +401,34 @@
     assert_eq!((shed[0].ask, shed[0].why), (last, Refusal::QueueFull));
 }
 
+#[test]
+fn full_queue_sheds_the_lowest_excess_and_no_share() {
+    let opts = Options {
+        max_queued: 10,
+        ..Options::default()
+    };
+    let classes = vec![class("high", 1, 0.0), class("mid", 2, 0.0), class("low", 3, 0.2)];
+    let mut pool = pool(opts, vec![endpoint("e", 1, 1)], classes);
+    let mut low = Vec::new();
+    for step in 0..4 {
+        low.push(queue(&mut pool, at_ms(0), ask("low", "c", 1000 + step)));
+    }
+    let mid: Vec<u64> = (0..6)
+        .map(|step| queue(&mut pool, at_ms(0), ask("mid", "c", 1000 + step)))
+        .collect();
+    let mut shed = Vec::new();
+    for _ in 0..3 {
+        queue(&mut pool, at_ms(0), ask("high", "c", 1000));
+        shed.extend(
+            pool.expire(at_ms(0))
+                .into_iter()
+                .map(|refused| (refused.ask, refused.why)),
+        );
+    }
+    let why = Refusal::ShedForHigherTier;
+    assert_eq!(shed, [(low[3], why), (low[2], why), (mid[5], why)]);
+}
+
 #[test]
 fn wait_beyond_the_deadline_is_refused_at_once() {
     let mut pool = warm(Options::default());
