feat(dispatch,entry): orders to endpoints; limits and retry budget from the policy crate

Cause: orders were missing; the entry held its own token buckets beside the policy crate's. Ruled out: orders by whoever sees the endpoint (two owners would flap); repeating on each manifest version (the same orders stay given). Before: no order reached an engine; two bucket implementations. Conclusion: one settled owner orders, numbered by the manifest; one implementation of limits.

--- a/crates/celerytide-dispatch/src/daemon/mod.rs
+++ b/crates/celerytide-dispatch/src/daemon/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::dispatch::{Dispatch, Peers};
 use crate::status::DispatchStatus;
-use crate::{muster, report};
+use crate::{muster, orders, report};
 
 /// Time between looks at deadlines, standings and plans.
 const TICK: Duration = Duration::from_millis(20);
@@ -38,6 +38,7 @@
     monoio::spawn(refresh(dispatch.clone()));
     monoio::spawn(muster::run(node.clone(), dispatch.pools.clone(), settings.peer_address));
     monoio::spawn(report::run(dispatch.clone()));
+    monoio::spawn(orders::run(dispatch.clone()));
     tracing::info!(instance = node.instance, address = %settings.peer_address, "dispatch: serving entries");
     node.stop.cancelled().await;
     Ok(stop(&dispatch).await)
--- a/crates/celerytide-dispatch/src/dispatch/mod.rs
+++ b/crates/celerytide-dispatch/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 use celerytide_wire::{Exchange, Service};
 
 use crate::metrics::DispatchMetrics;
+use crate::orders::Orders;
 use crate::pools::Pools;
 use crate::{handover, permit};
 
@@ -19,6 +20,8 @@
     pub settings: DispatchSettings,
     /// Owned pools.
     pub pools: Rc<Pools>,
+    /// Orders to endpoints.
+    pub orders: Orders,
     /// Counters.
     pub metrics: DispatchMetrics,
 }
@@ -33,6 +36,7 @@
             node,
             settings,
             pools,
+            orders: Orders::default(),
             metrics,
         }
     }
--- a/crates/celerytide-dispatch/src/lib.rs
+++ b/crates/celerytide-dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod handover;
 pub mod metrics;
 pub mod muster;
+pub mod orders;
 pub mod permit;
 pub mod plan;
 pub mod pools;
--- a/crates/celerytide-dispatch/src/report/mod.rs
+++ b/crates/celerytide-dispatch/src/report/mod.rs
@@ -64,6 +64,7 @@
         let (dispatch, slot, asked) = (dispatch.clone(), slot.clone(), asked.clone());
         monoio::spawn(async move {
             if let Some(load) = ask(&dispatch, addr).await {
+                dispatch.orders.started(&endpoint, load.started_unix_ms);
                 slot.report(&endpoint, load);
             }
             asked.borrow_mut().remove(&endpoint);
--- a/crates/celerytide-entry/src/entry/mod.rs
+++ b/crates/celerytide-entry/src/entry/mod.rs
@@ -8,7 +8,6 @@
 pub use handler::Callers;
 pub use peers::Peers;
 
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -51,7 +50,7 @@
     /// Outcomes of entries that stopped.
     pub copies: Copies,
     /// Bounds repeated attempts.
-    pub retries: RefCell<Retries>,
+    pub retries: Retries,
     /// Customers' limits.
     pub limits: Limits,
     /// Counters.
@@ -77,7 +76,7 @@
             acquire,
             home: Home::new(id, home_options(&settings)),
             copies: Copies::new(settings.limits.max_outcome_bytes),
-            retries: RefCell::default(),
+            retries: Retries::default(),
             limits: Limits::default(),
             metrics,
             busy: Busy::default(),
@@ -95,7 +94,7 @@
     pub fn admit(&self, customer: &Customer) -> Result<(), Final> {
         let view = self.node.membership.view();
         let entries = view.instances.iter().filter(|i| i.live).count();
-        self.retries.borrow_mut().first_try();
+        self.retries.first_try();
         self.limits.admit(customer, entries, now_boot())
     }
 
--- a/crates/celerytide-entry/src/model/stream.rs
+++ b/crates/celerytide-entry/src/model/stream.rs
@@ -127,7 +127,7 @@
         }
         wanted.avoid.push(endpoint);
         tries += 1;
-        if !entry.retries.borrow_mut().take() {
+        if sink.tokens == 0 && !entry.retries.take() {
             break;
         }
     }
--- a/crates/celerytide-entry/src/model/whole.rs
+++ b/crates/celerytide-entry/src/model/whole.rs
@@ -84,7 +84,7 @@
                 tries += 1;
             }
         }
-        if !entry.retries.borrow_mut().take() {
+        if !entry.retries.take() {
             break;
         }
     }
--- a/crates/celerytide-entry/src/plain/mod.rs
+++ b/crates/celerytide-entry/src/plain/mod.rs
@@ -157,7 +157,7 @@
                 wanted.avoid.push(endpoint);
             }
         }
-        if !entry.retries.borrow_mut().take() {
+        if !entry.retries.take() {
             break;
         }
     }
--- /dev/null
+++ b/crates/celerytide-faults/tests/orders.rs
@@ -0,0 +1,86 @@
+//! Orders to engines: given once, numbered by the manifest, never by a process that doesn't own the engine.
+
+use std::time::Duration;
+
+use celerytide_faults::{Rig, RigOptions, until};
+use celerytide_manifest::{Order, OrderKind};
+use celerytide_standin::probe;
+use monoio::time::sleep;
+use serde_json::Value;
+
+/// Time in which an order must have been given; unfenced engines wait five seconds longer.
+const GIVEN: Duration = Duration::from_secs(16);
+/// Time in which a repeated order would show.
+const REPEAT: Duration = Duration::from_secs(2);
+
+struct OrderCase {
+    name: &'static str,
+    fenced: bool,
+}
+
+fn accepted(rig: &Rig, engine: usize) -> Vec<Value> {
+    let addr = rig.fleet.engines[engine].process.addr();
+    probe::get_json(addr, "/orders").unwrap_or_default()
+}
+
+fn load(rig: &Rig, engine: usize, name: &str) -> Order {
+    let endpoint = rig.fleet.engines[engine].running.id.clone();
+    Order {
+        endpoint,
+        kind: OrderKind::LoadAdapter,
+        name: name.to_owned(),
+    }
+}
+
+#[test]
+fn an_order_is_given_once_and_again_only_when_it_changes() {
+    let cases = [
+        OrderCase {
+            name: "fenced",
+            fenced: true,
+        },
+        OrderCase {
+            name: "unfenced",
+            fenced: false,
+        },
+    ];
+    for case in cases {
+        let started = Rig::start_with(&RigOptions::default(), |plan| plan.engines.fenced = case.fenced);
+        let mut rig = started.expect(case.name);
+        Rig::block_on(async {
+            let first = load(&rig, 0, "adapter-a");
+            rig.fleet.publish(|m| m.orders = vec![first]).expect("publish");
+            let given = until(GIVEN, || accepted(&rig, 0).len() == 1).await;
+            assert!(given, "{}: {:?}", case.name, accepted(&rig, 0));
+            let number = accepted(&rig, 0)[0]["number"].as_u64();
+            assert_eq!(number, Some(rig.fleet.manifest.version), "{}", case.name);
+            sleep(REPEAT).await;
+            assert_eq!(accepted(&rig, 0).len(), 1, "{}: repeated", case.name);
+            rig.fleet.publish(|_| {}).expect("publish");
+            sleep(REPEAT).await;
+            assert_eq!(
+                accepted(&rig, 0).len(),
+                1,
+                "{}: repeated by a manifest that orders the same",
+                case.name
+            );
+            let second = load(&rig, 0, "adapter-b");
+            rig.fleet.publish(|m| m.orders = vec![second]).expect("publish");
+            let given = until(GIVEN, || accepted(&rig, 0).len() == 2).await;
+            assert!(given, "{}: {:?}", case.name, accepted(&rig, 0));
+            let last = &accepted(&rig, 0)[1];
+            assert_eq!(
+                last["number"].as_u64(),
+                Some(rig.fleet.manifest.version),
+                "{}",
+                case.name
+            );
+            assert_eq!(
+                accepted(&rig, 1),
+                Vec::<Value>::new(),
+                "{}: another engine was ordered",
+                case.name
+            );
+        });
+    }
+}
