--- a/crates/celerytide-entry/src/lib.rs
+++ b/crates/celerytide-entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod answer;
 pub mod call;
 pub mod caller;
+pub mod chunk;
 pub mod daemon;
 pub mod entry;
 pub mod facts;
--- a/crates/celerytide-entry/src/model/stream.rs
+++ b/crates/celerytide-entry/src/model/stream.rs
@@ -15,6 +15,7 @@
 use super::whole::ended;
 use super::{MAX_ATTEMPTS, ModelRequest, failed, try_elsewhere};
 use crate::answer::{Final, REQUEST_ID, done, error_event, insert_text, word_comment};
+use crate::chunk::carries_text;
 use crate::entry::Entry;
 use crate::headers;
 use crate::permit::{Denied, Lease};
@@ -230,7 +231,7 @@
             batch.done = true;
             return Ok(batch);
         }
-        sink.tokens = sink.tokens.saturating_add(1);
+        sink.tokens = sink.tokens.saturating_add(u32::from(carries_text(&event.data)));
         let name = std::str::from_utf8(&event.name).ok().filter(|name| !name.is_empty());
         write_event(&mut batch.bytes, name, &event.data);
     }
