test(http): interim answers without end

Cause: the bound on skipped interim answers had no row. Before: untested. Conclusion: no change of behaviour.

--- a/crates/celerytide-http/tests/endpoints.rs
+++ b/crates/celerytide-http/tests/endpoints.rs
@@ -55,6 +55,10 @@
     matches!(cause, Cause::Interim)
 }
 
+/// One more than is skipped.
+const INTERIM: &[u8] = b"HTTP/1.1 100 C\r\n\r\nHTTP/1.1 100 C\r\n\r\nHTTP/1.1 100 C\r\n\r\nHTTP/1.1 100 C\r\n\r\n\
+HTTP/1.1 100 C\r\n\r\nHTTP/1.1 100 C\r\n\r\nHTTP/1.1 100 C\r\n\r\nHTTP/1.1 100 C\r\n\r\nHTTP/1.1 100 C\r\n\r\n";
+
 const CASES: &[Case] = &[
     Case {
         name: "length",
@@ -170,6 +174,12 @@
         close: true,
         want: Want::Fails(Stage::Written, closed),
     },
+    Case {
+        name: "nothing but interim answers",
+        answer: INTERIM,
+        close: false,
+        want: Want::Fails(Stage::Written, interim),
+    },
     Case {
         name: "switching protocols",
         answer: b"HTTP/1.1 101 Switching Protocols\r\n\r\n",
