fix(cli,manifest): read an incarnation as text or number; absent durations are not written

Ruled out: numbers only (64 bits lose digits in common JSON readers); accepting null for a duration. Before: three tests of the CLI failed with hex incarnations; what_the_types_write_passes_again failed with 'found nothing'. After: all pass. Conclusion: whatever the types write passes the checks again, as YAML and as JSON.

--- a/crates/celerytide-cli/src/audit/mod.rs
+++ b/crates/celerytide-cli/src/audit/mod.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use celerytide_http::client::Client;
-use celerytide_types::{Incarnation, data};
+use celerytide_types::data;
 use serde_json::{Map, Value};
 use tokio_util::sync::CancellationToken;
 
@@ -36,8 +36,9 @@
 
     /// The part of `GET /status` that tells one life of a daemon from the next.
     struct Life {
+        /// Text or number, as the daemon writes it.
         #[serde(default)]
-        incarnation: Incarnation,
+        incarnation: Value,
     }
 }
 
@@ -83,12 +84,11 @@
     loop {
         let now: Life = ask::get(&client, cmd.address, "/status", &cx).await?;
         // A daemon that started anew counts its changes from the beginning.
-        if life
-            .replace(now.incarnation)
-            .is_some_and(|before| before != now.incarnation)
-        {
+        let started_anew = life.as_ref().is_some_and(|before| *before != now.incarnation);
+        if started_anew {
             since = 0;
         }
+        life = Some(now.incarnation);
         let changes = changes(&client, cmd.address, since, &cx).await?;
         since = changes.iter().map(|change| change.seq).max().unwrap_or(since);
         print_lines(&changes, cmd.json, out)?;
--- a/crates/celerytide-cli/src/status/mod.rs
+++ b/crates/celerytide-cli/src/status/mod.rs
@@ -4,7 +4,7 @@
 use std::io::{self, Write};
 use std::net::SocketAddr;
 
-use celerytide_types::{Digest, Incarnation, InstanceId, Millis, Version, ZoneId, data};
+use celerytide_types::{Digest, InstanceId, Millis, Version, ZoneId, data};
 use serde_json::{Map, Value};
 use tokio_util::sync::CancellationToken;
 
@@ -18,8 +18,9 @@
         process: String,
         #[serde(default)]
         instance: InstanceId,
+        /// Text or number, as the daemon writes it.
         #[serde(default)]
-        incarnation: Incarnation,
+        incarnation: Value,
         #[serde(default)]
         zone: ZoneId,
         #[serde(default)]
@@ -141,7 +142,7 @@
         "{address}: {process} on {instance}, zone {}, {ready}",
         show::clean(zone)
     )?;
-    writeln!(out, "  incarnation: {}", status.incarnation)?;
+    writeln!(out, "  incarnation: {}", show::flat(&status.incarnation))?;
     match &status.manifest {
         Some(state) => print_manifest(state, out)?,
         None => writeln!(out, "  manifest: none")?,
--- a/crates/celerytide-manifest/src/model/mod.rs
+++ b/crates/celerytide-manifest/src/model/mod.rs
@@ -196,7 +196,7 @@
         #[schemars(schema_with = "schema::span_1h")]
         pub first_token: Duration,
         /// Target between tokens; for kind `model` only.
-        #[serde(default, with = "humantime_serde::option")]
+        #[serde(default, with = "humantime_serde::option", skip_serializing_if = "Option::is_none")]
         #[schemars(schema_with = "schema::span_1h")]
         pub between_tokens: Option<Duration>,
         /// Share of the service's slots that the class keeps under any pressure, 0 to 1.
--- a/crates/celerytide-manifest/tests/documents.rs
+++ b/crates/celerytide-manifest/tests/documents.rs
@@ -135,6 +135,24 @@
     assert_eq!(faults.len(), 1, "{faults:?}");
 }
 
+#[test]
+fn what_the_types_write_passes_again() {
+    let manifest = check_manifest("m.yaml", MANIFEST).expect("valid").manifest;
+    let entry = check_entry_settings("e.yaml", include_str!("data/entry.yaml")).expect("valid");
+    let dispatch = check_dispatch_settings("d.yaml", include_str!("data/dispatch.yaml")).expect("valid");
+    let texts = [
+        serde_saphyr::to_string(&manifest).expect("YAML"),
+        serde_json::to_string(&manifest).expect("JSON"),
+    ];
+    for text in texts {
+        assert_eq!(check_manifest("m.yaml", &text).expect("valid again").manifest, manifest);
+    }
+    let text = serde_saphyr::to_string(&entry).expect("YAML");
+    assert_eq!(check_entry_settings("e.yaml", &text).expect("valid again"), entry);
+    let text = serde_saphyr::to_string(&dispatch).expect("YAML");
+    assert_eq!(check_dispatch_settings("d.yaml", &text).expect("valid again"), dispatch);
+}
+
 #[test]
 fn digests_follow_the_text() {
     let first = check_manifest("m.yaml", MANIFEST).expect("valid");
