feat(cli): show nested lists of a status line by line

Cause: a trial of the CLI against the demo's daemons printed a pool's classes and endpoints as one line in which the blocks could not be told apart. Ruled out: JSON in texts for people. Before/After: one line a pool; now one line a class, endpoint and tier. Conclusion: `cargo test -p celerytide-cli` passes.

--- a/crates/celerytide-cli/src/show/mod.rs
+++ b/crates/celerytide-cli/src/show/mod.rs
@@ -42,23 +42,44 @@
 fn field(name: &str, value: &Value, depth: usize, out: &mut impl Write) -> io::Result<()> {
     let indent = INDENT.repeat(depth);
     match value {
-        Value::Object(inner) if inner.values().any(is_nested) => {
+        Value::Object(inner) if is_deep(value) => {
             writeln!(out, "{indent}{}:", clean(name))?;
             fields(inner, depth + 1, out)
         }
         Value::Array(values) if values.iter().any(is_nested) => {
             writeln!(out, "{indent}{}:", clean(name))?;
-            for value in values {
-                writeln!(out, "{indent}{INDENT}- {}", flat(value))?;
-            }
-            Ok(())
+            values.iter().try_for_each(|value| item(value, depth + 1, out))
         }
         _ => writeln!(out, "{indent}{}: {}", clean(name), flat(value)),
     }
 }
 
+/// Prints one entry of a list behind a dash.
+fn item(value: &Value, depth: usize, out: &mut impl Write) -> io::Result<()> {
+    let indent = INDENT.repeat(depth);
+    match value {
+        Value::Object(inner) if is_deep(value) => {
+            let mut block = Vec::new();
+            fields(inner, depth + 1, &mut block)?;
+            // The dash takes the place of the first field's own indent.
+            let first = block.get(INDENT.len() * (depth + 1)..).unwrap_or_default();
+            write!(out, "{indent}- ")?;
+            out.write_all(first)
+        }
+        _ => writeln!(out, "{indent}- {}", flat(value)),
+    }
+}
+
 fn is_nested(value: &Value) -> bool {
-    matches!(value, Value::Object(_) | Value::Array(_))
+    match value {
+        Value::Object(fields) => !fields.is_empty(),
+        Value::Array(values) => !values.is_empty(),
+        _ => false,
+    }
+}
+
+fn is_deep(value: &Value) -> bool {
+    value.as_object().is_some_and(|fields| fields.values().any(is_nested))
 }
 
 /// A value on one line.
@@ -66,7 +87,9 @@
     match value {
         Value::Null => "-".to_owned(),
         Value::String(text) => clean(text),
+        Value::Array(values) if values.is_empty() => "none".to_owned(),
         Value::Array(values) => values.iter().map(flat).collect::<Vec<_>>().join(", "),
+        Value::Object(fields) if fields.is_empty() => "none".to_owned(),
         Value::Object(fields) => {
             let parts = fields
                 .iter()
--- a/crates/celerytide-cli/tests/daemons.rs
+++ b/crates/celerytide-cli/tests/daemons.rs
@@ -20,7 +20,8 @@
     status: 200,
     body: r#"{"process":"dispatch","instance":"lima-a-1","incarnation":5,"zone":"lima-a","ready":true,
         "manifest":{"version":7,"digest":"abc","age_ms":900},"list":{"version":9,"age_ms":80},
-        "pools":[{"id":"redactor-llm/0","queued":4}]}"#,
+        "pools":[{"id":"redactor-llm/0","endpoints":[{"id":"runner-01"},{"id":"runner-02"}],"tiers":{"1":[]}},
+        {"id":"tramite-app/0","endpoints":[]}],"orders":[]}"#,
 };
 const OLD_STATUS: Reply = Reply {
     path: "/status",
@@ -72,8 +73,14 @@
   incarnation: 5
   manifest: version 7, digest abc, age 900 ms
   list: version 9, age 80 ms
+  orders: none
   pools:
-    - id redactor-llm/0, queued 4
+    - endpoints:
+        - id runner-01
+        - id runner-02
+      id: redactor-llm/0
+      tiers: 1 none
+    - endpoints none, id tramite-app/0
 ",
         err: "",
     },
@@ -86,8 +93,14 @@
   incarnation: 5
   manifest: version 7, digest abc, age 900 ms
   list: version 9, age 80 ms
+  orders: none
   pools:
-    - id redactor-llm/0, queued 4
+    - endpoints:
+        - id runner-01
+        - id runner-02
+      id: redactor-llm/0
+      tiers: 1 none
+    - endpoints none, id tramite-app/0
 A1: entry on , zone , ready
   incarnation: -
   manifest: version 6, digest abb
