feat(policy): least time of a cold start, prefill in the placement's cost, probes of slow endpoints

Cause: engines that are cold by time fell over after four quick answers; long prompts met on one engine; an endpoint once slow was the last choice for good (its test was seen to fail first: Suspect, 2 instead of Warm, 4). Conclusion: kept; ten seconds is the default.

--- a/crates/celerytide-policy/examples/compare/main.rs
+++ b/crates/celerytide-policy/examples/compare/main.rs
@@ -7,6 +7,8 @@
 mod engine;
 mod world;
 
+use std::time::Duration;
+
 use celerytide_policy::{Baseline, Options};
 use world::{CLASSES, Outcome, World};
 
@@ -72,10 +74,24 @@
                 ..tiers()
             },
         ),
+        policy(
+            "  prefill 0",
+            Options {
+                prefill_weight: 0.0,
+                ..tiers()
+            },
+        ),
+        policy(
+            "  prefill 3",
+            Options {
+                prefill_weight: 3.0,
+                ..tiers()
+            },
+        ),
         policy(
             "  no preemption",
             Options {
-                preempt_lead: std::time::Duration::ZERO,
+                preempt_lead: Duration::ZERO,
                 ..tiers()
             },
         ),
@@ -87,9 +103,23 @@
             },
         ),
         policy(
-            "  cold after 1 a slot",
+            "  cold for 0 s",
+            Options {
+                cold_min: Duration::ZERO,
+                ..tiers()
+            },
+        ),
+        policy(
+            "  cold for 5 s",
+            Options {
+                cold_min: Duration::from_secs(5),
+                ..tiers()
+            },
+        ),
+        policy(
+            "  cold for 20 s",
             Options {
-                cold_successes_per_slot: 1,
+                cold_min: Duration::from_secs(20),
                 ..tiers()
             },
         ),
--- a/crates/celerytide-policy/examples/search.rs
+++ b/crates/celerytide-policy/examples/search.rs
@@ -25,6 +25,7 @@
         };
         let opts = Options {
             max_queued: u.int_in_range(1..=40)?,
+            cold_min: Duration::from_millis(u.int_in_range(0..=400)?),
             ..Options::default()
         };
         let found = violations(u, opts, shape)?;
--- a/crates/celerytide-policy/src/check/cold/mod.rs
+++ b/crates/celerytide-policy/src/check/cold/mod.rs
@@ -22,6 +22,8 @@
     started: Option<u64>,
     observed: u64,
     last_sign: Boot,
+    /// Answers until then are no evidence.
+    cold_until: Boot,
 }
 
 #[derive(Debug)]
@@ -39,11 +41,14 @@
     trust: Trust,
     per_slot: u32,
     silence: Duration,
+    least: Duration,
+    is_planned: bool,
     bounded: bool,
 }
 
 impl Row {
-    fn chill(&mut self, per_slot: u32) {
+    fn chill(&mut self, now: Boot, per_slot: u32, least: Duration) {
+        self.cold_until = now.after(least);
         self.bears = cold_bound(&self.plan);
         self.missing = self.bears.saturating_mul(per_slot).max(1);
         self.epoch += 1;
@@ -92,6 +97,8 @@
             trust: Trust::Settled,
             per_slot: opts.cold_successes_per_slot,
             silence: opts.silence,
+            least: opts.cold_min,
+            is_planned: false,
             bounded: opts.baseline.is_none(),
         }
     }
@@ -115,6 +122,7 @@
 
     fn apply(&mut self, now: Boot, plans: &[EndpointPlan]) {
         self.drop_unnamed(plans);
+        let is_first = !std::mem::replace(&mut self.is_planned, true);
         for plan in plans {
             if let Some(row) = self.rows.get_mut(&plan.id) {
                 row.replan(plan.clone());
@@ -130,8 +138,10 @@
                 started: None,
                 observed: 0,
                 last_sign: now,
+                cold_until: now,
             };
-            row.chill(self.per_slot);
+            let least = if is_first { Duration::ZERO } else { self.least };
+            row.chill(now, self.per_slot, least);
             self.rows.insert(plan.id.clone(), row);
         }
     }
@@ -163,10 +173,12 @@
         self.run(grant.permit, &grant.endpoint);
     }
 
+    /// A silent endpoint was cold from the end of the bound on, whenever the pool looked.
     fn chill_if_silent(&mut self, now: Boot, endpoint: &str) {
         let Some(row) = self.rows.get_mut(endpoint) else { return };
         if now.since(row.last_sign) > self.silence {
-            row.chill(self.per_slot);
+            let since = row.last_sign.after(self.silence);
+            row.chill(since, self.per_slot, self.least);
             row.last_sign = now;
         }
     }
@@ -220,9 +232,9 @@
             return;
         };
         match ended {
-            Ended::Whole { .. } if running.epoch == row.epoch => row.succeed(),
+            Ended::Whole { .. } if running.epoch == row.epoch && now >= row.cold_until => row.succeed(),
             Ended::Whole { .. } => {}
-            Ended::Failed | Ended::NotStarted => row.chill(self.per_slot),
+            Ended::Failed | Ended::NotStarted => row.chill(now, self.per_slot, self.least),
             Ended::Slow | Ended::Cancelled => {}
         }
     }
@@ -240,7 +252,7 @@
             .replace(load.started_unix_ms)
             .is_some_and(|seen| seen != load.started_unix_ms);
         if restarted || load.cold == Some(true) {
-            row.chill(self.per_slot);
+            row.chill(now, self.per_slot, self.least);
         }
     }
 }
--- a/crates/celerytide-policy/src/endpoint/mod.rs
+++ b/crates/celerytide-policy/src/endpoint/mod.rs
@@ -26,6 +26,8 @@
     pub orphans: u32,
     /// Prompt tokens of permits whose first token is still out.
     pub prefill: u64,
+    /// Answers until then are no evidence that a cold start is over.
+    pub cold_until: Boot,
     /// Last sign of life.
     pub last_sign: Boot,
     /// Whether a report made under this owner shows no foreign work.
@@ -44,6 +46,7 @@
             in_flight: 0,
             orphans: 0,
             prefill: 0,
+            cold_until: now,
             last_sign: now,
             witnessed: false,
             last_grant: 0,
@@ -82,6 +85,14 @@
         }
     }
 
+    /// Prompt tokens in prefill, as a fraction of what it may have; zero where that is unbounded.
+    pub fn prefill_load(&self) -> f64 {
+        match self.plan.prefill_tokens {
+            0 => 0.0,
+            bound => self.prefill as f64 / f64::from(bound),
+        }
+    }
+
     /// Prompt tokens that may still go into prefill.
     pub fn prefill_room(&self) -> u64 {
         if self.plan.prefill_tokens == 0 || self.prefill == 0 {
@@ -90,15 +101,17 @@
         u64::from(self.plan.prefill_tokens).saturating_sub(self.prefill)
     }
 
-    pub fn chill(&mut self) {
+    /// The endpoint is cold from now on, for `least` at the least.
+    pub fn chill(&mut self, now: Boot, least: Duration) {
+        self.cold_until = now.after(least);
         self.ramp.chill();
         self.signs.forget_speed();
     }
 
     /// Takes note of a sign of life. One that ends too long a silence makes the endpoint cold.
-    pub fn sign(&mut self, now: Boot, silence: Duration) {
-        if now.since(self.last_sign) > silence {
-            self.chill();
+    pub fn sign(&mut self, now: Boot, opts: &Options) {
+        if now.since(self.last_sign) > opts.silence {
+            self.chill(now, opts.cold_min);
         }
         self.last_sign = now;
     }
--- a/crates/celerytide-policy/src/endpoint/table/mod.rs
+++ b/crates/celerytide-policy/src/endpoint/table/mod.rs
@@ -119,6 +119,12 @@
         self.by_room.iter().map(|&(_, _, _, at)| at)
     }
 
+    /// The idle endpoint among the slow ones that was granted to least lately.
+    pub fn idle_suspect(&self) -> Option<usize> {
+        let &(_, load, _, at) = self.by_room.range((true, 0, 0, 0)..).next()?;
+        (load == 0).then_some(at)
+    }
+
     /// Endpoints with room, the most room for prefill first.
     pub fn with_prefill_room(&self) -> impl Iterator<Item = usize> + '_ {
         self.by_prefill.iter().map(|&(_, _, at)| at)
--- a/crates/celerytide-policy/src/options/mod.rs
+++ b/crates/celerytide-policy/src/options/mod.rs
@@ -54,6 +54,8 @@
     pub report_lag: Duration,
     /// Whole answers that a cold endpoint must give, per cold slot, before its limit grows.
     pub cold_successes_per_slot: u32,
+    /// Shortest time that a cold start lasts, whatever the endpoint answered in it.
+    pub cold_min: Duration,
     /// A first token slower than this many times the endpoint's usual one counts as a cold start.
     pub first_token_jump: f64,
     /// First tokens faster than this never count as a jump.
@@ -66,6 +68,8 @@
     pub retry_ceiling: Duration,
     /// Weight of prefix locality against load; 0 places by load alone.
     pub locality_weight: f64,
+    /// Weight of the prompts in prefill against the slots in use.
+    pub prefill_weight: f64,
     /// Replaces the policy by a baseline.
     pub baseline: Option<Baseline>,
     /// Breaks one rule on purpose.
@@ -82,12 +86,14 @@
             orphan_max_age: Duration::from_secs(600),
             report_lag: Duration::from_secs(10),
             cold_successes_per_slot: 2,
+            cold_min: Duration::from_secs(10),
             first_token_jump: 6.0,
             first_token_floor: Duration::from_secs(1),
             preempt_lead: Duration::from_millis(300),
             retry_floor: Duration::from_millis(250),
             retry_ceiling: Duration::from_secs(60),
             locality_weight: 1.0,
+            prefill_weight: 1.0,
             baseline: None,
             fault: None,
         }
--- a/crates/celerytide-policy/src/pool/flight/mod.rs
+++ b/crates/celerytide-policy/src/pool/flight/mod.rs
@@ -82,16 +82,16 @@
         let (prompt_tokens, took, epoch) = (flight.prompt_tokens, now.since(flight.granted), flight.epoch);
         self.rate.note(now, new);
         let (jump, floor) = (self.opts.first_token_jump, self.opts.first_token_floor);
-        let silence = self.opts.silence;
+        let opts = &self.opts;
         self.table.update(at, |endpoint| {
-            endpoint.sign(now, silence);
+            endpoint.sign(now, opts);
             if !began {
                 return;
             }
             endpoint.prefill = endpoint.prefill.saturating_sub(u64::from(prompt_tokens));
             let jumped = endpoint.signs.first_token(prompt_tokens, took, jump, floor);
             if jumped && epoch == endpoint.ramp.epoch() {
-                endpoint.chill();
+                endpoint.chill(now, opts.cold_min);
             }
         });
     }
@@ -107,7 +107,9 @@
         match ended {
             Ended::Whole { tokens } => self.learn(now, &flight, tokens),
             Ended::Failed | Ended::NotStarted => {
-                self.table.update(flight.endpoint, Endpoint::chill);
+                let least = self.opts.cold_min;
+                self.table
+                    .update(flight.endpoint, |endpoint| endpoint.chill(now, least));
             }
             Ended::Slow => {
                 self.table.update(flight.endpoint, Endpoint::slow);
@@ -241,9 +243,9 @@
         self.correct(flight, work(flight.prompt_tokens, u64::from(tokens)));
         let seconds = self.seconds_per_token(now, flight, tokens);
         let usual = self.seconds_per_token.known();
-        let (epoch, silence) = (flight.epoch, self.opts.silence);
+        let (epoch, opts) = (flight.epoch, &self.opts);
         self.table.update(flight.endpoint, |endpoint| {
-            endpoint.sign(now, silence);
+            endpoint.sign(now, opts);
             if let Some(seconds) = seconds {
                 endpoint.signs.seconds_per_token.add(seconds);
             }
@@ -251,6 +253,7 @@
             let slow = own.zip(usual).is_some_and(|(own, usual)| own > usual * SLOW_FACTOR);
             match slow {
                 true => endpoint.slow(),
+                false if now < endpoint.cold_until => {}
                 false => endpoint.ramp.succeed(epoch),
             }
         });
--- a/crates/celerytide-policy/src/pool/grant/mod.rs
+++ b/crates/celerytide-policy/src/pool/grant/mod.rs
@@ -10,6 +10,10 @@
 
 /// Endpoints with the least load that a placement looks at.
 const CANDIDATES: usize = 6;
+/// Endpoints with the most room for prefill that a placement looks at; one of them may be held for another ask.
+const ROOMY: usize = 2;
+/// One in so many grants probes an idle endpoint that was slow.
+const GRANTS_PER_PROBE: u64 = 32;
 
 /// Whether an ask can be placed now.
 enum Placement {
@@ -109,15 +113,30 @@
         let known = known.map(|held| (held.endpoint, held.blocks as f64 / ask.prefix.len().max(1) as f64));
         let few = self.table.with_room().filter(may).take(CANDIDATES);
         let few = few.filter(fits).map(|at| (at, 0.0));
-        let best = known.chain(few).min_by(|a, b| self.cost(*a).total_cmp(&self.cost(*b)));
+        let roomy = self.table.with_prefill_room().filter(may).take(ROOMY);
+        let roomy = roomy.filter(fits).map(|at| (at, 0.0));
+        if let Some(at) = self.probe().filter(may).filter(fits) {
+            return Placement::At(at);
+        }
+        let best = known
+            .chain(few)
+            .chain(roomy)
+            .min_by(|a, b| self.cost(*a).total_cmp(&self.cost(*b)));
         if let Some((at, _)) = best {
             return Placement::At(at);
         }
-        let mut roomiest = self.table.with_prefill_room().filter(may).take(2).peekable();
-        if roomiest.peek().is_none() {
-            return Placement::Blocked;
+        let has_room = self.table.with_room().any(|at| may(&at));
+        if has_room {
+            Placement::PromptTooLong
+        } else {
+            Placement::Blocked
         }
-        roomiest.find(fits).map_or(Placement::PromptTooLong, Placement::At)
+    }
+
+    /// A slow endpoint that has to show again how fast it is; otherwise it would stay the last choice for good.
+    fn probe(&self) -> Option<usize> {
+        let is_due = self.grant_sequence.is_multiple_of(GRANTS_PER_PROBE);
+        if is_due { self.table.idle_suspect() } else { None }
     }
 
     fn cost(&self, (at, matched): (usize, f64)) -> f64 {
@@ -126,7 +145,8 @@
         };
         let load = f64::from(endpoint.in_flight) / f64::from(self.table.limit(at).max(1));
         let suspect = f64::from(u8::from(endpoint.ramp.is_suspect()));
-        place::cost(load + suspect, matched, self.opts.locality_weight)
+        let prefill = endpoint.prefill_load() * self.opts.prefill_weight;
+        place::cost(load + suspect + prefill, matched, self.opts.locality_weight)
     }
 
     /// Indices of endpoints that the ask avoids; none if no other endpoint is open.
--- a/crates/celerytide-policy/src/pool/mod.rs
+++ b/crates/celerytide-policy/src/pool/mod.rs
@@ -59,6 +59,8 @@
     opts: Options,
     rng: SmallRng,
     table: Table,
+    /// Whether a plan was applied already.
+    is_planned: bool,
     classes: Vec<Class>,
     by_class: AHashMap<ClassName, usize>,
     /// Classes by rank, the first served first.
@@ -93,6 +95,7 @@
         Pool {
             rng: SmallRng::seed_from_u64(opts.seed),
             table: Table::new(opts.fault),
+            is_planned: false,
             classes: Vec::new(),
             by_class: AHashMap::new(),
             ranked: Vec::new(),
--- a/crates/celerytide-policy/src/pool/plan/mod.rs
+++ b/crates/celerytide-policy/src/pool/plan/mod.rs
@@ -11,6 +11,7 @@
     /// Takes over a new plan. Endpoints that it no longer names keep their counts until these are settled.
     pub fn apply(&mut self, now: Boot, plan: PoolPlan) {
         self.apply_endpoints(now, plan.endpoints);
+        self.is_planned = true;
         self.apply_classes(plan.classes);
         self.apply_customers(plan.customers);
         self.reserved = None;
@@ -25,13 +26,21 @@
                 Some(at) => {
                     self.table.update(at, |endpoint| endpoint.replan(plan));
                 }
-                None => {
-                    self.table.insert(Endpoint::new(now, plan, &self.opts));
-                }
+                None => self.insert_new(now, plan),
             }
         }
     }
 
+    /// An endpoint that appears later has probably just started; those of the first plan may have run for long, and
+    /// only their reports can tell.
+    fn insert_new(&mut self, now: Boot, plan: EndpointPlan) {
+        let mut endpoint = Endpoint::new(now, plan, &self.opts);
+        if self.is_planned {
+            endpoint.cold_until = now.after(self.opts.cold_min);
+        }
+        self.table.insert(endpoint);
+    }
+
     fn apply_classes(&mut self, plans: Vec<ClassPlan>) {
         for class in &mut self.classes {
             class.planned = false;
--- a/crates/celerytide-policy/src/pool/report/mod.rs
+++ b/crates/celerytide-policy/src/pool/report/mod.rs
@@ -8,6 +8,7 @@
 use crate::ask::LoadReport;
 use crate::endpoint::Endpoint;
 use crate::endpoint::sign::Shown;
+use crate::options::Options;
 use crate::plan::EndpointPlan;
 
 impl Pool {
@@ -16,10 +17,11 @@
     /// are released. Reports older than one already seen are ignored.
     pub fn report(&mut self, now: Boot, endpoint: &str, load: LoadReport) {
         let Some(at) = self.table.find(endpoint) else { return };
-        let silence = self.opts.silence;
+        let opts = &self.opts;
         let shown = self.table.update(at, |row| {
             let shown = row.signs.report(now, &load);
-            row.heed(now, silence, shown);
+            row.heed(now, opts, shown);
+            row.heed_age(now, opts, &load);
             shown
         });
         match shown {
@@ -48,10 +50,11 @@
     pub(super) fn chill_if_silent(&mut self, now: Boot, at: usize) -> bool {
         let silence = self.opts.silence;
         let silent = |row: &Endpoint| now.since(row.last_sign) > silence;
+        let least = self.opts.cold_min;
         let is_silent = self.table.get(at).is_some_and(silent);
         if is_silent {
             self.table.update(at, |row| {
-                row.chill();
+                row.chill(now, least);
                 row.last_sign = now;
             });
         }
@@ -108,15 +111,24 @@
 }
 
 impl Endpoint {
-    fn heed(&mut self, now: Boot, silence: Duration, shown: Shown) {
+    fn heed(&mut self, now: Boot, opts: &Options, shown: Shown) {
         if shown == Shown::Stale {
             return;
         }
-        self.sign(now, silence);
+        self.sign(now, opts);
         if shown != Shown::Usual {
             // Also if it is cold already: what it bore before it said so tells nothing about now.
-            self.chill();
+            self.chill(now, opts.cold_min);
         }
         self.witnessed = self.signs.reported() <= self.in_flight;
     }
+
+    /// A cold start lasts its least time from the endpoint's own start, as far as its clock tells.
+    fn heed_age(&mut self, now: Boot, opts: &Options, load: &LoadReport) {
+        let age = Duration::from_millis(load.observed_unix_ms.saturating_sub(load.started_unix_ms));
+        let left = opts.cold_min.saturating_sub(age);
+        if self.ramp.is_cold() {
+            self.cold_until = self.cold_until.max(now.after(left));
+        }
+    }
 }
--- a/crates/celerytide-policy/tests/invariants.rs
+++ b/crates/celerytide-policy/tests/invariants.rs
@@ -4,6 +4,8 @@
 #[path = "common/history.rs"]
 mod history;
 
+use std::time::Duration;
+
 use arbtest::arbtest;
 use celerytide_policy::check::Rule;
 use celerytide_policy::{DeliberateFault, Options};
@@ -40,6 +42,7 @@
 fn opts(fault: Option<DeliberateFault>) -> Options {
     Options {
         max_queued: 12,
+        cold_min: Duration::from_millis(100),
         fault,
         ..Options::default()
     }
--- a/crates/celerytide-policy/tests/rules.rs
+++ b/crates/celerytide-policy/tests/rules.rs
@@ -233,6 +233,91 @@
     }
 }
 
+#[test]
+fn cold_start_lasts_its_least_time() {
+    let classes = vec![class("low", 3, 0.0)];
+    let mut pool = pool(Options::default(), vec![endpoint("e", 4, 1)], classes.clone());
+    let endpoints = vec![endpoint("e", 4, 1), endpoint("f", 4, 1)];
+    let customers = Vec::new();
+    pool.apply(
+        at_ms(0),
+        PoolPlan {
+            endpoints,
+            classes,
+            customers,
+        },
+    );
+    for round in 0..20 {
+        let now = at_ms(round * 10);
+        queue(&mut pool, now, ask("low", "c", 1_000_000));
+        queue(&mut pool, now, ask("low", "c", 1_000_000));
+        for permit in permits(&grants(&mut pool, now)) {
+            pool.settle(now, permit, WHOLE);
+        }
+    }
+    let states = |pool: &Pool| pool.status().endpoints.iter().map(|row| row.state).collect::<Vec<_>>();
+    assert_eq!(
+        states(&pool),
+        [EndpointState::Warm, EndpointState::Cold],
+        "the second one appeared later"
+    );
+    for step in 0..12 {
+        let now = at_ms(10_000 + 10 * step);
+        queue(&mut pool, now, ask("low", "c", 1_000_000));
+        for permit in permits(&grants(&mut pool, now)) {
+            pool.settle(now, permit, WHOLE);
+        }
+    }
+    assert_eq!(states(&pool), [EndpointState::Warm, EndpointState::Warm]);
+}
+
+#[test]
+fn young_endpoint_of_the_first_plan_stays_cold() {
+    let mut pool = pool(
+        Options::default(),
+        vec![endpoint("e", 4, 1)],
+        vec![class("low", 3, 0.0)],
+    );
+    pool.report(at_ms(0), "e", load(0, 50_000, 52_000));
+    warm_up(&mut pool, 0);
+    assert_eq!(
+        pool.status().endpoints[0].state,
+        EndpointState::Cold,
+        "it started two seconds ago"
+    );
+    warm_up(&mut pool, 8_000);
+    assert_eq!(pool.status().endpoints[0].state, EndpointState::Warm);
+}
+
+#[test]
+fn endpoint_slower_than_its_kin_is_used_less_and_comes_back() {
+    let endpoints = (0..4).map(|at| endpoint(&format!("e{at}"), 4, 1)).collect();
+    let mut pool = pool(Options::default(), endpoints, vec![class("low", 3, 0.0)]);
+    let mut run = |from_ms: u64, slow_ms: u64| {
+        for round in 0..60 {
+            let begun = from_ms + round * 500;
+            for _ in 0..8 {
+                queue(&mut pool, at_ms(begun), ask("low", "c", 10_000_000));
+            }
+            let running = grants(&mut pool, at_ms(begun));
+            for grant in &running {
+                pool.progress(at_ms(begun + 10), grant.permit, 1);
+            }
+            for grant in running {
+                let took = if grant.endpoint == "e0" { slow_ms } else { 40 };
+                pool.settle(at_ms(begun + 10 + took), grant.permit, WHOLE);
+            }
+        }
+        pool.status().endpoints[0].clone()
+    };
+    assert_eq!(run(0, 40).state, EndpointState::Warm);
+    let slow = run(30_000, 400);
+    assert_eq!(slow.state, EndpointState::Suspect);
+    assert!(slow.limit <= 2, "{}", slow.limit);
+    let back = run(60_000, 40);
+    assert_eq!((back.state, back.limit), (EndpointState::Warm, 4));
+}
+
 #[test]
 fn reported_foreign_work_takes_from_the_limit() {
     let mut pool = warm(Options::default());
