--- a/crates/celerytide-membership/tests/common/mod.rs
+++ b/crates/celerytide-membership/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Fixed seeds for property tests.
 #![allow(dead_code)]
 
+pub mod manifest;
+
 use arbtest::arbitrary::{Result, Unstructured};
 use arbtest::arbtest;
 
