--- a/crates/celerytide-membership/src/ownership/cold.rs
+++ b/crates/celerytide-membership/src/ownership/cold.rs
@@ -1,56 +1,131 @@
-//! What a cold endpoint may get, by the owner's standing and the endpoint's own report.
+//! What a cold endpoint may get, by the owner's standing and the endpoint's own reports.
 //!
-//! An endpoint's report counts all its work, whoever sent it. Work beyond the owner's own shows a second owner or a
-//! permit that the owner doesn't know of; the owner then sends nothing until the report agrees again.
+//! A report counts all the endpoint's work, whoever sent it, and it lags. The owner's own count tells little about the
+//! same moment: a permit may not have arrived yet, and one that ended may hide foreign work of the same number. So foreign
+//! work is suspected from the start of a tenure, and again when a report exceeds all that the owner had in flight of late;
+//! only a report of an idle endpoint ends the suspicion. A suspecting owner grants nothing, so its own work runs out and
+//! the endpoint can become idle.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
+use celerytide_types::Boot;
+
 use super::standing::Standing;
 
-/// Work that the endpoint itself reports.
+/// Bounds of a gate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Witness {
-    /// Requests running and waiting there.
-    pub work: u32,
-    /// Age of the observation, its way included.
-    pub age: Duration,
+pub struct GateOptions {
+    /// Whether the endpoint publishes reports; without them the gate rests on the standing alone.
+    pub reports: bool,
+    /// A report may be this old where a second owner isn't ruled out.
+    pub report_for: Duration,
+    /// A permit that ended counts as possibly running for this long.
+    pub settle_lag: Duration,
 }
 
-/// A cold endpoint as its owner sees it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ColdCase {
-    /// Requests it bears at once while cold.
-    pub bound: u32,
-    /// The most permits that the owner had in flight there at any time since the witness's observation.
-    pub own_work: u32,
-    /// The endpoint's latest report, if any.
-    pub witness: Option<Witness>,
-    /// A report may be this old.
-    pub witness_for: Duration,
+impl Default for GateOptions {
+    fn default() -> GateOptions {
+        GateOptions {
+            reports: true,
+            report_for: Duration::from_secs(3),
+            settle_lag: Duration::from_secs(2),
+        }
+    }
+}
+
+/// Guards one cold endpoint for the owner of its pool.
+#[derive(Debug)]
+pub struct ColdGate {
+    opts: GateOptions,
+    suspects: bool,
+    since: Boot,
+    observed: Option<Boot>,
+    counts: VecDeque<Count>,
 }
 
-/// Requests that may be in flight at a cold endpoint, the owner's present ones included.
-pub fn cold_limit(standing: Standing, case: ColdCase) -> u32 {
-    if case.shows_foreign_work() {
-        return 0;
+#[derive(Debug, Clone, Copy)]
+struct Count {
+    until: Option<Boot>,
+    permits: u32,
+}
+
+impl ColdGate {
+    /// A gate that suspects foreign work, if there are reports to end the suspicion.
+    pub fn new(now: Boot, opts: GateOptions) -> ColdGate {
+        let counts = VecDeque::from([Count {
+            until: None,
+            permits: 0,
+        }]);
+        ColdGate {
+            opts,
+            suspects: opts.reports,
+            since: now,
+            observed: None,
+            counts,
+        }
     }
-    match standing {
-        Standing::Settled => case.bound,
-        Standing::Taking { mustered: true, .. } if case.shows_no_foreign_work() => case.bound / 2,
-        Standing::Taking { .. } | Standing::Stale { .. } | Standing::Woken | Standing::NotOwner => 0,
+
+    /// Notes the standing; call it at each assessment. Time in which another may have owned the pool renews the suspicion.
+    pub fn standing(&mut self, now: Boot, standing: Standing) {
+        let sole = matches!(standing, Standing::Settled | Standing::Taking { .. });
+        if !sole {
+            self.suspects = self.opts.reports;
+            self.since = now;
+        }
+    }
+
+    /// Notes how many permits the owner counts at the endpoint; call it at each change.
+    pub fn counted(&mut self, now: Boot, permits: u32) {
+        if let Some(last) = self.counts.back_mut() {
+            last.until = Some(now);
+        }
+        self.counts.push_back(Count { until: None, permits });
+    }
+
+    /// Notes a report: work running and waiting, and the age of the observation with its way included.
+    pub fn reported(&mut self, now: Boot, work: u32, age: Duration) {
+        let observed = Boot::from_start(now.since_start().saturating_sub(age));
+        self.forget_before(observed);
+        self.observed = self.observed.max(Some(observed));
+        if work > self.most_counted() {
+            self.suspects = self.opts.reports;
+        }
+        if work == 0 && observed > self.since {
+            self.suspects = false;
+        }
+    }
+
+    /// Permits that may be in flight at the endpoint, those that are included; `bound` is what it bears while cold.
+    pub fn limit(&self, now: Boot, standing: Standing, bound: u32) -> u32 {
+        if self.suspects {
+            return 0;
+        }
+        match standing {
+            Standing::Settled => bound,
+            Standing::Taking { mustered: true, .. } if self.has_recent_report(now) => bound / 2,
+            Standing::Taking { .. } | Standing::Stale { .. } | Standing::Woken | Standing::NotOwner => 0,
+        }
+    }
+
+    /// Whether foreign work is suspected.
+    pub fn suspects(&self) -> bool {
+        self.suspects
     }
-}
 
-impl ColdCase {
-    fn shows_foreign_work(&self) -> bool {
-        self.recent().is_some_and(|w| w.work > self.own_work)
+    fn has_recent_report(&self, now: Boot) -> bool {
+        self.observed.is_some_and(|at| now.since(at) <= self.opts.report_for)
     }
 
-    fn shows_no_foreign_work(&self) -> bool {
-        self.recent().is_some_and(|w| w.work <= self.own_work)
+    fn forget_before(&mut self, observed: Boot) {
+        let lag = self.opts.settle_lag;
+        let over = |c: &Count| c.until.is_some_and(|until| until.after(lag) < observed);
+        while self.counts.front().is_some_and(over) {
+            self.counts.pop_front();
+        }
     }
 
-    fn recent(&self) -> Option<Witness> {
-        self.witness.filter(|w| w.age <= self.witness_for)
+    fn most_counted(&self) -> u32 {
+        self.counts.iter().map(|c| c.permits).max().unwrap_or_default()
     }
 }
--- a/crates/celerytide-membership/src/ownership/held.rs
+++ b/crates/celerytide-membership/src/ownership/held.rs
@@ -28,6 +28,7 @@
     pub(super) superseded: Option<Term>,
     pub(super) mustered: BTreeMap<InstanceId, Former>,
     pub(super) missing: BTreeSet<InstanceId>,
+    pub(super) counted_for: Option<u64>,
 }
 
 impl Held {
@@ -49,6 +50,7 @@
             superseded: None,
             mustered: BTreeMap::new(),
             missing: BTreeSet::new(),
+            counted_for: None,
         }
     }
 
@@ -61,6 +63,10 @@
     }
 
     pub(super) fn count_missing(&mut self, view: &View) {
+        if self.counted_for == Some(view.generation) {
+            return;
+        }
+        self.counted_for = Some(view.generation);
         let listed: BTreeSet<InstanceId> = view.instances.iter().map(|i| i.id.clone()).collect();
         self.mustered.retain(|id, _| listed.contains(id));
         self.missing = listed
--- a/crates/celerytide-membership/src/ownership/standing.rs
+++ b/crates/celerytide-membership/src/ownership/standing.rs
@@ -1,6 +1,7 @@
 //! The standing of one process towards each pool.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 use std::time::Duration;
 
 use celerytide_types::{Boot, Incarnation, InstanceId, PoolId};
@@ -100,6 +101,7 @@
     pools: BTreeMap<PoolId, Held>,
     list_epoch: u64,
     stopping: bool,
+    owned: Option<(u64, Rc<Vec<Pool>>)>,
 }
 
 impl Standing {
@@ -126,16 +128,17 @@
             pools: BTreeMap::new(),
             list_epoch: 0,
             stopping: false,
+            owned: None,
         }
     }
 
     /// Brings every standing up to date and returns the changes. Call it at each change of the view, of freshness, of
-    /// musters, and at each tick, before any grant.
+    /// musters, and at each tick, before any grant. All views must come from one [`Membership`](crate::Membership).
     pub fn assess(&mut self, now: Boot, on: Assessment<'_>) -> Vec<Change> {
         let owned = self.owned_by(on.view);
         let mut changes = self.drop_lost(&owned);
         self.enter_epoch(now, on.view);
-        for pool in owned {
+        for pool in owned.iter() {
             changes.extend(self.assess_pool(now, on, pool));
         }
         changes
@@ -232,12 +235,23 @@
         pools.into_iter().map(|(id, held)| (id, held.term)).collect()
     }
 
-    fn owned_by(&self, view: &View) -> Vec<Pool> {
-        let Some(manifest) = view.manifest.as_ref().filter(|_| !self.stopping) else {
-            return Vec::new();
-        };
+    /// Pools that this instance owns by the view; worked out once per generation.
+    fn owned_by(&mut self, view: &View) -> Rc<Vec<Pool>> {
+        if self.stopping {
+            return Rc::default();
+        }
+        if let Some((_, owned)) = self
+            .owned
+            .as_ref()
+            .filter(|(generation, _)| *generation == view.generation)
+        {
+            return owned.clone();
+        }
         let own = |p: &Pool| owner_of(&p.id, &p.region, &view.instances).is_some_and(|i| i.id == self.opts.own);
-        pools_of(manifest).into_iter().filter(own).collect()
+        let pools = view.manifest.as_ref().map_or_else(Vec::new, |m| pools_of(m));
+        let owned: Rc<Vec<Pool>> = Rc::new(pools.into_iter().filter(own).collect());
+        self.owned = Some((view.generation, owned.clone()));
+        owned
     }
 
     fn drop_lost(&mut self, owned: &[Pool]) -> Vec<Change> {
@@ -268,7 +282,7 @@
         }
     }
 
-    fn assess_pool(&mut self, now: Boot, on: Assessment<'_>, pool: Pool) -> Option<Change> {
+    fn assess_pool(&mut self, now: Boot, on: Assessment<'_>, pool: &Pool) -> Option<Change> {
         let term = Term {
             list_version: on.view.list_version,
             incarnation: self.opts.incarnation,
@@ -294,7 +308,7 @@
         held.standing = held.judge(now, on, hold);
         let changed = std::mem::discriminant(&from) != std::mem::discriminant(&held.standing);
         changed.then_some(Change {
-            pool: pool.id,
+            pool: pool.id.clone(),
             from,
             to: held.standing,
         })
--- a/crates/celerytide-membership/tests/common/manifest.rs
+++ b/crates/celerytide-membership/tests/common/manifest.rs
@@ -1,6 +1,9 @@
 //! Small manifests for tests.
 
-use celerytide_manifest::Manifest;
+use std::cell::RefCell;
+use std::collections::HashMap;
+
+use celerytide_manifest::{Checked, Fault, Manifest, check_manifest};
 
 /// Text of a valid manifest of that version; `zone_state` is the state of zone `z-0`.
 pub fn text(version: u64, zone_state: &str) -> String {
@@ -17,6 +20,18 @@
 
 /// The same, checked.
 pub fn manifest(version: u64, zone_state: &str) -> Manifest {
-    let checked = celerytide_manifest::check_manifest("test", &text(version, zone_state));
-    checked.unwrap_or_else(|faults| panic!("{faults:?}")).manifest
+    cached_check("test", &text(version, zone_state))
+        .expect("the text is valid")
+        .manifest
+}
+
+/// The real check with a memory of earlier texts, for histories that start many processes.
+pub fn cached_check(file: &str, text: &str) -> Result<Checked, Vec<Fault>> {
+    thread_local! {
+        static SEEN: RefCell<HashMap<String, Result<Checked, Vec<Fault>>>> = RefCell::default();
+    }
+    SEEN.with_borrow_mut(|seen| {
+        let check = || check_manifest(file, text);
+        seen.entry(text.to_owned()).or_insert_with(check).clone()
+    })
 }
--- a/crates/celerytide-membership/tests/owners/fleet.rs
+++ b/crates/celerytide-membership/tests/owners/fleet.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use arbtest::arbitrary::{Result, Unstructured};
-use celerytide_membership::Instance;
 use celerytide_membership::ownership::{Admitted, Former, MusterCall, Standing, owner_of};
+use celerytide_membership::{Freshness, Instance};
 use celerytide_types::Boot;
 
 use super::node::{Node, instance};
@@ -25,6 +25,10 @@
 pub struct Tally {
     /// Most work the endpoint had at once.
     pub peak: u32,
+    /// Permits that an owner granted without fresh views.
+    pub distrusted: usize,
+    /// Permits that ran under an older term than their entry had followed.
+    pub outdated: usize,
     /// Permits that ran.
     pub ran: usize,
     /// Times a node settled as the owner.
@@ -50,7 +54,9 @@
 impl Fleet {
     pub fn new(faults: Faults, flaw: Option<Flaw>) -> Fleet {
         let now = Boot::from_start(Duration::from_secs(1000));
-        let nodes = (0..NODES).map(|n| Node::start(n, 1 + n as u64, now, flaw)).collect();
+        let nodes = (0..NODES)
+            .map(|n| Node::start(n, 1 + n as u64, now, !faults.no_report, flaw))
+            .collect();
         let list = (0..NODES).map(|n| instance(n, true)).collect();
         Fleet {
             nodes,
@@ -87,11 +93,12 @@
             48..=51 => self.muster(at),
             52 | 53 if faults.list_changes => self.change_list(at, u)?,
             54 if faults.restarts => self.restart(at, u)?,
-            55 | 56 if faults.pauses => self.nodes[at].paused = !self.nodes[at].paused,
+            55 if faults.pauses => self.nodes[at].paused = true,
+            56 | 63 => self.nodes[at].paused = false,
             57 if faults.partitions => self.cut(at, u)?,
-            58 if faults.partitions => self.nodes[at].cut = u.arbitrary()?,
+            58 if faults.partitions => self.nodes[at].cut = u.ratio(1, 4)?,
             59 if faults.losses => self.lose_or_double(u)?,
-            60 if faults.stale_service => self.nodes[at].reads_stale = u.arbitrary()?,
+            60 if faults.stale_service => self.nodes[at].reads_stale = u.ratio(1, 3)?,
             61 if faults.false_removals => self.publish(|list| list.retain(|i| i.id != format!("i-{at}"))),
             62 => self.finish_orphan(),
             _ => {}
@@ -106,9 +113,11 @@
             let at_endpoint = self.at_endpoint();
             self.reports.push_front(at_endpoint);
             self.reports.truncate(REPORT_LAG + 1);
+            let lagged = self.reports.back().copied().filter(|_| !self.faults.no_report);
+            let report = lagged.map(|work| (work, Duration::from_secs(REPORT_LAG as u64)));
             for n in 0..NODES {
                 if self.nodes[n].acts() {
-                    self.nodes[n].second(self.now);
+                    self.nodes[n].second(self.now, report);
                     self.read(n, u)?;
                 }
             }
@@ -290,13 +299,13 @@
     }
 
     fn receive_ask(&mut self, entry: usize, at: usize) {
-        let lagged = self.reports.back().copied().filter(|_| !self.faults.no_report);
-        let report = lagged.map(|work| (work, Duration::from_secs(REPORT_LAG as u64)));
         let follows = self.nodes[at].own.follows(POOL, &self.nodes[entry].id) || self.flaw == Some(Flaw::ToAnyone);
         let Some(term) = self.nodes[at].own.term(POOL).filter(|_| follows) else {
             return;
         };
-        if self.nodes[at].has_room(report, self.flaw) {
+        if self.nodes[at].has_room(self.now) {
+            let fresh = self.nodes[at].members.freshness(self.now) == Freshness::Fresh;
+            self.tally.distrusted += usize::from(!fresh);
             self.numbers += 1;
             let number = self.numbers;
             self.nodes[at].counted.insert(number, entry);
@@ -310,6 +319,7 @@
         if admitted == Admitted::Yes || self.flaw == Some(Flaw::NoGuard) {
             self.nodes[at].working.insert(number);
             self.tally.ran += 1;
+            self.tally.outdated += usize::from(admitted != Admitted::Yes);
         } else {
             self.send(at, owner, What::Settle { number });
         }
@@ -365,14 +375,14 @@
 
     fn restart_dispatch(&mut self, n: usize) {
         self.lives += 1;
-        let fresh = Node::start(n, self.lives, self.now, self.flaw);
+        let fresh = Node::start(n, self.lives, self.now, !self.faults.no_report, self.flaw);
         let node = &mut self.nodes[n];
         node.dispatch_life = self.lives;
         node.own = fresh.own;
         node.members = fresh.members;
         node.counted.clear();
         node.settled.clear();
-        node.peaks.clear();
+        node.gate = fresh.gate;
         node.paused = false;
     }
 
@@ -387,7 +397,7 @@
                 self.restart_both(at);
                 self.publish(|list| list.push(instance(at, true)));
             }
-            Some(live) if u.ratio(1, 2)? => self.publish(|list| {
+            Some(live) if !self.faults.deaths || u.ratio(1, 2)? => self.publish(|list| {
                 list.retain(|i| i.id != id);
                 list.push(instance(at, !live));
             }),
@@ -407,7 +417,7 @@
     }
 
     fn cut(&mut self, at: usize, u: &mut Unstructured<'_>) -> Result<()> {
-        if u.ratio(1, 3)? {
+        if u.ratio(1, 2)? {
             self.cuts.clear();
             return Ok(());
         }
@@ -432,7 +442,9 @@
 }
 
 impl Tally {
-    pub fn within_bound(&self) -> bool {
-        self.peak <= BOUND
+    /// Whether the endpoint never had more than it bears, no entry ran a permit of an older term, and no owner granted
+    /// without fresh views.
+    pub fn holds(&self) -> bool {
+        self.peak <= BOUND && self.outdated == 0 && self.distrusted == 0
     }
 }
--- a/crates/celerytide-membership/tests/owners/mod.rs
+++ b/crates/celerytide-membership/tests/owners/mod.rs
@@ -15,8 +15,10 @@
 /// What may go wrong.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Faults {
-    /// Instances leave, die, are replaced; reads lag by a few seconds.
+    /// Instances start leaving and come back; reads lag by a few seconds.
     pub list_changes: bool,
+    /// Instances die with what they know, and are replaced.
+    pub deaths: bool,
     /// Processes sleep and wake.
     pub pauses: bool,
     /// Processes restart and forget.
@@ -42,8 +44,8 @@
     NoMuster,
     /// An owner trusts its views for ever.
     AlwaysFresh,
-    /// Without a handover the owner doesn't wait, and no report is looked at.
-    NoHold,
+    /// The endpoint's reports are not looked at.
+    NoReports,
     /// An owner grants to entries that don't follow it.
     ToAnyone,
     /// Permits in flight are not adopted.
--- a/crates/celerytide-membership/tests/owners/node.rs
+++ b/crates/celerytide-membership/tests/owners/node.rs
@@ -1,10 +1,10 @@
 //! One instance: its view, its dispatch and its entry.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use celerytide_membership::ownership::{
-    Assessment, Change, ColdCase, Options as OwnershipOptions, Ownership, TermGuard, Witness, cold_limit,
+    Assessment, Change, ColdGate, GateOptions, Options as OwnershipOptions, Ownership, TermGuard,
 };
 use celerytide_membership::{Freshness, Instance, Membership, Options, Origin, PeersSay, Watched};
 use celerytide_types::Boot;
@@ -15,9 +15,6 @@
 pub const HOLD: Duration = Duration::from_secs(40);
 const FRESH_FOR: Duration = Duration::from_secs(30);
 const PAUSE_BOUND: Duration = Duration::from_secs(2);
-const WITNESS_FOR: Duration = Duration::from_secs(3);
-/// Seconds of own counts that a report is held against.
-const MEMORY: usize = 6;
 
 pub struct Node {
     pub id: String,
@@ -29,7 +26,7 @@
     /// Permits that the dispatch counts.
     pub counted: BTreeMap<Number, usize>,
     pub settled: BTreeSet<Number>,
-    pub peaks: VecDeque<u32>,
+    pub gate: ColdGate,
     /// Permits that run through the entry.
     pub working: BTreeSet<Number>,
     pub up: bool,
@@ -52,24 +49,20 @@
 }
 
 impl Node {
-    pub fn start(n: usize, life: u64, now: Boot, flaw: Option<Flaw>) -> Node {
+    pub fn start(n: usize, life: u64, now: Boot, reports: bool, flaw: Option<Flaw>) -> Node {
         let opts = Options {
             incarnation: life,
+            check: manifest::cached_check,
             fresh_for: FRESH_FOR,
             pause_bound: PAUSE_BOUND,
             ..Options::default()
         };
         let members = Membership::new(now, opts);
         members.offer_manifest(&Origin::Service, &manifest::text(1, "in"));
-        let hold = if flaw == Some(Flaw::NoHold) {
-            Duration::ZERO
-        } else {
-            HOLD
-        };
         let own = Ownership::new(OwnershipOptions {
             own: format!("i-{n}"),
             incarnation: life,
-            hold,
+            hold: HOLD,
         });
         Node {
             id: format!("i-{n}"),
@@ -80,7 +73,13 @@
             dispatch_life: life,
             counted: BTreeMap::new(),
             settled: BTreeSet::new(),
-            peaks: VecDeque::new(),
+            gate: ColdGate::new(
+                now,
+                GateOptions {
+                    reports: reports && flaw != Some(Flaw::NoReports),
+                    ..GateOptions::default()
+                },
+            ),
             working: BTreeSet::new(),
             up: true,
             paused: false,
@@ -117,34 +116,25 @@
                 peers: PeersSay::Silent,
             },
         );
-        let lost = self.own.term(POOL).is_none();
-        if lost {
+        if self.own.term(POOL).is_none() {
             self.counted.clear();
         }
+        self.gate.standing(now, self.own.standing(POOL));
+        self.gate.counted(now, self.counted.len() as u32);
         changes
     }
 
-    /// One second passes.
-    pub fn second(&mut self, now: Boot) {
+    /// One second passes; `report` is the endpoint's own count and its age.
+    pub fn second(&mut self, now: Boot, report: Option<(u32, Duration)>) {
         self.members.tick(now);
-        self.peaks.push_back(self.counted.len() as u32);
-        if self.peaks.len() > MEMORY {
-            self.peaks.pop_front();
+        if let Some((work, age)) = report {
+            self.gate.reported(now, work, age);
         }
     }
 
-    /// Whether one more permit may be granted; `report` is the endpoint's own count and its age.
-    pub fn has_room(&self, report: Option<(u32, Duration)>, flaw: Option<Flaw>) -> bool {
+    /// Whether one more permit may be granted.
+    pub fn has_room(&self, now: Boot) -> bool {
         let counted = self.counted.len() as u32;
-        let own_work = self.peaks.iter().copied().chain([counted]).max().unwrap_or_default();
-        let unseen = flaw == Some(Flaw::NoHold);
-        let witness = report.filter(|_| !unseen).map(|(work, age)| Witness { work, age });
-        let case = ColdCase {
-            bound: BOUND,
-            own_work,
-            witness,
-            witness_for: WITNESS_FOR,
-        };
-        counted < cold_limit(self.own.standing(POOL), case)
+        counted < self.gate.limit(now, self.own.standing(POOL), BOUND)
     }
 }
--- a/crates/celerytide-membership/tests/ownership_history.rs
+++ b/crates/celerytide-membership/tests/ownership_history.rs
@@ -6,12 +6,14 @@
 use owners::fleet::{Fleet, Tally};
 use owners::{Faults, Flaw};
 
-const BYTES: u32 = 8192;
+const BYTES: u32 = 16_384;
+/// Seeds from each base.
+const FEW: u64 = 8;
 
 #[derive(Debug, Default)]
 struct Sum {
     histories: usize,
-    beyond: usize,
+    broken: usize,
     ran: usize,
     settled: usize,
 }
@@ -19,92 +21,133 @@
 impl Sum {
     fn add(&mut self, tally: Tally) {
         self.histories += 1;
-        self.beyond += usize::from(!tally.within_bound());
+        self.broken += usize::from(!tally.holds());
         self.ran += tally.ran;
         self.settled += tally.settled;
     }
 }
 
-fn sum(faults: Faults, flaw: Option<Flaw>) -> Sum {
+fn sum(faults: Faults, flaw: Option<Flaw>, steps: u64) -> Sum {
     let mut sum = Sum::default();
-    common::each_seed(BYTES, |u| {
+    common::each_fixed_seed(BYTES, steps, |u| {
         sum.add(Fleet::new(faults, flaw).run(u)?);
         Ok(())
     });
     sum
 }
 
-fn claimed() -> Faults {
-    Faults {
-        list_changes: true,
-        pauses: true,
-        restarts: true,
-        partitions: true,
-        losses: true,
-        ..Faults::default()
-    }
+fn claimed_sum(faults: Faults) -> Sum {
+    let mut sum = Sum::default();
+    common::each_seed(BYTES, FEW, |u| {
+        sum.add(Fleet::new(faults, None).run(u)?);
+        Ok(())
+    });
+    sum
 }
 
+const CALM: Faults = Faults {
+    list_changes: false,
+    deaths: false,
+    pauses: false,
+    restarts: false,
+    partitions: false,
+    losses: false,
+    stale_service: false,
+    false_removals: false,
+    no_report: false,
+};
+const CHANGES: Faults = Faults {
+    list_changes: true,
+    deaths: true,
+    ..CALM
+};
+const CLAIMED: Faults = Faults {
+    pauses: true,
+    restarts: true,
+    partitions: true,
+    losses: true,
+    ..CHANGES
+};
+const REMOVED_AND_CUT: Faults = Faults {
+    list_changes: true,
+    false_removals: true,
+    partitions: true,
+    ..CALM
+};
+const UNREPORTED: Faults = Faults {
+    no_report: true,
+    restarts: false,
+    deaths: false,
+    ..CLAIMED
+};
+
 #[test]
 fn a_cold_endpoint_gets_no_more_than_it_bears() {
     struct Case {
         name: &'static str,
         faults: Faults,
     }
-    let calm = Faults::default();
     let cases = [
         Case {
             name: "calm",
-            faults: calm,
+            faults: CALM,
         },
         Case {
-            name: "list changes",
-            faults: Faults {
-                list_changes: true,
-                ..calm
-            },
+            name: "lists change, instances die",
+            faults: CHANGES,
         },
         Case {
-            name: "pauses",
+            name: "and pauses",
             faults: Faults {
                 pauses: true,
-                list_changes: true,
-                ..calm
+                ..CHANGES
             },
         },
         Case {
-            name: "restarts",
+            name: "and restarts",
             faults: Faults {
                 restarts: true,
-                list_changes: true,
-                ..calm
+                ..CHANGES
             },
         },
         Case {
-            name: "partitions",
+            name: "and partitions",
             faults: Faults {
                 partitions: true,
-                list_changes: true,
-                ..calm
+                ..CHANGES
             },
         },
         Case {
-            name: "all at once",
-            faults: claimed(),
+            name: "and a stale service",
+            faults: Faults {
+                stale_service: true,
+                ..CHANGES
+            },
+        },
+        Case {
+            name: "all of these but stale",
+            faults: CLAIMED,
         },
         Case {
-            name: "stale service",
+            name: "all of these",
             faults: Faults {
                 stale_service: true,
-                list_changes: true,
-                ..calm
+                ..CLAIMED
             },
         },
+        Case {
+            name: "instances dropped from the list, partitions",
+            faults: REMOVED_AND_CUT,
+        },
+        Case {
+            name: "no report, no death, no restart",
+            faults: UNREPORTED,
+        },
     ];
     for case in cases {
-        let sum = sum(case.faults, None);
+        let sum = claimed_sum(case.faults);
         println!("{}: {sum:?}", case.name);
-        assert_eq!(sum.beyond, 0, "{}: {sum:?}", case.name);
+        assert_eq!(sum.broken, 0, "{}: {sum:?}", case.name);
         assert!(
             sum.ran > sum.histories && sum.settled > 0,
             "{}: too little happened: {sum:?}",
@@ -112,3 +155,84 @@
         );
     }
 }
+
+#[test]
+fn combinations_that_are_left_are_real() {
+    struct Case {
+        name: &'static str,
+        faults: Faults,
+    }
+    let dropped = Faults {
+        false_removals: true,
+        ..CHANGES
+    };
+    let cases = [
+        Case {
+            name: "stale service, instance dropped while it works",
+            faults: Faults {
+                stale_service: true,
+                ..dropped
+            },
+        },
+        Case {
+            name: "no report, instance dropped while it works",
+            faults: Faults {
+                no_report: true,
+                ..dropped
+            },
+        },
+        Case {
+            name: "no report, owner and entry die at once",
+            faults: Faults {
+                no_report: true,
+                ..CLAIMED
+            },
+        },
+    ];
+    for case in cases {
+        let sum = sum(case.faults, None, FEW);
+        println!("{}: {sum:?}", case.name);
+        assert!(sum.broken > 0, "{}: holds; move it to the claims: {sum:?}", case.name);
+    }
+}
+
+#[test]
+fn every_deliberate_break_is_caught() {
+    struct Case {
+        flaw: Flaw,
+        faults: Faults,
+        steps: u64,
+    }
+    let cases = [
+        Case {
+            flaw: Flaw::NoGuard,
+            faults: CLAIMED,
+            steps: FEW,
+        },
+        Case {
+            flaw: Flaw::NoMuster,
+            faults: CLAIMED,
+            steps: FEW,
+        },
+        Case {
+            flaw: Flaw::NoReports,
+            faults: CLAIMED,
+            steps: FEW,
+        },
+        Case {
+            flaw: Flaw::AlwaysFresh,
+            faults: CLAIMED,
+            steps: FEW,
+        },
+        Case {
+            flaw: Flaw::NoAdoption,
+            faults: UNREPORTED,
+            steps: FEW,
+        },
+    ];
+    for case in cases {
+        let sum = sum(case.faults, Some(case.flaw), case.steps);
+        println!("{:?}: {sum:?}", case.flaw);
+        assert!(sum.broken > 0, "{:?} was never caught", case.flaw);
+    }
+}
--- a/crates/celerytide-once/tests/key_model.rs
+++ b/crates/celerytide-once/tests/key_model.rs
@@ -9,6 +9,7 @@
 use celerytide_types::rendezvous_weight;
 
 const BYTES: u32 = 2048;
+const STEPS: u64 = 50;
 const INSTANCES: usize = 3;
 const FRESH_FOR: u64 = 10;
 const LIFETIME: u64 = 60;
@@ -181,7 +182,7 @@
 
 fn doubled(guards: Guards, faults: Faults) -> usize {
     let mut doubled = 0;
-    common::each_fixed_seed(BYTES, |u| {
+    common::each_fixed_seed(BYTES, STEPS, |u| {
         let mut model = Model::new(guards);
         while !u.is_empty() {
             model.step(faults, u)?;
--- a/crates/celerytide-once/tests/once_history.rs
+++ b/crates/celerytide-once/tests/once_history.rs
@@ -9,6 +9,7 @@
 use world::{Event, Flaw, World};
 
 const BYTES: u32 = 2048;
+const STEPS: u64 = 50;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Violation {
@@ -67,7 +68,7 @@
 fn an_action_runs_at_most_once_and_words_are_true() {
     let mut runs = 0;
     let mut words = BTreeMap::new();
-    common::each_seed(BYTES, |u| {
+    common::each_seed(BYTES, STEPS, |u| {
         let history = World::new(None).run(u)?;
         assert_eq!(check(&history), [], "{history:?}");
         runs += history.iter().filter(|e| matches!(e, Event::Ran { .. })).count();
@@ -117,7 +118,7 @@
     ];
     for case in cases {
         let mut caught = 0;
-        common::each_fixed_seed(BYTES, |u| {
+        common::each_fixed_seed(BYTES, STEPS, |u| {
             let history = World::new(Some(case.flaw)).run(u)?;
             caught += usize::from(check(&history).contains(&case.want));
             Ok(())
