--- a/crates/celerytide-membership/src/watch/document.rs
+++ b/crates/celerytide-membership/src/watch/document.rs
@@ -116,7 +116,7 @@
         };
         let Some(seen) = self.seen else { return path.to_owned() };
         let mark = if path.contains('?') { '&' } else { '?' };
-        format!("{path}{mark}index={seen}&wait={}ms", self.wait().as_millis())
+        format!("{path}{mark}index={seen}&wait={}", span(self.wait()))
     }
 
     fn wait(&self) -> Duration {
@@ -185,3 +185,11 @@
     tracing::warn!(%error, "membership: list is malformed");
     Taken::Failed("list is malformed")
 }
+
+/// A time span as the service reads it.
+fn span(wait: Duration) -> String {
+    match wait.subsec_millis() {
+        0 => format!("{}s", wait.as_secs()),
+        _ => format!("{}ms", wait.as_millis()),
+    }
+}
--- /dev/null
+++ b/crates/celerytide-membership/tests/watch.rs
@@ -0,0 +1,340 @@
+//! The watches against a scripted service, and the HTTP client as their source.
+
+mod common;
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use celerytide_http::client::{Client, Options as ClientOptions};
+use celerytide_membership::watch::{
+    Answer, Backoff, ParseError, ReadError, Source, WatchOptions, parse_endpoints, parse_instances, watch,
+};
+use celerytide_membership::{Freshness, Membership, Options};
+use celerytide_types::now_boot;
+use common::manifest;
+use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
+use monoio::net::TcpListener;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio_util::sync::CancellationToken;
+
+const BOUND: Duration = Duration::from_secs(20);
+const MANIFEST: &str = "/v1/kv/celerytide/manifest";
+const INSTANCES: &str = "/v1/health/service/celerytide?";
+const LIST: &str = r#"[{"Service":{"ID":"i-0","Address":"127.0.0.1","Port":80,"Meta":{"zone":"z-0","region":"r",
+    "state":"live","entry_peer":"127.0.0.1:81","dispatch_peer":"127.0.0.1:82"}}}]"#;
+const ENDPOINTS: &str = r#"[{"Service":{"ID":"e-0","Address":"127.0.0.1","Port":1,"Meta":{"state":"live"}}}]"#;
+
+fn run<T>(work: impl Future<Output = T>) -> T {
+    let built = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build();
+    built.expect("the runtime starts").block_on(work)
+}
+
+/// What the scripted service does.
+#[derive(Default)]
+struct Script {
+    down: bool,
+    manifest: Option<(u64, String)>,
+    list_index: u64,
+    reads: Vec<(SocketAddr, String)>,
+}
+
+#[derive(Clone, Default)]
+struct Service(Rc<RefCell<Script>>);
+
+impl Source for Service {
+    async fn read(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        _: Duration,
+        _: usize,
+        _: &CancellationToken,
+    ) -> Result<Answer, ReadError> {
+        let waits = path.contains("index=");
+        self.0.borrow_mut().reads.push((addr, path.to_owned()));
+        if waits {
+            monoio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let script = self.0.borrow();
+        if script.down {
+            return Err(ReadError::Timeout);
+        }
+        let (status, index, body) = match path {
+            p if p.starts_with(MANIFEST) => match &script.manifest {
+                Some((index, text)) => (200, *index, text.as_str()),
+                None => (404, 1, ""),
+            },
+            p if p.starts_with(INSTANCES) || p.ends_with("/celerytide") => (200, script.list_index, LIST),
+            _ => (200, script.list_index, ENDPOINTS),
+        };
+        Ok(Answer {
+            status,
+            index: Some(index),
+            body: body.as_bytes().to_vec(),
+        })
+    }
+}
+
+fn options() -> WatchOptions {
+    WatchOptions {
+        config_service: vec![
+            "127.0.0.1:1".parse().expect("literal"),
+            "127.0.0.1:2".parse().expect("literal"),
+        ],
+        start_jitter: Duration::from_millis(5),
+        min_gap: Duration::from_millis(1),
+        backoff_min: Duration::from_millis(1),
+        backoff_max: Duration::from_millis(8),
+        ..WatchOptions::default()
+    }
+}
+
+/// Runs the watches until `done` holds, then cancels them.
+fn watch_until(service: &Service, m: &Membership, opts: &WatchOptions, mut done: impl FnMut() -> bool) {
+    run(async {
+        let cx = CancellationToken::new();
+        let poll = async {
+            let until = now_boot().after(BOUND);
+            while !done() {
+                assert!(now_boot() < until, "not within the bound");
+                m.tick(now_boot());
+                monoio::time::sleep(Duration::from_millis(2)).await;
+            }
+            cx.cancel();
+        };
+        futures::join!(watch(m, service, opts, &cx), poll);
+    });
+}
+
+#[test]
+fn the_watches_read_apply_and_wait() {
+    let service = Service::default();
+    service.0.borrow_mut().list_index = 7;
+    let m = Membership::new(now_boot(), Options::default());
+    let opts = options();
+    watch_until(&service, &m, &opts, || m.freshness(now_boot()) == Freshness::Fresh);
+    assert_eq!(m.view().manifest_version, 0, "not published yet is an answer");
+    assert_eq!((m.view().list_version, m.view().endpoints_version), (7, 7));
+    service.0.borrow_mut().manifest = Some((9, manifest::text(3, "in")));
+    let waited = |path: &str| service.0.borrow().reads.iter().any(|(_, read)| read.as_str() == path);
+    watch_until(&service, &m, &opts, || {
+        let waits = ["manifest?raw&index=9&wait=20s", "manifest?raw&index=1&wait=20s"];
+        let manifest = waits.iter().any(|w| waited(&format!("/v1/kv/celerytide/{w}")));
+        let list = waited("/v1/health/service/celerytide?index=7&wait=20s");
+        m.view().manifest_version == 3 && manifest && list
+    });
+    let script = service.0.borrow();
+    let counted = opts.counts.manifest.get() + opts.counts.instances.get() + opts.counts.endpoints.get();
+    assert_eq!(counted, script.reads.len() as u64);
+}
+
+#[test]
+fn a_service_that_fell_behind_changes_and_confirms_nothing() {
+    let service = Service::default();
+    service.0.borrow_mut().list_index = 7;
+    service.0.borrow_mut().manifest = Some((9, manifest::text(3, "in")));
+    let fresh_for = Duration::from_millis(300);
+    let m = Membership::new(
+        now_boot(),
+        Options {
+            fresh_for,
+            ..Options::default()
+        },
+    );
+    let opts = options();
+    watch_until(&service, &m, &opts, || {
+        m.view().manifest_version == 3 && m.freshness(now_boot()) == Freshness::Fresh
+    });
+    service.0.borrow_mut().list_index = 6;
+    service.0.borrow_mut().manifest = Some((8, manifest::text(2, "out")));
+    watch_until(&service, &m, &opts, || {
+        matches!(m.freshness(now_boot()), Freshness::Stale { .. })
+    });
+    assert_eq!((m.view().list_version, m.view().manifest_version), (7, 3));
+}
+
+#[test]
+fn a_service_that_is_down_is_tried_at_each_address() {
+    let service = Service::default();
+    service.0.borrow_mut().down = true;
+    let m = Membership::new(now_boot(), Options::default());
+    let opts = options();
+    watch_until(&service, &m, &opts, || opts.counts.failed.get() >= 12);
+    let script = service.0.borrow();
+    let at = |port: u16| script.reads.iter().filter(|(addr, _)| addr.port() == port).count();
+    assert!(at(1) > 0 && at(2) > 0);
+    assert!(script.reads.iter().all(|(_, path)| !path.contains("index=")));
+    assert_eq!(m.view().generation, 0);
+}
+
+#[test]
+fn backoff_doubles_to_its_bound_and_starts_anew() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let (min, max) = (Duration::from_millis(100), Duration::from_millis(1000));
+    let mut backoff = Backoff::new(min, max);
+    for full in [100, 200, 400, 800, 1000, 1000] {
+        let full = Duration::from_millis(full);
+        let got = backoff.next(&mut rng);
+        assert!(got >= full / 2 && got <= full, "{got:?} of {full:?}");
+    }
+    for _ in 0..100 {
+        assert!(backoff.next(&mut rng) <= max);
+    }
+    backoff.reset();
+    assert!(backoff.next(&mut rng) <= min);
+}
+
+#[test]
+fn a_list_with_a_bad_entry_is_refused_whole() {
+    struct Case {
+        name: &'static str,
+        from: &'static str,
+        to: &'static str,
+        want: Option<&'static str>,
+    }
+    let cases = [
+        Case {
+            name: "good",
+            from: "",
+            to: "",
+            want: None,
+        },
+        Case {
+            name: "leaving",
+            from: "live",
+            to: "leaving",
+            want: None,
+        },
+        Case {
+            name: "state",
+            from: "live",
+            to: "maybe",
+            want: Some("state"),
+        },
+        Case {
+            name: "address",
+            from: "\"127.0.0.1\"",
+            to: "\"host\"",
+            want: Some("Address"),
+        },
+        Case {
+            name: "peer",
+            from: "127.0.0.1:81",
+            to: "127.0.0.1",
+            want: Some("entry_peer"),
+        },
+        Case {
+            name: "dispatch",
+            from: "127.0.0.1:82",
+            to: "",
+            want: Some("dispatch_peer"),
+        },
+        Case {
+            name: "zone",
+            from: "\"z-0\"",
+            to: "\"\"",
+            want: Some("zone"),
+        },
+        Case {
+            name: "region",
+            from: "\"r\"",
+            to: "\"\"",
+            want: Some("region"),
+        },
+        Case {
+            name: "id",
+            from: "\"i-0\"",
+            to: "\"\"",
+            want: Some("ID"),
+        },
+        Case {
+            name: "not json",
+            from: "[{",
+            to: "{",
+            want: Some("json"),
+        },
+    ];
+    for case in cases {
+        let text = if case.from.is_empty() {
+            LIST.to_owned()
+        } else {
+            LIST.replacen(case.from, case.to, 1)
+        };
+        let got = match parse_instances(text.as_bytes()) {
+            Ok(list) if list.len() == 1 => None,
+            Ok(_) => Some("length"),
+            Err(ParseError::Json { .. }) => Some("json"),
+            Err(ParseError::Entry { field, .. }) => Some(field),
+        };
+        assert_eq!(got, case.want, "{}", case.name);
+    }
+    assert!(parse_endpoints(ENDPOINTS.as_bytes()).is_ok_and(|list| list[0].live));
+    assert!(parse_endpoints(ENDPOINTS.replace("live", "").as_bytes()).is_err());
+}
+
+#[test]
+fn the_client_reads_over_http() {
+    struct Case {
+        name: &'static str,
+        answer: &'static str,
+        want: Result<Answer, bool>,
+    }
+    let ok = |index| {
+        Ok(Answer {
+            status: 200,
+            index,
+            body: b"hello".to_vec(),
+        })
+    };
+    let cases = [
+        Case {
+            name: "index",
+            answer: "HTTP/1.1 200 OK\r\nX-Consul-Index: 42\r\nContent-Length: 5\r\n\r\nhello",
+            want: ok(Some(42)),
+        },
+        Case {
+            name: "no index",
+            answer: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+            want: ok(None),
+        },
+        Case {
+            name: "bad index",
+            answer: "HTTP/1.1 200 OK\r\nX-Consul-Index: -1\r\nContent-Length: 5\r\n\r\nhello",
+            want: ok(None),
+        },
+        Case {
+            name: "too large",
+            answer: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhellohell",
+            want: Err(true),
+        },
+        Case {
+            name: "cut",
+            answer: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel",
+            want: Err(false),
+        },
+    ];
+    for case in cases {
+        let got = run(async {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+            let addr = listener.local_addr().expect("bound");
+            let serve = async {
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                let (_, head) = stream.read(vec![0; 4096]).await;
+                assert!(String::from_utf8_lossy(&head).starts_with("GET /x?raw HTTP/1.1\r\n"));
+                stream.write_all(case.answer).await.0.expect("written");
+            };
+            let client = Client::new(ClientOptions::default());
+            let cx = CancellationToken::new();
+            let read = client.read(addr, "/x?raw", BOUND, 8, &cx);
+            futures::join!(read, serve).0
+        });
+        let got = got.map_err(|e| matches!(e, ReadError::TooLarge { .. }));
+        assert_eq!(got, case.want, "{}", case.name);
+    }
+}
