--- /dev/null
+++ b/crates/celerytide-membership/tests/ownership_history.rs
@@ -0,0 +1,238 @@
+//! A cold endpoint is never given more than it bears, over recorded histories of a small fleet.
+
+mod common;
+mod owners;
+
+use owners::fleet::{Fleet, Tally};
+use owners::{Faults, Flaw};
+
+const BYTES: u32 = 16_384;
+/// Seeds from each base.
+const FEW: u64 = 8;
+
+#[derive(Debug, Default)]
+struct Sum {
+    histories: usize,
+    broken: usize,
+    ran: usize,
+    settled: usize,
+}
+
+impl Sum {
+    fn add(&mut self, tally: Tally) {
+        self.histories += 1;
+        self.broken += usize::from(!tally.holds());
+        self.ran += tally.ran;
+        self.settled += tally.settled;
+    }
+}
+
+fn sum(faults: Faults, flaw: Option<Flaw>, steps: u64) -> Sum {
+    let mut sum = Sum::default();
+    common::each_fixed_seed(BYTES, steps, |u| {
+        sum.add(Fleet::new(faults, flaw).run(u)?);
+        Ok(())
+    });
+    sum
+}
+
+fn claimed_sum(faults: Faults) -> Sum {
+    let mut sum = Sum::default();
+    common::each_seed(BYTES, FEW, |u| {
+        sum.add(Fleet::new(faults, None).run(u)?);
+        Ok(())
+    });
+    sum
+}
+
+const CALM: Faults = Faults {
+    list_changes: false,
+    deaths: false,
+    pauses: false,
+    restarts: false,
+    partitions: false,
+    losses: false,
+    stale_service: false,
+    false_removals: false,
+    no_report: false,
+};
+const CHANGES: Faults = Faults {
+    list_changes: true,
+    deaths: true,
+    ..CALM
+};
+const CLAIMED: Faults = Faults {
+    pauses: true,
+    restarts: true,
+    partitions: true,
+    losses: true,
+    ..CHANGES
+};
+const REMOVED_AND_CUT: Faults = Faults {
+    list_changes: true,
+    false_removals: true,
+    partitions: true,
+    ..CALM
+};
+const UNREPORTED: Faults = Faults {
+    no_report: true,
+    restarts: false,
+    deaths: false,
+    ..CLAIMED
+};
+
+#[test]
+fn a_cold_endpoint_gets_no_more_than_it_bears() {
+    struct Case {
+        name: &'static str,
+        faults: Faults,
+    }
+    let cases = [
+        Case {
+            name: "calm",
+            faults: CALM,
+        },
+        Case {
+            name: "lists change, instances die",
+            faults: CHANGES,
+        },
+        Case {
+            name: "and pauses",
+            faults: Faults {
+                pauses: true,
+                ..CHANGES
+            },
+        },
+        Case {
+            name: "and restarts",
+            faults: Faults {
+                restarts: true,
+                ..CHANGES
+            },
+        },
+        Case {
+            name: "and partitions",
+            faults: Faults {
+                partitions: true,
+                ..CHANGES
+            },
+        },
+        Case {
+            name: "and a stale service",
+            faults: Faults {
+                stale_service: true,
+                ..CHANGES
+            },
+        },
+        Case {
+            name: "all of these but stale",
+            faults: CLAIMED,
+        },
+        Case {
+            name: "all of these",
+            faults: Faults {
+                stale_service: true,
+                ..CLAIMED
+            },
+        },
+        Case {
+            name: "instances dropped from the list, partitions",
+            faults: REMOVED_AND_CUT,
+        },
+        Case {
+            name: "no report, no death, no restart",
+            faults: UNREPORTED,
+        },
+    ];
+    for case in cases {
+        let sum = claimed_sum(case.faults);
+        println!("{}: {sum:?}", case.name);
+        assert_eq!(sum.broken, 0, "{}: {sum:?}", case.name);
+        assert!(
+            sum.ran > sum.histories && sum.settled > 0,
+            "{}: too little happened: {sum:?}",
+            case.name
+        );
+    }
+}
+
+#[test]
+fn combinations_that_are_left_are_real() {
+    struct Case {
+        name: &'static str,
+        faults: Faults,
+    }
+    let dropped = Faults {
+        false_removals: true,
+        ..CHANGES
+    };
+    let cases = [
+        Case {
+            name: "stale service, instance dropped while it works",
+            faults: Faults {
+                stale_service: true,
+                ..dropped
+            },
+        },
+        Case {
+            name: "no report, instance dropped while it works",
+            faults: Faults {
+                no_report: true,
+                ..dropped
+            },
+        },
+        Case {
+            name: "no report, owner and entry die at once",
+            faults: Faults {
+                no_report: true,
+                ..CLAIMED
+            },
+        },
+    ];
+    for case in cases {
+        let sum = sum(case.faults, None, FEW);
+        println!("{}: {sum:?}", case.name);
+        assert!(sum.broken > 0, "{}: holds; move it to the claims: {sum:?}", case.name);
+    }
+}
+
+#[test]
+fn every_deliberate_break_is_caught() {
+    struct Case {
+        flaw: Flaw,
+        faults: Faults,
+        steps: u64,
+    }
+    let cases = [
+        Case {
+            flaw: Flaw::NoGuard,
+            faults: CLAIMED,
+            steps: FEW,
+        },
+        Case {
+            flaw: Flaw::NoMuster,
+            faults: CLAIMED,
+            steps: FEW,
+        },
+        Case {
+            flaw: Flaw::NoReports,
+            faults: CLAIMED,
+            steps: FEW,
+        },
+        Case {
+            flaw: Flaw::AlwaysFresh,
+            faults: CLAIMED,
+            steps: FEW,
+        },
+        Case {
+            flaw: Flaw::NoAdoption,
+            faults: UNREPORTED,
+            steps: FEW,
+        },
+    ];
+    for case in cases {
+        let sum = sum(case.faults, Some(case.flaw), case.steps);
+        println!("{:?}: {sum:?}", case.flaw);
+        assert!(sum.broken > 0, "{:?} was never caught", case.flaw);
+    }
+}
