fix(load): a signal ends run and compare together with their processes

Before/After: new test a_signal_ends_a_run_and_its_processes passes with the two others; it was not run against the code before. Conclusion: all three commands end their children before they end.

--- a/crates/celerytide-load/src/compare/mod.rs
+++ b/crates/celerytide-load/src/compare/mod.rs
@@ -16,6 +16,7 @@
 use crate::{
     fleet::{self, Fleet},
     machine::Machine,
+    signals::Stop,
 };
 
 pub use latency::Latency;
@@ -93,6 +94,9 @@
         /// What the system said.
         source: io::Error,
     },
+    /// A signal asked the tool to end.
+    #[snafu(display("ended by a signal"))]
+    Interrupted,
     /// A sending thread ended early.
     #[snafu(display("a sending thread ended early"))]
     Thread,
@@ -122,7 +126,7 @@
 
 /// Runs all measurements and prints the table.
 pub fn run(options: &Options) -> Result<(), Error> {
-    let results = measure(options)?;
+    let results = measure(options, &Stop::watch()?)?;
     let table = table::markdown(&results);
     println!("{table}");
     if let Some(folder) = &options.out {
@@ -136,17 +140,19 @@
     Ok(())
 }
 
-/// Runs all measurements.
-pub fn measure(options: &Options) -> Result<Results, Error> {
+/// Runs all measurements; a signal ends them after the one that runs.
+pub fn measure(options: &Options, stop: &Stop) -> Result<Results, Error> {
     let machine = Machine::read();
     eprintln!("time to the first token ...");
-    let first = with_fleet(AT_ONCE_MS, |fleet| latency::measure(fleet, options, SHORT_TOKENS))?;
+    let first = with_fleet(stop, AT_ONCE_MS, |fleet| latency::measure(fleet, options, SHORT_TOKENS))?;
     eprintln!("time between tokens ...");
-    let steady = with_fleet(STEADY_MS, |fleet| latency::measure(fleet, options, LONG_TOKENS))?;
+    let steady = with_fleet(stop, STEADY_MS, |fleet| latency::measure(fleet, options, LONG_TOKENS))?;
     eprintln!("plain calls ...");
-    let plain = with_fleet(FAST_MS, |fleet| throughput::plain(fleet, options))?;
+    let plain = with_fleet(stop, FAST_MS, |fleet| throughput::plain(fleet, options))?;
     eprintln!("streamed tokens ...");
-    let streamed = with_fleet(FAST_MS, |fleet| throughput::streamed(fleet, options, STREAM_TOKENS))?;
+    let streamed = with_fleet(stop, FAST_MS, |fleet| {
+        throughput::streamed(fleet, options, STREAM_TOKENS)
+    })?;
     Ok(Results {
         machine,
         rate: options.rate,
@@ -159,10 +165,14 @@
     })
 }
 
-fn with_fleet<T>(decode_ms: f64, work: impl FnOnce(&Fleet) -> Result<T, Error>) -> Result<T, Error> {
-    let mut fleet = Fleet::start(&plan::deployment(decode_ms)?, fleet::Options::default())?;
+fn with_fleet<T>(stop: &Stop, decode_ms: f64, work: impl FnOnce(&Fleet) -> Result<T, Error>) -> Result<T, Error> {
+    let mut fleet = Fleet::start(&plan::deployment(decode_ms)?, fleet::Options { own_group: true })?;
     fleet.wait_ready(READY_TIMEOUT)?;
     let done = work(&fleet)?;
     fleet.stop(STOP_TIMEOUT);
-    Ok(done)
+    if stop.is_set() {
+        InterruptedSnafu.fail()
+    } else {
+        Ok(done)
+    }
 }
--- a/crates/celerytide-load/src/demo/mod.rs
+++ b/crates/celerytide-load/src/demo/mod.rs
@@ -3,10 +3,6 @@
 use std::{
     io::{self, Write},
     net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
     thread,
     time::Duration,
 };
@@ -17,13 +13,13 @@
 use http::Method;
 use monoio::{LegacyDriver, RuntimeBuilder};
 use serde::Deserialize;
-use signal_hook::consts::{SIGINT, SIGTERM};
 use snafu::{ResultExt, Snafu};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     caller::{self, Ask, Outcome},
     fleet::{self, Deployment, Fleet},
+    signals::Stop,
 };
 
 /// How long the daemons may take to be ready.
@@ -97,7 +93,7 @@
 
 /// Runs the demonstration.
 pub fn run(options: &Options) -> Result<(), Error> {
-    let stopped = watch_signals().context(SystemSnafu)?;
+    let stop = Stop::watch().context(SystemSnafu)?;
     let plan = Deployment::demo(options.instances.max(ENTRIES))?;
     println!(
         "starting {} instances in {} zones ...",
@@ -115,7 +111,9 @@
     show_curl(&fleet);
     if !options.once {
         println!("\nCtrl-C ends everything.");
-        wait(&stopped);
+        while !stop.is_set() {
+            thread::sleep(SIGNAL_LOOK);
+        }
     }
     println!("stopping ...");
     if !fleet.stop(STOP_TIMEOUT) {
@@ -125,20 +123,6 @@
     Ok(())
 }
 
-fn watch_signals() -> io::Result<Arc<AtomicBool>> {
-    let stopped = Arc::new(AtomicBool::new(false));
-    for signal in [SIGINT, SIGTERM] {
-        signal_hook::flag::register(signal, stopped.clone())?;
-    }
-    Ok(stopped)
-}
-
-fn wait(stopped: &AtomicBool) {
-    while !stopped.load(Ordering::Relaxed) {
-        thread::sleep(SIGNAL_LOOK);
-    }
-}
-
 fn show_fleet(fleet: &Fleet) {
     println!("configuration service  http://{}", fleet.config.addr());
     for endpoint in fleet.engines.iter().chain(&fleet.plains) {
--- a/crates/celerytide-load/src/lib.rs
+++ b/crates/celerytide-load/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod report;
 pub mod run;
 pub mod scenario;
+pub mod signals;
--- a/crates/celerytide-load/src/run/mod.rs
+++ b/crates/celerytide-load/src/run/mod.rs
@@ -22,6 +22,7 @@
     machine::Machine,
     report,
     scenario::{self, Action, Scenario},
+    signals::Stop,
 };
 
 pub use results::{ClassResult, PhaseEnd, Results, Second, attains, summarise};
@@ -89,6 +90,9 @@
         /// What went wrong.
         source: report::Error,
     },
+    /// A signal asked the tool to end.
+    #[snafu(display("ended by a signal"))]
+    Interrupted,
     /// The sending thread ended early.
     #[snafu(display("the sending thread ended early"))]
     Thread,
@@ -102,6 +106,7 @@
 
 /// Runs the scenario with each seed and writes the results.
 pub fn run(options: &Options) -> Result<(), Error> {
+    let stop = Stop::watch()?;
     let scenario = Scenario::load(&options.scenario)?;
     let own = [scenario.seed];
     let seeds = if options.seed.is_empty() {
@@ -111,10 +116,11 @@
     };
     let mut all = Vec::new();
     for seed in seeds {
-        let results = measure(&Scenario {
+        let scenario = Scenario {
             seed: *seed,
             ..scenario.clone()
-        })?;
+        };
+        let results = measure(&scenario, &stop)?;
         println!("{}", report::markdown(&results));
         if let Some(folder) = &options.out {
             let folder = if seeds.len() > 1 {
@@ -144,21 +150,24 @@
 }
 
 /// Runs the scenario.
-pub fn measure(scenario: &Scenario) -> Result<Results, Error> {
+pub fn measure(scenario: &Scenario, stop: &Stop) -> Result<Results, Error> {
     let machine = Machine::read();
     eprintln!(
         "{}: starting {} instances ...",
         scenario.name, scenario.deployment.instances
     );
-    let mut fleet = Fleet::start(&scenario.deployment, fleet::Options::default())?;
+    let mut fleet = Fleet::start(&scenario.deployment, fleet::Options { own_group: true })?;
     fleet.wait_ready(READY_TIMEOUT)?;
     let generated_before = watch::generated(&fleet);
     let progress = Arc::new(Progress::default());
     let start = Instant::now();
     let plan = send::Plan::new(scenario, &fleet, start, progress.clone());
     let sending = thread::spawn(move || send::all(&plan));
-    let samples = accompany(scenario, &mut fleet, start, &progress)?;
+    let samples = accompany(scenario, &mut fleet, start, &progress, stop)?;
     while !sending.is_finished() {
+        if stop.is_set() {
+            return InterruptedSnafu.fail();
+        }
         thread::sleep(LOOK);
     }
     let records = sending.join().map_err(|_| Error::Thread)??;
@@ -177,12 +186,16 @@
     fleet: &mut Fleet,
     start: Instant,
     progress: &Progress,
+    stop: &Stop,
 ) -> Result<Vec<Sample>, Error> {
     let mut events = schedule(scenario).into_iter().peekable();
     let mut samples = Vec::new();
     let mut next_sample = Duration::ZERO;
     let mut next_progress = Duration::ZERO;
     while start.elapsed() < scenario.span() {
+        if stop.is_set() {
+            return InterruptedSnafu.fail();
+        }
         let now = start.elapsed();
         while let Some(due) = events.next_if(|due| due.at <= now) {
             eprintln!("{:6.1} s  {}: {:?}", now.as_secs_f64(), due.phase, due.action);
--- a/crates/celerytide-load/tests/demo.rs
+++ b/crates/celerytide-load/tests/demo.rs
@@ -15,6 +15,8 @@
 const BOUND: Duration = Duration::from_secs(60);
 /// Configuration service, two engines, one plain service, and two daemons on each of two instances.
 const CHILDREN: usize = 8;
+/// Two engines and one plain service more.
+const SMOKE_CHILDREN: usize = 11;
 
 fn demo(dir: &WorkDir, args: &[&str]) -> (Process, PathBuf) {
     let log = dir.path().join("demo.log");
@@ -55,6 +57,30 @@
     assert!(!text.contains("demo-submit-1"), "{text}");
 }
 
+#[test]
+fn a_signal_ends_a_run_and_its_processes() {
+    let dir = WorkDir::create().expect("folder");
+    let scenario = concat!(env!("CARGO_MANIFEST_DIR"), "/../../scenarios/smoke.yaml");
+    let (mut process, log) = demo(&dir, &["run", scenario]);
+    let until = Instant::now() + BOUND;
+    let text = || fs::read_to_string(&log).unwrap_or_default();
+    while !text().contains("1.0 s  sent") {
+        assert!(process.is_running() && Instant::now() < until, "{}", text());
+        thread::sleep(Duration::from_millis(20));
+    }
+    let children = children(process.pid());
+    assert_eq!(children.len(), SMOKE_CHILDREN, "{}", text());
+    process.signal(Signal::SIGTERM).expect("signal");
+    assert!(
+        process.wait(BOUND).is_some_and(|status| !status.success()),
+        "{}",
+        text()
+    );
+    assert!(text().contains("ended by a signal"), "{}", text());
+    let left: Vec<u32> = children.into_iter().filter(|pid| parent_of(*pid).is_some()).collect();
+    assert!(left.is_empty(), "still there: {left:?}");
+}
+
 #[test]
 fn a_signal_ends_every_process() {
     let dir = WorkDir::create().expect("folder");
