--- a/crates/celerytide-load/src/caller/mod.rs
+++ b/crates/celerytide-load/src/caller/mod.rs
@@ -1,21 +1,21 @@
 //! A caller: sends one request to an entry and follows its answer to the end.
 
+mod stream;
+
 use std::{
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
-use celerytide_http::{
-    client::{Answer, Bounds, Call, Client},
-    sse,
-};
-use celerytide_types::{ClassName, FinalWord, RequestId, Word};
+use celerytide_http::client::{Answer, Bounds, Call, Client};
+use celerytide_types::{ClassName, RequestId};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, header};
-use serde::Deserialize;
 use serde_json::json;
 use tokio_util::sync::CancellationToken;
 
+use stream::Stream;
+
 /// Path of chat calls.
 pub const CHAT_PATH: &str = "/v1/chat/completions";
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
@@ -24,9 +24,6 @@
 const WORD: &str = "celerytide-word";
 const CAUSE: &str = "celerytide-cause";
 const RETRY_AFTER_MS: &str = "celerytide-retry-after-ms";
-const DONE: &[u8] = b"[DONE]";
-/// Bound on one event of an answer.
-const MAX_EVENT_BYTES: usize = 256 * 1024;
 /// Longest wait for the first byte: beyond any queue of the entry.
 const FIRST_BYTE: Duration = Duration::from_secs(120);
 const BETWEEN_BYTES: Duration = Duration::from_secs(60);
@@ -174,11 +171,7 @@
         .get(header::CONTENT_TYPE)
         .and_then(|value| value.to_str().ok());
     let is_stream = content.is_some_and(|content| content.starts_with("text/event-stream"));
-    let mut stream = Stream {
-        events: sse::Reader::new(MAX_EVENT_BYTES),
-        last: None,
-        done: false,
-    };
+    let mut stream = Stream::new();
     let mut body = Vec::new();
     while let Some(part) = answer.next().await {
         match part {
@@ -205,93 +198,3 @@
     outcome.cause = text(CAUSE).to_owned();
     outcome.retry_after = text(RETRY_AFTER_MS).parse().ok().map(Duration::from_millis);
 }
-
-struct Stream {
-    events: sse::Reader,
-    last: Option<Instant>,
-    done: bool,
-}
-
-#[derive(Deserialize)]
-struct Chunk<'a> {
-    #[serde(borrow, default)]
-    choices: Vec<Choice<'a>>,
-    celerytide: Option<FinalWord>,
-}
-
-#[derive(Deserialize)]
-struct Choice<'a> {
-    #[serde(borrow)]
-    delta: Delta<'a>,
-}
-
-#[derive(Deserialize)]
-struct Delta<'a> {
-    content: Option<&'a str>,
-}
-
-impl Stream {
-    fn take(&mut self, part: &[u8], outcome: &mut Outcome, each: &mut impl FnMut(&str)) {
-        let now = Instant::now();
-        self.events.push(part);
-        loop {
-            match self.events.next_event() {
-                Ok(Some(event)) => self.event(&event, now, outcome, each),
-                Ok(None) => return,
-                Err(e) => {
-                    outcome.cause = e.to_string();
-                    return;
-                }
-            }
-        }
-    }
-
-    fn event(&mut self, event: &sse::Event, now: Instant, outcome: &mut Outcome, each: &mut impl FnMut(&str)) {
-        if event.data.as_ref() == DONE {
-            self.done = true;
-            outcome.word = Word::Done.as_str().to_owned();
-            return;
-        }
-        let Ok(chunk) = serde_json::from_slice::<Chunk<'_>>(&event.data) else {
-            outcome.cause = "an event is not a chunk".to_owned();
-            return;
-        };
-        if let Some(word) = chunk.celerytide {
-            return broken(word, outcome);
-        }
-        let text = chunk
-            .choices
-            .first()
-            .and_then(|choice| choice.delta.content)
-            .unwrap_or_default();
-        if !text.is_empty() {
-            self.token(text, now, outcome);
-            each(text);
-        }
-    }
-
-    fn token(&mut self, text: &str, now: Instant, outcome: &mut Outcome) {
-        match self.last {
-            Some(last) => outcome.gaps.push(now.duration_since(last)),
-            None => outcome.first_token = Some(now),
-        }
-        self.last = Some(now);
-        if !is_token(text, outcome.tokens) {
-            outcome.cause = format!("token {} is {text:?}", outcome.tokens);
-        }
-        outcome.tokens += 1;
-    }
-}
-
-/// The stream ends with an error in place of the rest of the answer.
-fn broken(word: FinalWord, outcome: &mut Outcome) {
-    outcome.word = word.word.as_str().to_owned();
-    outcome.retry_after = word.retry_after_ms.map(Duration::from_millis);
-    outcome.cause = word.cause;
-}
-
-/// Whether `text` is the token with this index, as the stand-in engines write it.
-fn is_token(text: &str, index: usize) -> bool {
-    let number = text.strip_prefix('w').and_then(|rest| rest.strip_suffix(' '));
-    number.and_then(|number| number.parse().ok()) == Some(index)
-}
