--- /dev/null
+++ b/crates/celerytide-membership/tests/peers.rs
@@ -0,0 +1,104 @@
+//! Choice of peers.
+
+use std::collections::BTreeSet;
+
+use celerytide_membership::{Instance, PeerOptions, pick_peers};
+
+fn instances(count: usize) -> Vec<Instance> {
+    let addr = "127.0.0.1:1".parse().expect("a literal address");
+    let one = |n: usize| Instance {
+        id: format!("i-{n:03}"),
+        zone: "z".into(),
+        region: "r".into(),
+        live: n.is_multiple_of(2),
+        caller: addr,
+        entry_peer: addr,
+        dispatch_peer: addr,
+    };
+    (0..count).map(one).collect()
+}
+
+#[test]
+fn peers_are_others_each_once() {
+    struct Case {
+        name: &'static str,
+        count: usize,
+        own: &'static str,
+        opts: PeerOptions,
+        want: usize,
+    }
+    let cases = [
+        Case {
+            name: "none listed",
+            count: 0,
+            own: "i-000",
+            opts: PeerOptions { ring: 1, random: 2 },
+            want: 0,
+        },
+        Case {
+            name: "alone",
+            count: 1,
+            own: "i-000",
+            opts: PeerOptions { ring: 1, random: 2 },
+            want: 0,
+        },
+        Case {
+            name: "two",
+            count: 2,
+            own: "i-000",
+            opts: PeerOptions { ring: 1, random: 2 },
+            want: 1,
+        },
+        Case {
+            name: "many",
+            count: 360,
+            own: "i-359",
+            opts: PeerOptions { ring: 1, random: 2 },
+            want: 3,
+        },
+        Case {
+            name: "random only",
+            count: 360,
+            own: "i-100",
+            opts: PeerOptions::default(),
+            want: 2,
+        },
+        Case {
+            name: "not listed oneself",
+            count: 9,
+            own: "i-x",
+            opts: PeerOptions { ring: 2, random: 0 },
+            want: 2,
+        },
+    ];
+    for case in cases {
+        let list = instances(case.count);
+        for round in 0..50 {
+            let peers = pick_peers(case.own, &list, round, case.opts);
+            let distinct: BTreeSet<&String> = peers.iter().collect();
+            assert_eq!((peers.len(), distinct.len()), (case.want, case.want), "{}", case.name);
+            assert!(!peers.iter().any(|p| p == case.own), "{}", case.name);
+            assert_eq!(
+                peers,
+                pick_peers(case.own, &list, round, case.opts),
+                "{}: a round repeats",
+                case.name
+            );
+        }
+    }
+}
+
+#[test]
+fn ring_neighbours_follow_by_id_and_wrap() {
+    let peers = pick_peers("i-008", &instances(9), 3, PeerOptions { ring: 2, random: 0 });
+    assert_eq!(peers, ["i-000", "i-001"]);
+}
+
+#[test]
+fn rounds_reach_everybody_in_time() {
+    let list = instances(20);
+    let met: BTreeSet<String> = (0..200)
+        .flat_map(|r| pick_peers("i-005", &list, r, PeerOptions::default()))
+        .collect();
+    assert_eq!(met.len(), 19);
+}
