test(membership): a refusal's news names the fault; keys of digits are quoted in test manifests

Cause: the checks refuse an unquoted key of digits, and a refusal's cause now names the first fault. Ruled out: loosening either expectation (the whole text is compared).

--- a/crates/celerytide-membership/tests/common/manifest.rs
+++ b/crates/celerytide-membership/tests/common/manifest.rs
@@ -13,7 +13,7 @@
          services:\n  - id: llm\n    kind: model\n    models: [m]\n    endpoints:\n\
          \x20     - {{ id: e-0, address: \"127.0.0.1:1\", zone: z-0, slots: 8, cold_slots: 2 }}\n\
          classes:\n  - {{ name: c, service: llm, tier: 1, first_token: 1s, default: true }}\n\
-         customers:\n  - {{ id: a, key_sha256: {key}, requests_per_second: 1.0, burst: 1 }}\n",
+         customers:\n  - {{ id: a, key_sha256: \"{key}\", requests_per_second: 1.0, burst: 1 }}\n",
         key = "0".repeat(64),
     )
 }
--- a/crates/celerytide-membership/tests/views.rs
+++ b/crates/celerytide-membership/tests/views.rs
@@ -125,7 +125,7 @@
             "applied",
             "older-version",
             "same-version-other-digest",
-            "invalid",
+            "invalid: service:1:9: unclosed bracket '[' (allowed: one YAML document)",
             "applied"
         ]
     );
