fix(manifest): plain numbers are taken as written where an id, a name or a key is wanted

Cause: an id or key that looks like a number was refused unless quoted. Before: text_that_looks_like_a_number_is_taken_as_written failed ('found the number 7; quote it'). After: it passes; the parser's span gives the text as written. Conclusion: checks and types agree on plain scalars; spans of time still need their unit.

--- a/crates/celerytide-manifest/src/check/mod.rs
+++ b/crates/celerytide-manifest/src/check/mod.rs
@@ -80,7 +80,7 @@
     let shape = shape::compile(&kind.schema())
         .map_err(|error| vec![whole(file, START, error.to_string(), "a schema with shapes".to_owned())])?;
     let mut report = Report::new(file, &root);
-    let value = shape::walk(&shape, &root, &mut report);
+    let value = shape::walk(&shape, &root, text, &mut report);
     let document = serde_json::from_value::<T>(value)
         .map_err(|error| vec![whole(file, root.place, error.to_string(), shape.allowed())])?;
     between_fields(&document, &mut report);
--- a/crates/celerytide-manifest/src/formats/mod.rs
+++ b/crates/celerytide-manifest/src/formats/mod.rs
@@ -79,11 +79,15 @@
     pub(crate) fn hint(self) -> &'static str {
         match self {
             Format::SpanHour | Format::SpanDay => " without a unit",
-            Format::Id | Format::Label | Format::Name | Format::Sha256 => "; quote it",
-            Format::Start | Format::Address | Format::Path => "",
+            _ => "",
         }
     }
 
+    /// Whether a plain number or truth value is taken as the text that it is written with.
+    pub(crate) fn takes_numbers(self) -> bool {
+        matches!(self, Format::Id | Format::Label | Format::Name | Format::Sha256)
+    }
+
     /// A value that has the format.
     pub(crate) fn sample(self) -> &'static str {
         match self {
--- a/crates/celerytide-manifest/src/node/mod.rs
+++ b/crates/celerytide-manifest/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! A YAML document as a tree whose nodes know where they stand.
 
 use std::fmt;
+use std::ops::Range;
 
 use serde::de::{Deserialize, Deserializer, MapAccess, SeqAccess, Visitor};
 use serde_saphyr::options::{DuplicateKeyPolicy, NonFiniteFloatPolicy};
@@ -24,6 +25,8 @@
 pub(crate) struct Node {
     pub(crate) place: Place,
     pub(crate) content: Content,
+    /// Where its text stands, in bytes; an alias's is that of its anchor.
+    source: Range<usize>,
 }
 
 /// What a node holds.
@@ -97,6 +100,12 @@
         node.place
     }
 
+    /// A scalar as it is written in the document's text, without tag and anchor.
+    pub(crate) fn written<'t>(&self, text: &'t str) -> Option<&'t str> {
+        let written = text.get(self.source.clone())?;
+        written.split_whitespace().next_back()
+    }
+
     fn element(&self, index: &str) -> Option<&Node> {
         match &self.content {
             Content::List(nodes) => nodes.get(index.parse::<usize>().ok()?),
@@ -106,6 +115,11 @@
 }
 
 impl Content {
+    /// Whether it is a number or a truth value.
+    pub(crate) fn is_number_or_bool(&self) -> bool {
+        matches!(self, Content::Bool(_) | Content::Integer(_) | Content::Float(_))
+    }
+
     /// The kind of content, for messages.
     pub(crate) fn describe(&self) -> String {
         match self {
@@ -127,6 +141,12 @@
     }
 }
 
+fn range_of(at: Location) -> Range<usize> {
+    let index = |bytes: Option<u64>| bytes.and_then(|bytes| usize::try_from(bytes).ok()).unwrap_or(0);
+    let (start, len) = (index(at.span().byte_offset()), index(at.span().byte_len()));
+    start..start.saturating_add(len)
+}
+
 /// The library ends its first line with the place, which a fault states by itself.
 fn without_place(text: &str) -> String {
     let line = text.lines().next().unwrap_or_default();
@@ -139,6 +159,7 @@
         let spanned = Spanned::<Content>::deserialize(deserializer)?;
         Ok(Node {
             place: place_of(spanned.referenced),
+            source: range_of(spanned.defined),
             content: spanned.value,
         })
     }
--- a/crates/celerytide-manifest/src/shape/walk.rs
+++ b/crates/celerytide-manifest/src/shape/walk.rs
@@ -8,13 +8,15 @@
 use serde_json::{Map, Value};
 
 use super::{FieldShape, Shape, field_names};
+use crate::formats::Format;
 use crate::node::{Content, Entry, Node};
 use crate::report::Report;
 
-/// Checks each field of `node` by itself; returns the document with each faulty value replaced.
-pub(crate) fn walk(shape: &Shape, node: &Node, report: &mut Report<'_>) -> Value {
+/// Checks each field of `node`, parsed from `text`, by itself; returns the document with each faulty value replaced.
+pub(crate) fn walk(shape: &Shape, node: &Node, text: &str, report: &mut Report<'_>) -> Value {
     let mut walker = Walker {
         report,
+        text,
         path: String::new(),
     };
     walker.value(shape, node)
@@ -22,6 +24,8 @@
 
 struct Walker<'r, 'n> {
     report: &'r mut Report<'n>,
+    /// Text of the whole document.
+    text: &'r str,
     path: String,
 }
 
@@ -35,10 +39,11 @@
                 }
                 self.list(item, nodes)
             }
-            (Shape::Text(format), Content::Text(text)) => match format.fault(text) {
-                Some(message) => self.replace(shape, node, message),
-                None => Value::from(text.as_str()),
-            },
+            (Shape::Text(format), Content::Text(text)) => self.text(*format, text, node),
+            (Shape::Text(format), found) if format.takes_numbers() && found.is_number_or_bool() => {
+                let written = node.written(self.text).unwrap_or_default();
+                self.text(*format, written, node)
+            }
             (Shape::Choice(words), Content::Text(text)) => match words.contains(text) {
                 true => Value::from(text.as_str()),
                 false => self.replace(shape, node, format!("{text:?} is unknown")),
@@ -59,6 +64,13 @@
         }
     }
 
+    fn text(&mut self, format: Format, text: &str, node: &Node) -> Value {
+        match format.fault(text) {
+            Some(message) => self.replace(&Shape::Text(format), node, message),
+            None => Value::from(text),
+        }
+    }
+
     fn object(&mut self, fields: &[FieldShape], entries: &[Entry], node: &Node) -> Value {
         let mut seen = HashSet::with_capacity(entries.len());
         for entry in entries {
@@ -137,9 +149,8 @@
 }
 
 fn mismatch(shape: &Shape, found: &Content) -> String {
-    let is_scalar = matches!(found, Content::Bool(_) | Content::Integer(_) | Content::Float(_));
     let hint = match shape {
-        Shape::Text(format) if is_scalar => format.hint(),
+        Shape::Text(format) if found.is_number_or_bool() => format.hint(),
         _ => "",
     };
     format!("found {}{hint}", found.describe())
--- a/crates/celerytide-manifest/tests/documents.rs
+++ b/crates/celerytide-manifest/tests/documents.rs
@@ -153,6 +153,62 @@
     assert_eq!(check_dispatch_settings("d.yaml", &text).expect("valid again"), dispatch);
 }
 
+#[test]
+fn text_that_looks_like_a_number_is_taken_as_written() {
+    struct Look {
+        plain: &'static str,
+        want: &'static str,
+    }
+    let looks = [
+        Look {
+            plain: "007",
+            want: "007",
+        },
+        Look {
+            plain: "1e3",
+            want: "1e3",
+        },
+        Look {
+            plain: "0x1f",
+            want: "0x1f",
+        },
+        Look {
+            plain: "1_000",
+            want: "1_000",
+        },
+        Look {
+            plain: "3.10  # a comment",
+            want: "3.10",
+        },
+        Look {
+            plain: "true",
+            want: "true",
+        },
+        Look {
+            plain: "&id 12",
+            want: "12",
+        },
+        Look {
+            plain: "!!int 12",
+            want: "12",
+        },
+    ];
+    for look in looks {
+        let text = MANIFEST.replace("- id: puno", &format!("- id: {}", look.plain));
+        let manifest = check_manifest("m.yaml", &text).map(|checked| checked.manifest);
+        assert_eq!(
+            manifest.map(|m| m.customers[1].id.clone()),
+            Ok(look.want.to_owned()),
+            "{}",
+            look.plain
+        );
+    }
+    let digits = "0".repeat(64);
+    let text = MANIFEST.replace(&format!("{}def", &digits[3..]), &digits);
+    let manifest = check_manifest("m.yaml", &text).map(|checked| checked.manifest);
+    assert_eq!(manifest.map(|m| m.customers[1].key_sha256.clone()), Ok(digits));
+}
+
 #[test]
 fn digests_follow_the_text() {
     let first = check_manifest("m.yaml", MANIFEST).expect("valid");
