chore: crate for capacity measurements

Ruled out: figures from the design alone. Before: none. After: an empty crate that builds. Conclusion: measurements follow in it.

--- /dev/null
+++ b/crates/celerytide-capacity/src/lib.rs
@@ -0,0 +1,4 @@
+//! Slopes of state, messages, processor time and memory, measured on real processes.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
