fix(policy): a witness for a new owner must be made under it

Cause: reports lag, so the first one that a new owner sees may be older than the former owner's last grant. Before/After: one report sufficed; now one made a lag after the first seen. The trust table covers both. Ruled out: comparing clocks. Conclusion: a cold endpoint waits the lag bound under a new owner.

--- a/crates/celerytide-policy/src/endpoint/mod.rs
+++ b/crates/celerytide-policy/src/endpoint/mod.rs
@@ -36,6 +36,8 @@
     pub last_sign: Boot,
     /// Whether a report made under this owner shows no foreign work.
     pub witnessed: bool,
+    /// Time of the first report that is surely made under this owner, by the endpoint's clock.
+    witness_from_ms: Option<u64>,
     /// Sequence of its latest grant; the least lately used of equals goes first.
     pub last_grant: u64,
 }
@@ -55,6 +57,7 @@
             backing_off: false,
             last_sign: now,
             witnessed: false,
+            witness_from_ms: None,
             last_grant: 0,
         }
     }
@@ -69,6 +72,16 @@
     /// From now on a report has to show that nobody else sends work.
     pub fn begin_witness(&mut self) {
         self.witnessed = false;
+        self.witness_from_ms = None;
+    }
+
+    /// Judges whether a report of this time is a witness. Reports lag by at most `lag_ms`, so the first one that comes
+    /// under this owner only tells from when on they count.
+    pub fn witness(&mut self, observed_unix_ms: u64, lag_ms: u64) {
+        let from = *self
+            .witness_from_ms
+            .get_or_insert(observed_unix_ms.saturating_add(lag_ms));
+        self.witnessed = observed_unix_ms >= from && self.signs.reported() <= self.in_flight;
     }
 
     pub fn is_open(&self) -> bool {
--- a/crates/celerytide-policy/src/options/mod.rs
+++ b/crates/celerytide-policy/src/options/mod.rs
@@ -81,6 +81,13 @@
     pub fault: Option<DeliberateFault>,
 }
 
+impl Options {
+    /// Bound on the lag of load reports, in milliseconds.
+    pub(crate) fn report_lag_ms(&self) -> u64 {
+        u64::try_from(self.report_lag.as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
 impl Default for Options {
     fn default() -> Self {
         Options {
--- a/crates/celerytide-policy/src/pool/report/mod.rs
+++ b/crates/celerytide-policy/src/pool/report/mod.rs
@@ -89,7 +89,7 @@
         let shown = load.running.saturating_add(load.waiting);
         let counted = self.table.get(at).map_or(0, |row| row.in_flight);
         let missing = counted.saturating_sub(shown) as usize;
-        let lag_ms = u64::try_from(self.opts.report_lag.as_millis()).unwrap_or(u64::MAX);
+        let lag_ms = self.opts.report_lag_ms();
         let proven = |permit: &PermitId| {
             let orphaned = self.flights.get(permit).and_then(|flight| flight.orphaned);
             let before = orphaned.and_then(|orphan| orphan.observed_unix_ms);
@@ -121,7 +121,9 @@
             // Also if it is cold already: what it bore before it said so tells nothing about now.
             self.chill(now, opts.cold_min);
         }
-        self.witnessed = self.signs.reported() <= self.in_flight;
+        if let Some(observed_unix_ms) = self.signs.observed_unix_ms() {
+            self.witness(observed_unix_ms, opts.report_lag_ms());
+        }
     }
 
     /// A cold start lasts its least time from the endpoint's own start, as far as its clock tells.
--- a/crates/celerytide-policy/tests/rules.rs
+++ b/crates/celerytide-policy/tests/rules.rs
@@ -395,10 +395,17 @@
         }
         pool.trust(at_ms(90), case.trust);
         if let Some(reported) = case.reported {
-            pool.report(at_ms(95), "e", load(reported, 1, 10));
+            pool.report(at_ms(95), "e", load(reported, 1, 20_000));
+            assert_eq!(
+                pool.status().endpoints[0].limit,
+                0,
+                "{}: it may be older than the change",
+                case.name
+            );
+            pool.report(at_ms(10_100), "e", load(reported, 1, 30_000));
         }
         assert_eq!(pool.status().endpoints[0].limit, case.want, "{}", case.name);
-        let granted = fill(&mut pool, 100, "low").len();
+        let granted = fill(&mut pool, 10_200, "low").len();
         assert_eq!(granted, case.want as usize, "{}", case.name);
     }
 }
