feat(policy): a planned change of owners hands over what endpoints bear

Cause: a new owner sees every endpoint for the first time, so a planned stop would make the whole pool cold. Ruled out: raising limits by reports, which lag. Before/After: a successor began at the cold slots; with Pool::warmth and Pool::take_over it begins at the known limit unless a failure, a cold start or another start time was seen. The check models it. Conclusion: after a crash nothing is handed over and the ramp begins anew.

--- a/crates/celerytide-policy/examples/compare/main.rs
+++ b/crates/celerytide-policy/examples/compare/main.rs
@@ -5,12 +5,14 @@
 //! target and its whole answer arrived.
 
 mod engine;
+mod scene;
 mod world;
 
 use std::time::Duration;
 
 use celerytide_policy::{Baseline, Options};
-use world::{CLASSES, Outcome, World};
+use scene::CLASSES;
+use world::{Outcome, World};
 
 struct Policy {
     name: &'static str,
--- a/crates/celerytide-policy/src/ask/mod.rs
+++ b/crates/celerytide-policy/src/ask/mod.rs
@@ -100,6 +100,16 @@
         Stale,
     }
 
+    /// What a former owner knows an endpoint to bear; handed over when a pool changes hands by plan.
+    pub struct Warmth {
+        /// The endpoint.
+        pub endpoint: EndpointId,
+        /// Permits that it bears at once.
+        pub limit: u32,
+        /// When its process started, in milliseconds since the Unix epoch, if a report said so.
+        pub started_unix_ms: Option<u64>,
+    }
+
     /// An endpoint's report about itself; it lags.
     pub struct LoadReport {
         /// Requests running.
--- a/crates/celerytide-policy/src/check/cold/mod.rs
+++ b/crates/celerytide-policy/src/check/cold/mod.rs
@@ -6,7 +6,7 @@
 use celerytide_types::{Boot, EndpointId, PermitId};
 
 use super::{Entry, Event, Rule};
-use crate::ask::{Ended, Grant, LoadReport, Trust};
+use crate::ask::{Ended, Grant, LoadReport, Trust, Warmth};
 use crate::options::Options;
 use crate::plan::EndpointPlan;
 
@@ -112,6 +112,7 @@
                 self.chill_if_silent(entry.at, endpoint);
                 self.run(*permit, endpoint);
             }
+            Event::TakenOver(warmth) => self.take_over(warmth),
             Event::Orphaned(permit) => self.uncount(*permit),
             Event::Progressed(permit, _) => self.sign(entry.at, *permit),
             Event::Settled(permit, ended) => self.settle(entry.at, *permit, *ended),
@@ -146,6 +147,16 @@
         }
     }
 
+    /// A former owner's word holds for an endpoint that was never seen to turn cold here.
+    fn take_over(&mut self, warmth: &Warmth) {
+        let first = self.rows.get_mut(&warmth.endpoint).filter(|row| row.epoch == 1);
+        if let Some(row) = first {
+            row.missing = 0;
+            row.bears = warmth.limit.clamp(cold_bound(&row.plan), row.plan.slots.max(1));
+            row.started = row.started.or(warmth.started_unix_ms);
+        }
+    }
+
     fn drop_unnamed(&mut self, plans: &[EndpointPlan]) {
         for (id, row) in &mut self.rows {
             row.named &= plans.iter().any(|plan| plan.id == *id);
--- a/crates/celerytide-policy/src/check/mod.rs
+++ b/crates/celerytide-policy/src/check/mod.rs
@@ -10,7 +10,7 @@
 
 use celerytide_types::{Boot, EndpointId, PermitId};
 
-use crate::ask::{Ask, AskId, Ended, Grant, LoadReport, Refused, Trust};
+use crate::ask::{Ask, AskId, Ended, Grant, LoadReport, Refused, Trust, Warmth};
 use crate::options::Options;
 use crate::plan::PoolPlan;
 use crate::status::PoolStatus;
@@ -64,6 +64,8 @@
     Adopted(PermitId, EndpointId, String),
     /// An endpoint reported its load.
     Reported(EndpointId, LoadReport),
+    /// A former owner's word on an endpoint was taken over.
+    TakenOver(Warmth),
     /// A permit was named for preemption, at this capacity of the pool.
     Preempted(PermitId, u64),
     /// The pool's status was read.
--- a/crates/celerytide-policy/src/check/record/mod.rs
+++ b/crates/celerytide-policy/src/check/record/mod.rs
@@ -3,7 +3,7 @@
 use celerytide_types::{Boot, PermitId};
 
 use super::{Entry, Event, Violation, check};
-use crate::ask::{Ask, AskId, Ended, Grant, LoadReport, Offer, Refusal, Refused, Trust};
+use crate::ask::{Ask, AskId, Ended, Grant, LoadReport, Offer, Refusal, Refused, Trust, Warmth};
 use crate::options::Options;
 use crate::plan::PoolPlan;
 use crate::pool::Pool;
@@ -121,6 +121,14 @@
         self.note(now, Event::Reported(endpoint.to_owned(), load));
     }
 
+    /// See [`Pool::take_over`].
+    pub fn take_over(&mut self, now: Boot, warmth: &[Warmth]) {
+        let taken = self.pool.take_over(warmth);
+        for known in warmth.iter().filter(|known| taken.contains(&known.endpoint)) {
+            self.note(now, Event::TakenOver(known.clone()));
+        }
+    }
+
     /// See [`Pool::preempt`].
     pub fn preempt(&mut self, now: Boot) -> Option<PermitId> {
         let permit = self.pool.preempt(now)?;
--- a/crates/celerytide-policy/src/endpoint/mod.rs
+++ b/crates/celerytide-policy/src/endpoint/mod.rs
@@ -7,13 +7,16 @@
 
 use celerytide_types::Boot;
 
-use crate::ask::Trust;
+use crate::ask::{Trust, Warmth};
 use crate::options::{DeliberateFault, Options};
 use crate::plan::EndpointPlan;
 use crate::ramp::Ramp;
 use crate::status::{EndpointState, EndpointStatus};
 use sign::Signs;
 
+/// Epoch of an endpoint that was never seen to turn cold.
+const FIRST_EPOCH: u64 = 1;
+
 /// State of one endpoint.
 #[derive(Debug)]
 pub(crate) struct Endpoint {
@@ -151,6 +154,19 @@
         self.last_sign = now;
     }
 
+    /// Takes over what a former owner knew, unless something was seen here that speaks against it.
+    pub fn take_over(&mut self, warmth: &Warmth) -> bool {
+        let started = self.signs.started_unix_ms();
+        let restarted = started.is_some() && warmth.started_unix_ms.is_some() && started != warmth.started_unix_ms;
+        let untouched = self.ramp.epoch() == FIRST_EPOCH && self.failures == 0 && self.ramp.is_cold();
+        if restarted || !untouched {
+            return false;
+        }
+        self.signs.take_over_start(warmth.started_unix_ms);
+        self.ramp.take_over(warmth.limit);
+        true
+    }
+
     /// Halves the limit, and judges the endpoint anew by what it does next.
     pub fn slow(&mut self) {
         self.ramp.slow();
--- a/crates/celerytide-policy/src/endpoint/sign/mod.rs
+++ b/crates/celerytide-policy/src/endpoint/sign/mod.rs
@@ -114,6 +114,16 @@
         self.reported
     }
 
+    /// When the endpoint's process started, as far as reports said.
+    pub fn started_unix_ms(&self) -> Option<u64> {
+        self.started_unix_ms
+    }
+
+    /// Takes over a start time, to be compared with the next report's.
+    pub fn take_over_start(&mut self, started_unix_ms: Option<u64>) {
+        self.started_unix_ms = self.started_unix_ms.or(started_unix_ms);
+    }
+
     /// When the last report was made.
     pub fn observed_unix_ms(&self) -> Option<u64> {
         self.observed_unix_ms
--- a/crates/celerytide-policy/src/lib.rs
+++ b/crates/celerytide-policy/src/lib.rs
@@ -23,7 +23,7 @@
 pub mod place;
 pub mod ramp;
 
-pub use ask::{Ask, AskId, Ended, Grant, LoadReport, Offer, Refusal, Refused, Trust};
+pub use ask::{Ask, AskId, Ended, Grant, LoadReport, Offer, Refusal, Refused, Trust, Warmth};
 pub use options::{Baseline, DeliberateFault, Options};
 pub use plan::{ClassPlan, CustomerPlan, EndpointPlan, PoolPlan, effective_share, reserved_seats};
 pub use pool::Pool;
--- a/crates/celerytide-policy/src/pool/report/mod.rs
+++ b/crates/celerytide-policy/src/pool/report/mod.rs
@@ -2,14 +2,15 @@
 
 use std::time::Duration;
 
-use celerytide_types::{Boot, PermitId};
+use celerytide_types::{Boot, EndpointId, PermitId};
 
 use super::Pool;
-use crate::ask::LoadReport;
+use crate::ask::{LoadReport, Warmth};
 use crate::endpoint::Endpoint;
 use crate::endpoint::sign::Shown;
 use crate::options::Options;
 use crate::plan::EndpointPlan;
+use crate::status::EndpointState;
 
 impl Pool {
     /// Takes a load report in. Reports lag, so they only lower trust: a changed start time or a cold endpoint's own
@@ -31,6 +32,33 @@
         }
     }
 
+    /// What warm endpoints bear, for the next owner of the pool.
+    pub fn warmth(&self) -> Vec<Warmth> {
+        let warm = self.table.iter().filter(|row| row.state() == EndpointState::Warm);
+        let warmth = warm.map(|row| Warmth {
+            endpoint: row.plan.id.clone(),
+            limit: row.ramp.limit(),
+            started_unix_ms: row.signs.started_unix_ms(),
+        });
+        warmth.collect()
+    }
+
+    /// Takes over what the former owner knew at a planned change of owners. It counts only for endpoints of which
+    /// nothing else was seen here: a failure, a cold start, or another start time goes before it. Returns the
+    /// endpoints for which it counts.
+    pub fn take_over(&mut self, warmth: &[Warmth]) -> Vec<EndpointId> {
+        let mut taken = Vec::new();
+        for known in warmth {
+            let Some(at) = self.table.find(&known.endpoint) else {
+                continue;
+            };
+            if self.table.update(at, |row| row.take_over(known)) == Some(true) {
+                taken.push(known.endpoint.clone());
+            }
+        }
+        taken
+    }
+
     /// Marks endpoints cold that were silent too long, and forgets those that are gone.
     pub(super) fn sweep(&mut self, now: Boot) {
         let lag = self.opts.report_lag;
--- a/crates/celerytide-policy/src/ramp/mod.rs
+++ b/crates/celerytide-policy/src/ramp/mod.rs
@@ -75,6 +75,12 @@
         self.suspect &= self.limit < self.slots;
     }
 
+    /// Takes over a limit that another has seen it bear.
+    pub fn take_over(&mut self, limit: u32) {
+        self.missing = 0;
+        self.limit = limit.clamp(self.cold_slots, self.slots);
+    }
+
     /// The endpoint is slower than it should be.
     pub fn slow(&mut self) {
         if self.is_cold() {
--- a/crates/celerytide-policy/tests/common/history.rs
+++ b/crates/celerytide-policy/tests/common/history.rs
@@ -5,7 +5,7 @@
 use arbtest::arbitrary::{Result, Unstructured};
 use celerytide_policy::check::{Recorder, Violation};
 use celerytide_policy::{Ask, AskId, ClassPlan, CustomerPlan, Ended, EndpointPlan, LoadReport, Offer, Options};
-use celerytide_policy::{PoolPlan, Trust};
+use celerytide_policy::{PoolPlan, Trust, Warmth};
 use celerytide_types::{Boot, PermitId};
 
 use crate::common::at_ms;
@@ -213,7 +213,8 @@
     }
 
     fn unsettle(&mut self, now: Boot) -> Result<()> {
-        match self.u.int_in_range(0..=5)? {
+        match self.u.int_in_range(0..=6)? {
+            6 => self.take_over(now)?,
             0 => self.toggle(now)?,
             1 => self.shrink(now)?,
             2 => self.report(now)?,
@@ -279,6 +280,16 @@
         Ok(())
     }
 
+    fn take_over(&mut self, now: Boot) -> Result<()> {
+        let warmth = Warmth {
+            endpoint: self.u.choose(&self.plan.endpoints)?.id.clone(),
+            limit: self.u.int_in_range(0..=8)?,
+            started_unix_ms: *self.u.choose(&[None, Some(1), Some(2)])?,
+        };
+        self.recorder.take_over(now, &[warmth]);
+        Ok(())
+    }
+
     fn orphan(&mut self, now: Boot) -> Result<()> {
         let Some(at) = self.draw_permit()? else { return Ok(()) };
         let permit = self.running.swap_remove(at);
--- a/crates/celerytide-policy/tests/common/mod.rs
+++ b/crates/celerytide-policy/tests/common/mod.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use celerytide_policy::{Ask, AskId, ClassPlan, EndpointPlan, Grant, Offer, Options, Pool, PoolPlan};
+use celerytide_policy::{
+    Ask, AskId, ClassPlan, Ended, EndpointPlan, Grant, LoadReport, Offer, Options, Pool, PoolPlan,
+};
 use celerytide_types::{Boot, PermitId};
 
 pub fn at_ms(ms: u64) -> Boot {
@@ -76,3 +78,45 @@
 pub fn permits(grants: &[Grant]) -> Vec<PermitId> {
     grants.iter().map(|grant| grant.permit).collect()
 }
+
+pub const WHOLE: Ended = Ended::Whole { tokens: 20 };
+
+pub fn load(running: u32, started: u64, observed: u64) -> LoadReport {
+    LoadReport {
+        running,
+        waiting: 0,
+        slots: 8,
+        started_unix_ms: started,
+        observed_unix_ms: observed,
+        cold: None,
+    }
+}
+
+/// One endpoint of four slots that has been warmed up.
+pub fn warm(opts: Options) -> Pool {
+    let mut pool = pool(
+        opts,
+        vec![endpoint("e", 4, 1)],
+        vec![class("high", 1, 0.0), class("low", 3, 0.0)],
+    );
+    warm_up(&mut pool, 0);
+    pool
+}
+
+pub fn warm_up(pool: &mut Pool, from_ms: u64) {
+    for round in 0..8 {
+        let now = at_ms(from_ms + round * 10);
+        queue(pool, now, ask("low", "c", 1_000_000));
+        for permit in permits(&grants(pool, now)) {
+            pool.progress(at_ms(from_ms + round * 10 + 1), permit, 1);
+            pool.settle(at_ms(from_ms + round * 10 + 5), permit, WHOLE);
+        }
+    }
+}
+
+pub fn fill(pool: &mut Pool, now_ms: u64, class: &str) -> Vec<u64> {
+    for _ in 0..4 {
+        queue(pool, at_ms(now_ms), ask(class, "c", 1_000_000));
+    }
+    permits(&grants(pool, at_ms(now_ms)))
+}
