--- a/crates/celerytide-policy/src/check/cold/mod.rs
+++ b/crates/celerytide-policy/src/check/cold/mod.rs
@@ -19,6 +19,8 @@
     missing: u32,
     /// Number of cold starts; only work granted after the last one counts as evidence.
     epoch: u32,
+    /// Whether the pool may have forgotten it since its last cold start.
+    forgotten: bool,
     started: Option<u64>,
     observed: u64,
     last_sign: Boot,
@@ -50,8 +52,9 @@
     fn chill(&mut self, now: Boot, per_slot: u32, least: Duration) {
         self.cold_until = now.after(least);
         self.bears = cold_bound(&self.plan);
-        self.missing = self.bears.saturating_mul(per_slot).max(1);
+        self.missing = needed(&self.plan, per_slot);
         self.epoch += 1;
+        self.forgotten = false;
     }
 
     fn bound(&self, trust: Trust) -> u32 {
@@ -70,20 +73,28 @@
         }
     }
 
-    fn replan(&mut self, plan: EndpointPlan) {
+    fn replan(&mut self, plan: EndpointPlan, per_slot: u32) {
         self.bears = self.bears.min(plan.slots.max(1));
         if self.missing > 0 {
-            self.bears = self.bears.min(cold_bound(&plan));
+            let (before, after) = (needed(&self.plan, per_slot), needed(&plan, per_slot));
+            self.missing = (self.missing + after).saturating_sub(before).max(1);
+            self.bears = cold_bound(&plan);
         }
         if !self.named {
             // The pool may have forgotten it, and its first report since then tells nothing.
             self.started = None;
+            self.forgotten = true;
         }
         self.plan = plan;
         self.named = true;
     }
 }
 
+/// Whole answers that end a cold start under this plan.
+fn needed(plan: &EndpointPlan, per_slot: u32) -> u32 {
+    cold_bound(plan).saturating_mul(per_slot).max(1)
+}
+
 /// Requests that an endpoint of this plan bears when cold.
 fn cold_bound(plan: &EndpointPlan) -> u32 {
     plan.cold_slots.clamp(1, plan.slots.max(1))
@@ -126,7 +137,7 @@
         let is_first = !std::mem::replace(&mut self.is_planned, true);
         for plan in plans {
             if let Some(row) = self.rows.get_mut(&plan.id) {
-                row.replan(plan.clone());
+                row.replan(plan.clone(), self.per_slot);
                 continue;
             }
             let mut row = Row {
@@ -136,6 +147,7 @@
                 bears: 0,
                 missing: 0,
                 epoch: 0,
+                forgotten: false,
                 started: None,
                 observed: 0,
                 last_sign: now,
@@ -149,7 +161,10 @@
 
     /// A former owner's word holds for an endpoint that was never seen to turn cold here.
     fn take_over(&mut self, warmth: &Warmth) {
-        let first = self.rows.get_mut(&warmth.endpoint).filter(|row| row.epoch == 1);
+        let first = self
+            .rows
+            .get_mut(&warmth.endpoint)
+            .filter(|row| row.epoch == 1 || row.forgotten);
         if let Some(row) = first {
             row.missing = 0;
             row.bears = warmth.limit.clamp(cold_bound(&row.plan), row.plan.slots.max(1));
--- a/crates/celerytide-policy/src/ramp/mod.rs
+++ b/crates/celerytide-policy/src/ramp/mod.rs
@@ -37,20 +37,31 @@
         ramp
     }
 
-    /// Takes over changed sizes; the limit never grows by it.
+    /// Takes over changed sizes. A cold endpoint bears its new cold slots; another's limit only shrinks by it.
     pub fn resize(&mut self, slots: u32, cold_slots: u32) {
+        let needed = self.needed();
         self.slots = slots.max(1);
         self.cold_slots = cold_slots.clamp(1, self.slots);
-        self.threshold = self.threshold.min(self.slots);
-        let bound = if self.is_cold() { self.cold_slots } else { self.slots };
-        self.limit = self.limit.min(bound);
+        if self.is_cold() {
+            self.missing = (self.missing + self.needed()).saturating_sub(needed).max(1);
+        }
+        self.threshold = if self.suspect {
+            self.threshold.min(self.slots)
+        } else {
+            self.slots
+        };
+        self.limit = if self.is_cold() {
+            self.cold_slots
+        } else {
+            self.limit.min(self.slots)
+        };
     }
 
     /// The endpoint is cold from now on.
     pub fn chill(&mut self) {
         self.limit = self.cold_slots;
         self.threshold = self.slots;
-        self.missing = self.cold_slots.saturating_mul(self.per_slot).max(1);
+        self.missing = self.needed();
         self.successes = 0;
         self.epoch += 1;
         self.suspect = false;
@@ -86,12 +97,17 @@
         if self.is_cold() {
             return;
         }
-        self.limit = (self.limit / 2).max(self.cold_slots);
+        self.limit = (self.limit / 2).max(self.cold_slots).min(self.limit);
         self.threshold = self.limit;
         self.successes = 0;
         self.suspect = true;
     }
 
+    /// Whole answers that end a cold start.
+    fn needed(&self) -> u32 {
+        self.cold_slots.saturating_mul(self.per_slot).max(1)
+    }
+
     /// Permits that it may bear now.
     pub fn limit(&self) -> u32 {
         self.limit
--- a/crates/celerytide-policy/tests/common/history.rs
+++ b/crates/celerytide-policy/tests/common/history.rs
@@ -227,8 +227,14 @@
 
     fn toggle(&mut self, now: Boot) -> Result<()> {
         let at = self.u.choose_index(self.plan.endpoints.len())?;
+        let resized = self.u.ratio(1, 3)?;
+        let (slots, cold_slots) = (self.u.int_in_range(1..=6)?, self.u.int_in_range(1..=2)?);
         let endpoint = &mut self.plan.endpoints[at];
-        endpoint.open = !endpoint.open;
+        if resized {
+            (endpoint.slots, endpoint.cold_slots) = (slots, cold_slots);
+        } else {
+            endpoint.open = !endpoint.open;
+        }
         self.recorder.apply(now, self.plan.clone());
         Ok(())
     }
--- a/crates/celerytide-policy/tests/parts.rs
+++ b/crates/celerytide-policy/tests/parts.rs
@@ -98,6 +98,28 @@
     assert_eq!((ramp.limit(), ramp.is_cold()), (2, true));
 }
 
+#[test]
+fn ramp_takes_over_changed_sizes() {
+    let mut ramp = Ramp::new(1, 1, 1);
+    ramp.resize(8, 2);
+    assert_eq!(ramp.limit(), 2, "cold, it bears its cold slots");
+    for _ in 0..2 {
+        ramp.succeed(ramp.epoch());
+    }
+    assert_eq!(
+        (ramp.limit(), ramp.is_cold()),
+        (2, false),
+        "one answer for each of its cold slots"
+    );
+    for _ in 0..6 {
+        ramp.succeed(ramp.epoch());
+    }
+    assert_eq!(ramp.limit(), 8, "it grows by one for each answer up to its new slots");
+    ramp.resize(4, 2);
+    ramp.resize(8, 2);
+    assert_eq!(ramp.limit(), 4, "more slots have to be earned");
+}
+
 #[test]
 fn slow_ramp_halves_and_grows_back_by_rounds() {
     let mut ramp = Ramp::new(8, 1, 1);
