--- a/crates/celerytide-policy/src/endpoint/mod.rs
+++ b/crates/celerytide-policy/src/endpoint/mod.rs
@@ -7,13 +7,16 @@
 
 use celerytide_types::Boot;
 
-use crate::ask::Trust;
+use crate::ask::{Trust, Warmth};
 use crate::options::{DeliberateFault, Options};
 use crate::plan::EndpointPlan;
 use crate::ramp::Ramp;
 use crate::status::{EndpointState, EndpointStatus};
 use sign::Signs;
 
+/// Epoch of an endpoint that was never seen to turn cold.
+const FIRST_EPOCH: u64 = 1;
+
 /// State of one endpoint.
 #[derive(Debug)]
 pub(crate) struct Endpoint {
@@ -36,6 +39,8 @@
     pub last_sign: Boot,
     /// Whether a report made under this owner shows no foreign work.
     pub witnessed: bool,
+    /// Time of the first report that is surely made under this owner, by the endpoint's clock.
+    witness_from_ms: Option<u64>,
     /// Sequence of its latest grant; the least lately used of equals goes first.
     pub last_grant: u64,
 }
@@ -55,6 +60,7 @@
             backing_off: false,
             last_sign: now,
             witnessed: false,
+            witness_from_ms: None,
             last_grant: 0,
         }
     }
@@ -69,6 +75,16 @@
     /// From now on a report has to show that nobody else sends work.
     pub fn begin_witness(&mut self) {
         self.witnessed = false;
+        self.witness_from_ms = None;
+    }
+
+    /// Judges whether a report of this time is a witness. Reports lag by at most `lag_ms`, so the first one that comes
+    /// under this owner only tells from when on they count.
+    pub fn witness(&mut self, observed_unix_ms: u64, lag_ms: u64) {
+        let from = *self
+            .witness_from_ms
+            .get_or_insert(observed_unix_ms.saturating_add(lag_ms));
+        self.witnessed = observed_unix_ms >= from && self.signs.reported() <= self.in_flight;
     }
 
     pub fn is_open(&self) -> bool {
@@ -138,6 +154,19 @@
         self.last_sign = now;
     }
 
+    /// Takes over what a former owner knew, unless something was seen here that speaks against it.
+    pub fn take_over(&mut self, warmth: &Warmth) -> bool {
+        let started = self.signs.started_unix_ms();
+        let restarted = started.is_some() && warmth.started_unix_ms.is_some() && started != warmth.started_unix_ms;
+        let untouched = self.ramp.epoch() == FIRST_EPOCH && self.failures == 0 && self.ramp.is_cold();
+        if restarted || !untouched {
+            return false;
+        }
+        self.signs.take_over_start(warmth.started_unix_ms);
+        self.ramp.take_over(warmth.limit);
+        true
+    }
+
     /// Halves the limit, and judges the endpoint anew by what it does next.
     pub fn slow(&mut self) {
         self.ramp.slow();
