feat(dispatch,policy): cold endpoints gated by their own reports; warm ones are handed over

Cause: a new owner counted every endpoint as cold again, and a cold endpoint's work of another owner was judged by counts alone; queues and standings were worked out anew at each 20 ms tick. Ruled out: warm by default after a takeover (a silent cold start would get full load). Before: no hand-over of warmth; refresh 50 times a second. Conclusion: the entry's follow exchange also tells the owner of a restarted entry.

--- a/crates/celerytide-dispatch/src/daemon/mod.rs
+++ b/crates/celerytide-dispatch/src/daemon/mod.rs
@@ -14,8 +14,10 @@
 use crate::status::DispatchStatus;
 use crate::{muster, orders, report};
 
-/// Time between looks at deadlines, standings and plans.
+/// Time between looks at deadlines.
 const TICK: Duration = Duration::from_millis(20);
+/// Ticks between two assessments of standings while the view stays the same.
+const TICKS_PER_REFRESH: u32 = 10;
 /// Exit code after a stop that could not hand everything over.
 const EXIT_CUT: u8 = 1;
 /// Time for entries to take their permits to the next owners after a handover.
@@ -44,9 +46,20 @@
     Ok(stop(&dispatch).await)
 }
 
+/// Follows the view at once and the clock now and then; queues are pumped at each tick.
 async fn refresh(dispatch: Rc<Dispatch>) {
+    let mut seen = 0;
+    let mut ticks = 0;
     loop {
-        dispatch.pools.refresh();
+        let generation = dispatch.node.membership.view().generation;
+        ticks += 1;
+        if generation != seen || ticks >= TICKS_PER_REFRESH {
+            seen = generation;
+            ticks = 0;
+            dispatch.pools.refresh();
+        } else {
+            dispatch.pools.pump();
+        }
         sleep(TICK).await;
     }
 }
--- a/crates/celerytide-dispatch/src/handover/mod.rs
+++ b/crates/celerytide-dispatch/src/handover/mod.rs
@@ -5,10 +5,10 @@
 
 use celerytide_membership::ownership::{Term as OwnerTerm, owner_of};
 use celerytide_node::Node;
-use celerytide_policy::EndpointState;
+use celerytide_policy::Warmth;
 use celerytide_types::RegionId;
 use celerytide_wire::Exchange;
-use celerytide_wire::messages::{Ack, EndpointWork, Handover, Method, Term};
+use celerytide_wire::messages::{Ack, Handover, Method, Term, Warm};
 use monoio::time::{sleep, timeout};
 
 use crate::pools::Pools;
@@ -48,7 +48,7 @@
         pool: slot.id.clone(),
         from: node.instance.clone(),
         term: wire_term(term),
-        in_flight: work_of(slot),
+        warm: warm_of(slot),
     };
     let answer = node
         .links
@@ -57,14 +57,13 @@
     matches!(answer, Ok(Ack { taken: true }))
 }
 
-fn work_of(slot: &Slot) -> Vec<EndpointWork> {
-    let status = slot.status();
-    let work = status.endpoints.iter().map(|e| EndpointWork {
-        endpoint: e.id.clone(),
-        permits: e.in_flight,
-        warm: e.state == EndpointState::Warm,
+fn warm_of(slot: &Slot) -> Vec<Warm> {
+    let warm = slot.warmth().into_iter().map(|w| Warm {
+        endpoint: w.endpoint,
+        limit: w.limit,
+        started_unix_ms: w.started_unix_ms,
     });
-    work.collect()
+    warm.collect()
 }
 
 /// Serves a former owner's handover.
@@ -73,6 +72,9 @@
         return;
     };
     let taken = pools.handed_over(&handover.pool, owner_term(handover.term));
+    if let Some(slot) = pools.owned(&handover.pool).filter(|_| taken) {
+        slot.take_over(&warmth_of(&handover.warm));
+    }
     if ex.send_last(&Ack { taken }).await.is_err() {
         tracing::debug!(pool = handover.pool, "handover: the former owner is gone");
     }
@@ -93,3 +95,12 @@
         incarnation: term.incarnation,
     }
 }
+
+fn warmth_of(warm: &[Warm]) -> Vec<Warmth> {
+    let warmth = warm.iter().map(|w| Warmth {
+        endpoint: w.endpoint.clone(),
+        limit: w.limit,
+        started_unix_ms: w.started_unix_ms,
+    });
+    warmth.collect()
+}
--- a/crates/celerytide-dispatch/src/muster/mod.rs
+++ b/crates/celerytide-dispatch/src/muster/mod.rs
@@ -9,7 +9,8 @@
 use celerytide_membership::ownership::{Former, MusterCall};
 use celerytide_node::Node;
 use celerytide_types::{InstanceId, PoolId};
-use celerytide_wire::messages::{Method, Muster, Mustered};
+use celerytide_wire::Exchange;
+use celerytide_wire::messages::{Ack, Method, Muster, Mustered};
 use monoio::time::{sleep, timeout};
 
 use crate::handover::{owner_term, wire_term};
@@ -54,31 +55,53 @@
 
 async fn one(node: Rc<Node>, pools: Rc<Pools>, own: SocketAddr, call: MusterCall, key: CallKey, calls: Calls) {
     let answered = timeout(CALL_TIME, ask(&node, own, &call)).await.ok().flatten();
-    match answered {
-        Some(Mustered {
-            followed: true,
-            complete: true,
-            other,
-            ..
-        }) => {
-            let former = other.map_or(Former::Nobody, |term| Former::Seen(owner_term(term)));
-            pools.mustered(&call, former);
-            pools.refresh();
-        }
-        Some(Mustered {
-            followed: false,
-            other: Some(highest),
-            ..
-        }) => {
-            pools.refused(&call.pool, owner_term(highest));
-            sleep(FAILED_WAIT).await;
-        }
-        Some(_) | None => sleep(FAILED_WAIT).await,
+    let followed = match answered {
+        Some(Answered { mustered, ex }) => took(&pools, &call, &mustered).then_some(ex),
+        None => None,
+    };
+    if followed.is_none() {
+        sleep(FAILED_WAIT).await;
     }
     calls.borrow_mut().remove(&key);
+    if let Some(ex) = followed {
+        watch(&pools, &call, ex).await;
+    }
+}
+
+/// Whether the entry follows.
+fn took(pools: &Pools, call: &MusterCall, mustered: &Mustered) -> bool {
+    if mustered.followed && mustered.complete {
+        let former = mustered
+            .other
+            .map_or(Former::Nobody, |term| Former::Seen(owner_term(term)));
+        pools.mustered(call, former);
+        pools.refresh();
+        return true;
+    }
+    if let Some(highest) = mustered.other.filter(|_| !mustered.followed) {
+        pools.refused(&call.pool, owner_term(highest));
+    }
+    false
+}
+
+/// Waits for the end of the exchange on which the entry follows.
+async fn watch(pools: &Pools, call: &MusterCall, mut ex: Exchange) {
+    let ended = ex.recv::<Ack>().await;
+    tracing::info!(
+        pool = call.pool,
+        entry = call.entry,
+        ?ended,
+        "muster: an entry no longer follows"
+    );
+    pools.entry_lost(&call.entry);
+}
+
+struct Answered {
+    mustered: Mustered,
+    ex: Exchange,
 }
 
-async fn ask(node: &Node, own: SocketAddr, call: &MusterCall) -> Option<Mustered> {
+async fn ask(node: &Node, own: SocketAddr, call: &MusterCall) -> Option<Answered> {
     let view = node.membership.view();
     let addr = view.instance(&call.entry)?.entry_peer;
     let muster = Muster {
@@ -86,5 +109,7 @@
         term: wire_term(call.term),
         owner: own,
     };
-    node.links.call(addr, Method::Muster, &muster).await.ok()
+    let mut ex = node.links.open(addr, Method::Muster, &muster).await.ok()?;
+    let mustered = ex.recv_some().await.ok()?;
+    Some(Answered { mustered, ex })
 }
--- a/crates/celerytide-dispatch/src/permit/mod.rs
+++ b/crates/celerytide-dispatch/src/permit/mod.rs
@@ -21,6 +21,9 @@
     let Some(slot) = owned(dispatch, &ask.pool) else {
         return not_owner(dispatch, ex).await;
     };
+    if !dispatch.pools.may_ask(&slot, &ask.from) {
+        return not_owner(dispatch, ex).await;
+    }
     dispatch.metrics.ask();
     match slot.offer(policy_ask(ask)) {
         Ok(waiting) => wait(dispatch, &slot, ex, waiting).await,
--- a/crates/celerytide-dispatch/src/plan/mod.rs
+++ b/crates/celerytide-dispatch/src/plan/mod.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use celerytide_manifest::{Class, EndpointSpec, Manifest};
+use celerytide_manifest::{Class, EndpointSpec, Manifest, ServiceKind};
 use celerytide_membership::ownership::Pool;
 use celerytide_membership::{View, open};
 use celerytide_policy::{ClassPlan, CustomerPlan, EndpointPlan, PoolPlan};
@@ -15,6 +15,7 @@
         return Planned {
             plan: PoolPlan::default(),
             addresses: HashMap::new(),
+            reports: false,
         };
     };
     let specs: Vec<&EndpointSpec> = service
@@ -38,7 +39,12 @@
             .map(customer)
             .collect(),
     };
-    Planned { plan, addresses }
+    let reports = service.kind == ServiceKind::Model;
+    Planned {
+        plan,
+        addresses,
+        reports,
+    }
 }
 
 fn endpoint(view: &View, spec: &EndpointSpec) -> EndpointPlan {
--- a/crates/celerytide-dispatch/src/pools/mod.rs
+++ b/crates/celerytide-dispatch/src/pools/mod.rs
@@ -82,6 +82,23 @@
         self.keep_owned(&view, &pools);
     }
 
+    /// Pumps every queue.
+    pub fn pump(&self) {
+        for slot in self.slots.borrow().values() {
+            slot.pump();
+        }
+    }
+
+    /// Whether the entry may be given permits: it follows this owner, or nothing of the pool is cold.
+    pub fn may_ask(&self, slot: &Slot, entry: &str) -> bool {
+        self.ownership.borrow().follows(&slot.id, entry) || !slot.has_cold()
+    }
+
+    /// Notes that an entry may have restarted and forgotten whom it followed.
+    pub fn entry_lost(&self, entry: &str) {
+        self.ownership.borrow_mut().entry_lost(entry);
+    }
+
     /// The calls that entries have yet to answer.
     pub fn musters(&self) -> Vec<MusterCall> {
         let ownership = self.ownership.borrow();
@@ -178,7 +195,8 @@
             let slot = self.slot(&id, term);
             slot.set_term(term);
             slot.apply(view.generation, || plan_of(view, manifest, pool));
-            slot.trust(trust_of(self.standing(&id)));
+            let standing = self.standing(&id);
+            slot.stand(standing, trust_of(standing));
             slot.pump();
         }
     }
--- a/crates/celerytide-dispatch/src/slot/mod.rs
+++ b/crates/celerytide-dispatch/src/slot/mod.rs
@@ -1,17 +1,21 @@
 //! One owned pool: its queue, those who wait for a permit, and those who hold one.
 
+mod gates;
+
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use celerytide_membership::ownership::Term as OwnerTerm;
+use celerytide_membership::ownership::{Standing, Term as OwnerTerm};
 use celerytide_policy::{
-    Ask, AskId, Ended, Grant, LoadReport, Offer, Options, Pool, PoolPlan, PoolStatus, Refusal, Refused, Trust,
+    Ask, AskId, Ended, Grant, LoadReport, Offer, Options, Pool, PoolPlan, PoolStatus, Refusal, Refused, Trust, Warmth,
 };
 use celerytide_types::{Boot, EndpointId, PermitId, PoolId, now_boot};
 use futures::channel::oneshot;
 use tokio_util::sync::CancellationToken;
 
+use gates::Gates;
+
 /// What became of an ask that waited.
 #[derive(Debug)]
 pub enum Decision {
@@ -38,6 +42,9 @@
     waiting: HashMap<AskId, oneshot::Sender<Decision>>,
     running: HashMap<PermitId, CancellationToken>,
     plan_generation: u64,
+    standing: Standing,
+    trust: Option<Trust>,
+    gates: Gates,
 }
 
 /// A place in the queue.
@@ -59,6 +66,9 @@
             waiting: HashMap::new(),
             running: HashMap::new(),
             plan_generation: 0,
+            standing: Standing::NotOwner,
+            trust: None,
+            gates: Gates::default(),
         };
         Slot {
             id,
@@ -84,13 +94,45 @@
         let planned = make();
         let mut inner = self.inner.borrow_mut();
         inner.plan_generation = generation;
+        let now = now_boot();
         inner.addresses = planned.addresses;
-        inner.pool.apply(now_boot(), planned.plan);
+        inner.gates.plan(now, &planned.plan, planned.reports);
+        inner.pool.apply(now, planned.plan);
+        inner.cap_cold(now);
+    }
+
+    /// Sets the owner's standing and how far it trusts its view.
+    pub fn stand(&self, standing: Standing, trust: Trust) {
+        let now = now_boot();
+        let mut inner = self.inner.borrow_mut();
+        if inner.trust != Some(trust) {
+            inner.trust = Some(trust);
+            inner.pool.trust(now, trust);
+        }
+        inner.standing = standing;
+        inner.gates.stand(now, standing);
+        inner.cap_cold(now);
+    }
+
+    /// Whether an open endpoint is in cold start.
+    pub fn has_cold(&self) -> bool {
+        self.inner.borrow().pool.has_cold()
     }
 
-    /// Sets how far the owner trusts its view.
-    pub fn trust(&self, trust: Trust) {
-        self.inner.borrow_mut().pool.trust(now_boot(), trust);
+    /// What warm endpoints bear, for the next owner.
+    pub fn warmth(&self) -> Vec<Warmth> {
+        self.inner.borrow().pool.warmth()
+    }
+
+    /// Takes over what the former owner knew.
+    pub fn take_over(&self, warmth: &[Warmth]) {
+        let taken = self.inner.borrow_mut().pool.take_over(warmth);
+        tracing::info!(
+            pool = self.id,
+            endpoints = taken.len(),
+            "pool: took over warm endpoints"
+        );
+        self.pump();
     }
 
     /// Queues an ask.
@@ -180,7 +222,12 @@
 
     /// Takes an endpoint's report in.
     pub fn report(&self, endpoint: &str, load: LoadReport) {
-        self.inner.borrow_mut().pool.report(now_boot(), endpoint, load);
+        {
+            let now = now_boot();
+            let mut inner = self.inner.borrow_mut();
+            inner.gates.report(now, endpoint, &load);
+            inner.pool.report(now, endpoint, load);
+        }
         self.pump();
     }
 
@@ -191,6 +238,7 @@
             return;
         }
         let now = now_boot();
+        inner.cap_cold(now);
         inner.expire(now);
         inner.grant(now);
         while let Some(permit) = inner.pool.preempt(now) {
@@ -223,6 +271,8 @@
     pub plan: PoolPlan,
     /// Addresses by endpoint.
     pub addresses: HashMap<EndpointId, SocketAddr>,
+    /// Whether the endpoints publish load reports.
+    pub reports: bool,
 }
 
 /// Where an endpoint listens.
@@ -234,6 +284,17 @@
 }
 
 impl Inner {
+    /// Brings what cold endpoints may get up to date.
+    fn cap_cold(&mut self, now: Boot) {
+        let Inner {
+            pool, gates, standing, ..
+        } = self;
+        gates.each(|endpoint, bound, gate| {
+            gate.counted(now, pool.in_flight_at(endpoint));
+            pool.cap_cold(endpoint, gate.limit(now, *standing, bound));
+        });
+    }
+
     fn expire(&mut self, now: Boot) {
         for refused in self.pool.expire(now) {
             if let Some(tx) = self.waiting.remove(&refused.ask) {
--- a/crates/celerytide-entry/src/entry/mod.rs
+++ b/crates/celerytide-entry/src/entry/mod.rs
@@ -63,7 +63,13 @@
     /// An entry of `node`.
     pub fn new(node: Rc<Node>, settings: EntrySettings) -> Entry {
         let owners = Rc::new(Owners::new(node.membership.clone(), settings.region.clone()));
-        let acquire = Acquire::new(node.membership.clone(), owners, node.links.clone(), Leases::default());
+        let acquire = Acquire::new(
+            node.instance.clone(),
+            node.membership.clone(),
+            owners,
+            node.links.clone(),
+            Leases::default(),
+        );
         let id = HomeId {
             instance: node.instance.clone(),
             incarnation: node.incarnation,
--- a/crates/celerytide-entry/src/entry/peers.rs
+++ b/crates/celerytide-entry/src/entry/peers.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use celerytide_membership::ownership::Admitted;
-use celerytide_wire::messages::{Method, Muster, Mustered};
+use celerytide_wire::messages::{Ack, Method, Muster, Mustered};
 use celerytide_wire::{Exchange, Service};
 use monoio::time::timeout;
 
@@ -44,8 +44,14 @@
         Admitted::Older { highest } => refused(Some(wire_term(highest))),
         Admitted::OtherLife => refused(None),
     };
-    if ex.send_last(&mustered).await.is_err() {
+    let follows = mustered.followed && mustered.complete;
+    if ex.send(&mustered).await.is_err() {
         tracing::debug!(pool = muster.pool, "entry: the mustering owner is gone");
+        return;
+    }
+    if follows {
+        // Open for as long as the owner lives: its end tells the owner that this entry may have restarted.
+        let _ = ex.recv::<Ack>().await;
     }
 }
 
--- a/crates/celerytide-entry/src/permit/acquire.rs
+++ b/crates/celerytide-entry/src/permit/acquire.rs
@@ -7,7 +7,7 @@
 use celerytide_membership::Membership;
 use celerytide_membership::ownership::{Admitted, Term as OwnerTerm, TermGuard};
 use celerytide_types::{
-    Boot, ClassName, CustomerId, EndpointId, FinalWord, Millis, PoolId, RequestId, ServiceId, now_boot,
+    Boot, ClassName, CustomerId, EndpointId, FinalWord, InstanceId, Millis, PoolId, RequestId, ServiceId, now_boot,
 };
 use celerytide_wire::messages::{Adopt, Ask, Granted, Method, Reply, Term};
 use celerytide_wire::{Exchange, Links};
@@ -65,6 +65,7 @@
 
 /// Asks for permits.
 pub struct Acquire {
+    own: InstanceId,
     membership: Rc<Membership>,
     owners: Rc<Owners>,
     links: Links,
@@ -80,8 +81,15 @@
 
 impl Acquire {
     /// Asks owners that `membership` names, over `links`.
-    pub fn new(membership: Rc<Membership>, owners: Rc<Owners>, links: Links, leases: Leases) -> Acquire {
+    pub fn new(
+        own: InstanceId,
+        membership: Rc<Membership>,
+        owners: Rc<Owners>,
+        links: Links,
+        leases: Leases,
+    ) -> Acquire {
         Acquire {
+            own,
             membership,
             owners,
             links,
@@ -139,7 +147,7 @@
         };
         let now = now_boot();
         let left = wanted.begin_by.since(now);
-        let ask = ask_of(wanted, pool, now, left);
+        let ask = self.ask_of(wanted, pool, now, left);
         let Ok(mut ex) = self.links.open(owner, Method::Permit, &ask).await else {
             return Asked::Again;
         };
@@ -163,6 +171,22 @@
         Asked::Again
     }
 
+    fn ask_of(&self, wanted: &Wanted, pool: PoolId, now: Boot, left: Duration) -> Ask {
+        Ask {
+            from: self.own.clone(),
+            pool,
+            request: wanted.request.clone(),
+            class: wanted.class.clone(),
+            customer: wanted.customer.clone(),
+            begin_within_ms: millis(left),
+            waited_ms: millis(now.since(wanted.arrived)),
+            prompt_tokens: wanted.prompt_tokens,
+            max_tokens: wanted.max_tokens,
+            prefix: wanted.prefix.clone(),
+            avoid: wanted.avoid.clone(),
+        }
+    }
+
     fn start(&self, granted: Granted, ex: Exchange, wanted: &Wanted) -> Lease {
         let adopt = Adopt {
             pool: granted.pool.clone(),
@@ -180,21 +204,6 @@
     }
 }
 
-fn ask_of(wanted: &Wanted, pool: PoolId, now: Boot, left: Duration) -> Ask {
-    Ask {
-        pool,
-        request: wanted.request.clone(),
-        class: wanted.class.clone(),
-        customer: wanted.customer.clone(),
-        begin_within_ms: millis(left),
-        waited_ms: millis(now.since(wanted.arrived)),
-        prompt_tokens: wanted.prompt_tokens,
-        max_tokens: wanted.max_tokens,
-        prefix: wanted.prefix.clone(),
-        avoid: wanted.avoid.clone(),
-    }
-}
-
 fn millis(span: Duration) -> Millis {
     span.as_millis().try_into().unwrap_or(Millis::MAX)
 }
--- a/crates/celerytide-policy/src/endpoint/mod.rs
+++ b/crates/celerytide-policy/src/endpoint/mod.rs
@@ -26,6 +26,8 @@
     pub ramp: Ramp,
     pub signs: Signs,
     pub in_flight: u32,
+    /// A cap from outside on permits while it is cold.
+    pub cold_cap: u32,
     pub orphans: u32,
     /// Prompt tokens of permits whose first token is still out.
     pub prefill: u64,
@@ -53,6 +55,7 @@
             gone: false,
             signs: Signs::default(),
             in_flight: 0,
+            cold_cap: u32::MAX,
             orphans: 0,
             prefill: 0,
             cold_until: now,
@@ -101,6 +104,11 @@
         }
         let probe = if self.failures > 0 { 1 } else { u32::MAX };
         let bears = self.ramp.limit().min(probe).saturating_sub(self.signs.foreign());
+        let bears = if self.ramp.is_cold() {
+            bears.min(self.cold_cap)
+        } else {
+            bears
+        };
         match (trust, self.ramp.is_cold()) {
             (Trust::Settled, _) => bears,
             (Trust::Taking { .. }, true) if self.witnessed => bears / 2,
--- a/crates/celerytide-policy/src/pool/mod.rs
+++ b/crates/celerytide-policy/src/pool/mod.rs
@@ -5,6 +5,7 @@
 //! module of its own: offers and sheds, grants, permits in flight, reports, preemption, plans.
 
 mod baseline;
+mod cap;
 mod flight;
 mod grant;
 mod offer;
--- a/crates/celerytide-wire/src/messages/mod.rs
+++ b/crates/celerytide-wire/src/messages/mod.rs
@@ -107,6 +107,8 @@
 
     /// First message of a permit exchange.
     pub struct Ask {
+        /// The entry's instance.
+        pub from: InstanceId,
         /// The pool asked.
         pub pool: PoolId,
         /// The request.
@@ -207,7 +209,8 @@
         pub owner: SocketAddr,
     }
 
-    /// The entry's answer, sent once each of its permits in flight was adopted.
+    /// The entry's answer, sent once each of its permits in flight was adopted. The exchange then stays open for as long as the
+    /// entry follows; its end tells the owner that the entry may have restarted.
     pub struct Mustered {
         /// Whether the entry follows this term.
         pub followed: bool,
@@ -227,18 +230,18 @@
         pub from: InstanceId,
         /// Term that ends.
         pub term: Term,
-        /// Permits in flight by endpoint.
-        pub in_flight: Vec<EndpointWork>,
+        /// What warm endpoints bear.
+        pub warm: Vec<Warm>,
     }
 
-    /// Work of one endpoint.
-    pub struct EndpointWork {
+    /// What a warm endpoint bears.
+    pub struct Warm {
         /// The endpoint.
         pub endpoint: EndpointId,
-        /// Permits in flight.
-        pub permits: u32,
-        /// Whether it counts as warm.
-        pub warm: bool,
+        /// Permits that it bears at once.
+        pub limit: u32,
+        /// When its process started, if a report said so.
+        pub started_unix_ms: Option<u64>,
     }
 
     /// A plain acknowledgement.
