--- a/crates/celerytide-policy/src/check/cold/mod.rs
+++ b/crates/celerytide-policy/src/check/cold/mod.rs
@@ -74,7 +74,7 @@
     }
 
     fn replan(&mut self, plan: EndpointPlan, per_slot: u32) {
-        self.bears = self.bears.min(plan.slots.max(1));
+        self.bears = self.bears.clamp(cold_bound(&plan), plan.slots.max(1));
         if self.missing > 0 {
             let (before, after) = (needed(&self.plan, per_slot), needed(&plan, per_slot));
             self.missing = (self.missing + after).saturating_sub(before).max(1);
--- a/crates/celerytide-policy/src/ramp/mod.rs
+++ b/crates/celerytide-policy/src/ramp/mod.rs
@@ -37,7 +37,7 @@
         ramp
     }
 
-    /// Takes over changed sizes. A cold endpoint bears its new cold slots; another's limit only shrinks by it.
+    /// Takes over changed sizes. An endpoint always bears its cold slots; beyond these a limit only shrinks by it.
     pub fn resize(&mut self, slots: u32, cold_slots: u32) {
         let needed = self.needed();
         self.slots = slots.max(1);
@@ -50,11 +50,8 @@
         } else {
             self.slots
         };
-        self.limit = if self.is_cold() {
-            self.cold_slots
-        } else {
-            self.limit.min(self.slots)
-        };
+        let bound = if self.is_cold() { self.cold_slots } else { self.slots };
+        self.limit = self.limit.clamp(self.cold_slots, bound);
     }
 
     /// The endpoint is cold from now on.
