--- a/crates/celerytide-membership/tests/configuration.rs
+++ b/crates/celerytide-membership/tests/configuration.rs
@@ -221,10 +221,15 @@
         }
     }
 
+    fn highest(&self) -> Version {
+        let versions = self.nodes.iter().map(|n| n.view().manifest_version);
+        versions.max().unwrap_or_default()
+    }
+
     /// The partition ends, the service stays down; everybody exchanges with everybody.
     fn heal(&mut self) {
         self.cut = false;
-        let highest = self.nodes.iter().map(|n| n.view().manifest_version).max();
+        let at_start = self.highest();
         for _ in 0..HEALING_ROUNDS {
             self.now = self.now.after(Duration::from_secs(6));
             for from in 0..NODES {
@@ -234,8 +239,9 @@
                 self.offer(letter.to, &Origin::Peer("p".into()), &letter.text);
             }
         }
-        let behind = |n: &Membership| Some(n.view().manifest_version) != highest;
-        if self.nodes.iter().any(behind) {
+        let highest = self.highest();
+        let behind = |n: &Membership| n.view().manifest_version != highest;
+        if highest < at_start || self.nodes.iter().any(behind) {
             self.found.push(Violation::Apart);
         }
     }
