--- a/crates/celerytide-membership/tests/configuration.rs
+++ b/crates/celerytide-membership/tests/configuration.rs
@@ -261,23 +261,12 @@
         flaw: Flaw,
         want: Violation,
     }
+    let case = |flaw, want| Case { flaw, want };
     let cases = [
-        Case {
-            flaw: Flaw::TakesLast,
-            want: Violation::Reverted,
-        },
-        Case {
-            flaw: Flaw::TakesLast,
-            want: Violation::ChangedDigest,
-        },
-        Case {
-            flaw: Flaw::KeepsToItself,
-            want: Violation::Apart,
-        },
-        Case {
-            flaw: Flaw::SkipsCheck,
-            want: Violation::Invalid,
-        },
+        case(Flaw::TakesLast, Violation::Reverted),
+        case(Flaw::TakesLast, Violation::ChangedDigest),
+        case(Flaw::KeepsToItself, Violation::Apart),
+        case(Flaw::SkipsCheck, Violation::Invalid),
     ];
     for case in cases {
         let mut caught = 0;
--- a/crates/celerytide-membership/tests/open.rs
+++ b/crates/celerytide-membership/tests/open.rs
@@ -49,92 +49,65 @@
         news: &'static [News],
         want: bool,
     }
+    let case = |name, news, want| Case { name, news, want };
     let cases = [
-        Case {
-            name: "nothing known",
-            news: &[],
-            want: false,
-        },
-        Case {
-            name: "manifest only",
-            news: &[Manifest(1, "in")],
-            want: false,
-        },
-        Case {
-            name: "list only",
-            news: &[List(1, Some(true))],
-            want: false,
-        },
-        Case {
-            name: "both",
-            news: &[Manifest(1, "in"), List(1, Some(true))],
-            want: true,
-        },
-        Case {
-            name: "zone out",
-            news: &[Manifest(1, "out"), List(1, Some(true))],
-            want: false,
-        },
-        Case {
-            name: "leaving",
-            news: &[Manifest(1, "in"), List(1, Some(false))],
-            want: false,
-        },
-        Case {
-            name: "absent",
-            news: &[Manifest(1, "in"), List(1, None)],
-            want: false,
-        },
-        Case {
-            name: "zone out twice",
-            news: &[
+        case("nothing known", &[], false),
+        case("manifest only", &[Manifest(1, "in")], false),
+        case("list only", &[List(1, Some(true))], false),
+        case("both", &[Manifest(1, "in"), List(1, Some(true))], true),
+        case("zone out", &[Manifest(1, "out"), List(1, Some(true))], false),
+        case("leaving", &[Manifest(1, "in"), List(1, Some(false))], false),
+        case("absent", &[Manifest(1, "in"), List(1, None)], false),
+        case(
+            "zone out twice",
+            &[
                 Manifest(1, "in"),
                 List(1, Some(true)),
                 Manifest(2, "out"),
                 Manifest(2, "out"),
             ],
-            want: false,
-        },
-        Case {
-            name: "zone back within the second",
-            news: &[List(1, Some(true)), Manifest(2, "out"), Manifest(3, "in")],
-            want: true,
-        },
-        Case {
-            name: "zone flaps, last word out",
-            news: &[
+            false,
+        ),
+        case(
+            "zone back within the second",
+            &[List(1, Some(true)), Manifest(2, "out"), Manifest(3, "in")],
+            true,
+        ),
+        case(
+            "zone flaps, last word out",
+            &[
                 List(1, Some(true)),
                 Manifest(2, "out"),
                 Manifest(3, "in"),
                 Manifest(4, "out"),
             ],
-            want: false,
-        },
-        Case {
-            name: "old manifest after out",
-            news: &[List(1, Some(true)), Manifest(2, "out"), Manifest(1, "in")],
-            want: false,
-        },
-        Case {
-            name: "same version, in instead of out",
-            news: &[List(1, Some(true)), Manifest(2, "out"), Manifest(2, "in")],
-            want: false,
-        },
-        Case {
-            name: "old list after leaving",
-            news: &[Manifest(1, "in"), List(2, Some(false)), List(1, Some(true))],
-            want: false,
-        },
-        Case {
-            name: "leaving twice",
-            news: &[Manifest(1, "in"), List(2, Some(false)), List(2, Some(false))],
-            want: false,
-        },
-        Case {
-            name: "back",
-            news: &[Manifest(1, "in"), List(2, Some(false)), List(3, Some(true))],
-            want: true,
-        },
+            false,
+        ),
+        case(
+            "old manifest after out",
+            &[List(1, Some(true)), Manifest(2, "out"), Manifest(1, "in")],
+            false,
+        ),
+        case(
+            "same version, in instead of out",
+            &[List(1, Some(true)), Manifest(2, "out"), Manifest(2, "in")],
+            false,
+        ),
+        case(
+            "old list after leaving",
+            &[Manifest(1, "in"), List(2, Some(false)), List(1, Some(true))],
+            false,
+        ),
+        case(
+            "leaving twice",
+            &[Manifest(1, "in"), List(2, Some(false)), List(2, Some(false))],
+            false,
+        ),
+        case(
+            "back",
+            &[Manifest(1, "in"), List(2, Some(false)), List(3, Some(true))],
+            true,
+        ),
     ];
     for case in cases {
         assert_eq!(open(&member(case.news).view(), &spec()), case.want, "{}", case.name);
@@ -153,37 +126,18 @@
         dispatch: &'a [News],
         want: bool,
     }
+    let case = |name, entry, dispatch, want| Case {
+        name,
+        entry,
+        dispatch,
+        want,
+    };
     let cases = [
-        Case {
-            name: "neither",
-            entry: &old,
-            dispatch: &old,
-            want: true,
-        },
-        Case {
-            name: "entry only, zone",
-            entry: &out,
-            dispatch: &old,
-            want: false,
-        },
-        Case {
-            name: "dispatch only, zone",
-            entry: &old,
-            dispatch: &out,
-            want: false,
-        },
-        Case {
-            name: "entry only, endpoint",
-            entry: &leaving,
-            dispatch: &old,
-            want: false,
-        },
-        Case {
-            name: "each another",
-            entry: &out,
-            dispatch: &leaving,
-            want: false,
-        },
+        case("neither", &old, &old, true),
+        case("entry only, zone", &out, &old, false),
+        case("dispatch only, zone", &old, &out, false),
+        case("entry only, endpoint", &leaving, &old, false),
+        case("each another", &out, &leaving, false),
     ];
     for case in cases {
         let path = open(&member(case.entry).view(), &spec()) && open(&member(case.dispatch).view(), &spec());
--- a/crates/celerytide-membership/tests/owners/fleet.rs
+++ b/crates/celerytide-membership/tests/owners/fleet.rs
@@ -15,9 +15,9 @@
 const LAG: u64 = 5;
 const REPORT_LAG: usize = 2;
 
-struct Published {
-    at: Boot,
-    list: Vec<Instance>,
+pub(super) struct Published {
+    pub(super) at: Boot,
+    pub(super) list: Vec<Instance>,
 }
 
 /// What a history came to.
@@ -36,19 +36,19 @@
 }
 
 pub struct Fleet {
-    nodes: Vec<Node>,
-    cuts: Vec<(usize, usize)>,
-    net: Vec<Message>,
-    lists: Vec<Published>,
-    now: Boot,
-    lives: u64,
-    numbers: Number,
+    pub(super) nodes: Vec<Node>,
+    pub(super) cuts: Vec<(usize, usize)>,
+    pub(super) net: Vec<Message>,
+    pub(super) lists: Vec<Published>,
+    pub(super) now: Boot,
+    pub(super) lives: u64,
+    pub(super) numbers: Number,
     /// Work at the endpoint whose entry died.
-    orphans: Vec<Number>,
-    reports: VecDeque<u32>,
-    faults: Faults,
-    flaw: Option<Flaw>,
-    tally: Tally,
+    pub(super) orphans: Vec<Number>,
+    pub(super) reports: VecDeque<u32>,
+    pub(super) faults: Faults,
+    pub(super) flaw: Option<Flaw>,
+    pub(super) tally: Tally,
 }
 
 impl Fleet {
@@ -337,108 +337,6 @@
         }
         Ok(())
     }
-
-    fn finish_orphan(&mut self) {
-        let Some(number) = self.orphans.pop() else { return };
-        for node in &mut self.nodes {
-            node.settled.insert(number);
-            node.counted.remove(&number);
-        }
-    }
-
-    /// An entry or a dispatch, or both at once, begin a new life.
-    fn restart(&mut self, n: usize, u: &mut Unstructured<'_>) -> Result<()> {
-        match u.int_in_range(0..=2u8)? {
-            0 => self.restart_entry(n),
-            1 => self.restart_dispatch(n),
-            _ => self.restart_both(n),
-        }
-        Ok(())
-    }
-
-    fn restart_both(&mut self, n: usize) {
-        self.restart_entry(n);
-        self.restart_dispatch(n);
-    }
-
-    fn restart_entry(&mut self, n: usize) {
-        self.lives += 1;
-        let node = &mut self.nodes[n];
-        node.entry_life = self.lives;
-        node.guard = Default::default();
-        self.orphans.extend(std::mem::take(&mut node.working));
-        let id = node.id.clone();
-        for other in &mut self.nodes {
-            other.own.entry_lost(&id);
-        }
-    }
-
-    fn restart_dispatch(&mut self, n: usize) {
-        self.lives += 1;
-        let fresh = Node::start(n, self.lives, self.now, !self.faults.no_report, self.flaw);
-        let node = &mut self.nodes[n];
-        node.dispatch_life = self.lives;
-        node.own = fresh.own;
-        node.members = fresh.members;
-        node.counted.clear();
-        node.settled.clear();
-        node.gate = fresh.gate;
-        node.paused = false;
-    }
-
-    /// The instance at `at` starts leaving, is gone after its death, or comes back.
-    fn change_list(&mut self, at: usize, u: &mut Unstructured<'_>) -> Result<()> {
-        let id = format!("i-{at}");
-        let newest = &self.lists[self.lists.len() - 1].list;
-        match newest.iter().find(|i| i.id == id).map(|i| i.live) {
-            None if self.nodes[at].up => self.publish(|list| list.push(instance(at, true))),
-            None => {
-                self.nodes[at].up = true;
-                self.restart_both(at);
-                self.publish(|list| list.push(instance(at, true)));
-            }
-            Some(live) if !self.faults.deaths || u.ratio(1, 2)? => self.publish(|list| {
-                list.retain(|i| i.id != id);
-                list.push(instance(at, !live));
-            }),
-            Some(_) => {
-                self.restart_both(at);
-                self.nodes[at].up = false;
-                self.publish(|list| list.retain(|i| i.id != id));
-            }
-        }
-        Ok(())
-    }
-
-    fn publish(&mut self, change: impl FnOnce(&mut Vec<Instance>)) {
-        let mut list = self.lists[self.lists.len() - 1].list.clone();
-        change(&mut list);
-        self.lists.push(Published { at: self.now, list });
-    }
-
-    fn cut(&mut self, at: usize, u: &mut Unstructured<'_>) -> Result<()> {
-        if u.ratio(1, 2)? {
-            self.cuts.clear();
-            return Ok(());
-        }
-        let other = u.choose_index(NODES)?;
-        if other != at {
-            self.cuts.push((at.min(other), at.max(other)));
-        }
-        Ok(())
-    }
-
-    fn lose_or_double(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
-        let may = |m: &Message| matches!(m.what, What::Muster(_) | What::Follows { .. } | What::Handover { .. });
-        let Some(at) = self.net.iter().position(may) else {
-            return Ok(());
-        };
-        match u.arbitrary()? {
-            true => self.net.push(self.net[at].clone()),
-            false => drop(self.net.swap_remove(at)),
-        }
-        Ok(())
-    }
 }
 
 impl Tally {
--- a/crates/celerytide-membership/tests/owners/mod.rs
+++ b/crates/celerytide-membership/tests/owners/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod fleet;
 pub mod node;
+mod trouble;
 
 use celerytide_membership::ownership::{Former, MusterCall, Term};
 
--- a/crates/celerytide-membership/tests/ownership.rs
+++ b/crates/celerytide-membership/tests/ownership.rs
@@ -152,40 +152,26 @@
         peers: PeersSay,
         want: Standing,
     }
+    let case = |name, freshness, peers, want| Case {
+        name,
+        freshness,
+        peers,
+        want,
+    };
     let stale = Freshness::Stale {
         age: Duration::from_secs(31),
     };
     let cases = [
-        Case {
-            name: "fresh",
-            freshness: Freshness::Fresh,
-            peers: PeersSay::Silent,
-            want: Standing::Settled,
-        },
-        Case {
-            name: "service down for all",
-            freshness: stale,
-            peers: PeersSay::AlsoStale,
-            want: Standing::Stale { share: 1.0 },
-        },
-        Case {
-            name: "cut off",
-            freshness: stale,
-            peers: PeersSay::Fresher,
-            want: Standing::Stale { share: 0.5 },
-        },
-        Case {
-            name: "alone",
-            freshness: stale,
-            peers: PeersSay::Silent,
-            want: Standing::Stale { share: 0.5 },
-        },
-        Case {
-            name: "slept",
-            freshness: Freshness::Woken,
-            peers: PeersSay::Silent,
-            want: Standing::Woken,
-        },
+        case("fresh", Freshness::Fresh, PeersSay::Silent, Standing::Settled),
+        case(
+            "service down for all",
+            stale,
+            PeersSay::AlsoStale,
+            Standing::Stale { share: 1.0 },
+        ),
+        case("cut off", stale, PeersSay::Fresher, Standing::Stale { share: 0.5 }),
+        case("alone", stale, PeersSay::Silent, Standing::Stale { share: 0.5 }),
+        case("slept", Freshness::Woken, PeersSay::Silent, Standing::Woken),
     ];
     for case in cases {
         let mut bench = Bench::new();
@@ -236,35 +222,41 @@
         term: Term,
         superseded: bool,
     }
+    let case = |name, highest, term, superseded| Case {
+        name,
+        highest,
+        term,
+        superseded,
+    };
     let own = Term {
         list_version: 5,
         incarnation: 10,
     };
     let cases = [
-        Case {
-            name: "earlier life",
-            highest: Term { incarnation: 70, ..own },
-            term: Term { incarnation: 71, ..own },
-            superseded: false,
-        },
-        Case {
-            name: "later list",
-            highest: Term {
+        case(
+            "earlier life",
+            Term { incarnation: 70, ..own },
+            Term { incarnation: 71, ..own },
+            false,
+        ),
+        case(
+            "later list",
+            Term {
                 list_version: 6,
                 incarnation: 3,
             },
-            term: own,
-            superseded: true,
-        },
-        Case {
-            name: "lower",
-            highest: Term {
+            own,
+            true,
+        ),
+        case(
+            "lower",
+            Term {
                 list_version: 4,
                 incarnation: 70,
             },
-            term: own,
-            superseded: false,
-        },
+            own,
+            false,
+        ),
     ];
     for case in cases {
         let mut bench = Bench::new();
@@ -314,52 +306,17 @@
         term: Term,
         want: Admitted,
     }
+    let step = |view, term, want| Step { view, term, want };
     let steps = [
-        Step {
-            view: view(0, None),
-            term: term(5, 7),
-            want: Admitted::Yes,
-        },
-        Step {
-            view: view(0, None),
-            term: term(5, 7),
-            want: Admitted::Yes,
-        },
-        Step {
-            view: view(0, None),
-            term: term(5, 6),
-            want: Admitted::Older { highest: term(5, 7) },
-        },
-        Step {
-            view: view(0, None),
-            term: term(900, 1),
-            want: Admitted::Yes,
-        },
-        Step {
-            view: view(0, None),
-            term: term(899, 9),
-            want: Admitted::Older { highest: term(900, 1) },
-        },
-        Step {
-            view: view(1, Some(900)),
-            term: term(3, 1),
-            want: Admitted::Yes,
-        },
-        Step {
-            view: view(1, Some(900)),
-            term: term(901, 1),
-            want: Admitted::OtherLife,
-        },
-        Step {
-            view: view(1, Some(900)),
-            term: term(2, 1),
-            want: Admitted::Older { highest: term(3, 1) },
-        },
-        Step {
-            view: view(1, None),
-            term: term(901, 1),
-            want: Admitted::Yes,
-        },
+        step(view(0, None), term(5, 7), Admitted::Yes),
+        step(view(0, None), term(5, 7), Admitted::Yes),
+        step(view(0, None), term(5, 6), Admitted::Older { highest: term(5, 7) }),
+        step(view(0, None), term(900, 1), Admitted::Yes),
+        step(view(0, None), term(899, 9), Admitted::Older { highest: term(900, 1) }),
+        step(view(1, Some(900)), term(3, 1), Admitted::Yes),
+        step(view(1, Some(900)), term(901, 1), Admitted::OtherLife),
+        step(view(1, Some(900)), term(2, 1), Admitted::Older { highest: term(3, 1) }),
+        step(view(1, None), term(901, 1), Admitted::Yes),
     ];
     let mut guard = TermGuard::new();
     for (n, step) in steps.into_iter().enumerate() {
--- a/crates/celerytide-membership/tests/ownership_history.rs
+++ b/crates/celerytide-membership/tests/ownership_history.rs
@@ -87,62 +87,48 @@
         name: &'static str,
         faults: Faults,
     }
+    let case = |name, faults| Case { name, faults };
     let cases = [
-        Case {
-            name: "calm",
-            faults: CALM,
-        },
-        Case {
-            name: "lists change, instances die",
-            faults: CHANGES,
-        },
-        Case {
-            name: "and pauses",
-            faults: Faults {
+        case("calm", CALM),
+        case("lists change, instances die", CHANGES),
+        case(
+            "and pauses",
+            Faults {
                 pauses: true,
                 ..CHANGES
             },
-        },
-        Case {
-            name: "and restarts",
-            faults: Faults {
+        ),
+        case(
+            "and restarts",
+            Faults {
                 restarts: true,
                 ..CHANGES
             },
-        },
-        Case {
-            name: "and partitions",
-            faults: Faults {
+        ),
+        case(
+            "and partitions",
+            Faults {
                 partitions: true,
                 ..CHANGES
             },
-        },
-        Case {
-            name: "and a stale service",
-            faults: Faults {
+        ),
+        case(
+            "and a stale service",
+            Faults {
                 stale_service: true,
                 ..CHANGES
             },
-        },
-        Case {
-            name: "all of these but stale",
-            faults: CLAIMED,
-        },
-        Case {
-            name: "all of these",
-            faults: Faults {
+        ),
+        case("all of these but stale", CLAIMED),
+        case(
+            "all of these",
+            Faults {
                 stale_service: true,
                 ..CLAIMED
             },
-        },
-        Case {
-            name: "instances dropped from the list, partitions",
-            faults: REMOVED_AND_CUT,
-        },
-        Case {
-            name: "no report, no death, no restart",
-            faults: UNREPORTED,
-        },
+        ),
+        case("instances dropped from the list, partitions", REMOVED_AND_CUT),
+        case("no report, no death, no restart", UNREPORTED),
     ];
     for case in cases {
         let sum = claimed_sum(case.faults);
@@ -162,32 +148,33 @@
         name: &'static str,
         faults: Faults,
     }
+    let case = |name, faults| Case { name, faults };
     let dropped = Faults {
         false_removals: true,
         ..CHANGES
     };
     let cases = [
-        Case {
-            name: "stale service, instance dropped while it works",
-            faults: Faults {
+        case(
+            "stale service, instance dropped while it works",
+            Faults {
                 stale_service: true,
                 ..dropped
             },
-        },
-        Case {
-            name: "no report, instance dropped while it works",
-            faults: Faults {
+        ),
+        case(
+            "no report, instance dropped while it works",
+            Faults {
                 no_report: true,
                 ..dropped
             },
-        },
-        Case {
-            name: "no report, owner and entry die at once",
-            faults: Faults {
+        ),
+        case(
+            "no report, owner and entry die at once",
+            Faults {
                 no_report: true,
                 ..CLAIMED
             },
-        },
+        ),
     ];
     for case in cases {
         let sum = sum(case.faults, None, FEW);
@@ -203,32 +190,13 @@
         faults: Faults,
         steps: u64,
     }
+    let case = |flaw, faults, steps| Case { flaw, faults, steps };
     let cases = [
-        Case {
-            flaw: Flaw::NoGuard,
-            faults: CLAIMED,
-            steps: FEW,
-        },
-        Case {
-            flaw: Flaw::NoMuster,
-            faults: CLAIMED,
-            steps: FEW,
-        },
-        Case {
-            flaw: Flaw::NoReports,
-            faults: CLAIMED,
-            steps: FEW,
-        },
-        Case {
-            flaw: Flaw::AlwaysFresh,
-            faults: CLAIMED,
-            steps: FEW,
-        },
-        Case {
-            flaw: Flaw::NoAdoption,
-            faults: UNREPORTED,
-            steps: FEW,
-        },
+        case(Flaw::NoGuard, CLAIMED, FEW),
+        case(Flaw::NoMuster, CLAIMED, FEW),
+        case(Flaw::NoReports, CLAIMED, FEW),
+        case(Flaw::AlwaysFresh, CLAIMED, FEW),
+        case(Flaw::NoAdoption, UNREPORTED, FEW),
     ];
     for case in cases {
         let sum = sum(case.faults, Some(case.flaw), case.steps);
--- a/crates/celerytide-membership/tests/peers.rs
+++ b/crates/celerytide-membership/tests/peers.rs
@@ -27,49 +27,20 @@
         opts: PeerOptions,
         want: usize,
     }
+    let case = |name, count, own, opts, want| Case {
+        name,
+        count,
+        own,
+        opts,
+        want,
+    };
     let cases = [
-        Case {
-            name: "none listed",
-            count: 0,
-            own: "i-000",
-            opts: PeerOptions { ring: 1, random: 2 },
-            want: 0,
-        },
-        Case {
-            name: "alone",
-            count: 1,
-            own: "i-000",
-            opts: PeerOptions { ring: 1, random: 2 },
-            want: 0,
-        },
-        Case {
-            name: "two",
-            count: 2,
-            own: "i-000",
-            opts: PeerOptions { ring: 1, random: 2 },
-            want: 1,
-        },
-        Case {
-            name: "many",
-            count: 360,
-            own: "i-359",
-            opts: PeerOptions { ring: 1, random: 2 },
-            want: 3,
-        },
-        Case {
-            name: "random only",
-            count: 360,
-            own: "i-100",
-            opts: PeerOptions::default(),
-            want: 2,
-        },
-        Case {
-            name: "not listed oneself",
-            count: 9,
-            own: "i-x",
-            opts: PeerOptions { ring: 2, random: 0 },
-            want: 2,
-        },
+        case("none listed", 0, "i-000", PeerOptions { ring: 1, random: 2 }, 0),
+        case("alone", 1, "i-000", PeerOptions { ring: 1, random: 2 }, 0),
+        case("two", 2, "i-000", PeerOptions { ring: 1, random: 2 }, 1),
+        case("many", 360, "i-359", PeerOptions { ring: 1, random: 2 }, 3),
+        case("random only", 360, "i-100", PeerOptions::default(), 2),
+        case("not listed oneself", 9, "i-x", PeerOptions { ring: 2, random: 0 }, 2),
     ];
     for case in cases {
         let list = instances(case.count);
--- a/crates/celerytide-membership/tests/views.rs
+++ b/crates/celerytide-membership/tests/views.rs
@@ -60,49 +60,20 @@
         want: &'static str,
         version: u64,
     }
+    let case = |name, text, want, version| Case {
+        name,
+        text,
+        want,
+        version,
+    };
     let cases = [
-        Case {
-            name: "first",
-            text: manifest::text(5, "in"),
-            want: "applied",
-            version: 5,
-        },
-        Case {
-            name: "again",
-            text: manifest::text(5, "in"),
-            want: "same",
-            version: 5,
-        },
-        Case {
-            name: "lower",
-            text: manifest::text(4, "in"),
-            want: "older",
-            version: 5,
-        },
-        Case {
-            name: "same version, other text",
-            text: manifest::text(5, "out"),
-            want: "other-digest",
-            version: 5,
-        },
-        Case {
-            name: "broken",
-            text: "format: [".into(),
-            want: "invalid",
-            version: 5,
-        },
-        Case {
-            name: "broken again",
-            text: "format: [".into(),
-            want: "invalid",
-            version: 5,
-        },
-        Case {
-            name: "higher",
-            text: manifest::text(9, "in"),
-            want: "applied",
-            version: 9,
-        },
+        case("first", manifest::text(5, "in"), "applied", 5),
+        case("again", manifest::text(5, "in"), "same", 5),
+        case("lower", manifest::text(4, "in"), "older", 5),
+        case("same version, other text", manifest::text(5, "out"), "other-digest", 5),
+        case("broken", "format: [".into(), "invalid", 5),
+        case("broken again", "format: [".into(), "invalid", 5),
+        case("higher", manifest::text(9, "in"), "applied", 9),
     ];
     let m = member();
     for case in cases {
@@ -140,91 +111,26 @@
         want: ListApplied,
         live_after: bool,
     }
+    let step = |at, version, live, want, live_after| Step {
+        at,
+        version,
+        live,
+        want,
+        live_after,
+    };
     let steps = [
-        Step {
-            at: 0,
-            version: 100,
-            live: true,
-            want: ListApplied::Applied,
-            live_after: true,
-        },
-        Step {
-            at: 1,
-            version: 101,
-            live: false,
-            want: ListApplied::Applied,
-            live_after: false,
-        },
-        Step {
-            at: 2,
-            version: 100,
-            live: true,
-            want: ListApplied::Older,
-            live_after: false,
-        },
-        Step {
-            at: 30,
-            version: 101,
-            live: false,
-            want: ListApplied::Same,
-            live_after: false,
-        },
-        Step {
-            at: 40,
-            version: 7,
-            live: true,
-            want: ListApplied::Older,
-            live_after: false,
-        },
-        Step {
-            at: 99,
-            version: 8,
-            live: true,
-            want: ListApplied::Older,
-            live_after: false,
-        },
-        Step {
-            at: 100,
-            version: 6,
-            live: true,
-            want: ListApplied::Older,
-            live_after: false,
-        },
-        Step {
-            at: 130,
-            version: 7,
-            live: true,
-            want: ListApplied::Older,
-            live_after: false,
-        },
-        Step {
-            at: 160,
-            version: 8,
-            live: true,
-            want: ListApplied::Reset,
-            live_after: false,
-        },
-        Step {
-            at: 161,
-            version: 9,
-            live: true,
-            want: ListApplied::Applied,
-            live_after: false,
-        },
-        Step {
-            at: 162,
-            version: 10,
-            live: false,
-            want: ListApplied::Applied,
-            live_after: false,
-        },
-        Step {
-            at: 163,
-            version: 11,
-            live: true,
-            want: ListApplied::Applied,
-            live_after: true,
-        },
+        step(0, 100, true, ListApplied::Applied, true),
+        step(1, 101, false, ListApplied::Applied, false),
+        step(2, 100, true, ListApplied::Older, false),
+        step(30, 101, false, ListApplied::Same, false),
+        step(40, 7, true, ListApplied::Older, false),
+        step(99, 8, true, ListApplied::Older, false),
+        step(100, 6, true, ListApplied::Older, false),
+        step(130, 7, true, ListApplied::Older, false),
+        step(160, 8, true, ListApplied::Reset, false),
+        step(161, 9, true, ListApplied::Applied, false),
+        step(162, 10, false, ListApplied::Applied, false),
+        step(163, 11, true, ListApplied::Applied, true),
     ];
     let m = member();
     for step in steps {
@@ -300,37 +206,18 @@
         heard: Option<(u64, Option<u64>)>,
         want: PeersSay,
     }
+    let case = |name, heard, want| Case { name, heard, want };
     let cases = [
-        Case {
-            name: "none",
-            heard: None,
-            want: PeersSay::Silent,
-        },
-        Case {
-            name: "long ago",
-            heard: Some((0, Some(0))),
-            want: PeersSay::Silent,
-        },
-        Case {
-            name: "fresh peer",
-            heard: Some((20, Some(1000))),
-            want: PeersSay::Fresher,
-        },
-        Case {
-            name: "stale peer",
-            heard: Some((20, Some(40_000))),
-            want: PeersSay::AlsoStale,
-        },
-        Case {
-            name: "fresh when heard, stale by now",
-            heard: Some((20, Some(29_500))),
-            want: PeersSay::AlsoStale,
-        },
-        Case {
-            name: "peer that never read",
-            heard: Some((20, None)),
-            want: PeersSay::AlsoStale,
-        },
+        case("none", None, PeersSay::Silent),
+        case("long ago", Some((0, Some(0))), PeersSay::Silent),
+        case("fresh peer", Some((20, Some(1000))), PeersSay::Fresher),
+        case("stale peer", Some((20, Some(40_000))), PeersSay::AlsoStale),
+        case(
+            "fresh when heard, stale by now",
+            Some((20, Some(29_500))),
+            PeersSay::AlsoStale,
+        ),
+        case("peer that never read", Some((20, None)), PeersSay::AlsoStale),
     ];
     for case in cases {
         let m = member();
--- a/crates/celerytide-membership/tests/watch.rs
+++ b/crates/celerytide-membership/tests/watch.rs
@@ -198,67 +198,18 @@
         to: &'static str,
         want: Option<&'static str>,
     }
+    let case = |name, from, to, want| Case { name, from, to, want };
     let cases = [
-        Case {
-            name: "good",
-            from: "",
-            to: "",
-            want: None,
-        },
-        Case {
-            name: "leaving",
-            from: "live",
-            to: "leaving",
-            want: None,
-        },
-        Case {
-            name: "state",
-            from: "live",
-            to: "maybe",
-            want: Some("state"),
-        },
-        Case {
-            name: "address",
-            from: "\"127.0.0.1\"",
-            to: "\"host\"",
-            want: Some("Address"),
-        },
-        Case {
-            name: "peer",
-            from: "127.0.0.1:81",
-            to: "127.0.0.1",
-            want: Some("entry_peer"),
-        },
-        Case {
-            name: "dispatch",
-            from: "127.0.0.1:82",
-            to: "",
-            want: Some("dispatch_peer"),
-        },
-        Case {
-            name: "zone",
-            from: "\"z-0\"",
-            to: "\"\"",
-            want: Some("zone"),
-        },
-        Case {
-            name: "region",
-            from: "\"r\"",
-            to: "\"\"",
-            want: Some("region"),
-        },
-        Case {
-            name: "id",
-            from: "\"i-0\"",
-            to: "\"\"",
-            want: Some("ID"),
-        },
-        Case {
-            name: "not json",
-            from: "[{",
-            to: "{",
-            want: Some("json"),
-        },
+        case("good", "", "", None),
+        case("leaving", "live", "leaving", None),
+        case("state", "live", "maybe", Some("state")),
+        case("address", "\"127.0.0.1\"", "\"host\"", Some("Address")),
+        case("peer", "127.0.0.1:81", "127.0.0.1", Some("entry_peer")),
+        case("dispatch", "127.0.0.1:82", "", Some("dispatch_peer")),
+        case("zone", "\"z-0\"", "\"\"", Some("zone")),
+        case("region", "\"r\"", "\"\"", Some("region")),
+        case("id", "\"i-0\"", "\"\"", Some("ID")),
+        case("not json", "[{", "{", Some("json")),
     ];
     for case in cases {
         let text = if case.from.is_empty() {
@@ -285,6 +236,7 @@
         answer: &'static str,
         want: Result<Answer, bool>,
     }
+    let case = |name, answer, want| Case { name, answer, want };
     let ok = |index| {
         Ok(Answer {
             status: 200,
@@ -293,31 +245,27 @@
         })
     };
     let cases = [
-        Case {
-            name: "index",
-            answer: "HTTP/1.1 200 OK\r\nX-Consul-Index: 42\r\nContent-Length: 5\r\n\r\nhello",
-            want: ok(Some(42)),
-        },
-        Case {
-            name: "no index",
-            answer: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
-            want: ok(None),
-        },
-        Case {
-            name: "bad index",
-            answer: "HTTP/1.1 200 OK\r\nX-Consul-Index: -1\r\nContent-Length: 5\r\n\r\nhello",
-            want: ok(None),
-        },
-        Case {
-            name: "too large",
-            answer: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhellohell",
-            want: Err(true),
-        },
-        Case {
-            name: "cut",
-            answer: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel",
-            want: Err(false),
-        },
+        case(
+            "index",
+            "HTTP/1.1 200 OK\r\nX-Consul-Index: 42\r\nContent-Length: 5\r\n\r\nhello",
+            ok(Some(42)),
+        ),
+        case(
+            "no index",
+            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+            ok(None),
+        ),
+        case(
+            "bad index",
+            "HTTP/1.1 200 OK\r\nX-Consul-Index: -1\r\nContent-Length: 5\r\n\r\nhello",
+            ok(None),
+        ),
+        case(
+            "too large",
+            "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhellohell",
+            Err(true),
+        ),
+        case("cut", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel", Err(false)),
     ];
     for case in cases {
         let got = run(async {
--- a/crates/celerytide-once/tests/home.rs
+++ b/crates/celerytide-once/tests/home.rs
@@ -63,6 +63,14 @@
         content: u64,
         want: &'static str,
     }
+    let case = |name, prepare, ticket, at, content, want| Case {
+        name,
+        prepare,
+        ticket,
+        at,
+        content,
+        want,
+    };
     let same = |t: Ticket| t;
     let other_home = |t: Ticket| Ticket {
         home: HomeId {
@@ -85,86 +93,16 @@
     let closed = |h: &Home, _: &Ticket| drop(h.export(at(1)));
     let expired_look = |h: &Home, t: &Ticket| drop(h.look(t, at(61)));
     let cases = [
-        Case {
-            name: "fresh",
-            prepare: nothing,
-            ticket: same,
-            at: at(60),
-            content: CONTENT,
-            want: "run",
-        },
-        Case {
-            name: "twice",
-            prepare: run,
-            ticket: same,
-            at: at(2),
-            content: CONTENT,
-            want: "running",
-        },
-        Case {
-            name: "other body",
-            prepare: run,
-            ticket: same,
-            at: at(2),
-            content: OTHER_CONTENT,
-            want: "other-request",
-        },
-        Case {
-            name: "after not-run",
-            prepare: not_run,
-            ticket: same,
-            at: at(2),
-            content: CONTENT,
-            want: "not-run",
-        },
-        Case {
-            name: "unused too long",
-            prepare: nothing,
-            ticket: same,
-            at: at(61),
-            content: CONTENT,
-            want: "expired",
-        },
-        Case {
-            name: "said expired",
-            prepare: expired_look,
-            ticket: same,
-            at: at(59),
-            content: CONTENT,
-            want: "expired",
-        },
-        Case {
-            name: "closed",
-            prepare: closed,
-            ticket: same,
-            at: at(2),
-            content: CONTENT,
-            want: "expired",
-        },
-        Case {
-            name: "other home",
-            prepare: nothing,
-            ticket: other_home,
-            at: at(1),
-            content: CONTENT,
-            want: "not-home",
-        },
-        Case {
-            name: "other life",
-            prepare: nothing,
-            ticket: other_life,
-            at: at(1),
-            content: CONTENT,
-            want: "unknown-ticket",
-        },
-        Case {
-            name: "never issued",
-            prepare: nothing,
-            ticket: other_nonce,
-            at: at(1),
-            content: CONTENT,
-            want: "unknown-ticket",
-        },
+        case("fresh", nothing, same, at(60), CONTENT, "run"),
+        case("twice", run, same, at(2), CONTENT, "running"),
+        case("other body", run, same, at(2), OTHER_CONTENT, "other-request"),
+        case("after not-run", not_run, same, at(2), CONTENT, "not-run"),
+        case("unused too long", nothing, same, at(61), CONTENT, "expired"),
+        case("said expired", expired_look, same, at(59), CONTENT, "expired"),
+        case("closed", closed, same, at(2), CONTENT, "expired"),
+        case("other home", nothing, other_home, at(1), CONTENT, "not-home"),
+        case("other life", nothing, other_life, at(1), CONTENT, "unknown-ticket"),
+        case("never issued", nothing, other_nonce, at(1), CONTENT, "unknown-ticket"),
     ];
     for case in cases {
         let home = home(options());
@@ -184,56 +122,21 @@
         said: Option<Word>,
         want: Word,
     }
+    let case = |name, left, refused, said, want| Case {
+        name,
+        left,
+        refused,
+        said,
+        want,
+    };
     let cases = [
-        Case {
-            name: "nothing left",
-            left: false,
-            refused: false,
-            said: Some(Word::NotRun),
-            want: Word::NotRun,
-        },
-        Case {
-            name: "a byte left",
-            left: true,
-            refused: false,
-            said: Some(Word::NotRun),
-            want: Word::Unknown,
-        },
-        Case {
-            name: "contract",
-            left: true,
-            refused: true,
-            said: Some(Word::NotRun),
-            want: Word::NotRun,
-        },
-        Case {
-            name: "done",
-            left: true,
-            refused: false,
-            said: Some(Word::Done),
-            want: Word::Done,
-        },
-        Case {
-            name: "unknown",
-            left: true,
-            refused: false,
-            said: Some(Word::Unknown),
-            want: Word::Unknown,
-        },
-        Case {
-            name: "dropped early",
-            left: false,
-            refused: false,
-            said: None,
-            want: Word::NotRun,
-        },
-        Case {
-            name: "dropped late",
-            left: true,
-            refused: false,
-            said: None,
-            want: Word::Unknown,
-        },
+        case("nothing left", false, false, Some(Word::NotRun), Word::NotRun),
+        case("a byte left", true, false, Some(Word::NotRun), Word::Unknown),
+        case("contract", true, true, Some(Word::NotRun), Word::NotRun),
+        case("done", true, false, Some(Word::Done), Word::Done),
+        case("unknown", true, false, Some(Word::Unknown), Word::Unknown),
+        case("dropped early", false, false, None, Word::NotRun),
+        case("dropped late", true, false, None, Word::Unknown),
     ];
     for case in cases {
         let home = home(options());
@@ -323,27 +226,12 @@
         content: u64,
         want: &'static str,
     }
+    let case = |ticket, content, want| Case { ticket, content, want };
     let cases = [
-        Case {
-            ticket: &done,
-            content: CONTENT,
-            want: "done",
-        },
-        Case {
-            ticket: &done,
-            content: OTHER_CONTENT,
-            want: "other-request",
-        },
-        Case {
-            ticket: &unused,
-            content: CONTENT,
-            want: "expired",
-        },
-        Case {
-            ticket: &running,
-            content: CONTENT,
-            want: "unknown",
-        },
+        case(&done, CONTENT, "done"),
+        case(&done, OTHER_CONTENT, "other-request"),
+        case(&unused, CONTENT, "expired"),
+        case(&running, CONTENT, "unknown"),
     ];
     for case in cases {
         let got = copies.begin(case.ticket, case.content).expect("a copy is held");
--- a/crates/celerytide-once/tests/key_model.rs
+++ b/crates/celerytide-once/tests/key_model.rs
@@ -201,6 +201,12 @@
         faults: Faults,
         breaks: bool,
     }
+    let case = |name, guards, faults, breaks| Case {
+        name,
+        guards,
+        faults,
+        breaks,
+    };
     let naive = Guards {
         equal_versions: false,
         fresh_view: false,
@@ -245,78 +251,18 @@
         ..cuts
     };
     let cases = [
-        Case {
-            name: "no guard, calm",
-            guards: naive,
-            faults: calm,
-            breaks: false,
-        },
-        Case {
-            name: "no guard, list changes",
-            guards: naive,
-            faults: changes,
-            breaks: true,
-        },
-        Case {
-            name: "no guard, restart",
-            guards: naive,
-            faults: restarts,
-            breaks: true,
-        },
-        Case {
-            name: "short hold, list changes",
-            guards: short,
-            faults: changes,
-            breaks: true,
-        },
-        Case {
-            name: "short hold, restart",
-            guards: short,
-            faults: restarts,
-            breaks: true,
-        },
-        Case {
-            name: "full guard, list changes",
-            guards: full,
-            faults: changes,
-            breaks: false,
-        },
-        Case {
-            name: "full guard, restart",
-            guards: full,
-            faults: restarts,
-            breaks: false,
-        },
-        Case {
-            name: "full guard, pauses",
-            guards: full,
-            faults: pauses,
-            breaks: false,
-        },
-        Case {
-            name: "full guard, partitions",
-            guards: full,
-            faults: cuts,
-            breaks: false,
-        },
-        Case {
-            name: "full guard, all but stale reads, twice",
-            guards: full,
-            faults: all_but_stale,
-            breaks: false,
-        },
-        Case {
-            name: "full guard, stale reads",
-            guards: full,
-            faults: stale,
-            breaks: true,
-        },
-        Case {
-            name: "full guard, callers retry late",
-            guards: late,
-            faults: changes,
-            breaks: true,
-        },
+        case("no guard, calm", naive, calm, false),
+        case("no guard, list changes", naive, changes, true),
+        case("no guard, restart", naive, restarts, true),
+        case("short hold, list changes", short, changes, true),
+        case("short hold, restart", short, restarts, true),
+        case("full guard, list changes", full, changes, false),
+        case("full guard, restart", full, restarts, false),
+        case("full guard, pauses", full, pauses, false),
+        case("full guard, partitions", full, cuts, false),
+        case("full guard, all but stale reads, twice", full, all_but_stale, false),
+        case("full guard, stale reads", full, stale, true),
+        case("full guard, callers retry late", late, changes, true),
     ];
     for case in cases {
         let doubled = doubled(case.guards, case.faults);
--- a/crates/celerytide-once/tests/once_history.rs
+++ b/crates/celerytide-once/tests/once_history.rs
@@ -90,31 +90,14 @@
         flaw: Flaw,
         want: Violation,
     }
+    let case = |flaw, want| Case { flaw, want };
     let cases = [
-        Case {
-            flaw: Flaw::RunOnUnknown,
-            want: Violation::RanTwice,
-        },
-        Case {
-            flaw: Flaw::RunAgainAfterNotRun,
-            want: Violation::FalseNotRun,
-        },
-        Case {
-            flaw: Flaw::WriteUnannounced,
-            want: Violation::FalseNotRun,
-        },
-        Case {
-            flaw: Flaw::RunOnCopy,
-            want: Violation::FalseNotRun,
-        },
-        Case {
-            flaw: Flaw::NoWordWithoutHome,
-            want: Violation::NoFinalWord,
-        },
-        Case {
-            flaw: Flaw::DispatchWithoutBegin,
-            want: Violation::RanTwice,
-        },
+        case(Flaw::RunOnUnknown, Violation::RanTwice),
+        case(Flaw::RunAgainAfterNotRun, Violation::FalseNotRun),
+        case(Flaw::WriteUnannounced, Violation::FalseNotRun),
+        case(Flaw::RunOnCopy, Violation::FalseNotRun),
+        case(Flaw::NoWordWithoutHome, Violation::NoFinalWord),
+        case(Flaw::DispatchWithoutBegin, Violation::RanTwice),
     ];
     for case in cases {
         let mut caught = 0;
--- a/crates/celerytide-once/tests/ticket.rs
+++ b/crates/celerytide-once/tests/ticket.rs
@@ -12,83 +12,60 @@
         input: String,
         want: Result<(), TicketError>,
     }
+    let case = |name, input, want| Case { name, input, want };
     let long = "i".repeat(65);
     let cases = [
-        Case {
-            name: "plain",
-            input: format!("tk1.i-1.{LIFE}.{NONCE}"),
-            want: Ok(()),
-        },
-        Case {
-            name: "dots in instance",
-            input: format!("tk1.a.b.c.{LIFE}.{NONCE}"),
-            want: Ok(()),
-        },
-        Case {
-            name: "empty",
-            input: String::new(),
-            want: Err(TicketError::Shape),
-        },
-        Case {
-            name: "other prefix",
-            input: format!("tk2.i-1.{LIFE}.{NONCE}"),
-            want: Err(TicketError::Shape),
-        },
-        Case {
-            name: "prefix without dot",
-            input: format!("tk1i-1.{LIFE}.{NONCE}"),
-            want: Err(TicketError::Shape),
-        },
-        Case {
-            name: "three parts",
-            input: format!("tk1.{LIFE}.{NONCE}"),
-            want: Err(TicketError::Shape),
-        },
-        Case {
-            name: "empty instance",
-            input: format!("tk1..{LIFE}.{NONCE}"),
-            want: Err(TicketError::Instance),
-        },
-        Case {
-            name: "long instance",
-            input: format!("tk1.{long}.{LIFE}.{NONCE}"),
-            want: Err(TicketError::Instance),
-        },
-        Case {
-            name: "space in instance",
-            input: format!("tk1.a b.{LIFE}.{NONCE}"),
-            want: Err(TicketError::Instance),
-        },
-        Case {
-            name: "zero life",
-            input: format!("tk1.i.{:016x}.{NONCE}", 0),
-            want: Err(TicketError::Incarnation),
-        },
-        Case {
-            name: "short life",
-            input: format!("tk1.i.ff.{NONCE}"),
-            want: Err(TicketError::Incarnation),
-        },
-        Case {
-            name: "signed life",
-            input: format!("tk1.i.+0000000000000ff.{NONCE}"),
-            want: Err(TicketError::Incarnation),
-        },
-        Case {
-            name: "upper-case life",
-            input: format!("tk1.i.00000000000000FF.{NONCE}"),
-            want: Err(TicketError::Incarnation),
-        },
-        Case {
-            name: "short nonce",
-            input: format!("tk1.i.{LIFE}.ff"),
-            want: Err(TicketError::Nonce),
-        },
-        Case {
-            name: "trailing space",
-            input: format!("tk1.i.{LIFE}.{NONCE} "),
-            want: Err(TicketError::Nonce),
-        },
+        case("plain", format!("tk1.i-1.{LIFE}.{NONCE}"), Ok(())),
+        case("dots in instance", format!("tk1.a.b.c.{LIFE}.{NONCE}"), Ok(())),
+        case("empty", String::new(), Err(TicketError::Shape)),
+        case(
+            "other prefix",
+            format!("tk2.i-1.{LIFE}.{NONCE}"),
+            Err(TicketError::Shape),
+        ),
+        case(
+            "prefix without dot",
+            format!("tk1i-1.{LIFE}.{NONCE}"),
+            Err(TicketError::Shape),
+        ),
+        case("three parts", format!("tk1.{LIFE}.{NONCE}"), Err(TicketError::Shape)),
+        case(
+            "empty instance",
+            format!("tk1..{LIFE}.{NONCE}"),
+            Err(TicketError::Instance),
+        ),
+        case(
+            "long instance",
+            format!("tk1.{long}.{LIFE}.{NONCE}"),
+            Err(TicketError::Instance),
+        ),
+        case(
+            "space in instance",
+            format!("tk1.a b.{LIFE}.{NONCE}"),
+            Err(TicketError::Instance),
+        ),
+        case(
+            "zero life",
+            format!("tk1.i.{:016x}.{NONCE}", 0),
+            Err(TicketError::Incarnation),
+        ),
+        case("short life", format!("tk1.i.ff.{NONCE}"), Err(TicketError::Incarnation)),
+        case(
+            "signed life",
+            format!("tk1.i.+0000000000000ff.{NONCE}"),
+            Err(TicketError::Incarnation),
+        ),
+        case(
+            "upper-case life",
+            format!("tk1.i.00000000000000FF.{NONCE}"),
+            Err(TicketError::Incarnation),
+        ),
+        case("short nonce", format!("tk1.i.{LIFE}.ff"), Err(TicketError::Nonce)),
+        case(
+            "trailing space",
+            format!("tk1.i.{LIFE}.{NONCE} "),
+            Err(TicketError::Nonce),
+        ),
     ];
     for case in cases {
         let got = Ticket::parse(&case.input);
