--- a/crates/celerytide-policy/src/endpoint/mod.rs
+++ b/crates/celerytide-policy/src/endpoint/mod.rs
@@ -7,13 +7,16 @@
 
 use celerytide_types::Boot;
 
-use crate::ask::Trust;
+use crate::ask::{Trust, Warmth};
 use crate::options::{DeliberateFault, Options};
 use crate::plan::EndpointPlan;
 use crate::ramp::Ramp;
 use crate::status::{EndpointState, EndpointStatus};
 use sign::Signs;
 
+/// Epoch of an endpoint that was never seen to turn cold.
+const FIRST_EPOCH: u64 = 1;
+
 /// State of one endpoint.
 #[derive(Debug)]
 pub(crate) struct Endpoint {
@@ -23,15 +26,23 @@
     pub ramp: Ramp,
     pub signs: Signs,
     pub in_flight: u32,
+    /// A cap from outside on permits while it is cold.
+    pub cold_cap: u32,
     pub orphans: u32,
     /// Prompt tokens of permits whose first token is still out.
     pub prefill: u64,
     /// Answers until then are no evidence that a cold start is over.
     pub cold_until: Boot,
+    /// Failures since it last answered.
+    pub failures: u32,
+    /// Gets no work until its pause after a failure is over.
+    pub backing_off: bool,
     /// Last sign of life.
     pub last_sign: Boot,
     /// Whether a report made under this owner shows no foreign work.
     pub witnessed: bool,
+    /// Time of the first report that is surely made under this owner, by the endpoint's clock.
+    witness_from_ms: Option<u64>,
     /// Sequence of its latest grant; the least lately used of equals goes first.
     pub last_grant: u64,
 }
@@ -44,11 +55,15 @@
             gone: false,
             signs: Signs::default(),
             in_flight: 0,
+            cold_cap: u32::MAX,
             orphans: 0,
             prefill: 0,
             cold_until: now,
+            failures: 0,
+            backing_off: false,
             last_sign: now,
             witnessed: false,
+            witness_from_ms: None,
             last_grant: 0,
         }
     }
@@ -63,6 +78,16 @@
     /// From now on a report has to show that nobody else sends work.
     pub fn begin_witness(&mut self) {
         self.witnessed = false;
+        self.witness_from_ms = None;
+    }
+
+    /// Judges whether a report of this time is a witness. Reports lag by at most `lag_ms`, so the first one that comes
+    /// under this owner only tells from when on they count.
+    pub fn witness(&mut self, observed_unix_ms: u64, lag_ms: u64) {
+        let from = *self
+            .witness_from_ms
+            .get_or_insert(observed_unix_ms.saturating_add(lag_ms));
+        self.witnessed = observed_unix_ms >= from && self.signs.reported() <= self.in_flight;
     }
 
     pub fn is_open(&self) -> bool {
@@ -74,7 +99,16 @@
         if fault == Some(DeliberateFault::IgnoreCold) {
             return self.plan.slots;
         }
-        let bears = self.ramp.limit().saturating_sub(self.signs.foreign());
+        if self.backing_off {
+            return 0;
+        }
+        let probe = if self.failures > 0 { 1 } else { u32::MAX };
+        let bears = self.ramp.limit().min(probe).saturating_sub(self.signs.foreign());
+        let bears = if self.ramp.is_cold() {
+            bears.min(self.cold_cap)
+        } else {
+            bears
+        };
         match (trust, self.ramp.is_cold()) {
             (Trust::Settled, _) => bears,
             (Trust::Taking { .. }, true) if self.witnessed => bears / 2,
@@ -108,6 +142,18 @@
         self.signs.forget_speed();
     }
 
+    /// Takes note of a failure; the pause that it begins, unless one is on already.
+    pub fn fail(&mut self, now: Boot, opts: &Options) -> Option<Duration> {
+        self.chill(now, opts.cold_min);
+        if self.backing_off {
+            return None;
+        }
+        self.backing_off = true;
+        let doubled = 1_u32.checked_shl(self.failures).unwrap_or(u32::MAX);
+        self.failures += 1;
+        Some(opts.backoff_floor.saturating_mul(doubled).min(opts.backoff_ceiling))
+    }
+
     /// Takes note of a sign of life. One that ends too long a silence makes the endpoint cold.
     pub fn sign(&mut self, now: Boot, opts: &Options) {
         if now.since(self.last_sign) > opts.silence {
@@ -116,6 +162,19 @@
         self.last_sign = now;
     }
 
+    /// Takes over what a former owner knew, unless something was seen here that speaks against it.
+    pub fn take_over(&mut self, warmth: &Warmth) -> bool {
+        let started = self.signs.started_unix_ms();
+        let restarted = started.is_some() && warmth.started_unix_ms.is_some() && started != warmth.started_unix_ms;
+        let untouched = self.ramp.epoch() == FIRST_EPOCH && self.failures == 0 && self.ramp.is_cold();
+        if restarted || !untouched {
+            return false;
+        }
+        self.signs.take_over_start(warmth.started_unix_ms);
+        self.ramp.take_over(warmth.limit);
+        true
+    }
+
     /// Halves the limit, and judges the endpoint anew by what it does next.
     pub fn slow(&mut self) {
         self.ramp.slow();
--- a/crates/celerytide-policy/src/pool/mod.rs
+++ b/crates/celerytide-policy/src/pool/mod.rs
@@ -5,6 +5,7 @@
 //! module of its own: offers and sheds, grants, permits in flight, reports, preemption, plans.
 
 mod baseline;
+mod cap;
 mod flight;
 mod grant;
 mod offer;
@@ -73,6 +74,8 @@
     orphans: BTreeSet<(Boot, PermitId)>,
     /// Permits that preemption named and that haven't ended yet.
     preempting: usize,
+    /// Endpoints that pause after a failure, by the end of the pause.
+    pauses: BTreeSet<(Boot, usize)>,
     prefixes: PrefixIndex,
     reserved: Option<Reservation>,
     drain: Drain,
@@ -106,6 +109,7 @@
             flights: AHashMap::new(),
             orphans: BTreeSet::new(),
             preempting: 0,
+            pauses: BTreeSet::new(),
             prefixes: PrefixIndex::default(),
             reserved: None,
             drain: Drain::new(drain),
