fix(policy): preemption only where the urgent ask fits

The test preemption_waits_until_the_urgent_prompt_fits was seen to fail first (Some(2) instead of None).

--- a/crates/celerytide-policy/src/pool/grant/mod.rs
+++ b/crates/celerytide-policy/src/pool/grant/mod.rs
@@ -168,7 +168,7 @@
     }
 
     /// Whether the prompt fits what the endpoint has in prefill.
-    fn fits(&self, id: AskId, ask: &Ask, at: usize) -> bool {
+    pub(super) fn fits(&self, id: AskId, ask: &Ask, at: usize) -> bool {
         let held = self.reserved.filter(|held| held.endpoint == at);
         if held.is_some_and(|held| held.ask != id) && ask.prompt_tokens > 0 {
             return false;
--- a/crates/celerytide-policy/src/pool/preempt/mod.rs
+++ b/crates/celerytide-policy/src/pool/preempt/mod.rs
@@ -3,9 +3,10 @@
 //! The victim is of the lowest tier that has resumable work in flight beyond its guaranteed share of the slots, and
 //! is the latest granted of its class, which has the least to lose.
 
-use celerytide_types::{Boot, PermitId, Tier};
+use celerytide_types::{Boot, PermitId};
 
 use super::Pool;
+use crate::ask::{Ask, AskId};
 use crate::options::DeliberateFault;
 
 /// Urgent asks that one decision looks at.
@@ -18,8 +19,8 @@
         if self.opts.baseline.is_some() || self.table.has_room() {
             return None;
         }
-        let tier = self.most_urgent_tier(now)?;
-        let permit = self.victim(tier)?;
+        let class = self.most_urgent_class(now)?;
+        let permit = self.victim(class)?;
         self.unlist(permit);
         if let Some(flight) = self.flights.get_mut(&permit) {
             self.preempting += usize::from(!flight.preempted);
@@ -28,8 +29,8 @@
         Some(permit)
     }
 
-    /// Highest tier with an ask that is about to miss its deadline and for which nothing was preempted yet.
-    fn most_urgent_tier(&self, now: Boot) -> Option<Tier> {
+    /// Class of the highest tier with an ask that is about to miss its deadline and for which nothing was preempted yet.
+    fn most_urgent_class(&self, now: Boot) -> Option<usize> {
         let soon = now.after(self.opts.preempt_lead);
         let urgent = self
             .deadlines
@@ -37,25 +38,27 @@
             .take_while(|&&(deadline, _)| deadline <= soon)
             .take(URGENT_MAX);
         let class_of = |id| self.asks.get(id).map(|queued| queued.class);
-        let mut tiers: Vec<Tier> = urgent
-            .filter_map(|(_, id)| class_of(id))
-            .map(|class| self.classes[class].plan.tier)
-            .collect();
-        tiers.sort_unstable();
-        tiers.get(self.preempting).copied()
+        let mut classes: Vec<usize> = urgent.filter_map(|(_, id)| class_of(id)).collect();
+        classes.sort_by_key(|&class| self.classes[class].rank());
+        classes.get(self.preempting).copied()
     }
 
-    fn victim(&self, tier: Tier) -> Option<PermitId> {
+    /// The permit to cancel for the ask that is next in this class.
+    fn victim(&self, class: usize) -> Option<PermitId> {
         if self.opts.fault == Some(DeliberateFault::PreemptAny) {
             let mut running: Vec<PermitId> = self.flights.keys().copied().collect();
             running.sort_unstable();
             return running.first().copied();
         }
+        let (_, id) = self.classes[class].queue.peek()?;
+        let next = Next {
+            id,
+            ask: &self.asks.get(&id)?.ask,
+        };
+        let tier = self.classes[class].plan.tier;
         let below = self.ranked.iter().rev().copied();
-        let below = below.take_while(|&class| self.classes[class].plan.tier > tier);
-        below
-            .filter(|&class| self.runs_beyond_share(class))
-            .find_map(|class| self.latest(class))
+        let mut below = below.take_while(|&class| self.classes[class].plan.tier > tier);
+        below.find_map(|class| self.latest(class, &next))
     }
 
     fn runs_beyond_share(&self, class: usize) -> bool {
@@ -64,12 +67,16 @@
         class.in_flight as f64 > kept + 1.0
     }
 
-    /// The latest granted permit of the class whose end makes room.
-    fn latest(&self, class: usize) -> Option<PermitId> {
+    /// The latest granted permit of a class beyond its share whose end makes room for the ask.
+    fn latest(&self, class: usize, next: &Next) -> Option<PermitId> {
+        if !self.runs_beyond_share(class) {
+            return None;
+        }
+        let avoids = self.avoids(next.ask);
         let latest = self.classes[class].resumable.iter().rev().map(|&(_, permit)| permit);
         let frees = |permit: &PermitId| {
-            let flight = self.flights.get(permit);
-            flight.is_some_and(|flight| self.frees_room(flight.endpoint))
+            let at = self.flights.get(permit).map(|flight| flight.endpoint);
+            at.is_some_and(|at| !avoids.contains(&at) && self.frees_room(at) && self.fits(next.id, next.ask, at))
         };
         latest.take(URGENT_MAX).find(frees)
     }
@@ -79,3 +86,9 @@
         endpoint.is_some_and(|endpoint| endpoint.in_flight <= self.table.limit(at))
     }
 }
+
+/// The ask that would get the freed slot. If it didn't fit there, the slot would go to lower work again.
+struct Next<'a> {
+    id: AskId,
+    ask: &'a Ask,
+}
--- a/crates/celerytide-policy/tests/rules.rs
+++ b/crates/celerytide-policy/tests/rules.rs
@@ -27,6 +27,26 @@
     );
 }
 
+#[test]
+fn preemption_waits_until_the_urgent_prompt_fits() {
+    let mut bounded = endpoint("e", 2, 2);
+    bounded.prefill_tokens = 1000;
+    let classes = vec![class("high", 1, 0.0), class("low", 3, 0.0)];
+    let mut pool = pool(Options::default(), vec![bounded], classes);
+    queue(&mut pool, at_ms(0), prompt(800, "low"));
+    queue(&mut pool, at_ms(0), prompt(100, "low"));
+    let running = permits(&grants(&mut pool, at_ms(0)));
+    assert_eq!(running.len(), 2);
+    let urgent = Ask {
+        deadline: at_ms(200),
+        ..prompt(900, "high")
+    };
+    queue(&mut pool, at_ms(10), urgent);
+    assert_eq!(pool.preempt(at_ms(20)), None, "the slot would go to other work");
+    pool.progress(at_ms(30), running[0], 1);
+    assert_eq!(pool.preempt(at_ms(40)), Some(running[1]));
+}
+
 #[test]
 fn preemption_never_takes_its_own_tier_or_unresumable_work() {
     let mut pool = warm(Options::default());
