fix(membership): a lost answer to a muster no longer hides the former owner

Cause: an entry whose first answer was lost named the present term in its second, and that counted as nobody before; the new owner then settled without a handover or the hold. Ruled out: asking entries to remember the term before the last; one more lost answer would hide it as well. Before: the new unit test failed (Settled where Taking was due). Conclusion: the first answer of an entry in a tenure counts; naming the present term says nothing.

--- a/crates/celerytide-membership/src/ownership/held.rs
+++ b/crates/celerytide-membership/src/ownership/held.rs
@@ -26,7 +26,9 @@
     pub(super) slept: bool,
     pub(super) handed_over: Option<Term>,
     pub(super) superseded: Option<Term>,
-    pub(super) mustered: BTreeMap<InstanceId, Former>,
+    pub(super) mustered: BTreeSet<InstanceId>,
+    /// Whom each entry followed before, by its first answer of this tenure; empty once settled.
+    pub(super) formers: BTreeMap<InstanceId, Former>,
     pub(super) missing: BTreeSet<InstanceId>,
     pub(super) counted_for: Option<u64>,
 }
@@ -48,7 +50,8 @@
             slept: false,
             handed_over: None,
             superseded: None,
-            mustered: BTreeMap::new(),
+            mustered: BTreeSet::new(),
+            formers: BTreeMap::new(),
             missing: BTreeSet::new(),
             counted_for: None,
         }
@@ -68,11 +71,8 @@
         }
         self.counted_for = Some(view.generation);
         let listed: BTreeSet<InstanceId> = view.instances.iter().map(|i| i.id.clone()).collect();
-        self.mustered.retain(|id, _| listed.contains(id));
-        self.missing = listed
-            .into_iter()
-            .filter(|id| !self.mustered.contains_key(id))
-            .collect();
+        self.mustered.retain(|id| listed.contains(id));
+        self.missing = listed.into_iter().filter(|id| !self.mustered.contains(id)).collect();
         if self.superseded.is_some_and(|by| view.list_version >= by.list_version) {
             self.superseded = None;
         }
@@ -102,6 +102,9 @@
     fn judge_fresh(&mut self, now: Boot, hold: Duration) -> Standing {
         let mustered = self.missing.is_empty();
         self.settled_once |= mustered && self.former_is_gone(now, hold);
+        if self.settled_once {
+            self.formers.clear();
+        }
         if self.settled_once && !self.doubted {
             return Standing::Settled;
         }
@@ -120,14 +123,29 @@
     fn former_stopped(&self) -> bool {
         let stopped = |former: &Former| match former {
             Former::Nobody => true,
-            Former::Seen(term) => *term == self.term || Some(*term) <= self.handed_over,
+            Former::Seen(term) => Some(*term) <= self.handed_over,
             Former::NotSaid => self.handed_over.is_some(),
         };
-        self.mustered.values().all(stopped)
+        self.formers.values().all(stopped)
+    }
+
+    /// Notes an entry's answer. An entry that names the present term has answered it before, and that answer was lost.
+    pub(super) fn answered(&mut self, entry: &InstanceId, former: Former) {
+        if !self.missing.remove(entry) {
+            return;
+        }
+        self.mustered.insert(entry.clone());
+        let former = match former {
+            Former::Seen(term) if term == self.term => Former::NotSaid,
+            former => former,
+        };
+        if !self.settled_once {
+            self.formers.entry(entry.clone()).or_insert(former);
+        }
     }
 
     pub(super) fn entry_lost(&mut self, entry: &str) {
-        if let Some((id, _)) = self.mustered.remove_entry(entry) {
+        if let Some(id) = self.mustered.take(entry) {
             self.round += 1;
             self.missing.insert(id);
         }
@@ -137,7 +155,7 @@
     fn muster_again(&mut self) {
         self.round += 1;
         self.doubted = true;
-        self.missing.extend(std::mem::take(&mut self.mustered).into_keys());
+        self.missing.extend(std::mem::take(&mut self.mustered));
     }
 
     fn stale_share(&self, peers: PeersSay) -> f64 {
--- a/crates/celerytide-membership/src/ownership/standing.rs
+++ b/crates/celerytide-membership/src/ownership/standing.rs
@@ -179,14 +179,12 @@
         let Some(held) = self.pools.get_mut(&call.pool).filter(asked) else {
             return;
         };
-        if held.missing.remove(&call.entry) {
-            held.mustered.insert(call.entry.clone(), former);
-        }
+        held.answered(&call.entry, former);
     }
 
     /// Whether the entry follows the present term. A permit for a cold endpoint goes only to an entry that does.
     pub fn follows(&self, pool: &str, entry: &str) -> bool {
-        self.pools.get(pool).is_some_and(|h| h.mustered.contains_key(entry))
+        self.pools.get(pool).is_some_and(|h| h.mustered.contains(entry))
     }
 
     /// Notes that the connection to an entry broke: it may have restarted and forgotten whom it followed.
--- a/crates/celerytide-membership/tests/ownership.rs
+++ b/crates/celerytide-membership/tests/ownership.rs
@@ -144,6 +144,39 @@
     assert_eq!(bench.fresh(2), taking(1, true));
 }
 
+#[test]
+fn an_answer_after_a_lost_one_doesnt_hide_the_former_owner() {
+    let own = Term {
+        list_version: 5,
+        incarnation: 10,
+    };
+    let mut bench = Bench::new();
+    bench.fresh(1);
+    bench.muster_all(Former::Seen(own));
+    assert_eq!(
+        bench.fresh(2),
+        taking(1, true),
+        "whom it followed before was said in the answer that was lost"
+    );
+    assert_eq!(bench.fresh(1 + HOLD), Standing::Settled);
+    let other = bench.other.clone();
+    bench.own.entry_lost(&other);
+    bench.muster_all(Former::Seen(own));
+    assert_eq!(bench.fresh(2 + HOLD), Standing::Settled);
+
+    let mut bench = Bench::new();
+    bench.fresh(1);
+    bench.muster_all(Former::Seen(Term { list_version: 4, ..own }));
+    let other = bench.other.clone();
+    bench.own.entry_lost(&other);
+    bench.muster_all(Former::Nobody);
+    assert_eq!(
+        bench.fresh(2),
+        taking(1, true),
+        "a restarted entry doesn't take its first answer back"
+    );
+}
+
 #[test]
 fn a_settled_owner_abstains_by_freshness() {
     struct Case {
