feat(node,dispatch,entry): pools are taken over while the list still shows a dead owner as live

Cause: a pool's owner was named by the list alone; a killed or stopping dispatch stays listed, and its pools had no owner until the list changed (test seen to fail: 503 no-permit-in-time after SIGTERM, deadline-passed after SIGKILL). A refused muster was reset before its answer left, so a successor with a lower incarnation never settled. Progress notes were deltas where the policy takes totals. Ruled out: shorter list watches (the list itself lags); warm by default (a silent cold start would get full load). Before: both cases failed. Conclusion: a process that can't reach an owner takes it as leaving in its own view; terms, musters and gates keep two owners harmless.

--- a/crates/celerytide-dispatch/src/daemon/mod.rs
+++ b/crates/celerytide-dispatch/src/daemon/mod.rs
@@ -9,6 +9,7 @@
 use celerytide_manifest::DispatchSettings;
 use celerytide_node::{Error, Identity, Node, Role, listen};
 use monoio::time::sleep;
+use tokio_util::sync::CancellationToken;
 
 use crate::dispatch::{Dispatch, Peers};
 use crate::status::DispatchStatus;
@@ -36,14 +37,15 @@
     )?;
     let peers = listen(settings.peer_address)?;
     let service = Rc::new(Peers(dispatch.clone()));
-    monoio::spawn(celerytide_wire::serve(peers, wire, service, node.abort.clone()));
+    let accept = CancellationToken::new();
+    monoio::spawn(celerytide_wire::serve(peers, wire, service, accept.clone()));
     monoio::spawn(refresh(dispatch.clone()));
     monoio::spawn(muster::run(node.clone(), dispatch.pools.clone(), settings.peer_address));
     monoio::spawn(report::run(dispatch.clone()));
     monoio::spawn(orders::run(dispatch.clone()));
     tracing::info!(instance = node.instance, address = %settings.peer_address, "dispatch: serving entries");
     node.stop.cancelled().await;
-    Ok(stop(&dispatch).await)
+    Ok(stop(&dispatch, &accept).await)
 }
 
 /// Follows the view at once and the clock now and then; queues are pumped at each tick.
@@ -64,10 +66,12 @@
     }
 }
 
-async fn stop(dispatch: &Rc<Dispatch>) -> ExitCode {
+async fn stop(dispatch: &Rc<Dispatch>, accept: &CancellationToken) -> ExitCode {
     let node = &dispatch.node;
     node.ready.set("serving", false);
     node.audit.record(Kind::Process, &node.instance, "stopping", 0);
+    accept.cancel();
+    sleep(TICK).await;
     let retired = dispatch.pools.all();
     dispatch.pools.give_up();
     let moved = async {
--- a/crates/celerytide-dispatch/src/handover/mod.rs
+++ b/crates/celerytide-dispatch/src/handover/mod.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use celerytide_membership::Instance;
 use celerytide_membership::ownership::{Term as OwnerTerm, owner_of};
 use celerytide_node::Node;
 use celerytide_policy::Warmth;
@@ -40,14 +41,20 @@
 
 async fn send_once(node: &Node, slot: &Slot, region: &str, term: OwnerTerm) -> bool {
     let view = node.membership.view();
-    let next = owner_of(&slot.id, region, &view.instances).filter(|i| i.id != node.instance);
-    let Some(next) = next else {
+    let others: Vec<Instance> = view
+        .instances
+        .iter()
+        .filter(|i| i.id != node.instance)
+        .cloned()
+        .collect();
+    let Some(next) = owner_of(&slot.id, region, &others) else {
         return false;
     };
     let message = Handover {
         pool: slot.id.clone(),
         from: node.instance.clone(),
         term: wire_term(term),
+        stopping: node.stop.is_cancelled(),
         warm: warm_of(slot),
     };
     let answer = node
@@ -71,6 +78,9 @@
     let Ok(handover) = ex.recv_some::<Handover>().await else {
         return;
     };
+    if handover.stopping {
+        pools.stopped(&handover.from);
+    }
     let taken = pools.handed_over(&handover.pool, owner_term(handover.term));
     if let Some(slot) = pools.owned(&handover.pool).filter(|_| taken) {
         slot.take_over(&warmth_of(&handover.warm));
--- a/crates/celerytide-dispatch/src/muster/mod.rs
+++ b/crates/celerytide-dispatch/src/muster/mod.rs
@@ -21,7 +21,7 @@
 /// Time for one call.
 const CALL_TIME: Duration = Duration::from_secs(3);
 /// Wait after a call that failed.
-const FAILED_WAIT: Duration = Duration::from_millis(500);
+const FAILED_WAIT: Duration = Duration::from_millis(100);
 /// Calls at once.
 const MAX_CALLS: usize = 32;
 
@@ -55,6 +55,8 @@
 
 async fn one(node: Rc<Node>, pools: Rc<Pools>, own: SocketAddr, call: MusterCall, key: CallKey, calls: Calls) {
     let answered = timeout(CALL_TIME, ask(&node, own, &call)).await.ok().flatten();
+    let answer = answered.as_ref().map(|a| &a.mustered);
+    tracing::debug!(pool = call.pool, entry = call.entry, ?call.term, ?answer, "muster: an entry was called");
     let followed = match answered {
         Some(Answered { mustered, ex }) => took(&pools, &call, &mustered).then_some(ex),
         None => None,
--- a/crates/celerytide-dispatch/src/permit/mod.rs
+++ b/crates/celerytide-dispatch/src/permit/mod.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use celerytide_membership::ownership::Standing;
-use celerytide_policy::{Ask, Ended, Refused};
+use celerytide_policy::{Ask, Ended, Refused, Warmth};
 use celerytide_types::{FinalWord, Millis, PermitId, Word, now_boot};
 use celerytide_wire::Exchange;
 use celerytide_wire::messages::{self, Ack, Adopt, Granted, Note, Reply, Term};
@@ -19,6 +19,7 @@
         return;
     };
     let Some(slot) = owned(dispatch, &ask.pool) else {
+        dispatch.pools.asked_in_vain(&ask.pool);
         return not_owner(dispatch, ex).await;
     };
     if !dispatch.pools.may_ask(&slot, &ask.from) {
@@ -41,6 +42,14 @@
     };
     let permit = slot.adopt(&adopt.endpoint, &adopt.class, &adopt.customer);
     dispatch.metrics.adopted();
+    if let Some(limit) = adopt.warm_limit {
+        let endpoint = adopt.endpoint.clone();
+        slot.take_over(&[Warmth {
+            endpoint,
+            limit,
+            started_unix_ms: None,
+        }]);
+    }
     if ex.send(&Ack { taken: true }).await.is_err() {
         return slot.orphan(permit);
     }
@@ -91,6 +100,7 @@
     let granted = Granted {
         permit: grant.permit,
         pool: slot.id.clone(),
+        warm_limit: slot.warm_limit(&grant.endpoint),
         endpoint: grant.endpoint,
         address,
         term: wire_term(slot.term()),
--- a/crates/celerytide-dispatch/src/pools/mod.rs
+++ b/crates/celerytide-dispatch/src/pools/mod.rs
@@ -8,7 +8,8 @@
 use celerytide_manifest::DispatchSettings;
 use celerytide_membership::View;
 use celerytide_membership::ownership::{
-    Assessment, Change, Former, MusterCall, Options as OwnershipOptions, Ownership, Pool, Standing, Term, pools_of,
+    Assessment, Change, Former, MusterCall, Options as OwnershipOptions, Ownership, Pool, Standing, Term, owner_of,
+    pools_of,
 };
 use celerytide_node::Node;
 use celerytide_policy::{Options, Trust};
@@ -82,6 +83,29 @@
         self.keep_owned(&view, &pools);
     }
 
+    /// Notes another owner's own word that it stops; its pools are taken over at once, before the list shows it.
+    pub fn stopped(&self, instance: &str) {
+        let view = self.node.membership.view();
+        if let Some(listed) = view.instance(instance).filter(|i| i.id != self.node.instance) {
+            self.node.membership.suspect(instance, true);
+            self.node.suspects.unreachable(listed);
+            self.refresh();
+        }
+    }
+
+    /// Notes that an entry asked here for a pool of another owner: it may not reach that one.
+    pub fn asked_in_vain(&self, pool: &str) {
+        let view = self.node.membership.view();
+        let region = self
+            .pools_by(&view)
+            .get(pool)
+            .map(|p| p.region.clone())
+            .unwrap_or_default();
+        if let Some(owner) = owner_of(pool, &region, &view.instances) {
+            self.node.suspects.unreachable(owner);
+        }
+    }
+
     /// Pumps every queue.
     pub fn pump(&self) {
         for slot in self.slots.borrow().values() {
--- a/crates/celerytide-dispatch/src/slot/mod.rs
+++ b/crates/celerytide-dispatch/src/slot/mod.rs
@@ -114,6 +114,11 @@
         inner.cap_cold(now);
     }
 
+    /// Permits that the endpoint bears at once, if it is warm.
+    pub fn warm_limit(&self, endpoint: &str) -> Option<u32> {
+        self.inner.borrow().pool.warm_limit_at(endpoint)
+    }
+
     /// Whether an open endpoint is in cold start.
     pub fn has_cold(&self) -> bool {
         self.inner.borrow().pool.has_cold()
@@ -197,7 +202,7 @@
             .adopt(now_boot(), endpoint, class, customer)
     }
 
-    /// Notes tokens of a running permit.
+    /// Notes how many tokens of a running permit have come so far.
     pub fn progress(&self, permit: PermitId, tokens: u32) {
         self.inner.borrow_mut().pool.progress(now_boot(), permit, tokens);
         self.pump();
--- a/crates/celerytide-entry/src/entry/mod.rs
+++ b/crates/celerytide-entry/src/entry/mod.rs
@@ -67,6 +67,7 @@
             node.instance.clone(),
             node.membership.clone(),
             owners,
+            node.suspects.clone(),
             node.links.clone(),
             Leases::default(),
         );
--- a/crates/celerytide-entry/src/entry/peers.rs
+++ b/crates/celerytide-entry/src/entry/peers.rs
@@ -40,12 +40,20 @@
     };
     let former = entry.acquire.followed(&muster.pool);
     let mustered = match entry.acquire.follow(&muster.pool, muster.term) {
-        Admitted::Yes => adopted(entry, &muster, former).await,
+        Admitted::Yes => {
+            entry.acquire.go_to(&muster.pool, muster.owner);
+            adopted(entry, &muster, former).await
+        }
         Admitted::Older { highest } => refused(Some(wire_term(highest))),
         Admitted::OtherLife => refused(None),
     };
     let follows = mustered.followed && mustered.complete;
-    if ex.send(&mustered).await.is_err() {
+    let sent = match follows {
+        true => ex.send(&mustered).await,
+        // Ended properly: a reset could overtake the answer.
+        false => ex.send_last(&mustered).await,
+    };
+    if sent.is_err() {
         tracing::debug!(pool = muster.pool, "entry: the mustering owner is gone");
         return;
     }
--- a/crates/celerytide-entry/src/model/stream.rs
+++ b/crates/celerytide-entry/src/model/stream.rs
@@ -286,7 +286,7 @@
         if new == 0 || (self.noted > 0 && new < NOTE_EVERY_TOKENS) {
             return;
         }
-        lease.progress(new);
+        lease.progress(self.tokens);
         self.noted = self.tokens;
     }
 
--- a/crates/celerytide-entry/src/owner/mod.rs
+++ b/crates/celerytide-entry/src/owner/mod.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use celerytide_membership::ownership::{Pool, owner_of, pools_of};
-use celerytide_membership::{Membership, View};
+use celerytide_membership::{Instance, Membership, View};
 use celerytide_types::{PoolId, RegionId, ServiceId};
 use rand::Rng;
 
@@ -15,13 +15,14 @@
     membership: Rc<Membership>,
     region: RegionId,
     known: RefCell<Known>,
+    followed: RefCell<HashMap<PoolId, SocketAddr>>,
 }
 
 #[derive(Default)]
 struct Known {
     generation: u64,
     by_service: HashMap<ServiceId, Vec<Owned>>,
-    owners: HashMap<PoolId, SocketAddr>,
+    owners: HashMap<PoolId, Instance>,
 }
 
 #[derive(Clone)]
@@ -37,6 +38,7 @@
             membership,
             region,
             known: RefCell::default(),
+            followed: RefCell::default(),
         }
     }
 
@@ -54,10 +56,26 @@
         any_of(&own)
     }
 
-    /// Where the owner of `pool` listens.
+    /// Where the owner of `pool` listens: the one that this entry follows, or the one that its view names.
     pub fn address(&self, pool: &str) -> Option<SocketAddr> {
+        let followed = self.followed.borrow().get(pool).copied();
+        followed.or_else(|| self.by_view(pool).map(|owner| owner.dispatch_peer))
+    }
+
+    /// The owner of `pool` by this entry's view.
+    pub fn by_view(&self, pool: &str) -> Option<Instance> {
         self.bring_up_to_date();
-        self.known.borrow().owners.get(pool).copied()
+        self.known.borrow().owners.get(pool).cloned()
+    }
+
+    /// Follows the owner of `pool` at `owner`, whatever the view names.
+    pub fn follow(&self, pool: &str, owner: SocketAddr) {
+        self.followed.borrow_mut().insert(pool.to_owned(), owner);
+    }
+
+    /// Goes back to the view's owner: the followed one can't be reached or no longer owns `pool`.
+    pub fn unfollow(&self, pool: &str) {
+        self.followed.borrow_mut().remove(pool);
     }
 
     fn bring_up_to_date(&self) {
@@ -84,7 +102,7 @@
 
     fn add(&mut self, view: &View, pool: Pool) {
         if let Some(owner) = owner_of(&pool.id, &pool.region, &view.instances) {
-            self.owners.insert(pool.id.clone(), owner.dispatch_peer);
+            self.owners.insert(pool.id.clone(), owner.clone());
         }
         let owned = Owned {
             pool: pool.id,
--- a/crates/celerytide-entry/src/permit/acquire.rs
+++ b/crates/celerytide-entry/src/permit/acquire.rs
@@ -1,11 +1,13 @@
 //! Asks a pool's owner until it grants, refuses, or the time to begin has passed.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use celerytide_membership::Membership;
 use celerytide_membership::ownership::{Admitted, Term as OwnerTerm, TermGuard};
+use celerytide_node::suspect::Suspects;
 use celerytide_types::{
     Boot, ClassName, CustomerId, EndpointId, FinalWord, InstanceId, Millis, PoolId, RequestId, ServiceId, now_boot,
 };
@@ -68,6 +70,7 @@
     own: InstanceId,
     membership: Rc<Membership>,
     owners: Rc<Owners>,
+    suspects: Rc<Suspects>,
     links: Links,
     leases: Leases,
     guard: RefCell<TermGuard>,
@@ -85,6 +88,7 @@
         own: InstanceId,
         membership: Rc<Membership>,
         owners: Rc<Owners>,
+        suspects: Rc<Suspects>,
         links: Links,
         leases: Leases,
     ) -> Acquire {
@@ -92,12 +96,18 @@
             own,
             membership,
             owners,
+            suspects,
             links,
             leases,
             guard: RefCell::default(),
         }
     }
 
+    /// Goes to the owner at `owner` from now on.
+    pub fn go_to(&self, pool: &str, owner: SocketAddr) {
+        self.owners.follow(pool, owner);
+    }
+
     /// All permits held.
     pub fn leases(&self) -> &Leases {
         &self.leases
@@ -149,12 +159,28 @@
         let left = wanted.begin_by.since(now);
         let ask = self.ask_of(wanted, pool, now, left);
         let Ok(mut ex) = self.links.open(owner, Method::Permit, &ask).await else {
+            self.not_reached(&ask.pool);
             return Asked::Again;
         };
         match timeout(left + REPLY_GRACE, ex.recv_some::<Reply>()).await {
             Ok(Ok(Reply::Granted(granted))) => self.check_term(&ask.pool, granted, ex),
             Ok(Ok(Reply::Refused(word))) => Asked::Refused(word),
-            Ok(Ok(Reply::NotOwner(_) | Reply::Preempt)) | Ok(Err(_)) | Err(_) => Asked::Again,
+            Ok(Ok(Reply::NotOwner(_) | Reply::Preempt)) => {
+                self.owners.unfollow(&ask.pool);
+                Asked::Again
+            }
+            Ok(Err(_)) | Err(_) => {
+                self.not_reached(&ask.pool);
+                Asked::Again
+            }
+        }
+    }
+
+    /// The owner can't be reached, or its connection broke: the view's owner is asked next, and probed.
+    fn not_reached(&self, pool: &str) {
+        self.owners.unfollow(pool);
+        if let Some(owner) = self.owners.by_view(pool) {
+            self.suspects.unreachable(&owner);
         }
     }
 
@@ -192,6 +218,7 @@
             pool: granted.pool.clone(),
             request: wanted.request.clone(),
             endpoint: granted.endpoint.clone(),
+            warm_limit: granted.warm_limit,
             class: wanted.class.clone(),
             customer: wanted.customer.clone(),
         };
--- a/crates/celerytide-entry/src/permit/lease.rs
+++ b/crates/celerytide-entry/src/permit/lease.rs
@@ -73,7 +73,7 @@
         &self.preempted
     }
 
-    /// Tells the owner of tokens received.
+    /// Tells the owner how many tokens have been received so far.
     pub fn progress(&self, tokens: u32) {
         self.note(Note::Progress(tokens));
     }
--- /dev/null
+++ b/crates/celerytide-faults/tests/ownership.rs
@@ -0,0 +1,123 @@
+//! Pools change hands: by plan, by a crash that the list doesn't show, and back.
+
+use std::time::Duration;
+
+use celerytide_faults::{Rig, RigOptions, until};
+use celerytide_standin::launch::Signal;
+use monoio::time::sleep;
+use serde_json::Value;
+
+/// Time in which a pool must have a settled owner again.
+const TAKEN: Duration = Duration::from_secs(10);
+const SERVICE: &str = "assist";
+
+struct Case {
+    name: &'static str,
+    signal: Signal,
+    /// Warm endpoints stay warm.
+    stays_warm: bool,
+}
+
+fn states(rig: &Rig, instance: usize) -> Vec<String> {
+    let pools = rig.dispatch_status(instance)["pools"]
+        .as_array()
+        .cloned()
+        .unwrap_or_default();
+    let pool = pools
+        .into_iter()
+        .find(|p| p["pool"].as_str().is_some_and(|id| id.starts_with(SERVICE)));
+    let endpoints = pool.map(|p| p["status"]["endpoints"].clone()).unwrap_or_default();
+    let state = |e: &Value| e["state"].as_str().unwrap_or_default().to_owned();
+    endpoints
+        .as_array()
+        .map(|all| all.iter().map(state).collect())
+        .unwrap_or_default()
+}
+
+/// Sends work until the owner takes every engine for warm; a cold start lasts ten seconds at least.
+async fn warm_up(rig: &Rig, owner: usize) -> bool {
+    for round in 0..100 {
+        let calls = (0..8).map(|i| {
+            let request = format!("warm-{round}-{i}");
+            async move { rig.chat(i % 2, &request, 3).await }
+        });
+        futures::future::join_all(calls).await;
+        let states = states(rig, owner);
+        if !states.is_empty() && states.iter().all(|s| s == "warm") {
+            return true;
+        }
+        sleep(Duration::from_millis(150)).await;
+    }
+    false
+}
+
+#[test]
+fn a_pool_is_taken_over_while_its_streams_go_on() {
+    let cases = [
+        Case {
+            name: "graceful stop",
+            signal: Signal::SIGTERM,
+            stays_warm: true,
+        },
+        Case {
+            name: "kill",
+            signal: Signal::SIGKILL,
+            stays_warm: false,
+        },
+    ];
+    for case in cases {
+        let rig = Rig::start(&RigOptions {
+            decode_ms: 20.0,
+            ..RigOptions::default()
+        })
+        .expect(case.name);
+        Rig::block_on(async {
+            assert!(
+                until(TAKEN, || rig.owner_of(SERVICE).is_some()).await,
+                "{}: no owner",
+                case.name
+            );
+            let owner = rig.owner_of(SERVICE).expect("owner");
+            assert!(warm_up(&rig, owner).await, "{}: {:?}", case.name, states(&rig, owner));
+            let streams = (0..2).map(|i| {
+                let request = format!("stream-{i}");
+                let rig = &rig;
+                async move { rig.chat(i % 2, &request, 150).await }
+            });
+            let moved = async {
+                sleep(Duration::from_millis(500)).await;
+                rig.fleet.instances[owner].dispatch.signal(case.signal).expect("signal");
+                let next = 1 - owner;
+                let told = rig.chat(next, "after", 5).await;
+                let pools = &rig.dispatch_status(next)["pools"];
+                assert!(told.is_done(), "{}: {told:?}: {pools}", case.name);
+                let settled = until(TAKEN, || rig.owner_of(SERVICE) == Some(next)).await;
+                assert!(settled, "{}: {}", case.name, rig.dispatch_status(next)["pools"]);
+                next
+            };
+            let (told, next) = futures::join!(futures::future::join_all(streams), moved);
+            for told in told {
+                assert!(told.is_done() && told.tokens > 0, "{}: {told:?}", case.name);
+            }
+            if case.stays_warm {
+                assert!(
+                    states(&rig, next).contains(&"warm".to_owned()),
+                    "{}: {:?}",
+                    case.name,
+                    states(&rig, next)
+                );
+            }
+            let free = || {
+                let status = rig.dispatch_status(next);
+                let pools = status["pools"].as_array().cloned().unwrap_or_default();
+                pools.iter().all(|p| p["status"]["in_flight"] == 0)
+            };
+            assert!(
+                until(TAKEN, free).await,
+                "{}: permits left: {}",
+                case.name,
+                rig.dispatch_status(next)["pools"]
+            );
+        });
+    }
+}
--- a/crates/celerytide-membership/src/state/inner.rs
+++ b/crates/celerytide-membership/src/state/inner.rs
@@ -1,5 +1,6 @@
 //! The state behind a [`Membership`](super::Membership).
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::task::Waker;
 
@@ -21,6 +22,7 @@
     pub(super) manifests: Manifests,
     pub(super) instances: Listed<Instance>,
     pub(super) endpoints: Listed<EndpointEntry>,
+    pub(super) suspects: BTreeSet<InstanceId>,
     pub(super) clockwork: Clockwork,
     pub(super) heard: Heard,
     pub(super) news: Queue,
@@ -36,6 +38,7 @@
             manifests: Manifests::default(),
             instances: Listed::new(),
             endpoints: Listed::new(),
+            suspects: BTreeSet::new(),
             clockwork,
             heard: Heard::default(),
             news: Queue::default(),
@@ -71,7 +74,7 @@
             manifest: self.manifests.manifest(),
             manifest_version: self.manifests.version(),
             manifest_digest: self.manifests.digest(),
-            instances: self.instances.entries.clone(),
+            instances: self.instances_in_view(),
             list_version: self.instances.version,
             list_epoch: self.instances.epoch,
             list_ceiling: self.instances.ceiling,
@@ -86,6 +89,18 @@
         }
     }
 
+    /// The list, with suspects as leaving.
+    fn instances_in_view(&self) -> Rc<Vec<Instance>> {
+        if self.suspects.is_empty() {
+            return self.instances.entries.clone();
+        }
+        let in_view = |i: &Instance| Instance {
+            live: i.live && !self.suspects.contains(&i.id),
+            ..i.clone()
+        };
+        Rc::new(self.instances.entries.iter().map(in_view).collect())
+    }
+
     pub(super) fn compare_lists(&mut self, now: Boot, digest: &ViewDigest) {
         let comparable = self.instances.ceiling.is_none() && self.endpoints.ceiling.is_none();
         let fresh_ms = self.opts.fresh_for.as_millis();
--- a/crates/celerytide-membership/src/state/mod.rs
+++ b/crates/celerytide-membership/src/state/mod.rs
@@ -150,11 +150,24 @@
         applied
     }
 
+    /// Takes an instance as leaving in this process's view only, or no longer; says whether that changed the view.
+    pub fn suspect(&self, id: &str, suspected: bool) -> bool {
+        let mut inner = self.inner.borrow_mut();
+        let changed = match suspected {
+            true => inner.suspects.insert(id.to_owned()),
+            false => inner.suspects.remove(id),
+        };
+        if changed {
+            inner.refresh_view();
+        }
+        changed
+    }
+
     /// The lists held, for a peer that wants them.
     pub fn peer_lists(&self) -> PeerLists {
         let view = self.view();
         PeerLists {
-            instances: view.instances.to_vec(),
+            instances: self.inner.borrow().instances.entries.to_vec(),
             list_version: view.list_version,
             endpoints: view.endpoints.to_vec(),
             endpoints_version: view.endpoints_version,
--- a/crates/celerytide-node/src/lib.rs
+++ b/crates/celerytide-node/src/lib.rs
@@ -9,6 +9,7 @@
 mod gossip;
 mod source;
 mod start;
+pub mod suspect;
 mod tick;
 
 pub use start::{Error, HttpSnafu, Identity, Node, Role, listen, run_process};
--- a/crates/celerytide-node/src/start/mod.rs
+++ b/crates/celerytide-node/src/start/mod.rs
@@ -27,6 +27,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::source::HttpSource;
+use crate::suspect::Suspects;
 use crate::{gossip, tick};
 
 /// Which daemon a process is.
@@ -125,6 +126,8 @@
     pub membership: Rc<Membership>,
     /// Connections to peers.
     pub links: Links,
+    /// Owners that can't be reached.
+    pub suspects: Rc<Suspects>,
     /// Calls over HTTP.
     pub client: Client,
     /// The audit trail.
@@ -156,7 +159,18 @@
         signals::watch(stop.clone(), abort.clone()).context(SignalsSnafu)?;
         let incarnation = new_incarnation();
         let membership = Rc::new(Membership::new(now_boot(), options(incarnation, view_age)));
+        let audit = kernel
+            .register(names::AUDIT, Rc::new(Audit::default()))
+            .context(KernelSnafu)?;
+        let suspects = Suspects::new(
+            who.instance.clone(),
+            membership.clone(),
+            audit.clone(),
+            wire,
+            abort.clone(),
+        );
         let node = Rc::new(Node {
+            suspects: Rc::new(suspects),
             role: who.role,
             instance: who.instance,
             zone: who.zone,
@@ -165,9 +179,7 @@
             membership,
             links: Links::new(wire, abort.clone()),
             client: Client::new(celerytide_http::client::Options::default()),
-            audit: kernel
-                .register(names::AUDIT, Rc::new(Audit::default()))
-                .context(KernelSnafu)?,
+            audit,
             trail: kernel
                 .register(names::TRAIL, Rc::new(Trail::default()))
                 .context(KernelSnafu)?,
--- a/crates/celerytide-policy/src/pool/cap/mod.rs
+++ b/crates/celerytide-policy/src/pool/cap/mod.rs
@@ -1,6 +1,7 @@
 //! Caps from outside on what cold endpoints get, and the counts that the owner of the caps needs.
 
 use super::Pool;
+use crate::status::EndpointState;
 
 impl Pool {
     /// Permits that may be in flight at the endpoint while it is cold, whatever else allows more. Without a call there is no cap.
@@ -18,6 +19,12 @@
         at.and_then(|at| self.table.get(at)).map_or(0, |row| row.in_flight)
     }
 
+    /// Permits that the endpoint bears at once, if it is warm.
+    pub fn warm_limit_at(&self, endpoint: &str) -> Option<u32> {
+        let row = self.table.find(endpoint).and_then(|at| self.table.get(at))?;
+        (row.state() == EndpointState::Warm).then(|| row.ramp.limit())
+    }
+
     /// Whether an open endpoint is in cold start.
     pub fn has_cold(&self) -> bool {
         self.table.iter().any(|row| row.is_open() && row.ramp.is_cold())
--- a/crates/celerytide-wire/src/error.rs
+++ b/crates/celerytide-wire/src/error.rs
@@ -71,4 +71,9 @@
     pub fn is_reset_by_peer(&self) -> bool {
         matches!(self, Error::H2 { source } if source.is_reset() && source.is_remote())
     }
+
+    /// Whether the peer's machine refused the connection: no process listens there.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Error::Connect { source, .. } if source.kind() == io::ErrorKind::ConnectionRefused)
+    }
 }
--- a/crates/celerytide-wire/src/messages/mod.rs
+++ b/crates/celerytide-wire/src/messages/mod.rs
@@ -153,6 +153,8 @@
         pub endpoint: EndpointId,
         /// Its address.
         pub address: SocketAddr,
+        /// Permits that the endpoint bears at once, if it is warm.
+        pub warm_limit: Option<u32>,
         /// The owner's term.
         pub term: Term,
         /// The permit ends by itself after this time.
@@ -161,7 +163,7 @@
 
     /// What the entry says of a running request.
     pub enum Note {
-        /// Tokens received since the last note.
+        /// Tokens received so far.
         Progress(u32),
         /// The request ended; the last note.
         Settle(Ended),
@@ -193,6 +195,8 @@
         pub request: RequestId,
         /// The endpoint it runs on.
         pub endpoint: EndpointId,
+        /// What the former owner knew the endpoint to bear, if it was warm; the request has run there since.
+        pub warm_limit: Option<u32>,
         /// Its class.
         pub class: ClassName,
         /// Its customer.
@@ -230,6 +234,8 @@
         pub from: InstanceId,
         /// Term that ends.
         pub term: Term,
+        /// Whether the process stops, whatever the list shows.
+        pub stopping: bool,
         /// What warm endpoints bear.
         pub warm: Vec<Warm>,
     }
