feat(standin): relay with holds, cuts, silence, resets and stalls

Cause: faults of the network need a place between two real processes. Ruled out: a fault inside each stand-in only; links between the daemons themselves have no stand-in at their end. Before: no relay. Conclusion: each link of a deployment can be told to hold, cut, silence, reset or stall.

--- a/crates/celerytide-standin/src/lib.rs
+++ b/crates/celerytide-standin/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod launch;
 pub mod plain;
 pub mod probe;
+pub mod relay;
 mod reply;
 mod sockets;
--- a/crates/celerytide-standin/src/main.rs
+++ b/crates/celerytide-standin/src/main.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use celerytide_standin::{config, daemon, engine, plain};
+use celerytide_standin::{config, daemon, engine, plain, relay};
 
 /// Stand-ins for what the platform gives.
 #[derive(FromArgs)]
@@ -21,6 +21,7 @@
     Engine(engine::Options),
     Plain(plain::Options),
     Config(config::Options),
+    Relay(relay::Options),
 }
 
 fn main() -> ExitCode {
@@ -29,6 +30,7 @@
         Command::Engine(options) => daemon::run(options.listen, || engine::Engine::start(&options)),
         Command::Plain(options) => daemon::run(options.listen, || Ok(plain::Plain::new(&options))),
         Command::Config(options) => daemon::run(options.listen, || config::Config::open(&options)),
+        Command::Relay(options) => daemon::run(options.listen, || relay::Relay::open(&options)),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/celerytide-standin/src/relay/route.rs
@@ -0,0 +1,184 @@
+//! One route: its listener, its mode and its connections.
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::{Ipv4Addr, SocketAddr, TcpListener as StdListener, TcpStream as StdStream},
+    os::fd::AsFd,
+    rc::{Rc, Weak},
+    time::Duration,
+};
+
+use monoio::{
+    net::{TcpListener, TcpStream},
+    time,
+};
+use nix::{
+    libc,
+    sys::socket::{Backlog, listen, setsockopt, sockopt},
+};
+
+use super::{Mode, RouteState, conn, conn::Conn, mode::Way};
+
+/// Time between looks at the mode while connections are not taken.
+const LOOK: Duration = Duration::from_millis(5);
+/// Wait for a connection that fills the queue of a stalled listener.
+const FILL_WAIT: Duration = Duration::from_millis(20);
+/// Connections tried to fill that queue.
+const FILLERS: usize = 3;
+
+/// One route.
+pub(super) struct Route {
+    listen: SocketAddr,
+    to: SocketAddr,
+    listener: StdListener,
+    mode: Cell<Mode>,
+    generation: Cell<u64>,
+    conns: RefCell<Vec<Weak<Conn>>>,
+    fillers: RefCell<Vec<StdStream>>,
+}
+
+impl Route {
+    pub(super) fn open(to: SocketAddr) -> io::Result<Rc<Self>> {
+        let listener = StdListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        listener.set_nonblocking(true)?;
+        abrupt(&listener)?;
+        Ok(Rc::new(Self {
+            listen: listener.local_addr()?,
+            to,
+            listener,
+            mode: Cell::default(),
+            generation: Cell::default(),
+            conns: RefCell::default(),
+            fillers: RefCell::default(),
+        }))
+    }
+
+    pub(super) fn set(&self, mode: Mode) {
+        match mode {
+            Mode::Silent => self.each(|conn| conn.silence()),
+            Mode::Reset => self.each(|conn| conn.close()),
+            Mode::Stall => self.stall(),
+            _ => {}
+        }
+        if self.mode.get() == Mode::Stall && mode != Mode::Stall {
+            self.fillers.borrow_mut().clear();
+            let _ = listen(&self.listener, Backlog::MAXCONN);
+        }
+        let lasting = match mode {
+            Mode::Silent | Mode::Reset => Mode::Pass,
+            lasting => lasting,
+        };
+        self.mode.set(lasting);
+        self.generation.set(self.generation.get() + 1);
+    }
+
+    /// Fills the queue of the listener, so that the system drops what asks for a connection.
+    fn stall(&self) {
+        if let Ok(none) = Backlog::new(0) {
+            let _ = listen(&self.listener, none);
+        }
+        for _ in 0..FILLERS {
+            match StdStream::connect_timeout(&self.listen, FILL_WAIT) {
+                Ok(filler) => self.fillers.borrow_mut().push(filler),
+                Err(_) => return,
+            }
+        }
+    }
+
+    pub(super) fn mode(&self) -> Mode {
+        self.mode.get()
+    }
+
+    pub(super) fn generation(&self) -> u64 {
+        self.generation.get()
+    }
+
+    pub(super) fn state(&self) -> RouteState {
+        let conns: Vec<Rc<Conn>> = self.open_conns();
+        let held = |way: Way| conns.iter().filter(|conn| conn.is_held(way)).count();
+        let either = |conn: &&Rc<Conn>| conn.is_held(Way::Up) || conn.is_held(Way::Down);
+        RouteState {
+            listen: self.listen,
+            to: self.to,
+            mode: self.mode.get(),
+            open: conns.len(),
+            held: conns.iter().filter(either).count(),
+            held_up: held(Way::Up),
+            held_down: held(Way::Down),
+        }
+    }
+
+    fn each(&self, tell: impl Fn(&Conn)) {
+        for conn in self.open_conns() {
+            tell(&conn);
+        }
+    }
+
+    fn open_conns(&self) -> Vec<Rc<Conn>> {
+        let conns = self.conns.borrow();
+        let known = conns.iter().filter_map(Weak::upgrade);
+        known.filter(|conn| conn.is_open()).collect()
+    }
+
+    fn note(&self, conn: &Rc<Conn>) {
+        let mut conns = self.conns.borrow_mut();
+        conns.retain(|conn| conn.upgrade().is_some_and(|conn| conn.is_open()));
+        conns.push(Rc::downgrade(conn));
+    }
+}
+
+/// Takes connections until the process ends.
+pub(super) async fn accept(route: Rc<Route>) {
+    let listener = route.listener.try_clone().and_then(TcpListener::from_std);
+    let Ok(listener) = listener else {
+        return;
+    };
+    loop {
+        if route.mode() == Mode::Stall {
+            time::sleep(LOOK).await;
+            continue;
+        }
+        monoio::select! {
+            taken = listener.accept() => {
+                if let Ok((from, _)) = taken {
+                    monoio::spawn(serve(route.clone(), from));
+                }
+            }
+            () = stalled(&route) => {}
+        }
+    }
+}
+
+async fn stalled(route: &Route) {
+    while route.mode() != Mode::Stall {
+        time::sleep(LOOK).await;
+    }
+}
+
+async fn serve(route: Rc<Route>, from: TcpStream) {
+    let conn = Rc::new(Conn::default());
+    let Ok(to) = connect(route.to) else {
+        return;
+    };
+    route.note(&conn);
+    let _ = (from.set_nodelay(true), to.set_nodelay(true));
+    conn::run(route, conn, from, to).await;
+}
+
+/// Loopback connects at once or refuses.
+fn connect(to: SocketAddr) -> io::Result<TcpStream> {
+    let to = StdStream::connect(to)?;
+    to.set_nonblocking(true)?;
+    abrupt(&to)?;
+    TcpStream::from_std(to)
+}
+
+/// Accepted connections inherit it from the listener: dropped without an orderly end, they are reset.
+fn abrupt(socket: &impl AsFd) -> io::Result<()> {
+    let linger = libc::linger {
+        l_onoff: 1,
+        l_linger: 0,
+    };
+    Ok(setsockopt(socket, sockopt::Linger, &linger)?)
+}
