--- /dev/null
+++ b/crates/celerytide-faults/src/check/mod.rs
@@ -0,0 +1,78 @@
+//! The invariants, each a check over a recorded history.
+
+mod answers;
+mod runs;
+mod system;
+
+pub use answers::{final_word, own_and_whole};
+pub use runs::{at_most_once, words_are_true, zone_out};
+pub use system::{cold, configuration, nothing_held, served_again};
+
+use crate::history::History;
+
+/// A broken invariant.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Violation {
+    /// The invariant's name.
+    pub invariant: &'static str,
+    /// What was seen.
+    pub seen: String,
+}
+
+/// One invariant.
+pub struct Invariant {
+    /// Its name.
+    pub name: &'static str,
+    /// Its check; says what broke it.
+    pub check: fn(&History) -> Vec<String>,
+}
+
+/// Every invariant.
+pub const INVARIANTS: [Invariant; 9] = [
+    Invariant {
+        name: "at-most-once",
+        check: at_most_once,
+    },
+    Invariant {
+        name: "words-are-true",
+        check: words_are_true,
+    },
+    Invariant {
+        name: "final-word",
+        check: final_word,
+    },
+    Invariant {
+        name: "own-and-whole",
+        check: own_and_whole,
+    },
+    Invariant {
+        name: "cold",
+        check: cold,
+    },
+    Invariant {
+        name: "configuration",
+        check: configuration,
+    },
+    Invariant {
+        name: "zone-out",
+        check: zone_out,
+    },
+    Invariant {
+        name: "served-again",
+        check: served_again,
+    },
+    Invariant {
+        name: "nothing-held",
+        check: nothing_held,
+    },
+];
+
+/// Every violation of every invariant.
+pub fn all(history: &History) -> Vec<Violation> {
+    let of = |invariant: &Invariant| {
+        let name = invariant.name;
+        let seen = (invariant.check)(history).into_iter();
+        seen.map(move |seen| Violation { invariant: name, seen })
+    };
+    INVARIANTS.iter().flat_map(of).collect()
+}
--- /dev/null
+++ b/crates/celerytide-faults/src/check/runs.rs
@@ -0,0 +1,75 @@
+//! What plain services ran, by their own record.
+
+use std::collections::BTreeSet;
+
+use crate::history::{History, Kind};
+
+/// Time after which a zone that was taken out gets no new work, in milliseconds.
+const ZONE_OUT_MS: u64 = 3000;
+
+/// The action of a ticket runs at most once.
+pub fn at_most_once(history: &History) -> Vec<String> {
+    let tickets: BTreeSet<&String> = history.sent.iter().filter_map(|s| s.ticket.as_ref()).collect();
+    let runs = tickets.into_iter().map(|t| (t, history.runs_of_ticket(t)));
+    let doubled = runs.filter(|(_, runs)| *runs > 1);
+    doubled
+        .map(|(t, runs)| format!("ticket {t} ran {runs} times"))
+        .collect()
+}
+
+/// `not-run` says that no run is recorded, `done` of a protected call that exactly one is.
+pub fn words_are_true(history: &History) -> Vec<String> {
+    let mut seen = Vec::new();
+    for sent in &history.sent {
+        let Some(told) = &sent.told else {
+            continue;
+        };
+        let (request, runs) = (&sent.request, history.runs_of(&sent.request));
+        if told.word == "not-run" && runs > 0 {
+            seen.push(format!("{request}: not-run, and {runs} runs are recorded"));
+        }
+        let ticket = sent.ticket.as_deref().unwrap_or_default();
+        if sent.kind == Kind::Protected && told.is_done() && history.runs_of_ticket(ticket) != 1 {
+            seen.push(format!(
+                "{request}: done, and {} runs are recorded",
+                history.runs_of_ticket(ticket)
+            ));
+        }
+    }
+    seen.extend(history.finals.iter().filter_map(|f| {
+        let runs = history.runs_of_ticket(&f.ticket);
+        let wrong = match f.word.as_deref() {
+            Some("done") => runs != 1,
+            Some("not-run") => runs != 0,
+            _ => false,
+        };
+        wrong.then(|| {
+            format!(
+                "ticket {}: {:?} in the end, and {runs} runs are recorded",
+                f.ticket, f.word
+            )
+        })
+    }));
+    seen
+}
+
+/// A zone that was taken out gets no new work after three seconds.
+pub fn zone_out(history: &History) -> Vec<String> {
+    let Some(out) = &history.zone_out else {
+        return Vec::new();
+    };
+    let end = out.reachable_unix_ms + ZONE_OUT_MS;
+    let late = history
+        .runs
+        .iter()
+        .filter(|r| r.plain == out.plain && r.run.at_unix_ms > end);
+    let after = |at: u64| at.saturating_sub(out.reachable_unix_ms);
+    late.map(|r| {
+        format!(
+            "{} ran in the zone {} ms after",
+            r.run.request_id,
+            after(r.run.at_unix_ms)
+        )
+    })
+    .collect()
+}
--- /dev/null
+++ b/crates/celerytide-faults/src/history/mod.rs
@@ -0,0 +1,112 @@
+//! What a run recorded: what callers were told, what endpoints ran, which configuration was in force where.
+
+use std::time::Duration;
+
+use celerytide_load::caller::Outcome;
+use celerytide_standin::plain::Run;
+
+/// Kind of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// A streamed model call of so many tokens at most.
+    Chat(usize),
+    /// A plain call that may be repeated.
+    Get,
+    /// A plain call that runs at most once.
+    Protected,
+}
+
+/// One request and what its caller was told.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Sent {
+    /// Its id.
+    pub request: String,
+    /// Its kind.
+    pub kind: Kind,
+    /// Its ticket, if it is protected.
+    pub ticket: Option<String>,
+    /// The answer; absent if none ended within the caller's patience.
+    pub told: Option<Outcome>,
+    /// Whether the fault took the caller's own connection for good.
+    pub excused: bool,
+}
+
+/// What became of a ticket in the end, as an entry says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Final {
+    /// The ticket.
+    pub ticket: String,
+    /// `done`, `not-run` or `unknown`; absent if no entry said it in time.
+    pub word: Option<String>,
+}
+
+/// A run and the plain service that recorded it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Ran {
+    /// Index of the plain service.
+    pub plain: usize,
+    /// The run.
+    pub run: Run,
+}
+
+/// A configuration in force at one moment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InForce {
+    /// The process.
+    pub process: String,
+    /// Its life.
+    pub incarnation: String,
+    /// The version in force.
+    pub version: u64,
+}
+
+/// A zone that was taken out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ZoneOut {
+    /// Plain service of that zone.
+    pub plain: usize,
+    /// When the news could reach every entry.
+    pub reachable_unix_ms: u64,
+}
+
+/// All that a run recorded.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct History {
+    /// Every request.
+    pub sent: Vec<Sent>,
+    /// Every ticket's end.
+    pub finals: Vec<Final>,
+    /// Every run of the plain services.
+    pub runs: Vec<Ran>,
+    /// Configurations in force, in the order in which they were seen.
+    pub in_force: Vec<InForce>,
+    /// Version that was to be in force everywhere in the end.
+    pub newest: u64,
+    /// How long it took to be in force everywhere; absent if longer than the bound.
+    pub converged: Option<Duration>,
+    /// A zone that was taken out.
+    pub zone_out: Option<ZoneOut>,
+    /// Times a cold engine fell over because it was given more than it bears.
+    pub falls: u64,
+    /// Kinds of new requests, by entry, that were not served again in time.
+    pub unserved: Vec<String>,
+    /// What was still held at the end.
+    pub left: Vec<String>,
+}
+
+impl History {
+    /// Requests that bore `ticket`.
+    pub fn of_ticket<'a>(&'a self, ticket: &'a str) -> impl Iterator<Item = &'a Sent> {
+        self.sent.iter().filter(move |s| s.ticket.as_deref() == Some(ticket))
+    }
+
+    /// Runs of requests that bore `ticket`.
+    pub fn runs_of_ticket(&self, ticket: &str) -> usize {
+        self.of_ticket(ticket).map(|s| self.runs_of(&s.request)).sum()
+    }
+
+    /// Runs of the request.
+    pub fn runs_of(&self, request: &str) -> usize {
+        self.runs.iter().filter(|r| r.run.request_id == request).count()
+    }
+}
--- a/crates/celerytide-faults/src/lib.rs
+++ b/crates/celerytide-faults/src/lib.rs
@@ -1,11 +1,19 @@
 //! Faults at every step, on real processes over the stand-ins.
 //!
-//! A [`Rig`] is a whole deployment on loopback, with short bounds, and callers that note what they were told. Checks compare what
-//! callers were told with what the stand-ins recorded.
+//! A [`Rig`] is a whole deployment on loopback, with callers that note what they were told. A [`world::World`] is one whose every
+//! link goes through a relay and whose bounds are short; [`run`] brings requests and changes to a step of the [`matrix`], lets
+//! faults strike there, and hands the recorded [`history`] to the invariants of [`check`].
 
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+pub mod batch;
+pub mod check;
+pub mod history;
+pub mod matrix;
+pub mod page;
 mod rig;
+pub mod run;
+pub mod world;
 
 pub use rig::{Rig, RigOptions, Told, until};
--- /dev/null
+++ b/crates/celerytide-faults/src/matrix/mod.rs
@@ -0,0 +1,22 @@
+//! The fault matrix: steps of a request's and of a change's life against faults.
+
+mod cell;
+mod names;
+
+pub use cell::{Cell, cell};
+pub use names::{Fault, Step};
+
+/// A fault at a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Strike {
+    /// Where requests or the change stand when it strikes.
+    pub step: Step,
+    /// What strikes.
+    pub fault: Fault,
+}
+
+/// Every cell's place, row by row.
+pub fn places() -> impl Iterator<Item = Strike> {
+    let row = |step: Step| Fault::ALL.into_iter().map(move |fault| Strike { step, fault });
+    Step::ALL.into_iter().flat_map(row)
+}
--- /dev/null
+++ b/crates/celerytide-faults/src/matrix/names.rs
@@ -0,0 +1,224 @@
+//! The steps and the faults.
+
+/// A step of a request's or of a change's life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Step {
+    /// An entry has taken the connection and a part of the head.
+    Accepted,
+    /// The ask for a permit is on its way to the owner.
+    Classified,
+    /// The ask waits in the owner's queue.
+    Queued,
+    /// The permit is on its way to the entry.
+    Permitted,
+    /// The entry waits for a connection to the endpoint.
+    Connecting,
+    /// The endpoint has a part of the request's head.
+    HeadWritten,
+    /// The endpoint has the whole request; nothing of its answer has left.
+    BodyWritten,
+    /// The first bytes of the answer have reached the entry.
+    FirstByte,
+    /// A part of the answer has reached the entry.
+    MidAnswer,
+    /// All but the last byte of the answer has reached the entry.
+    LastByte,
+    /// The entry has sent the answer; nothing has reached the caller.
+    AnswerToCaller,
+    /// The service has answered a watch; nothing has arrived.
+    Seen,
+    /// A part of the new version has arrived.
+    Fetched,
+    /// The new version is one that the checks refuse.
+    Checked,
+    /// One instance has applied the new version; the other can't learn of it.
+    Applied,
+    /// The new version is on its way from peer to peer.
+    Spread,
+}
+
+impl Step {
+    /// Every one, in order.
+    pub const ALL: [Step; 16] = [
+        Step::Accepted,
+        Step::Classified,
+        Step::Queued,
+        Step::Permitted,
+        Step::Connecting,
+        Step::HeadWritten,
+        Step::BodyWritten,
+        Step::FirstByte,
+        Step::MidAnswer,
+        Step::LastByte,
+        Step::AnswerToCaller,
+        Step::Seen,
+        Step::Fetched,
+        Step::Checked,
+        Step::Applied,
+        Step::Spread,
+    ];
+
+    /// Its name in tables.
+    pub fn name(self) -> &'static str {
+        match self {
+            Step::Accepted => "accepted",
+            Step::Classified => "classified",
+            Step::Queued => "queued",
+            Step::Permitted => "permitted",
+            Step::Connecting => "connecting",
+            Step::HeadWritten => "head-written",
+            Step::BodyWritten => "body-written",
+            Step::FirstByte => "first-byte",
+            Step::MidAnswer => "mid-answer",
+            Step::LastByte => "last-byte",
+            Step::AnswerToCaller => "answer-to-caller",
+            Step::Seen => "version-seen",
+            Step::Fetched => "fetched",
+            Step::Checked => "checked",
+            Step::Applied => "applied",
+            Step::Spread => "spread",
+        }
+    }
+
+    /// What it means.
+    pub fn meaning(self) -> &'static str {
+        match self {
+            Step::Accepted => "An entry has taken the connection and a part of the head.",
+            Step::Classified => "The ask for a permit is on its way to the owner.",
+            Step::Queued => "The ask waits in the owner's queue.",
+            Step::Permitted => "The permit is on its way to the entry.",
+            Step::Connecting => "The entry waits for a connection to the endpoint.",
+            Step::HeadWritten => "The endpoint has a part of the request's head.",
+            Step::BodyWritten => "The endpoint has the whole request; nothing of its answer has left.",
+            Step::FirstByte => "The first bytes of the answer have reached the entry.",
+            Step::MidAnswer => "A part of the answer has reached the entry.",
+            Step::LastByte => "All but the last byte of the answer has reached the entry.",
+            Step::AnswerToCaller => "The entry has sent the answer; nothing has reached the caller.",
+            Step::Seen => "The service has answered a watch; nothing has arrived.",
+            Step::Fetched => "A part of the new version has arrived.",
+            Step::Checked => "The new version is one that the checks refuse.",
+            Step::Applied => "One instance has applied the new version; the other can't learn of it.",
+            Step::Spread => "The new version is on its way from peer to peer.",
+        }
+    }
+}
+
+/// A fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Fault {
+    /// The entry is killed, and started again afterwards.
+    KillEntry,
+    /// The owners' dispatches are killed, and started again afterwards.
+    KillDispatch,
+    /// The endpoints that hold requests are killed, and started again afterwards.
+    KillEndpoint,
+    /// The entry is paused for longer than each bound, and woken.
+    PauseEntry,
+    /// The owners' dispatches are paused for longer than each bound, and woken.
+    PauseDispatch,
+    /// The endpoints that hold requests are paused for longer than each bound, and woken.
+    PauseEndpoint,
+    /// The connections of the step are reset.
+    Reset,
+    /// The connections of the step are silent for good; new ones work.
+    Silent,
+    /// Nothing comes back over the links of the step for longer than each bound.
+    CutOneWay,
+    /// Nothing passes the links of the step for longer than each bound.
+    CutBoth,
+    /// The configuration service ends each connection without an answer.
+    ServiceDown,
+    /// The configuration service answers as if nothing had changed.
+    ServiceStale,
+    /// One instance alone learns that the other has left the list.
+    ListLagging,
+    /// The same comes a second time, by another way.
+    Duplicate,
+    /// The later one arrives first.
+    Reordered,
+    /// All waits at the step for longer than each bound, and goes on.
+    Late,
+    /// Engines turn cold without a sign while more work arrives.
+    Cold,
+}
+
+impl Fault {
+    /// Every one, in order.
+    pub const ALL: [Fault; 17] = [
+        Fault::KillEntry,
+        Fault::KillDispatch,
+        Fault::KillEndpoint,
+        Fault::PauseEntry,
+        Fault::PauseDispatch,
+        Fault::PauseEndpoint,
+        Fault::Reset,
+        Fault::Silent,
+        Fault::CutOneWay,
+        Fault::CutBoth,
+        Fault::ServiceDown,
+        Fault::ServiceStale,
+        Fault::ListLagging,
+        Fault::Duplicate,
+        Fault::Reordered,
+        Fault::Late,
+        Fault::Cold,
+    ];
+
+    /// Its name in tables.
+    pub fn name(self) -> &'static str {
+        match self {
+            Fault::KillEntry => "entry killed",
+            Fault::KillDispatch => "dispatch killed",
+            Fault::KillEndpoint => "endpoint killed",
+            Fault::PauseEntry => "entry paused",
+            Fault::PauseDispatch => "dispatch paused",
+            Fault::PauseEndpoint => "endpoint paused",
+            Fault::Reset => "reset",
+            Fault::Silent => "silent",
+            Fault::CutOneWay => "cut one way",
+            Fault::CutBoth => "cut both ways",
+            Fault::ServiceDown => "service down",
+            Fault::ServiceStale => "service stale",
+            Fault::ListLagging => "list lagging",
+            Fault::Duplicate => "duplicate",
+            Fault::Reordered => "reordered",
+            Fault::Late => "late",
+            Fault::Cold => "cold",
+        }
+    }
+
+    /// What it means.
+    pub fn meaning(self) -> &'static str {
+        match self {
+            Fault::KillEntry => "The entry is killed, and started again afterwards.",
+            Fault::KillDispatch => "The owners' dispatches are killed, and started again afterwards.",
+            Fault::KillEndpoint => "The endpoints that hold requests are killed, and started again afterwards.",
+            Fault::PauseEntry => "The entry is paused for longer than each bound, and woken.",
+            Fault::PauseDispatch => "The owners' dispatches are paused for longer than each bound, and woken.",
+            Fault::PauseEndpoint => {
+                "The endpoints that hold requests are paused for longer than each bound, and woken."
+            }
+            Fault::Reset => "The connections of the step are reset.",
+            Fault::Silent => "The connections of the step are silent for good; new ones work.",
+            Fault::CutOneWay => "Nothing comes back over the links of the step for longer than each bound.",
+            Fault::CutBoth => "Nothing passes the links of the step for longer than each bound.",
+            Fault::ServiceDown => "The configuration service ends each connection without an answer.",
+            Fault::ServiceStale => "The configuration service answers as if nothing had changed.",
+            Fault::ListLagging => "One instance alone learns that the other has left the list.",
+            Fault::Duplicate => "The same comes a second time, by another way.",
+            Fault::Reordered => "The later one arrives first.",
+            Fault::Late => "All waits at the step for longer than each bound, and goes on.",
+            Fault::Cold => "Engines turn cold without a sign while more work arrives.",
+        }
+    }
+}
+
+impl Step {
+    /// Whether it is a step of a change's life.
+    pub fn is_change(self) -> bool {
+        matches!(
+            self,
+            Step::Seen | Step::Fetched | Step::Checked | Step::Applied | Step::Spread
+        )
+    }
+}
--- /dev/null
+++ b/crates/celerytide-faults/src/run/callers.rs
@@ -0,0 +1,156 @@
+//! Callers of a run: send requests in tasks of their own and note what they are told.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use celerytide_http::client::{Client, Options};
+use celerytide_load::caller::{Ask, Outcome, send};
+use http::Method;
+use monoio::time::timeout;
+use serde_json::Value;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    history::{Kind, Sent},
+    world::{Link, World},
+};
+
+/// Longer than each bound on a request together.
+const PATIENCE: Duration = Duration::from_secs(18);
+/// Tokens of each chat call.
+pub(super) const TOKENS: usize = 40;
+const SUBMIT: &str = "/services/forms/submit";
+
+/// What one call is.
+#[derive(Clone)]
+pub(super) struct Request {
+    pub(super) entry: usize,
+    pub(super) request: String,
+    pub(super) kind: Kind,
+    pub(super) ticket: Option<String>,
+}
+
+pub(super) struct Callers {
+    entries: Vec<SocketAddr>,
+    key: String,
+    model: String,
+    next: Cell<u64>,
+    seed: u64,
+    /// Every request so far.
+    pub(super) sent: Rc<RefCell<Vec<Sent>>>,
+    open: Rc<Cell<usize>>,
+}
+
+impl Callers {
+    pub(super) fn new(world: &World, seed: u64) -> Callers {
+        let plan = world.plan();
+        Callers {
+            entries: Link::both(Link::Caller)
+                .into_iter()
+                .map(|link| world.route(link))
+                .collect(),
+            key: plan.customers.first().map(|c| c.key()).unwrap_or_default(),
+            model: plan.engines.model.clone(),
+            next: Cell::default(),
+            seed,
+            sent: Rc::default(),
+            open: Rc::default(),
+        }
+    }
+
+    /// A name that no other request of the run has.
+    pub(super) fn name(&self, kind: &str) -> String {
+        let next = self.next.get();
+        self.next.set(next + 1);
+        format!("{kind}-{}-{next}", self.seed)
+    }
+
+    /// Sends in a task of its own.
+    pub(super) fn send(&self, call: Request) {
+        let sent = self.sent.clone();
+        let at = sent.borrow().len();
+        sent.borrow_mut().push(Sent {
+            request: call.request.clone(),
+            kind: call.kind,
+            ticket: call.ticket.clone(),
+            told: None,
+            excused: false,
+        });
+        let ask = self.ask(&call);
+        let open = self.open.clone();
+        open.set(open.get() + 1);
+        monoio::spawn(async move {
+            let told = ask_once(&ask).await;
+            open.set(open.get() - 1);
+            sent.borrow_mut()[at].told = told;
+        });
+    }
+
+    /// Sends and waits; the answer is noted as well.
+    pub(super) async fn call(&self, call: Request) -> Option<Outcome> {
+        let told = ask_once(&self.ask(&call)).await;
+        self.sent.borrow_mut().push(Sent {
+            request: call.request,
+            kind: call.kind,
+            ticket: call.ticket,
+            told: told.clone(),
+            excused: false,
+        });
+        told
+    }
+
+    /// Takes the connections of open requests for good: their callers can't hear an end.
+    pub(super) fn excuse_open(&self) {
+        for sent in self.sent.borrow_mut().iter_mut().filter(|s| s.told.is_none()) {
+            sent.excused = true;
+        }
+    }
+
+    /// Requests without an end so far.
+    pub(super) fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// A ticket from an entry.
+    pub(super) async fn ticket(&self, entry: usize) -> Option<String> {
+        let name = self.name("take");
+        let ask = Ask::plain(self.entries[entry], &self.key, &name, Method::POST, "/v1/tickets");
+        let told = ask_once(&ask).await?;
+        let body: Value = serde_json::from_slice(&told.body).ok()?;
+        body["ticket"].as_str().map(str::to_owned)
+    }
+
+    /// The final word of a ticket, once an entry has one.
+    pub(super) async fn look(&self, entry: usize, ticket: &str) -> Option<String> {
+        let name = self.name("look");
+        let path = format!("/v1/tickets/{ticket}");
+        let ask = Ask::plain(self.entries[entry], &self.key, &name, Method::GET, &path);
+        let told = ask_once(&ask).await.filter(|told| told.status == 200)?;
+        let body: Value = serde_json::from_slice(&told.body).ok()?;
+        body["word"].as_str().map(str::to_owned)
+    }
+
+    fn ask(&self, call: &Request) -> Ask {
+        let (addr, key, request) = (self.entries[call.entry], &self.key, &call.request);
+        match call.kind {
+            Kind::Chat(tokens) => Ask::chat(addr, key, request, &self.model, "hello", Some(tokens)),
+            Kind::Get => Ask::plain(addr, key, request, Method::GET, "/services/forms/read"),
+            Kind::Protected => Ask {
+                ticket: call.ticket.clone(),
+                body: Bytes::from_static(b"{}"),
+                ..Ask::plain(addr, key, request, Method::POST, SUBMIT)
+            },
+        }
+    }
+}
+
+async fn ask_once(ask: &Ask) -> Option<Outcome> {
+    let client = Client::new(Options::default());
+    let cx = CancellationToken::new();
+    timeout(PATIENCE, send(&client, ask, &cx, |_| {})).await.ok()
+}
--- /dev/null
+++ b/crates/celerytide-faults/src/run/mod.rs
@@ -0,0 +1,112 @@
+//! Runs faults at steps on a world of its own, and checks what was recorded.
+
+mod callers;
+mod change;
+mod settle;
+mod step;
+mod strike;
+mod watch;
+
+use std::time::{Duration, Instant};
+
+use monoio::{LegacyDriver, RuntimeBuilder};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+use crate::{
+    check::{self, Violation},
+    history::History,
+    matrix::{Cell, Fault, Step, Strike, cell},
+    world::{PAST_BOUNDS, World},
+};
+use callers::Callers;
+
+/// Time in which a world must be ready.
+const READY: Duration = Duration::from_secs(30);
+
+/// What a run came to.
+#[derive(Debug, Clone)]
+pub struct Report {
+    /// What struck, in order.
+    pub strikes: Vec<Strike>,
+    /// Seed.
+    pub seed: u64,
+    /// Whether each step was reached when its fault struck.
+    pub reached: Vec<bool>,
+    /// What broke.
+    pub violations: Vec<Violation>,
+    /// Why it could not be run to its end.
+    pub fault: Option<String>,
+    /// Time it took.
+    pub took: Duration,
+}
+
+impl Report {
+    /// Whether every step was reached and every invariant held.
+    pub fn holds(&self) -> bool {
+        self.fault.is_none() && self.violations.is_empty() && self.reached.iter().all(|reached| *reached)
+    }
+}
+
+/// Runs `strikes`, one after the other in one world.
+pub fn run(strikes: &[Strike], seed: u64) -> Report {
+    let began = Instant::now();
+    let built = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build();
+    let mut runtime = built.expect("the epoll runtime starts on Linux");
+    let ran = runtime.block_on(in_world(strikes, seed));
+    let (reached, violations, fault) = match ran {
+        Ok((reached, history)) => (reached, check::all(&history), None),
+        Err(fault) => (Vec::new(), Vec::new(), Some(fault)),
+    };
+    Report {
+        strikes: strikes.to_vec(),
+        seed,
+        reached,
+        violations,
+        fault,
+        took: began.elapsed(),
+    }
+}
+
+/// A pair of strikes that a seed draws, each of a cell that runs.
+pub fn draw_pair(seed: u64) -> [Strike; 2] {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut draw = || loop {
+        let step = Step::ALL[rng.random_range(0..Step::ALL.len())];
+        let fault = Fault::ALL[rng.random_range(0..Fault::ALL.len())];
+        if cell(step, fault) == Cell::Runs {
+            return Strike { step, fault };
+        }
+    };
+    [draw(), draw()]
+}
+
+async fn in_world(strikes: &[Strike], seed: u64) -> Result<(Vec<bool>, History), String> {
+    let mut world = World::start().map_err(|e| e.to_string())?;
+    if !settle::ready(&world, READY).await {
+        return Err(format!("the world is not ready; {}", world.log("celerytide-entry", 0)));
+    }
+    let callers = Callers::new(&world, seed);
+    let watch = watch::Watch::start(&world);
+    let mut change = change::Change::default();
+    let mut struck = strike::Struck::default();
+    let mut reached = Vec::new();
+    for strike in strikes {
+        let at = match strike.step.is_change() {
+            true => change.bring(&mut world, strike.step).await,
+            false => step::bring(&world, &callers, strike).await,
+        };
+        reached.push(at);
+        strike::strike(&mut world, &callers, &mut change, *strike, &mut struck).await;
+    }
+    if strikes.iter().any(|s| strike::lasts(s.fault)) {
+        monoio::time::sleep(PAST_BOUNDS).await;
+    }
+    strike::relent(&mut world, &struck).await.map_err(|e| e.to_string())?;
+    change.reachable(&world);
+    let mut history = settle::settle(&world, &callers, &change).await;
+    history.in_force = watch.stop();
+    history.runs = struck.saved_runs;
+    history.falls += struck.saved_falls;
+    settle::gather(&world, &mut history).await;
+    Ok((reached, history))
+}
--- /dev/null
+++ b/crates/celerytide-faults/src/world/http.rs
@@ -0,0 +1,137 @@
+//! Asks operators' and control addresses without blocking the callers of the same thread.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use celerytide_http::client::{Bounds, Call, Client, Options};
+use celerytide_standin::{
+    plain::{RUNS_PATH, Run},
+    probe::FAULT_PATH,
+};
+use http::Method;
+use serde_json::Value;
+use tokio_util::sync::CancellationToken;
+
+use super::{Daemon, World};
+
+/// Bound on each step of a question.
+const ASK: Duration = Duration::from_millis(1500);
+/// Largest answer in bytes.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+/// Time between two looks at a condition.
+pub const LOOK: Duration = Duration::from_millis(20);
+
+/// Asks small questions.
+pub struct Http {
+    client: Client,
+    cx: CancellationToken,
+}
+
+impl Default for Http {
+    fn default() -> Http {
+        Http {
+            client: Client::new(Options::default()),
+            cx: CancellationToken::new(),
+        }
+    }
+}
+
+impl Http {
+    /// The JSON at `path`, if it came.
+    pub async fn get(&self, addr: SocketAddr, path: &str) -> Option<Value> {
+        self.ask(addr, Method::GET, path, Bytes::new()).await
+    }
+
+    /// The status at `path`; 0 if there was no answer.
+    pub async fn status(&self, addr: SocketAddr, path: &str) -> u16 {
+        let sent = self.send(addr, Method::GET, path, Bytes::new()).await;
+        sent.map_or(0, |whole| whole.status.as_u16())
+    }
+
+    /// Tells a stand-in a fault.
+    pub async fn fault(&self, addr: SocketAddr, json: &str) -> bool {
+        let body = Bytes::from(json.to_owned());
+        self.ask(addr, Method::PUT, FAULT_PATH, body).await.is_some()
+    }
+
+    async fn ask(&self, addr: SocketAddr, method: Method, path: &str, body: Bytes) -> Option<Value> {
+        let whole = self.send(addr, method, path, body).await?;
+        let body = Some(whole.body).filter(|_| whole.status.is_success())?;
+        serde_json::from_slice(&body).ok()
+    }
+
+    async fn send(
+        &self,
+        addr: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Option<celerytide_http::client::Whole> {
+        let call = Call {
+            body,
+            fresh: true,
+            bounds: Bounds {
+                connect: ASK,
+                first_byte: ASK,
+                between_bytes: ASK,
+                ..Bounds::default()
+            },
+            ..Call::new(addr, method, path)
+        };
+        self.client.send_whole(call, MAX_ANSWER_BYTES, &self.cx).await.ok()
+    }
+}
+
+impl World {
+    /// Operators' address of a daemon; control address of a stand-in.
+    pub fn operator(&self, daemon: Daemon) -> SocketAddr {
+        match daemon {
+            Daemon::Entry(at) => self.instances[at].entry_operator,
+            Daemon::Dispatch(at) => self.instances[at].dispatch_operator,
+            Daemon::Engine(_) | Daemon::Plain(_) => self.daemon(daemon).addr(),
+        }
+    }
+
+    /// `/status` of a daemon; null if it doesn't answer.
+    pub async fn status(&self, daemon: Daemon) -> Value {
+        self.http
+            .get(self.operator(daemon), "/status")
+            .await
+            .unwrap_or_default()
+    }
+
+    /// What a plain service recorded; absent if it doesn't answer.
+    pub async fn runs(&self, at: usize) -> Option<Vec<Run>> {
+        let runs = self.http.get(self.plains[at].addr(), RUNS_PATH).await?;
+        serde_json::from_value(runs).ok()
+    }
+
+    /// Tells the configuration service a fault.
+    pub async fn config_fault(&self, json: &str) -> bool {
+        self.http.fault(self.config.addr(), json).await
+    }
+
+    /// Pools that a dispatch owns.
+    pub async fn pools(&self, at: usize) -> Vec<Value> {
+        let status = self.status(Daemon::Dispatch(at)).await;
+        let pools = status.get("pools").and_then(Value::as_array);
+        pools.cloned().unwrap_or_default()
+    }
+}
+
+/// Waits until `holds`; false after `bound`.
+pub async fn until(bound: Duration, mut holds: impl AsyncFnMut() -> bool) -> bool {
+    let end = Instant::now() + bound;
+    loop {
+        if holds().await {
+            return true;
+        }
+        if Instant::now() >= end {
+            return false;
+        }
+        monoio::time::sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/crates/celerytide-faults/src/world/mod.rs
@@ -0,0 +1,81 @@
+//! A deployment whose every link goes through a relay, with short bounds, and whose processes can be started again.
+
+mod http;
+mod net;
+mod plan;
+mod start;
+
+use std::time::Duration;
+
+use celerytide_load::fleet::{Addresses, Deployment, WorkDir};
+use celerytide_manifest::Manifest;
+use celerytide_standin::launch::Process;
+
+pub use http::{Http, LOOK, until};
+pub use net::Link;
+pub use start::{Daemon, Error};
+
+/// Instances of a world.
+pub const INSTANCES: usize = 2;
+/// Engines of a world, one in each zone.
+pub const ENGINES: usize = 2;
+/// Plain services of a world, one in each zone.
+pub const PLAINS: usize = 2;
+/// Slots of an engine.
+pub const ENGINE_SLOTS: u32 = 2;
+/// Slots of a cold engine.
+pub const COLD_SLOTS: u32 = 1;
+/// Slots of a plain service.
+pub const PLAIN_SLOTS: u32 = 3;
+/// Silence after which a connection between two daemons counts as dead.
+pub const SILENCE: Duration = Duration::from_millis(900);
+/// Longest wait for a permit.
+pub const PERMIT: Duration = Duration::from_secs(3);
+/// Longer than each bound that a request meets: connect, first byte, between bytes, silence and permit.
+pub const PAST_BOUNDS: Duration = Duration::from_millis(3500);
+
+/// Processes of one deployment and the relay between them.
+pub struct World {
+    plan: Deployment,
+    /// Where each instance really listens.
+    pub instances: Vec<Addresses>,
+    entries: Vec<Process>,
+    dispatches: Vec<Process>,
+    engines: Vec<Process>,
+    plains: Vec<Process>,
+    config: Process,
+    relay: Process,
+    routes: Vec<std::net::SocketAddr>,
+    /// The manifest published last.
+    pub manifest: Manifest,
+    /// Asks control and operators' addresses.
+    pub http: Http,
+    dir: WorkDir,
+}
+
+impl World {
+    /// The plan it was started from.
+    pub fn plan(&self) -> &Deployment {
+        &self.plan
+    }
+
+    /// The process of a daemon.
+    pub fn daemon(&self, daemon: Daemon) -> &Process {
+        match daemon {
+            Daemon::Entry(at) => &self.entries[at],
+            Daemon::Dispatch(at) => &self.dispatches[at],
+            Daemon::Engine(at) => &self.engines[at],
+            Daemon::Plain(at) => &self.plains[at],
+        }
+    }
+
+    /// The same, to be ended.
+    pub fn daemon_mut(&mut self, daemon: Daemon) -> &mut Process {
+        match daemon {
+            Daemon::Entry(at) => &mut self.entries[at],
+            Daemon::Dispatch(at) => &mut self.dispatches[at],
+            Daemon::Engine(at) => &mut self.engines[at],
+            Daemon::Plain(at) => &mut self.plains[at],
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerytide-faults/src/world/net.rs
@@ -0,0 +1,82 @@
+//! Links of a world, each a route of its relay.
+
+use std::net::SocketAddr;
+
+use celerytide_standin::relay::{self, Mode, RouteState};
+
+use super::{ENGINES, INSTANCES, World};
+
+/// A link that faults strike, by what stands at its far end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Link {
+    /// Callers to an entry.
+    Caller(usize),
+    /// Our processes to an entry.
+    EntryPeer(usize),
+    /// Our processes to a dispatch.
+    DispatchPeer(usize),
+    /// An instance's processes to the configuration service.
+    Config(usize),
+    /// Entries and dispatches to an engine.
+    Engine(usize),
+    /// Entries to a plain service.
+    Plain(usize),
+}
+
+impl Link {
+    pub(crate) fn index(self) -> usize {
+        match self {
+            Link::Caller(at) => at,
+            Link::EntryPeer(at) => INSTANCES + at,
+            Link::DispatchPeer(at) => 2 * INSTANCES + at,
+            Link::Config(at) => 3 * INSTANCES + at,
+            Link::Engine(at) => 4 * INSTANCES + at,
+            Link::Plain(at) => 4 * INSTANCES + ENGINES + at,
+        }
+    }
+
+    /// Both links of a kind.
+    pub fn both(kind: impl Fn(usize) -> Link) -> Vec<Link> {
+        (0..INSTANCES).map(kind).collect()
+    }
+
+    /// Every link to an endpoint.
+    pub fn endpoints() -> Vec<Link> {
+        let mut all = Link::both(Link::Engine);
+        all.extend(Link::both(Link::Plain));
+        all
+    }
+}
+
+impl World {
+    /// Where the near end of a link connects to.
+    pub fn route(&self, link: Link) -> SocketAddr {
+        self.routes[link.index()]
+    }
+
+    /// Tells links how to treat bytes.
+    pub fn set(&self, links: &[Link], mode: Mode) {
+        for link in links {
+            let told = relay::set(self.relay.addr(), link.index(), &mode);
+            told.expect("the relay of a world always answers");
+        }
+    }
+
+    /// How every link stands.
+    pub fn links(&self) -> Vec<RouteState> {
+        relay::routes(self.relay.addr()).expect("the relay of a world always answers")
+    }
+
+    /// How one link stands.
+    pub fn link(&self, link: Link) -> RouteState {
+        self.links()[link.index()].clone()
+    }
+
+    /// Lets everything pass everywhere.
+    pub fn heal(&self) {
+        for (index, _) in self.routes.iter().enumerate() {
+            let told = relay::set(self.relay.addr(), index, &Mode::Pass);
+            told.expect("the relay of a world always answers");
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerytide-faults/src/world/plan.rs
@@ -0,0 +1,91 @@
+//! The deployment and its settings.
+
+use std::{net::SocketAddr, time::Duration};
+
+use celerytide_load::fleet::{Addresses, Deployment, settings};
+use celerytide_manifest::{DispatchSettings, DispatchTimeouts, EntrySettings, EntryTimeouts, Platform};
+
+use super::{COLD_SLOTS, ENGINE_SLOTS, ENGINES, INSTANCES, PERMIT, PLAIN_SLOTS, PLAINS, SILENCE};
+
+const HEAD: Duration = Duration::from_millis(1500);
+const CONNECT: Duration = Duration::from_millis(600);
+const FIRST_BYTE: Duration = Duration::from_millis(2000);
+const BETWEEN_BYTES: Duration = Duration::from_millis(1500);
+const STOP: Duration = Duration::from_secs(10);
+const PING: Duration = Duration::from_millis(250);
+const PERMIT_AGE: Duration = Duration::from_secs(4);
+const HOLD: Duration = Duration::from_millis(500);
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+const VIEW_AGE: Duration = Duration::from_secs(2);
+const WATCH_WAIT: Duration = Duration::from_secs(2);
+const READ_TIMEOUT: Duration = Duration::from_millis(800);
+const START_JITTER: Duration = Duration::from_millis(20);
+/// Length of an engine's cold start in seconds.
+const COLD_SECONDS: f64 = 0.4;
+/// Time of a decode step in milliseconds.
+const DECODE_MS: f64 = 5.0;
+/// Time by which a request of each class must begin.
+const FIRST_TOKEN: Duration = Duration::from_secs(3);
+
+pub(super) fn deployment() -> Result<Deployment, super::Error> {
+    let mut plan = Deployment::demo(INSTANCES)?;
+    plan.engines.count = ENGINES;
+    plan.engines.slots = ENGINE_SLOTS;
+    plan.engines.cold_slots = COLD_SLOTS;
+    plan.engines.cold_seconds = COLD_SECONDS;
+    plan.engines.decode_ms = DECODE_MS;
+    plan.engines.report_lag_ms = 0;
+    plan.plain.count = PLAINS;
+    plan.plain.slots = PLAIN_SLOTS;
+    plan.hold = HOLD;
+    for class in &mut plan.classes {
+        class.first_token = FIRST_TOKEN;
+    }
+    Ok(plan)
+}
+
+pub(super) fn entry(plan: &Deployment, addresses: &Addresses, config: SocketAddr) -> EntrySettings {
+    let mut entry = settings::entry(plan, addresses, config);
+    entry.platform = platform(entry.platform);
+    entry.timeouts = EntryTimeouts {
+        head: HEAD,
+        body: HEAD,
+        write: HEAD,
+        connect: CONNECT,
+        first_byte: FIRST_BYTE,
+        between_bytes: BETWEEN_BYTES,
+        permit: PERMIT,
+        stop: STOP,
+        peer_ping: PING,
+        peer_silence: SILENCE,
+        ..entry.timeouts
+    };
+    entry
+}
+
+pub(super) fn dispatch(plan: &Deployment, addresses: &Addresses, config: SocketAddr) -> DispatchSettings {
+    let mut dispatch = settings::dispatch(plan, addresses, config);
+    dispatch.platform = platform(dispatch.platform);
+    dispatch.timeouts = DispatchTimeouts {
+        permit_age: PERMIT_AGE,
+        hold: HOLD,
+        report_interval: REPORT_INTERVAL,
+        report_timeout: REPORT_TIMEOUT,
+        stop: STOP,
+        peer_ping: PING,
+        peer_silence: SILENCE,
+        view_age: VIEW_AGE,
+        ..dispatch.timeouts
+    };
+    dispatch
+}
+
+fn platform(platform: Platform) -> Platform {
+    Platform {
+        watch_wait: WATCH_WAIT,
+        read_timeout: READ_TIMEOUT,
+        start_jitter: START_JITTER,
+        ..platform
+    }
+}
--- /dev/null
+++ b/crates/celerytide-faults/src/world/start.rs
@@ -0,0 +1,272 @@
+//! Starts the processes of a world, at first and again after a fault ended them.
+
+use std::{io, net::SocketAddr};
+
+use celerytide_load::fleet::{Addresses, Deployment, Running, WorkDir, documents, yaml};
+use celerytide_standin::{
+    config::{TEST_LIST_PATH, TEST_MANIFEST_PATH},
+    launch::{self, Process, free_addr},
+    probe, relay,
+};
+use serde::Serialize;
+use serde_json::Value;
+use snafu::Snafu;
+
+use super::{ENGINES, Http, INSTANCES, Link, PLAINS, World, plan};
+
+const FIRST_VERSION: u64 = 1;
+const INSTANCE_LIST: &str = "celerytide";
+const ENDPOINT_LIST: &str = "celerytide-endpoints";
+
+/// Why a world did not start or could not be changed.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// A process did not start.
+    #[snafu(display("{source}"), context(false))]
+    Launch {
+        /// What the launcher said.
+        source: launch::Error,
+    },
+    /// A stand-in could not be told something.
+    #[snafu(display("{source}"), context(false))]
+    Probe {
+        /// What the probe said.
+        source: probe::Error,
+    },
+    /// A file could not be written.
+    #[snafu(display("{source}"), context(false))]
+    File {
+        /// What the system said.
+        source: io::Error,
+    },
+    /// A document has no YAML form.
+    #[snafu(display("{source}"), context(false))]
+    Yaml {
+        /// What the encoder said.
+        source: yaml::Error,
+    },
+    /// The embedded deployment can't be read.
+    #[snafu(display("{source}"), context(false))]
+    Plan {
+        /// What the decoder said.
+        source: serde_saphyr::Error,
+    },
+}
+
+/// A process that faults strike, by its place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Daemon {
+    /// An instance's entry.
+    Entry(usize),
+    /// An instance's dispatch.
+    Dispatch(usize),
+    /// A model engine.
+    Engine(usize),
+    /// A plain service.
+    Plain(usize),
+}
+
+struct Ports {
+    config: SocketAddr,
+    engines: Vec<SocketAddr>,
+    plains: Vec<SocketAddr>,
+}
+
+impl World {
+    /// Starts every process; the daemons may not be ready yet.
+    pub fn start() -> Result<World, Error> {
+        let plan = plan::deployment()?;
+        let dir = WorkDir::create()?;
+        let pick = |i| Addresses::pick(&plan, i);
+        let instances = (0..INSTANCES).map(pick).collect::<Result<Vec<_>, _>>()?;
+        let ports = Ports {
+            config: free_addr()?,
+            engines: (0..ENGINES).map(|_| free_addr()).collect::<Result<_, _>>()?,
+            plains: (0..PLAINS).map(|_| free_addr()).collect::<Result<_, _>>()?,
+        };
+        let relay = start_relay(&instances, &ports)?;
+        let routes: Vec<SocketAddr> = relay::routes(relay.addr())?.iter().map(|r| r.listen).collect();
+        let config = standin("config", ports.config, &[])?;
+        let engines = (0..ENGINES)
+            .map(|i| engine(&plan, i, ports.engines[i]))
+            .collect::<Result<Vec<_>, _>>()?;
+        let plains = (0..PLAINS)
+            .map(|i| plain(&plan, i, ports.plains[i]))
+            .collect::<Result<Vec<_>, _>>()?;
+        let manifest = documents::manifest(
+            &plan,
+            FIRST_VERSION,
+            &running(&plan, &plan.engines.service, &routes, Link::Engine(0)),
+            &running(&plan, &plan.plain.service, &routes, Link::Plain(0)),
+        );
+        let mut world = World {
+            entries: Vec::new(),
+            dispatches: Vec::new(),
+            instances,
+            engines,
+            plains,
+            config,
+            relay,
+            routes,
+            manifest,
+            http: Http::default(),
+            dir,
+            plan,
+        };
+        world.put_manifest()?;
+        world.publish_endpoints()?;
+        world.publish_instances(&[true; INSTANCES])?;
+        for at in 0..INSTANCES {
+            let dispatch = world.start_dispatch(at)?;
+            world.dispatches.push(dispatch);
+            let entry = world.start_entry(at)?;
+            world.entries.push(entry);
+        }
+        Ok(world)
+    }
+
+    /// Starts a process again where it was.
+    pub fn restart(&mut self, daemon: Daemon) -> Result<(), Error> {
+        let addr = self.daemon(daemon).addr();
+        self.daemon_mut(daemon).kill();
+        let process = match daemon {
+            Daemon::Entry(at) => self.start_entry(at)?,
+            Daemon::Dispatch(at) => self.start_dispatch(at)?,
+            Daemon::Engine(at) => engine(&self.plan, at, addr)?,
+            Daemon::Plain(at) => plain(&self.plan, at, addr)?,
+        };
+        *self.daemon_mut(daemon) = process;
+        Ok(())
+    }
+
+    /// Publishes the manifest as it stands here.
+    pub fn put_manifest(&self) -> Result<(), Error> {
+        let text = yaml::to_yaml(&self.manifest)?;
+        Ok(probe::put(self.config.addr(), TEST_MANIFEST_PATH, text.as_bytes())?)
+    }
+
+    /// Publishes any text in place of the manifest.
+    pub fn put_manifest_text(&self, text: &str) -> Result<(), Error> {
+        Ok(probe::put(self.config.addr(), TEST_MANIFEST_PATH, text.as_bytes())?)
+    }
+
+    /// Publishes the list of those instances that are marked.
+    pub fn publish_instances(&self, listed: &[bool]) -> Result<(), Error> {
+        let shown = |(at, own): (usize, &Addresses)| Addresses {
+            caller: self.route(Link::Caller(at)),
+            entry_peer: self.route(Link::EntryPeer(at)),
+            dispatch_peer: self.route(Link::DispatchPeer(at)),
+            ..own.clone()
+        };
+        let all = self.instances.iter().enumerate().map(shown);
+        let kept = all.zip(listed).filter(|(_, listed)| **listed).map(|(shown, _)| shown);
+        let list = documents::instance_list(&self.plan, &kept.collect::<Vec<_>>());
+        self.publish_list(INSTANCE_LIST, &list)
+    }
+
+    fn publish_endpoints(&self) -> Result<(), Error> {
+        let (model, forms) = (&self.plan.engines.service, &self.plan.plain.service);
+        let engines = running(&self.plan, model, &self.routes, Link::Engine(0));
+        let plains = running(&self.plan, forms, &self.routes, Link::Plain(0));
+        let mut list = documents::endpoint_list(&self.plan, model, &engines);
+        list.extend(documents::endpoint_list(&self.plan, forms, &plains));
+        self.publish_list(ENDPOINT_LIST, &Value::Array(list))
+    }
+
+    fn publish_list(&self, name: &str, list: &Value) -> Result<(), Error> {
+        let path = format!("{TEST_LIST_PATH}{name}");
+        Ok(probe::put(self.config.addr(), &path, list.to_string().as_bytes())?)
+    }
+
+    fn start_entry(&self, at: usize) -> Result<Process, Error> {
+        let settings = plan::entry(&self.plan, &self.instances[at], self.route(Link::Config(at)));
+        self.start_daemon("celerytide-entry", at, &settings)
+    }
+
+    fn start_dispatch(&self, at: usize) -> Result<Process, Error> {
+        let settings = plan::dispatch(&self.plan, &self.instances[at], self.route(Link::Config(at)));
+        self.start_daemon("celerytide-dispatch", at, &settings)
+    }
+
+    fn start_daemon<T: Serialize>(&self, name: &str, at: usize, settings: &T) -> Result<Process, Error> {
+        let file = self
+            .dir
+            .write(&format!("{name}-{at}.yaml"), &yaml::to_yaml(settings)?)?;
+        Ok(Process::start(&launch::Options {
+            program: launch::sibling(name)?,
+            args: vec![file.display().to_string()],
+            ready_prefix: None,
+            log: Some(self.dir.path().join(format!("{name}-{at}.log"))),
+            own_group: false,
+        })?)
+    }
+
+    /// Where the file of a daemon's log is.
+    pub fn log(&self, name: &str, at: usize) -> String {
+        let path = self.dir.path().join(format!("{name}-{at}.log"));
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+}
+
+fn start_relay(instances: &[Addresses], ports: &Ports) -> Result<Process, Error> {
+    let entries = instances.iter();
+    let mut targets: Vec<SocketAddr> = entries.clone().map(|i| i.caller).collect();
+    targets.extend(entries.clone().map(|i| i.entry_peer));
+    targets.extend(entries.map(|i| i.dispatch_peer));
+    targets.extend(instances.iter().map(|_| ports.config));
+    targets.extend(&ports.engines);
+    targets.extend(&ports.plains);
+    let args: Vec<String> = targets
+        .iter()
+        .flat_map(|to| ["--to".to_owned(), to.to_string()])
+        .collect();
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    Ok(Process::standin("relay", &args)?)
+}
+
+/// Endpoints as the platform publishes them, at their routes.
+fn running(plan: &Deployment, service: &str, routes: &[SocketAddr], first: Link) -> Vec<Running> {
+    let count = if matches!(first, Link::Engine(_)) {
+        ENGINES
+    } else {
+        PLAINS
+    };
+    let one = |i: usize| Running {
+        id: format!("{service}-{i}"),
+        zone: plan.zone(i),
+        addr: routes[first.index() + i],
+    };
+    (0..count).map(one).collect()
+}
+
+fn standin(kind: &str, listen: SocketAddr, args: &[(&str, String)]) -> Result<Process, Error> {
+    let mut all = vec![kind.to_owned(), "--listen".to_owned(), listen.to_string()];
+    all.extend(
+        args.iter()
+            .flat_map(|(name, value)| [(*name).to_owned(), value.clone()]),
+    );
+    Ok(Process::start(&launch::Options {
+        program: launch::sibling(launch::STANDIN)?,
+        args: all,
+        ready_prefix: Some(launch::READY_PREFIX),
+        log: None,
+        own_group: false,
+    })?)
+}
+
+fn engine(plan: &Deployment, at: usize, listen: SocketAddr) -> Result<Process, Error> {
+    let group = &plan.engines;
+    let args = [
+        ("--id", format!("{}-{at}", group.service)),
+        ("--model", group.model.clone()),
+        ("--slots", group.slots.to_string()),
+        ("--cold-slots", group.cold_slots.to_string()),
+        ("--cold-seconds", group.cold_seconds.to_string()),
+        ("--decode-ms", group.decode_ms.to_string()),
+    ];
+    standin("engine", listen, &args)
+}
+
+fn plain(plan: &Deployment, at: usize, listen: SocketAddr) -> Result<Process, Error> {
+    standin("plain", listen, &[("--id", format!("{}-{at}", plan.plain.service))])
+}
--- a/crates/celerytide-standin/src/engine/mod.rs
+++ b/crates/celerytide-standin/src/engine/mod.rs
@@ -39,6 +39,8 @@
 
 /// Path of the load report.
 pub const LOAD_PATH: &str = "/load";
+/// Path that gives how often the engine was given more than it bears while cold.
+pub const FALLS_PATH: &str = "/__falls";
 /// Path of the cache events.
 pub const CACHE_EVENTS_PATH: &str = "/cache-events";
 /// Path of the orders.
@@ -61,6 +63,8 @@
     life: RefCell<CancellationToken>,
     faults: Faults,
     crossing: Crossing<chat::Identity>,
+    /// Times it was given more than it bears while cold.
+    falls: Cell<u64>,
 }
 
 impl Engine {
@@ -79,6 +83,7 @@
             life: RefCell::default(),
             faults: Faults::default(),
             crossing: Crossing::default(),
+            falls: Cell::default(),
             options: options.clone(),
         });
         monoio::spawn(chat::drive(engine.clone()));
@@ -93,6 +98,7 @@
 
     /// Resets every connection that has work, forgets the cache, and starts cold.
     fn fall_over(&self) {
+        self.falls.set(self.falls.get() + 1);
         self.cool(true);
         let old = self.life.replace(CancellationToken::new());
         old.cancel();
@@ -125,6 +131,9 @@
     }
 
     async fn control(&self, req: Request, out: Responder) {
+        if req.method == Method::GET && req.uri.path() == FALLS_PATH {
+            return reply::json(out, StatusCode::OK, "", &self.falls.get()).await;
+        }
         if req.method != Method::PUT || req.uri.path() != crate::probe::FAULT_PATH {
             return reply::error(out, StatusCode::NOT_FOUND, "", "no such control path").await;
         }
--- a/crates/celerytide-standin/src/relay/route.rs
+++ b/crates/celerytide-standin/src/relay/route.rs
@@ -4,7 +4,7 @@
     cell::{Cell, RefCell},
     io,
     net::{Ipv4Addr, SocketAddr, TcpListener as StdListener, TcpStream as StdStream},
-    os::fd::AsFd,
+    os::fd::{AsFd, AsRawFd},
     rc::{Rc, Weak},
     time::Duration,
 };
@@ -14,8 +14,11 @@
     time,
 };
 use nix::{
+    errno::Errno,
     libc,
-    sys::socket::{Backlog, listen, setsockopt, sockopt},
+    sys::socket::{
+        self, AddressFamily, Backlog, SockFlag, SockType, SockaddrStorage, listen, setsockopt, socket, sockopt,
+    },
 };
 
 use super::{Mode, RouteState, conn, conn::Conn, mode::Way};
@@ -144,6 +147,10 @@
                 if let Ok((from, _)) = taken {
                     monoio::spawn(serve(route.clone(), from));
                 }
+                if route.mode() == Mode::Stall {
+                    // That one left room in the queue.
+                    route.stall();
+                }
             }
             () = stalled(&route) => {}
         }
@@ -166,12 +173,15 @@
     conn::run(route, conn, from, to).await;
 }
 
-/// Loopback connects at once or refuses.
+/// Begins a connection; what is written to it waits until it stands.
 fn connect(to: SocketAddr) -> io::Result<TcpStream> {
-    let to = StdStream::connect(to)?;
-    to.set_nonblocking(true)?;
-    abrupt(&to)?;
-    TcpStream::from_std(to)
+    let flags = SockFlag::SOCK_NONBLOCK | SockFlag::SOCK_CLOEXEC;
+    let fd = socket(AddressFamily::Inet, SockType::Stream, flags, None)?;
+    abrupt(&fd)?;
+    match socket::connect(fd.as_raw_fd(), &SockaddrStorage::from(to)) {
+        Ok(()) | Err(Errno::EINPROGRESS) => TcpStream::from_std(StdStream::from(fd)),
+        Err(error) => Err(error.into()),
+    }
 }
 
 /// Accepted connections inherit it from the listener: dropped without an orderly end, they are reset.
