--- a/crates/celerytide-dispatch/src/slot/mod.rs
+++ b/crates/celerytide-dispatch/src/slot/mod.rs
@@ -296,7 +296,7 @@
         } = self;
         gates.each(|endpoint, bound, gate| {
             gate.counted(now, pool.in_flight_at(endpoint));
-            pool.cap_cold(endpoint, gate.limit(now, *standing, bound));
+            pool.cap_cold(endpoint, gate.limit(*standing, bound));
         });
     }
 
