--- /dev/null
+++ b/crates/celerytide-capacity/src/idle/mod.rs
@@ -0,0 +1,59 @@
+//! A fleet without traffic: what gossip, watches and clockwork cost.
+
+use std::{thread, time::Duration};
+
+use argh::FromArgs;
+use celerytide_load::fleet::Deployment;
+
+use crate::{
+    Error,
+    report::{Report, Row, sizes},
+    sample::{self, STOP_TIMEOUT, calls, core, mean, most, private, resident},
+};
+
+/// Measure fleets without traffic.
+#[derive(FromArgs, Debug, Clone)]
+#[argh(subcommand, name = "idle")]
+pub struct Options {
+    /// numbers of instances
+    #[argh(option, default = "String::from(\"2,4,8,16,32\")")]
+    pub sizes: String,
+    /// seconds before the measurement
+    #[argh(option, default = "5")]
+    pub settle: u64,
+    /// seconds of the measurement; a whole number of waits of a watch (20) counts each watch once
+    #[argh(option, default = "20")]
+    pub seconds: u64,
+}
+
+/// Measures each size in turn.
+pub fn run(options: &Options) -> Result<Report, Error> {
+    let rows = sizes(&options.sizes)?.into_iter().map(|size| row(options, size));
+    let rows = rows.collect::<Result<Vec<_>, _>>()?;
+    Ok(Report::new("Fleet without traffic", "instances", rows))
+}
+
+fn row(options: &Options, size: usize) -> Result<Row, Error> {
+    eprintln!("idle: {size} instances ...");
+    let (mut fleet, ready) = sample::start(&Deployment::demo(size)?)?;
+    thread::sleep(Duration::from_secs(options.settle));
+    let peak = calls(&fleet)?.peak_second;
+    let sample = sample::measure(&fleet, Duration::from_secs(options.seconds))?;
+    fleet.stop(STOP_TIMEOUT);
+    let per_second = |count: u64| count as f64 / sample.seconds;
+    Ok(Row::new(size)
+        .with("entry % of a core, mean", mean(&sample.entries, core))
+        .with("dispatch % of a core, mean", mean(&sample.dispatches, core))
+        .with("dispatch % of a core, most", most(&sample.dispatches, core))
+        .with("entry resident MiB", mean(&sample.entries, resident))
+        .with("entry private MiB", mean(&sample.entries, private))
+        .with("dispatch resident MiB", mean(&sample.dispatches, resident))
+        .with("dispatch private MiB", mean(&sample.dispatches, private))
+        .with(
+            "loopback bytes/s an instance",
+            per_second(sample.loopback_bytes) / size.max(1) as f64,
+        )
+        .with("reads/s", per_second(sample.reads))
+        .with("reads in the busiest second of the start", peak as f64)
+        .with("start to all ready s", ready.as_secs_f64()))
+}
