feat(capacity): idle counts links, customers measures bytes without changes

Cause: bytes an instance grew with the number of instances; every link pings each second from both ends.

--- a/crates/celerytide-capacity/src/change/mod.rs
+++ b/crates/celerytide-capacity/src/change/mod.rs
@@ -29,7 +29,7 @@
 #[argh(subcommand, name = "change")]
 pub struct Options {
     /// numbers of instances
-    #[argh(option, default = "String::from(\"2,4,8,16,28\")")]
+    #[argh(option, default = "String::from(\"2,4,8,16,24\")")]
     pub sizes: String,
     /// changes at each size
     #[argh(option, default = "20")]
--- a/crates/celerytide-capacity/src/customers/mod.rs
+++ b/crates/celerytide-capacity/src/customers/mod.rs
@@ -33,16 +33,19 @@
     /// numbers of customers
     #[argh(option, default = "String::from(\"100,1000,3000,6000,10000,42000\")")]
     pub sizes: String,
+    /// seconds without changes after each manifest; a whole number of waits of a watch (20) counts each watch once
+    #[argh(option, default = "20")]
+    pub seconds: u64,
 }
 
 /// Measures each size in turn.
 pub fn run(options: &Options) -> Result<Report, Error> {
-    let rows = sizes(&options.sizes)?.into_iter().map(row);
+    let rows = sizes(&options.sizes)?.into_iter().map(|size| row(options, size));
     let rows = rows.collect::<Result<Vec<_>, _>>()?;
     Ok(Report::new("Customers in the manifest", "customers", rows))
 }
 
-fn row(size: usize) -> Result<Row, Error> {
+fn row(options: &Options, size: usize) -> Result<Row, Error> {
     eprintln!("customers: {size} ...");
     let (mut fleet, _) = sample::start(&Deployment::demo(INSTANCES)?)?;
     let before = used(&fleet);
@@ -52,24 +55,29 @@
     let in_force = in_force(&fleet, begun);
     thread::sleep(SETTLE);
     let after = used(&fleet);
-    let sample = sample::measure(&fleet, Duration::ZERO)?;
+    let sample = sample::measure(&fleet, Duration::from_secs(options.seconds))?;
     fleet.stop(STOP_TIMEOUT);
     const MILLIS: f64 = 1e3;
     let [entry, dispatch] = [0, 1].map(|daemon| after[daemon].saturating_sub(before[daemon]).as_secs_f64() * MILLIS);
     let first = |of: &[sample::Used]| of.first().copied().unwrap_or_default();
     let (entry_end, dispatch_end) = (first(&sample.entries), first(&sample.dispatches));
+    let applied = |value: f64| if in_force.is_some() { value } else { f64::NAN };
     Ok(Row::new(size)
         .with("text KiB", text as f64 / 1024.0)
         .with(
             "in force at both daemons ms (NaN: refused)",
             in_force.map_or(f64::NAN, |t| t.as_secs_f64() * MILLIS),
         )
-        .with("entry processor ms", entry)
-        .with("dispatch processor ms", dispatch)
-        .with("entry resident MiB", resident(&entry_end))
-        .with("entry private MiB", private(&entry_end))
-        .with("dispatch resident MiB", resident(&dispatch_end))
-        .with("dispatch private MiB", private(&dispatch_end)))
+        .with("entry processor ms", applied(entry))
+        .with("dispatch processor ms", applied(dispatch))
+        .with("entry resident MiB", applied(resident(&entry_end)))
+        .with("entry private MiB", applied(private(&entry_end)))
+        .with("dispatch resident MiB", applied(resident(&dispatch_end)))
+        .with("dispatch private MiB", applied(private(&dispatch_end)))
+        .with(
+            "loopback bytes/s without changes",
+            applied(sample.loopback_bytes as f64 / sample.seconds),
+        ))
 }
 
 fn customer(index: usize) -> Customer {
--- a/crates/celerytide-capacity/src/idle/mod.rs
+++ b/crates/celerytide-capacity/src/idle/mod.rs
@@ -3,7 +3,9 @@
 use std::{thread, time::Duration};
 
 use argh::FromArgs;
-use celerytide_load::fleet::Deployment;
+use celerytide_load::fleet::{Deployment, Fleet};
+use celerytide_standin::probe;
+use serde::Deserialize;
 
 use crate::{
     Error,
@@ -16,16 +18,21 @@
 #[argh(subcommand, name = "idle")]
 pub struct Options {
     /// numbers of instances
-    #[argh(option, default = "String::from(\"2,4,8,16,32\")")]
+    #[argh(option, default = "String::from(\"2,4,8,16,24\")")]
     pub sizes: String,
-    /// seconds before the measurement
-    #[argh(option, default = "5")]
+    /// seconds before the measurement, in which peers connect to each other
+    #[argh(option, default = "30")]
     pub settle: u64,
     /// seconds of the measurement; a whole number of waits of a watch (20) counts each watch once
     #[argh(option, default = "20")]
     pub seconds: u64,
 }
 
+#[derive(Deserialize)]
+struct Status {
+    connections: usize,
+}
+
 /// Measures each size in turn.
 pub fn run(options: &Options) -> Result<Report, Error> {
     let rows = sizes(&options.sizes)?.into_iter().map(|size| row(options, size));
@@ -39,6 +46,7 @@
     thread::sleep(Duration::from_secs(options.settle));
     let peak = calls(&fleet)?.peak_second;
     let sample = sample::measure(&fleet, Duration::from_secs(options.seconds))?;
+    let links = links(&fleet)?;
     fleet.stop(STOP_TIMEOUT);
     let per_second = |count: u64| count as f64 / sample.seconds;
     Ok(Row::new(size)
@@ -53,7 +61,20 @@
             "loopback bytes/s an instance",
             per_second(sample.loopback_bytes) / size.max(1) as f64,
         )
+        .with("links an instance opened", links as f64 / size.max(1) as f64)
         .with("reads/s", per_second(sample.reads))
         .with("reads in the busiest second of the start", peak as f64)
         .with("start to all ready s", ready.as_secs_f64()))
 }
+
+/// Connections to peers that all daemons opened and keep.
+fn links(fleet: &Fleet) -> Result<usize, Error> {
+    let addrs = fleet.instances.iter().map(|i| &i.addresses);
+    let addrs = addrs.flat_map(|at| [at.entry_operator, at.dispatch_operator]);
+    let mut links = 0;
+    for addr in addrs {
+        let status: Status = probe::get_json(addr, "/status")?;
+        links += status.connections;
+    }
+    Ok(links)
+}
