--- a/crates/celerytide-capacity/src/change/mod.rs
+++ b/crates/celerytide-capacity/src/change/mod.rs
@@ -12,7 +12,7 @@
 use serde::Deserialize;
 
 use crate::{
-    Error,
+    Error, cut,
     error::NotInForceSnafu,
     report::{Report, Row, sizes},
     sample::{self, STOP_TIMEOUT, calls},
@@ -34,6 +34,9 @@
     /// changes at each size
     #[argh(option, default = "20")]
     pub changes: usize,
+    /// only the first instance reaches the configuration service
+    #[argh(switch)]
+    pub one_reader: bool,
 }
 
 #[derive(Deserialize)]
@@ -50,12 +53,23 @@
 pub fn run(options: &Options) -> Result<Report, Error> {
     let rows = sizes(&options.sizes)?.into_iter().map(|size| row(options, size));
     let rows = rows.collect::<Result<Vec<_>, _>>()?;
-    Ok(Report::new("Change in force at every daemon", "instances", rows))
+    let title = if options.one_reader {
+        "Change in force at every daemon, one instance reads"
+    } else {
+        "Change in force at every daemon"
+    };
+    Ok(Report::new(title, "instances", rows))
 }
 
 fn row(options: &Options, size: usize) -> Result<Row, Error> {
     eprintln!("change: {size} instances ...");
-    let (mut fleet, _) = sample::start(&Deployment::demo(size)?)?;
+    // The folder has to outlive the processes that write into it.
+    let (_dir, mut fleet) = if options.one_reader {
+        let (fleet, dir) = cut::start(size)?;
+        (Some(dir), fleet)
+    } else {
+        (None, sample::start(&Deployment::demo(size)?)?.0)
+    };
     let before = calls(&fleet)?.total;
     let mut times = Vec::new();
     for _ in 0..options.changes {
--- a/crates/celerytide-capacity/src/lib.rs
+++ b/crates/celerytide-capacity/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod change;
 pub mod customers;
+pub mod cut;
 pub mod endpoints;
 mod error;
 pub mod fit;
--- a/crates/celerytide-capacity/src/sample/mod.rs
+++ b/crates/celerytide-capacity/src/sample/mod.rs
@@ -21,7 +21,7 @@
 /// How long the daemons may take to stop.
 pub const STOP_TIMEOUT: Duration = Duration::from_secs(10);
 /// Most processes of one fleet.
-const PROCESSES_MAX: usize = 64;
+pub const PROCESSES_MAX: usize = 64;
 /// Processes of an instance.
 const PROCESSES_PER_INSTANCE: usize = 2;
 
