feat(capacity): idle with rarer pings, to tell their part

Cause: growth with the number of peers is ascribed to pings; a run with rarer pings shows whether it is.

--- a/crates/celerytide-capacity/src/change/mod.rs
+++ b/crates/celerytide-capacity/src/change/mod.rs
@@ -65,10 +65,10 @@
     eprintln!("change: {size} instances ...");
     // The folder has to outlive the processes that write into it.
     let (_dir, mut fleet) = if options.one_reader {
-        let (fleet, dir) = cut::start(size)?;
+        let (fleet, dir) = cut::start(size, cut::Differs::CutOff)?;
         (Some(dir), fleet)
     } else {
-        (None, sample::start(&Deployment::demo(size)?)?.0)
+        (None, sample::start(&Deployment::demo(size)?)?)
     };
     let before = calls(&fleet)?.total;
     let mut times = Vec::new();
--- a/crates/celerytide-capacity/src/customers/mod.rs
+++ b/crates/celerytide-capacity/src/customers/mod.rs
@@ -47,7 +47,7 @@
 
 fn row(options: &Options, size: usize) -> Result<Row, Error> {
     eprintln!("customers: {size} ...");
-    let (mut fleet, _) = sample::start(&Deployment::demo(INSTANCES)?)?;
+    let mut fleet = sample::start(&Deployment::demo(INSTANCES)?)?;
     let before = used(&fleet);
     let begun = Instant::now();
     fleet.publish(|manifest| manifest.customers.extend((0..size).map(customer)))?;
--- a/crates/celerytide-capacity/src/cut/mod.rs
+++ b/crates/celerytide-capacity/src/cut/mod.rs
@@ -1,4 +1,6 @@
-//! A fleet of which one instance only reaches the configuration service; the others learn from their peers.
+//! A fleet whose instances but the first have other settings: none reaches the configuration service, or pings are rarer.
+
+use std::time::Duration;
 
 use celerytide_load::fleet::{Addresses, Deployment, Fleet, Instance, WorkDir, documents, settings, yaml};
 use celerytide_standin::{
@@ -19,8 +21,20 @@
 /// Stand-ins and the instance that reads.
 const OTHERS: usize = 6;
 
+/// Pings that may go unanswered.
+const PINGS_UNANSWERED: u32 = 3;
+
+/// What differs at all instances but the first.
+#[derive(Debug, Clone, Copy)]
+pub enum Differs {
+    /// They don't reach the configuration service and learn from their peers.
+    CutOff,
+    /// They ping their peers at this interval.
+    Ping(Duration),
+}
+
 /// Starts the fleet; the folder holds the settings and logs of all instances but the first.
-pub fn start(size: usize) -> Result<(Fleet, WorkDir), Error> {
+pub fn start(size: usize, differs: Differs) -> Result<(Fleet, WorkDir), Error> {
     let processes = size * 2 + OTHERS;
     if processes > PROCESSES_MAX {
         return TooManySnafu {
@@ -29,7 +43,7 @@
         }
         .fail();
     }
-    let (mut fleet, _) = sample::start(&Deployment::demo(1)?)?;
+    let mut fleet = sample::start(&Deployment::demo(1)?)?;
     let dir = WorkDir::create()?;
     let rest = (1..size).map(|index| Addresses::pick(&fleet.plan, index));
     let rest = rest.collect::<Result<Vec<_>, _>>()?;
@@ -44,21 +58,33 @@
     let path = format!("{TEST_LIST_PATH}{INSTANCE_LIST}");
     probe::put(fleet.config.addr(), &path, list.as_bytes())?;
     for addresses in rest {
-        let instance = instance(&fleet, addresses, &dir)?;
+        let instance = instance(&fleet, addresses, differs, &dir)?;
         fleet.instances.push(instance);
     }
     fleet.wait_ready(READY_TIMEOUT)?;
     Ok((fleet, dir))
 }
 
-/// An instance that finds nobody at the configuration service's address.
-fn instance(fleet: &Fleet, addresses: Addresses, dir: &WorkDir) -> Result<Instance, Error> {
-    let nobody = launch::free_addr()?;
-    let mut entry = settings::entry(&fleet.plan, &addresses, nobody);
-    let mut dispatch = settings::dispatch(&fleet.plan, &addresses, nobody);
-    let first = fleet.instances.first().map(|i| &i.addresses);
-    entry.platform.peers = first.map(|at| at.entry_peer).into_iter().collect();
-    dispatch.platform.peers = first.map(|at| at.dispatch_peer).into_iter().collect();
+fn instance(fleet: &Fleet, addresses: Addresses, differs: Differs, dir: &WorkDir) -> Result<Instance, Error> {
+    let mut entry = settings::entry(&fleet.plan, &addresses, fleet.config.addr());
+    let mut dispatch = settings::dispatch(&fleet.plan, &addresses, fleet.config.addr());
+    match differs {
+        Differs::CutOff => {
+            // Nobody listens there.
+            let nobody = vec![launch::free_addr()?];
+            entry.platform.config_service = nobody.clone();
+            dispatch.platform.config_service = nobody;
+            let first = fleet.instances.first().map(|i| &i.addresses);
+            entry.platform.peers = first.map(|at| at.entry_peer).into_iter().collect();
+            dispatch.platform.peers = first.map(|at| at.dispatch_peer).into_iter().collect();
+        }
+        Differs::Ping(interval) => {
+            entry.timeouts.peer_ping = interval;
+            entry.timeouts.peer_silence = interval * PINGS_UNANSWERED;
+            dispatch.timeouts.peer_ping = interval;
+            dispatch.timeouts.peer_silence = interval * PINGS_UNANSWERED;
+        }
+    }
     Ok(Instance {
         entry: daemon(ENTRY, &addresses.id, &entry, dir)?,
         dispatch: daemon(DISPATCH, &addresses.id, &dispatch, dir)?,
--- a/crates/celerytide-capacity/src/endpoints/mod.rs
+++ b/crates/celerytide-capacity/src/endpoints/mod.rs
@@ -57,7 +57,7 @@
 
 fn row(options: &Options, size: usize) -> Result<Row, Error> {
     eprintln!("endpoints: {size} ...");
-    let (mut fleet, _) = sample::start(&Deployment::demo(INSTANCES)?)?;
+    let mut fleet = sample::start(&Deployment::demo(INSTANCES)?)?;
     let engine = engine(&fleet)?;
     let engines = many(&fleet, engine.addr().port(), size);
     publish(&mut fleet, &engines, options.pools)?;
--- a/crates/celerytide-capacity/src/idle/mod.rs
+++ b/crates/celerytide-capacity/src/idle/mod.rs
@@ -1,6 +1,9 @@
 //! A fleet without traffic: what gossip, watches and clockwork cost.
 
-use std::{thread, time::Duration};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
 use argh::FromArgs;
 use celerytide_load::fleet::{Deployment, Fleet};
@@ -8,7 +11,7 @@
 use serde::Deserialize;
 
 use crate::{
-    Error,
+    Error, cut,
     report::{Report, Row, sizes},
     sample::{self, STOP_TIMEOUT, calls, core, mean, most, private, resident},
 };
@@ -26,6 +29,9 @@
     /// seconds of the measurement; a whole number of waits of a watch (20) counts each watch once
     #[argh(option, default = "20")]
     pub seconds: u64,
+    /// seconds between pings of peers at all instances but the first; as by default if absent
+    #[argh(option)]
+    pub ping: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -42,7 +48,16 @@
 
 fn row(options: &Options, size: usize) -> Result<Row, Error> {
     eprintln!("idle: {size} instances ...");
-    let (mut fleet, ready) = sample::start(&Deployment::demo(size)?)?;
+    let begun = Instant::now();
+    // The folder has to outlive the processes that write into it.
+    let (_dir, mut fleet) = match options.ping {
+        Some(ping) => {
+            let (fleet, dir) = cut::start(size, cut::Differs::Ping(Duration::from_secs(ping)))?;
+            (Some(dir), fleet)
+        }
+        None => (None, sample::start(&Deployment::demo(size)?)?),
+    };
+    let ready = begun.elapsed();
     thread::sleep(Duration::from_secs(options.settle));
     let peak = calls(&fleet)?.peak_second;
     let sample = sample::measure(&fleet, Duration::from_secs(options.seconds))?;
--- a/crates/celerytide-capacity/src/sample/mod.rs
+++ b/crates/celerytide-capacity/src/sample/mod.rs
@@ -51,8 +51,8 @@
     }
 }
 
-/// Starts a fleet and waits until it is ready; gives the time that took.
-pub fn start(plan: &Deployment) -> Result<(Fleet, Duration), Error> {
+/// Starts a fleet and waits until it is ready.
+pub fn start(plan: &Deployment) -> Result<Fleet, Error> {
     let processes = plan.instances * PROCESSES_PER_INSTANCE + plan.engines.count + plan.plain.count + 1;
     if processes > PROCESSES_MAX {
         return TooManySnafu {
@@ -61,10 +61,9 @@
         }
         .fail();
     }
-    let begun = Instant::now();
     let mut fleet = Fleet::start(plan, fleet::Options::default())?;
     fleet.wait_ready(READY_TIMEOUT)?;
-    Ok((fleet, begun.elapsed()))
+    Ok(fleet)
 }
 
 /// Calls at the configuration service so far.
