--- a/crates/celerytide-faults/src/run/mod.rs
+++ b/crates/celerytide-faults/src/run/mod.rs
@@ -107,6 +107,6 @@
     history.in_force = watch.stop();
     history.runs = struck.saved_runs;
     history.falls += struck.saved_falls;
-    settle::gather(&world, &mut history).await;
+    settle::gather(&world, &mut history).await?;
     Ok((reached, history))
 }
--- a/crates/celerytide-faults/src/run/settle.rs
+++ b/crates/celerytide-faults/src/run/settle.rs
@@ -71,15 +71,18 @@
 }
 
 /// Adds what the stand-ins recorded.
-pub(super) async fn gather(world: &World, history: &mut History) {
+pub(super) async fn gather(world: &World, history: &mut History) -> Result<(), String> {
     for at in 0..PLAINS {
-        let runs = world.runs(at).await.unwrap_or_default();
+        let runs = world.runs(at).await;
+        let runs = runs.ok_or_else(|| format!("the record of plain service {at} can't be read"))?;
         history.runs.extend(runs.into_iter().map(|run| Ran { plain: at, run }));
     }
     for at in 0..ENGINES {
         let falls = world.http.get(world.operator(Daemon::Engine(at)), FALLS_PATH).await;
-        history.falls += falls.and_then(|f| f.as_u64()).unwrap_or(0);
+        let falls = falls.and_then(|f| f.as_u64());
+        history.falls += falls.ok_or_else(|| format!("the record of engine {at} can't be read"))?;
     }
+    Ok(())
 }
 
 async fn converged(world: &World) -> Option<Duration> {
--- a/crates/celerytide-faults/src/world/http.rs
+++ b/crates/celerytide-faults/src/world/http.rs
@@ -5,13 +5,13 @@
     time::{Duration, Instant},
 };
 
+use ::http::{self, Method};
 use bytes::Bytes;
 use celerytide_http::client::{Bounds, Call, Client, Options};
 use celerytide_standin::{
     plain::{RUNS_PATH, Run},
     probe::FAULT_PATH,
 };
-use http::Method;
 use serde_json::Value;
 use tokio_util::sync::CancellationToken;
 
@@ -26,14 +26,12 @@
 
 /// Asks small questions.
 pub struct Http {
-    client: Client,
     cx: CancellationToken,
 }
 
 impl Default for Http {
     fn default() -> Http {
         Http {
-            client: Client::new(Options::default()),
             cx: CancellationToken::new(),
         }
     }
@@ -70,8 +68,11 @@
         path: &str,
         body: Bytes,
     ) -> Option<celerytide_http::client::Whole> {
+        let mut headers = http::HeaderMap::new();
+        headers.insert(http::header::CONNECTION, http::HeaderValue::from_static("close"));
         let call = Call {
             body,
+            headers,
             fresh: true,
             bounds: Bounds {
                 connect: ASK,
@@ -81,7 +82,9 @@
             },
             ..Call::new(addr, method, path)
         };
-        self.client.send_whole(call, MAX_ANSWER_BYTES, &self.cx).await.ok()
+        // A client of its own, so that no connection outlives its answer.
+        let client = Client::new(Options::default());
+        client.send_whole(call, MAX_ANSWER_BYTES, &self.cx).await.ok()
     }
 }
 
