fix(dispatch,entry,manifest): a takeover waits out freshness before cold work; late permits are dropped

Cause: the proof of the cold bound needs a hold of at least the views' freshness, the lists' lag and the bound on late permits (30 + 5 + 5 s); the default was 5 s. An entry that slept could take a permit that had waited in its socket. Before: hold 5 s by default; warm endpoints at half until then. Conclusion: after a crash cold endpoints wait 40 s, warm ones about a second.

--- a/crates/celerytide-dispatch/src/pools/mod.rs
+++ b/crates/celerytide-dispatch/src/pools/mod.rs
@@ -259,6 +259,8 @@
 fn trust_of(standing: Standing) -> Trust {
     match standing {
         Standing::Settled => Trust::Settled,
+        // Every entry follows: warm endpoints have one owner; cold ones wait for the hold.
+        Standing::Taking { mustered: true, .. } => Trust::Taking { share: 1.0 },
         Standing::Taking { share, .. } => Trust::Taking { share },
         Standing::Stale { share } if share >= 1.0 => Trust::Stale,
         Standing::Stale { share } => Trust::Taking { share },
--- a/crates/celerytide-entry/src/permit/acquire.rs
+++ b/crates/celerytide-entry/src/permit/acquire.rs
@@ -163,6 +163,8 @@
             return Asked::Again;
         };
         match timeout(left + REPLY_GRACE, ex.recv_some::<Reply>()).await {
+            // This process may have slept while the permit waited in its socket.
+            Ok(Ok(Reply::Granted(_))) if now_boot().since(now) > left + REPLY_GRACE => Asked::Again,
             Ok(Ok(Reply::Granted(granted))) => self.check_term(&ask.pool, granted, ex),
             Ok(Ok(Reply::Refused(word))) => Asked::Refused(word),
             Ok(Ok(Reply::NotOwner(_) | Reply::Preempt)) => {
--- a/crates/celerytide-manifest/src/settings/mod.rs
+++ b/crates/celerytide-manifest/src/settings/mod.rs
@@ -291,7 +291,7 @@
     fn default() -> DispatchTimeouts {
         DispatchTimeouts {
             permit_age: Duration::from_secs(10 * 60),
-            hold: Duration::from_secs(5),
+            hold: Duration::from_secs(40),
             report_interval: Duration::from_millis(500),
             report_timeout: Duration::from_millis(500),
             stop: Duration::from_secs(60),
