--- a/crates/celerytide-faults/src/main.rs
+++ b/crates/celerytide-faults/src/main.rs
@@ -96,7 +96,7 @@
         .filter(|f| table.fault.as_deref().is_none_or(|name| f.name() == name));
     let faults: Vec<Fault> = faults.collect();
     let reports = batch::cells(&steps, &faults, table.seed, jobs, print);
-    let text = page::table(&steps, &faults, &reports);
+    let text = page::document(&steps, &faults, &reports);
     match &table.write {
         Some(path) => {
             if let Err(error) = std::fs::write(path, &text) {
--- a/crates/celerytide-faults/src/page/mod.rs
+++ b/crates/celerytide-faults/src/page/mod.rs
@@ -7,6 +7,16 @@
     run::Report,
 };
 
+const INTRODUCTION: &str = "# Faults at every step
+
+Written by `celerytide-faults table --write docs/FAULTS.md`. Each cell starts real processes, brings a streamed model call, a
+plain call that may be repeated and two plain calls that run at most once (or a change of the configuration) to the step, lets
+the fault strike and pass, and checks the invariants of `celerytide_faults::check` over what was recorded. The number behind a
+result is the seed. `cargo test -p celerytide-faults` runs every cell (tests/matrix.rs) and the pairs of seeds 1 to 24
+(tests/pairs.rs); `celerytide-faults pairs --count 200 --seed 1` runs all 200, `celerytide-faults search --minutes M` fresh seeds.
+
+";
+
 /// A report in one line, with its violations in lines of their own.
 pub fn line(report: &Report) -> String {
     let strikes = report
@@ -69,3 +79,56 @@
         false => "not reached",
     }
 }
+
+/// The whole page: what the words mean, the counts, and the table.
+pub fn document(steps: &[Step], faults: &[Fault], reports: &[Report]) -> String {
+    let mut text = String::from(INTRODUCTION);
+    let count = |of: fn(&&Report) -> bool| reports.iter().filter(of).count();
+    let left_out: Vec<(Step, Fault, &str)> = not_applicable(steps, faults);
+    let _ = writeln!(
+        text,
+        "Cells run: {}; held: {}; broken: {}; step not reached: {}; not started: {}; not applicable: {}; open: 0.\n",
+        reports.len(),
+        count(|r| r.holds()),
+        count(|r| !r.violations.is_empty()),
+        count(|r| r.is_sound() && !r.holds()),
+        count(|r| r.fault.is_some()),
+        left_out.len(),
+    );
+    text.push_str(&table(steps, faults, reports));
+    text.push_str("\n## Broken or not reached\n\n");
+    for report in reports.iter().filter(|r| !r.holds()) {
+        let seen = report.violations.iter().map(|v| format!("{}: {}", v.invariant, v.seen));
+        let strikes = report
+            .strikes
+            .iter()
+            .map(|s| format!("{} x {}", s.step.name(), s.fault.name()));
+        let (strikes, seen): (Vec<String>, Vec<String>) = (strikes.collect(), seen.collect());
+        let _ = writeln!(text, "- {}: {} {}", strikes.join(", "), word(report), seen.join("; "));
+    }
+    text.push_str("\n## Steps\n\n");
+    for step in steps {
+        let _ = writeln!(text, "- {}: {}", step.name(), step.meaning());
+    }
+    text.push_str("\n## Faults\n\n");
+    for fault in faults {
+        let _ = writeln!(text, "- {}: {}", fault.name(), fault.meaning());
+    }
+    text.push_str("\n## Not applicable\n\n");
+    for (step, fault, reason) in left_out {
+        let _ = writeln!(text, "- {} x {}: {reason}", step.name(), fault.name());
+    }
+    text
+}
+
+fn not_applicable(steps: &[Step], faults: &[Fault]) -> Vec<(Step, Fault, &'static str)> {
+    let row = |step: &Step| {
+        let step = *step;
+        faults.iter().map(move |fault| (step, *fault))
+    };
+    let reason = |(step, fault): (Step, Fault)| match cell(step, fault) {
+        Cell::NotApplicable { reason } => Some((step, fault, reason)),
+        _ => None,
+    };
+    steps.iter().flat_map(row).filter_map(reason).collect()
+}
--- a/crates/celerytide-faults/src/run/callers.rs
+++ b/crates/celerytide-faults/src/run/callers.rs
@@ -20,8 +20,10 @@
     world::{Link, World},
 };
 
-/// Longer than each bound on a request together.
-const PATIENCE: Duration = Duration::from_secs(18);
+/// Longer than a whole run may hold a request back; the run itself bounds the wait once its faults have passed.
+const PATIENCE: Duration = Duration::from_secs(90);
+/// Wait for a ticket or for what became of one.
+const TICKET: Duration = Duration::from_secs(3);
 /// Tokens of each chat call.
 pub(super) const TOKENS: usize = 40;
 const SUBMIT: &str = "/services/forms/submit";
@@ -120,7 +122,7 @@
     pub(super) async fn ticket(&self, entry: usize) -> Option<String> {
         let name = self.name("take");
         let ask = Ask::plain(self.entries[entry], &self.key, &name, Method::POST, "/v1/tickets");
-        let told = ask_once(&ask).await?;
+        let told = timeout(TICKET, ask_once(&ask)).await.ok()??;
         let body: Value = serde_json::from_slice(&told.body).ok()?;
         body["ticket"].as_str().map(str::to_owned)
     }
@@ -130,7 +132,8 @@
         let name = self.name("look");
         let path = format!("/v1/tickets/{ticket}");
         let ask = Ask::plain(self.entries[entry], &self.key, &name, Method::GET, &path);
-        let told = ask_once(&ask).await.filter(|told| told.status == 200)?;
+        let told = timeout(TICKET, ask_once(&ask)).await.ok()?;
+        let told = told.filter(|told| told.status == 200)?;
         let body: Value = serde_json::from_slice(&told.body).ok()?;
         body["word"].as_str().map(str::to_owned)
     }
--- a/crates/celerytide-faults/src/run/settle.rs
+++ b/crates/celerytide-faults/src/run/settle.rs
@@ -4,6 +4,7 @@
 
 use celerytide_standin::engine::FALLS_PATH;
 use celerytide_types::now_unix_ms;
+use monoio::time::timeout;
 
 use super::{
     callers::{Callers, Request, TOKENS},
@@ -119,14 +120,13 @@
             Kind::Protected => callers.ticket(entry).await,
             _ => None,
         };
-        let told = callers
-            .call(Request {
-                entry,
-                request: callers.name("after"),
-                kind,
-                ticket,
-            })
-            .await;
+        let call = callers.call(Request {
+            entry,
+            request: callers.name("after"),
+            kind,
+            ticket,
+        });
+        let told = timeout(SERVE_AGAIN, call).await.ok().flatten();
         if told.as_ref().is_some_and(|told| told.is_done()) {
             return None;
         }
@@ -165,14 +165,13 @@
 }
 
 async fn one_final(callers: &Callers, ticket: String) -> Final {
-    callers
-        .call(Request {
-            entry: 1,
-            request: callers.name("retry"),
-            kind: Kind::Protected,
-            ticket: Some(ticket.clone()),
-        })
-        .await;
+    let call = callers.call(Request {
+        entry: 1,
+        request: callers.name("retry"),
+        kind: Kind::Protected,
+        ticket: Some(ticket.clone()),
+    });
+    let _ = timeout(WORD, call).await;
     let end = Instant::now() + WORD;
     let mut word = None;
     while word.is_none() && Instant::now() < end {
