perf(wire): pings only on busy connections; unused ones are closed

Cause: docs/CAPACITY.md: a connection to each peer ever met, pinged each second from both ends, is the first limit that breaks (2 KB/s of control at 2 instances, 2.2% of a core at about 42). Ruled out: slower pings for all (a silent connection under a running request has to be found within its bound). Conclusion: an exchange somebody waits on keeps its connection pinged; follow exchanges of a muster don't.

--- a/crates/celerytide-dispatch/src/muster/mod.rs
+++ b/crates/celerytide-dispatch/src/muster/mod.rs
@@ -88,6 +88,7 @@
 
 /// Waits for the end of the exchange on which the entry follows.
 async fn watch(pools: &Pools, call: &MusterCall, mut ex: Exchange) {
+    ex.quiet();
     let ended = ex.recv::<Ack>().await;
     tracing::info!(
         pool = call.pool,
--- a/crates/celerytide-entry/src/entry/peers.rs
+++ b/crates/celerytide-entry/src/entry/peers.rs
@@ -58,6 +58,7 @@
         return;
     }
     if follows {
+        ex.quiet();
         // Open for as long as the owner lives: its end tells the owner that this entry may have restarted.
         let _ = ex.recv::<Ack>().await;
     }
--- a/crates/celerytide-wire/src/exchange/mod.rs
+++ b/crates/celerytide-wire/src/exchange/mod.rs
@@ -10,6 +10,7 @@
 use serde::de::DeserializeOwned;
 use snafu::ResultExt;
 
+use crate::busy::Counted;
 use crate::error::{DecodeSnafu, EncodeSnafu, Error, H2Snafu, TooLargeSnafu};
 
 /// Largest frame in bytes.
@@ -22,6 +23,7 @@
     tx: SendStream<Bytes>,
     rx: Incoming,
     buf: BytesMut,
+    counted: Counted,
 }
 
 /// The receiving half: a client learns of it only with the answer's head.
@@ -33,14 +35,20 @@
 }
 
 impl Exchange {
-    pub(crate) fn new(tx: SendStream<Bytes>, rx: Incoming) -> Exchange {
+    pub(crate) fn new(tx: SendStream<Bytes>, rx: Incoming, counted: Counted) -> Exchange {
         Exchange {
             tx,
             rx,
             buf: BytesMut::new(),
+            counted,
         }
     }
 
+    /// From now on nobody waits on this exchange: it alone doesn't keep its connection pinged.
+    pub fn quiet(&mut self) {
+        self.counted.quiet();
+    }
+
     /// Sends one message. Waits for the peer's window.
     pub async fn send<M: Serialize>(&mut self, message: &M) -> Result<(), Error> {
         let frame = encode(message)?;
--- a/crates/celerytide-wire/src/lib.rs
+++ b/crates/celerytide-wire/src/lib.rs
@@ -1,12 +1,13 @@
 //! Typed messages between celerytide processes: h2 streams that carry bincode frames.
 //!
-//! One connection joins two processes and carries any number of exchanges. Each side pings; a connection whose pings go
+//! One connection joins two processes and carries any number of exchanges. Each side pings while the connection is busy; one whose pings go
 //! unanswered is dropped as silent, which fails its exchanges but says nothing of the peer: the next call opens a new
 //! connection. Frames are a four-byte length and a bincode body, bounded by [`MAX_FRAME_BYTES`].
 
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod busy;
 mod error;
 mod exchange;
 mod link;
@@ -26,7 +27,7 @@
 pub struct Options {
     /// Time for TCP and h2 to come up.
     pub connect: Duration,
-    /// Time between pings.
+    /// Time between pings of a busy connection.
     pub ping: Duration,
     /// A connection without an answer to its ping for this long is dropped.
     pub silence: Duration,
--- a/crates/celerytide-wire/src/link/mod.rs
+++ b/crates/celerytide-wire/src/link/mod.rs
@@ -5,6 +5,7 @@
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use h2::client::{Connection, SendRequest};
@@ -17,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::Options;
+use crate::busy::Busy;
 use crate::error::{ConnectSnafu, Error, H2Snafu};
 use crate::exchange::{Exchange, Incoming};
 use crate::messages::Method;
@@ -26,6 +28,10 @@
 pub(crate) const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
 /// Flow-control window of a connection in bytes.
 pub(crate) const CONNECTION_WINDOW_BYTES: u32 = 4 * 1024 * 1024;
+/// A connection that is not busy is pinged once in this many ping times.
+const IDLE_PINGS: u32 = 60;
+/// A connection that had no exchange at so many looks, one each ping time, is closed.
+const UNUSED_LOOKS: u32 = 10;
 /// Exchanges a connection may have at once.
 pub(crate) const MAX_STREAMS: u32 = 16 * 1024;
 
@@ -34,6 +40,7 @@
 pub struct Link {
     tx: SendRequest<Bytes>,
     closed: Rc<Cell<bool>>,
+    busy: Busy,
 }
 
 impl Link {
@@ -46,8 +53,9 @@
         };
         let (tx, connection) = opened.map_err(|_| Error::ConnectTimeout { addr })??;
         let closed = Rc::new(Cell::new(false));
-        monoio::spawn(drive(addr, connection, opts, closed.clone()));
-        Ok(Link { tx, closed })
+        let busy = Busy::default();
+        monoio::spawn(drive(addr, connection, opts, closed.clone(), busy.clone()));
+        Ok(Link { tx, closed, busy })
     }
 
     /// Whether the connection has ended.
@@ -61,7 +69,7 @@
         poll_fn(|cx| tx.poll_ready(cx)).await.context(H2Snafu)?;
         let request = Request::post(method.path()).body(()).map_err(|_| Error::Ended)?;
         let (head, body) = tx.send_request(request, false).context(H2Snafu)?;
-        let mut ex = Exchange::new(body, Incoming::Awaited(head));
+        let mut ex = Exchange::new(body, Incoming::Awaited(head), self.busy.enter());
         ex.send(first).await?;
         Ok(ex)
     }
@@ -85,22 +93,44 @@
         .context(H2Snafu)
 }
 
-async fn drive(addr: SocketAddr, mut connection: Connection<Io, Bytes>, opts: Options, closed: Rc<Cell<bool>>) {
+async fn drive(
+    addr: SocketAddr,
+    mut connection: Connection<Io, Bytes>,
+    opts: Options,
+    closed: Rc<Cell<bool>>,
+    busy: Busy,
+) {
     let pings = connection.ping_pong();
     monoio::select! {
         ended = connection => tracing::debug!(%addr, ?ended, "wire: connection ended"),
-        () = watch_silence(pings, opts) => tracing::warn!(%addr, "wire: connection went silent"),
+        () = watch_silence(pings, opts, busy.clone()) => tracing::warn!(%addr, "wire: connection went silent"),
+        () = until_unused(opts, busy) => tracing::debug!(%addr, "wire: unused connection closed"),
     }
     closed.set(true);
 }
 
-/// Returns when a ping was not answered in time.
-pub(crate) async fn watch_silence(pings: Option<PingPong>, opts: Options) {
+/// Returns when no exchange was open at several looks in a row.
+async fn until_unused(opts: Options, busy: Busy) {
+    let mut looks = 0;
+    while looks < UNUSED_LOOKS {
+        sleep(opts.ping).await;
+        looks = if busy.is_unused() { looks + 1 } else { 0 };
+    }
+}
+
+/// Returns when a ping was not answered in time. A connection that is not busy is pinged rarely.
+pub(crate) async fn watch_silence(pings: Option<PingPong>, opts: Options, busy: Busy) {
     let Some(mut pings) = pings else {
         return std::future::pending().await;
     };
+    let mut idle = Duration::ZERO;
     loop {
         sleep(opts.ping).await;
+        idle += opts.ping;
+        if !busy.is_busy() && idle < opts.ping * IDLE_PINGS {
+            continue;
+        }
+        idle = Duration::ZERO;
         match timeout(opts.silence, pings.ping(Ping::opaque())).await {
             Ok(Ok(_)) => continue,
             Ok(Err(_)) | Err(_) => return,
--- a/crates/celerytide-wire/src/server/mod.rs
+++ b/crates/celerytide-wire/src/server/mod.rs
@@ -13,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::Options;
+use crate::busy::Busy;
 use crate::exchange::{Exchange, Incoming};
 use crate::link::{CONNECTION_WINDOW_BYTES, MAX_STREAMS, STREAM_WINDOW_BYTES, watch_silence};
 use crate::messages::Method;
@@ -85,13 +86,19 @@
         return;
     };
     let pings = connection.ping_pong();
+    let busy = Busy::default();
     monoio::select! {
-        () = accept_all(&mut connection, service, cx) => {}
-        () = watch_silence(pings, opts) => tracing::warn!("wire: a peer's connection went silent"),
+        () = accept_all(&mut connection, service, cx, &busy) => {}
+        () = watch_silence(pings, opts, busy.clone()) => tracing::warn!("wire: a peer's connection went silent"),
     }
 }
 
-async fn accept_all<S: Service>(connection: &mut Connection<Io, Bytes>, service: Rc<S>, cx: CancellationToken) {
+async fn accept_all<S: Service>(
+    connection: &mut Connection<Io, Bytes>,
+    service: Rc<S>,
+    cx: CancellationToken,
+    busy: &Busy,
+) {
     let mut draining = false;
     loop {
         let accepted = monoio::select! {
@@ -103,13 +110,13 @@
             }
         };
         match accepted {
-            Some(Ok((request, respond))) => start(request, respond, service.clone()),
+            Some(Ok((request, respond))) => start(request, respond, service.clone(), busy),
             Some(Err(_)) | None => return,
         }
     }
 }
 
-fn start<S: Service>(request: Request<RecvStream>, mut respond: SendResponse<Bytes>, service: Rc<S>) {
+fn start<S: Service>(request: Request<RecvStream>, mut respond: SendResponse<Bytes>, service: Rc<S>, busy: &Busy) {
     let Some(method) = Method::from_path(request.uri().path()) else {
         tracing::warn!(path = request.uri().path(), "wire: unknown method");
         let refused = Response::builder().status(StatusCode::NOT_FOUND).body(());
@@ -122,6 +129,6 @@
     let Ok(tx) = respond.send_response(Response::new(()), false) else {
         return;
     };
-    let ex = Exchange::new(tx, Incoming::Open(request.into_body()));
+    let ex = Exchange::new(tx, Incoming::Open(request.into_body()), busy.enter());
     monoio::spawn(async move { service.serve(method, ex).await });
 }
--- a/crates/celerytide-wire/tests/wire.rs
+++ b/crates/celerytide-wire/tests/wire.rs
@@ -135,3 +135,47 @@
         }
     });
 }
+
+struct UnusedCase {
+    name: &'static str,
+    quiet_exchange: bool,
+    stays: bool,
+}
+
+#[test]
+fn an_unused_connection_is_closed_and_opened_again() {
+    let cases = [
+        UnusedCase {
+            name: "nothing open",
+            quiet_exchange: false,
+            stays: false,
+        },
+        UnusedCase {
+            name: "a quiet exchange",
+            quiet_exchange: true,
+            stays: true,
+        },
+    ];
+    let opts = Options {
+        ping: Duration::from_millis(5),
+        ..Options::default()
+    };
+    for case in cases {
+        run(async {
+            let cx = CancellationToken::new();
+            let addr = start(&cx);
+            let links = Links::new(opts, cx.clone());
+            let echo = Echo { text: "a".into() };
+            let mut kept = links.open(addr, Method::Muster, &echo).await.expect("open");
+            let _: Echo = kept.recv_some().await.expect("echo");
+            kept.quiet();
+            let kept = Some(kept).filter(|_| case.quiet_exchange);
+            monoio::time::sleep(opts.ping * 40).await;
+            assert_eq!(links.count() == 1, case.stays, "{}", case.name);
+            let back: Echo = links.call(addr, Method::Gossip, &echo).await.expect("call");
+            assert_eq!(back, echo, "{}", case.name);
+            drop(kept);
+            cx.cancel();
+        });
+    }
+}
