fix(membership): an owner calls entries again at each list, so that it learns of an owner it never saw

Cause: an instance that was cut off while a list without it was in force jumps to a list that names it again. Its tenure kept its old term and its old musters; entries followed the higher term of the owner in between and dropped every permit ('permit: dropped one of an older term') for good. Ruled out: a retake at each list, which would hold every pool back. Conclusion: costs one call to each listed entry for each list version and pool; the owner grants like a taking one until all have answered.

--- a/crates/celerytide-membership/src/ownership/held.rs
+++ b/crates/celerytide-membership/src/ownership/held.rs
@@ -21,6 +21,7 @@
     pub(super) term: Term,
     pub(super) since: Boot,
     pub(super) round: u64,
+    pub(super) seen_list: u64,
     pub(super) settled_once: bool,
     pub(super) doubted: bool,
     pub(super) slept: bool,
@@ -42,6 +43,7 @@
             term,
             since: now,
             round: 0,
+            seen_list: term.list_version,
             settled_once: false,
             doubted: false,
             slept: false,
@@ -60,6 +62,12 @@
         };
     }
 
+    /// A list that was not seen may have named another owner, whom entries follow by now: they are called again.
+    pub(super) fn see_list(&mut self, list_version: u64) {
+        self.seen_list = list_version;
+        self.muster_again();
+    }
+
     pub(super) fn count_missing(&mut self, view: &View) {
         let listed: BTreeSet<InstanceId> = view.instances.iter().map(|i| i.id.clone()).collect();
         self.mustered.retain(|id, _| listed.contains(id));
--- a/crates/celerytide-membership/src/ownership/standing.rs
+++ b/crates/celerytide-membership/src/ownership/standing.rs
@@ -290,6 +290,9 @@
                 },
             );
         }
+        if held.seen_list < on.view.list_version {
+            held.see_list(on.view.list_version);
+        }
         held.count_missing(on.view);
         held.standing = held.judge(now, on, hold);
         let changed = std::mem::discriminant(&from) != std::mem::discriminant(&held.standing);
