fix(dispatch,entry): a muster names its owner's instance; cold work waits until the former owner has drained

Cause: the matrix's row 'permitted' wasn't reached any more: entries went to the address that the owner listens on, not to the listed one (they differ behind address translation, and behind the matrix's relays). In queued x list lagging an unlisted entry kept permits of the former owner while the next one settled at once by its handover, and a cold engine fell over. Ruled out: relays as the cause (the grants never passed them). Conclusion: handover has two words, stopped and drained; only the second ends the wait of cold endpoints.

--- a/crates/celerytide-dispatch/src/daemon/mod.rs
+++ b/crates/celerytide-dispatch/src/daemon/mod.rs
@@ -40,7 +40,7 @@
     let accept = CancellationToken::new();
     monoio::spawn(celerytide_wire::serve(peers, wire, service, accept.clone()));
     monoio::spawn(refresh(dispatch.clone()));
-    monoio::spawn(muster::run(node.clone(), dispatch.pools.clone(), settings.peer_address));
+    monoio::spawn(muster::run(node.clone(), dispatch.pools.clone()));
     monoio::spawn(report::run(dispatch.clone()));
     monoio::spawn(orders::run(dispatch.clone()));
     tracing::info!(instance = node.instance, address = %settings.peer_address, "dispatch: serving entries");
@@ -75,7 +75,7 @@
     let retired = dispatch.pools.all();
     dispatch.pools.give_up();
     let moved = async {
-        while retired.iter().any(|slot| slot.status().in_flight > 0) {
+        while retired.iter().any(|slot| slot.in_flight() > 0) {
             sleep(TICK).await;
         }
         sleep(SETTLE_TIME).await;
@@ -89,7 +89,7 @@
         tracing::info!("dispatch: stopped; every permit ended or moved");
         return ExitCode::SUCCESS;
     }
-    let left: u64 = retired.iter().map(|slot| slot.status().in_flight).sum();
+    let left: u64 = retired.iter().map(|slot| slot.in_flight()).sum();
     tracing::warn!(left, "dispatch: stopped with permits in flight; their requests go on");
     ExitCode::from(EXIT_CUT)
 }
--- a/crates/celerytide-dispatch/src/handover/mod.rs
+++ b/crates/celerytide-dispatch/src/handover/mod.rs
@@ -19,26 +19,44 @@
 const ATTEMPTS: u32 = 10;
 /// Time between attempts.
 const WAIT: Duration = Duration::from_millis(300);
+/// Time between looks at permits that have not ended or moved.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
 /// Time for one attempt.
 const ATTEMPT_TIME: Duration = Duration::from_secs(1);
 
-/// Tells the next owner of the pool in `slot`, in a task of its own.
+/// Tells the next owner of the pool in `slot`, in a task of its own: at once that nothing more is granted, and later that
+/// every permit has ended or moved. Cold endpoints wait for the second word, because an entry that the next owner's list
+/// doesn't show keeps its permits here.
 pub fn send(node: Rc<Node>, slot: Rc<Slot>, region: RegionId, term: OwnerTerm) {
     monoio::spawn(async move {
-        for _ in 0..ATTEMPTS {
-            let told = timeout(ATTEMPT_TIME, send_once(&node, &slot, &region, term)).await;
-            if told == Ok(true) {
-                return;
-            }
-            sleep(WAIT).await;
+        if !send_until_taken(&node, &slot, &region, term).await {
+            tracing::info!(
+                pool = slot.id,
+                "handover: the next owner was not reached; it waits out its hold"
+            );
+            return;
         }
-        tracing::info!(
-            pool = slot.id,
-            "handover: the next owner was not reached; it waits out its hold"
-        );
+        if slot.in_flight() == 0 {
+            return;
+        }
+        while slot.in_flight() > 0 {
+            sleep(DRAIN_LOOK).await;
+        }
+        send_until_taken(&node, &slot, &region, term).await;
     });
 }
 
+async fn send_until_taken(node: &Node, slot: &Slot, region: &str, term: OwnerTerm) -> bool {
+    for _ in 0..ATTEMPTS {
+        let told = timeout(ATTEMPT_TIME, send_once(node, slot, region, term)).await;
+        if told == Ok(true) {
+            return true;
+        }
+        sleep(WAIT).await;
+    }
+    false
+}
+
 async fn send_once(node: &Node, slot: &Slot, region: &str, term: OwnerTerm) -> bool {
     let view = node.membership.view();
     let others: Vec<Instance> = view
@@ -54,6 +72,7 @@
         pool: slot.id.clone(),
         from: node.instance.clone(),
         term: wire_term(term),
+        drained: slot.in_flight() == 0,
         stopping: node.stop.is_cancelled(),
         warm: warm_of(slot),
     };
@@ -81,7 +100,7 @@
     if handover.stopping {
         pools.stopped(&handover.from);
     }
-    let taken = pools.handed_over(&handover.pool, owner_term(handover.term));
+    let taken = pools.handed_over(&handover.pool, owner_term(handover.term), handover.drained);
     if let Some(slot) = pools.owned(&handover.pool).filter(|_| taken) {
         slot.take_over(&warmth_of(&handover.warm));
     }
--- a/crates/celerytide-dispatch/src/muster/mod.rs
+++ b/crates/celerytide-dispatch/src/muster/mod.rs
@@ -2,7 +2,6 @@
 
 use std::cell::RefCell;
 use std::collections::HashSet;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -34,8 +33,8 @@
     round: u64,
 }
 
-/// Calls until the process ends. `own` is where this process listens for adoptions.
-pub async fn run(node: Rc<Node>, pools: Rc<Pools>, own: SocketAddr) {
+/// Calls until the process ends.
+pub async fn run(node: Rc<Node>, pools: Rc<Pools>) {
     let calls = Calls::default();
     while !node.abort.is_cancelled() {
         for call in pools.musters() {
@@ -47,14 +46,14 @@
             if calls.borrow().len() >= MAX_CALLS || !calls.borrow_mut().insert(key.clone()) {
                 continue;
             }
-            monoio::spawn(one(node.clone(), pools.clone(), own, call, key, calls.clone()));
+            monoio::spawn(one(node.clone(), pools.clone(), call, key, calls.clone()));
         }
         sleep(LOOK).await;
     }
 }
 
-async fn one(node: Rc<Node>, pools: Rc<Pools>, own: SocketAddr, call: MusterCall, key: CallKey, calls: Calls) {
-    let answered = timeout(CALL_TIME, ask(&node, own, &call)).await.ok().flatten();
+async fn one(node: Rc<Node>, pools: Rc<Pools>, call: MusterCall, key: CallKey, calls: Calls) {
+    let answered = timeout(CALL_TIME, ask(&node, &call)).await.ok().flatten();
     let answer = answered.as_ref().map(|a| &a.mustered);
     tracing::debug!(pool = call.pool, entry = call.entry, ?call.term, ?answer, "muster: an entry was called");
     let followed = match answered {
@@ -104,13 +103,13 @@
     ex: Exchange,
 }
 
-async fn ask(node: &Node, own: SocketAddr, call: &MusterCall) -> Option<Answered> {
+async fn ask(node: &Node, call: &MusterCall) -> Option<Answered> {
     let view = node.membership.view();
     let addr = view.instance(&call.entry)?.entry_peer;
     let muster = Muster {
         pool: call.pool.clone(),
         term: wire_term(call.term),
-        owner: own,
+        owner: node.instance.clone(),
     };
     let mut ex = node.links.open(addr, Method::Muster, &muster).await.ok()?;
     let mustered = ex.recv_some().await.ok()?;
--- a/crates/celerytide-dispatch/src/pools/mod.rs
+++ b/crates/celerytide-dispatch/src/pools/mod.rs
@@ -140,11 +140,13 @@
         self.ownership.borrow_mut().refused(now_boot(), pool, highest, &view);
     }
 
-    /// Notes that the former owner stopped; false if this process doesn't own the pool yet.
-    pub fn handed_over(&self, pool: &str, former: Term) -> bool {
+    /// Notes that the former owner stopped granting, and whether its permits have all ended or moved; false if this process doesn't own the pool yet.
+    pub fn handed_over(&self, pool: &str, former: Term, drained: bool) -> bool {
         let mut ownership = self.ownership.borrow_mut();
         let owned = ownership.term(pool).is_some();
-        ownership.handed_over(pool, former);
+        if drained {
+            ownership.handed_over(pool, former);
+        }
         owned
     }
 
@@ -159,7 +161,7 @@
 
     /// Permits in flight that this process granted or adopted.
     pub fn in_flight(&self) -> u64 {
-        self.slots.borrow().values().map(|s| s.status().in_flight).sum()
+        self.slots.borrow().values().map(|s| s.in_flight()).sum()
     }
 
     fn assess(&self, view: &View) -> Vec<Change> {
--- a/crates/celerytide-dispatch/src/slot/mod.rs
+++ b/crates/celerytide-dispatch/src/slot/mod.rs
@@ -264,6 +264,11 @@
         }
     }
 
+    /// Permits in flight that were granted or adopted here.
+    pub fn in_flight(&self) -> u64 {
+        self.inner.borrow().pool.in_flight()
+    }
+
     /// The pool's state.
     pub fn status(&self) -> PoolStatus {
         self.inner.borrow().pool.status()
--- a/crates/celerytide-entry/src/entry/peers.rs
+++ b/crates/celerytide-entry/src/entry/peers.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use celerytide_membership::ownership::Admitted;
-use celerytide_wire::messages::{Ack, Method, Muster, Mustered};
+use celerytide_wire::messages::{Ack, Method, Muster, Mustered, Term};
 use celerytide_wire::{Exchange, Service};
 use monoio::time::timeout;
 
@@ -40,10 +40,7 @@
     };
     let former = entry.acquire.followed(&muster.pool);
     let mustered = match entry.acquire.follow(&muster.pool, muster.term) {
-        Admitted::Yes => {
-            entry.acquire.go_to(&muster.pool, muster.owner);
-            adopted(entry, &muster, former).await
-        }
+        Admitted::Yes => adopted(entry, &muster, former).await,
         Admitted::Older { highest } => refused(Some(wire_term(highest))),
         Admitted::OtherLife => refused(None),
     };
@@ -64,8 +61,13 @@
     }
 }
 
-async fn adopted(entry: &Entry, muster: &Muster, other: Option<celerytide_wire::messages::Term>) -> Mustered {
-    let moved = timeout(MOVE_TIME, entry.acquire.leases().move_all(&muster.pool, muster.owner)).await;
+async fn adopted(entry: &Entry, muster: &Muster, other: Option<Term>) -> Mustered {
+    let view = entry.node.membership.view();
+    let Some(owner) = view.instance(&muster.owner).map(|i| i.dispatch_peer) else {
+        return unlisted(other);
+    };
+    entry.acquire.go_to(&muster.pool, owner);
+    let moved = timeout(MOVE_TIME, entry.acquire.leases().move_all(&muster.pool, owner)).await;
     let adopted = moved.ok().flatten();
     Mustered {
         followed: true,
@@ -75,7 +77,17 @@
     }
 }
 
-fn refused(other: Option<celerytide_wire::messages::Term>) -> Mustered {
+/// The owner is not in this entry's list yet: it has to call again.
+fn unlisted(other: Option<Term>) -> Mustered {
+    Mustered {
+        followed: true,
+        complete: false,
+        other,
+        adopted: 0,
+    }
+}
+
+fn refused(other: Option<Term>) -> Mustered {
     Mustered {
         followed: false,
         complete: false,
--- a/crates/celerytide-policy/src/pool/cap/mod.rs
+++ b/crates/celerytide-policy/src/pool/cap/mod.rs
@@ -13,6 +13,11 @@
         self.table.update(at, |row| row.cold_cap = cap);
     }
 
+    /// Permits in flight, adopted ones and orphans included.
+    pub fn in_flight(&self) -> u64 {
+        self.flights.len() as u64
+    }
+
     /// Permits counted against the endpoint.
     pub fn in_flight_at(&self, endpoint: &str) -> u32 {
         let at = self.table.find(endpoint);
--- a/crates/celerytide-wire/src/messages/mod.rs
+++ b/crates/celerytide-wire/src/messages/mod.rs
@@ -209,8 +209,8 @@
         pub pool: PoolId,
         /// The new owner's term.
         pub term: Term,
-        /// Where the new owner listens.
-        pub owner: SocketAddr,
+        /// The new owner's instance; the list says where it listens.
+        pub owner: InstanceId,
     }
 
     /// The entry's answer, sent once each of its permits in flight was adopted. The exchange then stays open for as long as the
@@ -234,6 +234,8 @@
         pub from: InstanceId,
         /// Term that ends.
         pub term: Term,
+        /// Whether every permit that it granted has ended or moved.
+        pub drained: bool,
         /// Whether the process stops, whatever the list shows.
         pub stopping: bool,
         /// What warm endpoints bear.
