--- a/crates/celerytide-entry/src/daemon/mod.rs
+++ b/crates/celerytide-entry/src/daemon/mod.rs
@@ -8,7 +8,7 @@
 use celerytide_kernel::Kernel;
 use celerytide_kernel::audit::Kind;
 use celerytide_manifest::EntrySettings;
-use celerytide_node::{Error, HttpSnafu, Identity, Node, Role, listen};
+use celerytide_node::{Error, HttpSnafu, Identity, Node, Pace, Role, listen};
 use celerytide_once::OutcomeCopy;
 use celerytide_types::now_boot;
 use celerytide_wire::messages::{Ack, Method};
@@ -19,6 +19,11 @@
 use crate::entry::{Callers, Entry, Peers};
 use crate::status::EntryStatus;
 
+/// An entry grants nothing, so that the membership's own bounds do.
+const PACE: Pace = Pace {
+    gossip_interval: Duration::from_secs(2),
+    view_age: None,
+};
 /// Exit code after a stop that cut requests.
 const EXIT_CUT: u8 = 1;
 /// Time between looks at what still runs.
@@ -34,7 +39,7 @@
 
 /// Runs the entry until a signal stops it.
 pub async fn run(kernel: Kernel, settings: EntrySettings) -> Result<ExitCode, Error> {
-    let node = Node::start(&kernel, identity(&settings), &settings.platform, None, wire(&settings))?;
+    let node = Node::start(&kernel, identity(&settings), &settings.platform, PACE, wire(&settings))?;
     let entry = Rc::new(Entry::new(node.clone(), settings.clone()));
     node.serve_operators(&kernel, settings.operator_address, Rc::new(EntryStatus(entry.clone())))?;
     let peers = listen(settings.peer_address)?;
--- a/crates/celerytide-node/src/gossip/mod.rs
+++ b/crates/celerytide-node/src/gossip/mod.rs
@@ -16,16 +16,14 @@
 
 /// Time for one exchange with a peer.
 const EXCHANGE_TIME: Duration = Duration::from_secs(2);
-/// Time between two rounds; each is drawn within a quarter around it.
-const ROUND: Duration = Duration::from_secs(1);
 
-/// Exchanges digests with a few peers in each round, until the process stops.
+/// Exchanges digests with a few peers in each round, drawn within a quarter around the interval, until the process stops.
 pub(crate) async fn run(node: Rc<Node>) {
     let mut round = 0;
     while !node.abort.is_cancelled() {
         one_round(&node, round).await;
         round += 1;
-        sleep(ROUND.mul_f64(rand::rng().random_range(0.75..1.25))).await;
+        sleep(node.gossip_interval.mul_f64(rand::rng().random_range(0.75..1.25))).await;
     }
 }
 
--- a/crates/celerytide-node/src/lib.rs
+++ b/crates/celerytide-node/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod suspect;
 mod tick;
 
-pub use start::{Error, HttpSnafu, Identity, Node, Role, listen, run_process};
+pub use start::{Error, HttpSnafu, Identity, Node, Pace, Role, listen, run_process};
 
 use celerytide_membership::Instance;
 use std::net::SocketAddr;
--- a/crates/celerytide-node/src/start/mod.rs
+++ b/crates/celerytide-node/src/start/mod.rs
@@ -110,6 +110,15 @@
     pub region: RegionId,
 }
 
+/// How often a process hears of others, and how long it trusts what it heard.
+#[derive(Debug, Clone, Copy)]
+pub struct Pace {
+    /// Time between rounds of gossip.
+    pub gossip_interval: Duration,
+    /// Views older than this are stale, where it is above the membership's own bound.
+    pub view_age: Option<Duration>,
+}
+
 /// One process among its peers.
 pub struct Node {
     /// Its daemon.
@@ -143,6 +152,7 @@
     /// Cancelled by the second signal, or when the stop is complete.
     pub abort: CancellationToken,
     pub(crate) seed_peers: Vec<SocketAddr>,
+    pub(crate) gossip_interval: Duration,
 }
 
 impl Node {
@@ -151,14 +161,14 @@
         kernel: &Kernel,
         who: Identity,
         platform: &Platform,
-        view_age: Option<Duration>,
+        pace: Pace,
         wire: celerytide_wire::Options,
     ) -> Result<Rc<Node>, Error> {
         let stop = kernel.cx().clone();
         let abort = CancellationToken::new();
         signals::watch(stop.clone(), abort.clone()).context(SignalsSnafu)?;
         let incarnation = new_incarnation();
-        let membership = Rc::new(Membership::new(now_boot(), options(incarnation, view_age)));
+        let membership = Rc::new(Membership::new(now_boot(), options(incarnation, pace.view_age)));
         let audit = kernel
             .register(names::AUDIT, Rc::new(Audit::default()))
             .context(KernelSnafu)?;
@@ -192,6 +202,7 @@
             stop,
             abort,
             seed_peers: platform.peers.clone(),
+            gossip_interval: pace.gossip_interval,
         });
         node.ready.set("manifest", false);
         node.ready.set("instances", false);
