fix(dispatch,entry): a permit that moves to another owner is not free at the former one

Cause: queued x list lagging: one instance alone learned that the owner had left, took the pool over and had its entry move its permits; the former owner, which went on, saw them reset, counted their slots as free and filled a cold engine again (audit of both owners). Ruled out: the hold (it broke at 1.9 s with a hold of 8 s), reports, the handover. Conclusion: a former owner that still grants keeps counting a moved permit until reports or its age end it.

--- a/crates/celerytide-dispatch/src/permit/mod.rs
+++ b/crates/celerytide-dispatch/src/permit/mod.rs
@@ -130,6 +130,7 @@
         };
         match noted {
             Ok(Some(Note::Progress(tokens))) => slot.progress(permit, tokens),
+            Ok(Some(Note::Settle(messages::Ended::Moved))) => return slot.moved(permit),
             Ok(Some(Note::Settle(ended))) => return slot.settle(permit, policy_ended(ended)),
             Ok(None) => return slot.settle(permit, Ended::Cancelled),
             Err(error) => return ended_without_word(slot, permit, &error),
@@ -179,7 +180,7 @@
         messages::Ended::Whole { tokens } => Ended::Whole { tokens },
         messages::Ended::Failed => Ended::Failed,
         messages::Ended::Slow => Ended::Slow,
-        messages::Ended::Cancelled => Ended::Cancelled,
+        messages::Ended::Cancelled | messages::Ended::Moved => Ended::Cancelled,
         messages::Ended::NotStarted => Ended::NotStarted,
     }
 }
--- a/crates/celerytide-dispatch/src/slot/mod.rs
+++ b/crates/celerytide-dispatch/src/slot/mod.rs
@@ -41,6 +41,8 @@
     addresses: HashMap<EndpointId, SocketAddr>,
     waiting: HashMap<AskId, oneshot::Sender<Decision>>,
     running: HashMap<PermitId, CancellationToken>,
+    /// Permits that went on under another owner while this one granted.
+    moved: Vec<PermitId>,
     plan_generation: u64,
     standing: Standing,
     trust: Option<Trust>,
@@ -65,6 +67,7 @@
             addresses: HashMap::new(),
             waiting: HashMap::new(),
             running: HashMap::new(),
+            moved: Vec::new(),
             plan_generation: 0,
             standing: Standing::NotOwner,
             trust: None,
@@ -218,6 +221,16 @@
         self.pump();
     }
 
+    /// Notes that a permit goes on under another owner. While this process counts itself as the owner too, the request still
+    /// occupies its endpoint.
+    pub fn moved(&self, permit: PermitId) {
+        if !self.inner.borrow().owned {
+            return self.settle(permit, Ended::Cancelled);
+        }
+        self.inner.borrow_mut().moved.push(permit);
+        self.orphan(permit);
+    }
+
     /// Notes that the holder's connection was lost.
     pub fn orphan(&self, permit: PermitId) {
         let mut inner = self.inner.borrow_mut();
@@ -257,6 +270,9 @@
     pub fn give_up(&self) {
         let mut inner = self.inner.borrow_mut();
         inner.owned = false;
+        for permit in std::mem::take(&mut inner.moved) {
+            inner.pool.settle(now_boot(), permit, Ended::Cancelled);
+        }
         inner.pool.refuse_all(now_boot(), Refusal::NotOwner);
         for (_, tx) in inner.waiting.drain() {
             // The asker may have left.
--- a/crates/celerytide-entry/src/permit/lease.rs
+++ b/crates/celerytide-entry/src/permit/lease.rs
@@ -9,12 +9,14 @@
 use celerytide_wire::{Error, Exchange, Links};
 use futures::StreamExt;
 use futures::channel::mpsc;
-use monoio::time::sleep;
+use monoio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 use super::leases::{Leases, Listed, Move};
 use crate::owner::Owners;
 
+/// Time for a former owner to take the word that its permit has moved.
+const FORMER_TIME: Duration = Duration::from_millis(200);
 /// Wait between attempts to find a lost owner's successor.
 const REBIND_WAIT: Duration = Duration::from_millis(100);
 
@@ -182,8 +184,10 @@
             return false;
         };
         let adopted = matches!(ex.recv::<Ack>().await, Ok(Some(Ack { taken: true })));
-        if adopted {
-            self.ex = Some(ex);
+        if adopted && let Some(mut former) = self.ex.replace(ex) {
+            // Best effort: a former owner that is gone counts nothing.
+            let _ = former.send_last(&Note::Settle(Ended::Moved)).await;
+            let _ = timeout(FORMER_TIME, former.recv::<Reply>()).await;
         }
         adopted
     }
--- a/crates/celerytide-wire/src/messages/mod.rs
+++ b/crates/celerytide-wire/src/messages/mod.rs
@@ -185,6 +185,8 @@
         Cancelled,
         /// No connection came up.
         NotStarted,
+        /// It goes on under another owner.
+        Moved,
     }
 
     /// A permit in flight that a former owner granted.
