fix(entry): a permit adopted again by the same owner ends its former exchange as cancelled

Ruled out: the reports (they release orphans only after their lag). Conclusion: the farewell says moved only where the owner's address changed.

--- a/crates/celerytide-entry/src/permit/acquire.rs
+++ b/crates/celerytide-entry/src/permit/acquire.rs
@@ -76,8 +76,15 @@
     guard: RefCell<TermGuard>,
 }
 
+/// A permit, the exchange that holds it, and its owner's address.
+struct Held {
+    granted: Granted,
+    ex: Exchange,
+    owner: SocketAddr,
+}
+
 enum Asked {
-    Granted(Box<Granted>, Exchange),
+    Granted(Box<Held>),
     Refused(FinalWord),
     Again,
 }
@@ -136,7 +143,7 @@
                 () = cx.cancelled() => return Err(Denied::Left),
             };
             match asked {
-                Asked::Granted(granted, ex) => return Ok(self.start(*granted, ex, wanted)),
+                Asked::Granted(held) => return Ok(self.start(*held, wanted)),
                 Asked::Refused(word) => return Err(Denied::Final(Final::refused(word))),
                 Asked::Again => {}
             }
@@ -165,7 +172,7 @@
         match timeout(left + REPLY_GRACE, ex.recv_some::<Reply>()).await {
             // This process may have slept while the permit waited in its socket.
             Ok(Ok(Reply::Granted(_))) if now_boot().since(now) > left + REPLY_GRACE => Asked::Again,
-            Ok(Ok(Reply::Granted(granted))) => self.check_term(&ask.pool, granted, ex),
+            Ok(Ok(Reply::Granted(granted))) => self.check_term(Held { granted, ex, owner }),
             Ok(Ok(Reply::Refused(word))) => Asked::Refused(word),
             Ok(Ok(Reply::NotOwner(_) | Reply::Preempt)) => {
                 self.owners.unfollow(&ask.pool);
@@ -187,15 +194,14 @@
     }
 
     /// A permit of an older term than one followed is dropped unused; the drop tells its owner.
-    fn check_term(&self, pool: &str, granted: Granted, ex: Exchange) -> Asked {
-        if self.follow(pool, granted.term) == Admitted::Yes {
-            return Asked::Granted(Box::new(granted), ex);
+    fn check_term(&self, held: Held) -> Asked {
+        let Granted {
+            pool, endpoint, term, ..
+        } = &held.granted;
+        if self.follow(pool, *term) == Admitted::Yes {
+            return Asked::Granted(Box::new(held));
         }
-        tracing::warn!(
-            pool,
-            endpoint = granted.endpoint,
-            "permit: dropped one of an older term"
-        );
+        tracing::warn!(pool, endpoint, "permit: dropped one of an older term");
         Asked::Again
     }
 
@@ -215,7 +221,8 @@
         }
     }
 
-    fn start(&self, granted: Granted, ex: Exchange, wanted: &Wanted) -> Lease {
+    fn start(&self, held: Held, wanted: &Wanted) -> Lease {
+        let Held { granted, ex, owner } = held;
         let adopt = Adopt {
             pool: granted.pool.clone(),
             request: wanted.request.clone(),
@@ -229,7 +236,7 @@
             links: self.links.clone(),
             adopt,
         };
-        Lease::start(granted, ex, holder, &self.leases)
+        Lease::start(granted, ex, owner, holder, &self.leases)
     }
 }
 
--- a/crates/celerytide-entry/src/permit/lease.rs
+++ b/crates/celerytide-entry/src/permit/lease.rs
@@ -35,13 +35,14 @@
 }
 
 impl Lease {
-    pub(super) fn start(granted: Granted, ex: Exchange, holder: Holder, leases: &Leases) -> Lease {
+    pub(super) fn start(granted: Granted, ex: Exchange, owner: SocketAddr, holder: Holder, leases: &Leases) -> Lease {
         let (notes, notes_rx) = mpsc::unbounded();
         let (moves, moves_rx) = mpsc::unbounded();
         let listed = leases.list(&holder.adopt.pool, moves);
         let preempted = CancellationToken::new();
         let task = Task {
             ex: Some(ex),
+            owner,
             holder,
             notes: notes_rx,
             moves: moves_rx,
@@ -102,6 +103,7 @@
 
 struct Task {
     ex: Option<Exchange>,
+    owner: SocketAddr,
     holder: Holder,
     notes: mpsc::UnboundedReceiver<Note>,
     moves: mpsc::UnboundedReceiver<Move>,
@@ -184,11 +186,21 @@
             return false;
         };
         let adopted = matches!(ex.recv::<Ack>().await, Ok(Some(Ack { taken: true })));
-        if adopted && let Some(mut former) = self.ex.replace(ex) {
-            // Best effort: a former owner that is gone counts nothing.
-            let _ = former.send_last(&Note::Settle(Ended::Moved)).await;
-            let _ = timeout(FORMER_TIME, former.recv::<Reply>()).await;
+        if adopted {
+            let former = self.ex.replace(ex);
+            let moved = std::mem::replace(&mut self.owner, owner) != owner;
+            if let Some(former) = former {
+                leave(former, moved).await;
+            }
         }
         adopted
     }
 }
+
+/// Ends the exchange with the former owner, or an earlier one with the same owner. Best effort: one that is gone counts nothing.
+async fn leave(mut former: Exchange, moved: bool) {
+    let ended = if moved { Ended::Moved } else { Ended::Cancelled };
+    if former.send_last(&Note::Settle(ended)).await.is_ok() {
+        let _ = timeout(FORMER_TIME, former.recv::<Reply>()).await;
+    }
+}
