--- a/crates/celerytide-membership/src/watch/http.rs
+++ b/crates/celerytide-membership/src/watch/http.rs
@@ -31,9 +31,11 @@
             bounds,
             ..Call::new(addr, Method::GET, path)
         };
-        match self.send_whole(call, max_body, cx).await {
-            Ok(whole) => Ok(answer(&whole)),
-            Err(error) => Err(read_error(error, max_body)),
+        // A connection may go silent in the middle of the body, too.
+        match monoio::time::timeout(timeout, self.send_whole(call, max_body, cx)).await {
+            Ok(Ok(whole)) => Ok(answer(&whole)),
+            Ok(Err(error)) => Err(read_error(error, max_body)),
+            Err(_) => Err(ReadError::Timeout),
         }
     }
 }
