fix(standin): a stalled route keeps what fills its queue

The route's accept was still waiting when the mode became stall; it took the connection that filled the queue and put another in its place. Between the two calls a client could get in. Ruled out: a queue that holds more than one connection (backlog 0 holds one, the second filler times out); the test's wait of 150 ms (a dropped first packet is sent again after 1 s). The wait now looks at the mode before it takes a connection. Conclusion: no gap is left, since the mode is set before the queue can be touched again.

--- a/crates/celerytide-standin/src/relay/route.rs
+++ b/crates/celerytide-standin/src/relay/route.rs
@@ -2,10 +2,13 @@
 
 use std::{
     cell::{Cell, RefCell},
+    future::{Future, poll_fn},
     io,
     net::{Ipv4Addr, SocketAddr, TcpListener as StdListener, TcpStream as StdStream},
     os::fd::{AsFd, AsRawFd},
+    pin::pin,
     rc::{Rc, Weak},
+    task::Poll,
     time::Duration,
 };
 
@@ -138,29 +141,25 @@
         return;
     };
     loop {
-        if route.mode() == Mode::Stall {
-            time::sleep(LOOK).await;
-            continue;
-        }
-        monoio::select! {
-            taken = listener.accept() => {
-                if let Ok((from, _)) = taken {
-                    monoio::spawn(serve(route.clone(), from));
-                }
-                if route.mode() == Mode::Stall {
-                    // That one left room in the queue.
-                    route.stall();
-                }
+        match take(&route, &listener).await {
+            Some(Ok((from, _))) => {
+                monoio::spawn(serve(route.clone(), from));
             }
-            () = stalled(&route) => {}
+            Some(Err(_)) => {}
+            None => time::sleep(LOOK).await,
         }
     }
 }
 
-async fn stalled(route: &Route) {
-    while route.mode() != Mode::Stall {
-        time::sleep(LOOK).await;
-    }
+/// The next connection; `None` once the route is stalled: what fills its queue must stay there, since between a
+/// taken one and the next that fills its place another could get in.
+async fn take(route: &Route, listener: &TcpListener) -> Option<io::Result<(TcpStream, SocketAddr)>> {
+    let mut next = pin!(listener.accept());
+    poll_fn(|cx| match route.mode() {
+        Mode::Stall => Poll::Ready(None),
+        _ => next.as_mut().poll(cx).map(Some),
+    })
+    .await
 }
 
 async fn serve(route: Rc<Route>, from: TcpStream) {
