fix(membership): a returned entry is mustered only by an owner that has seen its first list

Its model called musters in 4 of 64 events and delivered one message in about two seconds, where processes call at each tick; since owners muster at each list they hardly settled. With musters each second another row broke: two owners read old lists, an instance died, came back with no memory of owners, and the older owner mustered it under a term that all others had left behind; three at an endpoint that bears two (seed 0x85f21d3900004000, row "and a stale service"). Ruled out: an owner that grants without fresh views, an entry that takes an older term than it followed (both 0 in that history). Change: Muster carries the latest list that the owner has seen. An entry refuses owners that have not seen the entry's own first list, and all of them before it has one. The model calls musters each second and delivers up to four messages in a second that passes; rows of a slow network keep the former pace. No guard or bound of the test was changed; a row, a replay and a table are new.

--- a/crates/celerytide-dispatch/src/muster/mod.rs
+++ b/crates/celerytide-dispatch/src/muster/mod.rs
@@ -109,6 +109,7 @@
     let muster = Muster {
         pool: call.pool.clone(),
         term: wire_term(call.term),
+        seen_list: call.seen_list,
         owner: node.instance.clone(),
     };
     let mut ex = node.links.open(addr, Method::Muster, &muster).await.ok()?;
--- a/crates/celerytide-entry/src/entry/peers.rs
+++ b/crates/celerytide-entry/src/entry/peers.rs
@@ -39,10 +39,10 @@
         return;
     };
     let former = entry.acquire.followed(&muster.pool);
-    let mustered = match entry.acquire.follow(&muster.pool, muster.term) {
+    let mustered = match entry.acquire.mustered(&muster) {
         Admitted::Yes => adopted(entry, &muster, former).await,
         Admitted::Older { highest } => refused(Some(wire_term(highest))),
-        Admitted::OtherLife => refused(None),
+        Admitted::OtherLife | Admitted::Behind => refused(None),
     };
     let follows = mustered.followed && mustered.complete;
     let sent = match follows {
--- a/crates/celerytide-entry/src/permit/acquire.rs
+++ b/crates/celerytide-entry/src/permit/acquire.rs
@@ -11,7 +11,7 @@
 use celerytide_types::{
     Boot, ClassName, CustomerId, EndpointId, FinalWord, InstanceId, Millis, PoolId, RequestId, ServiceId, now_boot,
 };
-use celerytide_wire::messages::{Adopt, Ask, Granted, Method, Reply, Term};
+use celerytide_wire::messages::{Adopt, Ask, Granted, Method, Muster, Reply, Term};
 use celerytide_wire::{Exchange, Links};
 use http::StatusCode;
 use monoio::time::{sleep, timeout};
@@ -126,6 +126,13 @@
         self.guard.borrow_mut().admit(&view, pool, owner_term(term))
     }
 
+    /// Follows the mustering owner unless a higher term was seen or the owner's list is older than this process.
+    pub fn mustered(&self, muster: &Muster) -> Admitted {
+        let view = self.membership.view();
+        let mut guard = self.guard.borrow_mut();
+        guard.muster(&view, &muster.pool, owner_term(muster.term), muster.seen_list)
+    }
+
     /// The highest term followed for `pool`.
     pub fn followed(&self, pool: &str) -> Option<Term> {
         self.guard.borrow().highest(pool).map(wire_term)
--- a/crates/celerytide-membership/src/ownership/standing.rs
+++ b/crates/celerytide-membership/src/ownership/standing.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use celerytide_types::{Boot, Incarnation, InstanceId, PoolId};
+use celerytide_types::{Boot, Incarnation, InstanceId, PoolId, Version};
 
 use super::held::Held;
 use super::pool::{Pool, owner_of, pools_of};
@@ -66,6 +66,8 @@
     pub pool: PoolId,
     /// The owner's term.
     pub term: Term,
+    /// Version of the latest list that the owner has seen.
+    pub seen_list: Version,
     /// Grows whenever earlier answers stop counting.
     pub round: u64,
     /// The instance whose entry is called.
@@ -167,6 +169,7 @@
         let call = |entry: &InstanceId| MusterCall {
             pool: pool.to_owned(),
             term: held.term,
+            seen_list: held.seen_list,
             round: held.round,
             entry: entry.clone(),
         };
--- a/crates/celerytide-membership/src/ownership/term.rs
+++ b/crates/celerytide-membership/src/ownership/term.rs
@@ -29,12 +29,16 @@
     },
     /// It names a list of an earlier life of the list service.
     OtherLife,
+    /// The owner has not seen the first list of this guard: it may own by one that others left behind.
+    Behind,
 }
 
 /// The highest term an entry has seen of each pool: a one-way step per pool and life of the list service.
 #[derive(Debug, Default)]
 pub struct TermGuard {
     epoch: u64,
+    /// Version of the first list in this life of the list service.
+    first_list: Option<Version>,
     highest: BTreeMap<PoolId, Term>,
 }
 
@@ -60,6 +64,20 @@
         }
     }
 
+    /// Whether an owner under `term` that has seen lists up to `seen_list` may muster this entry. A guard remembers nothing
+    /// of owners before its first list, so it can't tell whether they were followed by others: an owner that has not seen
+    /// that list has to catch up first.
+    pub fn muster(&mut self, view: &View, pool: &str, term: Term, seen_list: Version) -> Admitted {
+        self.enter(view.list_epoch);
+        if self.first_list.is_none() && view.list_version > 0 {
+            self.first_list = Some(view.list_version);
+        }
+        match self.first_list {
+            Some(first) if seen_list >= first => self.admit(view, pool, term),
+            _ => Admitted::Behind,
+        }
+    }
+
     /// The highest term seen of a pool.
     pub fn highest(&self, pool: &str) -> Option<Term> {
         self.highest.get(pool).copied()
@@ -73,6 +91,7 @@
     fn enter(&mut self, epoch: u64) {
         if epoch > self.epoch {
             self.epoch = epoch;
+            self.first_list = None;
             self.highest.clear();
         }
     }
--- a/crates/celerytide-membership/tests/owners/fleet.rs
+++ b/crates/celerytide-membership/tests/owners/fleet.rs
@@ -13,6 +13,8 @@
 
 /// Seconds by which a read may lag behind the list.
 const LAG: u64 = 5;
+/// Most messages that arrive within a second that passes.
+const MOST_DELIVERED: u8 = 4;
 const REPORT_LAG: usize = 2;
 /// An entry takes a permit only within this time of its ask.
 const ASK_FOR: Duration = Duration::from_secs(5);
@@ -121,8 +123,10 @@
                 if self.nodes[n].acts() {
                     self.nodes[n].second(self.now, report);
                     self.read(n, u)?;
+                    self.muster(n);
                 }
             }
+            self.deliver_some(u)?;
             self.assess_all();
         }
         Ok(())
@@ -212,12 +216,29 @@
             return;
         }
         for call in self.nodes[n].own.musters(POOL) {
-            if let Some(to) = self.nodes.iter().position(|node| node.id == call.entry) {
+            let to = self.nodes.iter().position(|node| node.id == call.entry);
+            if let Some(to) = to.filter(|_| !self.is_under_way(n, &call)) {
                 self.send(n, to, What::Muster(call));
             }
         }
     }
 
+    /// Whether the same call of that node is still on its way; processes make one call at a time to each entry.
+    fn is_under_way(&self, n: usize, call: &MusterCall) -> bool {
+        let is_it = |m: &Message| m.from == n && matches!(&m.what, What::Muster(other) if other == call);
+        self.net.iter().any(is_it)
+    }
+
+    fn deliver_some(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        if self.faults.slow_network {
+            return Ok(());
+        }
+        for _ in 0..u.int_in_range(0..=MOST_DELIVERED)? {
+            self.deliver(u)?;
+        }
+        Ok(())
+    }
+
     fn deliver(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
         if self.net.is_empty() {
             return Ok(());
@@ -267,7 +288,12 @@
         let view = self.nodes[at].members.view();
         let former = self.nodes[at].guard.highest(POOL).map_or(Former::Nobody, Former::Seen);
         let in_flight = self.nodes[at].working.iter().copied().collect();
-        match self.nodes[at].guard.admit(&view, POOL, call.term) {
+        let guard = &mut self.nodes[at].guard;
+        let admitted = match self.flaw {
+            Some(Flaw::AnyList) => guard.admit(&view, POOL, call.term),
+            _ => guard.muster(&view, POOL, call.term, call.seen_list),
+        };
+        match admitted {
             Admitted::Yes => self.send(
                 at,
                 owner,
@@ -278,7 +304,7 @@
                 },
             ),
             Admitted::Older { highest } => self.send(at, owner, What::Refused { highest }),
-            Admitted::OtherLife => {}
+            Admitted::OtherLife | Admitted::Behind => {}
         }
     }
 
--- a/crates/celerytide-membership/tests/owners/mod.rs
+++ b/crates/celerytide-membership/tests/owners/mod.rs
@@ -35,6 +35,8 @@
     pub false_removals: bool,
     /// Entries take permits however late they come.
     pub late_permits: bool,
+    /// Messages take many seconds.
+    pub slow_network: bool,
     /// The endpoint publishes no report.
     pub no_report: bool,
 }
@@ -52,6 +54,8 @@
     NoReports,
     /// An owner grants to entries that don't follow it.
     ToAnyone,
+    /// Entries are mustered by owners that have not seen their first list.
+    AnyList,
     /// Permits in flight are not adopted.
     NoAdoption,
 }
--- a/crates/celerytide-membership/tests/ownership.rs
+++ b/crates/celerytide-membership/tests/ownership.rs
@@ -328,6 +328,50 @@
     }
 }
 
+#[test]
+fn a_guard_is_mustered_only_by_owners_that_saw_its_first_list() {
+    let term = Term {
+        list_version: 3,
+        incarnation: 7,
+    };
+    struct Case {
+        name: &'static str,
+        listed: Vec<u64>,
+        seen_list: u64,
+        want: Admitted,
+    }
+    let case = |name, listed: &[u64], seen_list, want| Case {
+        name,
+        listed: listed.to_vec(),
+        seen_list,
+        want,
+    };
+    let cases = [
+        case("no list yet", &[0], 9, Admitted::Behind),
+        case("owner behind the first list", &[5], 4, Admitted::Behind),
+        case("owner behind, asked again later", &[5, 8], 4, Admitted::Behind),
+        case("owner at the first list", &[5], 5, Admitted::Yes),
+        case(
+            "owner between the first list and the present one",
+            &[5, 8],
+            6,
+            Admitted::Yes,
+        ),
+        case("owner ahead", &[5], 9, Admitted::Yes),
+    ];
+    for case in cases {
+        let mut guard = TermGuard::new();
+        let answers = case.listed.iter().map(|version| {
+            let view = View {
+                list_version: *version,
+                ..view(0, None)
+            };
+            guard.muster(&view, POOL, term, case.seen_list)
+        });
+        assert_eq!(answers.last(), Some(case.want), "{}", case.name);
+    }
+}
+
 #[test]
 fn the_guard_takes_equal_or_higher_terms_of_one_life() {
     let term = |list_version, incarnation| Term {
--- a/crates/celerytide-membership/tests/ownership_history.rs
+++ b/crates/celerytide-membership/tests/ownership_history.rs
@@ -3,6 +3,7 @@
 mod common;
 mod owners;
 
+use arbtest::arbtest;
 use owners::fleet::{Fleet, Tally};
 use owners::{Faults, Flaw};
 
@@ -62,6 +63,7 @@
     stale_service: false,
     false_removals: false,
     late_permits: false,
+    slow_network: false,
     no_report: false,
 };
 const CHANGES: Faults = Faults {
@@ -82,6 +84,11 @@
     partitions: true,
     ..CALM
 };
+const STALE_AND_SLOW: Faults = Faults {
+    stale_service: true,
+    slow_network: true,
+    ..CHANGES
+};
 const UNREPORTED: Faults = Faults {
     no_report: true,
     restarts: false,
@@ -135,6 +142,7 @@
                 ..CLAIMED
             },
         ),
+        case("a stale service, a slow network", STALE_AND_SLOW),
         case("instances dropped from the list, partitions", REMOVED_AND_CUT),
         case("no report, no death, no restart", UNREPORTED),
     ];
@@ -150,6 +158,35 @@
     }
 }
 
+/// One of the histories above: an owner that read old lists mustered an instance that had died, come back and forgotten
+/// whom it followed.
+#[test]
+fn a_returned_entry_is_not_mustered_by_an_owner_that_has_not_seen_it_return() {
+    const SEED: u64 = 0x85f2_1d39_0000_4000;
+    struct Case {
+        flaw: Option<Flaw>,
+        holds: bool,
+    }
+    let cases = [
+        Case {
+            flaw: None,
+            holds: true,
+        },
+        Case {
+            flaw: Some(Flaw::AnyList),
+            holds: false,
+        },
+    ];
+    for case in cases {
+        arbtest(|u| {
+            let tally = Fleet::new(STALE_AND_SLOW, case.flaw).run(u)?;
+            assert_eq!(tally.holds(), case.holds, "{:?}: {tally:?}", case.flaw);
+            Ok(())
+        })
+        .seed(SEED);
+    }
+}
+
 #[test]
 fn combinations_that_are_left_are_real() {
     struct Case {
--- a/crates/celerytide-wire/src/messages/mod.rs
+++ b/crates/celerytide-wire/src/messages/mod.rs
@@ -211,6 +211,8 @@
         pub pool: PoolId,
         /// The new owner's term.
         pub term: Term,
+        /// Version of the latest instance list that the new owner has seen.
+        pub seen_list: Version,
         /// The new owner's instance; the list says where it listens.
         pub owner: InstanceId,
     }
