refactor: one Term, one conversion to milliseconds, one home for the seeds of property tests

Cause: wire and membership each had a Term and dispatch and entry each two conversions between them; millis stood twice; the seeds of property tests stood in two crates' tests. Change: Term and millis are in celerytide-types; celerytide-seeds (unpublished) holds the seeds. The same seeds run as before.

--- a/crates/celerytide-dispatch/src/handover/mod.rs
+++ b/crates/celerytide-dispatch/src/handover/mod.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use celerytide_membership::Instance;
-use celerytide_membership::ownership::{Term as OwnerTerm, owner_of};
+use celerytide_membership::ownership::owner_of;
 use celerytide_node::Node;
 use celerytide_policy::Warmth;
-use celerytide_types::RegionId;
+use celerytide_types::{RegionId, Term};
 use celerytide_wire::Exchange;
-use celerytide_wire::messages::{Ack, Handover, Method, Term, Warm};
+use celerytide_wire::messages::{Ack, Handover, Method, Warm};
 use monoio::time::{sleep, timeout};
 
 use crate::pools::Pools;
@@ -27,7 +27,7 @@
 /// Tells the next owner of the pool in `slot`, in a task of its own: at once that nothing more is granted, and later that
 /// every permit has ended or moved. Cold endpoints wait for the second word, because an entry that the next owner's list
 /// doesn't show keeps its permits here.
-pub fn send(node: Rc<Node>, slot: Rc<Slot>, region: RegionId, term: OwnerTerm) {
+pub fn send(node: Rc<Node>, slot: Rc<Slot>, region: RegionId, term: Term) {
     monoio::spawn(async move {
         if !send_until_taken(&node, &slot, &region, term).await {
             tracing::info!(
@@ -46,7 +46,7 @@
     });
 }
 
-async fn send_until_taken(node: &Node, slot: &Slot, region: &str, term: OwnerTerm) -> bool {
+async fn send_until_taken(node: &Node, slot: &Slot, region: &str, term: Term) -> bool {
     for _ in 0..ATTEMPTS {
         let told = timeout(ATTEMPT_TIME, send_once(node, slot, region, term)).await;
         if told == Ok(true) {
@@ -57,7 +57,7 @@
     false
 }
 
-async fn send_once(node: &Node, slot: &Slot, region: &str, term: OwnerTerm) -> bool {
+async fn send_once(node: &Node, slot: &Slot, region: &str, term: Term) -> bool {
     let view = node.membership.view();
     let others: Vec<Instance> = view
         .instances
@@ -71,7 +71,7 @@
     let message = Handover {
         pool: slot.id.clone(),
         from: node.instance.clone(),
-        term: wire_term(term),
+        term,
         drained: slot.in_flight() == 0,
         stopping: node.stop.is_cancelled(),
         warm: warm_of(slot),
@@ -100,7 +100,7 @@
     if handover.stopping {
         pools.stopped(&handover.from);
     }
-    let taken = pools.handed_over(&handover.pool, owner_term(handover.term), handover.drained);
+    let taken = pools.handed_over(&handover.pool, handover.term, handover.drained);
     if let Some(slot) = pools.owned(&handover.pool).filter(|_| taken) {
         slot.take_over(&warmth_of(&handover.warm));
     }
@@ -109,22 +109,6 @@
     }
 }
 
-/// A term as it stands in messages.
-pub fn wire_term(term: OwnerTerm) -> Term {
-    Term {
-        list_version: term.list_version,
-        incarnation: term.incarnation,
-    }
-}
-
-/// A term from a message.
-pub fn owner_term(term: Term) -> OwnerTerm {
-    OwnerTerm {
-        list_version: term.list_version,
-        incarnation: term.incarnation,
-    }
-}
-
 fn warmth_of(warm: &[Warm]) -> Vec<Warmth> {
     let warmth = warm.iter().map(|w| Warmth {
         endpoint: w.endpoint.clone(),
--- a/crates/celerytide-dispatch/src/muster/mod.rs
+++ b/crates/celerytide-dispatch/src/muster/mod.rs
@@ -12,7 +12,6 @@
 use celerytide_wire::messages::{Ack, Method, Muster, Mustered};
 use monoio::time::{sleep, timeout};
 
-use crate::handover::{owner_term, wire_term};
 use crate::pools::Pools;
 
 /// Time between looks at whom to call.
@@ -72,15 +71,13 @@
 /// Whether the entry follows.
 fn took(pools: &Pools, call: &MusterCall, mustered: &Mustered) -> bool {
     if mustered.followed && mustered.complete {
-        let former = mustered
-            .other
-            .map_or(Former::Nobody, |term| Former::Seen(owner_term(term)));
+        let former = mustered.other.map_or(Former::Nobody, Former::Seen);
         pools.mustered(call, former);
         pools.refresh();
         return true;
     }
     if let Some(highest) = mustered.other.filter(|_| !mustered.followed) {
-        pools.refused(&call.pool, owner_term(highest));
+        pools.refused(&call.pool, highest);
     }
     false
 }
@@ -108,7 +105,7 @@
     let addr = view.instance(&call.entry)?.entry_peer;
     let muster = Muster {
         pool: call.pool.clone(),
-        term: wire_term(call.term),
+        term: call.term,
         seen_list: call.seen_list,
         owner: node.instance.clone(),
     };
--- a/crates/celerytide-dispatch/src/permit/mod.rs
+++ b/crates/celerytide-dispatch/src/permit/mod.rs
@@ -4,13 +4,12 @@
 
 use celerytide_membership::ownership::Standing;
 use celerytide_policy::{Ask, Ended, Refused, Warmth};
-use celerytide_types::{FinalWord, Millis, PermitId, Word, now_boot};
+use celerytide_types::{FinalWord, PermitId, Term, Word, millis, now_boot};
 use celerytide_wire::Exchange;
-use celerytide_wire::messages::{self, Ack, Adopt, Granted, Note, Reply, Term};
+use celerytide_wire::messages::{self, Ack, Adopt, Granted, Note, Reply};
 use std::time::Duration;
 
 use crate::dispatch::Dispatch;
-use crate::handover::wire_term;
 use crate::slot::{Decision, Slot, Waiting};
 
 /// Serves an entry's ask to the end of its permit.
@@ -103,7 +102,7 @@
         warm_limit: slot.warm_limit(&grant.endpoint),
         endpoint: grant.endpoint,
         address,
-        term: wire_term(slot.term()),
+        term: slot.term(),
         lasts_ms: millis(dispatch.settings.timeouts.permit_age),
     };
     dispatch.metrics.granted();
@@ -184,7 +183,3 @@
         messages::Ended::NotStarted => Ended::NotStarted,
     }
 }
-
-fn millis(span: Duration) -> Millis {
-    span.as_millis().try_into().unwrap_or(Millis::MAX)
-}
--- a/crates/celerytide-dispatch/src/pools/mod.rs
+++ b/crates/celerytide-dispatch/src/pools/mod.rs
@@ -8,12 +8,11 @@
 use celerytide_manifest::DispatchSettings;
 use celerytide_membership::View;
 use celerytide_membership::ownership::{
-    Assessment, Change, Former, MusterCall, Options as OwnershipOptions, Ownership, Pool, Standing, Term, owner_of,
-    pools_of,
+    Assessment, Change, Former, MusterCall, Options as OwnershipOptions, Ownership, Pool, Standing, owner_of, pools_of,
 };
 use celerytide_node::Node;
 use celerytide_policy::{Options, Trust};
-use celerytide_types::{PoolId, now_boot};
+use celerytide_types::{PoolId, Term, now_boot};
 
 use crate::handover;
 use crate::plan::plan_of;
--- a/crates/celerytide-dispatch/src/slot/mod.rs
+++ b/crates/celerytide-dispatch/src/slot/mod.rs
@@ -6,11 +6,11 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use celerytide_membership::ownership::{Standing, Term as OwnerTerm};
+use celerytide_membership::ownership::Standing;
 use celerytide_policy::{
     Ask, AskId, Ended, Grant, LoadReport, Offer, Options, Pool, PoolPlan, PoolStatus, Refusal, Refused, Trust, Warmth,
 };
-use celerytide_types::{Boot, EndpointId, PermitId, PoolId, now_boot};
+use celerytide_types::{Boot, EndpointId, PermitId, PoolId, Term, now_boot};
 use futures::channel::oneshot;
 use tokio_util::sync::CancellationToken;
 
@@ -36,7 +36,7 @@
 
 struct Inner {
     pool: Pool,
-    term: OwnerTerm,
+    term: Term,
     owned: bool,
     addresses: HashMap<EndpointId, SocketAddr>,
     waiting: HashMap<AskId, oneshot::Sender<Decision>>,
@@ -59,7 +59,7 @@
 
 impl Slot {
     /// A pool owned under `term`.
-    pub fn new(id: PoolId, term: OwnerTerm, opts: Options) -> Slot {
+    pub fn new(id: PoolId, term: Term, opts: Options) -> Slot {
         let inner = Inner {
             pool: Pool::new(opts),
             term,
@@ -80,12 +80,12 @@
     }
 
     /// The term under which it grants.
-    pub fn term(&self) -> OwnerTerm {
+    pub fn term(&self) -> Term {
         self.inner.borrow().term
     }
 
     /// Sets the term.
-    pub fn set_term(&self, term: OwnerTerm) {
+    pub fn set_term(&self, term: Term) {
         self.inner.borrow_mut().term = term;
     }
 
--- a/crates/celerytide-entry/src/entry/peers.rs
+++ b/crates/celerytide-entry/src/entry/peers.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use celerytide_membership::ownership::Admitted;
-use celerytide_wire::messages::{Ack, Method, Muster, Mustered, Term};
+use celerytide_types::Term;
+use celerytide_wire::messages::{Ack, Method, Muster, Mustered};
 use celerytide_wire::{Exchange, Service};
 use monoio::time::timeout;
 
 use super::Entry;
-use crate::permit::wire_term;
 use crate::ticket;
 
 /// Time for a new owner to adopt all permits of a pool.
@@ -41,7 +41,7 @@
     let former = entry.acquire.followed(&muster.pool);
     let mustered = match entry.acquire.mustered(&muster) {
         Admitted::Yes => adopted(entry, &muster, former).await,
-        Admitted::Older { highest } => refused(Some(wire_term(highest))),
+        Admitted::Older { highest } => refused(Some(highest)),
         Admitted::OtherLife | Admitted::Behind => refused(None),
     };
     let follows = mustered.followed && mustered.complete;
--- a/crates/celerytide-entry/src/permit/acquire.rs
+++ b/crates/celerytide-entry/src/permit/acquire.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use celerytide_membership::Membership;
-use celerytide_membership::ownership::{Admitted, Term as OwnerTerm, TermGuard};
+use celerytide_membership::ownership::{Admitted, TermGuard};
 use celerytide_node::suspect::Suspects;
 use celerytide_types::{
-    Boot, ClassName, CustomerId, EndpointId, FinalWord, InstanceId, Millis, PoolId, RequestId, ServiceId, now_boot,
+    Boot, ClassName, CustomerId, EndpointId, FinalWord, InstanceId, PoolId, RequestId, ServiceId, Term, millis,
+    now_boot,
 };
-use celerytide_wire::messages::{Adopt, Ask, Granted, Method, Muster, Reply, Term};
+use celerytide_wire::messages::{Adopt, Ask, Granted, Method, Muster, Reply};
 use celerytide_wire::{Exchange, Links};
 use http::StatusCode;
 use monoio::time::{sleep, timeout};
@@ -123,19 +124,19 @@
     /// Follows `term` for `pool` unless a higher one was seen.
     pub fn follow(&self, pool: &str, term: Term) -> Admitted {
         let view = self.membership.view();
-        self.guard.borrow_mut().admit(&view, pool, owner_term(term))
+        self.guard.borrow_mut().admit(&view, pool, term)
     }
 
     /// Follows the mustering owner unless a higher term was seen or the owner's list is older than this process.
     pub fn mustered(&self, muster: &Muster) -> Admitted {
         let view = self.membership.view();
         let mut guard = self.guard.borrow_mut();
-        guard.muster(&view, &muster.pool, owner_term(muster.term), muster.seen_list)
+        guard.muster(&view, &muster.pool, muster.term, muster.seen_list)
     }
 
     /// The highest term followed for `pool`.
     pub fn followed(&self, pool: &str) -> Option<Term> {
-        self.guard.borrow().highest(pool).map(wire_term)
+        self.guard.borrow().highest(pool)
     }
 
     /// Gets a permit.
@@ -247,26 +248,6 @@
     }
 }
 
-fn millis(span: Duration) -> Millis {
-    span.as_millis().try_into().unwrap_or(Millis::MAX)
-}
-
-/// A term from a message.
-fn owner_term(term: Term) -> OwnerTerm {
-    OwnerTerm {
-        list_version: term.list_version,
-        incarnation: term.incarnation,
-    }
-}
-
-/// The same term as it stands in messages.
-pub fn wire_term(term: OwnerTerm) -> Term {
-    Term {
-        list_version: term.list_version,
-        incarnation: term.incarnation,
-    }
-}
-
 fn too_late() -> Final {
     let message = "no owner of the service's endpoints could grant it in time";
     Final::not_run(StatusCode::SERVICE_UNAVAILABLE, "no-permit-in-time", message).retry_after(NO_OWNER_RETRY)
--- a/crates/celerytide-entry/src/permit/mod.rs
+++ b/crates/celerytide-entry/src/permit/mod.rs
@@ -8,6 +8,6 @@
 mod lease;
 mod leases;
 
-pub use acquire::{Acquire, Denied, Wanted, wire_term};
+pub use acquire::{Acquire, Denied, Wanted};
 pub use lease::Lease;
 pub use leases::Leases;
--- a/crates/celerytide-membership/src/ownership/held.rs
+++ b/crates/celerytide-membership/src/ownership/held.rs
@@ -3,10 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use celerytide_types::{Boot, InstanceId};
+use celerytide_types::{Boot, InstanceId, Term};
 
 use super::standing::{Assessment, Former, Standing};
-use super::term::Term;
 use crate::fresh::{Freshness, PeersSay};
 use crate::view::View;
 
--- a/crates/celerytide-membership/src/ownership/mod.rs
+++ b/crates/celerytide-membership/src/ownership/mod.rs
@@ -11,7 +11,8 @@
 mod standing;
 mod term;
 
+pub use celerytide_types::Term;
 pub use cold::{ColdGate, GateOptions};
 pub use pool::{Pool, owner_of, pool_of, pools_of};
 pub use standing::{Assessment, Change, Former, MusterCall, Options, Ownership, Standing};
-pub use term::{Admitted, Term, TermGuard};
+pub use term::{Admitted, TermGuard};
--- a/crates/celerytide-membership/src/ownership/standing.rs
+++ b/crates/celerytide-membership/src/ownership/standing.rs
@@ -4,11 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use celerytide_types::{Boot, Incarnation, InstanceId, PoolId, Version};
+use celerytide_types::{Boot, Incarnation, InstanceId, PoolId, Term, Version};
 
 use super::held::Held;
 use super::pool::{Pool, owner_of, pools_of};
-use super::term::Term;
 use crate::fresh::{Freshness, PeersSay};
 use crate::view::View;
 
--- a/crates/celerytide-membership/src/ownership/term.rs
+++ b/crates/celerytide-membership/src/ownership/term.rs
@@ -1,22 +1,11 @@
-//! Terms of owners and the entry's guard against older ones.
+//! The entry's guard against older terms of owners.
 
 use std::collections::BTreeMap;
 
-use celerytide_types::{Incarnation, PoolId, Version, data};
+use celerytide_types::{PoolId, Term, Version};
 
 use crate::view::View;
 
-data! {
-    /// Who owns a pool, since which list; ordered by list first.
-    #[derive(Copy, Eq, PartialOrd, Ord, Hash)]
-    pub struct Term {
-        /// Version of the instance list by which the owner owns.
-        pub list_version: Version,
-        /// The owner's incarnation, or one above that of an earlier life of the same instance.
-        pub incarnation: Incarnation,
-    }
-}
-
 /// What the guard says of a term.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admitted {
--- a/crates/celerytide-membership/tests/common/mod.rs
+++ b/crates/celerytide-membership/tests/common/mod.rs
@@ -1,46 +1,6 @@
-//! Fixed seeds for property tests.
-#![allow(dead_code)]
+//! What the tests of this crate share.
+#![allow(dead_code, unused_imports)]
 
 pub mod manifest;
 
-use arbtest::arbitrary::{Result, Unstructured};
-use arbtest::arbtest;
-
-/// First seeds; each is stepped as often as a property asks.
-const BASES: [u64; 8] = [
-    0x9e37_79b9,
-    0x85eb_ca6b,
-    0xc2b2_ae35,
-    0x27d4_eb2f,
-    0x1656_67b1,
-    0xd3a2_646c,
-    0xfd70_46c5,
-    0xb55a_4f09,
-];
-const STEP: u64 = 0x0001_0dcd;
-
-/// Environment variable: run this many fresh seeds instead of the fixed ones.
-const FRESH_SEEDS: &str = "CELERYTIDE_FRESH_SEEDS";
-
-/// Runs `property` on `bytes` bytes of randomness with `steps` seeds from each base, or with fresh ones if the
-/// environment asks for them. The panic message names the failing seed.
-pub fn each_seed(bytes: u32, steps: u64, mut property: impl FnMut(&mut Unstructured<'_>) -> Result<()>) {
-    let fresh = std::env::var(FRESH_SEEDS).ok().and_then(|n| n.parse::<u64>().ok());
-    let Some(count) = fresh else {
-        return each_fixed_seed(bytes, steps, property);
-    };
-    for _ in 0..count {
-        let high = u64::from(rand::random::<u32>());
-        arbtest(&mut property).seed((high << 32) | u64::from(bytes));
-    }
-}
-
-/// Runs `property` on the fixed seeds, whatever the environment says.
-pub fn each_fixed_seed(bytes: u32, steps: u64, mut property: impl FnMut(&mut Unstructured<'_>) -> Result<()>) {
-    for base in BASES {
-        for step in 0..steps {
-            let high = (base + step * STEP) & 0xffff_ffff;
-            arbtest(&mut property).seed((high << 32) | u64::from(bytes));
-        }
-    }
-}
+pub use celerytide_seeds::{each_fixed_seed, each_seed};
--- a/crates/celerytide-once/tests/key_model.rs
+++ b/crates/celerytide-once/tests/key_model.rs
@@ -1,8 +1,6 @@
 //! Why a plain idempotency key owned by hash is refused for protected actions: a model of that scheme and the
 //! interleavings that double a run in it, with every guard that was weighed.
 
-mod common;
-
 use std::collections::BTreeSet;
 
 use arbtest::arbitrary::{Result, Unstructured};
@@ -182,7 +180,7 @@
 
 fn doubled(guards: Guards, faults: Faults) -> usize {
     let mut doubled = 0;
-    common::each_fixed_seed(BYTES, STEPS, |u| {
+    celerytide_seeds::each_fixed_seed(BYTES, STEPS, |u| {
         let mut model = Model::new(guards);
         while !u.is_empty() {
             model.step(faults, u)?;
--- a/crates/celerytide-once/tests/once_history.rs
+++ b/crates/celerytide-once/tests/once_history.rs
@@ -1,6 +1,5 @@
 //! At most once over recorded histories of a small fleet under crashes, pauses, restarts, duplicates and handovers.
 
-mod common;
 mod world;
 
 use std::collections::BTreeMap;
@@ -68,7 +67,7 @@
 fn an_action_runs_at_most_once_and_words_are_true() {
     let mut runs = 0;
     let mut words = BTreeMap::new();
-    common::each_seed(BYTES, STEPS, |u| {
+    celerytide_seeds::each_seed(BYTES, STEPS, |u| {
         let history = World::new(None).run(u)?;
         assert_eq!(check(&history), [], "{history:?}");
         runs += history.iter().filter(|e| matches!(e, Event::Ran { .. })).count();
@@ -101,7 +100,7 @@
     ];
     for case in cases {
         let mut caught = 0;
-        common::each_fixed_seed(BYTES, STEPS, |u| {
+        celerytide_seeds::each_fixed_seed(BYTES, STEPS, |u| {
             let history = World::new(Some(case.flaw)).run(u)?;
             caught += usize::from(check(&history).contains(&case.want));
             Ok(())
--- a/crates/celerytide-once/tests/common/mod.rs
+++ b/crates/celerytide-seeds/src/lib.rs
@@ -1,5 +1,7 @@
-//! Fixed seeds for property tests.
-#![allow(dead_code)]
+//! Seeds for property tests: the same ones in every run, or fresh ones for a longer search.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
 
 use arbtest::arbitrary::{Result, Unstructured};
 use arbtest::arbtest;
--- a/crates/celerytide-types/src/ids.rs
+++ b/crates/celerytide-types/src/ids.rs
@@ -1,5 +1,7 @@
 //! Aliases for ids and the few functions that make or compare them.
 
+use std::time::Duration;
+
 use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -53,3 +55,8 @@
     let seed = xxh3_64_with_seed(key.as_bytes(), 0);
     xxh3_64_with_seed(node.as_bytes(), seed)
 }
+
+/// Whole milliseconds of a time span; the most there are if it is longer.
+pub fn millis(span: Duration) -> Millis {
+    span.as_millis().try_into().unwrap_or(Millis::MAX)
+}
--- a/crates/celerytide-types/src/lib.rs
+++ b/crates/celerytide-types/src/lib.rs
@@ -9,11 +9,13 @@
 mod clock;
 mod ids;
 mod macros;
+mod term;
 mod word;
 
 pub use clock::{Boot, now_boot, now_unix_ms};
 pub use ids::{
     ClassName, CustomerId, Digest, EndpointId, Incarnation, InstanceId, Millis, PermitId, PoolId, RegionId, RequestId,
-    ServiceId, TicketId, Tier, Version, ZoneId, new_incarnation, new_request_id, rendezvous_weight,
+    ServiceId, TicketId, Tier, Version, ZoneId, millis, new_incarnation, new_request_id, rendezvous_weight,
 };
+pub use term::Term;
 pub use word::{FinalWord, Word};
--- a/crates/celerytide-wire/src/messages/mod.rs
+++ b/crates/celerytide-wire/src/messages/mod.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use celerytide_types::{
-    ClassName, CustomerId, EndpointId, FinalWord, Incarnation, InstanceId, Millis, PermitId, PoolId, RequestId,
-    ServiceId, TicketId, Version, data,
+    ClassName, CustomerId, EndpointId, FinalWord, InstanceId, Millis, PermitId, PoolId, RequestId, ServiceId, Term,
+    TicketId, Version, data,
 };
 
 /// Version of this protocol; part of every method's path.
@@ -96,15 +96,6 @@
 }
 
 data! {
-    /// Who owns a pool, since which list. Entries follow the highest term they saw.
-    #[derive(Copy, Eq, PartialOrd, Ord)]
-    pub struct Term {
-        /// Version of the instance list by which the owner owns.
-        pub list_version: Version,
-        /// The owner's incarnation.
-        pub incarnation: Incarnation,
-    }
-
     /// First message of a permit exchange.
     pub struct Ask {
         /// The entry's instance.
