fix(membership): after an outage each process reads within 2 s; a failed fetch from a peer frees its place

Entries tell entries and dispatches tell dispatches, so nobody could tell them sooner. Before: backoff to 10 s; fetch place 5 s. After: backoff to 2 s, place freed at a failure and after 1 s for another peer, each exchange in a task of its own. The three new tests fail without the change (two tried with the former behaviour put back).

--- a/crates/celerytide-membership/src/state/heard.rs
+++ b/crates/celerytide-membership/src/state/heard.rs
@@ -19,8 +19,9 @@
     pub lists: bool,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Fetch {
+    from: InstanceId,
     version: Version,
     since: Boot,
 }
@@ -92,14 +93,33 @@
         self.ahead.map_or(Duration::ZERO, |ahead| now.since(ahead.since))
     }
 
-    /// Whether to fetch the manifest of `version` now: not if a fetch of it or a later one began within `fetch_for`.
-    pub(crate) fn start_manifest_fetch(&mut self, now: Boot, version: Version, fetch_for: Duration) -> bool {
-        start_fetch(&mut self.manifest_fetch, now, version, fetch_for)
+    /// Whether to fetch the manifest of `version` now: not if a fetch of it or a later one began within `bound`.
+    pub(crate) fn start_manifest_fetch(
+        &mut self,
+        now: Boot,
+        from: &InstanceId,
+        version: Version,
+        bound: Duration,
+    ) -> bool {
+        start_fetch(&mut self.manifest_fetch, now, from, version, bound)
     }
 
     /// The same for the lists.
-    pub(crate) fn start_lists_fetch(&mut self, now: Boot, version: Version, fetch_for: Duration) -> bool {
-        start_fetch(&mut self.lists_fetch, now, version, fetch_for)
+    pub(crate) fn start_lists_fetch(
+        &mut self,
+        now: Boot,
+        from: &InstanceId,
+        version: Version,
+        bound: Duration,
+    ) -> bool {
+        start_fetch(&mut self.lists_fetch, now, from, version, bound)
+    }
+
+    /// Forgets the fetches from a peer, so that the next peer that is ahead is asked at once.
+    pub(crate) fn fetch_failed(&mut self, from: &InstanceId) {
+        for fetch in [&mut self.manifest_fetch, &mut self.lists_fetch] {
+            fetch.take_if(|f| f.from == *from);
+        }
     }
 
     /// Sums up what peers said within `within` against the bound of freshness.
@@ -117,11 +137,15 @@
     }
 }
 
-fn start_fetch(fetch: &mut Option<Fetch>, now: Boot, version: Version, fetch_for: Duration) -> bool {
-    let running = |f: &Fetch| f.version >= version && now.since(f.since) < fetch_for;
+fn start_fetch(fetch: &mut Option<Fetch>, now: Boot, from: &InstanceId, version: Version, bound: Duration) -> bool {
+    let running = |f: &Fetch| f.version >= version && now.since(f.since) < bound;
     if fetch.as_ref().is_some_and(running) {
         return false;
     }
-    *fetch = Some(Fetch { version, since: now });
+    *fetch = Some(Fetch {
+        from: from.clone(),
+        version,
+        since: now,
+    });
     true
 }
--- a/crates/celerytide-membership/src/state/inner.rs
+++ b/crates/celerytide-membership/src/state/inner.rs
@@ -117,9 +117,9 @@
         let version = digest.manifest_version;
         self.tell_other_digest(from, digest);
         let newer = version > self.manifests.version();
-        let manifest = newer && self.heard.start_manifest_fetch(now, version, fetch_for);
+        let manifest = newer && self.heard.start_manifest_fetch(now, from, version, fetch_for);
         let version = digest.list_version.saturating_add(digest.endpoints_version);
-        let lists = self.wants_lists(now, digest) && self.heard.start_lists_fetch(now, version, fetch_for);
+        let lists = self.wants_lists(now, digest) && self.heard.start_lists_fetch(now, from, version, fetch_for);
         Wanted { manifest, lists }
     }
 
--- a/crates/celerytide-membership/src/state/mod.rs
+++ b/crates/celerytide-membership/src/state/mod.rs
@@ -38,7 +38,7 @@
     pub ahead_bound: Duration,
     /// A peer's digest counts for this long.
     pub heard_for: Duration,
-    /// A fetch from a peer may last this long before another is begun.
+    /// A fetch from a peer may last this long before another peer is asked.
     pub fetch_for: Duration,
     /// A lower list index is taken as a rebuilt list service after this long.
     pub reset_after: Duration,
@@ -55,7 +55,7 @@
             pause_bound: Duration::from_secs(2),
             ahead_bound: Duration::from_secs(5),
             heard_for: Duration::from_secs(10),
-            fetch_for: Duration::from_secs(5),
+            fetch_for: Duration::from_secs(1),
             reset_after: Duration::from_secs(60),
             reset_reads: 3,
         }
@@ -214,6 +214,11 @@
         inner.wanted(now, from, digest)
     }
 
+    /// Notes that a fetch from a peer brought nothing: the next peer that is ahead is asked at once.
+    pub fn fetch_failed(&self, from: &InstanceId) {
+        self.inner.borrow_mut().heard.fetch_failed(from);
+    }
+
     /// Notes the service's answer to a read sent at `asked`. False if a pause lies between: read again.
     pub fn confirmed(&self, now: Boot, what: Watched, asked: Boot) -> bool {
         self.inner.borrow_mut().clockwork.confirmed(now, what, asked)
--- a/crates/celerytide-membership/src/watch/mod.rs
+++ b/crates/celerytide-membership/src/watch/mod.rs
@@ -59,7 +59,7 @@
             start_jitter: Duration::from_secs(1),
             min_gap: Duration::from_millis(100),
             backoff_min: Duration::from_millis(200),
-            backoff_max: Duration::from_secs(10),
+            backoff_max: Duration::from_secs(2),
             max_body: 2 << 20,
             counts: Counts::default(),
         }
--- a/crates/celerytide-membership/tests/views.rs
+++ b/crates/celerytide-membership/tests/views.rs
@@ -251,6 +251,48 @@
     assert_eq!(m.heard(at(20), &"b".into(), &digest(6, 0, None)), Wanted::default());
 }
 
+#[test]
+fn a_failed_fetch_frees_its_place_at_once() {
+    struct Case {
+        name: &'static str,
+        failed: &'static str,
+        asks: bool,
+    }
+    let cases = [
+        Case {
+            name: "the peer that was asked",
+            failed: "a",
+            asks: true,
+        },
+        Case {
+            name: "another peer",
+            failed: "c",
+            asks: false,
+        },
+    ];
+    for case in cases {
+        let m = member();
+        let first = m.heard(at(1), &"a".into(), &digest(5, 8, None));
+        assert!(first.manifest && first.lists, "{}", case.name);
+        m.fetch_failed(&case.failed.into());
+        let next = m.heard(at(1), &"b".into(), &digest(5, 8, None));
+        assert_eq!((next.manifest, next.lists), (case.asks, case.asks), "{}", case.name);
+    }
+}
+
+/// Bound on the time after which another peer is asked while the first is silent.
+const SILENT_PEER: Duration = Duration::from_secs(1);
+
+#[test]
+fn a_silent_peer_holds_up_no_fetch_from_another() {
+    let m = Membership::new(at(0), Options::default());
+    assert!(m.heard(at(1), &"a".into(), &digest(5, 0, None)).manifest);
+    assert!(
+        m.heard(at(1).after(SILENT_PEER), &"b".into(), &digest(5, 0, None))
+            .manifest
+    );
+}
+
 #[test]
 fn lists_come_from_peers_only_while_the_service_is_silent() {
     let teacher = member();
--- a/crates/celerytide-membership/tests/watch.rs
+++ b/crates/celerytide-membership/tests/watch.rs
@@ -190,6 +190,21 @@
     assert!(backoff.next(&mut rng) <= min);
 }
 
+/// A zone's change must be known within 3 s once it can be read; a peer's digest and the change itself take a part.
+const READ_AFTER_OUTAGE: Duration = Duration::from_secs(2);
+const FAILURES_OF_A_LONG_OUTAGE: usize = 64;
+
+#[test]
+fn after_a_long_outage_the_next_read_is_near() {
+    let mut rng = SmallRng::seed_from_u64(2);
+    let opts = WatchOptions::default();
+    let mut backoff = Backoff::new(opts.backoff_min, opts.backoff_max);
+    for _ in 0..FAILURES_OF_A_LONG_OUTAGE {
+        let delay = backoff.next(&mut rng);
+        assert!(delay <= READ_AFTER_OUTAGE, "{delay:?}");
+    }
+}
+
 #[test]
 fn a_list_with_a_bad_entry_is_refused_whole() {
     struct Case {
--- a/crates/celerytide-node/src/gossip/mod.rs
+++ b/crates/celerytide-node/src/gossip/mod.rs
@@ -14,25 +14,31 @@
 use crate::Node;
 use crate::peer_address;
 
-/// Time for one exchange with a peer.
+/// Time for one exchange with a peer, and for one fetch.
 const EXCHANGE_TIME: Duration = Duration::from_secs(2);
 
 /// Exchanges digests with a few peers in each round, drawn within a quarter around the interval, until the process stops.
 pub(crate) async fn run(node: Rc<Node>) {
     let mut round = 0;
     while !node.abort.is_cancelled() {
-        one_round(&node, round).await;
+        one_round(&node, round);
         round += 1;
         sleep(node.gossip_interval.mul_f64(rand::rng().random_range(0.75..1.25))).await;
     }
 }
 
-async fn one_round(node: &Rc<Node>, round: u64) {
+/// Exchanges with each peer in a task of its own, so that a silent one holds up nobody else.
+fn one_round(node: &Rc<Node>, round: u64) {
     for addr in targets(node, round) {
-        let exchanged = timeout(EXCHANGE_TIME, exchange(node, addr)).await;
-        if let Ok(Err(error)) = exchanged {
-            tracing::debug!(%addr, %error, "gossip: exchange failed");
-        }
+        monoio::spawn(exchange_within(node.clone(), addr));
+    }
+}
+
+async fn exchange_within(node: Rc<Node>, addr: SocketAddr) {
+    match timeout(EXCHANGE_TIME, exchange(&node, addr)).await {
+        Ok(Ok((from, wanted))) => fetch_within(&node, addr, &from, wanted).await,
+        Ok(Err(error)) => tracing::debug!(%addr, %error, "gossip: exchange failed"),
+        Err(_) => tracing::debug!(%addr, "gossip: exchange timed out"),
     }
 }
 
@@ -47,14 +53,27 @@
     instances.map(|i| peer_address(node.role, i)).collect()
 }
 
-async fn exchange(node: &Rc<Node>, addr: SocketAddr) -> Result<(), Error> {
+async fn exchange(node: &Rc<Node>, addr: SocketAddr) -> Result<(InstanceId, Wanted), Error> {
     let own = own_digest(node);
     let theirs: Gossip<ViewDigest> = node.links.call(addr, Method::Gossip, &own).await?;
     let wanted = node.membership.heard(now_boot(), &theirs.from, &theirs.digest);
-    fetch(node, addr, &theirs.from, wanted).await
+    Ok((theirs.from, wanted))
 }
 
-async fn fetch(node: &Rc<Node>, addr: SocketAddr, from: &InstanceId, wanted: Wanted) -> Result<(), Error> {
+/// Fetches within the bound; what failed may be fetched from the next peer at once.
+async fn fetch_within(node: &Rc<Node>, addr: SocketAddr, from: &InstanceId, wanted: Wanted) {
+    let cause = match timeout(EXCHANGE_TIME, fetch(node, addr, from, wanted)).await {
+        Ok(Ok(true)) => return,
+        Ok(Ok(false)) => "nothing newer".to_owned(),
+        Ok(Err(error)) => error.to_string(),
+        Err(_) => "timed out".to_owned(),
+    };
+    tracing::debug!(%addr, cause, "gossip: fetch failed");
+    node.membership.fetch_failed(from);
+}
+
+/// Whether the peer had what was wanted.
+async fn fetch(node: &Rc<Node>, addr: SocketAddr, from: &InstanceId, wanted: Wanted) -> Result<bool, Error> {
     if wanted.lists {
         let ask = ListsAsk {
             from: node.instance.clone(),
@@ -67,12 +86,13 @@
             version: node.membership.view().manifest_version + 1,
         };
         let answer: ManifestText = node.links.call(addr, Method::Manifest, &ask).await?;
-        if answer.version > 0 {
-            node.membership
-                .offer_manifest(&Origin::Peer(from.clone()), &answer.text);
+        if answer.version == 0 {
+            return Ok(false);
         }
+        node.membership
+            .offer_manifest(&Origin::Peer(from.clone()), &answer.text);
     }
-    Ok(())
+    Ok(true)
 }
 
 fn own_digest(node: &Node) -> Gossip<ViewDigest> {
@@ -102,7 +122,7 @@
     let view = node.membership.view();
     if let Some(peer) = view.instance(&theirs.from) {
         let addr = peer_address(node.role, peer);
-        return fetch(node, addr, &theirs.from, wanted).await;
+        fetch_within(node, addr, &theirs.from, wanted).await;
     }
     Ok(())
 }
