test(faults): a refused version counts as reached only once it was refused; pairs tell which step was missed

Cause: "checked" compared the version in force with the last one published, so a second "checked" of a pair was never reached, and a first one counted as reached while the service was down and nobody had seen the version. "connecting" stalled new connections only, so requests over idle ones passed it. Ruled out: the product; its trail keeps a repeated refusal once, so each refused version now has a fault of its own. Conclusion: the check of "checked" is stricter than before: it asks the entry's audit trail. The change command of celerytide-capacity gives p99, prints each size as it comes, and names the daemon that was late.

--- a/crates/celerytide-capacity/src/change/mod.rs
+++ b/crates/celerytide-capacity/src/change/mod.rs
@@ -21,6 +21,9 @@
 /// Longest wait for a change, in seconds: what is promised.
 const IN_FORCE_SECONDS: u64 = 16;
 const LOOK: Duration = Duration::from_millis(5);
+const MEDIAN: f64 = 0.5;
+const P99: f64 = 0.99;
+const MILLIS: f64 = 1e3;
 /// Time between changes, so that watches wait again.
 const BETWEEN: Duration = Duration::from_millis(700);
 
@@ -79,13 +82,19 @@
     let reads = calls(&fleet)?.total.saturating_sub(before);
     fleet.stop(STOP_TIMEOUT);
     times.sort_by(f64::total_cmp);
-    const MILLIS: f64 = 1e3;
-    let median = times.get(times.len() / 2).copied().unwrap_or(f64::NAN);
-    let most = times.last().copied().unwrap_or(f64::NAN);
-    Ok(Row::new(size)
-        .with("in force everywhere ms, median", median * MILLIS)
-        .with("in force everywhere ms, most", most * MILLIS)
-        .with("reads for each change", reads as f64 / options.changes.max(1) as f64))
+    let row = Row::new(size)
+        .with("in force everywhere ms, median", quantile(&times, MEDIAN) * MILLIS)
+        .with("in force everywhere ms, p99", quantile(&times, P99) * MILLIS)
+        .with("in force everywhere ms, most", quantile(&times, 1.0) * MILLIS)
+        .with("reads for each change", reads as f64 / options.changes.max(1) as f64);
+    eprintln!("change: {row:?}");
+    Ok(row)
+}
+
+/// The least of the sorted values that `part` of them don't exceed.
+fn quantile(sorted: &[f64], part: f64) -> f64 {
+    let rank = (part * sorted.len() as f64).ceil() as usize;
+    sorted.get(rank.saturating_sub(1)).copied().unwrap_or(f64::NAN)
 }
 
 fn one(fleet: &mut Fleet) -> Result<Duration, Error> {
@@ -110,6 +119,7 @@
     }
     NotInForceSnafu {
         version,
+        addr,
         seconds: IN_FORCE_SECONDS,
     }
     .fail()
--- a/crates/celerytide-capacity/src/error/mod.rs
+++ b/crates/celerytide-capacity/src/error/mod.rs
@@ -1,6 +1,6 @@
 //! Why a measurement failed.
 
-use std::io;
+use std::{io, net::SocketAddr};
 
 use celerytide_load::{compare, fleet};
 use celerytide_standin::{launch, probe};
@@ -67,10 +67,12 @@
         bound: usize,
     },
     /// A change was not in force in time.
-    #[snafu(display("version {version} was not in force everywhere within {seconds} s"))]
+    #[snafu(display("version {version} was not in force at {addr} within {seconds} s"))]
     NotInForce {
         /// The version.
         version: u64,
+        /// Operators' address of the daemon.
+        addr: SocketAddr,
         /// The bound.
         seconds: u64,
     },
--- a/crates/celerytide-faults/src/page/mod.rs
+++ b/crates/celerytide-faults/src/page/mod.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 
 use crate::{
-    matrix::{Cell, Fault, Step, cell},
+    matrix::{Cell, Fault, Step, Strike, cell},
     run::Report,
 };
 
@@ -19,11 +19,12 @@
 
 /// A report in one line, with its violations in lines of their own.
 pub fn line(report: &Report) -> String {
-    let strikes = report
+    let strikes: Vec<String> = report
         .strikes
         .iter()
-        .map(|s| format!("{} x {}", s.step.name(), s.fault.name()));
-    let strikes: Vec<String> = strikes.collect();
+        .enumerate()
+        .map(|(at, s)| strike(report, at, s))
+        .collect();
     let word = word(report);
     let mut text = format!(
         "{word}: {}, seed {}, {} ms",
@@ -40,6 +41,13 @@
     text
 }
 
+/// A strike, and whether its fault struck elsewhere than at its step.
+fn strike(report: &Report, at: usize, strike: &Strike) -> String {
+    let missed = report.reached.get(at) == Some(&false);
+    let note = if missed { " (step not reached)" } else { "" };
+    format!("{} x {}{note}", strike.step.name(), strike.fault.name())
+}
+
 /// A table of steps and faults with the result of each cell.
 pub fn table(steps: &[Step], faults: &[Fault], reports: &[Report]) -> String {
     let mut text = String::from("| step |");
--- a/crates/celerytide-faults/src/run/change.rs
+++ b/crates/celerytide-faults/src/run/change.rs
@@ -17,6 +17,8 @@
 const REACH: Duration = Duration::from_secs(8);
 /// Bytes of a new version that arrive before the hold.
 const PART: u64 = 300;
+/// The daemon that must reach the step.
+const ENTRY: Daemon = Daemon::Entry(0);
 /// Index of the zone that a change takes out.
 const ZONE: usize = 1;
 
@@ -57,7 +59,7 @@
                 let held = || links(step).into_iter().all(|link| world.link(link).held_down > 0);
                 until(REACH, async || held()).await
             }
-            _ => until(REACH, async || in_force(world, Daemon::Entry(0)).await == version).await,
+            _ => until(REACH, async || in_force(world, ENTRY).await == version).await,
         }
     }
 
@@ -82,16 +84,26 @@
     }
 }
 
-/// Publishes a version that the checks refuse; whether the earlier one stayed in force.
+/// Publishes a version that the checks refuse; whether the first entry refused it and kept the earlier one in force.
 async fn refused(world: &mut World) -> bool {
-    let before = world.manifest.version;
+    let (before, refusals) = (in_force(world, ENTRY).await, refusals(world).await);
     world.manifest.version += 1;
-    let text = format!("format: 1\nversion: {}\nnothing: true\n", world.manifest.version);
+    // Each version has a fault of its own: the trail keeps a repeated refusal once.
+    let version = world.manifest.version;
+    let text = format!("format: 1\nversion: {version}\nnothing-{version}: true\n");
     world
         .put_manifest_text(&text)
         .expect("the service takes what tests publish");
-    monoio::time::sleep(Duration::from_millis(300)).await;
-    in_force(world, Daemon::Entry(0)).await == before
+    let world = &*world;
+    let refused = until(REACH, async || self::refusals(world).await > refusals).await;
+    refused && in_force(world, ENTRY).await == before
+}
+
+/// Configurations that the first entry refused, by its audit trail.
+async fn refusals(world: &World) -> usize {
+    let trail = world.http.get(world.operator(ENTRY), "/audit").await;
+    let records = trail.and_then(|t| t.as_array().cloned()).unwrap_or_default();
+    records.iter().filter(|r| r["kind"] == "configuration-refused").count()
 }
 
 /// The version in force at a daemon; 0 if it doesn't answer.
--- a/crates/celerytide-faults/src/run/step.rs
+++ b/crates/celerytide-faults/src/run/step.rs
@@ -78,7 +78,10 @@
         Step::Accepted | Step::HeadWritten => held(Some(HEAD_PART), None, 0),
         Step::Classified => held(Some(0), None, 0),
         Step::Permitted | Step::BodyWritten | Step::AnswerToCaller => held(None, Some(0), 0),
-        Step::Connecting => Mode::Stall,
+        Step::Connecting => {
+            close_idle(world);
+            Mode::Stall
+        }
         Step::FirstByte => held(None, Some(FIRST_BYTES), 0),
         Step::LastByte => held(None, None, 1),
         Step::MidAnswer => {
@@ -90,6 +93,13 @@
     world.set(&links(step), mode);
 }
 
+/// Closes the connections to endpoints, unless requests rest on them: a request over an idle one doesn't connect.
+fn close_idle(world: &World) {
+    if held(world, Step::Connecting) == 0 {
+        world.set(&links(Step::Connecting), Mode::Reset);
+    }
+}
+
 /// Takes every slot of every endpoint.
 async fn fill(world: &World, callers: &Callers) {
     world.set(
