test(faults): a pair whose second step was out of reach runs again apart

Cause: a first fault that stands (a killed or paused process, a service that is down, a held link) keeps requests or the change from the second step, so the second fault struck elsewhere. After: such a pair runs once more in a second world where the first fault has passed before the second strikes; the report says "(apart)". Conclusion: strictly more is checked; the former run must still be sound, and a violation of either counts.

--- a/crates/celerytide-faults/src/main.rs
+++ b/crates/celerytide-faults/src/main.rs
@@ -13,7 +13,7 @@
     batch,
     matrix::{Fault, Step},
     page,
-    run::Report,
+    run::{Reached, Report},
 };
 
 /// Faults at every step, on real processes.
@@ -137,10 +137,13 @@
 
 fn summary(reports: &[Report]) -> bool {
     let count = |of: fn(&&Report) -> bool| reports.iter().filter(of).count();
-    let (sound, reached) = (count(|r| r.is_sound()), count(|r| r.holds()));
+    let apart = |r: &&Report| r.holds() && r.reached.contains(&Reached::Apart);
     println!(
-        "{sound} of {} runs without a violation, {reached} of them at every step",
-        reports.len()
+        "{} of {} runs without a violation, {} of them at every step ({} apart)",
+        count(|r| r.is_sound()),
+        reports.len(),
+        count(|r| r.holds()),
+        reports.iter().filter(apart).count(),
     );
     reports
         .iter()
--- a/crates/celerytide-faults/src/page/mod.rs
+++ b/crates/celerytide-faults/src/page/mod.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     matrix::{Cell, Fault, Step, Strike, cell},
-    run::Report,
+    run::{Reached, Report},
 };
 
 const INTRODUCTION: &str = "# Faults at every step
@@ -41,10 +41,13 @@
     text
 }
 
-/// A strike, and whether its fault struck elsewhere than at its step.
+/// A strike, and whether its fault struck elsewhere than at its step or apart from those before it.
 fn strike(report: &Report, at: usize, strike: &Strike) -> String {
-    let missed = report.reached.get(at) == Some(&false);
-    let note = if missed { " (step not reached)" } else { "" };
+    let note = match report.reached.get(at) {
+        Some(Reached::Missed) => " (step not reached)",
+        Some(Reached::Apart) => " (apart)",
+        Some(Reached::Together) | None => "",
+    };
     format!("{} x {}{note}", strike.step.name(), strike.fault.name())
 }
 
@@ -82,7 +85,7 @@
     if !report.violations.is_empty() {
         return "broken";
     }
-    match report.reached.iter().all(|reached| *reached) {
+    match report.holds() {
         true => "holds",
         false => "not reached",
     }
--- a/crates/celerytide-faults/src/run/strike.rs
+++ b/crates/celerytide-faults/src/run/strike.rs
@@ -91,14 +91,14 @@
 }
 
 /// Lets everything pass: the network, the service, the lists, and every process lives.
-pub(super) async fn relent(world: &mut World, struck: &Struck) -> Result<(), Error> {
-    for daemon in &struck.paused {
-        let _ = world.daemon(*daemon).resume();
+pub(super) async fn relent(world: &mut World, struck: &mut Struck) -> Result<(), Error> {
+    for daemon in struck.paused.drain(..) {
+        let _ = world.daemon(daemon).resume();
     }
     world.heal();
     world.config_fault(r#"{"kind":"none"}"#).await;
-    for daemon in &struck.killed {
-        world.restart(*daemon)?;
+    for daemon in struck.killed.drain(..) {
+        world.restart(daemon)?;
     }
     world.publish_instances(&[true; INSTANCES])?;
     world.put_manifest()
--- a/crates/celerytide-faults/tests/matrix.rs
+++ b/crates/celerytide-faults/tests/matrix.rs
@@ -4,7 +4,7 @@
     batch, matrix,
     matrix::{Cell, Fault, Step, cell},
     page,
-    run::Report,
+    run::{Reached, Report},
 };
 
 const SEED: u64 = 1;
@@ -79,7 +79,7 @@
     let report = Report {
         strikes: Vec::new(),
         seed: SEED,
-        reached: vec![true, false],
+        reached: vec![Reached::Together, Reached::Missed],
         violations: Vec::new(),
         fault: None,
         took: std::time::Duration::ZERO,
