--- a/crates/celerytide-faults/src/page/mod.rs
+++ b/crates/celerytide-faults/src/page/mod.rs
@@ -3,8 +3,8 @@
 use std::fmt::Write;
 
 use crate::{
-    matrix::{Cell, Fault, Step, cell},
-    run::Report,
+    matrix::{Cell, Fault, Step, Strike, cell},
+    run::{Reached, Report},
 };
 
 const INTRODUCTION: &str = "# Faults at every step
@@ -19,11 +19,12 @@
 
 /// A report in one line, with its violations in lines of their own.
 pub fn line(report: &Report) -> String {
-    let strikes = report
+    let strikes: Vec<String> = report
         .strikes
         .iter()
-        .map(|s| format!("{} x {}", s.step.name(), s.fault.name()));
-    let strikes: Vec<String> = strikes.collect();
+        .enumerate()
+        .map(|(at, s)| strike(report, at, s))
+        .collect();
     let word = word(report);
     let mut text = format!(
         "{word}: {}, seed {}, {} ms",
@@ -40,6 +41,16 @@
     text
 }
 
+/// A strike, and whether its fault struck elsewhere than at its step or apart from those before it.
+fn strike(report: &Report, at: usize, strike: &Strike) -> String {
+    let note = match report.reached.get(at) {
+        Some(Reached::Missed) => " (step not reached)",
+        Some(Reached::Apart) => " (apart)",
+        Some(Reached::Together) | None => "",
+    };
+    format!("{} x {}{note}", strike.step.name(), strike.fault.name())
+}
+
 /// A table of steps and faults with the result of each cell.
 pub fn table(steps: &[Step], faults: &[Fault], reports: &[Report]) -> String {
     let mut text = String::from("| step |");
@@ -74,7 +85,7 @@
     if !report.violations.is_empty() {
         return "broken";
     }
-    match report.reached.iter().all(|reached| *reached) {
+    match report.holds() {
         true => "holds",
         false => "not reached",
     }
