test(faults): daemons killed, paused and cut off under a steady load; two instances that stop at once; endpoints that leave

Ruled out: reuse of the matrix's callers, which hold each request at a step; a load has to go on by itself. A protected caller that waits longer than 1.5 s repeats through the other entry while its first call goes on, so both answers are checked. Before: not covered. Two of three instances stop at once: the three choices cut nothing, and the survivor says 'done' of protected calls of the ones that left. Endpoints that leave, marked or dropped: nothing cut, no run after 3 s. The check 'final-word' is stricter: a ticket that is asked for twice has the same word.

--- a/crates/celerytide-faults/src/check/answers.rs
+++ b/crates/celerytide-faults/src/check/answers.rs
@@ -8,12 +8,23 @@
 /// Seed from which the engines draw the length of an answer.
 const ENGINE_SEED: u64 = 1;
 
-/// Every caller gets a final word or a connection that is visibly cut, and each ticket a final word.
+/// Every caller gets a final word or a connection that is visibly cut, and each ticket a final word that stays.
 pub fn final_word(history: &History) -> Vec<String> {
     let mute = history.sent.iter().filter_map(mute);
     let open = history.finals.iter().filter(|f| f.word.is_none());
     let open = open.map(|f| format!("ticket {} has no final word", f.ticket));
-    mute.chain(open).collect()
+    mute.chain(open).chain(changed(history)).collect()
+}
+
+/// A ticket has the same word whenever and wherever it is asked for.
+fn changed(history: &History) -> impl Iterator<Item = String> + '_ {
+    let pairs = history.finals.windows(2);
+    pairs.filter_map(|pair| match pair {
+        [a, b] if a.ticket == b.ticket && a.word != b.word => {
+            Some(format!("ticket {}: {:?}, then {:?}", a.ticket, a.word, b.word))
+        }
+        _ => None,
+    })
 }
 
 fn mute(sent: &Sent) -> Option<String> {
--- a/crates/celerytide-faults/src/lib.rs
+++ b/crates/celerytide-faults/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A [`Rig`] is a whole deployment on loopback, with callers that note what they were told. A [`world::World`] is one whose every
 //! link goes through a relay and whose bounds are short; [`run`] brings requests and changes to a step of the [`matrix`], lets
-//! faults strike there, and hands the recorded [`history`] to the invariants of [`check`].
+//! faults strike there, and hands the recorded [`history`] to the invariants of [`check`]. [`load`] does the same to daemons and
+//! links while a steady load goes on.
 
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
@@ -10,6 +11,7 @@
 pub mod batch;
 pub mod check;
 pub mod history;
+pub mod load;
 pub mod matrix;
 pub mod page;
 mod rig;
--- /dev/null
+++ b/crates/celerytide-faults/src/load/callers.rs
@@ -0,0 +1,210 @@
+//! Callers that arrive at fixed times and repeat through the other entry.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use celerytide_http::client::{Client, Options};
+use celerytide_load::caller::{Ask, Outcome, send};
+use http::Method;
+use monoio::time::{sleep, timeout};
+use serde_json::Value;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    history::{Kind, Sent},
+    world::{INSTANCES, Link, World},
+};
+
+/// Time between arrivals of each kind.
+const ARRIVAL: Duration = Duration::from_millis(100);
+/// Time after which a caller repeats its call.
+const PATIENCE: Duration = Duration::from_millis(1500);
+/// Wait before a call is repeated after an answer.
+const AGAIN: Duration = Duration::from_millis(200);
+/// Calls of one caller for one action.
+const TRIES: usize = 3;
+/// Longest wait for any answer: beyond every bound of the daemons and the length of each disruption.
+const ANSWER: Duration = Duration::from_secs(60);
+/// Tokens of each chat call.
+const TOKENS: usize = 30;
+const SUBMIT: &str = "/services/forms/submit";
+
+/// Every caller of a run.
+pub(super) struct Callers {
+    shared: Rc<Shared>,
+}
+
+struct Shared {
+    entries: Vec<SocketAddr>,
+    key: String,
+    model: String,
+    next: Cell<usize>,
+    open: Cell<usize>,
+    sent: RefCell<Vec<Sent>>,
+}
+
+impl Callers {
+    pub(super) fn new(world: &World) -> Callers {
+        let plan = world.plan();
+        let entries = Link::both(Link::Caller).into_iter().map(|link| world.route(link));
+        let shared = Shared {
+            entries: entries.collect(),
+            key: plan.customers.first().map(|c| c.key()).unwrap_or_default(),
+            model: plan.engines.model.clone(),
+            next: Cell::default(),
+            open: Cell::default(),
+            sent: RefCell::default(),
+        };
+        Callers {
+            shared: Rc::new(shared),
+        }
+    }
+
+    /// Starts the load; it goes on until the token is cancelled.
+    pub(super) fn start(&self) -> CancellationToken {
+        let cx = CancellationToken::new();
+        monoio::spawn(arrive(self.shared.clone(), cx.clone()));
+        cx
+    }
+
+    /// Every request so far.
+    pub(super) fn sent(&self) -> Vec<Sent> {
+        self.shared.sent.borrow().clone()
+    }
+
+    /// Callers and calls that have not ended.
+    pub(super) fn open(&self) -> usize {
+        self.shared.open.get()
+    }
+
+    /// One call and its answer.
+    pub(super) async fn call(&self, entry: usize, kind: Kind, ticket: Option<String>) -> Option<Outcome> {
+        self.shared.call(entry, kind, ticket).await
+    }
+
+    /// A ticket from an entry.
+    pub(super) async fn ticket(&self, entry: usize) -> Option<String> {
+        self.shared.ticket(entry).await
+    }
+
+    /// The word that an entry says of a ticket, if it has one.
+    pub(super) async fn look(&self, entry: usize, ticket: &str) -> Option<String> {
+        let path = format!("/v1/tickets/{ticket}");
+        let body = self.shared.own(entry, Method::GET, &path).await?;
+        body["word"].as_str().map(str::to_owned)
+    }
+}
+
+async fn arrive(shared: Rc<Shared>, cx: CancellationToken) {
+    let mut arrival = 0;
+    while !cx.is_cancelled() {
+        for kind in [Kind::Chat(TOKENS), Kind::Get, Kind::Protected] {
+            shared.spawn(act(shared.clone(), kind, arrival));
+        }
+        arrival += 1;
+        sleep(ARRIVAL).await;
+    }
+}
+
+/// One caller's action: a call, repeated through the other entry until it is done or said not to run.
+async fn act(shared: Rc<Shared>, kind: Kind, arrival: usize) {
+    let mut ticket = None;
+    if kind == Kind::Protected {
+        ticket = shared.ticket(arrival % INSTANCES).await;
+        if ticket.is_none() {
+            return;
+        }
+    }
+    for at in 0..TRIES {
+        let entry = (arrival + at) % INSTANCES;
+        let call = shared.clone().call_apart(entry, kind, ticket.clone());
+        let told = timeout(PATIENCE, call).await.ok().flatten();
+        if told.is_some_and(|told| told.is_done() || (told.word == "not-run" && ticket.is_some())) {
+            return;
+        }
+        sleep(AGAIN).await;
+    }
+}
+
+impl Shared {
+    /// Counts a task as open until it ends.
+    fn spawn(self: &Rc<Self>, task: impl Future<Output = ()> + 'static) {
+        let shared = self.clone();
+        shared.open.set(shared.open.get() + 1);
+        monoio::spawn(async move {
+            task.await;
+            shared.open.set(shared.open.get() - 1);
+        });
+    }
+
+    /// A call in a task of its own, which goes on when its caller waits no longer.
+    async fn call_apart(self: Rc<Self>, entry: usize, kind: Kind, ticket: Option<String>) -> Option<Outcome> {
+        let (tx, rx) = futures::channel::oneshot::channel();
+        let shared = self.clone();
+        self.spawn(async move {
+            // The caller may be gone by now.
+            let _ = tx.send(shared.call(entry, kind, ticket).await);
+        });
+        rx.await.ok().flatten()
+    }
+
+    async fn call(&self, entry: usize, kind: Kind, ticket: Option<String>) -> Option<Outcome> {
+        let request = self.name();
+        let ask = self.ask(entry, &request, kind, ticket.as_deref());
+        let at = self.sent.borrow().len();
+        self.sent.borrow_mut().push(Sent {
+            request,
+            kind,
+            ticket,
+            told: None,
+            excused: false,
+        });
+        let told = answer(&ask, ANSWER).await;
+        self.sent.borrow_mut()[at].told = told.clone();
+        told
+    }
+
+    async fn ticket(&self, entry: usize) -> Option<String> {
+        let body = self.own(entry, Method::POST, "/v1/tickets").await?;
+        body["ticket"].as_str().map(str::to_owned)
+    }
+
+    /// What the entry itself answers.
+    async fn own(&self, entry: usize, method: Method, path: &str) -> Option<Value> {
+        let ask = Ask::plain(self.entries[entry], &self.key, &self.name(), method, path);
+        let told = answer(&ask, PATIENCE)
+            .await
+            .filter(|told| told.whole && told.status < 300)?;
+        serde_json::from_slice(&told.body).ok()
+    }
+
+    fn name(&self) -> String {
+        let next = self.next.get();
+        self.next.set(next + 1);
+        format!("load-{next}")
+    }
+
+    fn ask(&self, entry: usize, request: &str, kind: Kind, ticket: Option<&str>) -> Ask {
+        let (addr, key) = (self.entries[entry], &self.key);
+        match kind {
+            Kind::Chat(tokens) => Ask::chat(addr, key, request, &self.model, "hello", Some(tokens)),
+            Kind::Get => Ask::plain(addr, key, request, Method::GET, "/services/forms/read"),
+            Kind::Protected => Ask {
+                ticket: ticket.map(str::to_owned),
+                body: Bytes::from_static(b"{}"),
+                ..Ask::plain(addr, key, request, Method::POST, SUBMIT)
+            },
+        }
+    }
+}
+
+async fn answer(ask: &Ask, bound: Duration) -> Option<Outcome> {
+    let client = Client::new(Options::default());
+    let cx = CancellationToken::new();
+    timeout(bound, send(&client, ask, &cx, |_| {})).await.ok()
+}
--- a/crates/celerytide-faults/src/world/start.rs
+++ b/crates/celerytide-faults/src/world/start.rs
@@ -75,7 +75,13 @@
 impl World {
     /// Starts every process; the daemons may not be ready yet.
     pub fn start() -> Result<World, Error> {
-        let plan = plan::deployment()?;
+        World::start_with(|_| {})
+    }
+
+    /// The same after a change of the plan.
+    pub fn start_with(change: impl FnOnce(&mut Deployment)) -> Result<World, Error> {
+        let mut plan = plan::deployment()?;
+        change(&mut plan);
         let dir = WorkDir::create()?;
         let pick = |i| Addresses::pick(&plan, i);
         let instances = (0..INSTANCES).map(pick).collect::<Result<Vec<_>, _>>()?;
@@ -268,5 +274,9 @@
 }
 
 fn plain(plan: &Deployment, at: usize, listen: SocketAddr) -> Result<Process, Error> {
-    standin("plain", listen, &[("--id", format!("{}-{at}", plan.plain.service))])
+    let args = [
+        ("--id", format!("{}-{at}", plan.plain.service)),
+        ("--delay-ms", plan.plain.delay_ms.to_string()),
+    ];
+    standin("plain", listen, &args)
 }
--- a/crates/celerytide-faults/tests/check.rs
+++ b/crates/celerytide-faults/tests/check.rs
@@ -122,6 +122,16 @@
             bad: |h| h.finals[0].word = None,
             invariant: "final-word",
         },
+        Case {
+            name: "a word that changes",
+            bad: |h| {
+                h.finals.push(Final {
+                    ticket: TICKET.to_owned(),
+                    word: Some("unknown".to_owned()),
+                });
+            },
+            invariant: "final-word",
+        },
         Case {
             name: "another's answer",
             bad: |h| h.sent[0].told = Some(told("done", "z")),
--- /dev/null
+++ b/crates/celerytide-faults/tests/leaving.rs
@@ -0,0 +1,129 @@
+//! Endpoints that leave by the list while they work.
+
+use std::time::Duration;
+
+use celerytide_faults::{Rig, RigOptions, Told, until};
+use celerytide_load::fleet::{Fleet, Running, documents};
+use celerytide_standin::{config::TEST_LIST_PATH, plain::Run, probe};
+use celerytide_types::now_unix_ms;
+use futures::future::join_all;
+use http::Method;
+use monoio::time::sleep;
+use serde_json::{Value, json};
+
+/// Time after which an endpoint that leaves gets no new work, in milliseconds.
+const NO_NEW_WORK_MS: u64 = 3000;
+/// Traffic goes on for this long.
+const TRAFFIC: Duration = Duration::from_secs(7);
+/// Time between arrivals.
+const ARRIVAL: Duration = Duration::from_millis(150);
+/// Time that a run of the plain service takes, in milliseconds.
+const RUN_MS: u64 = 400;
+const ENDPOINT_LIST: &str = "celerytide-endpoints";
+
+struct Case {
+    name: &'static str,
+    /// What becomes of the entries of endpoints that leave.
+    leave: fn(Vec<Value>, &[&str]) -> Vec<Value>,
+}
+
+fn marked(mut list: Vec<Value>, ids: &[&str]) -> Vec<Value> {
+    for entry in list.iter_mut().filter(|entry| is_one_of(entry, ids)) {
+        entry["Service"]["Meta"]["state"] = json!("leaving");
+    }
+    list
+}
+
+fn dropped(mut list: Vec<Value>, ids: &[&str]) -> Vec<Value> {
+    list.retain(|entry| !is_one_of(entry, ids));
+    list
+}
+
+fn is_one_of(entry: &Value, ids: &[&str]) -> bool {
+    entry["Service"]["ID"].as_str().is_some_and(|id| ids.contains(&id))
+}
+
+fn publish(fleet: &Fleet, leave: fn(Vec<Value>, &[&str]) -> Vec<Value>, ids: &[&str]) {
+    let running = |all: &[celerytide_load::fleet::Endpoint]| -> Vec<Running> {
+        all.iter().map(|endpoint| endpoint.running.clone()).collect()
+    };
+    let (engines, plains) = (running(&fleet.engines), running(&fleet.plains));
+    let plan = &fleet.plan;
+    let mut list = documents::endpoint_list(plan, &plan.engines.service, &engines);
+    list.extend(documents::endpoint_list(plan, &plan.plain.service, &plains));
+    let list = leave(list, ids);
+    let path = format!("{TEST_LIST_PATH}{ENDPOINT_LIST}");
+    let body = Value::Array(list).to_string();
+    probe::put(fleet.config.addr(), &path, body.as_bytes()).expect("the service takes what tests publish");
+}
+
+/// A call of each kind at each arrival, through the entries in turn.
+async fn traffic(rig: &Rig, time: Duration) -> Vec<Told> {
+    let count = u32::try_from(time.as_millis() / ARRIVAL.as_millis()).expect("a short test");
+    let calls = (0..count).map(|at| async move {
+        sleep(ARRIVAL * at).await;
+        let entry = at as usize % rig.fleet.instances.len();
+        let (chat, read) = (format!("chat-{at}"), format!("read-{at}"));
+        let read = rig.plain(entry, &read, Method::GET, "/services/forms/read");
+        let (chat, read) = futures::join!(rig.chat(entry, &chat, 40), read);
+        [chat, read]
+    });
+    join_all(calls).await.concat()
+}
+
+fn running(rig: &Rig, engine: usize) -> u64 {
+    let load: Value = probe::get_json(rig.fleet.engines[engine].process.addr(), "/load").expect("load report");
+    load["running"].as_u64().unwrap_or(0) + load["waiting"].as_u64().unwrap_or(0)
+}
+
+#[test]
+fn endpoints_that_leave_get_no_new_work_and_nothing_in_flight_is_cut() {
+    let cases = [
+        Case {
+            name: "marked as leaving",
+            leave: marked,
+        },
+        Case {
+            name: "dropped from the list",
+            leave: dropped,
+        },
+    ];
+    for case in cases {
+        let rig = Rig::start(&RigOptions {
+            plains: 2,
+            decode_ms: 10.0,
+            delay_ms: RUN_MS,
+            ..RigOptions::default()
+        })
+        .expect(case.name);
+        Rig::block_on(async {
+            let busy = async {
+                let first = || running(&rig, 0) > 0 && !runs(&rig, 0).is_empty();
+                assert!(until(TRAFFIC, first).await, "{}: no work at first", case.name);
+                publish(&rig.fleet, case.leave, &["assist-0", "forms-0"]);
+                let published = now_unix_ms();
+                sleep(Duration::from_millis(NO_NEW_WORK_MS)).await;
+                let idle = until(TRAFFIC, || running(&rig, 0) == 0).await;
+                assert!(idle, "{}: the engine's work doesn't end", case.name);
+                published
+            };
+            let (told, published) = futures::join!(traffic(&rig, TRAFFIC), busy);
+            let cut: Vec<&Told> = told.iter().filter(|t| !t.is_done()).collect();
+            assert!(cut.is_empty(), "{}: {cut:?}", case.name);
+            let late: Vec<u64> = runs(&rig, 0)
+                .iter()
+                .filter(|run| run.at_unix_ms > published + NO_NEW_WORK_MS)
+                .map(|run| run.at_unix_ms - published)
+                .collect();
+            assert!(late.is_empty(), "{}: new work after {late:?} ms", case.name);
+            let other = runs(&rig, 1)
+                .iter()
+                .any(|run| run.at_unix_ms > published + NO_NEW_WORK_MS);
+            assert!(other, "{}: the other one works on", case.name);
+        });
+    }
+}
+
+fn runs(rig: &Rig, plain: usize) -> Vec<Run> {
+    probe::runs(rig.fleet.plains[plain].process.addr()).expect("record of runs")
+}
--- /dev/null
+++ b/crates/celerytide-faults/tests/load.rs
@@ -0,0 +1,69 @@
+//! Each daemon killed, paused and cut off under a steady load.
+
+use celerytide_faults::load::{Answers, Disruption, Place, Report, Target, together};
+
+/// Runs at once in each test. The longest disruption comes first, so that none waits for it at the end.
+const JOBS: usize = 4;
+
+fn cut(place: Place, up: bool, down: bool) -> Disruption {
+    Disruption::Cut { place, up, down }
+}
+
+fn check(cases: &[Disruption]) {
+    let reports = together(cases, JOBS);
+    let line = |r: &Report| {
+        let [done, not_run, unknown] = r.words;
+        println!(
+            "{:?}: {} sent, {} done, {} words of tickets ({done} done, {not_run} not run, {unknown} unknown), {:.1} s",
+            r.disruption,
+            r.sent,
+            r.done,
+            r.tickets,
+            r.took.as_secs_f64()
+        );
+    };
+    reports.iter().for_each(line);
+    let broken: Vec<&Report> = reports.iter().filter(|r| !r.holds()).collect();
+    assert!(broken.is_empty(), "{broken:#?}");
+    assert!(reports.iter().all(|r| r.done > 0 && r.words[0] > 0), "{reports:#?}");
+}
+
+#[test]
+fn a_daemon_that_is_killed_or_paused_under_load() {
+    check(&[
+        Disruption::Pause(Target::Owner),
+        Disruption::Pause(Target::OtherDispatch),
+        Disruption::Pause(Target::OwnersEntry),
+        Disruption::Pause(Target::OtherEntry),
+        Disruption::Kill(Target::Owner),
+        Disruption::Kill(Target::OtherDispatch),
+        Disruption::Kill(Target::OwnersEntry),
+        Disruption::Kill(Target::OtherEntry),
+    ]);
+}
+
+#[test]
+fn links_that_are_cut_under_load() {
+    check(&[
+        cut(Place::Peers, true, true),
+        cut(Place::Peers, true, false),
+        cut(Place::Peers, false, true),
+        cut(Place::ToOwner, true, true),
+        cut(Place::Config, true, true),
+        cut(Place::Config, false, true),
+        cut(Place::OwnersConfig, true, true),
+        cut(Place::Endpoints, true, true),
+        cut(Place::Endpoints, false, true),
+        cut(Place::ZoneEndpoints, true, true),
+        cut(Place::ZoneEndpoints, false, true),
+    ]);
+}
+
+#[test]
+fn answers_that_are_spoilt_under_load() {
+    check(&[
+        Disruption::Spoil(Answers::Crossed),
+        Disruption::Spoil(Answers::CutMidAnswer),
+        Disruption::Spoil(Answers::Reset),
+    ]);
+}
--- a/crates/celerytide-faults/tests/stop.rs
+++ b/crates/celerytide-faults/tests/stop.rs
@@ -10,6 +10,8 @@
 const STOP: Duration = Duration::from_secs(20);
 /// Time in which the load is on its way when a signal comes.
 const UNDER_WAY: Duration = Duration::from_millis(150);
+/// Time between calls that arrive during a stop.
+const ARRIVAL: Duration = Duration::from_millis(150);
 
 fn rig() -> Rig {
     Rig::start(&RigOptions {
@@ -87,6 +89,93 @@
     assert_eq!(instance.dispatch.wait(STOP).expect("it ends").code(), Some(0));
 }
 
+/// A call that came after the signal may be refused while pools change hands; it is never cut.
+fn none_cut(told: &[Told]) {
+    let refused = |t: &&Told| t.whole && t.word == "not-run";
+    let cut: Vec<&Told> = told.iter().filter(|t| !t.is_done() && !refused(t)).collect();
+    assert!(cut.is_empty(), "{cut:?}");
+}
+
+/// Calls that arrive one after the other through one entry.
+async fn arrivals(rig: &Rig, entry: usize, count: u32) -> Vec<Told> {
+    let calls = (0..count).map(|at| async move {
+        monoio::time::sleep(ARRIVAL * at).await;
+        let (chat, read) = (format!("late-chat-{at}"), format!("late-read-{at}"));
+        let read = rig.plain(entry, &read, Method::GET, "/services/forms/read");
+        let (chat, read) = futures::join!(rig.chat(entry, &chat, 20), read);
+        [chat, read]
+    });
+    join_all(calls).await.concat()
+}
+
+#[test]
+fn two_of_three_instances_stop_at_once_and_cut_nothing() {
+    for stays in 0..3 {
+        let mut rig = Rig::start(&RigOptions {
+            instances: 3,
+            decode_ms: 10.0,
+            delay_ms: 300,
+            ..RigOptions::default()
+        })
+        .expect("deployment");
+        let stopping: Vec<usize> = (0..3).filter(|index| *index != stays).collect();
+        let (told, words) = Rig::block_on(async {
+            let stop = async {
+                monoio::time::sleep(UNDER_WAY).await;
+                for index in &stopping {
+                    rig.fleet.instances[*index].entry.term().expect("signal");
+                    rig.fleet.instances[*index].dispatch.term().expect("signal");
+                }
+            };
+            let loads = join_all(stopping.iter().map(|index| load(&rig, *index)));
+            let submits = join_all(stopping.iter().map(|index| submit(&rig, *index)));
+            let (loads, submits, later, ()) = futures::join!(loads, submits, arrivals(&rig, stays, 20), stop);
+            let (tickets, submitted): (Vec<_>, Vec<_>) = submits.into_iter().unzip();
+            let words = join_all(tickets.iter().map(|ticket| word(&rig, stays, ticket))).await;
+            none_cut(&later);
+            let after = load(&rig, stays).await;
+            ([loads.concat(), submitted, after].concat(), words)
+        });
+        all_done(&told);
+        assert!(
+            words.iter().all(|word| word == "done"),
+            "instance {stays} stays: {words:?}"
+        );
+        for index in stopping {
+            let instance = &mut rig.fleet.instances[index];
+            assert_eq!(
+                instance.entry.wait(STOP).expect("it ends").code(),
+                Some(0),
+                "entry {index}"
+            );
+            assert_eq!(
+                instance.dispatch.wait(STOP).expect("it ends").code(),
+                Some(0),
+                "dispatch {index}"
+            );
+        }
+    }
+}
+
+/// A protected call through an entry: its ticket and what the caller was told.
+async fn submit(rig: &Rig, entry: usize) -> (String, Told) {
+    let ticket = rig.ticket(entry).await.expect("ticket");
+    let told = rig.submit(entry, &format!("submit-{entry}"), Some(&ticket)).await;
+    (ticket, told)
+}
+
+/// The word of a ticket whose home stops, as another entry says it once it has it.
+async fn word(rig: &Rig, entry: usize, ticket: &str) -> String {
+    let mut word = String::new();
+    let end = std::time::Instant::now() + STOP;
+    while word != "done" && std::time::Instant::now() < end {
+        let seen = rig.look(entry, ticket).await.unwrap_or_default();
+        word = seen["word"].as_str().unwrap_or_default().to_owned();
+        monoio::time::sleep(ARRIVAL).await;
+    }
+    word
+}
+
 #[test]
 fn a_second_signal_ends_an_entry_at_once_and_says_what_it_cut() {
     let mut rig = rig();
