--- a/crates/celerytide-faults/src/load/disrupt.rs
+++ b/crates/celerytide-faults/src/load/disrupt.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
+use celerytide_manifest::ZoneState;
 use celerytide_standin::relay::Mode;
+use celerytide_types::now_unix_ms;
 use monoio::time::sleep;
 
+use crate::history::{InForce, ZoneOut};
 use crate::world::{Daemon, ENGINES, INSTANCES, Link, PLAINS, World};
 
 /// Time for which a killed daemon is away.
@@ -16,6 +19,11 @@
 /// Answers of each endpoint that are spoilt, and the time between them.
 const SPOILT: usize = 12;
 const SPOIL_EVERY: Duration = Duration::from_millis(250);
+/// Index of the zone that a change concerns.
+const ZONE: usize = 1;
+/// Looks at the versions in force after a publication, and the time between them.
+const LOOKS: usize = 15;
+const LOOK: Duration = Duration::from_millis(150);
 /// Service whose owner is meant by a target.
 const SERVICE: &str = "assist/";
 
@@ -88,11 +96,34 @@
     },
     /// Some answers of every endpoint are spoilt.
     Spoil(Answers),
+    /// An availability zone is taken out of service.
+    ZoneOut,
+    /// Once a new manifest is in force everywhere, the earlier one is published again.
+    OlderAgain,
 }
 
-pub(super) async fn disrupt(world: &mut World, disruption: Disruption) -> Result<(), String> {
+/// What a disruption adds to the record.
+#[derive(Default)]
+pub(super) struct Noted {
+    pub(super) zone_out: Option<ZoneOut>,
+    pub(super) in_force: Vec<InForce>,
+}
+
+pub(super) async fn disrupt(world: &mut World, disruption: Disruption) -> Result<Noted, String> {
     let owner = owner(world).await.ok_or("the model service has no owner")?;
+    let mut noted = Noted::default();
     match disruption {
+        Disruption::ZoneOut => noted.zone_out = Some(zone_out(world).await?),
+        Disruption::OlderAgain => noted.in_force = older_again(world).await?,
+        other => pass(world, other, owner).await?,
+    }
+    Ok(noted)
+}
+
+/// A disruption that passes and leaves the configuration as it was.
+async fn pass(world: &mut World, disruption: Disruption, owner: usize) -> Result<(), String> {
+    match disruption {
+        Disruption::ZoneOut | Disruption::OlderAgain => Ok(()),
         Disruption::Kill(target) => kill(world, daemon(target, owner)).await,
         Disruption::Pause(target) => pause(world, daemon(target, owner), past(target)).await,
         Disruption::Cut { place, up, down } => {
@@ -112,6 +143,57 @@
     }
 }
 
+async fn zone_out(world: &mut World) -> Result<ZoneOut, String> {
+    publish(world, 1, ZoneState::Out)?;
+    let out = ZoneOut {
+        plain: ZONE,
+        reachable_unix_ms: now_unix_ms(),
+    };
+    sleep(PAST_BOUNDS).await;
+    Ok(out)
+}
+
+async fn older_again(world: &mut World) -> Result<Vec<InForce>, String> {
+    let mut seen = Vec::new();
+    publish(world, 1, ZoneState::In)?;
+    follow(world, &mut seen).await;
+    let newest = world.manifest.clone();
+    publish(world, -1, ZoneState::In)?;
+    follow(world, &mut seen).await;
+    world.manifest = newest;
+    world.put_manifest().map_err(|e| e.to_string())?;
+    Ok(seen)
+}
+
+/// Publishes the manifest with its version moved and the zone's state set.
+fn publish(world: &mut World, by: i64, state: ZoneState) -> Result<(), String> {
+    world.manifest.version = world.manifest.version.saturating_add_signed(by);
+    if let Some(zone) = world.manifest.zones.get_mut(ZONE) {
+        zone.state = state;
+    }
+    world.put_manifest().map_err(|e| e.to_string())
+}
+
+/// Notes the version in force at each daemon for longer than a round of reads and of gossip.
+async fn follow(world: &World, seen: &mut Vec<InForce>) {
+    for _ in 0..LOOKS {
+        for at in 0..INSTANCES {
+            for daemon in [Daemon::Entry(at), Daemon::Dispatch(at)] {
+                let status = world.status(daemon).await;
+                let Some(version) = status["manifest"]["version"].as_u64() else {
+                    continue;
+                };
+                seen.push(InForce {
+                    process: format!("{daemon:?}"),
+                    incarnation: status["incarnation"].as_str().unwrap_or_default().to_owned(),
+                    version,
+                });
+            }
+        }
+        sleep(LOOK).await;
+    }
+}
+
 async fn kill(world: &mut World, daemon: Daemon) -> Result<(), String> {
     world.daemon_mut(daemon).kill();
     sleep(AWAY).await;
--- a/crates/celerytide-faults/src/load/mod.rs
+++ b/crates/celerytide-faults/src/load/mod.rs
@@ -116,8 +116,13 @@
     let callers = Callers::new(&world);
     let load = callers.start();
     sleep(BEFORE).await;
-    disrupt::disrupt(&mut world, disruption).await?;
+    let noted = disrupt::disrupt(&mut world, disruption).await?;
     sleep(AFTER).await;
     load.cancel();
-    settle::settle(&world, &callers).await
+    let settled = settle::settle(&world, &callers).await?;
+    Ok(History {
+        zone_out: noted.zone_out,
+        in_force: noted.in_force,
+        ..settled
+    })
 }
--- a/crates/celerytide-faults/tests/load.rs
+++ b/crates/celerytide-faults/tests/load.rs
@@ -67,3 +67,8 @@
         Disruption::Spoil(Answers::Reset),
     ]);
 }
+
+#[test]
+fn the_configuration_changes_under_load() {
+    check(&[Disruption::ZoneOut, Disruption::OlderAgain]);
+}
