fix(entry): a home that restarts by plan asks the holders of its former life's outcomes

Cause: a stopping entry hands its outcomes to holders, but its next life answered 'unknown' (home-restarted) for every ticket of the former one, also when asked by another entry, so a ticket that was 'done' had two words. Ruled out: answering a repeated call the same way; a holder's word says nothing of the request's content, so a call with other content could hear 'done'. Such a call still hears 'unknown'; its caller asks for the ticket. Before: tests/restart.rs failed: 'unknown' at the restarted entry, 'done' at the other. After: 'done' at both. A home that was killed has no holders and stays 'unknown'; the eight cases of kill and pause in tests/load.rs hold, whose check asks both entries. Conclusion: here() passes over tickets of another incarnation, elsewhere() goes on to the holders when the listed home doesn't know.

--- a/crates/celerytide-entry/src/ticket/look.rs
+++ b/crates/celerytide-entry/src/ticket/look.rs
@@ -1,5 +1,6 @@
 //! What became of a ticket, for callers, for other entries, and after the home has stopped.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -64,10 +65,14 @@
     }
 }
 
+/// What this process knows itself. A former life of it is unknown here: it may have handed over its outcomes.
 fn here(entry: &Entry, ticket: &Ticket, now: Boot) -> Option<Seen> {
     if let Some(copied) = entry.copies.look(ticket) {
         return Some(seen(copied));
     }
+    if ticket.home.incarnation != entry.home.id().incarnation {
+        return None;
+    }
     match entry.home.look(ticket, now) {
         Look::NotHome(_) => None,
         known => Some(seen(known)),
@@ -84,15 +89,14 @@
 }
 
 async fn elsewhere(entry: &Entry, ticket: &Ticket) -> Result<Seen, Final> {
-    let view = entry.node.membership.view();
-    if let Some(home) = view.instances.iter().find(|i| i.id == ticket.home.instance) {
+    if let Some(home) = other_home(entry, ticket) {
         let ask = LookAsk { ticket: ticket.id() };
-        let asked = entry
-            .node
-            .links
-            .call::<_, Seen>(home.entry_peer, Method::Look, &ask)
-            .await;
-        return asked.map_err(|_| unreachable());
+        let asked = entry.node.links.call::<_, Seen>(home, Method::Look, &ask).await;
+        match asked {
+            Ok(Seen::Unknown) => {}
+            Ok(seen) => return Ok(seen),
+            Err(_) => return Err(unreachable()),
+        }
     }
     for holder in entry.holders_of(&ticket.home.instance) {
         let ask = LookAsk { ticket: ticket.id() };
@@ -104,6 +108,14 @@
     Ok(Seen::Finished(home::gone().word))
 }
 
+/// Where the ticket's home listens, if it is listed and another instance.
+fn other_home(entry: &Entry, ticket: &Ticket) -> Option<SocketAddr> {
+    let id = &ticket.home.instance;
+    let view = entry.node.membership.view();
+    let home = view.instance(id).filter(|_| *id != entry.node.instance);
+    home.map(|i| i.entry_peer)
+}
+
 fn state(ticket: &Ticket, seen: Seen) -> TicketState {
     let unknown = || home::gone().word;
     let (name, word) = match seen {
