feat(dispatch): a setting that selects a baseline policy, for comparison only

Cause: the policy crate's baselines were used by its simulated example only; no run on real processes could compare. Before: daemons had one policy. After: settings field policy of a dispatch process: celerytide (default), random, round-robin, least-in-flight, first-come.

--- a/crates/celerytide-dispatch/src/pools/mod.rs
+++ b/crates/celerytide-dispatch/src/pools/mod.rs
@@ -5,14 +5,14 @@
 use std::rc::Rc;
 
 use celerytide_kernel::audit::Kind;
-use celerytide_manifest::DispatchSettings;
+use celerytide_manifest::{DispatchSettings, PolicyName};
 use celerytide_membership::View;
 use celerytide_membership::ownership::{
     Assessment, Change, Former, MusterCall, Options as OwnershipOptions, Ownership, Pool, Standing, Term, owner_of,
     pools_of,
 };
 use celerytide_node::Node;
-use celerytide_policy::{Options, Trust};
+use celerytide_policy::{Baseline, Options, Trust};
 use celerytide_types::{PoolId, now_boot};
 
 use crate::handover;
@@ -45,6 +45,7 @@
         let opts = Options {
             seed: node.incarnation,
             orphan_max_age: settings.timeouts.permit_age,
+            baseline: baseline_of(settings.policy),
             ..Options::default()
         };
         Pools {
@@ -258,6 +259,16 @@
     }
 }
 
+fn baseline_of(policy: PolicyName) -> Option<Baseline> {
+    match policy {
+        PolicyName::Celerytide => None,
+        PolicyName::Random => Some(Baseline::Random),
+        PolicyName::RoundRobin => Some(Baseline::RoundRobin),
+        PolicyName::LeastInFlight => Some(Baseline::LeastInFlight),
+        PolicyName::FirstCome => Some(Baseline::FirstCome),
+    }
+}
+
 fn trust_of(standing: Standing) -> Trust {
     match standing {
         Standing::Settled => Trust::Settled,
--- a/crates/celerytide-load/src/fleet/deployment.rs
+++ b/crates/celerytide-load/src/fleet/deployment.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use celerytide_manifest::{Action, Class};
+use celerytide_manifest::{Action, Class, PolicyName};
 use celerytide_types::{CustomerId, Millis, RegionId, ServiceId, ZoneId};
 
 celerytide_types::data! {
@@ -31,6 +31,9 @@
         /// Wait of a new owner for lagging views.
         #[serde(default = "default_hold", with = "humantime_serde")]
         pub hold: Duration,
+        /// Policy of the pools.
+        #[serde(default)]
+        pub policy: PolicyName,
     }
 
     /// The engines of one model service.
--- a/crates/celerytide-load/src/fleet/settings.rs
+++ b/crates/celerytide-load/src/fleet/settings.rs
@@ -74,6 +74,7 @@
         operator_address: instance.dispatch_operator,
         peer_address: instance.dispatch_peer,
         platform: platform(config),
+        policy: plan.policy,
         timeouts: DispatchTimeouts {
             hold: plan.hold,
             ..DispatchTimeouts::default()
--- a/crates/celerytide-manifest/src/lib.rs
+++ b/crates/celerytide-manifest/src/lib.rs
@@ -24,5 +24,5 @@
 pub use schema::DocumentKind;
 pub use settings::{
     DispatchSettings, DispatchTimeouts, EntrySettings, EntryTimeouts, HttpLimits, LogFormat, LogLevel, LogSettings,
-    Platform,
+    Platform, PolicyName,
 };
--- a/crates/celerytide-manifest/src/settings/mod.rs
+++ b/crates/celerytide-manifest/src/settings/mod.rs
@@ -67,6 +67,9 @@
         pub peer_address: SocketAddr,
         /// The platform's services and the peers to ask in their place.
         pub platform: Platform,
+        /// Policy of the pools; every value but the default is for comparison only.
+        #[serde(default)]
+        pub policy: PolicyName,
         /// Timeouts.
         #[serde(default)]
         pub timeouts: DispatchTimeouts,
@@ -75,6 +78,23 @@
         pub log: LogSettings,
     }
 
+    /// Policy of the pools.
+    #[derive(Copy, Eq, Default, JsonSchema)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum PolicyName {
+        /// Tiers, guaranteed shares, fairness, cold starts.
+        #[default]
+        Celerytide,
+        /// Baseline: at once to any open endpoint.
+        Random,
+        /// Baseline: at once to the open endpoints in turn.
+        RoundRobin,
+        /// Baseline: at once to the open endpoint with the least work in flight.
+        LeastInFlight,
+        /// Baseline: queued by arrival without tiers.
+        FirstCome,
+    }
+
     /// How a process reads the platform's services.
     #[derive(JsonSchema)]
     #[serde(deny_unknown_fields)]
--- a/crates/celerytide-manifest/tests/settings.rs
+++ b/crates/celerytide-manifest/tests/settings.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use celerytide_manifest::{EntryTimeouts, HttpLimits, LogSettings, check_entry_settings, hash_key};
+use celerytide_manifest::{
+    EntryTimeouts, HttpLimits, LogSettings, PolicyName, check_dispatch_settings, check_entry_settings, hash_key,
+};
 
 const ENTRY: &str = "\
 instance: entry-1
@@ -25,6 +27,16 @@
     assert!(cfg.platform.peers.is_empty());
 }
 
+#[test]
+fn a_baseline_policy_must_be_asked_for() {
+    let text = ENTRY.replace("caller_address: 127.0.0.1:8080\n", "");
+    let cfg = check_dispatch_settings("dispatch.yaml", &text).expect("valid settings");
+    assert_eq!(cfg.policy, PolicyName::Celerytide);
+    let text = format!("{text}policy: first-come\n");
+    let cfg = check_dispatch_settings("dispatch.yaml", &text).expect("valid settings");
+    assert_eq!(cfg.policy, PolicyName::FirstCome);
+}
+
 #[test]
 fn keys_are_hashed_by_sha256() {
     let want = "2c70e12b7a0646f92279f427c7b38e7334d8e5389cff167a1dc30e73f826b683";
