feat(load): policies compared in one run, callers that obey retry-after, a bound on goodput

Ruled out: timing refusals by the server (no metric of it, no age in the final answer): timed at the caller and said so in the report; a bound by phases (either loose, or wrong at the borders): greedy filling of all intervals instead, optimal for fractions. Before: one policy a run; callers never came back.

--- a/crates/celerytide-load/src/machine/mod.rs
+++ b/crates/celerytide-load/src/machine/mod.rs
@@ -47,15 +47,18 @@
             processor: processor.unwrap_or_default(),
             cores: thread::available_parallelism().map_or(0, usize::from),
             memory_bytes: kib_line(&memory, "MemTotal:"),
-            load: fs::read_to_string("/proc/loadavg")
-                .unwrap_or_default()
-                .trim()
-                .to_owned(),
+            load: load_averages(),
             build: if cfg!(debug_assertions) { "debug" } else { "release" }.to_owned(),
         }
     }
 }
 
+/// Load averages now; empty if they cannot be read.
+pub fn load_averages() -> String {
+    let text = fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    text.trim().to_owned()
+}
+
 impl Usage {
     /// Reads what the process has used; zero if it is gone.
     pub fn read(pid: u32) -> Self {
--- a/crates/celerytide-load/src/report/mod.rs
+++ b/crates/celerytide-load/src/report/mod.rs
@@ -1,14 +1,18 @@
 //! A run's results as JSON, Markdown and plots.
 
 mod plots;
+mod policies;
 mod seeds;
+mod service;
 
 use std::{fmt::Write, fs, io, path::Path};
 
+use celerytide_manifest::PolicyName;
 use snafu::Snafu;
 
 use crate::run::{ClassResult, Results};
 
+pub use policies::policies;
 pub use seeds::seeds;
 
 const GIB: f64 = 1024.0 * 1024.0 * 1024.0;
@@ -41,6 +45,23 @@
     },
 }
 
+/// The name of a policy in settings and folders.
+pub fn policy_name(policy: PolicyName) -> &'static str {
+    match policy {
+        PolicyName::Celerytide => "celerytide",
+        PolicyName::Random => "random",
+        PolicyName::RoundRobin => "round-robin",
+        PolicyName::LeastInFlight => "least-in-flight",
+        PolicyName::FirstCome => "first-come",
+    }
+}
+
+/// Writes several runs into one file.
+pub fn write_json(all: &[Results], path: &Path) -> Result<(), Error> {
+    fs::write(path, serde_json::to_vec(all)?)?;
+    Ok(())
+}
+
 /// Writes `results.json`, `report.md` and the plots into a folder that exists.
 pub fn write(results: &Results, folder: &Path) -> Result<(), Error> {
     fs::write(folder.join("results.json"), serde_json::to_vec_pretty(results)?)?;
@@ -59,14 +80,16 @@
     let machine = &results.machine;
     let _ = writeln!(
         text,
-        "{}\n\nSeed {}. {} cores of {:?}, {:.0} GiB; {} build; load averages at the start {}.\n",
+        "{}\n\nPolicy {}, seed {}. {} cores of {:?}, {:.0} GiB; {} build; load averages at the start {}, at the end {}.\n",
         results.about,
+        policy_name(results.policy),
         results.seed,
         machine.cores,
         machine.processor,
         machine.memory_bytes as f64 / GIB,
         machine.build,
-        machine.load
+        machine.load,
+        results.load_at_end
     );
     tokens(&mut text, results);
     text.push_str("\n| class | tier | phase | sent | done | not run | unknown | no word | attained % ");
@@ -75,6 +98,7 @@
     for class in &results.classes {
         row(&mut text, class);
     }
+    service::write(&mut text, results);
     text.push_str("\nRequests that were not served:\n\n");
     for class in results.classes.iter().filter(|class| class.phase.is_none()) {
         causes(&mut text, class);
--- a/crates/celerytide-load/src/report/seeds.rs
+++ b/crates/celerytide-load/src/report/seeds.rs
@@ -48,14 +48,14 @@
     );
 }
 
-fn sorted(values: impl Iterator<Item = f64>) -> Vec<f64> {
+pub(super) fn sorted(values: impl Iterator<Item = f64>) -> Vec<f64> {
     let mut values: Vec<f64> = values.collect();
     values.sort_by(f64::total_cmp);
     values
 }
 
 /// The middle value; the lower one of two.
-fn median(sorted: &[f64]) -> f64 {
+pub(super) fn median(sorted: &[f64]) -> f64 {
     sorted
         .get(sorted.len().saturating_sub(1) / 2)
         .copied()
--- a/crates/celerytide-load/src/run/mod.rs
+++ b/crates/celerytide-load/src/run/mod.rs
@@ -1,19 +1,24 @@
 //! Runs a scenario open loop and keeps what happened.
 
+mod bound;
 mod results;
+mod returns;
 mod send;
+mod series;
+mod shares;
 mod watch;
+mod zones;
 
 use std::{
-    fs, io,
-    path::{Path, PathBuf},
+    io,
+    path::PathBuf,
     sync::Arc,
     thread,
     time::{Duration, Instant},
 };
 
 use argh::FromArgs;
-use celerytide_manifest::ZoneState;
+use celerytide_manifest::{PolicyName, ZoneState};
 use celerytide_standin::probe;
 use snafu::Snafu;
 
@@ -25,9 +30,14 @@
     signals::Stop,
 };
 
-pub use results::{ClassResult, PhaseEnd, Results, Second, attains, summarise};
-pub use send::{Progress, Record};
-pub use watch::Sample;
+pub use bound::{Bound, bound};
+pub use results::{ClassResult, Observed, PhaseEnd, Results, Second, attains, summarise};
+pub use returns::{Refusals, Wave, wave};
+pub use send::{Progress, Record, Refused};
+pub use series::run;
+pub use shares::least as least_shares;
+pub use watch::{ClassSample, Sample};
+pub use zones::{ZoneMove, moves};
 
 /// How long the daemons may take to be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(60);
@@ -55,6 +65,20 @@
     /// seed in place of the scenario's; more than one: a run each, and a table of all
     #[argh(option)]
     pub seed: Vec<u64>,
+    /// policy in place of the scenario's: celerytide, random, round-robin, least-in-flight, first-come; more than one: a run
+    /// each with each seed, and a comparison
+    #[argh(option, from_str_fn(policy))]
+    pub policy: Vec<PolicyName>,
+    /// length of every phase as a multiple of the scenario's
+    #[argh(option, default = "1.0")]
+    pub scale_time: f64,
+    /// callers come back after a refusal when they were told to
+    #[argh(switch)]
+    pub obey_retry: bool,
+}
+
+fn policy(name: &str) -> Result<PolicyName, String> {
+    serde_json::from_value(serde_json::Value::from(name)).map_err(|e| e.to_string())
 }
 
 /// Why a run failed.
@@ -104,57 +128,15 @@
     action: Action,
 }
 
-/// Runs the scenario with each seed and writes the results.
-pub fn run(options: &Options) -> Result<(), Error> {
-    let stop = Stop::watch()?;
-    let scenario = Scenario::load(&options.scenario)?;
-    let own = [scenario.seed];
-    let seeds = if options.seed.is_empty() {
-        own.as_slice()
-    } else {
-        &options.seed
-    };
-    let mut all = Vec::new();
-    for seed in seeds {
-        let scenario = Scenario {
-            seed: *seed,
-            ..scenario.clone()
-        };
-        let results = measure(&scenario, &stop)?;
-        println!("{}", report::markdown(&results));
-        if let Some(folder) = &options.out {
-            let folder = if seeds.len() > 1 {
-                folder.join(format!("seed-{seed}"))
-            } else {
-                folder.clone()
-            };
-            write(&results, &folder)?;
-        }
-        all.push(results);
-    }
-    if all.len() > 1 {
-        let table = report::seeds(&all);
-        println!("{table}");
-        if let Some(folder) = &options.out {
-            fs::write(folder.join("seeds.md"), table)?;
-        }
-    }
-    Ok(())
-}
-
-fn write(results: &Results, folder: &Path) -> Result<(), Error> {
-    fs::create_dir_all(folder)?;
-    report::write(results, folder)?;
-    println!("written to {}", folder.display());
-    Ok(())
-}
-
 /// Runs the scenario.
 pub fn measure(scenario: &Scenario, stop: &Stop) -> Result<Results, Error> {
     let machine = Machine::read();
     eprintln!(
-        "{}: starting {} instances ...",
-        scenario.name, scenario.deployment.instances
+        "{}, {}, seed {}: starting {} instances ...",
+        scenario.name,
+        report::policy_name(scenario.deployment.policy),
+        scenario.seed,
+        scenario.deployment.instances
     );
     let mut fleet = Fleet::start(&scenario.deployment, fleet::Options { own_group: true })?;
     fleet.wait_ready(READY_TIMEOUT)?;
@@ -172,12 +154,15 @@
     }
     let records = sending.join().map_err(|_| Error::Thread)??;
     thread::sleep(Duration::from_millis(scenario.deployment.engines.report_lag_ms) + REPORT_MARGIN);
-    let generated = watch::generated(&fleet).saturating_sub(generated_before);
-    let calls = probe::get_json(fleet.config.addr(), celerytide_standin::config::CALLS_PATH)?;
-    let stopped = fleet.stop(STOP_TIMEOUT);
-    Ok(summarise(
-        scenario, machine, &records, samples, generated, calls, stopped,
-    ))
+    let observed = Observed {
+        machine,
+        samples,
+        generated_tokens: watch::generated(&fleet).saturating_sub(generated_before),
+        falls: watch::falls(&fleet),
+        config_calls: probe::get_json(fleet.config.addr(), celerytide_standin::config::CALLS_PATH)?,
+        stopped: fleet.stop(STOP_TIMEOUT),
+    };
+    Ok(summarise(scenario, &records, observed))
 }
 
 /// Brings about the events, samples, and shows progress until all phases are over.
@@ -222,11 +207,8 @@
     let mut start = Duration::ZERO;
     for phase in &scenario.phases {
         for event in &phase.events {
-            let offset = Duration::try_from_secs_f64(event.at)
-                .unwrap_or_default()
-                .min(phase.span());
             all.push(Due {
-                at: start + offset,
+                at: start + phase.offset(event),
                 phase: phase.name.clone(),
                 action: event.action.clone(),
             });
--- a/crates/celerytide-load/src/run/results.rs
+++ b/crates/celerytide-load/src/run/results.rs
@@ -2,13 +2,19 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use celerytide_manifest::Class;
+use celerytide_manifest::{Class, PolicyName};
 use celerytide_standin::config::Calls;
 use celerytide_types::{ClassName, Tier};
 
-use super::{Record, Sample};
+use super::{
+    Record, Sample,
+    bound::{Bound, bound},
+    returns::{Refusals, refusals},
+    shares,
+    zones::{ZoneMove, moves},
+};
 use crate::{
-    machine::Machine,
+    machine::{self, Machine},
     measure::{Quantiles, histogram, record},
     scenario::Scenario,
 };
@@ -20,10 +26,14 @@
         pub scenario: String,
         /// Its description.
         pub about: String,
+        /// Policy of the pools.
+        pub policy: PolicyName,
         /// Seed of the run.
         pub seed: u64,
         /// The machine.
         pub machine: Machine,
+        /// Load averages when the run ended.
+        pub load_at_end: String,
         /// Name and end of each phase, in seconds from the start.
         pub phases: Vec<PhaseEnd>,
         /// One entry for each class and phase, and one for each class over the whole run.
@@ -38,6 +48,16 @@
         pub delivered_tokens: u64,
         /// Tokens in answers that met their targets.
         pub good_tokens: u64,
+        /// What perfect knowledge could yield.
+        pub bound: Bound,
+        /// Refusals and returns.
+        pub refusals: Refusals,
+        /// Least part of its guaranteed share that a class got in a window of 10 s in which it waited.
+        pub least_share: BTreeMap<ClassName, f64>,
+        /// Zones that left and returned.
+        pub zones: Vec<ZoneMove>,
+        /// Times that an engine was given more than it bears while cold.
+        pub falls: u64,
         /// Calls to the configuration service.
         pub config_calls: Calls,
         /// Whether every daemon stopped by itself at the end.
@@ -102,16 +122,25 @@
     record.done && first && gaps
 }
 
+/// What was seen of a run besides its requests.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Observed {
+    /// The machine.
+    pub machine: Machine,
+    /// Queues and work.
+    pub samples: Vec<Sample>,
+    /// Tokens that the engines generated.
+    pub generated_tokens: u64,
+    /// Times that an engine was given more than it bears while cold.
+    pub falls: u64,
+    /// Calls to the configuration service.
+    pub config_calls: Calls,
+    /// Whether every daemon stopped by itself at the end.
+    pub stopped: bool,
+}
+
 /// Adds up a run.
-pub fn summarise(
-    scenario: &Scenario,
-    machine: Machine,
-    records: &[Record],
-    samples: Vec<Sample>,
-    generated_tokens: u64,
-    config_calls: Calls,
-    stopped: bool,
-) -> Results {
+pub fn summarise(scenario: &Scenario, records: &[Record], observed: Observed) -> Results {
     let classes = &scenario.deployment.classes;
     let tokens = |wanted: &dyn Fn(&Record) -> bool| -> u64 {
         records
@@ -123,17 +152,24 @@
     Results {
         scenario: scenario.name.clone(),
         about: scenario.about.clone(),
+        policy: scenario.deployment.policy,
         seed: scenario.seed,
-        machine,
+        machine: observed.machine,
+        load_at_end: machine::load_averages(),
         phases: phase_ends(scenario),
         classes: class_results(scenario, records),
         seconds: seconds(classes, records),
-        samples,
-        generated_tokens,
+        generated_tokens: observed.generated_tokens,
         delivered_tokens: tokens(&|record| record.done),
         good_tokens: tokens(&|record| classes.get(record.class).is_some_and(|class| attains(class, record))),
-        config_calls,
-        stopped,
+        bound: bound(scenario),
+        refusals: refusals(classes, records),
+        least_share: shares::least(classes, &observed.samples),
+        zones: moves(scenario, &observed.samples, records),
+        samples: observed.samples,
+        falls: observed.falls,
+        config_calls: observed.config_calls,
+        stopped: observed.stopped,
     }
 }
 
--- a/crates/celerytide-load/src/run/send.rs
+++ b/crates/celerytide-load/src/run/send.rs
@@ -23,9 +23,13 @@
     caller::{self, Ask, Outcome},
     fleet::Fleet,
     pace,
-    scenario::{Arrival, Scenario, arrivals},
+    scenario::{Arrival, Retry, Scenario, arrivals},
 };
 
+/// Times that a caller comes back at most.
+const MAX_RETURNS: usize = 3;
+const NOT_RUN: &str = "not-run";
+
 celerytide_types::data! {
     /// One request as its caller saw it. Times count from when it was to be sent.
     pub struct Record {
@@ -53,6 +57,18 @@
         pub total: Duration,
         /// Tokens that came.
         pub tokens: usize,
+        /// Its refusals; the caller came back after each but the last, or after all if it was served in the end.
+        pub refusals: Vec<Refused>,
+    }
+
+    /// A refusal as its caller saw it.
+    pub struct Refused {
+        /// The cause.
+        pub cause: String,
+        /// Time from sending the request to the end of the final answer.
+        pub after: Duration,
+        /// When the caller came back, from the start of the run.
+        pub returned: Option<Duration>,
     }
 }
 
@@ -86,7 +102,7 @@
     fn ended(&self, outcome: &Outcome) {
         let count = match outcome.word.as_str() {
             _ if outcome.is_done() => &self.done,
-            "not-run" => &self.not_run,
+            NOT_RUN => &self.not_run,
             _ => &self.other,
         };
         count.fetch_add(1, Ordering::Relaxed);
@@ -125,6 +141,11 @@
         }
     }
 
+    /// When the last arrival may come.
+    fn end(&self) -> Instant {
+        self.start + self.scenario.span()
+    }
+
     fn ask(&self, number: usize, arrival: &Arrival) -> Option<Ask> {
         let deployment = &self.scenario.deployment;
         let addr = *self.entries.get(arrival.instance % self.entries.len().max(1))?;
@@ -135,7 +156,7 @@
             .traffic
             .iter()
             .find(|traffic| traffic.class == class.name)?;
-        let id = format!("{}-{number}", self.scenario.name);
+        let id = request_id(&self.scenario, number);
         let ask = match arrival.kind {
             ServiceKind::Model => Ask::chat(
                 addr,
@@ -182,10 +203,15 @@
             prompt: String::new(),
             ..arrival.clone()
         };
+        let returns = Returns {
+            retry: plan.scenario.retry,
+            start: plan.start,
+            end: plan.end(),
+        };
         tasks.push(monoio::spawn(async move {
-            let outcome = caller::send(&client, &ask, &CancellationToken::new(), |_| {}).await;
+            let (outcome, refusals) = persist(&client, &ask, returns).await;
             progress.ended(&outcome);
-            records.borrow_mut().push(record(&arrival, due, &outcome));
+            records.borrow_mut().push(record(&arrival, due, &outcome, refusals));
         }));
     }
     for task in tasks {
@@ -194,7 +220,54 @@
     records.take()
 }
 
-fn record(arrival: &Arrival, due: Instant, outcome: &Outcome) -> Record {
+/// The id of the request with this number.
+pub fn request_id(scenario: &Scenario, number: usize) -> String {
+    format!("{}-{number}", scenario.name)
+}
+
+/// Whether and until when a caller comes back.
+#[derive(Clone, Copy)]
+struct Returns {
+    retry: Retry,
+    start: Instant,
+    end: Instant,
+}
+
+impl Returns {
+    /// When to come back after a refusal; `None` to give up.
+    fn next(&self, outcome: &Outcome, refusals: usize) -> Option<Instant> {
+        let wait = outcome.retry_after?;
+        let at = Instant::now() + wait;
+        let may = self.retry == Retry::Obey && refusals < MAX_RETURNS && at < self.end;
+        may.then_some(at)
+    }
+}
+
+/// Sends a request, and again as often as the caller comes back.
+async fn persist(client: &Client, ask: &Ask, returns: Returns) -> (Outcome, Vec<Refused>) {
+    let mut refusals = Vec::new();
+    loop {
+        let sent = Instant::now();
+        let outcome = caller::send(client, ask, &CancellationToken::new(), |_| {}).await;
+        if outcome.is_done() || outcome.word != NOT_RUN {
+            return (outcome, refusals);
+        }
+        let mut refused = Refused {
+            cause: outcome.cause.clone(),
+            after: sent.elapsed(),
+            returned: None,
+        };
+        let Some(at) = returns.next(&outcome, refusals.len()) else {
+            refusals.push(refused);
+            return (outcome, refusals);
+        };
+        monoio::time::sleep(at.saturating_duration_since(Instant::now())).await;
+        refused.returned = Some(returns.start.elapsed());
+        refusals.push(refused);
+    }
+}
+
+fn record(arrival: &Arrival, due: Instant, outcome: &Outcome, refusals: Vec<Refused>) -> Record {
     let since = |at: Instant| at.saturating_duration_since(due);
     let total = outcome.ended.map(since).unwrap_or_default();
     let first = match arrival.kind {
@@ -214,5 +287,6 @@
         gap_p95: outcome.gap_p95(),
         total,
         tokens: outcome.tokens,
+        refusals,
     }
 }
--- a/crates/celerytide-load/src/run/watch.rs
+++ b/crates/celerytide-load/src/run/watch.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use celerytide_standin::{engine::Load, probe};
-use celerytide_types::{Tier, ZoneId};
+use celerytide_types::{ClassName, EndpointId, Tier, ZoneId};
 use serde::Deserialize;
 
 use crate::fleet::Fleet;
@@ -18,6 +18,19 @@
         pub queued: BTreeMap<Tier, u64>,
         /// Requests in flight by zone of their endpoint.
         pub in_flight: BTreeMap<ZoneId, u64>,
+        /// Requests in flight by endpoint.
+        pub endpoints: BTreeMap<EndpointId, u64>,
+        /// Queued and granted requests by class.
+        pub classes: BTreeMap<ClassName, ClassSample>,
+    }
+
+    /// One class at one time.
+    #[derive(Copy, Default)]
+    pub struct ClassSample {
+        /// Requests that wait.
+        pub queued: u64,
+        /// Grants since its pools were made.
+        pub granted: u64,
     }
 }
 
@@ -34,9 +47,17 @@
 #[derive(Deserialize)]
 struct PoolStatus {
     tiers: Vec<TierStatus>,
+    classes: Vec<ClassStatus>,
     endpoints: Vec<EndpointStatus>,
 }
 
+#[derive(Deserialize)]
+struct ClassStatus {
+    name: ClassName,
+    queued: u64,
+    granted: u64,
+}
+
 #[derive(Deserialize)]
 struct TierStatus {
     tier: Tier,
@@ -45,6 +66,7 @@
 
 #[derive(Deserialize)]
 struct EndpointStatus {
+    id: EndpointId,
     zone: ZoneId,
     in_flight: u64,
 }
@@ -70,6 +92,12 @@
         }
         for endpoint in pool.status.endpoints {
             *sample.in_flight.entry(endpoint.zone).or_default() += endpoint.in_flight;
+            *sample.endpoints.entry(endpoint.id).or_default() += endpoint.in_flight;
+        }
+        for class in pool.status.classes {
+            let total = sample.classes.entry(class.name).or_default();
+            total.queued += class.queued;
+            total.granted += class.granted;
         }
     }
 }
@@ -80,3 +108,13 @@
     let totals = fleet.engines.iter().filter_map(|engine| load(engine.running.addr).ok());
     totals.map(|load| load.tokens_total).sum()
 }
+
+/// Times that engines were given more than they bear while cold.
+pub fn falls(fleet: &Fleet) -> u64 {
+    let falls = |addr| probe::get_json::<u64>(addr, celerytide_standin::engine::FALLS_PATH);
+    let counts = fleet
+        .engines
+        .iter()
+        .filter_map(|engine| falls(engine.running.addr).ok());
+    counts.sum()
+}
--- a/crates/celerytide-load/src/scenario/mod.rs
+++ b/crates/celerytide-load/src/scenario/mod.rs
@@ -56,12 +56,26 @@
         pub seed: u64,
         /// The deployment.
         pub deployment: Deployment,
+        /// What callers do after a refusal.
+        #[serde(default)]
+        pub retry: Retry,
         /// What requests of each class look like.
         pub traffic: Vec<Traffic>,
         /// Phases, one after the other.
         pub phases: Vec<Phase>,
     }
 
+    /// What callers do after a refusal.
+    #[derive(Copy, Eq, Default)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum Retry {
+        /// They do not come back.
+        #[default]
+        Never,
+        /// They come back when they were told to, a few times at most.
+        Obey,
+    }
+
     /// What requests of one class look like.
     #[serde(deny_unknown_fields)]
     pub struct Traffic {
@@ -158,6 +172,34 @@
         Ok(scenario)
     }
 
+    /// The same with every phase and the times of its events `factor` times as long.
+    pub fn scaled(mut self, factor: f64) -> Self {
+        for phase in &mut self.phases {
+            phase.seconds *= factor;
+            for event in &mut phase.events {
+                event.at *= factor;
+            }
+        }
+        self
+    }
+
+    /// All events with their times from the start, in order.
+    pub fn events(&self) -> Vec<(Duration, &Action)> {
+        let mut all = Vec::new();
+        let mut start = Duration::ZERO;
+        for phase in &self.phases {
+            all.extend(
+                phase
+                    .events
+                    .iter()
+                    .map(|event| (start + phase.offset(event), &event.action)),
+            );
+            start += phase.span();
+        }
+        all.sort_by_key(|(at, _)| *at);
+        all
+    }
+
     /// Length of all phases.
     pub fn span(&self) -> Duration {
         self.phases.iter().map(Phase::span).sum()
@@ -220,6 +262,13 @@
 }
 
 impl Phase {
+    /// Time of an event since the phase began.
+    pub fn offset(&self, event: &Event) -> Duration {
+        Duration::try_from_secs_f64(event.at)
+            .unwrap_or_default()
+            .min(self.span())
+    }
+
     /// Its length.
     pub fn span(&self) -> Duration {
         Duration::try_from_secs_f64(self.seconds).unwrap_or_default()
--- /dev/null
+++ b/crates/celerytide-load/tests/figures.rs
@@ -0,0 +1,218 @@
+//! What a run's figures are worked out from: the bound on goodput, shares, zones, returns, and several policies together.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use celerytide_load::{
+    fleet::Deployment,
+    machine::Machine,
+    report,
+    run::{ClassSample, Observed, Record, Refused, Sample, bound, least_shares, moves, summarise, wave},
+    scenario::Scenario,
+};
+use celerytide_manifest::PolicyName;
+use celerytide_standin::config::Calls;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// The demo's deployment with traffic of its first class.
+fn scenario(rate: f64, events: &str) -> Scenario {
+    let text = format!("[{{ name: p, seconds: 20, rates: {{ lookup: {rate} }}, events: [{events}] }}]");
+    Scenario {
+        name: "made-up".to_owned(),
+        about: String::new(),
+        seed: 1,
+        deployment: Deployment::demo(2).expect("deployment"),
+        retry: Default::default(),
+        traffic: serde_saphyr::from_str("[{ class: lookup, prompt_tokens: 50, max_tokens: 100 }]").expect("traffic"),
+        phases: serde_saphyr::from_str(&text).expect("phases"),
+    }
+}
+
+fn half() -> String {
+    let zone = Deployment::demo(2).expect("deployment").zone(0);
+    format!("{{ at: 0, do: {{ zone-out: {{ zone: {zone} }} }} }}")
+}
+
+#[test]
+fn the_bound_is_the_demand_until_the_engines_are_full() {
+    let idle = bound(&scenario(1.0, ""));
+    assert!(idle.demand > 0.0 && (idle.tokens - idle.demand).abs() < 1e-6 * idle.demand);
+    assert!((idle.attainment_by_tier["lookup"] - 1.0).abs() < 1e-9);
+
+    let full = bound(&scenario(500.0, ""));
+    let engines = scenario(1.0, "").deployment.engines;
+    let step = engines.decode_ms * (1.0 + engines.batch_slowdown * f64::from(engines.slots - 1)) / 1e3;
+    let per_second = engines.count as f64 * f64::from(engines.slots) / step;
+    assert!(full.tokens < full.demand / 2.0);
+    // Work that arrives in 20 s may run some seconds longer: targets, answers and whole bins.
+    assert!(
+        full.tokens > 0.5 * 20.0 * per_second && full.tokens < 30.0 * per_second,
+        "{full:?}"
+    );
+    assert!(full.tokens_by_tier <= full.tokens + 1e-6 && full.attainment_by_tier["lookup"] < 0.5);
+
+    let less = bound(&scenario(500.0, &half()));
+    assert!(less.tokens < 0.75 * full.tokens, "a zone less: {less:?}");
+}
+
+fn sample(at: u64, queued: u64, granted: [u64; 2]) -> Sample {
+    let one = |queued, granted| ClassSample { queued, granted };
+    let classes = [
+        ("lookup".to_owned(), one(queued, granted[0])),
+        ("draft".to_owned(), one(0, granted[1])),
+    ];
+    Sample {
+        at: Duration::from_millis(500) * u32::try_from(at).expect("small"),
+        classes: BTreeMap::from(classes),
+        ..Sample::default()
+    }
+}
+
+#[test]
+fn the_least_share_counts_only_windows_of_waiting() {
+    struct Case {
+        name: &'static str,
+        queued: fn(u64) -> u64,
+        granted: fn(u64) -> [u64; 2],
+        want: Option<f64>,
+    }
+    let cases = [
+        Case {
+            name: "a tenth of the grants",
+            queued: |_| 1,
+            granted: |at| [at, 9 * at],
+            want: Some(0.1),
+        },
+        Case {
+            name: "idle once",
+            queued: |at| u64::from(at % 20 != 0),
+            granted: |at| [at, 9 * at],
+            want: None,
+        },
+        Case {
+            name: "new owner",
+            queued: |_| 1,
+            granted: |at| [at % 20, 9 * at],
+            want: None,
+        },
+    ];
+    let classes = Deployment::demo(2).expect("deployment").classes;
+    let share = classes
+        .iter()
+        .find(|class| class.name == "lookup")
+        .expect("class")
+        .guaranteed_share;
+    for case in &cases {
+        let samples: Vec<Sample> = (0..30)
+            .map(|at| sample(at, (case.queued)(at), (case.granted)(at)))
+            .collect();
+        let least = least_shares(&classes, &samples).get("lookup").copied();
+        let want = case.want.map(|part| part / share);
+        assert_eq!(least.is_some(), want.is_some(), "{}", case.name);
+        let error = (least.unwrap_or(0.0) - want.unwrap_or(0.0)).abs();
+        assert!(error < 1e-9, "{}: {least:?}", case.name);
+    }
+}
+
+#[test]
+fn zone_moves_are_told_by_samples() {
+    let scenario = scenario(
+        1.0,
+        "{ at: 5, do: { zone-out: { zone: ZONE } } }, { at: 10, do: { zone-in: { zone: ZONE } } }"
+            .replace("ZONE", &Deployment::demo(2).expect("deployment").zone(0))
+            .as_str(),
+    );
+    let [own, other] = [0, 1].map(|at| scenario.deployment.zone(at));
+    let work = |at: u32| match at {
+        0..=5 => 4,
+        6 | 7 => 1,
+        9 => 2,
+        8 | 10 | 11 => 0,
+        _ => 4,
+    };
+    let samples: Vec<Sample> = (0..20)
+        .map(|at| Sample {
+            at: SECOND * at,
+            in_flight: BTreeMap::from([(own.clone(), work(at)), (other.clone(), 5)]),
+            endpoints: BTreeMap::from([
+                ("assist-0".to_owned(), work(at)),
+                ("assist-1".to_owned(), 5 + u64::from(at)),
+            ]),
+            ..Sample::default()
+        })
+        .collect();
+    let moves = moves(&scenario, &samples, &[]);
+    assert_eq!(moves.len(), 2);
+    assert_eq!(
+        (moves[0].new_work, moves[0].idle_after),
+        (2, None),
+        "work at 9 s, 4 s after the zone was out"
+    );
+    assert_eq!(moves[1].share_after, Some(2.0));
+}
+
+#[test]
+fn a_wave_of_returns_shows() {
+    let even = wave((0..100).map(|at| Duration::from_millis(100 * at)));
+    assert_eq!((even.count, even.peak), (100, 1));
+    let burst = wave((0..100).map(|_| SECOND));
+    assert_eq!((burst.count, burst.peak), (100, 100));
+    assert!(burst.peak as f64 / burst.mean > 50.0);
+}
+
+#[test]
+fn policies_stand_beside_each_other() {
+    let scenario = scenario(1.0, "");
+    let refused = Refused {
+        cause: "queue-full".to_owned(),
+        after: Duration::from_millis(3),
+        returned: Some(SECOND),
+    };
+    let record = Record {
+        phase: 0,
+        class: scenario
+            .deployment
+            .classes
+            .iter()
+            .position(|class| class.name == "lookup")
+            .expect("class"),
+        customer: 0,
+        at: SECOND,
+        status: 503,
+        word: "not-run".to_owned(),
+        cause: "queue-full".to_owned(),
+        done: false,
+        first: None,
+        gap_p95: Duration::ZERO,
+        total: SECOND,
+        tokens: 0,
+        refusals: vec![refused],
+    };
+    let run = |policy, seed| {
+        let mut scenario = scenario.clone();
+        scenario.deployment.policy = policy;
+        scenario.seed = seed;
+        let observed = Observed {
+            machine: Machine::read(),
+            samples: Vec::new(),
+            generated_tokens: 100,
+            falls: 2,
+            config_calls: Calls::default(),
+            stopped: true,
+        };
+        summarise(&scenario, std::slice::from_ref(&record), observed)
+    };
+    let all = [PolicyName::Celerytide, PolicyName::FirstCome].map(|policy| [run(policy, 1), run(policy, 2)]);
+    let first = &all[0][0];
+    assert_eq!((first.refusals.at_arrival.count, first.refusals.returns.count), (1, 1));
+    let text = report::policies(&all.concat());
+    assert!(
+        text.contains("| class | tier | phase | celerytide | first-come |"),
+        "{text}"
+    );
+    assert!(
+        text.contains("| lookup | 1 | **all** | 0.0 (100.0) | 0.0 (100.0) |"),
+        "{text}"
+    );
+    assert!(text.contains("(first-come/seed-2/report.md)"), "{text}");
+}
--- a/crates/celerytide-load/tests/results.rs
+++ b/crates/celerytide-load/tests/results.rs
@@ -6,8 +6,8 @@
     fleet::Deployment,
     machine::{Machine, Usage},
     report,
-    run::{Record, Results, attains, summarise},
-    scenario::Scenario,
+    run::{Observed, Record, Results, attains, summarise},
+    scenario::{Retry, Scenario},
 };
 use celerytide_standin::config::Calls;
 
@@ -17,6 +17,7 @@
         about: String::new(),
         seed: 1,
         deployment: Deployment::demo(2).expect("deployment"),
+        retry: Retry::Never,
         traffic: Vec::new(),
         phases: serde_saphyr::from_str("[{ name: p, seconds: 10, rates: {} }]").expect("phases"),
     }
@@ -37,6 +38,7 @@
         gap_p95: Duration::from_millis(90),
         total: Duration::from_secs(2),
         tokens: 10,
+        refusals: Vec::new(),
     }
 }
 
@@ -56,15 +58,15 @@
 
 fn results(seed: u64, records: &[Record]) -> Results {
     let scenario = Scenario { seed, ..scenario() };
-    summarise(
-        &scenario,
-        Machine::read(),
-        records,
-        Vec::new(),
-        100,
-        Calls::default(),
-        true,
-    )
+    let observed = Observed {
+        machine: Machine::read(),
+        samples: Vec::new(),
+        generated_tokens: 100,
+        falls: 0,
+        config_calls: Calls::default(),
+        stopped: true,
+    };
+    summarise(&scenario, records, observed)
 }
 
 #[test]
