--- a/crates/celerytide-load/src/run/bound.rs
+++ b/crates/celerytide-load/src/run/bound.rs
@@ -113,7 +113,8 @@
     let prefill = read_tokens(traffic, arrival) * scenario.deployment.engines.prefill_us_per_token / 1e6;
     let step = full_step(scenario);
     let slots = f64::from(scenario.deployment.engines.slots.max(1));
-    let slowest = step + PREFILL_TOKENS_PER_STEP * scenario.deployment.engines.prefill_us_per_token / 1e6;
+    let chunk = PREFILL_TOKENS_PER_STEP * scenario.deployment.engines.prefill_us_per_token / 1e6;
+    let slowest = step + chunk + slowest_fault(scenario);
     let end = arrival.at.as_secs_f64() + class.first_token.as_secs_f64() + tokens * slowest;
     let bin = BIN.as_secs_f64();
     Some(Job {
@@ -126,6 +127,15 @@
     })
 }
 
+/// The most that any event adds to a step, in seconds.
+fn slowest_fault(scenario: &Scenario) -> f64 {
+    let slow = scenario.events().into_iter().filter_map(|(_, action)| match action {
+        Action::EnginesSlow { ms, .. } => Some(*ms as f64 / 1e3),
+        _ => None,
+    });
+    slow.fold(0.0, f64::max)
+}
+
 /// Prompt tokens beyond the blocks that the group shares.
 fn read_tokens(traffic: &Traffic, arrival: &Arrival) -> f64 {
     let all = arrival.prompt.len() / BYTES_PER_TOKEN;
--- a/crates/celerytide-load/src/run/mod.rs
+++ b/crates/celerytide-load/src/run/mod.rs
@@ -11,6 +11,7 @@
 
 use std::{
     io,
+    net::SocketAddr,
     path::PathBuf,
     sync::Arc,
     thread,
@@ -49,6 +50,8 @@
 const PROGRESS_EVERY: Duration = Duration::from_secs(1);
 /// Time beyond the lag of load reports after which they tell of the last token.
 const REPORT_MARGIN: Duration = Duration::from_millis(500);
+/// Times that an engine is told of a fault at most.
+const FAULT_TRIES: u32 = 10;
 /// Pause between two looks at what is due.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -236,11 +239,22 @@
 
 fn engines(fleet: &Fleet, count: usize, fault: &str) -> Result<(), Error> {
     for engine in fleet.engines.iter().take(count) {
-        probe::fault(engine.running.addr, fault)?;
+        set_fault(engine.running.addr, fault)?;
     }
     Ok(())
 }
 
+/// An engine that falls over closes its connections, this one too.
+fn set_fault(addr: SocketAddr, fault: &str) -> Result<(), Error> {
+    for _ in 1..FAULT_TRIES {
+        if probe::fault(addr, fault).is_ok() {
+            return Ok(());
+        }
+        thread::sleep(LOOK);
+    }
+    Ok(probe::fault(addr, fault)?)
+}
+
 fn config(fleet: &Fleet, kind: &str) -> Result<(), Error> {
     Ok(probe::fault(fleet.config.addr(), &format!(r#"{{"kind":"{kind}"}}"#))?)
 }
--- a/crates/celerytide-load/src/run/returns.rs
+++ b/crates/celerytide-load/src/run/returns.rs
@@ -79,7 +79,9 @@
 
 fn decided(class: &Class, refused: &Refused) -> Decided {
     match refused.cause.as_str() {
-        "deadline-unreachable" | "queue-full" | "no-endpoint" | "unknown-class" | "rate-limited" => Decided::AtArrival,
+        "deadline-unreachable" | "queue-full" | "no-endpoint" | "unknown-class" | "customer-limit" => {
+            Decided::AtArrival
+        }
         "deadline-passed" => Decided::After((class.first_token * PATIENCE).min(LONGEST_WAIT)),
         _ => Decided::Unknown,
     }
--- a/crates/celerytide-load/tests/tools.rs
+++ b/crates/celerytide-load/tests/tools.rs
@@ -4,7 +4,7 @@
 
 use std::{fs, path::PathBuf, process::Command};
 
-use celerytide_load::{compare, fleet::WorkDir, run};
+use celerytide_load::{compare, fleet::WorkDir, report, run};
 
 fn tool(args: &[&str]) -> String {
     let output = Command::new(env!("CARGO_BIN_EXE_celerytide-load"))
@@ -74,6 +74,42 @@
     }
 }
 
+#[test]
+fn policies_are_compared_in_one_run() {
+    let dir = WorkDir::create().expect("folder");
+    let scenario = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../scenarios/smoke.yaml");
+    let (scenario, out) = (scenario.to_str().expect("path"), dir.path().to_str().expect("path"));
+    let arguments = [
+        "--policy",
+        "celerytide",
+        "--policy",
+        "first-come",
+        "--scale-time",
+        "0.5",
+        "--obey-retry",
+    ];
+    let printed = tool(&[["run", scenario, "--out", out].as_slice(), &arguments].concat());
+    assert!(
+        printed.contains("| class | tier | phase | celerytide | first-come |"),
+        "{printed}"
+    );
+    let results = fs::read(dir.path().join("results.json")).expect("results");
+    let results: Vec<run::Results> = serde_json::from_slice(&results).expect("json");
+    let names: Vec<&str> = results
+        .iter()
+        .map(|results| report::policy_name(results.policy))
+        .collect();
+    assert_eq!(names, ["celerytide", "first-come"]);
+    for (name, run) in names.iter().zip(&results) {
+        assert!(dir.path().join(name).join("attainment.svg").exists(), "{name}");
+        assert!(
+            run.bound.tokens > 0.0 && run.good_tokens as f64 <= run.bound.tokens * 1.001,
+            "{name}"
+        );
+        assert_eq!(run.zones.len(), 2, "{name}");
+    }
+}
+
 #[test]
 fn a_comparison_measures_both_ways() {
     let dir = WorkDir::create().expect("folder");
