feat(manifest,membership,node,cli): sections of customers with digests; a manifest takes force with all of them or not

Cause: 42,000 customers take 6.1 MiB of manifest where a value holds 1 MB, so the manifest was refused whole; every change and the end of every wait carried all customers to both processes of a node.

Ruled out: one section for each class or service (one customer's change would carry thousands); a chain of text deltas (a new instance would have to replay it); joining a section's customers into one list (copies 42,000 at each change, where versions now share the sections that they have in common); the section's count in the manifest (its digest says it).

A manifest that lacks sections waits beside the one in force; missing and wrong sections are audited and asked for again, from the service or peers. A fault names key, line and field. A key's hash is 32 bytes; one sorted index serves the lookup.

--- a/crates/celerytide-capacity/src/error/mod.rs
+++ b/crates/celerytide-capacity/src/error/mod.rs
@@ -46,6 +46,12 @@
         /// What the encoder said.
         source: fleet::yaml::Error,
     },
+    /// The manifest can't be split.
+    #[snafu(display("{source}"), context(false))]
+    Split {
+        /// Why.
+        source: celerytide_manifest::SplitError,
+    },
     /// The system refused something.
     #[snafu(display("{source}"), context(false))]
     System {
--- a/crates/celerytide-capacity/src/proc/mod.rs
+++ b/crates/celerytide-capacity/src/proc/mod.rs
@@ -76,3 +76,16 @@
         .trim()
         .to_owned()
 }
+
+/// The most resident memory by a process's `status`, in bytes; `None` if it has none.
+pub fn peak(status: &str) -> Option<u64> {
+    let rest = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+    let kib: u64 = rest.split_whitespace().next()?.parse().ok()?;
+    Some(kib * KIB)
+}
+
+/// The most resident memory of a process so far; zero if it is gone.
+pub fn peak_of(pid: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    peak(&status).unwrap_or_default()
+}
--- a/crates/celerytide-cli/src/args/mod.rs
+++ b/crates/celerytide-cli/src/args/mod.rs
@@ -1,6 +1,7 @@
 //! The command line's arguments.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use argh::FromArgs;
 use celerytide_manifest::DocumentKind;
@@ -19,6 +20,8 @@
 pub enum Command {
     /// Check documents.
     Check(Check),
+    /// Split a manifest with many customers.
+    Split(Split),
     /// Show daemons' state.
     Status(Status),
     /// Show a daemon's changes.
@@ -36,7 +39,7 @@
     /// files to check
     #[argh(positional)]
     pub files: Vec<String>,
-    /// manifest, entry or dispatch; told from a document's fields when absent
+    /// manifest, section, entry or dispatch; told from a document's fields when absent
     #[argh(option, from_str_fn(parse_kind))]
     pub kind: Option<DocumentKind>,
     /// print JSON
@@ -44,6 +47,18 @@
     pub json: bool,
 }
 
+/// Split a manifest with many customers into a small manifest and sections, each a value of its own.
+#[derive(Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "split")]
+pub struct Split {
+    /// the manifest, up to 64 MiB
+    #[argh(positional)]
+    pub file: String,
+    /// folder to write manifest.yaml and customers/DIGEST into
+    #[argh(option)]
+    pub out: PathBuf,
+}
+
 /// Show what daemons say of themselves, and whether they agree on the manifest.
 #[derive(Debug, PartialEq, FromArgs)]
 #[argh(subcommand, name = "status")]
@@ -125,7 +140,7 @@
 
 fn parse_kind(text: &str) -> Result<DocumentKind, String> {
     let kind = DocumentKind::ALL.into_iter().find(|kind| kind.as_str() == text);
-    kind.ok_or_else(|| "a kind is manifest, entry or dispatch".to_owned())
+    kind.ok_or_else(|| "a kind is manifest, section, entry or dispatch".to_owned())
 }
 
 fn parse_yes_no(text: &str) -> Result<bool, String> {
--- a/crates/celerytide-cli/src/lib.rs
+++ b/crates/celerytide-cli/src/lib.rs
@@ -1,6 +1,6 @@
 //! The operators' and authors' command line.
 //!
-//! `check` reads files; `status`, `audit` and `explain` ask daemons at their operators' addresses. Each prints text for
+//! `check` reads files and `split` writes some; `status`, `audit` and `explain` ask daemons at their operators' addresses. Each prints text for
 //! people or, with `--json`, one JSON value for scripts, and ends with a documented [`Exit`].
 
 #![forbid(unsafe_code)]
@@ -13,6 +13,7 @@
 mod exit;
 mod explain;
 mod show;
+mod split;
 mod status;
 mod version;
 
@@ -32,6 +33,7 @@
     };
     let done = match command {
         Command::Check(cmd) => check::run(&cmd, out, err),
+        Command::Split(cmd) => split::run(&cmd, out, err),
         Command::Status(cmd) => status::run(&cmd, out, err),
         Command::Audit(cmd) => audit::run(&cmd, out, err),
         Command::Explain(cmd) => explain::run(&cmd, out, err),
--- a/crates/celerytide-dispatch/src/dispatch/mod.rs
+++ b/crates/celerytide-dispatch/src/dispatch/mod.rs
@@ -52,7 +52,9 @@
             Method::Permit => permit::serve_permit(dispatch, ex).await,
             Method::Adopt => permit::serve_adopt(dispatch, ex).await,
             Method::Handover => handover::serve(&dispatch.pools, ex).await,
-            Method::Gossip | Method::Manifest | Method::Lists => dispatch.node.serve(method, ex).await,
+            Method::Gossip | Method::Manifest | Method::Section | Method::Lists => {
+                dispatch.node.serve(method, ex).await
+            }
             Method::Muster | Method::Relay | Method::Look | Method::Outcomes => {
                 tracing::warn!(?method, "dispatch: a method for an entry came here");
             }
--- a/crates/celerytide-dispatch/src/plan/mod.rs
+++ b/crates/celerytide-dispatch/src/plan/mod.rs
@@ -33,8 +33,7 @@
             .map(class)
             .collect(),
         customers: manifest
-            .customers
-            .iter()
+            .all_customers()
             .filter(|c| c.weight != 1)
             .map(customer)
             .collect(),
--- a/crates/celerytide-entry/src/entry/handler.rs
+++ b/crates/celerytide-entry/src/entry/handler.rs
@@ -13,6 +13,7 @@
 
 use super::Entry;
 use crate::answer::{Final, REQUEST_ID, insert_text};
+use crate::caller::customer_of;
 use crate::facts::{Facts, class_of, request_id};
 use crate::model;
 use crate::plain::{self, PlainCall, Reply};
@@ -74,13 +75,13 @@
 
 fn models(entry: &Entry, headers: &HeaderMap) -> Result<(StatusCode, Bytes), Final> {
     let manifest = entry.manifest()?;
-    entry.customers.of(&manifest, headers)?;
+    customer_of(&manifest, headers)?;
     Ok((StatusCode::OK, model::list(&manifest)))
 }
 
 fn take_ticket(entry: &Entry, headers: &HeaderMap) -> Result<(StatusCode, Bytes), Final> {
     let manifest = entry.manifest()?;
-    let customer = entry.customers.of(&manifest, headers)?;
+    let customer = customer_of(&manifest, headers)?;
     entry.admit(customer)?;
     let ticket = entry.home.issue(now_boot()).map_err(|error| no_room(&error))?;
     let lasts = entry.settings.timeouts.ticket.as_millis();
@@ -93,7 +94,7 @@
 
 async fn look_ticket(entry: &Rc<Entry>, headers: &HeaderMap, id: &str) -> Result<(StatusCode, Bytes), Final> {
     let manifest = entry.manifest()?;
-    entry.customers.of(&manifest, headers)?;
+    customer_of(&manifest, headers)?;
     let state = ticket::look(entry, id).await?;
     Ok((StatusCode::OK, json(&state)))
 }
@@ -122,7 +123,7 @@
 ) -> Result<Reply, Final> {
     let arrived = now_boot();
     let manifest = entry.manifest()?;
-    let customer = entry.customers.of(&manifest, &req.headers)?;
+    let customer = customer_of(&manifest, &req.headers)?;
     let service = plain::find_service(&manifest, service)?;
     let class = class_of(&manifest, service, &req.headers)?;
     entry.admit(customer)?;
--- a/crates/celerytide-entry/src/entry/mod.rs
+++ b/crates/celerytide-entry/src/entry/mod.rs
@@ -21,7 +21,6 @@
 use http::StatusCode;
 
 use crate::answer::Final;
-use crate::caller::Customers;
 use crate::limit::{Limits, Retries};
 use crate::metrics::EntryMetrics;
 use crate::owner::Owners;
@@ -41,8 +40,6 @@
     pub settings: EntrySettings,
     /// Calls endpoints.
     pub client: Client,
-    /// Customers by key.
-    pub customers: Customers,
     /// Asks for permits.
     pub acquire: Acquire,
     /// Tickets of this entry.
@@ -79,7 +76,6 @@
         node.metrics.register(|registry| metrics.register(registry));
         Entry {
             client: node.client.clone(),
-            customers: Customers::default(),
             acquire,
             home: Home::new(id, home_options(&settings)),
             copies: Copies::new(settings.limits.max_outcome_bytes),
--- a/crates/celerytide-entry/src/entry/peers.rs
+++ b/crates/celerytide-entry/src/entry/peers.rs
@@ -26,7 +26,7 @@
             Method::Relay => ticket::serve_relay(entry, ex).await,
             Method::Look => ticket::serve_look(entry, ex).await,
             Method::Outcomes => ticket::take_in_outcomes(entry, ex).await,
-            Method::Gossip | Method::Manifest | Method::Lists => entry.node.serve(method, ex).await,
+            Method::Gossip | Method::Manifest | Method::Section | Method::Lists => entry.node.serve(method, ex).await,
             Method::Permit | Method::Adopt | Method::Handover => {
                 tracing::warn!(?method, "entry: a method for dispatch came here");
             }
--- a/crates/celerytide-entry/src/model/mod.rs
+++ b/crates/celerytide-entry/src/model/mod.rs
@@ -50,7 +50,7 @@
 fn classify(entry: &Entry, request: &str, req: Request) -> Result<ModelRequest, Final> {
     let arrived = now_boot();
     let manifest = entry.manifest()?;
-    let customer = entry.customers.of(&manifest, &req.headers)?;
+    let customer = caller::customer_of(&manifest, &req.headers)?;
     let call = call::read(req.body)?;
     let service = manifest
         .service_of_model(&call.model)
--- a/crates/celerytide-load/src/fleet/documents.rs
+++ b/crates/celerytide-load/src/fleet/documents.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
-use celerytide_manifest::{Customer, EndpointSpec, Event, Manifest, Service, ServiceKind, Zone, ZoneState, hash_key};
+use celerytide_manifest::{
+    Customer, Directory, EndpointSpec, Event, KeyHash, Manifest, Service, ServiceKind, Zone, ZoneState,
+};
 use celerytide_types::{EndpointId, Version, ZoneId};
 use serde_json::{Value, json};
 
@@ -37,6 +39,8 @@
         services: vec![model_service(plan, engines), plain_service(plan, plains)],
         classes: plan.classes.clone(),
         customers: customers(plan),
+        customer_sections: Vec::new(),
+        directory: Directory::default(),
         orders: Vec::new(),
     }
 }
@@ -52,7 +56,7 @@
 fn customers(plan: &Deployment) -> Vec<Customer> {
     let customers = plan.customers.iter().map(|customer| Customer {
         id: customer.id.clone(),
-        key_sha256: hash_key(&customer.key()),
+        key_sha256: KeyHash::of(&customer.key()),
         requests_per_second: customer.requests_per_second,
         burst: customer.burst,
         weight: 1,
--- a/crates/celerytide-manifest/src/formats/mod.rs
+++ b/crates/celerytide-manifest/src/formats/mod.rs
@@ -95,7 +95,7 @@
             Format::Start => "2027-01-01T00:00:00Z",
             Format::Address => "127.0.0.1:1",
             Format::SpanHour | Format::SpanDay => "1s",
-            Format::Sha256 => "",
+            Format::Sha256 => "0000000000000000000000000000000000000000000000000000000000000000",
             Format::Path => "/",
         }
     }
--- a/crates/celerytide-manifest/src/lib.rs
+++ b/crates/celerytide-manifest/src/lib.rs
@@ -4,6 +4,7 @@
 #![deny(missing_docs)]
 
 mod check;
+mod customers;
 mod fault;
 mod formats;
 mod model;
@@ -12,10 +13,13 @@
 mod schema;
 mod settings;
 mod shape;
+mod split;
 
 pub use check::{
-    Checked, DOCUMENT_MAX_BYTES, check_dispatch_settings, check_entry_settings, check_manifest, guess_kind, hash_key,
+    Checked, DOCUMENT_MAX_BYTES, SECTION_MAX_BYTES, SectionFault, check_dispatch_settings, check_entry_settings,
+    check_manifest, check_section, compose, guess_kind, hash_key,
 };
+pub use customers::{Directory, InvalidKeyHash, KeyHash, SECTION_KEY_PREFIX, Section, section_key};
 pub use fault::Fault;
 pub use model::{
     Action, Class, Customer, EndpointSpec, Event, Manifest, Order, OrderKind, Service, ServiceKind, TicketRule, Zone,
@@ -26,3 +30,4 @@
     DispatchSettings, DispatchTimeouts, EntrySettings, EntryTimeouts, HttpLimits, LogFormat, LogLevel, LogSettings,
     Platform,
 };
+pub use split::{SPLIT_MAX_BYTES, Split, SplitError, SplitPart, split};
--- a/crates/celerytide-manifest/src/model/mod.rs
+++ b/crates/celerytide-manifest/src/model/mod.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use celerytide_types::{ClassName, CustomerId, EndpointId, RegionId, ServiceId, Tier, Version, ZoneId, data};
+use celerytide_types::{ClassName, CustomerId, Digest, EndpointId, RegionId, ServiceId, Tier, Version, ZoneId, data};
 use schemars::JsonSchema;
 
+use crate::customers::{Directory, KeyHash};
 use crate::schema;
 
 data! {
@@ -29,6 +30,13 @@
         pub classes: Vec<Class>,
         /// Customers and their limits.
         pub customers: Vec<Customer>,
+        /// Further customers: hex SHA-256 of sections, each published as a value of its own.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        #[schemars(schema_with = "schema::sha256_list")]
+        pub customer_sections: Vec<Digest>,
+        /// The sections, and all customers by key; empty until [`compose`](crate::compose) has joined them.
+        #[serde(skip)]
+        pub directory: Directory,
         /// Orders to endpoints.
         #[serde(default)]
         pub orders: Vec<Order>,
@@ -220,7 +228,7 @@
         pub id: CustomerId,
         /// Hex SHA-256 of its key.
         #[schemars(schema_with = "schema::sha256")]
-        pub key_sha256: String,
+        pub key_sha256: KeyHash,
         /// Requests a second over all entries.
         #[schemars(extend("exclusiveMinimum" = 0))]
         pub requests_per_second: f64,
@@ -291,9 +299,17 @@
         self.classes.iter().find(|c| c.default && c.service == service)
     }
 
-    /// The customer of that id.
-    pub fn customer(&self, id: &str) -> Option<&Customer> {
-        self.customers.iter().find(|c| c.id == id)
+    /// The customer of that key.
+    pub fn customer_of_key(&self, key: &KeyHash) -> Option<&Customer> {
+        self.directory.find(&self.customers, key)
+    }
+
+    /// Its customers and those of its sections.
+    pub fn all_customers(&self) -> impl Iterator<Item = &Customer> {
+        let sections = self.directory.sections().iter();
+        self.customers
+            .iter()
+            .chain(sections.flat_map(|section| &section.customers))
     }
 
     /// The zone of that id.
--- a/crates/celerytide-manifest/src/schema/mod.rs
+++ b/crates/celerytide-manifest/src/schema/mod.rs
@@ -6,6 +6,7 @@
 use schemars::{JsonSchema, Schema, SchemaGenerator, json_schema};
 use serde_json::Value;
 
+use crate::customers::SectionDocument;
 use crate::formats::Format;
 use crate::{DispatchSettings, EntrySettings, Manifest};
 
@@ -14,6 +15,8 @@
 pub enum DocumentKind {
     /// An event's manifest.
     Manifest,
+    /// A section of a manifest's customers.
+    Section,
     /// Settings of an entry process.
     Entry,
     /// Settings of a dispatch process.
@@ -22,12 +25,18 @@
 
 impl DocumentKind {
     /// Every kind.
-    pub const ALL: [DocumentKind; 3] = [DocumentKind::Manifest, DocumentKind::Entry, DocumentKind::Dispatch];
+    pub const ALL: [DocumentKind; 4] = [
+        DocumentKind::Manifest,
+        DocumentKind::Section,
+        DocumentKind::Entry,
+        DocumentKind::Dispatch,
+    ];
 
     /// The kind's name, as the command line takes it.
     pub fn as_str(self) -> &'static str {
         match self {
             DocumentKind::Manifest => "manifest",
+            DocumentKind::Section => "section",
             DocumentKind::Entry => "entry",
             DocumentKind::Dispatch => "dispatch",
         }
@@ -37,6 +46,7 @@
     pub fn schema(self) -> Value {
         match self {
             DocumentKind::Manifest => schema_of::<Manifest>(),
+            DocumentKind::Section => schema_of::<SectionDocument>(),
             DocumentKind::Entry => schema_of::<EntrySettings>(),
             DocumentKind::Dispatch => schema_of::<DispatchSettings>(),
         }
@@ -104,6 +114,10 @@
     pattern(Format::Sha256, "^[0-9a-f]{64}$")
 }
 
+pub(crate) fn sha256_list(cx: &mut SchemaGenerator) -> Schema {
+    json_schema!({ "type": "array", "items": sha256(cx) })
+}
+
 pub(crate) fn method(_: &mut SchemaGenerator) -> Schema {
     let methods = crate::formats::METHODS;
     json_schema!({ "type": "string", "enum": methods })
--- a/crates/celerytide-membership/src/lib.rs
+++ b/crates/celerytide-membership/src/lib.rs
@@ -20,6 +20,8 @@
 pub use news::News;
 pub use open::{open, zone_is_in};
 pub use peers::{PeerOptions, pick_peers};
-pub use state::{Applied, ListApplied, Membership, Options, Origin, Wanted};
+pub use state::{
+    Applied, CheckSection, ListApplied, Membership, MissingSection, Options, Origin, SectionApplied, Wanted,
+};
 pub use view::{EndpointEntry, Instance, PeerLists, View, ViewDigest, Watched};
 pub use watch::watch;
--- a/crates/celerytide-membership/src/state/inner.rs
+++ b/crates/celerytide-membership/src/state/inner.rs
@@ -4,11 +4,12 @@
 use std::rc::Rc;
 use std::task::Waker;
 
+use celerytide_manifest::{Fault, section_key};
 use celerytide_types::{Boot, InstanceId, Version};
 
 use super::heard::{Heard, Wanted};
 use super::lists::{ListApplied, Listed, ResetRule};
-use super::manifests::Manifests;
+use super::manifests::{Applied, Manifests, Offered};
 use super::{Options, Origin};
 use crate::fresh::{Clockwork, Freshness};
 use crate::news::{News, Queue};
@@ -27,6 +28,8 @@
     pub(super) heard: Heard,
     pub(super) news: Queue,
     pub(super) wakers: Vec<Waker>,
+    /// Wakes the task that fetches sections.
+    pub(super) sections_waker: Option<Waker>,
 }
 
 impl Inner {
@@ -43,6 +46,7 @@
             heard: Heard::default(),
             news: Queue::default(),
             wakers: Vec::new(),
+            sections_waker: None,
         }
     }
 
@@ -53,6 +57,34 @@
         }
     }
 
+    pub(super) fn manifests_offered(&mut self, offered: &[Offered]) {
+        if offered.iter().any(|o| o.applied == Applied::Applied) {
+            self.refresh_view();
+        }
+        for offered in offered {
+            let cause = match &offered.applied {
+                Applied::Same => continue,
+                Applied::Applied => "applied",
+                Applied::Older => "older-version",
+                Applied::OtherDigest => "same-version-other-digest",
+                Applied::Invalid(faults) => &invalid(faults),
+                Applied::Waits(_) => "waits-for-sections",
+            };
+            let applied = offered.applied == Applied::Applied;
+            self.tell(Watched::Manifest, applied, cause, &offered.origin, offered.version);
+        }
+        if let Some(waker) = self.sections_waker.take() {
+            waker.wake();
+        }
+    }
+
+    pub(super) fn section_refused(&mut self, origin: &Origin, digest: &str, what: &str) {
+        if let Some(version) = self.manifests.section_wanted_by(digest) {
+            let cause = format!("section {} {what}", section_key(digest));
+            self.tell(Watched::Manifest, false, &cause, origin, version);
+        }
+    }
+
     pub(super) fn list_offered(&mut self, what: Watched, applied: ListApplied, origin: &Origin, version: Version) {
         let (in_force, cause) = match applied {
             ListApplied::Same => return,
@@ -156,6 +188,15 @@
     }
 }
 
+/// The first fault and how many there are; each names line and field.
+fn invalid(faults: &[Fault]) -> String {
+    match faults {
+        [] => String::from("invalid"),
+        [only] => format!("invalid: {only}"),
+        [first, rest @ ..] => format!("invalid: {first} (and {} more)", rest.len()),
+    }
+}
+
 fn empty_view() -> View {
     View {
         generation: 0,
--- a/crates/celerytide-membership/src/state/mod.rs
+++ b/crates/celerytide-membership/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod inner;
 mod lists;
 mod manifests;
+mod sections;
 
 use std::cell::RefCell;
 use std::future::poll_fn;
@@ -11,7 +12,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use celerytide_manifest::{Fault, check_manifest};
+use celerytide_manifest::{check_manifest, check_section};
 use celerytide_types::{Boot, Incarnation, InstanceId, Version};
 
 use crate::fresh::{Freshness, PeersSay};
@@ -21,7 +22,8 @@
 pub use heard::Wanted;
 use inner::Inner;
 pub use lists::ListApplied;
-pub use manifests::{Applied, Check};
+pub use manifests::{Applied, Check, CheckSection, SectionApplied};
+pub use sections::MissingSection;
 
 /// Bounds and the check of manifests.
 #[derive(Debug, Clone)]
@@ -30,6 +32,8 @@
     pub incarnation: Incarnation,
     /// Checks a manifest's text; arguments are the name that faults bear and the text.
     pub check: Check,
+    /// Checks a section's text.
+    pub check_section: CheckSection,
     /// Views are fresh for this long after the service's answer; longer than a blocking read may last.
     pub fresh_for: Duration,
     /// A longer gap between ticks counts as a pause.
@@ -51,6 +55,7 @@
         Options {
             incarnation: celerytide_types::new_incarnation(),
             check: check_manifest,
+            check_section,
             fresh_for: Duration::from_secs(30),
             pause_bound: Duration::from_secs(2),
             ahead_bound: Duration::from_secs(5),
@@ -112,21 +117,55 @@
     pub fn offer_manifest(&self, origin: &Origin, text: &str) -> Applied {
         let mut inner = self.inner.borrow_mut();
         let check = inner.opts.check;
-        let (applied, version) = inner.manifests.offer(check, origin.name(), text);
-        if applied == Applied::Applied {
-            inner.refresh_view();
+        let offered = inner.manifests.offer(check, origin, text);
+        inner.manifests_offered(&offered);
+        offered
+            .into_iter()
+            .next_back()
+            .map_or(Applied::Same, |last| last.applied)
+    }
+
+    /// Offers the text of the section of a digest; only one of that digest is taken.
+    pub fn offer_section(&self, origin: &Origin, digest: &str, text: &str) -> SectionApplied {
+        let mut inner = self.inner.borrow_mut();
+        let check = inner.opts.check_section;
+        let (applied, offered) = inner.manifests.offer_section(check, digest, text);
+        if applied == SectionApplied::OtherDigest {
+            inner.section_refused(origin, digest, "has another digest");
         }
-        let cause = match &applied {
-            Applied::Same => return applied,
-            Applied::Applied => "applied",
-            Applied::Older => "older-version",
-            Applied::OtherDigest => "same-version-other-digest",
-            Applied::Invalid(faults) => &invalid(faults),
-        };
-        inner.tell(Watched::Manifest, applied == Applied::Applied, cause, origin, version);
+        inner.manifests_offered(&offered);
         applied
     }
 
+    /// Notes that nobody gave a section that a waiting manifest lacks.
+    pub fn section_absent(&self, origin: &Origin, digest: &str) {
+        self.inner.borrow_mut().section_refused(origin, digest, "is missing");
+    }
+
+    /// Sections that waiting manifests lack; waits until there are any.
+    pub async fn missing_sections(&self) -> Vec<MissingSection> {
+        poll_fn(|task| {
+            let mut inner = self.inner.borrow_mut();
+            let missing = inner.manifests.missing_sections();
+            if !missing.is_empty() {
+                return Poll::Ready(missing);
+            }
+            inner.sections_waker = Some(task.waker().clone());
+            Poll::Pending
+        })
+        .await
+    }
+
+    /// Whether a waiting manifest lacks the section.
+    pub fn lacks_section(&self, digest: &str) -> bool {
+        self.inner.borrow().manifests.section_wanted_by(digest).is_some()
+    }
+
+    /// Text of a section that is held, for peers.
+    pub fn section_text(&self, digest: &str) -> Option<Rc<str>> {
+        self.inner.borrow().manifests.section_text(digest)
+    }
+
     /// Text of the manifest in force, for peers.
     pub fn manifest_text(&self) -> Option<Rc<str>> {
         self.inner.borrow().manifests.text()
@@ -249,15 +288,6 @@
     }
 }
 
-/// The first fault and how many there are; each names line and field.
-fn invalid(faults: &[Fault]) -> String {
-    match faults {
-        [] => String::from("invalid"),
-        [only] => format!("invalid: {only}"),
-        [first, rest @ ..] => format!("invalid: {first} (and {} more)", rest.len()),
-    }
-}
-
 impl Origin {
     pub(super) fn name(&self) -> &str {
         match self {
--- a/crates/celerytide-membership/src/watch/document.rs
+++ b/crates/celerytide-membership/src/watch/document.rs
@@ -167,7 +167,7 @@
         };
         match self.membership.offer_manifest(&Origin::Service, text) {
             Applied::Older => Taken::Failed("manifest is older"),
-            Applied::Applied | Applied::Same | Applied::OtherDigest | Applied::Invalid(_) => {
+            Applied::Applied | Applied::Same | Applied::OtherDigest | Applied::Invalid(_) | Applied::Waits(_) => {
                 Taken::Confirms(Some(index))
             }
         }
--- a/crates/celerytide-membership/src/watch/mod.rs
+++ b/crates/celerytide-membership/src/watch/mod.rs
@@ -9,6 +9,7 @@
 mod document;
 mod http;
 mod read;
+mod section;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -23,6 +24,7 @@
 pub use backoff::Backoff;
 pub use consul::{ParseError, parse_endpoints, parse_instances};
 pub use read::{Answer, Counts, ReadError, Source};
+pub use section::read_section;
 
 /// How to watch.
 #[derive(Debug, Clone)]
--- a/crates/celerytide-membership/src/watch/read.rs
+++ b/crates/celerytide-membership/src/watch/read.rs
@@ -64,6 +64,8 @@
 pub struct Counts {
     /// Reads of the manifest.
     pub manifest: Counter,
+    /// Reads of sections of the manifest.
+    pub sections: Counter,
     /// Reads of the instance list.
     pub instances: Counter,
     /// Reads of the endpoint list.
--- a/crates/celerytide-membership/tests/common/manifest.rs
+++ b/crates/celerytide-membership/tests/common/manifest.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 
-use celerytide_manifest::{Checked, Fault, Manifest, check_manifest};
+use celerytide_manifest::{Checked, Fault, Manifest, check_manifest, hash_key};
 
 /// Text of a valid manifest of that version; `zone_state` is the state of zone `z-0`.
 pub fn text(version: u64, zone_state: &str) -> String {
@@ -35,3 +35,15 @@
         seen.entry(text.to_owned()).or_insert_with(check).clone()
     })
 }
+
+/// Text of a section with one customer.
+pub fn section(customer: &str) -> String {
+    let key = hash_key(customer);
+    format!("format: 1\ncustomers:\n- {{id: {customer}, key_sha256: \"{key}\", requests_per_second: 1.0, burst: 1}}\n")
+}
+
+/// Text of a valid manifest of that version whose sections are `sections`.
+pub fn with_sections(version: u64, sections: &[String]) -> String {
+    let digests: Vec<String> = sections.iter().map(|text| format!("\"{}\"", hash_key(text))).collect();
+    format!("{}customer_sections: [{}]\n", text(version, "in"), digests.join(", "))
+}
--- a/crates/celerytide-membership/tests/views.rs
+++ b/crates/celerytide-membership/tests/views.rs
@@ -84,6 +84,7 @@
             Applied::OtherDigest => "other-digest",
             Applied::Invalid(faults) if !faults.is_empty() => "invalid",
             Applied::Invalid(_) => "invalid without a fault",
+            Applied::Waits(_) => "waits",
         };
         assert_eq!(got, case.want, "{}", case.name);
         assert_eq!(m.view().manifest_version, case.version, "{}", case.name);
--- a/crates/celerytide-node/src/gossip/mod.rs
+++ b/crates/celerytide-node/src/gossip/mod.rs
@@ -1,5 +1,9 @@
 //! Versions between peers: a newer manifest or list reaches every process even if the service reaches only one.
 
+mod sections;
+
+pub(crate) use sections::fetch as fetch_sections;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -87,6 +91,7 @@
     let served = match method {
         Method::Gossip => serve_gossip(node, ex).await,
         Method::Manifest => serve_manifest(node, ex).await,
+        Method::Section => sections::serve(node, ex).await,
         Method::Lists => serve_lists(node, ex).await,
         _ => Ok(()),
     };
--- a/crates/celerytide-node/src/start/mod.rs
+++ b/crates/celerytide-node/src/start/mod.rs
@@ -258,6 +258,7 @@
         };
         self.register_reads(&opts);
         let (membership, client, cx) = (self.membership.clone(), self.client.clone(), self.abort.clone());
+        monoio::spawn(gossip::fetch_sections(self.clone(), opts.clone()));
         monoio::spawn(async move { watch(&membership, &client, &opts, &cx).await });
         monoio::spawn(gossip::run(self.clone()));
         monoio::spawn(tick::run(self.clone()));
@@ -268,6 +269,7 @@
         self.metrics.register(|registry| {
             let reads = registry.sub_registry_with_prefix("config_reads");
             reads.register("manifest", "Reads of the manifest", counts.manifest);
+            reads.register("sections", "Reads of sections of the manifest", counts.sections);
             reads.register("instances", "Reads of the instance list", counts.instances);
             reads.register("endpoints", "Reads of the endpoint list", counts.endpoints);
             reads.register("failed", "Reads that failed", counts.failed);
--- a/crates/celerytide-wire/src/messages/mod.rs
+++ b/crates/celerytide-wire/src/messages/mod.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use celerytide_types::{
-    ClassName, CustomerId, EndpointId, FinalWord, Incarnation, InstanceId, Millis, PermitId, PoolId, RequestId,
+    ClassName, CustomerId, Digest, EndpointId, FinalWord, Incarnation, InstanceId, Millis, PermitId, PoolId, RequestId,
     ServiceId, TicketId, Version, data,
 };
 
@@ -25,6 +25,8 @@
     Gossip,
     /// Any to any: the manifest's text.
     Manifest,
+    /// Any to any: a section of a manifest.
+    Section,
     /// Any to any: the lists, for a process that can't read the service.
     Lists,
     /// Entry to entry: a ticketed call goes to its home.
@@ -40,7 +42,7 @@
     path: &'static str,
 }
 
-const METHODS: [Named; 10] = [
+const METHODS: [Named; 11] = [
     Named {
         method: Method::Permit,
         path: "/1/permit",
@@ -65,6 +67,10 @@
         method: Method::Manifest,
         path: "/1/manifest",
     },
+    Named {
+        method: Method::Section,
+        path: "/1/section",
+    },
     Named {
         method: Method::Lists,
         path: "/1/lists",
@@ -288,6 +294,18 @@
         pub text: String,
     }
 
+    /// Asks for a section of a manifest.
+    pub struct SectionAsk {
+        /// Hex SHA-256 of its text.
+        pub digest: Digest,
+    }
+
+    /// A section of a manifest.
+    pub struct SectionText {
+        /// Its text, if it is held.
+        pub text: Option<String>,
+    }
+
     /// A header of a relayed call.
     pub struct Header {
         /// Name, lower case.
