feat(policy): guaranteed shares count slot time

Cause: credits counted grants, so a class of short answers got its share of grants but little slot time, and a class of long answers far more than its share. Conclusion: a class is due while it holds a whole slot less than its share, or while it has lost its whole share for 0.25 s.

Checks changed: GuaranteedShare allowed arrears of as many grants as there are classes, plus one. It now follows slot time in a model of its own and allows no grant of a class that can't be due before one that must be, and no arrears beyond what the longest holds explain: each grant out of order counts, not only arrears that have piled up. The break IgnoreShares is still found.

--- a/crates/celerytide-policy/src/check/mod.rs
+++ b/crates/celerytide-policy/src/check/mod.rs
@@ -7,6 +7,7 @@
 mod flight;
 mod queue;
 mod record;
+mod share;
 
 use celerytide_types::{Boot, EndpointId, PermitId};
 
@@ -23,7 +24,7 @@
     ColdBound,
     /// No ask is shed while work of a lower tier beyond its guaranteed share is queued, and no share is shed.
     ShedOrder,
-    /// Each class with queued work gets its guaranteed share of grants over every window.
+    /// Each class with queued work gets its guaranteed share of slot time before a class that has it.
     GuaranteedShare,
     /// A closed endpoint gets no grant.
     ClosedEndpoint,
@@ -99,6 +100,7 @@
     let mut cold = cold::Model::new(opts);
     let mut queue = queue::Model::new(opts);
     let mut flight = flight::Model::new(opts);
+    let mut share = share::Model::new(opts);
     let mut found = Vec::new();
     for entry in history {
         let mut report = |rule, what| {
@@ -110,6 +112,7 @@
         };
         cold.step(entry, &mut report);
         flight.step(entry, &queue, &mut report);
+        share.step(entry, &queue, &mut report);
         queue.step(entry, &mut report);
     }
     found
--- a/crates/celerytide-policy/src/class/mod.rs
+++ b/crates/celerytide-policy/src/class/mod.rs
@@ -17,14 +17,16 @@
 #[derive(Debug)]
 pub(crate) struct Class {
     pub plan: ClassPlan,
-    /// Share of grants, scaled so that all shares together are at most one.
+    /// Share of slot time, scaled so that all shares together are at most one.
     pub share: f64,
     /// Whether the plan in force still names it.
     pub planned: bool,
     /// Asks by customer, then deadline.
     pub queue: FairQueue<(Boot, AskId)>,
-    /// Grants that its share has earned while it waited.
-    pub credit: f64,
+    /// Time for which it lost its whole share while it waited, in seconds; below zero where it paid for a grant.
+    pub lag: f64,
+    /// Permits that hold a slot.
+    pub held: u64,
     pub lengths: Lengths,
     pub in_flight: u64,
     /// Permits that preemption may take, by the time of their grant.
@@ -40,7 +42,8 @@
             share: 0.0,
             planned: true,
             queue: FairQueue::default(),
-            credit: 0.0,
+            lag: 0.0,
+            held: 0,
             lengths: Lengths::default(),
             in_flight: 0,
             resumable: BTreeSet::new(),
--- a/crates/celerytide-policy/src/plan/mod.rs
+++ b/crates/celerytide-policy/src/plan/mod.rs
@@ -33,7 +33,7 @@
         pub priority: u8,
         /// Target for the time to first token.
         pub first_token: Duration,
-        /// Fraction of grants that the class gets before tiers compete.
+        /// Fraction of slot time that the class gets before tiers compete.
         pub guaranteed_share: f64,
         /// Whether its running work may be cancelled and resumed for a higher tier.
         pub preemptible: bool,
--- a/crates/celerytide-policy/src/pool/flight/mod.rs
+++ b/crates/celerytide-policy/src/pool/flight/mod.rs
@@ -26,6 +26,8 @@
     epoch: u64,
     /// Cost that its customer was charged.
     pub charged: u64,
+    /// It was granted because its class lacked its share.
+    pub by_share: bool,
     first_token: Option<Boot>,
     tokens: u32,
     adopted: bool,
@@ -53,6 +55,7 @@
             max_tokens: ask.max_tokens,
             epoch,
             charged: 0,
+            by_share: false,
             first_token: None,
             tokens: 0,
             adopted: false,
@@ -99,7 +102,9 @@
 
     /// Ends a permit and gives its place back. Unknown permits are ignored.
     pub fn settle(&mut self, now: Boot, permit: PermitId, ended: Ended) {
+        self.accrue(now);
         let Some(flight) = self.land(permit) else { return };
+        self.pay(now, &flight);
         self.totals.settled += 1;
         let hold = now.since(flight.granted);
         if !matches!(ended, Ended::NotStarted) && !flight.adopted {
@@ -137,7 +142,10 @@
             observed_unix_ms,
         });
         let expiry = flight.granted.after(self.opts.orphan_max_age).max(now);
+        let class = flight.class;
         self.orphans.insert((expiry, permit));
+        self.accrue(now);
+        self.unhold(class);
         self.unlist(permit);
         self.table.update(at, |endpoint| endpoint.orphans += 1);
     }
@@ -172,6 +180,7 @@
         let mut flight = Flight::new(now, at, ask, epoch.unwrap_or(0));
         flight.class = self.by_class.get(class).copied();
         flight.adopted = true;
+        self.accrue(now);
         self.fly(permit, flight, false);
         permit
     }
@@ -187,6 +196,9 @@
         if let Some(class) = flight.class {
             self.classes[class].in_flight -= 1;
         }
+        if flight.orphaned.is_none() {
+            self.unhold(flight.class);
+        }
         self.preempting -= usize::from(flight.preempted);
         let prompt_tokens = if flight.in_prefill() { flight.prompt_tokens } else { 0 };
         let is_orphan = flight.orphaned.is_some();
--- a/crates/celerytide-policy/src/pool/grant/mod.rs
+++ b/crates/celerytide-policy/src/pool/grant/mod.rs
@@ -54,6 +54,7 @@
     }
 
     fn choose(&mut self, now: Boot) -> Option<(usize, AskId, usize)> {
+        self.accrue(now);
         let order = self.order();
         self.keep_reservation(order.first().copied());
         for (turn, class) in order.into_iter().enumerate() {
@@ -83,12 +84,6 @@
         order
     }
 
-    /// Grants that the class's share owes it; less than one owes nothing yet.
-    fn due(&self, class: usize) -> f64 {
-        let credit = self.classes[class].credit;
-        if credit >= 1.0 { credit } else { 0.0 }
-    }
-
     fn place(&mut self, now: Boot, id: AskId) -> Placement {
         loop {
             let Some(queued) = self.asks.get(&id) else {
@@ -203,7 +198,8 @@
     }
 
     pub(super) fn grant(&mut self, now: Boot, class: usize, id: AskId, at: usize) -> Option<Grant> {
-        self.accrue(class);
+        self.accrue(now);
+        let by_share = self.due(class) > 0.0;
         let queued = self.asks.get(&id)?;
         let cost = self.classes[class].expected_cost(queued.ask.prompt_tokens, queued.ask.max_tokens);
         self.classes[class]
@@ -227,6 +223,7 @@
         let mut flight = Flight::new(now, at, queued.ask, endpoint.epoch);
         flight.class = Some(class);
         flight.charged = cost;
+        flight.by_share = by_share;
         self.fly(permit, flight, resumes);
         self.classes[class].granted += 1;
         self.totals.granted += 1;
@@ -253,16 +250,6 @@
             }
         })
     }
-
-    /// Each class that waits earns its share of this grant, and the one that is granted pays for it.
-    fn accrue(&mut self, granted: usize) {
-        let bound = self.classes.len() as f64 + 1.0;
-        for class in self.classes.iter_mut().filter(|class| !class.queue.is_empty()) {
-            class.credit = (class.credit + class.share).min(bound);
-        }
-        let class = &mut self.classes[granted];
-        class.credit = (class.credit - 1.0).max(0.0);
-    }
 }
 
 /// What a grant has to know about its endpoint.
@@ -276,6 +263,7 @@
 impl Pool {
     /// Registers a permit as running.
     pub(super) fn fly(&mut self, permit: PermitId, flight: Flight, resumes: bool) {
+        self.hold(flight.class);
         if let Some(class) = flight.class {
             self.classes[class].in_flight += 1;
             if resumes && self.classes[class].plan.preemptible {
--- a/crates/celerytide-policy/src/pool/mod.rs
+++ b/crates/celerytide-policy/src/pool/mod.rs
@@ -1,6 +1,6 @@
 //! The queue in front of a group of equal endpoints.
 //!
-//! Order of service: a class that its guaranteed share owes a grant goes first; then strict tiers; then priority; then
+//! Order of service: a class that lacks slot time of its guaranteed share goes first; then strict tiers; then priority; then
 //! weighted fairness by customer; then the earliest deadline of that customer. Each part of the pool's life has a
 //! module of its own: offers and sheds, grants, permits in flight, reports, preemption, plans.
 
@@ -13,6 +13,7 @@
 mod preempt;
 mod report;
 mod seat;
+pub(crate) mod share;
 
 use std::collections::BTreeSet;
 
@@ -72,6 +73,10 @@
     shed: Vec<Refused>,
     flights: AHashMap<PermitId, Flight>,
     orphans: BTreeSet<(Boot, PermitId)>,
+    /// Permits that hold a slot: those in flight whose connection stands.
+    held: u64,
+    /// When the lags of the classes were last brought up to date.
+    accrued: Boot,
     /// Permits that preemption named and that haven't ended yet.
     preempting: usize,
     /// Endpoints that pause after a failure, by the end of the pause.
@@ -108,6 +113,8 @@
             shed: Vec::new(),
             flights: AHashMap::new(),
             orphans: BTreeSet::new(),
+            held: 0,
+            accrued: Boot::default(),
             preempting: 0,
             pauses: BTreeSet::new(),
             prefixes: PrefixIndex::default(),
@@ -192,9 +199,6 @@
         self.deadlines.remove(&(deadline, id));
         let class = &mut self.classes[queued.class];
         class.queue.remove(&queued.ask.customer, &(deadline, id));
-        if class.queue.is_empty() {
-            class.credit = 0.0;
-        }
         if self.reserved.is_some_and(|held| held.ask == id) {
             self.reserved = None;
         }
@@ -203,6 +207,7 @@
 
     /// Refuses a queued ask; the caller sees it at the next [`Pool::expire`].
     fn shed(&mut self, now: Boot, id: AskId, why: Refusal) {
+        self.accrue(now);
         if let Some(queued) = self.take(id) {
             let refused = self.refuse(now, id, Some(queued.class), why);
             self.shed.push(refused);
--- a/crates/celerytide-policy/src/pool/offer/mod.rs
+++ b/crates/celerytide-policy/src/pool/offer/mod.rs
@@ -16,6 +16,7 @@
     pub fn offer(&mut self, now: Boot, ask: Ask) -> Offer {
         let id = self.next_ask;
         self.next_ask += 1;
+        self.accrue(now);
         let class = self.by_class.get(&ask.class).copied();
         let Some(class) = class.filter(|&class| self.classes[class].planned) else {
             return Offer::Refused(self.refuse(now, id, None, Refusal::UnknownClass));
@@ -35,7 +36,8 @@
     }
 
     /// Takes an ask out of the queue at its caller's wish; a refusal of it that is still due is dropped.
-    pub fn withdraw(&mut self, _now: Boot, ask: AskId) {
+    pub fn withdraw(&mut self, now: Boot, ask: AskId) {
+        self.accrue(now);
         if self.take(ask).is_none() {
             self.shed.retain(|refused| refused.ask != ask);
         }
--- a/crates/celerytide-policy/src/pool/plan/mod.rs
+++ b/crates/celerytide-policy/src/pool/plan/mod.rs
@@ -10,6 +10,7 @@
 impl Pool {
     /// Takes over a new plan. Endpoints that it no longer names keep their counts until these are settled.
     pub fn apply(&mut self, now: Boot, plan: PoolPlan) {
+        self.accrue(now);
         self.apply_endpoints(now, plan.endpoints);
         self.is_planned = true;
         self.apply_classes(plan.classes);
