feat(policy): asks that can't attain their target are refused at once

Cause: the entry lets a request wait four times its target, and the pool knew only that deadline. Under overload every class waited for its deadline, was granted after its target and missed it; preemption began 300 ms before the deadline. Ruled out: shares alone (the classes still waited four times their targets); preemption of a class that its share would give the slot back to (the slot went round at one instant without end; memory ran out in the comparison). Conclusion: a goal (target less the learned time to the first token) decides under pressure; the deadline decides elsewhere.

Checks changed: Preemption counts an ask as urgent from half its target on, because preemption goes by the goal now, which the model can only bound.

--- a/crates/celerytide-policy/src/check/queue/mod.rs
+++ b/crates/celerytide-policy/src/check/queue/mod.rs
@@ -8,6 +8,7 @@
 use crate::ask::{Ask, AskId, Grant, Refusal, Refused};
 use crate::options::Options;
 use crate::plan::{ClassPlan, PoolPlan, effective_share, reserved_seats};
+use crate::pool::goal::RESERVE_MAX;
 
 #[derive(Debug)]
 struct Row {
@@ -75,11 +76,18 @@
 
     /// Whether an ask of a tier above `tier` with a deadline by `soon` waits.
     pub fn is_urgent_above(&self, tier: Tier, soon: Boot) -> bool {
-        let urgent = self.waiting.values().filter(|ask| ask.deadline <= soon);
+        let urgent = self.waiting.values().filter(|ask| self.urgent_from(ask) <= soon);
         let mut tiers = urgent.filter_map(|ask| self.rows.get(&ask.class));
         tiers.any(|row| row.plan.tier < tier)
     }
 
+    /// When an ask may be urgent at the earliest: its deadline, or its target less what is kept for the first token.
+    fn urgent_from(&self, ask: &Ask) -> Boot {
+        let target = self.rows.get(&ask.class).map(|row| row.plan.first_token);
+        let goal = target.map(|target| ask.arrived.after(target.mul_f64(1.0 - RESERVE_MAX)));
+        goal.map_or(ask.deadline, |goal| goal.min(ask.deadline))
+    }
+
     /// An ask that waits.
     pub fn waiting(&self, id: AskId) -> Option<&Ask> {
         self.waiting.get(&id)
--- a/crates/celerytide-policy/src/class/mod.rs
+++ b/crates/celerytide-policy/src/class/mod.rs
@@ -1,5 +1,7 @@
 //! One class of requests: its queue, its share, and what was learned about it.
 
+mod pace;
+
 use std::collections::BTreeSet;
 
 use celerytide_types::{Boot, PermitId, Tier};
@@ -9,6 +11,7 @@
 use crate::lengths::Lengths;
 use crate::plan::{ClassPlan, reserved_seats};
 use crate::status::{ClassStatus, RefusalCount};
+use pace::Pace;
 
 /// Prompt tokens that cost as much as one token of the answer.
 const PROMPT_TOKENS_PER_TOKEN: u64 = 8;
@@ -28,6 +31,9 @@
     /// Permits that hold a slot.
     pub held: u64,
     pub lengths: Lengths,
+    pub pace: Pace,
+    /// Mean time from a grant to its first token, in seconds.
+    pub first_seconds: f64,
     pub in_flight: u64,
     /// Permits that preemption may take, by the time of their grant.
     pub resumable: BTreeSet<(Boot, PermitId)>,
@@ -45,6 +51,8 @@
             lag: 0.0,
             held: 0,
             lengths: Lengths::default(),
+            pace: Pace::default(),
+            first_seconds: 0.0,
             in_flight: 0,
             resumable: BTreeSet::new(),
             granted: 0,
--- a/crates/celerytide-policy/src/drain/mod.rs
+++ b/crates/celerytide-policy/src/drain/mod.rs
@@ -86,6 +86,11 @@
         Some(possible.max(observed))
     }
 
+    /// Whether enough requests ended for a rate.
+    pub fn is_known(&self) -> bool {
+        self.ended.len() >= WINDOW_MIN
+    }
+
     /// The rate at the time of the last end; zero where it isn't known.
     pub fn last_per_second(&self, slots: u64) -> f64 {
         let last = self.ended.back().copied().unwrap_or_default();
--- a/crates/celerytide-policy/src/pool/flight/mod.rs
+++ b/crates/celerytide-policy/src/pool/flight/mod.rs
@@ -82,8 +82,12 @@
         if flight.first_token.is_none() {
             flight.first_token = Some(now);
         }
+        let class = flight.class;
         let (prompt_tokens, took, epoch) = (flight.prompt_tokens, now.since(flight.granted), flight.epoch);
         self.rate.note(now, new);
+        if began {
+            self.learn_first(class, took);
+        }
         let (jump, floor) = (self.opts.first_token_jump, self.opts.first_token_floor);
         let opts = &self.opts;
         self.table.update(at, |endpoint| {
--- a/crates/celerytide-policy/src/pool/grant/mod.rs
+++ b/crates/celerytide-policy/src/pool/grant/mod.rs
@@ -37,6 +37,7 @@
             if self.asks.is_empty() || busy {
                 return None;
             }
+            self.pass_goals(now);
             if let Some(id) = self.overdue(now) {
                 self.shed(now, id, Refusal::DeadlinePassed);
                 continue;
@@ -71,7 +72,7 @@
     }
 
     /// Classes with queued work in order of service.
-    fn order(&self) -> Vec<usize> {
+    pub(super) fn order(&self) -> Vec<usize> {
         let waiting = self
             .ranked
             .iter()
@@ -226,6 +227,7 @@
         flight.by_share = by_share;
         self.fly(permit, flight, resumes);
         self.classes[class].granted += 1;
+        self.classes[class].pace.note_grant(now);
         self.totals.granted += 1;
         Some(grant)
     }
--- a/crates/celerytide-policy/src/pool/mod.rs
+++ b/crates/celerytide-policy/src/pool/mod.rs
@@ -7,6 +7,7 @@
 mod baseline;
 mod cap;
 mod flight;
+pub(crate) mod goal;
 mod grant;
 mod offer;
 mod plan;
@@ -37,6 +38,8 @@
 struct Queued {
     ask: Ask,
     class: usize,
+    /// Until when it has to be granted so that it attains its target.
+    goal: Option<Boot>,
 }
 
 /// Totals since the pool was made.
@@ -70,6 +73,8 @@
     weights: AHashMap<CustomerId, u32>,
     asks: AHashMap<AskId, Queued>,
     deadlines: BTreeSet<(Boot, AskId)>,
+    goals: BTreeSet<(Boot, AskId)>,
+    last_look: Boot,
     shed: Vec<Refused>,
     flights: AHashMap<PermitId, Flight>,
     orphans: BTreeSet<(Boot, PermitId)>,
@@ -110,6 +115,8 @@
             weights: AHashMap::new(),
             asks: AHashMap::new(),
             deadlines: BTreeSet::new(),
+            goals: BTreeSet::new(),
+            last_look: Boot::default(),
             shed: Vec::new(),
             flights: AHashMap::new(),
             orphans: BTreeSet::new(),
@@ -197,6 +204,9 @@
         let queued = self.asks.remove(&id)?;
         let deadline = queued.ask.deadline;
         self.deadlines.remove(&(deadline, id));
+        if let Some(goal) = queued.goal {
+            self.goals.remove(&(goal, id));
+        }
         let class = &mut self.classes[queued.class];
         class.queue.remove(&queued.ask.customer, &(deadline, id));
         if self.reserved.is_some_and(|held| held.ask == id) {
--- a/crates/celerytide-policy/src/pool/offer/mod.rs
+++ b/crates/celerytide-policy/src/pool/offer/mod.rs
@@ -31,7 +31,7 @@
         if !self.clear(now, seat) {
             return Offer::Refused(self.refuse(now, id, Some(class), Refusal::QueueFull));
         }
-        self.enqueue(id, class, ask);
+        self.enqueue(now, id, class, ask);
         Offer::Queued(id)
     }
 
@@ -51,6 +51,7 @@
             }
             self.shed(now, id, Refusal::DeadlinePassed);
         }
+        self.pass_goals(now);
         self.release_orphans(now);
         self.end_pauses(now);
         if now.since(self.last_sweep) >= Duration::from_millis(SWEEP_MS) {
@@ -91,18 +92,20 @@
         if self.opts.baseline.is_some() {
             return None;
         }
-        let wait = self.expected_wait(now, class, &ask.customer)?;
-        let late = now.after(wait) > ask.deadline;
-        late.then_some(Refusal::DeadlineUnreachable)
+        let hopeless = self.is_hopeless(now, class, ask);
+        hopeless.then_some(Refusal::DeadlineUnreachable)
     }
 
     /// Time until an ask of this class and customer would be granted; none where the drain rate isn't known.
-    fn expected_wait(&self, now: Boot, class: usize, customer: &str) -> Option<Duration> {
+    pub(super) fn expected_wait(&self, now: Boot, class: usize, customer: &str) -> Option<Duration> {
         if self.asks.is_empty() && self.table.has_room() {
             return Some(Duration::ZERO);
         }
         let rate = self.drain.per_second(now, self.table.capacity())?;
         let own = self.ahead_inside(class, customer) as f64;
+        if let Some(pace) = self.classes[class].pace.per_second(now) {
+            return Some(Duration::from_secs_f64((own / pace).min(f64::from(u32::MAX))));
+        }
         let higher = self.queued_above(class) as f64;
         let rest = 1.0 - self.shares_below(class);
         let by_rank = (own + higher) / (rate * rest.max(0.01));
@@ -144,12 +147,16 @@
         self.queued_above(class) + self.classes[class].queue.len()
     }
 
-    fn enqueue(&mut self, id: AskId, class: usize, ask: Ask) {
+    fn enqueue(&mut self, now: Boot, id: AskId, class: usize, ask: Ask) {
+        let goal = self.goal(now, class, &ask);
+        if let Some(goal) = goal {
+            self.goals.insert((goal, id));
+        }
         let weight = self.weight(&ask.customer);
         let queue = &mut self.classes[class].queue;
         queue.push(&ask.customer, weight, (ask.deadline, id));
         self.deadlines.insert((ask.deadline, id));
-        self.asks.insert(id, Queued { ask, class });
+        self.asks.insert(id, Queued { ask, class, goal });
     }
 
     fn plain_seat(&self) -> Seat {
--- a/crates/celerytide-policy/src/pool/preempt/mod.rs
+++ b/crates/celerytide-policy/src/pool/preempt/mod.rs
@@ -20,6 +20,11 @@
             return None;
         }
         let class = self.most_urgent_class(now)?;
+        self.accrue(now);
+        // Else the slot would go to another class, and perhaps back to the one that lost it.
+        if self.order().first() != Some(&class) {
+            return None;
+        }
         let permit = self.victim(class)?;
         self.unlist(permit);
         if let Some(flight) = self.flights.get_mut(&permit) {
@@ -37,8 +42,12 @@
             .iter()
             .take_while(|&&(deadline, _)| deadline <= soon)
             .take(URGENT_MAX);
+        let goals = self.goals.iter().take_while(|&&(goal, _)| goal <= soon);
+        let mut urgent: Vec<AskId> = goals.take(URGENT_MAX).chain(urgent).map(|&(_, id)| id).collect();
+        urgent.sort_unstable();
+        urgent.dedup();
         let class_of = |id| self.asks.get(id).map(|queued| queued.class);
-        let mut classes: Vec<usize> = urgent.filter_map(|(_, id)| class_of(id)).collect();
+        let mut classes: Vec<usize> = urgent.iter().filter_map(class_of).collect();
         classes.sort_by_key(|&class| self.classes[class].rank());
         classes.get(self.preempting).copied()
     }
@@ -69,7 +78,7 @@
 
     /// The latest granted permit of a class beyond its share whose end makes room for the ask.
     fn latest(&self, class: usize, next: &Next) -> Option<PermitId> {
-        if !self.runs_beyond_share(class) {
+        if !self.runs_beyond_share(class) || self.would_be_due(class) {
             return None;
         }
         let avoids = self.avoids(next.ask);
--- a/crates/celerytide-policy/src/pool/share/mod.rs
+++ b/crates/celerytide-policy/src/pool/share/mod.rs
@@ -39,6 +39,7 @@
         let held = self.held as f64;
         for class in &mut self.classes {
             let waits = !class.queue.is_empty();
+            class.pace.note_waiting(now, waits);
             let kept = class.share * held;
             class.lag = match waits && kept > 0.0 {
                 true => {
@@ -54,12 +55,22 @@
 
     /// Lag of a class that is due, in seconds; zero for one that isn't.
     pub(super) fn due(&self, class: usize) -> f64 {
+        self.due_at(class, self.classes[class].held)
+    }
+
+    /// Whether a class would be due if one of its permits were taken from it; that permit's slot would go back to it.
+    pub(super) fn would_be_due(&self, class: usize) -> bool {
+        let held = self.classes[class].held.saturating_sub(1);
+        self.due_at(class, held) > 0.0
+    }
+
+    fn due_at(&self, class: usize, held: u64) -> f64 {
         let class = &self.classes[class];
         let kept = class.share * (self.held + 1) as f64;
-        if lacks_slot(class.held, kept) {
+        if lacks_slot(held, kept) {
             return class.lag.max(DUE_SECONDS);
         }
-        let catches_up = class.lag >= DUE_SECONDS && may_catch_up(class.held, kept);
+        let catches_up = class.lag >= DUE_SECONDS && may_catch_up(held, kept);
         if catches_up { class.lag } else { 0.0 }
     }
 
--- a/crates/celerytide-policy/tests/pool.rs
+++ b/crates/celerytide-policy/tests/pool.rs
@@ -134,3 +134,33 @@
         }
     }
 }
+
+#[test]
+fn asks_that_cant_attain_their_target_are_refused_before_their_deadline() {
+    let mut pool = pool(Options::default(), vec![endpoint("e", 1, 1)], vec![class("a", 1, 0.0)]);
+    for round in 0..10 {
+        queue(&mut pool, at_ms(0), ask("a", "c", 100_000 + round));
+        let granted = grants(&mut pool, at_ms(0));
+        pool.settle(at_ms(0), granted[0].permit, Ended::Whole { tokens: 10 });
+    }
+    // The target is a second, the deadline four.
+    for _ in 0..40 {
+        queue(&mut pool, at_ms(0), ask("a", "c", 4000));
+    }
+    let (mut refused, mut last_grant) = (0, 0);
+    let mut running = grants(&mut pool, at_ms(0));
+    for now in (100..=1500).step_by(100) {
+        running
+            .drain(..)
+            .for_each(|grant| pool.settle(at_ms(now), grant.permit, Ended::Whole { tokens: 10 }));
+        let due = pool.expire(at_ms(now));
+        assert!(due.iter().all(|refused| refused.why == Refusal::DeadlineUnreachable));
+        refused += due.len();
+        running = grants(&mut pool, at_ms(now));
+        last_grant = if running.is_empty() { last_grant } else { now };
+    }
+    assert!(
+        refused >= 25 && last_grant <= 1000,
+        "{refused} refused, last grant at {last_grant} ms"
+    );
+}
