--- a/crates/celerytide-policy/src/class/mod.rs
+++ b/crates/celerytide-policy/src/class/mod.rs
@@ -1,5 +1,7 @@
 //! One class of requests: its queue, its share, and what was learned about it.
 
+mod pace;
+
 use std::collections::BTreeSet;
 
 use celerytide_types::{Boot, PermitId, Tier};
@@ -9,6 +11,7 @@
 use crate::lengths::Lengths;
 use crate::plan::{ClassPlan, reserved_seats};
 use crate::status::{ClassStatus, RefusalCount};
+use pace::Pace;
 
 /// Prompt tokens that cost as much as one token of the answer.
 const PROMPT_TOKENS_PER_TOKEN: u64 = 8;
@@ -17,15 +20,20 @@
 #[derive(Debug)]
 pub(crate) struct Class {
     pub plan: ClassPlan,
-    /// Share of grants, scaled so that all shares together are at most one.
+    /// Share of slot time, scaled so that all shares together are at most one.
     pub share: f64,
     /// Whether the plan in force still names it.
     pub planned: bool,
     /// Asks by customer, then deadline.
     pub queue: FairQueue<(Boot, AskId)>,
-    /// Grants that its share has earned while it waited.
-    pub credit: f64,
+    /// Time for which it lost its whole share while it waited, in seconds; below zero where it paid for a grant.
+    pub lag: f64,
+    /// Permits that hold a slot.
+    pub held: u64,
     pub lengths: Lengths,
+    pub pace: Pace,
+    /// Mean time from a grant to its first token, in seconds.
+    pub first_seconds: f64,
     pub in_flight: u64,
     /// Permits that preemption may take, by the time of their grant.
     pub resumable: BTreeSet<(Boot, PermitId)>,
@@ -40,8 +48,11 @@
             share: 0.0,
             planned: true,
             queue: FairQueue::default(),
-            credit: 0.0,
+            lag: 0.0,
+            held: 0,
             lengths: Lengths::default(),
+            pace: Pace::default(),
+            first_seconds: 0.0,
             in_flight: 0,
             resumable: BTreeSet::new(),
             granted: 0,
--- a/crates/celerytide-policy/src/pool/mod.rs
+++ b/crates/celerytide-policy/src/pool/mod.rs
@@ -1,18 +1,20 @@
 //! The queue in front of a group of equal endpoints.
 //!
-//! Order of service: a class that its guaranteed share owes a grant goes first; then strict tiers; then priority; then
+//! Order of service: a class that lacks slot time of its guaranteed share goes first; then strict tiers; then priority; then
 //! weighted fairness by customer; then the earliest deadline of that customer. Each part of the pool's life has a
 //! module of its own: offers and sheds, grants, permits in flight, reports, preemption, plans.
 
 mod baseline;
 mod cap;
 mod flight;
+pub(crate) mod goal;
 mod grant;
 mod offer;
 mod plan;
 mod preempt;
 mod report;
 mod seat;
+pub(crate) mod share;
 
 use std::collections::BTreeSet;
 
@@ -36,6 +38,8 @@
 struct Queued {
     ask: Ask,
     class: usize,
+    /// Until when it has to be granted so that it attains its target.
+    goal: Option<Boot>,
 }
 
 /// Totals since the pool was made.
@@ -69,9 +73,15 @@
     weights: AHashMap<CustomerId, u32>,
     asks: AHashMap<AskId, Queued>,
     deadlines: BTreeSet<(Boot, AskId)>,
+    goals: BTreeSet<(Boot, AskId)>,
+    last_look: Boot,
     shed: Vec<Refused>,
     flights: AHashMap<PermitId, Flight>,
     orphans: BTreeSet<(Boot, PermitId)>,
+    /// Permits that hold a slot: those in flight whose connection stands.
+    held: u64,
+    /// When the lags of the classes were last brought up to date.
+    accrued: Boot,
     /// Permits that preemption named and that haven't ended yet.
     preempting: usize,
     /// Endpoints that pause after a failure, by the end of the pause.
@@ -105,9 +115,13 @@
             weights: AHashMap::new(),
             asks: AHashMap::new(),
             deadlines: BTreeSet::new(),
+            goals: BTreeSet::new(),
+            last_look: Boot::default(),
             shed: Vec::new(),
             flights: AHashMap::new(),
             orphans: BTreeSet::new(),
+            held: 0,
+            accrued: Boot::default(),
             preempting: 0,
             pauses: BTreeSet::new(),
             prefixes: PrefixIndex::default(),
@@ -190,11 +204,11 @@
         let queued = self.asks.remove(&id)?;
         let deadline = queued.ask.deadline;
         self.deadlines.remove(&(deadline, id));
+        if let Some(goal) = queued.goal {
+            self.goals.remove(&(goal, id));
+        }
         let class = &mut self.classes[queued.class];
         class.queue.remove(&queued.ask.customer, &(deadline, id));
-        if class.queue.is_empty() {
-            class.credit = 0.0;
-        }
         if self.reserved.is_some_and(|held| held.ask == id) {
             self.reserved = None;
         }
@@ -203,6 +217,7 @@
 
     /// Refuses a queued ask; the caller sees it at the next [`Pool::expire`].
     fn shed(&mut self, now: Boot, id: AskId, why: Refusal) {
+        self.accrue(now);
         if let Some(queued) = self.take(id) {
             let refused = self.refuse(now, id, Some(queued.class), why);
             self.shed.push(refused);
