--- a/crates/celerytide-policy/examples/compare/main.rs
+++ b/crates/celerytide-policy/examples/compare/main.rs
@@ -14,7 +14,7 @@
 
 use std::time::Duration;
 
-use celerytide_policy::{Baseline, Options};
+use celerytide_policy::{Baseline, DeliberateFault, Options};
 use outcome::Outcome;
 use scene::{MIXES, Mix};
 use world::World;
@@ -74,6 +74,20 @@
     let policy = |name, opts| Policy { name, opts };
     vec![
         policy("celerytide", tiers()),
+        policy(
+            "  shares ignored",
+            Options {
+                fault: Some(DeliberateFault::IgnoreShares),
+                ..tiers()
+            },
+        ),
+        policy(
+            "  no preemption",
+            Options {
+                preempt_lead: Duration::ZERO,
+                ..tiers()
+            },
+        ),
         policy(
             "  locality 0",
             Options {
@@ -109,13 +123,6 @@
                 ..tiers()
             },
         ),
-        policy(
-            "  no preemption",
-            Options {
-                preempt_lead: Duration::ZERO,
-                ..tiers()
-            },
-        ),
         policy(
             "  queue of 64",
             Options {
