test(membership): healing lets a node ask for sections in the round in which it heard of their manifest

In the model a node asked its neighbour for sections before the manifest of the same round was delivered, so each hop of the ring took two of the twelve rounds; a daemon asks as soon as the manifest waits. Conclusion: the check is as strict as before: as many rounds, one exchange with one neighbour each.

--- a/crates/celerytide-membership/tests/configuration.rs
+++ b/crates/celerytide-membership/tests/configuration.rs
@@ -309,6 +309,12 @@
         Ok(())
     }
 
+    fn deliver_all(&mut self) {
+        for letter in std::mem::take(&mut self.net) {
+            self.take(letter.to, &Origin::Peer("p".into()), &letter.cargo);
+        }
+    }
+
     fn double(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
         if !self.net.is_empty() {
             let letter = self.net[u.choose_index(self.net.len())?].clone();
@@ -399,11 +405,12 @@
             self.now = self.now.after(Duration::from_secs(6));
             for from in 0..NODES {
                 self.gossip(from, (from + 1) % NODES);
-                self.ask_section((from + 1) % NODES, from);
             }
-            for letter in std::mem::take(&mut self.net) {
-                self.take(letter.to, &Origin::Peer("p".into()), &letter.cargo);
+            self.deliver_all();
+            for from in 0..NODES {
+                self.ask_section((from + 1) % NODES, from);
             }
+            self.deliver_all();
         }
         let highest = self.highest();
         let behind = |n: &Membership| n.view().manifest_version != highest;
