fix(entry): a lost former owner doesn't make an entry forget whom it follows

Cause: an ask that was still open at the former owner ended after the muster had named the new one, and its failure dropped the new address. The view then named the dispatch of the entry's own instance, which had stopped and which an entry never suspects, so its calls waited 30 s and ended as not-run, no-permit-in-time, while the new owner stood settled. Ruled out: the new owner (settled 35 ms after the signal, muster served); the longer waits of the class, which only make it visible. Before: tests/stop.rs, two of three instances at once, with classes that may wait 20 s: 3 of 31 runs failed at load averages of 20 to 40 (1 of 20, then 2 of 11 with logs kept; in the one read, all 6 undone calls went through one stopping entry). After: 14 of 15 runs pass; one was ended at 60 s without a verdict. Conclusion: unfollow names the owner that failed. The test is stricter than before: calls that come during the stop are done, not refused.

--- a/crates/celerytide-entry/src/owner/mod.rs
+++ b/crates/celerytide-entry/src/owner/mod.rs
@@ -73,9 +73,12 @@
         self.followed.borrow_mut().insert(pool.to_owned(), owner);
     }
 
-    /// Goes back to the view's owner: the followed one can't be reached or no longer owns `pool`.
-    pub fn unfollow(&self, pool: &str) {
-        self.followed.borrow_mut().remove(pool);
+    /// Goes back to the view's owner if `owner` is the one followed: it can't be reached or no longer owns `pool`.
+    pub fn unfollow(&self, pool: &str, owner: SocketAddr) {
+        let mut followed = self.followed.borrow_mut();
+        if followed.get(pool) == Some(&owner) {
+            followed.remove(pool);
+        }
     }
 
     fn bring_up_to_date(&self) {
--- a/crates/celerytide-entry/src/permit/acquire.rs
+++ b/crates/celerytide-entry/src/permit/acquire.rs
@@ -166,7 +166,7 @@
         let left = wanted.begin_by.since(now);
         let ask = self.ask_of(wanted, pool, now, left);
         let Ok(mut ex) = self.links.open(owner, Method::Permit, &ask).await else {
-            self.not_reached(&ask.pool);
+            self.not_reached(&ask.pool, owner);
             return Asked::Again;
         };
         match timeout(left + REPLY_GRACE, ex.recv_some::<Reply>()).await {
@@ -175,19 +175,19 @@
             Ok(Ok(Reply::Granted(granted))) => self.check_term(Held { granted, ex, owner }),
             Ok(Ok(Reply::Refused(word))) => Asked::Refused(word),
             Ok(Ok(Reply::NotOwner(_) | Reply::Preempt)) => {
-                self.owners.unfollow(&ask.pool);
+                self.owners.unfollow(&ask.pool, owner);
                 Asked::Again
             }
             Ok(Err(_)) | Err(_) => {
-                self.not_reached(&ask.pool);
+                self.not_reached(&ask.pool, owner);
                 Asked::Again
             }
         }
     }
 
     /// The owner can't be reached, or its connection broke: the view's owner is asked next, and probed.
-    fn not_reached(&self, pool: &str) {
-        self.owners.unfollow(pool);
+    fn not_reached(&self, pool: &str, asked: SocketAddr) {
+        self.owners.unfollow(pool, asked);
         if let Some(owner) = self.owners.by_view(pool) {
             self.suspects.unreachable(&owner);
         }
--- a/crates/celerytide-faults/tests/stop.rs
+++ b/crates/celerytide-faults/tests/stop.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use celerytide_faults::{Rig, RigOptions, Told, until};
+use celerytide_load::fleet::Deployment;
 use futures::future::join_all;
 use http::Method;
 
@@ -89,13 +90,6 @@
     assert_eq!(instance.dispatch.wait(STOP).expect("it ends").code(), Some(0));
 }
 
-/// A call that came after the signal may be refused while pools change hands; it is never cut.
-fn none_cut(told: &[Told]) {
-    let refused = |t: &&Told| t.whole && t.word == "not-run";
-    let cut: Vec<&Told> = told.iter().filter(|t| !t.is_done() && !refused(t)).collect();
-    assert!(cut.is_empty(), "{cut:?}");
-}
-
 /// Calls that arrive one after the other through one entry.
 async fn arrivals(rig: &Rig, entry: usize, count: u32) -> Vec<Told> {
     let calls = (0..count).map(|at| async move {
@@ -111,13 +105,15 @@
 #[test]
 fn two_of_three_instances_stop_at_once_and_cut_nothing() {
     for stays in 0..3 {
-        let mut rig = Rig::start(&RigOptions {
+        let opts = RigOptions {
             instances: 3,
             decode_ms: 10.0,
             delay_ms: 300,
             ..RigOptions::default()
-        })
-        .expect("deployment");
+        };
+        // The queue may wait for a new owner, so that whatever isn't served was cut.
+        let patient = |plan: &mut Deployment| plan.classes.iter_mut().for_each(|class| class.first_token = STOP);
+        let mut rig = Rig::start_with(&opts, patient).expect("deployment");
         let stopping: Vec<usize> = (0..3).filter(|index| *index != stays).collect();
         let (told, words) = Rig::block_on(async {
             let stop = async {
@@ -132,9 +128,8 @@
             let (loads, submits, later, ()) = futures::join!(loads, submits, arrivals(&rig, stays, 20), stop);
             let (tickets, submitted): (Vec<_>, Vec<_>) = submits.into_iter().unzip();
             let words = join_all(tickets.iter().map(|ticket| word(&rig, stays, ticket))).await;
-            none_cut(&later);
             let after = load(&rig, stays).await;
-            ([loads.concat(), submitted, after].concat(), words)
+            ([loads.concat(), submitted, later, after].concat(), words)
         });
         all_done(&told);
         assert!(
