fix(policy): preemption passes over no lower class that its share would give the slot back to

Cause: a class that runs beyond its share and still catches up with it was skipped as a victim, and a higher class was taken instead, though lower work ran on the same endpoint. Ruled out: the check (the lower class did run beyond its share). Conclusion: nothing is preempted while the lowest class beyond its share would get the slot back.

--- a/crates/celerytide-policy/src/pool/preempt/mod.rs
+++ b/crates/celerytide-policy/src/pool/preempt/mod.rs
@@ -66,8 +66,17 @@
         };
         let tier = self.classes[class].plan.tier;
         let below = self.ranked.iter().rev().copied();
-        let mut below = below.take_while(|&class| self.classes[class].plan.tier > tier);
-        below.find_map(|class| self.latest(class, &next))
+        let below = below.take_while(|&class| self.classes[class].plan.tier > tier);
+        for class in below.filter(|&class| self.runs_beyond_share(class)) {
+            // Its share would give it the slot back; and no higher work goes before it.
+            if self.would_be_due(class) {
+                return None;
+            }
+            if let Some(permit) = self.latest(class, &next) {
+                return Some(permit);
+            }
+        }
+        None
     }
 
     fn runs_beyond_share(&self, class: usize) -> bool {
@@ -76,11 +85,8 @@
         class.in_flight as f64 > kept + 1.0
     }
 
-    /// The latest granted permit of a class beyond its share whose end makes room for the ask.
+    /// The latest granted permit of a class whose end makes room for the ask.
     fn latest(&self, class: usize, next: &Next) -> Option<PermitId> {
-        if !self.runs_beyond_share(class) || self.would_be_due(class) {
-            return None;
-        }
         let avoids = self.avoids(next.ask);
         let latest = self.classes[class].resumable.iter().rev().map(|&(_, permit)| permit);
         let frees = |permit: &PermitId| {
--- a/crates/celerytide-policy/tests/invariants.rs
+++ b/crates/celerytide-policy/tests/invariants.rs
@@ -140,3 +140,30 @@
     .seed(seed(number));
     broken
 }
+
+/// Seeds of histories in which the search found a broken rule, drawn as the search draws them.
+const FOUND: [u64; 2] = [0x2478_839d_0000_8000, 0x1ca7_7fed_0000_8000];
+
+#[test]
+fn histories_that_the_search_found_hold() {
+    for number in FOUND {
+        arbtest(|u| {
+            let shape = Shape {
+                steps: 600,
+                choosy: u.arbitrary()?,
+                unsettled: u.arbitrary()?,
+            };
+            let opts = Options {
+                max_queued: u.int_in_range(1..=40)?,
+                backoff_floor: Duration::from_millis(u.int_in_range(0..=100)?),
+                backoff_ceiling: Duration::from_millis(400),
+                cold_min: Duration::from_millis(u.int_in_range(0..=400)?),
+                ..Options::default()
+            };
+            let found = violations(u, opts, shape)?;
+            assert!(found.is_empty(), "{found:#?}");
+            Ok(())
+        })
+        .seed(number);
+    }
+}
