--- a/crates/celerytide-node/src/start/mod.rs
+++ b/crates/celerytide-node/src/start/mod.rs
@@ -172,7 +172,7 @@
             .register(names::AUDIT, Rc::new(Audit::default()))
             .context(KernelSnafu)?;
         let suspects = Suspects::new(
-            who.instance.clone(),
+            Some(who.instance.clone()).filter(|_| who.role == Role::Dispatch),
             membership.clone(),
             audit.clone(),
             wire,
--- a/crates/celerytide-node/src/suspect/mod.rs
+++ b/crates/celerytide-node/src/suspect/mod.rs
@@ -26,7 +26,8 @@
 
 /// Probes of owners, at most one at a time for each.
 pub struct Suspects {
-    own: InstanceId,
+    /// The instance whose dispatch is this process: it never suspects itself. An entry does suspect the dispatch beside it.
+    own_dispatch: Option<InstanceId>,
     membership: Rc<Membership>,
     audit: Rc<Audit>,
     wire: Options,
@@ -35,16 +36,16 @@
 }
 
 impl Suspects {
-    /// Suspects nobody; `cx` ends probes.
+    /// Suspects nobody; `cx` ends probes. `own_dispatch` is the own instance in a dispatch, absent in an entry.
     pub fn new(
-        own: InstanceId,
+        own_dispatch: Option<InstanceId>,
         membership: Rc<Membership>,
         audit: Rc<Audit>,
         wire: Options,
         cx: CancellationToken,
     ) -> Suspects {
         Suspects {
-            own,
+            own_dispatch,
             membership,
             audit,
             wire,
@@ -55,7 +56,7 @@
 
     /// Notes that the dispatch of `instance` could not be reached; it is probed from now on.
     pub fn unreachable(self: &Rc<Self>, instance: &Instance) {
-        if instance.id == self.own || !self.probed.borrow_mut().insert(instance.id.clone()) {
+        if self.own_dispatch.as_ref() == Some(&instance.id) || !self.probed.borrow_mut().insert(instance.id.clone()) {
             return;
         }
         monoio::spawn(probe(self.clone(), instance.clone()));
