test(faults,load): capacity for the traffic of a leaving endpoint; engines are warm before latencies are compared

(2) compare sends direct calls beside those through the entry. They are foreign work to the owner, and a cold endpoint with foreign work gets nothing: 997 of 1,648 calls through were refused at their deadline in each of two runs of 8 s, none in runs of 2 s. Ruled out: a leak of slots (the status shows limits of 0 on idle endpoints while direct calls run, 128 afterwards). Change: the leaving test's engines bear 8 while cold; its checks and its traffic are as before. compare calls through the entry until every engine is warm, for at most 60 s. Conclusion: both were faults of the harness.

--- a/crates/celerytide-faults/tests/leaving.rs
+++ b/crates/celerytide-faults/tests/leaving.rs
@@ -19,6 +19,8 @@
 const ARRIVAL: Duration = Duration::from_millis(150);
 /// Time that a run of the plain service takes, in milliseconds.
 const RUN_MS: u64 = 400;
+/// What an engine bears while it is cold: one alone carries the whole traffic, so that nothing is refused for want of room.
+const SLOTS: u32 = 8;
 const ENDPOINT_LIST: &str = "celerytide-endpoints";
 
 struct Case {
@@ -93,6 +95,7 @@
             plains: 2,
             decode_ms: 10.0,
             delay_ms: RUN_MS,
+            cold_slots: SLOTS,
             ..RigOptions::default()
         })
         .expect(case.name);
--- a/crates/celerytide-load/src/compare/mod.rs
+++ b/crates/celerytide-load/src/compare/mod.rs
@@ -1,12 +1,13 @@
 //! What the system adds: direct calls to the stand-ins beside calls through an entry, in the same run.
 //!
-//! First tokens and gaps are measured open loop, both ways at the same rate and in turn. Throughput is measured closed loop,
+//! First tokens and gaps are measured open loop on warm engines, both ways at the same rate and in turn. Throughput is measured closed loop,
 //! first direct and then through one instance, with the processor time and the memory of that instance's daemons.
 
 mod latency;
 mod plan;
 mod table;
 mod throughput;
+mod warm;
 
 use std::{fs, io, path::PathBuf, time::Duration};
 
@@ -97,6 +98,9 @@
     /// A signal asked the tool to end.
     #[snafu(display("ended by a signal"))]
     Interrupted,
+    /// Engines stayed cold.
+    #[snafu(display("not every engine was warm in time"))]
+    NotWarm,
     /// A sending thread ended early.
     #[snafu(display("a sending thread ended early"))]
     Thread,
@@ -144,9 +148,9 @@
 pub fn measure(options: &Options, stop: &Stop) -> Result<Results, Error> {
     let machine = Machine::read();
     eprintln!("time to the first token ...");
-    let first = with_fleet(stop, AT_ONCE_MS, |fleet| latency::measure(fleet, options, SHORT_TOKENS))?;
+    let first = with_fleet(stop, AT_ONCE_MS, |fleet| warmed(fleet, options, SHORT_TOKENS))?;
     eprintln!("time between tokens ...");
-    let steady = with_fleet(stop, STEADY_MS, |fleet| latency::measure(fleet, options, LONG_TOKENS))?;
+    let steady = with_fleet(stop, STEADY_MS, |fleet| warmed(fleet, options, LONG_TOKENS))?;
     eprintln!("plain calls ...");
     let plain = with_fleet(stop, FAST_MS, |fleet| throughput::plain(fleet, options))?;
     eprintln!("streamed tokens ...");
@@ -165,6 +169,11 @@
     })
 }
 
+fn warmed(fleet: &Fleet, options: &Options, tokens: usize) -> Result<latency::Both, Error> {
+    warm::engines(fleet)?;
+    latency::measure(fleet, options, tokens)
+}
+
 fn with_fleet<T>(stop: &Stop, decode_ms: f64, work: impl FnOnce(&Fleet) -> Result<T, Error>) -> Result<T, Error> {
     let mut fleet = Fleet::start(&plan::deployment(decode_ms)?, fleet::Options { own_group: true })?;
     fleet.wait_ready(READY_TIMEOUT)?;
