test(faults): classes of the rig's deployment have targets of five seconds at least

Cause: asks that can't attain their target are refused at once. Ruled out: a fault of the daemons (the refused calls say not-run, deadline-unreachable). Conclusion: what isn't served in these tests was lost, not refused for want of room; their checks are unchanged.

--- a/crates/celerytide-faults/src/rig/mod.rs
+++ b/crates/celerytide-faults/src/rig/mod.rs
@@ -16,6 +16,8 @@
 
 /// Time in which a deployment must be ready.
 const READY: Duration = Duration::from_secs(20);
+/// Least target of each class: bursts beyond the few cold slots wait, so that whatever isn't served was lost.
+const PATIENCE: Duration = Duration::from_secs(5);
 /// Time between two looks at a condition.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -230,6 +232,9 @@
     plan.plain.count = opts.plains;
     plan.plain.delay_ms = opts.delay_ms;
     plan.list_lag_ms = opts.list_lag_ms;
+    for class in &mut plan.classes {
+        class.first_token = class.first_token.max(PATIENCE);
+    }
     plan
 }
 
