--- /dev/null
+++ b/crates/celerytide-catalog/src/lib.rs
@@ -0,0 +1,13 @@
+//! What a process knows of routes, customers, endpoints and zones, each with its version and age.
+//!
+//! A [`View`] is fed with whole [`Snapshot`]s and single [`Change`]s, from the platform's store or from peers. It never
+//! goes back: an older revision or configuration version is ignored, whoever brings it. Nothing here does I/O.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+mod config;
+mod view;
+
+pub use config::{Backend, CallerLimits, Catalog, Config, Customer, Kind, Lookup, Route, Service};
+pub use view::{Change, Endpoint, Known, Revision, Snapshot, Update, View};
--- /dev/null
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -0,0 +1,285 @@
+//! The state of the process and the decisions that need more than one part of it.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use celerytide_catalog::{Endpoint, Known, Route, Service, Update, View};
+use celerytide_http::Limits;
+use celerytide_http::client::{Client, Options};
+use celerytide_types::{Boot, ServiceId, now_boot};
+use rand::Rng;
+use tokio_util::sync::CancellationToken;
+use tracing::info;
+
+use crate::budget::Budget;
+use crate::cold::ColdShares;
+use crate::health::{Sign, Standing};
+use crate::intake::Intake;
+use crate::metrics::Counters;
+use crate::names::Wire;
+use crate::peers::Members;
+use crate::place::{Candidate, Loads, Ticket, choose};
+use crate::settings::Settings;
+
+/// Silence after which an idle connection is probed; one that answers nothing is found within three times that.
+const PROBE: Duration = Duration::from_secs(1);
+/// Time for which an endpoint may acknowledge nothing before its connection ends.
+const SILENCE: Duration = Duration::from_secs(2);
+/// Idle connections kept to one endpoint.
+const IDLE_PER_ENDPOINT: usize = 16;
+/// Share of the descriptors for callers' connections; the rest is for endpoints, peers and the store.
+const CALLERS_SHARE: f64 = 0.55;
+/// Share of the descriptors for idle connections to endpoints.
+const IDLE_SHARE: f64 = 0.2;
+/// Descriptors where the settings name no bound.
+const DESCRIPTORS: usize = 1024;
+/// Descriptors kept for files.
+const FILES: usize = 200;
+/// Most endpoints of a service that may be out at once, as a share.
+const MAX_OUT: f64 = 0.4;
+
+/// The process.
+pub struct Edge<W: Wire> {
+    /// Its settings at the start.
+    pub settings: Settings,
+    /// The language of callers and endpoints.
+    pub wire: W,
+    /// What is known.
+    pub view: RefCell<View>,
+    /// What is in flight.
+    pub loads: RefCell<Loads>,
+    /// Repeats.
+    pub budget: RefCell<Budget>,
+    /// Shares of cold endpoints.
+    pub cold: RefCell<ColdShares>,
+    /// Other instances.
+    pub members: RefCell<Members>,
+    /// Connections to endpoints.
+    pub client: Client,
+    /// Bounds on callers, as the configuration in force says.
+    pub limits: Rc<Cell<Limits>>,
+    /// Counters and histograms.
+    pub counters: Counters,
+    /// When the store last answered.
+    pub store_at: Cell<Option<Boot>>,
+    /// Cancelled when the process shall stop.
+    pub stopping: CancellationToken,
+    /// When it was asked to stop.
+    pub stopping_since: Cell<Option<Boot>>,
+    /// Requests being served.
+    pub busy: Cell<usize>,
+    /// When it started.
+    pub started: Boot,
+}
+
+/// An endpoint that was chosen, with the request counted there.
+pub struct Pick<W: Wire> {
+    /// Its entry.
+    pub endpoint: Rc<Endpoint>,
+    /// The request's count.
+    pub flight: InFlight<W>,
+    /// When it was chosen.
+    pub at: Boot,
+}
+
+/// Counts a request at its endpoint until it is dropped.
+pub struct InFlight<W: Wire> {
+    edge: Rc<Edge<W>>,
+    ticket: Ticket,
+}
+
+impl<W: Wire> InFlight<W> {
+    /// The first byte of the answer came after `took`.
+    pub fn first_byte(&mut self, took: Duration) {
+        self.edge.counters.first_byte.observe(took.as_secs_f64());
+        self.edge.loads.borrow_mut().first_byte(&mut self.ticket, took);
+    }
+}
+
+impl<W: Wire> Drop for InFlight<W> {
+    fn drop(&mut self) {
+        let mut loads = self.edge.loads.borrow_mut();
+        loads.end(&mut self.ticket);
+        loads.entry(&self.ticket.endpoint).health.end_trial();
+    }
+}
+
+impl<W: Wire> Edge<W> {
+    /// A process that knows nothing yet.
+    pub fn new(settings: Settings, wire: W) -> Edge<W> {
+        let now = now_boot();
+        let own = settings.peers.unwrap_or(settings.callers);
+        let descriptors = settings.descriptors.unwrap_or(DESCRIPTORS).saturating_sub(FILES).max(1);
+        let limits = Limits {
+            connections: (descriptors as f64 * CALLERS_SHARE) as usize,
+            ..Limits::default()
+        };
+        let client = Client::new(Options {
+            id_header: wire.names().request_id.clone(),
+            until_close: true,
+            probe: Some(PROBE),
+            silence: SILENCE,
+            idle_per_addr: IDLE_PER_ENDPOINT,
+            idle_total: (descriptors as f64 * IDLE_SHARE) as usize,
+            ..Options::default()
+        });
+        Edge {
+            budget: RefCell::new(Budget::new(settings.bounds.repeats())),
+            cold: RefCell::new(ColdShares::new(own, now)),
+            members: RefCell::new(Members::new(own, &settings.seeds, now)),
+            view: RefCell::default(),
+            loads: RefCell::default(),
+            limits: Rc::new(Cell::new(limits)),
+            counters: Counters::default(),
+            store_at: Cell::new(None),
+            stopping: CancellationToken::new(),
+            stopping_since: Cell::new(None),
+            busy: Cell::new(0),
+            started: now,
+            client,
+            settings,
+            wire,
+        }
+    }
+
+    /// Whether new connections may come.
+    pub fn is_ready(&self) -> bool {
+        let view = self.view.borrow();
+        view.has_config() && view.endpoint_count() > 0 && self.stopping_since.get().is_none()
+    }
+
+    /// Draws the service of a request by the weights of its route.
+    pub fn draw_service(&self, route: &Route) -> Option<Rc<Service>> {
+        let total: u32 = route.backends.iter().map(|b| b.weight).sum();
+        let mut draw = rand::rng().random_range(0..total.max(1));
+        let mut chosen: Option<&ServiceId> = None;
+        for backend in &route.backends {
+            chosen = Some(&backend.service);
+            if draw < backend.weight {
+                break;
+            }
+            draw -= backend.weight;
+        }
+        self.view.borrow().catalog().service(chosen?).cloned()
+    }
+
+    /// Chooses an endpoint for the request, not among `tried`, and counts the request there.
+    pub fn pick(self: &Rc<Self>, intake: &Intake, service: &Service, tried: &[String]) -> Option<Pick<W>> {
+        let now = now_boot();
+        let view = self.view.borrow();
+        let instances = self.members.borrow().known(now);
+        let mut loads = self.loads.borrow_mut();
+        let mut cold = self.cold.borrow_mut();
+        let all: Vec<&Known> = view
+            .usable(&service.id)
+            .filter(|k| !tried.contains(&k.endpoint.id))
+            .collect();
+        let is_cold = |k: &Known| service.cold_per_s > 0.0 && k.cold_until.is_some_and(|until| now < until);
+        let may = |k: &Known| !is_cold(k) || cold.allows(&k.endpoint.id, service.cold_per_s, &instances, now);
+        let bearing: Vec<&Known> = all.into_iter().filter(|k| may(k)).collect();
+        let standing = |k: &Known| {
+            loads
+                .get(&k.endpoint.id)
+                .map_or(Standing::In, |l| l.health.standing(now))
+        };
+        let trial = bearing.iter().find(|k| standing(k) == Standing::Trial).copied();
+        if let Some(known) = trial.filter(|_| intake.route.kind.is_idempotent()) {
+            loads.entry(&known.endpoint.id).health.begin_trial();
+            return Some(self.take(known, intake, &mut loads, now));
+        }
+        let healthy: Vec<&Known> = bearing
+            .iter()
+            .filter(|k| standing(k) == Standing::In)
+            .copied()
+            .collect();
+        let enough = healthy.len() as f64 >= bearing.len() as f64 * (1.0 - MAX_OUT);
+        let usable = if enough { healthy } else { bearing };
+        let candidates: Vec<Candidate<'_>> = usable
+            .into_iter()
+            .map(|known| Candidate {
+                near: known.endpoint.zone == self.settings.zone,
+                known,
+            })
+            .collect();
+        let known = choose(&candidates, service, &intake.prompt, &loads, now)?.known;
+        if is_cold(known) {
+            cold.note(&known.endpoint.id, service.cold_per_s, &instances, now);
+        }
+        Some(self.take(known, intake, &mut loads, now))
+    }
+
+    fn take(self: &Rc<Self>, known: &Known, intake: &Intake, loads: &mut Loads, now: Boot) -> Pick<W> {
+        let ticket = loads.begin(&known.endpoint.id, &intake.prompt, now);
+        Pick {
+            endpoint: known.endpoint.clone(),
+            flight: InFlight {
+                edge: self.clone(),
+                ticket,
+            },
+            at: now,
+        }
+    }
+
+    /// Takes in how a request at an endpoint ended.
+    pub fn record(&self, service: &str, endpoint: &str, sign: Sign) {
+        let now = now_boot();
+        let view = self.view.borrow();
+        let mut loads = self.loads.borrow_mut();
+        let ids = view.usable(service).map(|k| k.endpoint.id.as_str());
+        let others = loads.others_failures(ids, endpoint, now);
+        let changed = loads.entry(endpoint).health.record(sign, others, now);
+        if changed {
+            info!(endpoint, ?sign, others, "health: standing changed");
+        }
+    }
+
+    /// Takes one repeat of a request to `service`, if there is one left.
+    pub fn take_repeat(&self, service: &str) -> bool {
+        let now = now_boot();
+        let instances = self.members.borrow().known(now).len();
+        self.budget.borrow_mut().take(service, instances, now)
+    }
+
+    /// Follows what an update of the view did.
+    pub fn follow_update(&self, update: &Update, from: &'static str) {
+        let now = now_boot();
+        let mut loads = self.loads.borrow_mut();
+        for id in &update.appeared {
+            loads.restart(id);
+        }
+        for id in &update.gone {
+            loads.forget(id);
+        }
+        drop(loads);
+        self.cold.borrow_mut().sweep(now);
+        if *update == Update::default() {
+            return;
+        }
+        let view = self.view.borrow();
+        if update.config.is_some() {
+            self.follow_limits(&view);
+        }
+        info!(
+            from,
+            revision = view.revision(),
+            config = view.catalog().version(),
+            endpoints = view.endpoint_count(),
+            update = ?update,
+            "view: changed"
+        );
+    }
+
+    fn follow_limits(&self, view: &View) {
+        let Some(new) = view.catalog().limits() else {
+            return;
+        };
+        let mut limits = self.limits.get();
+        limits.max_head = new.head_bytes;
+        limits.max_body = new.body_bytes;
+        limits.head = new.head_time;
+        // A caller may use a kept connection up to the last moment of this time.
+        limits.idle = new.idle_time + new.idle_time / 4;
+        self.limits.set(limits);
+    }
+}
--- /dev/null
+++ b/crates/celerytide-edge/src/follow/mod.rs
@@ -0,0 +1,125 @@
+//! Follows the platform's store: one list, then watches behind it.
+//!
+//! A watch waits a short time only, so that a connection that went silent, or a store that serves others but not this
+//! instance, shows within the time in which a change has to be in force. After a failure the list is read again only if
+//! the store no longer keeps the changes behind the view. While the store is away everything known stays in force.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use celerytide_types::{Boot, now_boot};
+use monoio::time::sleep;
+use rand::Rng;
+use tracing::{info, warn};
+
+use crate::edge::Edge;
+use crate::names::Wire;
+use crate::source::{Source, SourceError};
+
+/// Longest wait of one watch, as a share of the time in which a change has to be in force.
+const WAIT_SHARE: f64 = 0.6;
+/// Time beyond its wait for the answer to a watch.
+const ANSWER: Duration = Duration::from_millis(500);
+/// Time for one page of the list.
+const PAGE: Duration = Duration::from_millis(1500);
+/// First pause after a failure; doubles up to [`MAX_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause.
+const MAX_PAUSE: Duration = Duration::from_millis(400);
+/// Rest after a watch that brought changes, so that changes in a row come in one call.
+const REST: Duration = Duration::from_millis(150);
+/// Heartbeats without an answer of the store after which entries may have lapsed unseen.
+const LAPSE_BEATS: u32 = 2;
+/// Time after such an outage in which a lapsed entry may come back.
+const RETURN: Duration = Duration::from_millis(1800);
+
+/// How the store has answered of late.
+struct Contact {
+    /// Failures in a row.
+    failures: u32,
+    /// When it answered again after an outage in which entries may have lapsed.
+    back_at: Option<Boot>,
+}
+
+/// Follows the store until the process ends.
+pub async fn run<W: Wire, S: Source>(edge: Rc<Edge<W>>, source: S) {
+    let mut contact = Contact {
+        failures: 0,
+        back_at: None,
+    };
+    let mut listed = false;
+    loop {
+        let step = if listed {
+            watch(&edge, &source, &mut contact).await
+        } else {
+            list(&edge, &source, &mut contact).await
+        };
+        match step {
+            Ok(()) => listed = true,
+            Err(SourceError::Forgotten) => {
+                info!("store: changes were forgotten; the list is read again");
+                listed = false;
+            }
+            Err(error) => {
+                contact.fail(&edge, &error);
+                sleep(contact.pause()).await;
+            }
+        }
+    }
+}
+
+async fn list<W: Wire, S: Source>(edge: &Edge<W>, source: &S, contact: &mut Contact) -> Result<(), SourceError> {
+    let snapshot = source.list(PAGE).await?;
+    let now = now_boot();
+    let hold = contact.answered(edge, now);
+    let update = edge.view.borrow_mut().replace(snapshot, hold, now);
+    edge.follow_update(&update, "store");
+    Ok(())
+}
+
+async fn watch<W: Wire, S: Source>(edge: &Edge<W>, source: &S, contact: &mut Contact) -> Result<(), SourceError> {
+    let wait = edge.settings.bounds.apply().mul_f64(WAIT_SHARE);
+    let revision = edge.view.borrow().revision();
+    let changes = source.watch(revision, wait, ANSWER).await?;
+    let now = now_boot();
+    let hold = contact.answered(edge, now);
+    let any = !changes.list.is_empty();
+    let update = edge.view.borrow_mut().apply(changes.list, changes.revision, hold, now);
+    edge.follow_update(&update, "store");
+    let expired = edge.view.borrow_mut().expire(now);
+    edge.follow_update(&expired, "expiry");
+    if any {
+        sleep(REST).await;
+    }
+    Ok(())
+}
+
+impl Contact {
+    /// Notes an answer; returns for how long endpoints whose entries are gone are still kept.
+    fn answered<W: Wire>(&mut self, edge: &Edge<W>, now: Boot) -> Duration {
+        let before = edge.store_at.replace(Some(now));
+        let lapse = edge.settings.bounds.heartbeat() * LAPSE_BEATS;
+        if before.is_some_and(|at| now.since(at) > lapse) {
+            self.back_at = Some(now);
+        }
+        if self.failures > 0 {
+            info!(failures = self.failures, "store: answers again");
+        }
+        self.failures = 0;
+        let passed = self.back_at.map(|at| now.since(at));
+        passed.map_or(Duration::ZERO, |passed| RETURN.saturating_sub(passed))
+    }
+
+    fn fail<W: Wire>(&mut self, edge: &Edge<W>, error: &SourceError) {
+        self.failures += 1;
+        let age = edge.store_at.get().map(|at| now_boot().since(at).as_millis() as u64);
+        if self.failures == 1 {
+            warn!(%error, age_ms = age, "store: lost; the view stays in force");
+        }
+    }
+
+    fn pause(&self) -> Duration {
+        let doubled = FIRST_PAUSE.saturating_mul(1 << self.failures.min(6));
+        doubled.min(MAX_PAUSE).mul_f64(rand::rng().random_range(0.5..1.0))
+    }
+}
--- /dev/null
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -0,0 +1,273 @@
+//! Forwards a request: picks an endpoint, sends it, and says its final word.
+//!
+//! A request that may run at most once is sent again only while it is certain that it did not run: no connection, an
+//! answer that says so, or another endpoint at the address. One that may be repeated is also sent again after a failure,
+//! as far as its route's attempts and the budget of repeats allow.
+
+mod headers;
+mod refuse;
+mod send;
+mod stream;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use celerytide_catalog::Service;
+use celerytide_http::server::{Handler, Request, Responder};
+use celerytide_types::now_boot;
+use http::StatusCode;
+use monoio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tracing::info;
+
+use crate::edge::Edge;
+use crate::health::Sign;
+use crate::intake::{self, Intake};
+use crate::metrics::Ended;
+use crate::names::{Wire, kind_word};
+use crate::stop;
+
+use refuse::{Refusal, refuse};
+use send::{Reached, Sent};
+
+/// Least time for which a request is sent to an endpoint; with less left it could not end.
+const LEAST: Duration = Duration::from_millis(15);
+/// Sends that did not run, beyond the attempts of the route, before a request is refused.
+const MAX_REJECTED: u32 = 2;
+
+/// Serves callers.
+pub struct Callers<W: Wire>(pub Rc<Edge<W>>);
+
+impl<W: Wire> Handler for Callers<W> {
+    async fn handle(&self, req: Request, out: Responder, cx: CancellationToken) {
+        let edge = &self.0;
+        edge.busy.set(edge.busy.get() + 1);
+        serve(edge, req, out, cx).await;
+        edge.busy.set(edge.busy.get() - 1);
+    }
+}
+
+async fn serve<W: Wire>(edge: &Rc<Edge<W>>, req: Request, out: Responder, cx: CancellationToken) {
+    let began = now_boot();
+    let catalog = edge.view.borrow().catalog().clone();
+    let intake = match intake::read(&req, &catalog, &edge.wire, began) {
+        Ok(intake) => intake,
+        Err(denial) => {
+            let refusal = Refusal::denied(denial);
+            info!(
+                path = req.uri.path(),
+                cause = refusal.cause,
+                config = catalog.version(),
+                revision = edge.view.borrow().revision(),
+                "refuse: not forwarded"
+            );
+            return refuse(out, &refusal).await;
+        }
+    };
+    let mut run = Run {
+        edge,
+        intake: &intake,
+        req: &req,
+        tried: Vec::new(),
+        ran: 0,
+        rejected: 0,
+        endpoint: String::new(),
+    };
+    // Dropping the work closes the endpoint's connection, so that it stops too.
+    let ended = match cx.run_until_cancelled(run.forward(out)).await {
+        Some(ended) => ended,
+        None => End::of("caller-left", 0),
+    };
+    run.note(&ended);
+}
+
+/// How a request ended.
+struct End {
+    cause: &'static str,
+    status: u16,
+}
+
+impl End {
+    fn of(cause: &'static str, status: u16) -> End {
+        End { cause, status }
+    }
+}
+
+/// A request on its way.
+struct Run<'a, W: Wire> {
+    edge: &'a Rc<Edge<W>>,
+    intake: &'a Intake,
+    req: &'a Request,
+    tried: Vec<String>,
+    /// Endpoints on which it may have run.
+    ran: u32,
+    /// Sends that certainly did not run.
+    rejected: u32,
+    endpoint: String,
+}
+
+/// What comes after a send.
+enum Next {
+    /// Another endpoint is tried.
+    Again,
+    /// The request is given up.
+    GiveUp(&'static str),
+}
+
+impl<W: Wire> Run<'_, W> {
+    async fn forward(&mut self, out: Responder) -> End {
+        let edge = self.edge;
+        let since = edge.stopping_since.get().map(|at| now_boot().since(at));
+        if !stop::takes(since) {
+            return self.give_up(out, "stopping").await;
+        }
+        let Some(service) = edge.draw_service(&self.intake.route) else {
+            return self.give_up(out, "no-service").await;
+        };
+        edge.budget.borrow_mut().note_request(&service.id, now_boot());
+        loop {
+            if self.left() < LEAST {
+                return self.give_up(out, "deadline").await;
+            }
+            let Some(pick) = edge.pick(self.intake, &service, &self.tried) else {
+                return self.give_up(out, "no-endpoint").await;
+            };
+            let first = self.tried.is_empty();
+            if !first && !edge.take_repeat(&service.id) {
+                return self.give_up(out, "no-repeat-left").await;
+            }
+            self.tried.push(pick.endpoint.id.clone());
+            self.endpoint.clone_from(&pick.endpoint.id);
+            let sent = send::send(self, &service, pick, None).await;
+            let next = match sent {
+                Sent::Answer(reached) if self.passes(&reached) => return self.pass(out, reached, &service).await,
+                Sent::Answer(reached) => {
+                    reached.end(Sign::Bad);
+                    self.ran += 1;
+                    self.after_failure("endpoint-failed")
+                }
+                Sent::NotRun(cause) => {
+                    self.rejected += 1;
+                    self.after_rejection(cause)
+                }
+                Sent::Broken(cause) => {
+                    self.ran += 1;
+                    self.after_failure(cause)
+                }
+            };
+            if let Next::GiveUp(cause) = next {
+                return self.give_up(out, cause).await;
+            }
+        }
+    }
+
+    /// Whether an answer goes to the caller: all but a failure that may be mended by another endpoint.
+    fn passes(&self, reached: &Reached<W>) -> bool {
+        let failed = reached.answer.status.is_server_error();
+        !failed || !self.may_run_again()
+    }
+
+    /// Whether the request may run at one more endpoint than those where it ran, the current one included.
+    fn may_run_again(&self) -> bool {
+        let route = &self.intake.route;
+        route.kind.is_idempotent() && self.ran + 1 < route.max_attempts && self.left() > LEAST * 2
+    }
+
+    fn after_rejection(&self, cause: &'static str) -> Next {
+        if self.rejected > MAX_REJECTED {
+            return Next::GiveUp(cause);
+        }
+        Next::Again
+    }
+
+    fn after_failure(&self, cause: &'static str) -> Next {
+        let route = &self.intake.route;
+        if route.kind.is_idempotent() && self.ran < route.max_attempts {
+            return Next::Again;
+        }
+        Next::GiveUp(cause)
+    }
+
+    /// Time until the caller, or the route, no longer waits.
+    fn left(&self) -> Duration {
+        self.intake.deadline.since(now_boot())
+    }
+
+    async fn pass(&mut self, out: Responder, reached: Box<Reached<W>>, service: &Rc<Service>) -> End {
+        let stream = self.intake.route.kind.is_stream() && reached.answer.status == StatusCode::OK;
+        if stream {
+            return stream::pass(self, out, reached, service).await;
+        }
+        self.pass_whole(out, reached).await
+    }
+
+    async fn pass_whole(&mut self, out: Responder, mut reached: Box<Reached<W>>) -> End {
+        let status = reached.answer.status;
+        let headers = headers::to_caller(&reached.answer.headers);
+        let left = self.left();
+        let body = match timeout(left, send::gather(&mut reached)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(error)) => {
+                info!(request = self.intake.id, %error, "forward: answer broke off");
+                reached.end(Sign::Bad);
+                self.ran += 1;
+                return self.give_up(out, "answer-broken").await;
+            }
+            Err(_) => {
+                reached.end(Sign::Bad);
+                self.ran += 1;
+                return self.give_up(out, "deadline").await;
+            }
+        };
+        let sign = if status.is_server_error() {
+            Sign::Bad
+        } else {
+            Sign::Good
+        };
+        reached.end(sign);
+        // A caller that is gone needs no answer.
+        let _ = out.whole(status, headers, body).await;
+        End::of("answered", status.as_u16())
+    }
+
+    /// Says that the request is given up: not run if that is certain, failed otherwise.
+    async fn give_up(&self, out: Responder, cause: &'static str) -> End {
+        let refusal = if self.ran == 0 {
+            Refusal::not_run(cause, self.left())
+        } else if cause == "deadline" {
+            Refusal::failed(StatusCode::GATEWAY_TIMEOUT, cause)
+        } else {
+            Refusal::failed(StatusCode::BAD_GATEWAY, cause)
+        };
+        let status = refusal.status.as_u16();
+        refuse(out, &refusal).await;
+        End::of(cause, status)
+    }
+
+    fn note(&self, end: &End) {
+        let edge = self.edge;
+        let took = now_boot().since(self.intake.began);
+        edge.counters.whole.observe(took.as_secs_f64());
+        let label = Ended {
+            outcome: end.cause,
+            status: end.status,
+        };
+        edge.counters.ended.get_or_create(&label).inc();
+        let customer = self.intake.customer.as_ref().map(|c| c.id.as_str());
+        info!(
+            request = self.intake.id,
+            route = self.intake.route.name,
+            kind = kind_word(self.intake.route.kind),
+            customer,
+            endpoint = self.endpoint,
+            tried = self.tried.len(),
+            ran = self.ran,
+            cause = end.cause,
+            status = end.status,
+            ms = took.as_millis() as u64,
+            left_ms = self.left().as_millis() as u64,
+            revision = edge.view.borrow().revision(),
+            "forward: ended"
+        );
+    }
+}
--- /dev/null
+++ b/crates/celerytide-edge/src/forward/refuse.rs
@@ -0,0 +1,95 @@
+//! Answers of our own.
+
+use std::time::Duration;
+
+use celerytide_http::server::{ErrorBody, ErrorDetail, ErrorWord, Responder, WORD_HEADER};
+use celerytide_types::Word;
+use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use http::{HeaderMap, StatusCode};
+use rand::Rng;
+
+use crate::intake::Denial;
+
+/// Share of the time that is left after which a caller is told to come back, at most: it has time for its answer then.
+const MOST_SHARE: f64 = 0.3;
+/// Least time after which a caller is told to come back.
+const LEAST_WAIT: Duration = Duration::from_millis(100);
+/// Most time after which a caller is told to come back.
+const MOST_WAIT: Duration = Duration::from_millis(1500);
+
+/// A final answer that no endpoint gave.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Refusal {
+    /// Status.
+    pub status: StatusCode,
+    /// Stable machine-readable cause.
+    pub cause: &'static str,
+    /// The final word.
+    pub word: Word,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// The request isn't forwarded.
+    pub fn denied(denial: Denial) -> Refusal {
+        let retry = denial == Denial::Unconfigured;
+        Refusal {
+            status: denial.status(),
+            cause: denial.cause(),
+            word: Word::NotRun,
+            retry_after: retry.then_some(MOST_WAIT),
+        }
+    }
+
+    /// The request did not run; a caller that still has `left` may come back.
+    pub fn not_run(cause: &'static str, left: Duration) -> Refusal {
+        let most = left.mul_f64(MOST_SHARE).min(MOST_WAIT);
+        let wait = most.mul_f64(rand::rng().random_range(0.3..1.0)).max(LEAST_WAIT);
+        Refusal {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            cause,
+            word: Word::NotRun,
+            retry_after: Some(wait),
+        }
+    }
+
+    /// The request may have run.
+    pub fn failed(status: StatusCode, cause: &'static str) -> Refusal {
+        Refusal {
+            status,
+            cause,
+            word: Word::Unknown,
+            retry_after: None,
+        }
+    }
+
+    fn body(&self) -> Vec<u8> {
+        let body = ErrorBody {
+            error: ErrorDetail {
+                message: self.cause.to_owned(),
+                kind: "server_error".to_owned(),
+                code: self.cause.to_owned(),
+                param: None,
+            },
+            celerytide: ErrorWord {
+                word: self.word,
+                cause: self.cause.to_owned(),
+            },
+        };
+        serde_json::to_vec(&body).unwrap_or_default()
+    }
+}
+
+/// Sends the answer.
+pub async fn refuse(out: Responder, refusal: &Refusal) {
+    let mut headers = HeaderMap::new();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(WORD_HEADER, HeaderValue::from_static(refusal.word.as_str()));
+    let seconds = refusal.retry_after.map(|after| format!("{:.2}", after.as_secs_f64()));
+    if let Some(value) = seconds.and_then(|s| HeaderValue::from_str(&s).ok()) {
+        headers.insert(RETRY_AFTER, value);
+    }
+    // A caller that is gone needs no answer.
+    let _ = out.whole(refusal.status, headers, refusal.body().into()).await;
+}
--- /dev/null
+++ b/crates/celerytide-edge/src/peers/news.rs
@@ -0,0 +1,143 @@
+//! Talks to other instances: one call a second to one of them.
+//!
+//! A call tells who lives and how new this instance's view is. The answer carries the peer's whole view if it is newer
+//! and the caller can't read the store itself.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use celerytide_catalog::{Revision, Snapshot};
+use celerytide_types::{Boot, data, now_boot};
+use celerytide_wire::messages::Method;
+use celerytide_wire::{Exchange, Links, Options};
+use monoio::time::{sleep, timeout};
+use rand::Rng;
+use tracing::{debug, info};
+
+use super::members::Heard;
+use crate::edge::Edge;
+use crate::names::Wire;
+
+/// Pause between two calls while the store answers.
+const CALM: Duration = Duration::from_millis(1000);
+/// Pause between two calls while it doesn't, or while the instance is new.
+const ANXIOUS: Duration = Duration::from_millis(250);
+/// Time after the start in which an instance looks for others.
+const YOUNG: Duration = Duration::from_secs(3);
+/// Silence of the store after which peers are asked for their view.
+const STORE_SILENCE: Duration = Duration::from_millis(1500);
+/// Time for one call.
+const CALL: Duration = Duration::from_millis(800);
+/// Parts of a pause by which it varies.
+const SPREAD: f64 = 0.3;
+
+data! {
+    /// What one instance tells another.
+    pub struct Ask {
+        /// Who lives; the sender first.
+        pub heard: Vec<Heard>,
+        /// Revision of the sender's view.
+        pub revision: Revision,
+        /// The sender can't read the store and wants a newer view.
+        pub wants_view: bool,
+    }
+
+    /// The answer to [`Ask`].
+    pub struct Reply {
+        /// Who lives; the answering instance first.
+        pub heard: Vec<Heard>,
+        /// Its view, if it is newer and wanted.
+        pub view: Option<Snapshot>,
+    }
+}
+
+/// Bounds of connections between instances.
+pub fn options() -> Options {
+    Options {
+        connect: Duration::from_millis(500),
+        ping: Duration::from_millis(700),
+        silence: Duration::from_millis(1500),
+    }
+}
+
+/// Talks to other instances until the process ends.
+pub async fn run<W: Wire>(edge: Rc<Edge<W>>) {
+    let links = Links::new(options(), edge.stopping.clone());
+    loop {
+        let now = now_boot();
+        let wants_view = store_is_silent(&edge, now);
+        let young = edge.members.borrow().age(now) < YOUNG;
+        let pause = if wants_view || young { ANXIOUS } else { CALM };
+        sleep(pause.mul_f64(rand::rng().random_range(1.0 - SPREAD..1.0 + SPREAD))).await;
+        let drawn = edge.members.borrow().draw(now);
+        let Some(peer) = drawn else {
+            continue;
+        };
+        let ask = Ask {
+            heard: edge.members.borrow().digest(now),
+            revision: edge.view.borrow().revision(),
+            wants_view,
+        };
+        match timeout(CALL, links.call::<Ask, Reply>(peer, Method::Gossip, &ask)).await {
+            Ok(Ok(reply)) => take(&edge, reply),
+            Ok(Err(error)) => debug!(%peer, %error, "peers: call failed"),
+            Err(_) => debug!(%peer, "peers: no answer in time"),
+        }
+    }
+}
+
+fn store_is_silent<W: Wire>(edge: &Edge<W>, now: Boot) -> bool {
+    edge.store_at.get().is_none_or(|at| now.since(at) > STORE_SILENCE)
+}
+
+fn take<W: Wire>(edge: &Edge<W>, reply: Reply) {
+    let now = now_boot();
+    edge.members.borrow_mut().merge(&reply.heard, now);
+    let Some(view) = reply.view else {
+        return;
+    };
+    // The store may have answered since the question was sent.
+    if view.revision <= edge.view.borrow().revision() {
+        return;
+    }
+    info!(revision = view.revision, "peers: took the view of a peer");
+    let update = edge.view.borrow_mut().replace(view, Duration::ZERO, now);
+    edge.follow_update(&update, "peer");
+}
+
+/// Answers other instances.
+pub struct Service<W: Wire>(pub Rc<Edge<W>>);
+
+impl<W: Wire> celerytide_wire::Service for Service<W> {
+    async fn serve(&self, method: Method, mut ex: Exchange) {
+        if method != Method::Gossip {
+            debug!(?method, "peers: method not served here");
+            return;
+        }
+        let Ok(ask) = ex.recv_some::<Ask>().await else {
+            return;
+        };
+        let reply = self.answer(&ask);
+        if let Err(error) = ex.send_last(&reply).await {
+            debug!(%error, "peers: answer not sent");
+        }
+    }
+}
+
+impl<W: Wire> Service<W> {
+    fn answer(&self, ask: &Ask) -> Reply {
+        let edge = &self.0;
+        let now = now_boot();
+        let mut members = edge.members.borrow_mut();
+        members.merge(&ask.heard, now);
+        if let Some(sender) = ask.heard.first() {
+            members.note(sender.address, now);
+        }
+        let view = edge.view.borrow();
+        let newer = ask.wants_view && view.revision() > ask.revision;
+        Reply {
+            heard: members.digest(now),
+            view: newer.then(|| view.snapshot()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerytide-edge/src/place/load.rs
@@ -0,0 +1,171 @@
+//! What this instance has in flight at each endpoint, and how fast each has been.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use celerytide_types::{Boot, EndpointId};
+
+use crate::health::Health;
+use crate::names::{Part, Prompt};
+
+/// Weight of a new measurement of an endpoint's pace.
+const PACE_WEIGHT: f64 = 0.2;
+/// Time after which a part that this instance sent is no longer taken to be held.
+const HELD_FOR: Duration = Duration::from_secs(20);
+/// Parts remembered of one endpoint.
+const MAX_PARTS: usize = 4096;
+
+/// A request in flight at an endpoint.
+#[derive(Debug)]
+pub struct Ticket {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    unread: u64,
+    read: bool,
+}
+
+/// One endpoint as this instance sees it.
+#[derive(Debug, Default)]
+pub struct Load {
+    running: u32,
+    unread_tokens: u64,
+    picked_at: Boot,
+    pace: Option<f64>,
+    parts: HashMap<u64, Boot>,
+    /// Whether it works.
+    pub health: Health,
+}
+
+impl Load {
+    /// Requests in flight.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Prompt tokens of requests in flight that have no first event yet.
+    pub fn unread_tokens(&self) -> u64 {
+        self.unread_tokens
+    }
+
+    /// When a request was last sent.
+    pub fn picked_at(&self) -> Boot {
+        self.picked_at
+    }
+
+    /// Time to the first byte against `mean`; 1 where it isn't known.
+    pub fn pace(&self, mean: Option<f64>) -> f64 {
+        match (self.pace, mean) {
+            (Some(own), Some(mean)) if mean > 0.0 => own / mean,
+            _ => 1.0,
+        }
+    }
+
+    /// Tokens of the leading parts that this instance sent lately.
+    pub fn held_tokens(&self, parts: &[Part], now: Boot) -> u64 {
+        let fresh = |part: &&Part| self.parts.get(&part.id).is_some_and(|at| now.since(*at) < HELD_FOR);
+        parts.iter().take_while(fresh).map(|p| u64::from(p.tokens)).sum()
+    }
+
+    fn remember(&mut self, parts: &[Part], now: Boot) {
+        if self.parts.len() + parts.len() > MAX_PARTS {
+            self.parts.retain(|_, at| now.since(*at) < HELD_FOR);
+        }
+        if self.parts.len() + parts.len() > MAX_PARTS {
+            self.parts.clear();
+        }
+        self.parts.extend(parts.iter().map(|p| (p.id, now)));
+    }
+}
+
+/// All endpoints as this instance sees them.
+#[derive(Debug, Default)]
+pub struct Loads {
+    by_id: HashMap<EndpointId, Load>,
+}
+
+impl Loads {
+    /// The endpoint with that id.
+    pub fn get(&self, id: &str) -> Option<&Load> {
+        self.by_id.get(id)
+    }
+
+    /// The endpoint with that id, remembered from now on.
+    pub fn entry(&mut self, id: &str) -> &mut Load {
+        if !self.by_id.contains_key(id) {
+            self.by_id.insert(id.to_owned(), Load::default());
+        }
+        self.by_id.entry(id.to_owned()).or_default()
+    }
+
+    /// Forgets what a former start of the endpoint held and showed; requests in flight stay counted.
+    pub fn restart(&mut self, id: &str) {
+        if let Some(load) = self.by_id.get_mut(id) {
+            load.parts.clear();
+            load.pace = None;
+            load.health = Health::default();
+        }
+    }
+
+    /// Forgets endpoints that are gone and have nothing in flight.
+    pub fn forget(&mut self, id: &str) {
+        if self.by_id.get(id).is_some_and(|l| l.running == 0) {
+            self.by_id.remove(id);
+        }
+    }
+
+    /// Mean time to the first byte of `ids`, as far as it is known, in seconds.
+    pub fn mean_pace<'a>(&self, ids: impl Iterator<Item = &'a str>) -> Option<f64> {
+        let known: Vec<f64> = ids.filter_map(|id| self.by_id.get(id)?.pace).collect();
+        (!known.is_empty()).then(|| known.iter().sum::<f64>() / known.len() as f64)
+    }
+
+    /// Share of failures of `ids` but `except`.
+    pub fn others_failures<'a>(&self, ids: impl Iterator<Item = &'a str>, except: &str, now: Boot) -> f64 {
+        let (mut bad, mut all) = (0.0, 0.0);
+        for load in ids.filter(|id| *id != except).filter_map(|id| self.by_id.get(id)) {
+            let (share, count) = load.health.failures(now);
+            bad += share * count;
+            all += count;
+        }
+        if all > 0.0 { bad / all } else { 0.0 }
+    }
+
+    /// Counts a request that is sent to the endpoint.
+    pub fn begin(&mut self, id: &str, prompt: &Prompt, now: Boot) -> Ticket {
+        let load = self.entry(id);
+        let unread = u64::from(prompt.tokens).saturating_sub(load.held_tokens(&prompt.parts, now));
+        load.running += 1;
+        load.unread_tokens += unread;
+        load.picked_at = now;
+        load.remember(&prompt.parts, now);
+        Ticket {
+            endpoint: id.to_owned(),
+            unread,
+            read: false,
+        }
+    }
+
+    /// The first byte of the answer came after `took`.
+    pub fn first_byte(&mut self, ticket: &mut Ticket, took: Duration) {
+        let load = self.entry(&ticket.endpoint);
+        load.settle(ticket);
+        let new = took.as_secs_f64();
+        load.pace = Some(load.pace.map_or(new, |old| old + (new - old) * PACE_WEIGHT));
+    }
+
+    /// The request is no longer in flight.
+    pub fn end(&mut self, ticket: &mut Ticket) {
+        let load = self.entry(&ticket.endpoint);
+        load.settle(ticket);
+        load.running = load.running.saturating_sub(1);
+    }
+}
+
+impl Load {
+    fn settle(&mut self, ticket: &mut Ticket) {
+        if !ticket.read {
+            ticket.read = true;
+            self.unread_tokens = self.unread_tokens.saturating_sub(ticket.unread);
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerytide-edge/src/stop/mod.rs
@@ -0,0 +1,55 @@
+//! The end of a process: SIGTERM to exit.
+//!
+//! New connections come until the platform has noticed that the instance isn't ready, and later where no other instance
+//! is left; so requests are read to the end. Those that could not end within the grace time are refused as not run.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use celerytide_http::server::Stop;
+use celerytide_types::now_boot;
+use monoio::time::sleep;
+use tracing::info;
+
+use crate::edge::Edge;
+use crate::names::Wire;
+
+/// Time for which requests are still taken: two of the platform's looks at the readiness, and some.
+const TAKES: Duration = Duration::from_millis(2600);
+/// Part of the grace time after which requests are only waited for.
+const WAIT_SHARE: f64 = 0.93;
+/// Time between looks at what still runs.
+const POLL: Duration = Duration::from_millis(50);
+/// Time without any request before the process ends.
+const QUIET: Duration = Duration::from_millis(300);
+
+/// Whether a process that was asked to stop `since` ago still takes requests.
+pub fn takes(since: Option<Duration>) -> bool {
+    since.is_none_or(|since| since < TAKES)
+}
+
+/// Waits for the signal, then ends the process's work in good order.
+pub async fn run<W: Wire>(edge: &Rc<Edge<W>>, stop: &Stop) {
+    edge.stopping.cancelled().await;
+    let began = now_boot();
+    edge.stopping_since.set(Some(began));
+    info!(busy = edge.busy.get(), "stop: asked to; requests in flight go on");
+    stop.drain.cancel();
+    let last = edge.settings.bounds.grace().mul_f64(WAIT_SHARE);
+    let mut quiet_since = None;
+    loop {
+        sleep(POLL).await;
+        let now = now_boot();
+        let passed = now.since(began);
+        if edge.busy.get() > 0 {
+            quiet_since = None;
+        }
+        let quiet = now.since(*quiet_since.get_or_insert(now));
+        if passed >= last || passed >= TAKES && edge.busy.get() == 0 && quiet >= QUIET {
+            break;
+        }
+    }
+    stop.end.cancel();
+    sleep(POLL).await;
+    info!(cut = edge.busy.get(), "stop: ended");
+}
--- a/crates/celerytide-entry/src/model/mod.rs
+++ b/crates/celerytide-entry/src/model/mod.rs
@@ -104,7 +104,9 @@
             path: self.path.clone(),
             headers,
             body,
+            host: None,
             fresh: false,
+            max_idle: None,
             bounds: bounds(entry, lease),
         }
     }
--- a/crates/celerytide-entry/src/plain/attempt.rs
+++ b/crates/celerytide-entry/src/plain/attempt.rs
@@ -59,7 +59,9 @@
         path: call.path.clone(),
         headers: headers::to_endpoint(&call.headers, facts),
         body: call.body.clone(),
+        host: None,
         fresh: repeat == Repeat::Never,
+        max_idle: None,
         bounds: bounds(entry, lease),
     };
     let mut leaving = Leaving { sent, armed: true };
--- a/crates/celerytide-http/src/client/answer.rs
+++ b/crates/celerytide-http/src/client/answer.rs
@@ -5,17 +5,19 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderName, StatusCode};
 use monoio::time::timeout;
 
 use super::conn::Conn;
 use super::error::{SendError, Stage, failed};
 use super::pool::Pool;
 use super::{Call, Cause};
-use crate::guard::{answer_framing, wants_close};
+use crate::guard::{Framing, answer_framing, wants_close};
 use crate::wire::{AnswerHead, Body, Piece};
 
-const REQUEST_ID: &str = "x-request-id";
+/// Header in which an endpoint states for how long it keeps an idle connection.
+const KEEP_ALIVE: &str = "keep-alive";
+const KEEP_ALIVE_TIMEOUT: &str = "timeout=";
 
 /// An answer whose head has been read. Dropped before its end it closes the connection.
 pub struct Answer {
@@ -26,6 +28,7 @@
     body: Body,
     conn: Option<Conn>,
     keep: bool,
+    idle: Option<Duration>,
     started: bool,
     addr: SocketAddr,
     first_byte: Duration,
@@ -42,13 +45,20 @@
         written: bool,
         pool: Rc<Pool>,
     ) -> Result<Self, SendError> {
-        if crossed(call, &head.headers) {
+        if crossed(call, &head.headers, &pool.options().id_header) {
             return Err(failed(Stage::Written, Cause::Crossed));
         }
-        let framing = answer_framing(&call.method, head.status, head.version, &head.headers);
+        let framing = answer_framing(
+            &call.method,
+            head.status,
+            head.version,
+            &head.headers,
+            pool.options().until_close,
+        );
         let framing = framing.map_err(|fault| failed(Stage::Body, fault.into()))?;
         let mut answer = Answer {
-            keep: written && !wants_close(head.version, &head.headers),
+            keep: written && framing != Framing::UntilClose && !wants_close(head.version, &head.headers),
+            idle: stated_idle(&head.headers),
             status: head.status,
             headers: head.headers,
             body: Body::new(framing),
@@ -107,6 +117,7 @@
         };
         match timeout(bound, conn.reader.fill()).await {
             Err(_) => Err(late),
+            Ok(Ok(0)) if self.body.close() => Ok(()),
             Ok(Ok(0)) => Err(Cause::Closed),
             Ok(Ok(_)) => Ok(()),
             Ok(Err(source)) => Err(Cause::Read { source }),
@@ -117,14 +128,21 @@
         if let Some(conn) = self.conn.take()
             && self.keep
         {
-            self.pool.put(self.addr, conn);
+            self.pool.put(self.addr, conn, self.idle);
         }
     }
 }
 
-fn crossed(call: &Call, headers: &HeaderMap) -> bool {
-    let Some(own) = call.headers.get(REQUEST_ID) else {
+fn crossed(call: &Call, headers: &HeaderMap, id_header: &HeaderName) -> bool {
+    let Some(own) = call.headers.get(id_header) else {
         return false;
     };
-    headers.get_all(REQUEST_ID).iter().any(|id| id != own)
+    headers.get_all(id_header).iter().any(|id| id != own)
+}
+
+fn stated_idle(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let mut parts = text.split(',').map(str::trim);
+    let seconds = parts.find_map(|part| part.strip_prefix(KEEP_ALIVE_TIMEOUT))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
 }
--- a/crates/celerytide-http/src/client/call.rs
+++ b/crates/celerytide-http/src/client/call.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
 
 use super::Cause;
 
@@ -50,8 +50,12 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// Value of the host header; the address if it is absent.
+    pub host: Option<HeaderValue>,
     /// Use a new connection only.
     pub fresh: bool,
+    /// Use no connection that was idle for longer.
+    pub max_idle: Option<Duration>,
     /// Bounds.
     pub bounds: Bounds,
 }
@@ -65,7 +69,9 @@
             path: path.to_owned(),
             headers: HeaderMap::new(),
             body: Bytes::new(),
+            host: None,
             fresh: false,
+            max_idle: None,
             bounds: Bounds::default(),
         }
     }
--- a/crates/celerytide-http/src/client/mod.rs
+++ b/crates/celerytide-http/src/client/mod.rs
@@ -74,20 +74,17 @@
             None => self.open(&call).await?,
         };
         *stage = Stage::Written;
-        let written = conn.write(&call).await;
-        let whole = written.is_ok();
-        let head = match written {
-            Ok(()) => conn.read_head(&call).await,
-            // The endpoint may have answered and closed before it had read everything.
-            Err(cause @ Cause::Write { .. }) => conn.read_head(&call).await.map_err(|_| cause),
-            Err(cause) => Err(cause),
-        };
-        let head = head.map_err(|cause| failed(Stage::Written, cause))?;
+        let asked = conn.ask(&call).await;
+        let (head, whole) = asked.map_err(|cause| failed(Stage::Written, cause))?;
         Answer::new(head, conn, &call, whole, Rc::clone(&self.pool))
     }
 
     fn reusable(&self, call: &Call) -> Option<Conn> {
-        if call.fresh { None } else { self.pool.take(call.addr) }
+        if call.fresh {
+            None
+        } else {
+            self.pool.take(call.addr, call.max_idle)
+        }
     }
 
     async fn open(&self, call: &Call) -> Result<Conn, SendError> {
--- a/crates/celerytide-http/src/client/pool.rs
+++ b/crates/celerytide-http/src/client/pool.rs
@@ -6,17 +6,23 @@
 use std::time::Duration;
 
 use celerytide_types::{Boot, now_boot};
+use http::HeaderName;
 
 use super::conn::Conn;
 
 const IDLE_PER_ADDR: usize = 64;
 const IDLE_TOTAL: usize = 1024;
 const IDLE_AGE: Duration = Duration::from_secs(20);
+/// Share of the idle time stated by an endpoint for which a connection is used: three quarters, so that a request does
+/// not meet the endpoint's close on its way.
+const STATED_SHARE: u32 = 3;
+const STATED_WHOLE: u32 = 4;
 const SILENCE: Duration = Duration::from_secs(20);
+const REQUEST_ID: &str = "x-request-id";
 const WRITE_STALL: Duration = Duration::from_secs(20);
 
 /// Settings of a client.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Options {
     /// Idle connections kept for one endpoint.
     pub idle_per_addr: usize,
@@ -28,6 +34,12 @@
     pub silence: Duration,
     /// Time for which a single write may make no progress.
     pub write: Duration,
+    /// Header that names a request; an answer that carries another value belongs to another request.
+    pub id_header: HeaderName,
+    /// Takes answers that state no length and end with their connection.
+    pub until_close: bool,
+    /// Probes idle connections after this silence, and each time it lasts again; `None` sends no probes.
+    pub probe: Option<Duration>,
 }
 
 impl Default for Options {
@@ -38,6 +50,9 @@
             idle_age: IDLE_AGE,
             silence: SILENCE,
             write: WRITE_STALL,
+            id_header: HeaderName::from_static(REQUEST_ID),
+            until_close: false,
+            probe: None,
         }
     }
 }
@@ -45,6 +60,7 @@
 struct Idle {
     conn: Conn,
     since: Boot,
+    until: Boot,
 }
 
 /// Idle connections.
@@ -71,13 +87,18 @@
         self.idle.borrow().values().map(Vec::len).sum()
     }
 
-    /// Takes the connection that was used last and is still open and silent; drops those that are not.
-    pub(super) fn take(&self, addr: SocketAddr) -> Option<Conn> {
+    /// Takes the connection that was used last, no longer ago than `max_idle`, and is still open and silent; drops
+    /// those that are not.
+    pub(super) fn take(&self, addr: SocketAddr, max_idle: Option<Duration>) -> Option<Conn> {
         let now = now_boot();
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&addr)?;
         while let Some(entry) = list.pop() {
-            if now.since(entry.since) < self.opts.idle_age && entry.conn.is_quiet() {
+            if now < entry.until && entry.conn.is_quiet() {
+                if max_idle.is_some_and(|max| now.since(entry.since) > max) {
+                    list.push(entry);
+                    return None;
+                }
                 return Some(entry.conn);
             }
         }
@@ -86,7 +107,8 @@
     }
 
     /// Keeps a connection whose last answer ended properly.
-    pub(super) fn put(&self, addr: SocketAddr, mut conn: Conn) {
+    /// `stated` is the idle time that the endpoint allows.
+    pub(super) fn put(&self, addr: SocketAddr, mut conn: Conn, stated: Option<Duration>) {
         let now = now_boot();
         self.sweep(now);
         if !conn.is_quiet() || self.idle() >= self.opts.idle_total {
@@ -96,7 +118,14 @@
         let list = idle.entry(addr).or_default();
         if list.len() < self.opts.idle_per_addr {
             conn.reader.release();
-            list.push(Idle { conn, since: now });
+            let age = stated.map_or(self.opts.idle_age, |s| {
+                (s * STATED_SHARE / STATED_WHOLE).min(self.opts.idle_age)
+            });
+            list.push(Idle {
+                conn,
+                since: now,
+                until: now.after(age),
+            });
         }
     }
 
@@ -108,7 +137,7 @@
         }
         self.swept.set(now);
         self.idle.borrow_mut().retain(|_, list| {
-            list.retain(|entry| now.since(entry.since) < age);
+            list.retain(|entry| now < entry.until);
             !list.is_empty()
         });
     }
--- a/crates/celerytide-http/src/guard/framing.rs
+++ b/crates/celerytide-http/src/guard/framing.rs
@@ -14,6 +14,8 @@
     Length(usize),
     /// Chunks up to the empty one.
     Chunked,
+    /// Everything up to the end of the connection; answers only.
+    UntilClose,
 }
 
 /// Framing of a request's body; also checks the parts of its head that decide who reads it.
@@ -33,19 +35,24 @@
     Ok(framing.unwrap_or(Framing::Empty))
 }
 
-/// Framing of an answer's body to a request of `method`.
+/// Framing of an answer's body to a request of `method`. Without a stated length it ends with the connection if
+/// `until_close` allows that, and is a fault otherwise.
 pub fn answer_framing(
     method: &Method,
     status: StatusCode,
     version: Version,
     headers: &HeaderMap,
+    until_close: bool,
 ) -> Result<Framing, Fault> {
     let bodiless = status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
     let framing = stated(version, headers)?;
     if bodiless || *method == Method::HEAD {
         return Ok(Framing::Empty);
     }
-    framing.ok_or(Fault::Unframed)
+    match framing {
+        None if until_close => Ok(Framing::UntilClose),
+        framing => framing.ok_or(Fault::Unframed),
+    }
 }
 
 /// Whether the peer closes the connection after this message.
--- a/crates/celerytide-http/src/server/conn.rs
+++ b/crates/celerytide-http/src/server/conn.rs
@@ -1,5 +1,6 @@
 //! One caller's connection, from its start to its end.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,7 +18,7 @@
 use super::budget::{Budget, Hold};
 use super::out::{Out, Phase, Style};
 use super::refuse::{self, Refusal};
-use super::{Handler, Request, Responder};
+use super::{Handler, Request, Responder, Stop};
 use crate::Limits;
 use crate::guard::{Fault, Framing, request_framing, wants_close};
 use crate::wire::{Body, HeadError, Length, Piece, Reader, RequestHead, Writer, answer_head};
@@ -55,35 +56,35 @@
     reader: Reader,
     writer: Writer,
     peer: SocketAddr,
-    limits: Limits,
+    limits: Rc<Cell<Limits>>,
     handler: Rc<H>,
     budget: Budget,
-    cx: CancellationToken,
+    stop: Stop,
 }
 
 /// Serves the requests of one connection.
 pub(super) async fn run<H: Handler>(
     stream: TcpStream,
     peer: SocketAddr,
-    limits: Limits,
+    limits: Rc<Cell<Limits>>,
     handler: Rc<H>,
     budget: Budget,
-    cx: CancellationToken,
+    stop: Stop,
 ) {
     let (r, w) = stream.into_split();
     let mut conn = Conn {
         reader: Reader::new(r),
-        writer: Writer::new(w, limits.write),
+        writer: Writer::new(w, limits.get().write),
         peer,
         limits,
         handler,
         budget,
-        cx,
+        stop,
     };
-    let mut idle = limits.head;
+    let mut idle = conn.limits.get().head;
     let end = loop {
         match conn.exchange(idle).await {
-            Ok(()) => idle = limits.idle,
+            Ok(()) => idle = conn.limits.get().idle,
             Err(end) => break end,
         }
     };
@@ -141,7 +142,7 @@
             return Ok(());
         }
         self.reader.release();
-        let cancelled = std::pin::pin!(self.cx.cancelled());
+        let cancelled = std::pin::pin!(self.stop.end.cancelled());
         let read = std::pin::pin!(timeout(idle, self.reader.fill()));
         match select(read, cancelled).await {
             Either::Left((Ok(Ok(n)), _)) if n > 0 => Ok(()),
@@ -150,8 +151,8 @@
     }
 
     async fn read_head(&mut self) -> Result<RequestHead, End> {
-        let read = self.reader.request_head(self.limits.max_head);
-        match timeout(self.limits.head, read).await {
+        let read = self.reader.request_head(self.limits.get().max_head);
+        match timeout(self.limits.get().head, read).await {
             Ok(head) => Ok(head?),
             Err(_) => Err(End::Refuse(refuse::too_slow())),
         }
@@ -160,14 +161,14 @@
     async fn read_body(&mut self, head: &RequestHead, framing: Framing, hold: &mut Hold) -> Result<Bytes, End> {
         match framing {
             Framing::Empty => return Ok(Bytes::new()),
-            Framing::Length(len) if len > self.limits.max_body => return Err(Fault::BodyTooLarge.into()),
+            Framing::Length(len) if len > self.limits.get().max_body => return Err(Fault::BodyTooLarge.into()),
             Framing::Length(len) if !hold.grow(len) => return Err(End::Refuse(refuse::too_much())),
-            Framing::Length(_) | Framing::Chunked => {}
+            Framing::Length(_) | Framing::Chunked | Framing::UntilClose => {}
         }
         self.welcome_body(&head.headers).await?;
-        let max = self.limits.max_body;
+        let max = self.limits.get().max_body;
         let read = collect(&mut self.reader, framing, max, hold);
-        match timeout(self.limits.body, read).await {
+        match timeout(self.limits.get().body, read).await {
             Ok(body) => body,
             Err(_) => Err(End::Refuse(refuse::too_slow())),
         }
@@ -190,7 +191,7 @@
     async fn answer(&mut self, head: RequestHead, body: Bytes) -> Result<(), End> {
         let close = wants_close(head.version, &head.headers);
         let style = Style::new(&head.method, head.version == http::Version::HTTP_11, close);
-        let out = Rc::new(Out::new(style, self.cx.clone()));
+        let out = Rc::new(Out::new(style, self.stop.drain.clone()));
         let caller = CancellationToken::new();
         let req = Request {
             method: head.method,
@@ -203,7 +204,7 @@
         let handled = handler.handle(req, Responder::new(Rc::clone(&out)), caller.clone());
         let handled = out.in_front(handled);
         let work = std::pin::pin!(join(handled, pump(&out, &mut self.writer, &caller)));
-        let watch = std::pin::pin!(watch(&mut self.reader, self.limits.max_head, &caller));
+        let watch = std::pin::pin!(watch(&mut self.reader, self.limits.get().max_head, &caller));
         select(work, watch).await;
         if out.phase() == Phase::Done && !out.closes() && !caller.is_cancelled() {
             return Ok(());
--- a/crates/celerytide-http/src/server/listen.rs
+++ b/crates/celerytide-http/src/server/listen.rs
@@ -1,5 +1,6 @@
 //! Accepts connections, counts them, and waits for their end.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -53,6 +54,16 @@
     wire::listen(addr, limits.write).context(BindSnafu { addr })
 }
 
+/// The two steps to the end of a listener.
+#[derive(Debug, Clone)]
+pub struct Stop {
+    /// Every answer from now on closes its connection; connections are still accepted, idle ones still kept, since a
+    /// request may be on its way.
+    pub drain: CancellationToken,
+    /// No connection is accepted any more, idle ones are closed, the others finish their request.
+    pub end: CancellationToken,
+}
+
 /// Held by every live connection.
 #[derive(Clone)]
 struct Slot {
@@ -69,14 +80,28 @@
     limits: Limits,
     handler: Rc<H>,
     cx: CancellationToken,
+) -> Result<(), Error> {
+    let stop = Stop {
+        drain: cx.clone(),
+        end: cx,
+    };
+    serve_until(listener, Rc::new(Cell::new(limits)), handler, stop).await
+}
+
+/// Serves with limits that may change, in two steps to the end: see [`Stop`].
+pub async fn serve_until<H: Handler>(
+    listener: TcpListener,
+    limits: Rc<Cell<Limits>>,
+    handler: Rc<H>,
+    stop: Stop,
 ) -> Result<(), Error> {
     let (live, mut ended) = mpsc::channel(0);
     let slot = Slot {
         count: Rc::new(()),
-        budget: Budget::new(limits.max_body.saturating_mul(HELD_BODIES)),
+        budget: Budget::new(limits.get().max_body.saturating_mul(HELD_BODIES)),
         _live: live,
     };
-    let res = accept_all(&listener, limits, &handler, &slot, &cx).await;
+    let res = accept_all(&listener, &limits, &handler, &slot, &stop).await;
     drop(listener);
     drop(slot);
     // Yields nothing; ends when the last connection has dropped its slot.
@@ -86,12 +111,12 @@
 
 async fn accept_all<H: Handler>(
     listener: &TcpListener,
-    limits: Limits,
+    limits: &Rc<Cell<Limits>>,
     handler: &Rc<H>,
     slot: &Slot,
-    cx: &CancellationToken,
+    stop: &Stop,
 ) -> Result<(), Error> {
-    let mut cancelled = std::pin::pin!(cx.cancelled());
+    let mut cancelled = std::pin::pin!(stop.end.cancelled());
     let mut failures = 0;
     loop {
         let accept = std::pin::pin!(listener.accept());
@@ -102,7 +127,7 @@
         match accepted {
             Ok((stream, peer)) => {
                 failures = 0;
-                admit(stream, peer, limits, handler, slot, cx);
+                admit(stream, peer, limits, handler, slot, stop);
             }
             Err(e) if failures >= MAX_ACCEPT_FAILURES => return Err(e).context(AcceptSnafu),
             Err(e) => {
@@ -117,10 +142,10 @@
 fn admit<H: Handler>(
     stream: TcpStream,
     peer: SocketAddr,
-    limits: Limits,
+    limits: &Rc<Cell<Limits>>,
     handler: &Rc<H>,
     slot: &Slot,
-    cx: &CancellationToken,
+    stop: &Stop,
 ) {
     if let Err(e) = stream.set_nodelay(true) {
         debug!(error = %e, "http: connection ended before it was served");
@@ -128,14 +153,16 @@
     }
     let live = Rc::strong_count(&slot.count) - 1;
     let slot = slot.clone();
-    if live < limits.connections {
-        let (handler, cx) = (Rc::clone(handler), cx.clone());
+    let connections = limits.get().connections;
+    if live < connections {
+        let (limits, handler, stop) = (Rc::clone(limits), Rc::clone(handler), stop.clone());
         monoio::spawn(async move {
-            conn::run(stream, peer, limits, handler, slot.budget.clone(), cx).await;
+            conn::run(stream, peer, limits, handler, slot.budget.clone(), stop).await;
             drop(slot);
         });
-    } else if live < limits.connections + limits.connections / REFUSAL_SHARE + 1 {
+    } else if live < connections + connections / REFUSAL_SHARE + 1 {
         warn!("http: too many connections");
+        let limits = limits.get();
         monoio::spawn(async move {
             conn::turn_away(stream, limits).await;
             drop(slot);
--- a/crates/celerytide-http/src/server/mod.rs
+++ b/crates/celerytide-http/src/server/mod.rs
@@ -19,7 +19,7 @@
 use http::{HeaderMap, Method, Uri};
 use tokio_util::sync::CancellationToken;
 
-pub use listen::{Error, bind, serve};
+pub use listen::{Error, Stop, bind, serve, serve_until};
 pub use refuse::{ErrorBody, ErrorDetail, ErrorWord, WORD_HEADER};
 pub use responder::{ChunkWriter, Gone, Responder};
 
--- a/crates/celerytide-http/src/wire/body.rs
+++ b/crates/celerytide-http/src/wire/body.rs
@@ -31,6 +31,7 @@
     Data(usize),
     DataEnd,
     Trailers(usize),
+    UntilClose,
 }
 
 /// How far a body has been taken.
@@ -44,6 +45,7 @@
             Framing::Empty | Framing::Length(0) => State::End,
             Framing::Length(left) => State::Fixed(left),
             Framing::Chunked => State::Size,
+            Framing::UntilClose => State::UntilClose,
         };
         Body { state }
     }
@@ -53,6 +55,14 @@
         matches!(self.state, State::End)
     }
 
+    /// The peer ended the connection in good order; true if that ends the body properly.
+    pub(crate) fn close(&mut self) -> bool {
+        if matches!(self.state, State::UntilClose) {
+            self.state = State::End;
+        }
+        self.ended()
+    }
+
     /// Takes the next piece that is buffered.
     pub(crate) fn take(&mut self, reader: &mut Reader) -> Result<Piece, Fault> {
         loop {
@@ -61,6 +71,8 @@
                 State::End => return Ok(Piece::End),
                 State::Fixed(left) => return Ok(self.take_part(buf, left, State::Fixed, State::End)),
                 State::Data(left) => return Ok(self.take_part(buf, left, State::Data, State::DataEnd)),
+                State::UntilClose if buf.is_empty() => return Ok(Piece::More),
+                State::UntilClose => return Ok(Piece::Data(buf.split().freeze())),
                 State::DataEnd if buf.len() < CRLF.len() => return Ok(Piece::More),
                 State::DataEnd if !buf.starts_with(CRLF) => return Err(Fault::Chunk),
                 State::DataEnd => {
--- a/crates/celerytide-http/src/wire/encode.rs
+++ b/crates/celerytide-http/src/wire/encode.rs
@@ -3,11 +3,12 @@
 //! Framing headers given by the user of this crate are dropped: the framing is written from what is really sent.
 
 use std::fmt::Write;
-use std::net::SocketAddr;
 
 use bytes::BytesMut;
+use http::StatusCode;
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, TRANSFER_ENCODING};
-use http::{Method, StatusCode};
+
+use crate::client::Call;
 
 const HEAD_ROOM: usize = 256;
 const HEADER_ROOM: usize = 48;
@@ -41,21 +42,20 @@
 }
 
 /// Appends the head of a request.
-pub(crate) fn request_head(
-    dst: &mut BytesMut,
-    method: &Method,
-    path: &str,
-    addr: SocketAddr,
-    headers: &HeaderMap,
-    length: Length,
-) {
+pub(crate) fn request_head(dst: &mut BytesMut, call: &Call, length: Length) {
+    let (path, headers) = (&call.path, &call.headers);
     dst.reserve(HEAD_ROOM + path.len() + headers.len() * HEADER_ROOM);
-    dst.extend_from_slice(method.as_str().as_bytes());
+    dst.extend_from_slice(call.method.as_str().as_bytes());
     dst.extend_from_slice(b" ");
     dst.extend_from_slice(path.as_bytes());
     dst.extend_from_slice(b" HTTP/1.1\r\n");
-    // Writing to a growing buffer can't fail.
-    let _ = write!(dst, "host: {addr}\r\n");
+    dst.extend_from_slice(b"host: ");
+    match &call.host {
+        Some(host) => dst.extend_from_slice(host.as_bytes()),
+        // Writing to a growing buffer can't fail.
+        None => drop(write!(dst, "{}", call.addr)),
+    }
+    dst.extend_from_slice(b"\r\n");
     put_headers(dst, headers, |name| *name != HOST);
     put_length(dst, length);
     dst.extend_from_slice(b"\r\n");
--- a/crates/celerytide-http/src/wire/socket.rs
+++ b/crates/celerytide-http/src/wire/socket.rs
@@ -8,9 +8,11 @@
 use std::time::Duration;
 
 use monoio::net::{TcpListener, TcpStream};
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, Socket, TcpKeepalive, Type};
 
 const BACKLOG: i32 = 1024;
+/// Unanswered probes after which a connection ends.
+const PROBES: u32 = 2;
 /// Unsent bytes that the system holds for a connection.
 const UNSENT: u32 = 128 * 1024;
 
@@ -24,8 +26,20 @@
 }
 
 /// Connects; the second handle is for looking at the socket without the runtime.
-pub(crate) async fn connect(addr: SocketAddr, silence: Duration) -> io::Result<(TcpStream, Socket)> {
+/// With `probe` the system probes the peer after that much silence, and ends the connection when it answers nothing.
+pub(crate) async fn connect(
+    addr: SocketAddr,
+    silence: Duration,
+    probe: Option<Duration>,
+) -> io::Result<(TcpStream, Socket)> {
     let socket = socket(addr, silence)?;
+    if let Some(time) = probe {
+        let keepalive = TcpKeepalive::new()
+            .with_time(time)
+            .with_interval(time)
+            .with_retries(PROBES);
+        socket.set_tcp_keepalive(&keepalive)?;
+    }
     let started = socket.connect(&addr.into());
     let probe = socket.try_clone()?;
     let stream = TcpStream::from_std(socket.into())?;
