feat(edge): digests of what is in flight; placement by the time that an objective leaves

An endpoint's cost counts what waits there beyond a share of the request's objective, at a reading rate learned from first bytes; below that, shared parts that would be read again decide.

--- a/crates/celerytide-edge/src/daemon/mod.rs
+++ b/crates/celerytide-edge/src/daemon/mod.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::io;
+use std::net::SocketAddr;
 use std::os::unix::net::UnixStream as StdStream;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -76,6 +77,14 @@
         /// Why.
         source: server::Error,
     },
+    /// The address for digests can't be used.
+    #[snafu(display("can't listen for digests on {addr}: {source}"))]
+    Digests {
+        /// The address.
+        addr: SocketAddr,
+        /// The system's error.
+        source: io::Error,
+    },
     /// Signals can't be watched.
     #[snafu(display("{source}"), context(false))]
     Signals {
@@ -180,6 +189,11 @@
         stop.end.clone(),
     ));
     monoio::spawn(peers::run(edge.clone()));
+    if let Some(addr) = edge.settings.digests {
+        let socket = peers::open(addr).context(DigestsSnafu { addr })?;
+        monoio::spawn(peers::tell(edge.clone(), socket.clone()));
+        monoio::spawn(peers::hear(edge.clone(), socket));
+    }
     Ok(())
 }
 
--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -19,7 +19,8 @@
 use crate::metrics::Counters;
 use crate::names::Wire;
 use crate::peers::Members;
-use crate::place::{Candidate, Loads, Ticket, choose};
+use crate::peers::digest::Digests;
+use crate::place::{Ask, Candidate, Choice, Facts, Loads, Ticket, choose};
 use crate::settings::Settings;
 
 /// Silence after which an idle connection is probed; one that answers nothing is found within three times that.
@@ -49,6 +50,8 @@
     pub view: RefCell<View>,
     /// What is in flight.
     pub loads: RefCell<Loads>,
+    /// What other instances have in flight.
+    pub digests: RefCell<Digests>,
     /// Repeats.
     pub budget: RefCell<Budget>,
     /// Shares of cold endpoints.
@@ -130,6 +133,7 @@
             members: RefCell::new(Members::new(own, &settings.seeds, now)),
             view: RefCell::default(),
             loads: RefCell::default(),
+            digests: RefCell::default(),
             limits: Rc::new(Cell::new(limits)),
             counters: Counters::default(),
             store_at: Cell::new(None),
@@ -186,7 +190,12 @@
         let trial = bearing.iter().find(|k| standing(k) == Standing::Trial).copied();
         if let Some(known) = trial.filter(|_| intake.route.kind.is_idempotent()) {
             loads.entry(&known.endpoint.id).health.begin_trial();
-            return Some(self.take(known, intake, &mut loads, now));
+            let choice = Choice {
+                known,
+                missing: intake.prompt.tokens,
+                ahead: 0,
+            };
+            return Some(self.take(service, &choice, intake, &mut loads, now));
         }
         let healthy: Vec<&Known> = bearing
             .iter()
@@ -195,6 +204,7 @@
             .collect();
         let enough = healthy.len() as f64 >= bearing.len() as f64 * (1.0 - MAX_OUT);
         let usable = if enough { healthy } else { bearing };
+        let elsewhere = self.digests.borrow().sums(now);
         let candidates: Vec<Candidate<'_>> = usable
             .into_iter()
             .map(|known| Candidate {
@@ -202,17 +212,35 @@
                 known,
             })
             .collect();
-        let known = choose(&candidates, service, &intake.prompt, &loads, now)?.known;
+        let ask = Ask {
+            service,
+            prompt: &intake.prompt,
+            target: intake.route.target,
+        };
+        let facts = Facts {
+            loads: &loads,
+            elsewhere: &elsewhere,
+            now,
+        };
+        let choice = choose(&candidates, ask, facts)?;
+        let known = choice.known;
         if is_cold(known) {
             cold.note(&known.endpoint.id, service.cold_per_s, &instances, now);
         }
-        Some(self.take(known, intake, &mut loads, now))
+        Some(self.take(service, &choice, intake, &mut loads, now))
     }
 
-    fn take(self: &Rc<Self>, known: &Known, intake: &Intake, loads: &mut Loads, now: Boot) -> Pick<W> {
-        let ticket = loads.begin(&known.endpoint.id, &intake.prompt, now);
+    fn take(
+        self: &Rc<Self>,
+        service: &Service,
+        choice: &Choice<'_>,
+        intake: &Intake,
+        loads: &mut Loads,
+        now: Boot,
+    ) -> Pick<W> {
+        let ticket = loads.begin(&service.id, choice, &intake.prompt, now);
         Pick {
-            endpoint: known.endpoint.clone(),
+            endpoint: choice.known.endpoint.clone(),
             flight: InFlight {
                 edge: self.clone(),
                 ticket,
--- /dev/null
+++ b/crates/celerytide-edge/src/peers/digest.rs
@@ -0,0 +1,94 @@
+//! What other instances have waiting at each endpoint.
+//!
+//! Answers this load: instances that decide alone send long prompts to the same endpoint within a moment, and short ones
+//! behind them come late. Each instance tells the others what it has in flight, as a state and not as changes, so that a
+//! lost datagram does no harm; what is not repeated in time no longer counts.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use celerytide_types::{Boot, EndpointId, data};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Age up to which a digest counts.
+const FRESH: Duration = Duration::from_millis(600);
+/// Entries of one digest.
+const MAX_ENTRIES: usize = 80;
+
+data! {
+    /// What one instance has in flight at one endpoint.
+    #[derive(Copy, Eq)]
+    pub struct Backlog {
+        /// Hash of the endpoint's id.
+        pub endpoint: u32,
+        /// Prompt tokens of requests without a first event.
+        pub unread: u32,
+        /// Requests in flight.
+        pub running: u16,
+    }
+
+    /// What one instance has in flight.
+    #[derive(Default)]
+    pub struct Digest {
+        /// By endpoint; those with nothing in flight are left out.
+        pub backlogs: Vec<Backlog>,
+    }
+}
+
+/// Hash of an endpoint's id in digests.
+pub fn endpoint_hash(id: &EndpointId) -> u32 {
+    xxh3_64(id.as_bytes()) as u32
+}
+
+/// The digests of other instances.
+#[derive(Debug, Default)]
+pub struct Digests {
+    by_peer: HashMap<SocketAddr, Received>,
+}
+
+#[derive(Debug)]
+struct Received {
+    at: Boot,
+    digest: Digest,
+}
+
+/// What all other instances have in flight at one endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Elsewhere {
+    /// Prompt tokens of requests without a first event.
+    pub unread: u64,
+    /// Requests in flight.
+    pub running: u32,
+}
+
+impl Digests {
+    /// Takes a peer's newest digest.
+    pub fn take(&mut self, from: SocketAddr, digest: Digest, now: Boot) {
+        self.by_peer.retain(|_, received| now.since(received.at) < FRESH);
+        self.by_peer.insert(from, Received { at: now, digest });
+    }
+
+    /// Sums by endpoint.
+    pub fn sums(&self, now: Boot) -> HashMap<u32, Elsewhere> {
+        let mut sums: HashMap<u32, Elsewhere> = HashMap::new();
+        let fresh = self.by_peer.values().filter(|r| now.since(r.at) < FRESH);
+        for backlog in fresh.flat_map(|r| &r.digest.backlogs) {
+            let sum = sums.entry(backlog.endpoint).or_default();
+            sum.unread += u64::from(backlog.unread);
+            sum.running += u32::from(backlog.running);
+        }
+        sums
+    }
+}
+
+impl Digest {
+    /// A digest of what is in flight; the largest entries if there are too many.
+    pub fn new(mut backlogs: Vec<Backlog>) -> Digest {
+        if backlogs.len() > MAX_ENTRIES {
+            backlogs.sort_unstable_by_key(|b| std::cmp::Reverse((b.unread, b.running)));
+            backlogs.truncate(MAX_ENTRIES);
+        }
+        Digest { backlogs }
+    }
+}
--- a/crates/celerytide-edge/src/peers/members.rs
+++ b/crates/celerytide-edge/src/peers/members.rs
@@ -100,6 +100,14 @@
         if prefer_seed { seed.or(live) } else { live }
     }
 
+    /// Live instances to tell something, at most `most`.
+    pub fn to_tell(&self, now: Boot, most: usize) -> Vec<SocketAddr> {
+        let fresh = self.heard.iter().filter(|(_, at)| now.since(**at) < TALK_AGE);
+        fresh
+            .map(|(address, _)| *address)
+            .choose_multiple(&mut rand::rng(), most)
+    }
+
     /// Instances that share bounds with this one, itself among them.
     pub fn known(&self, now: Boot) -> Vec<SocketAddr> {
         let recent = self.heard.iter().filter(|(_, at)| now.since(**at) < SHARE_AGE);
--- a/crates/celerytide-edge/src/peers/mod.rs
+++ b/crates/celerytide-edge/src/peers/mod.rs
@@ -1,7 +1,10 @@
 //! Other instances: who lives, and what they know.
 
+pub mod digest;
 mod members;
 mod news;
+mod tell;
 
 pub use members::Members;
 pub use news::{Service, options, run};
+pub use tell::{hear, open, tell};
--- a/crates/celerytide-edge/src/place/load.rs
+++ b/crates/celerytide-edge/src/place/load.rs
@@ -3,10 +3,12 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use celerytide_types::{Boot, EndpointId};
+use celerytide_types::{Boot, EndpointId, ServiceId};
 
+use super::Choice;
 use crate::health::Health;
 use crate::names::{Part, Prompt};
+use crate::peers::digest::{Backlog, endpoint_hash};
 
 /// Weight of a new measurement of an endpoint's pace.
 const PACE_WEIGHT: f64 = 0.2;
@@ -15,11 +17,23 @@
 /// Parts remembered of one endpoint.
 const MAX_PARTS: usize = 4096;
 
+/// Tokens a second that an engine is taken to read before any answer has shown it.
+const FIRST_RATE: f64 = 30_000.0;
+/// Prompts shorter than this tell little of the rate, in tokens.
+const LEAST_TOKENS: u64 = 2_000;
+/// Weight of a new measurement of the rate.
+const RATE_WEIGHT: f64 = 0.05;
+/// Most by which one measurement counts above the rate, as a factor.
+const MOST_RISE: f64 = 3.0;
+
 /// A request in flight at an endpoint.
 #[derive(Debug)]
 pub struct Ticket {
     /// The endpoint.
     pub endpoint: EndpointId,
+    service: ServiceId,
+    /// Tokens to be read before its first event, as far as was known.
+    waited_for: u64,
     unread: u64,
     read: bool,
 }
@@ -81,6 +95,37 @@
 #[derive(Debug, Default)]
 pub struct Loads {
     by_id: HashMap<EndpointId, Load>,
+    rates: HashMap<ServiceId, ReadRate>,
+}
+
+/// How fast the engines of a service read prompts.
+#[derive(Debug)]
+struct ReadRate {
+    /// Tokens a second.
+    per_s: f64,
+    /// Least time to a first byte: what it takes beside reading.
+    floor_s: f64,
+}
+
+impl Default for ReadRate {
+    fn default() -> ReadRate {
+        ReadRate {
+            per_s: FIRST_RATE,
+            floor_s: f64::INFINITY,
+        }
+    }
+}
+
+impl ReadRate {
+    fn note(&mut self, tokens: u64, took_s: f64) {
+        self.floor_s = self.floor_s.min(took_s);
+        let reading = took_s - self.floor_s;
+        if tokens < LEAST_TOKENS || reading <= 0.0 {
+            return;
+        }
+        let new = (tokens as f64 / reading).min(self.per_s * MOST_RISE);
+        self.per_s += (new - self.per_s) * RATE_WEIGHT;
+    }
 }
 
 impl Loads {
@@ -89,6 +134,11 @@
         self.by_id.get(id)
     }
 
+    /// Tokens a second that an engine of `service` reads.
+    pub fn read_rate(&self, service: &str) -> f64 {
+        self.rates.get(service).map_or(FIRST_RATE, |rate| rate.per_s)
+    }
+
     /// The endpoint with that id, remembered from now on.
     pub fn entry(&mut self, id: &str) -> &mut Load {
         if !self.by_id.contains_key(id) {
@@ -130,16 +180,30 @@
         if all > 0.0 { bad / all } else { 0.0 }
     }
 
+    /// What is in flight, for other instances.
+    pub fn backlogs(&self) -> Vec<Backlog> {
+        let busy = self.by_id.iter().filter(|(_, load)| load.running > 0);
+        let backlog = |(id, load): (&EndpointId, &Load)| Backlog {
+            endpoint: endpoint_hash(id),
+            unread: load.unread_tokens.try_into().unwrap_or(u32::MAX),
+            running: load.running.try_into().unwrap_or(u16::MAX),
+        };
+        busy.map(backlog).collect()
+    }
+
     /// Counts a request that is sent to the endpoint.
-    pub fn begin(&mut self, id: &str, prompt: &Prompt, now: Boot) -> Ticket {
+    pub fn begin(&mut self, service: &str, choice: &Choice<'_>, prompt: &Prompt, now: Boot) -> Ticket {
+        let id = &choice.known.endpoint.id;
         let load = self.entry(id);
-        let unread = u64::from(prompt.tokens).saturating_sub(load.held_tokens(&prompt.parts, now));
+        let unread = u64::from(choice.missing);
         load.running += 1;
         load.unread_tokens += unread;
         load.picked_at = now;
         load.remember(&prompt.parts, now);
         Ticket {
-            endpoint: id.to_owned(),
+            endpoint: id.clone(),
+            service: service.to_owned(),
+            waited_for: choice.ahead + unread,
             unread,
             read: false,
         }
@@ -150,6 +214,11 @@
         let load = self.entry(&ticket.endpoint);
         load.settle(ticket);
         let new = took.as_secs_f64();
+        self.rates
+            .entry(ticket.service.clone())
+            .or_default()
+            .note(ticket.waited_for, new);
+        let load = self.entry(&ticket.endpoint);
         load.pace = Some(load.pace.map_or(new, |old| old + (new - old) * PACE_WEIGHT));
     }
 
--- a/crates/celerytide-edge/src/place/mod.rs
+++ b/crates/celerytide-edge/src/place/mod.rs
@@ -1,27 +1,37 @@
 //! Which endpoint a request goes to.
 //!
 //! Answers these loads: long prompts that share parts, arriving beside short ones; an engine that has much to read
-//! already; endpoints that are slower than their kind. The cost of an endpoint is the prompt tokens in front of the
-//! request's first token: those that it still has to read for others, those of the request that it doesn't hold, and a
-//! part for each running request. Shared parts are taken to be held where this instance sent them lately, and at the
-//! part's home, an order of endpoints by rendezvous hashing that all instances compute alike.
+//! already; endpoints that are slower than their kind. The cost of an endpoint counts prompt tokens: those that it would
+//! read again though another one holds them, those that wait in front of the request (here and from other instances)
+//! beyond what its objective allows, and a little for each other. Shared parts are taken to be held where this instance
+//! sent them lately, and at the part's home, an order of endpoints by rendezvous hashing that all instances compute alike.
 
 mod load;
 
+use std::collections::HashMap;
+use std::time::Duration;
+
 use celerytide_catalog::{Known, Service};
 use celerytide_types::{Boot, EndpointId, rendezvous_weight};
 
 pub use load::{Load, Loads, Ticket};
 
 use crate::names::{Part, Prompt};
+use crate::peers::digest::{Elsewhere, endpoint_hash};
 
 /// Part of a running request's share of an engine's memory that its decoding costs, as prompt tokens.
-const DECODE_SHARE: f64 = 0.125;
+const DECODE_SHARE: f64 = 0.02;
 /// Share of a part that the second home is taken to hold.
 const SECOND_HOME: f64 = 0.5;
-/// Weight of a token that the endpoint would read again against one that waits in front of the request: reading it takes
-/// time from all requests of the endpoint, and the part then stands in two caches.
+/// Weight of a token that the endpoint would read again: reading it takes time from all requests of the endpoint, and the
+/// part then stands in two caches.
 const REREAD: f64 = 4.0;
+/// Weight of a token in front of the request that makes it late.
+const LATE: f64 = 20.0;
+/// Weight of any token in front of the request.
+const WAITING: f64 = 0.3;
+/// Share of the objective that may be spent waiting for others.
+const WAIT_SHARE: f64 = 0.35;
 /// Least and most that an endpoint's pace changes its cost.
 const PACE_RANGE: (f64, f64) = (0.5, 6.0);
 /// Cost of a request at a plain endpoint that is as fast as its kind.
@@ -36,32 +46,98 @@
     pub near: bool,
 }
 
+/// What is asked for.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// The service.
+    pub service: &'a Service,
+    /// The request's prompt.
+    pub prompt: &'a Prompt,
+    /// Objective for its first event.
+    pub target: Option<Duration>,
+}
+
+/// What the choice rests on.
+#[derive(Debug, Clone, Copy)]
+pub struct Facts<'a> {
+    /// What this instance has in flight.
+    pub loads: &'a Loads,
+    /// What the others have in flight, by the hash of the endpoint.
+    pub elsewhere: &'a HashMap<u32, Elsewhere>,
+    /// The time.
+    pub now: Boot,
+}
+
+/// The endpoint that was chosen.
+#[derive(Debug, Clone, Copy)]
+pub struct Choice<'a> {
+    /// Its entry.
+    pub known: &'a Known,
+    /// Prompt tokens that it has to read for the request.
+    pub missing: u32,
+    /// Prompt tokens that wait in front of it.
+    pub ahead: u64,
+}
+
+/// Cost of one candidate; the least is chosen, and among equals the one that was used longest ago.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+struct Cost {
+    tokens: f64,
+    picked_at: Boot,
+    far: bool,
+}
+
 /// Chooses the cheapest candidate.
-pub fn choose<'a>(
-    candidates: &'a [Candidate<'a>],
-    service: &Service,
-    prompt: &Prompt,
-    loads: &Loads,
-    now: Boot,
-) -> Option<&'a Candidate<'a>> {
-    let homes = homes(candidates, shared(prompt));
-    let pace = loads.mean_pace(candidates.iter().map(|c| c.known.endpoint.id.as_str()));
-    let cost = |c: &Candidate<'a>| {
-        let id = &c.known.endpoint.id;
-        let load = loads.get(id);
-        let own_pace = load.map_or(1.0, |l| l.pace(pace)).clamp(PACE_RANGE.0, PACE_RANGE.1);
-        let cost = match service.engine_slots {
-            Some(slots) => engine_cost(load, service, slots, prompt, &homes, id, now),
-            None => plain_cost(load, c.known.endpoint.slots),
-        };
-        (cost * own_pace, load.map_or(Boot::default(), Load::picked_at), !c.near)
+pub fn choose<'a>(candidates: &[Candidate<'a>], ask: Ask<'_>, facts: Facts<'_>) -> Option<Choice<'a>> {
+    let homes = homes(candidates, shared(ask.prompt));
+    let mean_pace = facts
+        .loads
+        .mean_pace(candidates.iter().map(|c| c.known.endpoint.id.as_str()));
+    let mut best: Option<(Cost, Choice<'a>)> = None;
+    for candidate in candidates {
+        let (cost, choice) = weigh(candidate, ask, facts, &homes, mean_pace);
+        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+            best = Some((cost, choice));
+        }
+    }
+    best.map(|(_, choice)| choice)
+}
+
+fn weigh<'a>(
+    candidate: &Candidate<'a>,
+    ask: Ask<'_>,
+    facts: Facts<'_>,
+    homes: &Homes,
+    mean_pace: Option<f64>,
+) -> (Cost, Choice<'a>) {
+    let endpoint = &candidate.known.endpoint;
+    let load = facts.loads.get(&endpoint.id);
+    let other = facts
+        .elsewhere
+        .get(&endpoint_hash(&endpoint.id))
+        .copied()
+        .unwrap_or_default();
+    let running = load.map_or(0, Load::running) + other.running;
+    let ahead = load.map_or(0, Load::unread_tokens) + other.unread;
+    let missing = missing_tokens(load, ask.prompt, homes, &endpoint.id, facts.now);
+    let pace = load
+        .map_or(1.0, |l| l.pace(mean_pace))
+        .clamp(PACE_RANGE.0, PACE_RANGE.1);
+    let tokens = match ask.service.engine_slots {
+        Some(slots) => engine_cost(ask, facts, slots, running, ahead as f64, missing),
+        None => (PLAIN_COST + f64::from(running)) / f64::from(endpoint.slots.max(1)),
     };
-    let costs: Vec<_> = candidates.iter().map(cost).collect();
-    let best = (0..candidates.len()).min_by(|a, b| {
-        let (x, y) = (&costs[*a], &costs[*b]);
-        x.0.total_cmp(&y.0).then(x.1.cmp(&y.1)).then(x.2.cmp(&y.2))
-    })?;
-    candidates.get(best)
+    let cost = Cost {
+        tokens: tokens * pace,
+        picked_at: load.map_or(Boot::default(), Load::picked_at),
+        far: !candidate.near,
+    };
+    let choice = Choice {
+        known: candidate.known,
+        missing: missing as u32,
+        ahead,
+    };
+    (cost, choice)
 }
 
 /// The parts that other requests may share.
@@ -96,20 +172,13 @@
     }
 }
 
-fn engine_cost(
-    load: Option<&Load>,
-    service: &Service,
-    slots: u32,
-    prompt: &Prompt,
-    homes: &Homes,
-    id: &EndpointId,
-    now: Boot,
-) -> f64 {
-    let slot_tokens = service.engine_tokens.unwrap_or(0) as f64 / f64::from(slots.max(1));
-    let running = load.map_or(0, Load::running);
-    let unread = load.map_or(0, Load::unread_tokens) as f64;
-    let missing = missing_tokens(load, prompt, homes, id, now);
-    unread + missing * REREAD + f64::from(running) * slot_tokens * DECODE_SHARE
+fn engine_cost(ask: Ask<'_>, facts: Facts<'_>, slots: u32, running: u32, ahead: f64, missing: f64) -> f64 {
+    let slot_tokens = ask.service.engine_tokens.unwrap_or(0) as f64 / f64::from(slots.max(1));
+    let allowed = ask.target.unwrap_or_default().as_secs_f64() * WAIT_SHARE * facts.loads.read_rate(&ask.service.id);
+    let waiting = ahead + missing;
+    let late = (waiting - allowed).max(0.0);
+    let decoding = f64::from(running) * slot_tokens * DECODE_SHARE;
+    missing * REREAD + late * LATE + waiting * WAITING + decoding
 }
 
 /// Tokens of the prompt that the endpoint has to read.
@@ -123,8 +192,3 @@
     };
     (f64::from(prompt.tokens) - seen.max(by_home)).max(0.0)
 }
-
-fn plain_cost(load: Option<&Load>, slots: u32) -> f64 {
-    let running = load.map_or(0, Load::running);
-    (PLAIN_COST + f64::from(running)) / f64::from(slots.max(1))
-}
--- a/crates/celerytide-edge/src/settings/mod.rs
+++ b/crates/celerytide-edge/src/settings/mod.rs
@@ -19,6 +19,8 @@
         pub readiness: SocketAddr,
         /// Where other instances connect.
         pub peers: Option<SocketAddr>,
+        /// Where digests of other instances come in, by UDP; the port is the same on all instances.
+        pub digests: Option<SocketAddr>,
         /// Where metrics are read.
         pub metrics: Option<SocketAddr>,
         /// Peer addresses of some instances; they may be stale.
