perf(edge): watches wait three quarters of the contact time; the first list is asked for again sooner

Change: a watch waits 0.75 of contact_ms: one that hears nothing of an outage's end still ends within the time that an instance has to be up to date again. While nothing is known a page is given up after 600 ms.

--- a/crates/celerytide-edge/src/follow/mod.rs
+++ b/crates/celerytide-edge/src/follow/mod.rs
@@ -16,12 +16,15 @@
 use crate::names::Wire;
 use crate::source::{Source, SourceError};
 
-/// Longest wait of one watch, as a share of the time in which a change has to be in force.
-const WAIT_SHARE: f64 = 0.6;
+/// Longest wait of one watch, as a share of the time after an outage within which the view has to be up to date: a watch
+/// that began before the outage may hear nothing of its end.
+const WAIT_SHARE: f64 = 0.75;
 /// Time beyond its wait for the answer to a watch.
 const ANSWER: Duration = Duration::from_millis(500);
 /// Time for one page of the list.
 const PAGE: Duration = Duration::from_millis(1500);
+/// The same while nothing is known: a call that began before the store came back hears nothing of that.
+const FIRST_PAGE: Duration = Duration::from_millis(600);
 /// First pause after a failure; doubles up to [`MAX_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause.
@@ -69,7 +72,12 @@
 }
 
 async fn list<W: Wire, S: Source>(edge: &Edge<W>, source: &S, contact: &mut Contact) -> Result<(), SourceError> {
-    let snapshot = source.list(PAGE).await?;
+    let page = if edge.view.borrow().has_config() {
+        PAGE
+    } else {
+        FIRST_PAGE
+    };
+    let snapshot = source.list(page).await?;
     let now = now_boot();
     let hold = contact.answered(edge, now);
     let update = edge.view.borrow_mut().replace(snapshot, hold, now);
@@ -78,7 +86,7 @@
 }
 
 async fn watch<W: Wire, S: Source>(edge: &Edge<W>, source: &S, contact: &mut Contact) -> Result<(), SourceError> {
-    let wait = edge.settings.bounds.apply().mul_f64(WAIT_SHARE);
+    let wait = edge.settings.bounds.contact().mul_f64(WAIT_SHARE);
     let revision = edge.view.borrow().revision();
     let changes = source.watch(revision, wait, ANSWER).await?;
     let now = now_boot();
--- a/crates/celerytide-edge/src/settings/mod.rs
+++ b/crates/celerytide-edge/src/settings/mod.rs
@@ -46,6 +46,8 @@
         pub heartbeat_ms: Option<Millis>,
         /// Time in which a change has to be in force, in milliseconds: the shortest of those in force.
         pub apply_ms: Option<Millis>,
+        /// Time after an outage within which an instance has to be up to date again, in milliseconds.
+        pub contact_ms: Option<Millis>,
         /// Repeats for each request.
         pub repeat_ratio: Option<f64>,
         /// Repeats beyond the ratio, of all instances together.
@@ -77,6 +79,7 @@
 const GRACE_S: f64 = 8.0;
 const HEARTBEAT_MS: Millis = 1200;
 const APPLY_MS: Millis = 2000;
+const CONTACT_MS: Millis = 3000;
 const REPEAT_RATIO: f64 = 0.2;
 const REPEAT_SLACK: f64 = 20.0;
 const REPEAT_WINDOW_S: f64 = 10.0;
@@ -104,6 +107,7 @@
         require("descriptors", descriptors >= LEAST_DESCRIPTORS, "is below 64")?;
         positive("bounds.grace_s", b.grace_s)?;
         positive("bounds.heartbeat_ms", b.heartbeat_ms.map(|ms| ms as f64))?;
+        positive("bounds.contact_ms", b.contact_ms.map(|ms| ms as f64))?;
         positive("bounds.apply_ms", b.apply_ms.map(|ms| ms as f64))?;
         positive("bounds.repeat_window_s", b.repeat_window_s)?;
         require(
@@ -135,6 +139,11 @@
         Duration::from_millis(self.apply_ms.unwrap_or(APPLY_MS))
     }
 
+    /// Time after an outage within which an instance has to be up to date again.
+    pub fn contact(&self) -> Duration {
+        Duration::from_millis(self.contact_ms.unwrap_or(CONTACT_MS))
+    }
+
     /// The bound on repeats.
     pub fn repeats(&self) -> crate::budget::Options {
         crate::budget::Options {
