feat(edge): the fleet's memory of prompts bounds what is in flight; less urgent requests are refused first

A rest of a quarter of the bound after changes from the store. A rate of reading falls slowly, since slow first bytes mostly show work that wasn't known. Digests of a large fleet go to 4 instances, ten times a second, and stand for those that weren't heard.

--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -12,12 +12,13 @@
 use tokio_util::sync::CancellationToken;
 use tracing::info;
 
+use crate::admit::{Capacity, Held};
 use crate::budget::Budget;
 use crate::cold::ColdShares;
 use crate::health::{Sign, Standing};
 use crate::intake::Intake;
 use crate::metrics::Counters;
-use crate::names::Wire;
+use crate::names::{Prompt, Wire};
 use crate::peers::Members;
 use crate::peers::digest::Digests;
 use crate::place::{Ask, Candidate, Choice, Facts, Loads, Ticket, choose};
@@ -52,6 +53,8 @@
     pub loads: RefCell<Loads>,
     /// What other instances have in flight.
     pub digests: RefCell<Digests>,
+    /// Tokens in flight at engines.
+    pub held: RefCell<Held>,
     /// Repeats.
     pub budget: RefCell<Budget>,
     /// Shares of cold endpoints.
@@ -86,10 +89,32 @@
     pub at: Boot,
 }
 
+/// Why no endpoint was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoPick {
+    /// None may get work now.
+    NoEndpoint,
+    /// The engines hold as much of this instance as they may.
+    Overload,
+}
+
+impl NoPick {
+    /// Stable machine-readable cause.
+    pub fn cause(self) -> &'static str {
+        match self {
+            NoPick::NoEndpoint => "no-endpoint",
+            NoPick::Overload => "overload",
+        }
+    }
+}
+
 /// Counts a request at its endpoint until it is dropped.
 pub struct InFlight<W: Wire> {
     edge: Rc<Edge<W>>,
     ticket: Ticket,
+    service: ServiceId,
+    /// Tokens of its prompt and answer.
+    tokens: f64,
 }
 
 impl<W: Wire> InFlight<W> {
@@ -102,6 +127,7 @@
 
 impl<W: Wire> Drop for InFlight<W> {
     fn drop(&mut self) {
+        self.edge.held.borrow_mut().end(&self.service, self.tokens);
         let mut loads = self.edge.loads.borrow_mut();
         loads.end(&mut self.ticket);
         loads.entry(&self.ticket.endpoint).health.end_trial();
@@ -134,6 +160,7 @@
             view: RefCell::default(),
             loads: RefCell::default(),
             digests: RefCell::default(),
+            held: RefCell::default(),
             limits: Rc::new(Cell::new(limits)),
             counters: Counters::default(),
             store_at: Cell::new(None),
@@ -169,7 +196,7 @@
     }
 
     /// Chooses an endpoint for the request, not among `tried`, and counts the request there.
-    pub fn pick(self: &Rc<Self>, intake: &Intake, service: &Service, tried: &[String]) -> Option<Pick<W>> {
+    pub fn pick(self: &Rc<Self>, intake: &Intake, service: &Service, tried: &[String]) -> Result<Pick<W>, NoPick> {
         let now = now_boot();
         let view = self.view.borrow();
         let instances = self.members.borrow().known(now);
@@ -195,7 +222,7 @@
                 missing: intake.prompt.tokens,
                 ahead: 0,
             };
-            return Some(self.take(service, &choice, intake, &mut loads, now));
+            return Ok(self.take(service, &choice, intake, &mut loads, now));
         }
         let healthy: Vec<&Known> = bearing
             .iter()
@@ -204,7 +231,10 @@
             .collect();
         let enough = healthy.len() as f64 >= bearing.len() as f64 * (1.0 - MAX_OUT);
         let usable = if enough { healthy } else { bearing };
-        let elsewhere = self.digests.borrow().sums(now);
+        if !self.admits(intake, service, usable.len(), instances.len()) {
+            return Err(NoPick::Overload);
+        }
+        let elsewhere = self.digests.borrow().sums(instances.len() - 1, now);
         let candidates: Vec<Candidate<'_>> = usable
             .into_iter()
             .map(|known| Candidate {
@@ -222,12 +252,24 @@
             elsewhere: &elsewhere,
             now,
         };
-        let choice = choose(&candidates, ask, facts)?;
+        let choice = choose(&candidates, ask, facts).ok_or(NoPick::NoEndpoint)?;
         let known = choice.known;
         if is_cold(known) {
             cold.note(&known.endpoint.id, service.cold_per_s, &instances, now);
         }
-        Some(self.take(service, &choice, intake, &mut loads, now))
+        Ok(self.take(service, &choice, intake, &mut loads, now))
+    }
+
+    fn admits(&self, intake: &Intake, service: &Service, engines: usize, instances: usize) -> bool {
+        let Some(held) = service.engine_tokens else {
+            return true;
+        };
+        let capacity = Capacity {
+            tokens: held as f64 * engines as f64,
+            instances,
+        };
+        let tokens = tokens_of(&intake.prompt);
+        self.held.borrow().admits(&service.id, tokens, capacity, intake.urgency)
     }
 
     fn take(
@@ -238,12 +280,16 @@
         loads: &mut Loads,
         now: Boot,
     ) -> Pick<W> {
+        let tokens = tokens_of(&intake.prompt);
+        self.held.borrow_mut().begin(&service.id, tokens);
         let ticket = loads.begin(&service.id, choice, &intake.prompt, now);
         Pick {
             endpoint: choice.known.endpoint.clone(),
             flight: InFlight {
                 edge: self.clone(),
                 ticket,
+                service: service.id.clone(),
+                tokens,
             },
             at: now,
         }
@@ -311,3 +357,8 @@
         self.limits.set(limits);
     }
 }
+
+/// Tokens of a prompt and its answer.
+fn tokens_of(prompt: &Prompt) -> f64 {
+    f64::from(prompt.tokens) + f64::from(prompt.most_output)
+}
--- a/crates/celerytide-edge/src/follow/mod.rs
+++ b/crates/celerytide-edge/src/follow/mod.rs
@@ -29,8 +29,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause.
 const MAX_PAUSE: Duration = Duration::from_millis(400);
-/// Rest after a watch that brought changes, so that changes in a row come in one call.
-const REST: Duration = Duration::from_millis(150);
+/// Rest after a watch that brought changes, so that changes in a row come in one call, as a share of the time in which a
+/// change has to be in force.
+const REST_SHARE: f64 = 0.25;
 /// Heartbeats without an answer of the store after which entries may have lapsed unseen.
 const LAPSE_BEATS: u32 = 2;
 /// Time after such an outage in which a lapsed entry may come back.
@@ -97,7 +98,7 @@
     let expired = edge.view.borrow_mut().expire(now);
     edge.follow_update(&expired, "expiry");
     if any {
-        sleep(REST).await;
+        sleep(edge.settings.bounds.apply().mul_f64(REST_SHARE)).await;
     }
     Ok(())
 }
--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -132,8 +132,9 @@
             if self.left() < LEAST {
                 return self.give_up(out, "deadline").await;
             }
-            let Some(pick) = edge.pick(self.intake, &service, &self.tried) else {
-                return self.give_up(out, "no-endpoint").await;
+            let pick = match edge.pick(self.intake, &service, &self.tried) {
+                Ok(pick) => pick,
+                Err(none) => return self.give_up(out, none.cause()).await,
             };
             let first = self.tried.is_empty();
             if !first && !edge.take_repeat(&service.id) {
--- a/crates/celerytide-edge/src/forward/refuse.rs
+++ b/crates/celerytide-edge/src/forward/refuse.rs
@@ -11,11 +11,14 @@
 use crate::intake::Denial;
 
 /// Share of the time that is left after which a caller is told to come back, at most: it has time for its answer then.
-const MOST_SHARE: f64 = 0.3;
+const MOST_SHARE: f64 = 0.32;
 /// Least time after which a caller is told to come back.
 const LEAST_WAIT: Duration = Duration::from_millis(100);
 /// Most time after which a caller is told to come back.
-const MOST_WAIT: Duration = Duration::from_millis(1500);
+const MOST_WAIT: Duration = Duration::from_millis(2500);
+
+/// Time after which a caller is told to come back while no configuration is known.
+const UNCONFIGURED_WAIT: Duration = Duration::from_millis(1000);
 
 /// A final answer that no endpoint gave.
 #[derive(Debug, Clone, PartialEq)]
@@ -38,14 +41,14 @@
             status: denial.status(),
             cause: denial.cause(),
             word: Word::NotRun,
-            retry_after: retry.then_some(MOST_WAIT),
+            retry_after: retry.then_some(UNCONFIGURED_WAIT),
         }
     }
 
     /// The request did not run; a caller that still has `left` may come back.
     pub fn not_run(cause: &'static str, left: Duration) -> Refusal {
         let most = left.mul_f64(MOST_SHARE).min(MOST_WAIT);
-        let wait = most.mul_f64(rand::rng().random_range(0.3..1.0)).max(LEAST_WAIT);
+        let wait = most.mul_f64(rand::rng().random_range(0.6..1.0)).max(LEAST_WAIT);
         Refusal {
             status: StatusCode::SERVICE_UNAVAILABLE,
             cause,
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -115,7 +115,7 @@
 ) -> Option<Box<Reached<W>>> {
     let edge = run.edge;
     while run.intake.route.kind == Kind::ResumableStream && run.ran < run.intake.route.max_attempts {
-        let pick = edge.pick(run.intake, service, &run.tried)?;
+        let pick = edge.pick(run.intake, service, &run.tried).ok()?;
         if !edge.take_repeat(&service.id) {
             info!(request = run.intake.id, "stream: no repeat left to go on");
             return None;
--- a/crates/celerytide-edge/src/lib.rs
+++ b/crates/celerytide-edge/src/lib.rs
@@ -1,6 +1,6 @@
 //! A router in one process: it reads what the platform publishes, and decides alone about each request.
 //!
-//! Decisions take facts and times as arguments and do no I/O: [`budget`], [`cold`], [`health`], [`intake`], [`place`].
+//! Decisions take facts and times as arguments and do no I/O: [`admit`], [`budget`], [`cold`], [`health`], [`intake`], [`place`].
 //! The tasks around them: [`follow`] reads the store, [`peers`] talks to other instances, [`forward`] serves callers,
 //! [`stop`] ends the process. What callers, endpoints and the store speak is the adapter's: [`names::Wire`] and
 //! [`source::Source`].
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+pub mod admit;
 pub mod budget;
 pub mod cold;
 pub mod daemon;
--- a/crates/celerytide-edge/src/peers/digest.rs
+++ b/crates/celerytide-edge/src/peers/digest.rs
@@ -13,6 +13,10 @@
 
 /// Age up to which a digest counts.
 const FRESH: Duration = Duration::from_millis(600);
+/// Other instances up to which each is told everything.
+pub const MAX_FULL: usize = 16;
+/// Instances that have to be heard before the rest is taken to be like them.
+const LEAST_HEARD: usize = 4;
 /// Entries of one digest.
 const MAX_ENTRIES: usize = 80;
 
@@ -69,14 +73,21 @@
         self.by_peer.insert(from, Received { at: now, digest });
     }
 
-    /// Sums by endpoint.
-    pub fn sums(&self, now: Boot) -> HashMap<u32, Elsewhere> {
+    /// Sums by endpoint, taken for `others` instances: where only some of them were heard, the rest is taken to be like
+    /// these.
+    pub fn sums(&self, others: usize, now: Boot) -> HashMap<u32, Elsewhere> {
         let mut sums: HashMap<u32, Elsewhere> = HashMap::new();
-        let fresh = self.by_peer.values().filter(|r| now.since(r.at) < FRESH);
-        for backlog in fresh.flat_map(|r| &r.digest.backlogs) {
+        let fresh: Vec<&Received> = self.by_peer.values().filter(|r| now.since(r.at) < FRESH).collect();
+        let unheard = others > MAX_FULL && fresh.len() >= LEAST_HEARD;
+        let times = if unheard {
+            (others as f64 / fresh.len() as f64).max(1.0)
+        } else {
+            1.0
+        };
+        for backlog in fresh.iter().flat_map(|r| &r.digest.backlogs) {
             let sum = sums.entry(backlog.endpoint).or_default();
-            sum.unread += u64::from(backlog.unread);
-            sum.running += u32::from(backlog.running);
+            sum.unread += (f64::from(backlog.unread) * times) as u64;
+            sum.running += (f64::from(backlog.running) * times) as u32;
         }
         sums
     }
--- a/crates/celerytide-edge/src/peers/members.rs
+++ b/crates/celerytide-edge/src/peers/members.rs
@@ -100,6 +100,11 @@
         if prefer_seed { seed.or(live) } else { live }
     }
 
+    /// Live instances besides this one.
+    pub fn live(&self, now: Boot) -> usize {
+        self.heard.values().filter(|at| now.since(**at) < TALK_AGE).count()
+    }
+
     /// Live instances to tell something, at most `most`.
     pub fn to_tell(&self, now: Boot, most: usize) -> Vec<SocketAddr> {
         let fresh = self.heard.iter().filter(|(_, at)| now.since(**at) < TALK_AGE);
--- a/crates/celerytide-edge/src/peers/tell.rs
+++ b/crates/celerytide-edge/src/peers/tell.rs
@@ -10,7 +10,7 @@
 use monoio::time::sleep;
 use tracing::{debug, warn};
 
-use super::digest::Digest;
+use super::digest::{Digest, MAX_FULL};
 use crate::edge::Edge;
 use crate::names::Wire;
 
@@ -20,15 +20,19 @@
 const REPEAT: Duration = Duration::from_millis(250);
 /// Bytes of a datagram.
 const MAX_DATAGRAM: usize = 1400;
-/// Instances that one digest goes to.
-const MAX_TOLD: usize = 12;
+/// Pause between two digests in a large fleet, where each goes to few instances.
+const LARGE_PAUSE: Duration = Duration::from_millis(100);
+/// Instances that one digest goes to in a large fleet.
+const LARGE_TOLD: usize = 4;
 
 /// Tells others what is in flight, until the process ends.
 pub async fn tell<W: Wire>(edge: Rc<Edge<W>>, socket: Rc<UdpSocket>) {
     let mut told = Digest::default();
     let mut told_at = now_boot();
     loop {
-        sleep(PAUSE).await;
+        let others = edge.members.borrow().live(now_boot());
+        let small = others <= MAX_FULL;
+        sleep(if small { PAUSE } else { LARGE_PAUSE }).await;
         let now = now_boot();
         let digest = Digest::new(edge.loads.borrow().backlogs());
         let repeats = !digest.backlogs.is_empty() && now.since(told_at) >= REPEAT;
@@ -41,7 +45,10 @@
         };
         told = digest;
         told_at = now;
-        let peers = edge.members.borrow().to_tell(now, MAX_TOLD);
+        let peers = edge
+            .members
+            .borrow()
+            .to_tell(now, if small { MAX_FULL } else { LARGE_TOLD });
         for peer in peers {
             let addr = SocketAddr::new(peer.ip(), edge.settings.digests.map_or(0, |d| d.port()));
             if let (Err(error), _) = socket.send_to(buf.clone(), addr).await {
--- a/crates/celerytide-edge/src/place/load.rs
+++ b/crates/celerytide-edge/src/place/load.rs
@@ -21,8 +21,10 @@
 const FIRST_RATE: f64 = 30_000.0;
 /// Prompts shorter than this tell little of the rate, in tokens.
 const LEAST_TOKENS: u64 = 2_000;
-/// Weight of a new measurement of the rate.
-const RATE_WEIGHT: f64 = 0.05;
+/// Weight of a measurement above the rate.
+const RISE_WEIGHT: f64 = 0.1;
+/// Weight of a measurement below the rate: it mostly shows that more was waiting than this instance knew of.
+const FALL_WEIGHT: f64 = 0.01;
 /// Most by which one measurement counts above the rate, as a factor.
 const MOST_RISE: f64 = 3.0;
 
@@ -124,7 +126,8 @@
             return;
         }
         let new = (tokens as f64 / reading).min(self.per_s * MOST_RISE);
-        self.per_s += (new - self.per_s) * RATE_WEIGHT;
+        let weight = if new > self.per_s { RISE_WEIGHT } else { FALL_WEIGHT };
+        self.per_s += (new - self.per_s) * weight;
     }
 }
 
