feat(edge): all instances together hold at most part of the engines' memory

Change: digests carry the tokens that an instance has in flight; the bound is on the sum. 0.35 of the memory for the least urgent requests, 0.8 for the most urgent.

--- a/crates/celerytide-edge/src/admit/mod.rs
+++ b/crates/celerytide-edge/src/admit/mod.rs
@@ -1,15 +1,19 @@
 //! Whether a request is sent to an engine at all.
 //!
 //! Answers this load: for seconds more prompts come than engines hold. Accepted all the same, they push shared parts out
-//! of the engines' memory, which then have to be read again, and end after their callers have given up. Each instance may
-//! have its share of the memory of all usable engines in flight. Less urgent requests may use a smaller part of that, so
-//! that they are refused first, and at once.
+//! of the engines' memory, which then have to be read again, and end after their callers have given up. All instances
+//! together may have as much in flight as the usable engines hold. Less urgent requests may use a smaller part of that, so
+//! that they are refused first, and at once. What the others have in flight comes from their digests; an instance that
+//! hears none takes them to be like itself.
 
-use celerytide_types::ServiceId;
 use std::collections::HashMap;
 
-/// Parts of an instance's share that the least and the most urgent requests may use.
-const PARTS: (f64, f64) = (0.6, 1.0);
+use celerytide_types::ServiceId;
+
+use crate::peers::digest::{HeldAt, id_hash};
+
+/// Parts of the engines' memory that the least and the most urgent requests may use.
+const PARTS: (f64, f64) = (0.35, 0.8);
 /// Requests of any size that an instance may always have in flight.
 const ALWAYS: u32 = 2;
 
@@ -30,7 +34,9 @@
 pub struct Capacity {
     /// Tokens that all usable engines hold.
     pub tokens: f64,
-    /// Instances that share them.
+    /// Tokens that other instances have in flight there; `None` if they aren't heard.
+    pub elsewhere: Option<f64>,
+    /// Instances, this one among them.
     pub instances: usize,
 }
 
@@ -40,8 +46,21 @@
         let sum = self.by_service.get(service).copied().unwrap_or_default();
         let rank = position as f64 / (count.max(2) - 1) as f64;
         let part = PARTS.1 + (PARTS.0 - PARTS.1) * rank.min(1.0);
-        let share = capacity.tokens / capacity.instances.max(1) as f64;
-        sum.requests < ALWAYS || sum.tokens + tokens <= share * part
+        let like_own = sum.tokens * (capacity.instances.max(1) - 1) as f64;
+        let in_flight = sum.tokens + capacity.elsewhere.unwrap_or(like_own);
+        sum.requests < ALWAYS || in_flight + tokens <= capacity.tokens * part
+    }
+
+    /// What is in flight, for other instances.
+    pub fn told(&self) -> Vec<HeldAt> {
+        let busy = self.by_service.iter().filter(|(_, sum)| sum.requests > 0);
+        let told = busy.map(|(service, sum)| HeldAt {
+            service: id_hash(service),
+            tokens: sum.tokens as u32,
+        });
+        let mut told: Vec<HeldAt> = told.collect();
+        told.sort_unstable_by_key(|held| held.service);
+        told
     }
 
     /// Counts a request that is sent.
--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -231,7 +231,7 @@
             .collect();
         let enough = healthy.len() as f64 >= bearing.len() as f64 * (1.0 - MAX_OUT);
         let usable = if enough { healthy } else { bearing };
-        if !self.admits(intake, service, usable.len(), instances.len()) {
+        if !self.admits(intake, service, usable.len(), instances.len(), now) {
             return Err(NoPick::Overload);
         }
         let elsewhere = self.digests.borrow().sums(instances.len() - 1, now);
@@ -260,12 +260,13 @@
         Ok(self.take(service, &choice, intake, &mut loads, now))
     }
 
-    fn admits(&self, intake: &Intake, service: &Service, engines: usize, instances: usize) -> bool {
+    fn admits(&self, intake: &Intake, service: &Service, engines: usize, instances: usize, now: Boot) -> bool {
         let Some(held) = service.engine_tokens else {
             return true;
         };
         let capacity = Capacity {
             tokens: held as f64 * engines as f64,
+            elsewhere: self.digests.borrow().held(&service.id, instances - 1, now),
             instances,
         };
         let tokens = tokens_of(&intake.prompt);
--- a/crates/celerytide-edge/src/peers/digest.rs
+++ b/crates/celerytide-edge/src/peers/digest.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use celerytide_types::{Boot, EndpointId, data};
+use celerytide_types::{Boot, data};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Age up to which a digest counts.
@@ -32,16 +32,27 @@
         pub running: u16,
     }
 
+    /// What one instance has in flight at the engines of one service.
+    #[derive(Copy, Eq)]
+    pub struct HeldAt {
+        /// Hash of the service's id.
+        pub service: u32,
+        /// Tokens of prompts and answers.
+        pub tokens: u32,
+    }
+
     /// What one instance has in flight.
     #[derive(Default)]
     pub struct Digest {
         /// By endpoint; those with nothing in flight are left out.
         pub backlogs: Vec<Backlog>,
+        /// By service.
+        pub held: Vec<HeldAt>,
     }
 }
 
-/// Hash of an endpoint's id in digests.
-pub fn endpoint_hash(id: &EndpointId) -> u32 {
+/// Hash of an id in digests.
+pub fn id_hash(id: &str) -> u32 {
     xxh3_64(id.as_bytes()) as u32
 }
 
@@ -73,10 +84,22 @@
         self.by_peer.insert(from, Received { at: now, digest });
     }
 
-    /// Sums by endpoint, taken for `others` instances: where only some of them were heard, the rest is taken to be like
-    /// these.
-    pub fn sums(&self, others: usize, now: Boot) -> HashMap<u32, Elsewhere> {
-        let mut sums: HashMap<u32, Elsewhere> = HashMap::new();
+    /// Tokens that the `others` have in flight at the engines of `service`; `None` if too few were heard.
+    pub fn held(&self, service: &str, others: usize, now: Boot) -> Option<f64> {
+        let (fresh, times) = self.fresh(others, now);
+        if fresh.is_empty() {
+            return None;
+        }
+        let hash = id_hash(service);
+        let held = fresh
+            .iter()
+            .flat_map(|r| &r.digest.held)
+            .filter(|held| held.service == hash);
+        Some(held.map(|held| f64::from(held.tokens)).sum::<f64>() * times)
+    }
+
+    /// Digests that still count, and for how many instances each stands.
+    fn fresh(&self, others: usize, now: Boot) -> (Vec<&Received>, f64) {
         let fresh: Vec<&Received> = self.by_peer.values().filter(|r| now.since(r.at) < FRESH).collect();
         let unheard = others > MAX_FULL && fresh.len() >= LEAST_HEARD;
         let times = if unheard {
@@ -84,6 +107,14 @@
         } else {
             1.0
         };
+        (fresh, times)
+    }
+
+    /// Sums by endpoint, taken for `others` instances: where only some of them were heard, the rest is taken to be like
+    /// these.
+    pub fn sums(&self, others: usize, now: Boot) -> HashMap<u32, Elsewhere> {
+        let mut sums: HashMap<u32, Elsewhere> = HashMap::new();
+        let (fresh, times) = self.fresh(others, now);
         for backlog in fresh.iter().flat_map(|r| &r.digest.backlogs) {
             let sum = sums.entry(backlog.endpoint).or_default();
             sum.unread += (f64::from(backlog.unread) * times) as u64;
@@ -95,11 +126,11 @@
 
 impl Digest {
     /// A digest of what is in flight; the largest entries if there are too many.
-    pub fn new(mut backlogs: Vec<Backlog>) -> Digest {
+    pub fn new(mut backlogs: Vec<Backlog>, held: Vec<HeldAt>) -> Digest {
         if backlogs.len() > MAX_ENTRIES {
             backlogs.sort_unstable_by_key(|b| std::cmp::Reverse((b.unread, b.running)));
             backlogs.truncate(MAX_ENTRIES);
         }
-        Digest { backlogs }
+        Digest { backlogs, held }
     }
 }
--- a/crates/celerytide-edge/src/peers/tell.rs
+++ b/crates/celerytide-edge/src/peers/tell.rs
@@ -34,7 +34,7 @@
         let small = others <= MAX_FULL;
         sleep(if small { PAUSE } else { LARGE_PAUSE }).await;
         let now = now_boot();
-        let digest = Digest::new(edge.loads.borrow().backlogs());
+        let digest = Digest::new(edge.loads.borrow().backlogs(), edge.held.borrow().told());
         let repeats = !digest.backlogs.is_empty() && now.since(told_at) >= REPEAT;
         if digest == told && !repeats {
             continue;
--- a/crates/celerytide-edge/src/place/load.rs
+++ b/crates/celerytide-edge/src/place/load.rs
@@ -8,7 +8,7 @@
 use super::Choice;
 use crate::health::Health;
 use crate::names::{Part, Prompt};
-use crate::peers::digest::{Backlog, endpoint_hash};
+use crate::peers::digest::{Backlog, id_hash};
 
 /// Weight of a new measurement of an endpoint's pace.
 const PACE_WEIGHT: f64 = 0.2;
@@ -187,7 +187,7 @@
     pub fn backlogs(&self) -> Vec<Backlog> {
         let busy = self.by_id.iter().filter(|(_, load)| load.running > 0);
         let backlog = |(id, load): (&EndpointId, &Load)| Backlog {
-            endpoint: endpoint_hash(id),
+            endpoint: id_hash(id),
             unread: load.unread_tokens.try_into().unwrap_or(u32::MAX),
             running: load.running.try_into().unwrap_or(u16::MAX),
         };
--- a/crates/celerytide-edge/src/place/mod.rs
+++ b/crates/celerytide-edge/src/place/mod.rs
@@ -17,7 +17,7 @@
 pub use load::{Load, Loads, Ticket};
 
 use crate::names::{Part, Prompt};
-use crate::peers::digest::{Elsewhere, endpoint_hash};
+use crate::peers::digest::{Elsewhere, id_hash};
 
 /// Part of a running request's share of an engine's memory that its decoding costs, as prompt tokens.
 const DECODE_SHARE: f64 = 0.02;
@@ -112,11 +112,7 @@
 ) -> (Cost, Choice<'a>) {
     let endpoint = &candidate.known.endpoint;
     let load = facts.loads.get(&endpoint.id);
-    let other = facts
-        .elsewhere
-        .get(&endpoint_hash(&endpoint.id))
-        .copied()
-        .unwrap_or_default();
+    let other = facts.elsewhere.get(&id_hash(&endpoint.id)).copied().unwrap_or_default();
     let running = load.map_or(0, Load::running) + other.running;
     let ahead = load.map_or(0, Load::unread_tokens) + other.unread;
     let missing = missing_tokens(load, ask.prompt, homes, &endpoint.id, facts.now);
