test(platform): the router as a process before stand-ins of the platform's store and runners

A request that ran out of time while an endpoint was silent gets 504 now, as the table of answers says; before it got 502 (the row 'mute' failed first).

--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -32,6 +32,8 @@
 
 /// Least time for which a request is sent to an endpoint; with less left it could not end.
 const LEAST: Duration = Duration::from_millis(15);
+/// Cause of a request that ran out of time.
+const DEADLINE: &str = "deadline";
 /// Sends that did not run, beyond the attempts of the route, before a request is refused.
 const MAX_REJECTED: u32 = 2;
 
@@ -130,7 +132,7 @@
         edge.budget.borrow_mut().note_request(&service.id, now_boot());
         loop {
             if self.left() < LEAST {
-                return self.give_up(out, "deadline").await;
+                return self.give_up(out, DEADLINE).await;
             }
             let pick = match edge.pick(self.intake, &service, &self.tried) {
                 Ok(pick) => pick,
@@ -186,6 +188,9 @@
 
     fn after_failure(&self, cause: &'static str) -> Next {
         let route = &self.intake.route;
+        if self.left() < LEAST {
+            return Next::GiveUp(DEADLINE);
+        }
         if route.kind.is_idempotent() && self.ran < route.max_attempts {
             return Next::Again;
         }
@@ -220,7 +225,7 @@
             Err(_) => {
                 reached.end(Sign::Bad);
                 self.ran += 1;
-                return self.give_up(out, "deadline").await;
+                return self.give_up(out, DEADLINE).await;
             }
         };
         let sign = if status.is_server_error() {
@@ -238,7 +243,7 @@
     async fn give_up(&self, out: Responder, cause: &'static str) -> End {
         let refusal = if self.ran == 0 {
             Refusal::not_run(cause, self.left())
-        } else if cause == "deadline" {
+        } else if cause == DEADLINE {
             Refusal::failed(StatusCode::GATEWAY_TIMEOUT, cause)
         } else {
             Refusal::failed(StatusCode::BAD_GATEWAY, cause)
--- a/crates/celerytide-standin/src/lib.rs
+++ b/crates/celerytide-standin/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fault;
 pub mod launch;
 pub mod plain;
+pub mod platform;
 pub mod probe;
 pub mod relay;
 mod reply;
--- /dev/null
+++ b/crates/celerytide-standin/src/platform/mod.rs
@@ -0,0 +1,12 @@
+//! Small stand-ins of the users' platform for tests: its store and its runners, on threads of the test's process.
+//!
+//! They speak just enough of the platform's language to bring about what tests are meant for, and remember what reached
+//! them.
+
+mod request;
+mod runner;
+mod store;
+
+pub use request::Seen;
+pub use runner::{Answer, Runner};
+pub use store::{Mode, Store};
--- /dev/null
+++ b/crates/celerytide-standin/src/platform/request.rs
@@ -0,0 +1,58 @@
+//! Reads requests from a blocking connection.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read};
+use std::net::TcpStream;
+
+/// A request that reached a stand-in.
+#[derive(Debug, Clone, Default)]
+pub struct Seen {
+    /// Method and target.
+    pub line: String,
+    /// Headers, names in lower case.
+    pub headers: BTreeMap<String, String>,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+impl Seen {
+    /// The header `name`, empty if it is absent.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+
+    /// The value of `name` in the target's query, empty if it is absent.
+    pub fn query(&self, name: &str) -> &str {
+        let target = self.line.split(' ').nth(1).unwrap_or_default();
+        let query = target.split_once('?').map_or("", |(_, query)| query);
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(key, _)| *key == name).map_or("", |(_, value)| value)
+    }
+}
+
+/// Reads the next request; `None` at the end of the connection.
+pub fn read(conn: &mut BufReader<TcpStream>) -> Option<Seen> {
+    let mut seen = Seen {
+        line: read_line(conn)?,
+        ..Seen::default()
+    };
+    loop {
+        let line = read_line(conn)?;
+        let Some((name, value)) = line.split_once(':') else {
+            break;
+        };
+        seen.headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+    }
+    let length = seen.header("content-length").parse().unwrap_or(0);
+    seen.body = vec![0; length];
+    conn.read_exact(&mut seen.body).ok()?;
+    Some(seen)
+}
+
+fn read_line(conn: &mut BufReader<TcpStream>) -> Option<String> {
+    let mut line = String::new();
+    match conn.read_line(&mut line) {
+        Ok(n) if n > 0 => Some(line.trim_end().to_owned()),
+        _ => None,
+    }
+}
