fix(edge): silence without a failure is no outage

An outage was read off the time since the store's last answer, and watches wait 2.25 s and rest 0.5 s now, longer than two heartbeats. Seen in the log: each instance drops four endpoints by expiry 1.8 s after the watch that told it.

Ruled out: a late watch (all instances heard of the change within 4 ms of each other).

Change: only a call that failed begins an outage. The test a_removal_after_a_quiet_time failed first.

--- a/crates/celerytide-edge/src/follow/mod.rs
+++ b/crates/celerytide-edge/src/follow/mod.rs
@@ -108,7 +108,7 @@
     fn answered<W: Wire>(&mut self, edge: &Edge<W>, now: Boot) -> Duration {
         let before = edge.store_at.replace(Some(now));
         let lapse = edge.settings.bounds.heartbeat() * LAPSE_BEATS;
-        if before.is_some_and(|at| now.since(at) > lapse) {
+        if self.failures > 0 && before.is_some_and(|at| now.since(at) > lapse) {
             self.back_at = Some(now);
         }
         if self.failures > 0 {
