refactor(edge,kernel,wire): log lines in the kernel, picking apart from the state, a method of its own for routers' talk

Cause: read as a newcomer: the edge repeated the kernel's logs (duplicates: 13 lines); choosing an endpoint was one function of 64 lines inside the process's state; routers' talk used the daemons' gossip method with other messages.

Change: celerytide_kernel::logs::init_lines; edge/pick.rs in short steps; Method::Peers.

--- a/crates/celerytide-edge/src/daemon/mod.rs
+++ b/crates/celerytide-edge/src/daemon/mod.rs
@@ -12,7 +12,7 @@
 use celerytide_http::server::{self, Handler, Request, Responder, Stop, serve_until};
 use celerytide_http::{Limits, server::bind};
 use celerytide_kernel::metrics::{CONTENT_TYPE, Metrics};
-use celerytide_kernel::{Kernel, signals};
+use celerytide_kernel::{Kernel, logs, signals};
 use http::{HeaderMap, HeaderValue, StatusCode};
 use monoio::io::AsyncReadRent;
 use monoio::net::{TcpListener, UnixStream};
@@ -28,7 +28,7 @@
 use crate::names::Wire;
 use crate::settings::{self, Settings};
 use crate::source::Source;
-use crate::{follow, logs, peers, stop};
+use crate::{follow, peers, stop};
 
 /// Exit code when the process could not start.
 const EXIT_START: u8 = 2;
@@ -124,7 +124,7 @@
 
 fn try_main<W: Wire, S: Source>(file: &str, wire: W, source: impl FnOnce(&Settings) -> S) -> Result<(), Error> {
     let settings = read_settings(file)?;
-    logs::init(settings.log_level.as_deref().unwrap_or(LOG_LEVEL))?;
+    logs::init_lines(settings.log_level.as_deref().unwrap_or(LOG_LEVEL))?;
     let source = source(&settings);
     let built = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build();
     let mut runtime = built.context(RuntimeSnafu)?;
--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -1,10 +1,12 @@
 //! The state of the process and the decisions that need more than one part of it.
 
+mod pick;
+
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
-use celerytide_catalog::{Endpoint, Known, Route, Service, Update, View};
+use celerytide_catalog::{Route, Service, Update, View};
 use celerytide_http::Limits;
 use celerytide_http::client::{Client, Options};
 use celerytide_types::{Boot, ServiceId, now_boot};
@@ -12,16 +14,17 @@
 use tokio_util::sync::CancellationToken;
 use tracing::info;
 
-use crate::admit::{Capacity, Held};
+pub use pick::{InFlight, NoPick, Pick};
+
+use crate::admit::Held;
 use crate::budget::Budget;
 use crate::cold::ColdShares;
-use crate::health::{Sign, Standing};
-use crate::intake::Intake;
+use crate::health::Sign;
 use crate::metrics::Counters;
-use crate::names::{Prompt, Wire};
+use crate::names::Wire;
 use crate::peers::Members;
 use crate::peers::digest::Digests;
-use crate::place::{Ask, Candidate, Choice, Facts, Loads, Ticket, choose};
+use crate::place::Loads;
 use crate::settings::Settings;
 
 /// Silence after which an idle connection is probed; one that answers nothing is found within three times that.
@@ -38,8 +41,6 @@
 const DESCRIPTORS: usize = 1024;
 /// Descriptors kept for files.
 const FILES: usize = 200;
-/// Most endpoints of a service that may be out at once, as a share.
-const MAX_OUT: f64 = 0.4;
 
 /// The process.
 pub struct Edge<W: Wire> {
@@ -79,61 +80,6 @@
     pub started: Boot,
 }
 
-/// An endpoint that was chosen, with the request counted there.
-pub struct Pick<W: Wire> {
-    /// Its entry.
-    pub endpoint: Rc<Endpoint>,
-    /// The request's count.
-    pub flight: InFlight<W>,
-    /// When it was chosen.
-    pub at: Boot,
-}
-
-/// Why no endpoint was chosen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum NoPick {
-    /// None may get work now.
-    NoEndpoint,
-    /// The engines hold as much of this instance as they may.
-    Overload,
-}
-
-impl NoPick {
-    /// Stable machine-readable cause.
-    pub fn cause(self) -> &'static str {
-        match self {
-            NoPick::NoEndpoint => "no-endpoint",
-            NoPick::Overload => "overload",
-        }
-    }
-}
-
-/// Counts a request at its endpoint until it is dropped.
-pub struct InFlight<W: Wire> {
-    edge: Rc<Edge<W>>,
-    ticket: Ticket,
-    service: ServiceId,
-    /// Tokens of its prompt and answer.
-    tokens: f64,
-}
-
-impl<W: Wire> InFlight<W> {
-    /// The first byte of the answer came after `took`.
-    pub fn first_byte(&mut self, took: Duration) {
-        self.edge.counters.first_byte.observe(took.as_secs_f64());
-        self.edge.loads.borrow_mut().first_byte(&mut self.ticket, took);
-    }
-}
-
-impl<W: Wire> Drop for InFlight<W> {
-    fn drop(&mut self) {
-        self.edge.held.borrow_mut().end(&self.service, self.tokens);
-        let mut loads = self.edge.loads.borrow_mut();
-        loads.end(&mut self.ticket);
-        loads.entry(&self.ticket.endpoint).health.end_trial();
-    }
-}
-
 impl<W: Wire> Edge<W> {
     /// A process that knows nothing yet.
     pub fn new(settings: Settings, wire: W) -> Edge<W> {
@@ -195,107 +141,6 @@
         self.view.borrow().catalog().service(chosen?).cloned()
     }
 
-    /// Chooses an endpoint for the request, not among `tried`, and counts the request there.
-    pub fn pick(self: &Rc<Self>, intake: &Intake, service: &Service, tried: &[String]) -> Result<Pick<W>, NoPick> {
-        let now = now_boot();
-        let view = self.view.borrow();
-        let instances = self.members.borrow().known(now);
-        let mut loads = self.loads.borrow_mut();
-        let mut cold = self.cold.borrow_mut();
-        let all: Vec<&Known> = view
-            .usable(&service.id)
-            .filter(|k| !tried.contains(&k.endpoint.id))
-            .collect();
-        let is_cold = |k: &Known| service.cold_per_s > 0.0 && k.cold_until.is_some_and(|until| now < until);
-        let may = |k: &Known| !is_cold(k) || cold.allows(&k.endpoint.id, service.cold_per_s, &instances, now);
-        let bearing: Vec<&Known> = all.into_iter().filter(|k| may(k)).collect();
-        let standing = |k: &Known| {
-            loads
-                .get(&k.endpoint.id)
-                .map_or(Standing::In, |l| l.health.standing(now))
-        };
-        let trial = bearing.iter().find(|k| standing(k) == Standing::Trial).copied();
-        if let Some(known) = trial.filter(|_| intake.route.kind.is_idempotent()) {
-            loads.entry(&known.endpoint.id).health.begin_trial();
-            let choice = Choice {
-                known,
-                missing: intake.prompt.tokens,
-                ahead: 0,
-            };
-            return Ok(self.take(service, &choice, intake, &mut loads, now));
-        }
-        let healthy: Vec<&Known> = bearing
-            .iter()
-            .filter(|k| standing(k) == Standing::In)
-            .copied()
-            .collect();
-        let enough = healthy.len() as f64 >= bearing.len() as f64 * (1.0 - MAX_OUT);
-        let usable = if enough { healthy } else { bearing };
-        if !self.admits(intake, service, usable.len(), instances.len(), now) {
-            return Err(NoPick::Overload);
-        }
-        let elsewhere = self.digests.borrow().sums(instances.len() - 1, now);
-        let candidates: Vec<Candidate<'_>> = usable
-            .into_iter()
-            .map(|known| Candidate {
-                near: known.endpoint.zone == self.settings.zone,
-                known,
-            })
-            .collect();
-        let ask = Ask {
-            service,
-            prompt: &intake.prompt,
-            target: intake.route.target,
-        };
-        let facts = Facts {
-            loads: &loads,
-            elsewhere: &elsewhere,
-            now,
-        };
-        let choice = choose(&candidates, ask, facts).ok_or(NoPick::NoEndpoint)?;
-        let known = choice.known;
-        if is_cold(known) {
-            cold.note(&known.endpoint.id, service.cold_per_s, &instances, now);
-        }
-        Ok(self.take(service, &choice, intake, &mut loads, now))
-    }
-
-    fn admits(&self, intake: &Intake, service: &Service, engines: usize, instances: usize, now: Boot) -> bool {
-        let Some(held) = service.engine_tokens else {
-            return true;
-        };
-        let capacity = Capacity {
-            tokens: held as f64 * engines as f64,
-            elsewhere: self.digests.borrow().held(&service.id, instances - 1, now),
-            instances,
-        };
-        let tokens = tokens_of(&intake.prompt);
-        self.held.borrow().admits(&service.id, tokens, capacity, intake.urgency)
-    }
-
-    fn take(
-        self: &Rc<Self>,
-        service: &Service,
-        choice: &Choice<'_>,
-        intake: &Intake,
-        loads: &mut Loads,
-        now: Boot,
-    ) -> Pick<W> {
-        let tokens = tokens_of(&intake.prompt);
-        self.held.borrow_mut().begin(&service.id, tokens);
-        let ticket = loads.begin(&service.id, choice, &intake.prompt, now);
-        Pick {
-            endpoint: choice.known.endpoint.clone(),
-            flight: InFlight {
-                edge: self.clone(),
-                ticket,
-                service: service.id.clone(),
-                tokens,
-            },
-            at: now,
-        }
-    }
-
     /// Takes in how a request at an endpoint ended.
     pub fn record(&self, service: &str, endpoint: &str, sign: Sign) {
         let now = now_boot();
@@ -358,8 +203,3 @@
         self.limits.set(limits);
     }
 }
-
-/// Tokens of a prompt and its answer.
-fn tokens_of(prompt: &Prompt) -> f64 {
-    f64::from(prompt.tokens) + f64::from(prompt.most_output)
-}
--- /dev/null
+++ b/crates/celerytide-edge/src/edge/pick.rs
@@ -0,0 +1,213 @@
+//! Which endpoint a request is sent to, and its count there.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use celerytide_catalog::{Endpoint, Known, Service, View};
+use celerytide_types::{Boot, ServiceId, now_boot};
+
+use super::Edge;
+use crate::admit::Capacity;
+use crate::health::Standing;
+use crate::intake::Intake;
+use crate::names::{Prompt, Wire};
+use crate::peers::Instances;
+use crate::place::{Ask, Candidate, Choice, Facts, Ticket, choose};
+
+/// Most endpoints of a service that may be out at once, as a share.
+const MAX_OUT: f64 = 0.4;
+
+/// An endpoint that was chosen, with the request counted there.
+pub struct Pick<W: Wire> {
+    /// Its entry.
+    pub endpoint: Rc<Endpoint>,
+    /// The request's count.
+    pub flight: InFlight<W>,
+    /// When it was chosen.
+    pub at: Boot,
+}
+
+/// Why no endpoint was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoPick {
+    /// None may get work now.
+    NoEndpoint,
+    /// The engines hold as much of this instance as they may.
+    Overload,
+}
+
+impl NoPick {
+    /// Stable machine-readable cause.
+    pub fn cause(self) -> &'static str {
+        match self {
+            NoPick::NoEndpoint => "no-endpoint",
+            NoPick::Overload => "overload",
+        }
+    }
+}
+
+/// Counts a request at its endpoint until it is dropped.
+pub struct InFlight<W: Wire> {
+    edge: Rc<Edge<W>>,
+    ticket: Ticket,
+    service: ServiceId,
+    /// Tokens of its prompt and answer.
+    tokens: f64,
+}
+
+impl<W: Wire> InFlight<W> {
+    /// The first byte of the answer came after `took`.
+    pub fn first_byte(&mut self, took: Duration) {
+        self.edge.counters.first_byte.observe(took.as_secs_f64());
+        self.edge.loads.borrow_mut().first_byte(&mut self.ticket, took);
+    }
+}
+
+impl<W: Wire> Drop for InFlight<W> {
+    fn drop(&mut self) {
+        self.edge.held.borrow_mut().end(&self.service, self.tokens);
+        let mut loads = self.edge.loads.borrow_mut();
+        loads.end(&mut self.ticket);
+        loads.entry(&self.ticket.endpoint).health.end_trial();
+    }
+}
+
+impl<W: Wire> Edge<W> {
+    /// Chooses an endpoint for the request, not among `tried`, and counts the request there.
+    pub fn pick(self: &Rc<Self>, intake: &Intake, service: &Service, tried: &[String]) -> Result<Pick<W>, NoPick> {
+        let now = now_boot();
+        let view = self.view.borrow();
+        let instances = self.members.borrow().known(now);
+        let bearing = self.bearing(&view, service, tried, &instances, now);
+        if let Some(choice) = self.trial(intake, &bearing, now) {
+            return Ok(self.take(service, &choice, intake, now));
+        }
+        let usable = self.healthy(bearing, now);
+        if !self.admits(intake, service, usable.len(), instances.len(), now) {
+            return Err(NoPick::Overload);
+        }
+        let choice = self.cheapest(intake, service, &usable, instances.len(), now);
+        let choice = choice.ok_or(NoPick::NoEndpoint)?;
+        if is_cold(service, choice.known, now) {
+            let id = &choice.known.endpoint.id;
+            self.cold.borrow_mut().note(id, service.cold_per_s, &instances, now);
+        }
+        Ok(self.take(service, &choice, intake, now))
+    }
+
+    /// Usable endpoints that aren't cold, or of which this instance has a part.
+    fn bearing<'a>(
+        &self,
+        view: &'a View,
+        service: &'a Service,
+        tried: &[String],
+        instances: &Instances,
+        now: Boot,
+    ) -> Vec<&'a Known> {
+        let cold = self.cold.borrow();
+        let bears = |known: &&Known| {
+            let id = &known.endpoint.id;
+            !is_cold(service, known, now) || cold.allows(id, service.cold_per_s, instances, now)
+        };
+        let untried = view
+            .usable(&service.id)
+            .filter(|known| !tried.contains(&known.endpoint.id));
+        untried.filter(bears).collect()
+    }
+
+    fn standing(&self, known: &Known, now: Boot) -> Standing {
+        let loads = self.loads.borrow();
+        loads
+            .get(&known.endpoint.id)
+            .map_or(Standing::In, |load| load.health.standing(now))
+    }
+
+    /// An endpoint that was out and may be tried again with this request.
+    fn trial<'a>(&self, intake: &Intake, bearing: &[&'a Known], now: Boot) -> Option<Choice<'a>> {
+        if !intake.route.kind.is_idempotent() {
+            return None;
+        }
+        let known = bearing
+            .iter()
+            .find(|known| self.standing(known, now) == Standing::Trial)?;
+        self.loads.borrow_mut().entry(&known.endpoint.id).health.begin_trial();
+        Some(Choice {
+            known,
+            missing: intake.prompt.tokens,
+            ahead: 0,
+        })
+    }
+
+    /// Endpoints that work; all of them if too many are out, since then it isn't they that are at fault.
+    fn healthy<'a>(&self, bearing: Vec<&'a Known>, now: Boot) -> Vec<&'a Known> {
+        let works = |known: &&&Known| self.standing(known, now) == Standing::In;
+        let healthy: Vec<&Known> = bearing.iter().filter(works).copied().collect();
+        let enough = healthy.len() as f64 >= bearing.len() as f64 * (1.0 - MAX_OUT);
+        if enough { healthy } else { bearing }
+    }
+
+    fn cheapest<'a>(
+        &self,
+        intake: &Intake,
+        service: &Service,
+        usable: &[&'a Known],
+        instances: usize,
+        now: Boot,
+    ) -> Option<Choice<'a>> {
+        let candidate = |known: &&'a Known| Candidate {
+            near: known.endpoint.zone == self.settings.zone,
+            known,
+        };
+        let candidates: Vec<Candidate<'a>> = usable.iter().map(candidate).collect();
+        let elsewhere = self.digests.borrow().sums(instances - 1, now);
+        let ask = Ask {
+            service,
+            prompt: &intake.prompt,
+            target: intake.route.target,
+        };
+        let facts = Facts {
+            loads: &self.loads.borrow(),
+            elsewhere: &elsewhere,
+            now,
+        };
+        choose(&candidates, ask, facts)
+    }
+
+    fn admits(&self, intake: &Intake, service: &Service, engines: usize, instances: usize, now: Boot) -> bool {
+        let Some(held) = service.engine_tokens else {
+            return true;
+        };
+        let capacity = Capacity {
+            tokens: held as f64 * engines as f64,
+            elsewhere: self.digests.borrow().held(&service.id, instances - 1, now),
+            instances,
+        };
+        let tokens = tokens_of(&intake.prompt);
+        self.held.borrow().admits(&service.id, tokens, capacity, intake.urgency)
+    }
+
+    fn take(self: &Rc<Self>, service: &Service, choice: &Choice<'_>, intake: &Intake, now: Boot) -> Pick<W> {
+        let tokens = tokens_of(&intake.prompt);
+        self.held.borrow_mut().begin(&service.id, tokens);
+        let ticket = self.loads.borrow_mut().begin(&service.id, choice, &intake.prompt, now);
+        Pick {
+            endpoint: choice.known.endpoint.clone(),
+            flight: InFlight {
+                edge: self.clone(),
+                ticket,
+                service: service.id.clone(),
+                tokens,
+            },
+            at: now,
+        }
+    }
+}
+
+fn is_cold(service: &Service, known: &Known, now: Boot) -> bool {
+    service.cold_per_s > 0.0 && known.cold_until.is_some_and(|until| now < until)
+}
+
+/// Tokens of a prompt and its answer.
+fn tokens_of(prompt: &Prompt) -> f64 {
+    f64::from(prompt.tokens) + f64::from(prompt.most_output)
+}
--- a/crates/celerytide-edge/src/lib.rs
+++ b/crates/celerytide-edge/src/lib.rs
@@ -18,7 +18,6 @@
 pub mod forward;
 pub mod health;
 pub mod intake;
-pub mod logs;
 pub mod metrics;
 pub mod names;
 pub mod peers;
--- a/crates/celerytide-edge/src/peers/members.rs
+++ b/crates/celerytide-edge/src/peers/members.rs
@@ -18,6 +18,9 @@
 /// Entries in one message.
 const MAX_ENTRIES: usize = 24;
 
+/// Peer addresses of instances.
+pub type Instances = Vec<SocketAddr>;
+
 data! {
     /// What is told of one instance.
     pub struct Heard {
@@ -114,11 +117,11 @@
     }
 
     /// Instances that share bounds with this one, itself among them.
-    pub fn known(&self, now: Boot) -> Vec<SocketAddr> {
+    pub fn known(&self, now: Boot) -> Instances {
         let recent = self.heard.iter().filter(|(_, at)| now.since(**at) < SHARE_AGE);
         let recent = recent.map(|(address, _)| *address);
         let seeds = self.seeds.iter().copied();
-        let mut all: Vec<SocketAddr> = recent.chain(seeds).chain([self.own]).collect();
+        let mut all: Instances = recent.chain(seeds).chain([self.own]).collect();
         all.sort_unstable();
         all.dedup();
         all
--- a/crates/celerytide-edge/src/peers/mod.rs
+++ b/crates/celerytide-edge/src/peers/mod.rs
@@ -5,6 +5,6 @@
 mod news;
 mod tell;
 
-pub use members::Members;
+pub use members::{Instances, Members};
 pub use news::{Service, options, run};
 pub use tell::{hear, open, tell};
--- a/crates/celerytide-edge/src/peers/news.rs
+++ b/crates/celerytide-edge/src/peers/news.rs
@@ -78,7 +78,7 @@
             revision: edge.view.borrow().revision(),
             wants_view,
         };
-        match timeout(CALL, links.call::<Ask, Reply>(peer, Method::Gossip, &ask)).await {
+        match timeout(CALL, links.call::<Ask, Reply>(peer, Method::Peers, &ask)).await {
             Ok(Ok(reply)) => take(&edge, reply),
             Ok(Err(error)) => debug!(%peer, %error, "peers: call failed"),
             Err(_) => debug!(%peer, "peers: no answer in time"),
@@ -110,7 +110,7 @@
 
 impl<W: Wire> celerytide_wire::Service for Service<W> {
     async fn serve(&self, method: Method, mut ex: Exchange) {
-        if method != Method::Gossip {
+        if method != Method::Peers {
             debug!(?method, "peers: method not served here");
             return;
         }
--- a/crates/celerytide-kernel/src/logs/mod.rs
+++ b/crates/celerytide-kernel/src/logs/mod.rs
@@ -1,5 +1,10 @@
-//! Structured logs on standard error.
+//! Structured logs on standard error, or on standard output without ever blocking.
 
+mod lines;
+
+pub use lines::dropped;
+
+use lines::Lines;
 use snafu::{ResultExt, Snafu};
 use tracing_subscriber::EnvFilter;
 
@@ -30,10 +35,8 @@
 
 /// Starts logging at `level` (`error`, `warn`, `info`, `debug`, `trace`).
 pub fn init(format: Format, level: &str) -> Result<(), Error> {
-    let directives = format!("{level},h2=warn,monoio=warn,monoio_http=warn");
-    let filter = EnvFilter::try_new(directives).context(LevelSnafu { level })?;
     let base = tracing_subscriber::fmt()
-        .with_env_filter(filter)
+        .with_env_filter(filter(level)?)
         .with_writer(std::io::stderr)
         .with_target(false);
     let started = match format {
@@ -42,3 +45,23 @@
     };
     started.map_err(|_| Error::Started)
 }
+
+/// Starts logging at `level` to standard output, one JSON object a line. A line that the reader can't take at once is
+/// dropped and counted in [`dropped`].
+pub fn init_lines(level: &str) -> Result<(), Error> {
+    if let Err(error) = lines::set_nonblocking() {
+        eprintln!("logs: standard output stays blocking: {error}");
+    }
+    let base = tracing_subscriber::fmt()
+        .with_env_filter(filter(level)?)
+        .with_writer(|| Lines)
+        .with_target(false)
+        .json()
+        .flatten_event(true);
+    base.try_init().map_err(|_| Error::Started)
+}
+
+fn filter(level: &str) -> Result<EnvFilter, Error> {
+    let directives = format!("{level},h2=warn,monoio=warn,monoio_http=warn");
+    EnvFilter::try_new(directives).context(LevelSnafu { level })
+}
--- a/crates/celerytide-wire/src/messages/mod.rs
+++ b/crates/celerytide-wire/src/messages/mod.rs
@@ -23,6 +23,8 @@
     Handover,
     /// Any to any: versions held.
     Gossip,
+    /// Router to router: who lives, and a view for one that can't read the store.
+    Peers,
     /// Any to any: the manifest's text.
     Manifest,
     /// Any to any: a section of a manifest.
@@ -42,7 +44,7 @@
     path: &'static str,
 }
 
-const METHODS: [Named; 11] = [
+const METHODS: [Named; 12] = [
     Named {
         method: Method::Permit,
         path: "/1/permit",
@@ -63,6 +65,10 @@
         method: Method::Gossip,
         path: "/1/gossip",
     },
+    Named {
+        method: Method::Peers,
+        path: "/1/peers",
+    },
     Named {
         method: Method::Manifest,
         path: "/1/manifest",
