fix(edge): who meets a stopping instance is told to come back at once

Seen in the log: cause stopping, tried 0, left_ms 4736.

Ruled out: serving them there (streams longer than what is left of the grace time would be cut).

Change: such a refusal says 50 ms; others stay spread over the time left. The test a_stop_cuts_nothing failed first on the wait.

--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -27,11 +27,13 @@
 use crate::names::{Wire, kind_word};
 use crate::stop;
 
-use refuse::{Refusal, refuse};
+use refuse::{Back, Refusal, refuse};
 use send::{Reached, Sent};
 
 /// Least time for which a request is sent to an endpoint; with less left it could not end.
 const LEAST: Duration = Duration::from_millis(15);
+/// Cause of a request that came after the signal to stop.
+const STOPPING: &str = "stopping";
 /// Cause of a request that ran out of time.
 const DEADLINE: &str = "deadline";
 /// Sends that did not run, beyond the attempts of the route, before a request is refused.
@@ -124,7 +126,7 @@
         let edge = self.edge;
         let since = edge.stopping_since.get().map(|at| now_boot().since(at));
         if !stop::takes(since) {
-            return self.give_up(out, "stopping").await;
+            return self.give_up(out, STOPPING).await;
         }
         let Some(service) = edge.draw_service(&self.intake.route) else {
             return self.give_up(out, "no-service").await;
@@ -242,7 +244,8 @@
     /// Says that the request is given up: not run if that is certain, failed otherwise.
     async fn give_up(&self, out: Responder, cause: &'static str) -> End {
         let refusal = if self.ran == 0 {
-            Refusal::not_run(cause, self.left())
+            let back = if cause == STOPPING { Back::AtOnce } else { Back::Later };
+            Refusal::not_run(cause, self.left(), back)
         } else if cause == DEADLINE {
             Refusal::failed(StatusCode::GATEWAY_TIMEOUT, cause)
         } else {
--- a/crates/celerytide-edge/src/forward/refuse.rs
+++ b/crates/celerytide-edge/src/forward/refuse.rs
@@ -1,5 +1,6 @@
 //! Answers of our own.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use celerytide_http::server::{ErrorBody, ErrorDetail, ErrorWord, Responder, WORD_HEADER};
@@ -13,13 +14,24 @@
 /// Share of the time that is left after which a caller is told to come back, at most: it has time for its answer then.
 const MOST_SHARE: f64 = 0.32;
 /// Least time after which a caller is told to come back.
-const LEAST_WAIT: Duration = Duration::from_millis(100);
+const LEAST_WAIT: Duration = Duration::from_millis(50);
+/// Part of the longest wait over which those that come later are spread.
+const LATER: Range<f64> = 0.6..1.0;
 /// Most time after which a caller is told to come back.
 const MOST_WAIT: Duration = Duration::from_millis(2500);
 
 /// Time after which a caller is told to come back while no configuration is known.
 const UNCONFIGURED_WAIT: Duration = Duration::from_millis(1000);
 
+/// When a refused caller does best to come back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Back {
+    /// At once: another instance serves it.
+    AtOnce,
+    /// Spread over the time that it has: what it needs is in use everywhere.
+    Later,
+}
+
 /// A final answer that no endpoint gave.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Refusal {
@@ -46,9 +58,12 @@
     }
 
     /// The request did not run; a caller that still has `left` may come back.
-    pub fn not_run(cause: &'static str, left: Duration) -> Refusal {
+    pub fn not_run(cause: &'static str, left: Duration, back: Back) -> Refusal {
         let most = left.mul_f64(MOST_SHARE).min(MOST_WAIT);
-        let wait = most.mul_f64(rand::rng().random_range(0.6..1.0)).max(LEAST_WAIT);
+        let wait = match back {
+            Back::AtOnce => LEAST_WAIT,
+            Back::Later => most.mul_f64(rand::rng().random_range(LATER)).max(LEAST_WAIT),
+        };
         Refusal {
             status: StatusCode::SERVICE_UNAVAILABLE,
             cause,
