--- a/crates/celerytide-dispatch/src/dispatch/mod.rs
+++ b/crates/celerytide-dispatch/src/dispatch/mod.rs
@@ -55,8 +55,8 @@
             Method::Gossip | Method::Manifest | Method::Section | Method::Lists => {
                 dispatch.node.serve(method, ex).await
             }
-            Method::Muster | Method::Relay | Method::Look | Method::Outcomes => {
-                tracing::warn!(?method, "dispatch: a method for an entry came here");
+            Method::Muster | Method::Relay | Method::Look | Method::Outcomes | Method::Peers => {
+                tracing::warn!(?method, "dispatch: a method for another program came here");
             }
         }
     }
--- a/crates/celerytide-http/src/lib.rs
+++ b/crates/celerytide-http/src/lib.rs
@@ -11,7 +11,10 @@
 //! - **Chunk extensions** are dropped; a chunk line longer than [`guard::MAX_CHUNK_LINE`] is refused.
 //! - **Trailers** are read within [`guard::MAX_TRAILERS`] bytes and dropped.
 //! - **Answers that end by close** (neither length nor chunked) are refused with an explicit error: the end of such
-//!   an answer can't be told from an endpoint that died in the middle of it.
+//!   an answer can't be told from an endpoint that died in the middle of it. A client whose endpoints are known to answer
+//!   so takes them by [`client::Options::until_close`]; a reset still is no end.
+//! - **Early answers**, before a long body was written, are taken; the connection isn't used again, since what the
+//!   endpoint reads next would be taken for the rest of the body.
 //! - **Interim answers** (1xx) are skipped; `101` and more than [`client::MAX_INTERIM`] of them are refused.
 //! - **HTTP/1.0 callers** are served for `GET` and `HEAD` with whole answers; a streamed answer needs HTTP/1.1.
 //!
--- /dev/null
+++ b/crates/celerytide-http/tests/answers.rs
@@ -0,0 +1,172 @@
+//! Answers that state no length, that come early, and connections whose endpoint states how long it keeps them.
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread::spawn;
+use std::time::Duration;
+
+use bytes::Bytes;
+use celerytide_http::client::{Call, Client, Options, Whole};
+use http::{HeaderName, HeaderValue, Method};
+use monoio::time::sleep;
+use socket2::SockRef;
+use support::{ANY_PORT, run};
+use tokio_util::sync::CancellationToken;
+
+const MAX: usize = 1024 * 1024;
+
+/// Serves each connection on a thread of its own.
+fn endpoint(serve: fn(TcpStream)) -> SocketAddr {
+    let listener = TcpListener::bind(ANY_PORT).expect("listener");
+    let addr = listener.local_addr().expect("address");
+    spawn(move || {
+        for peer in listener.incoming().flatten() {
+            spawn(move || serve(peer));
+        }
+    });
+    addr
+}
+
+async fn ask(client: &Client, call: Call) -> Option<Whole> {
+    client.send_whole(call, MAX, &CancellationToken::new()).await.ok()
+}
+
+fn unframed(mut peer: TcpStream, reset: bool) {
+    let mut buf = [0; 4096];
+    let _ = peer.read(&mut buf);
+    let _ = peer.write_all(b"HTTP/1.1 200 OK\r\n\r\nall of it");
+    std::thread::sleep(Duration::from_millis(30));
+    if reset {
+        let _ = SockRef::from(&peer).set_linger(Some(Duration::ZERO));
+    }
+}
+
+/// An answer without a length.
+struct Unframed {
+    name: &'static str,
+    allowed: bool,
+    serve: fn(TcpStream),
+    body: Option<&'static str>,
+}
+
+const UNFRAMED: [Unframed; 3] = [
+    Unframed {
+        name: "closed",
+        allowed: true,
+        serve: |peer| unframed(peer, false),
+        body: Some("all of it"),
+    },
+    Unframed {
+        name: "reset",
+        allowed: true,
+        serve: |peer| unframed(peer, true),
+        body: None,
+    },
+    Unframed {
+        name: "not allowed",
+        allowed: false,
+        serve: |peer| unframed(peer, false),
+        body: None,
+    },
+];
+
+#[test]
+fn an_answer_may_end_with_its_connection_where_that_is_allowed() {
+    for case in &UNFRAMED {
+        let addr = endpoint(case.serve);
+        let opts = Options {
+            until_close: case.allowed,
+            ..Options::default()
+        };
+        let got = run(async move { ask(&Client::new(opts), Call::new(addr, Method::GET, "/")).await });
+        let body = got.map(|whole| whole.body);
+        assert_eq!(body.as_deref(), case.body.map(str::as_bytes), "{}", case.name);
+    }
+}
+
+/// Answers as soon as the head is there; reads the rest of the body later, and expects nothing else behind it.
+fn early(mut peer: TcpStream) {
+    let mut buf = [0; 1024];
+    let _ = peer.read(&mut buf);
+    let _ = peer.write_all(b"HTTP/1.1 413 Too Large\r\ncontent-length: 3\r\n\r\nbig");
+    std::thread::sleep(Duration::from_millis(50));
+    let mut rest = Vec::new();
+    let _ = peer.read_to_end(&mut rest);
+    assert!(rest.iter().all(|b| *b == b'x'), "other bytes where the body was due");
+}
+
+#[test]
+fn an_early_answer_is_taken_and_its_connection_not_used_again() {
+    let addr = endpoint(early);
+    run(async move {
+        let client = Client::new(Options::default());
+        for _ in 0..3 {
+            let mut call = Call::new(addr, Method::POST, "/");
+            call.body = Bytes::from(vec![b'x'; 32 * 1024 * 1024]);
+            let got = ask(&client, call).await.expect("an answer");
+            assert_eq!((got.status.as_u16(), &got.body[..]), (413, &b"big"[..]));
+            assert_eq!(client.idle(), 0);
+        }
+    });
+}
+
+fn keeps_one_second(mut peer: TcpStream) {
+    let mut buf = [0; 4096];
+    while matches!(peer.read(&mut buf), Ok(n) if n > 0) {
+        let head = String::from_utf8_lossy(&buf).to_lowercase();
+        let host = head
+            .lines()
+            .find_map(|l| l.strip_prefix("host: "))
+            .unwrap_or_default()
+            .to_owned();
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nkeep-alive: timeout=1\r\nx-own-id: a\r\ncontent-length: {}\r\n\r\n{host}",
+            host.len()
+        );
+        let _ = peer.write_all(answer.as_bytes());
+    }
+}
+
+#[test]
+fn a_connection_is_used_for_less_than_its_endpoint_keeps_it() {
+    let addr = endpoint(keeps_one_second);
+    run(async move {
+        let client = Client::new(Options::default());
+        let mut call = Call::new(addr, Method::GET, "/");
+        call.host = Some(HeaderValue::from_static("app.example"));
+        let got = ask(&client, call.clone()).await.expect("an answer");
+        assert_eq!(&got.body[..], b"app.example");
+        assert_eq!(client.idle(), 1);
+        sleep(Duration::from_millis(400)).await;
+        call.max_idle = Some(Duration::from_millis(100));
+        ask(&client, call.clone()).await.expect("an answer");
+        assert_eq!(
+            client.idle(),
+            2,
+            "the older one was too old for this call, and is kept for others"
+        );
+        sleep(Duration::from_millis(900)).await;
+        call.max_idle = None;
+        ask(&client, call).await.expect("an answer");
+        assert_eq!(client.idle(), 1, "both were past three quarters of the stated second");
+    });
+}
+
+#[test]
+fn an_answer_with_another_id_is_no_answer() {
+    let addr = endpoint(keeps_one_second);
+    let opts = Options {
+        id_header: HeaderName::from_static("x-own-id"),
+        ..Options::default()
+    };
+    run(async move {
+        let client = Client::new(opts);
+        for (id, taken) in [("a", true), ("b", false)] {
+            let mut call = Call::new(addr, Method::GET, "/");
+            call.headers.insert("x-own-id", HeaderValue::from_static(id));
+            assert_eq!(ask(&client, call).await.is_some(), taken, "{id}");
+        }
+    });
+}
