fix(edge): a connection that was refused costs no repeat

In the log each had one send before, connection refused (213 of them): nothing arrived anywhere, and still the next send drew on the budget of repeats until it was empty.

Ruled out: the health of endpoints (each was taken out at its first refused connection); no-endpoint (112 requests of the plain service, whose only endpoint left was down).

Change: a send draws on the budget only if one before it reached an endpoint.

--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -75,6 +75,7 @@
         tried: Vec::new(),
         ran: 0,
         rejected: 0,
+        arrived: false,
         endpoint: String::new(),
         first_byte: None,
     };
@@ -108,6 +109,8 @@
     ran: u32,
     /// Sends that certainly did not run.
     rejected: u32,
+    /// Whether a send reached an endpoint: another one is a repeat then.
+    arrived: bool,
     endpoint: String,
     /// Time from the start to the first byte of an answer.
     first_byte: Option<Duration>,
@@ -140,8 +143,7 @@
                 Ok(pick) => pick,
                 Err(none) => return self.give_up(out, none.cause()).await,
             };
-            let first = self.tried.is_empty();
-            if !first && !edge.take_repeat(&service.id) {
+            if self.arrived && !edge.take_repeat(&service.id) {
                 return self.give_up(out, "no-repeat-left").await;
             }
             self.tried.push(pick.endpoint.id.clone());
@@ -151,14 +153,21 @@
                 Sent::Answer(reached) if self.passes(&reached) => return self.pass(out, reached, &service).await,
                 Sent::Answer(reached) => {
                     reached.end(Sign::Bad);
+                    self.arrived = true;
                     self.ran += 1;
                     self.after_failure("endpoint-failed")
                 }
-                Sent::NotRun(cause) => {
+                Sent::Rejected(cause) => {
+                    self.arrived = true;
+                    self.rejected += 1;
+                    self.after_rejection(cause)
+                }
+                Sent::Unreached(cause) => {
                     self.rejected += 1;
                     self.after_rejection(cause)
                 }
                 Sent::Broken(cause) => {
+                    self.arrived = true;
                     self.ran += 1;
                     self.after_failure(cause)
                 }
--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -32,8 +32,10 @@
 pub enum Sent<W: Wire> {
     /// The head of an answer.
     Answer(Box<Reached<W>>),
-    /// It certainly did not run.
-    NotRun(&'static str),
+    /// It reached the endpoint, or another one at its address, and certainly did not run.
+    Rejected(&'static str),
+    /// It did not leave: no connection.
+    Unreached(&'static str),
     /// It may have run, and no answer came.
     Broken(&'static str),
 }
@@ -109,7 +111,7 @@
         return Sent::Broken("endpoint-broke-off");
     }
     edge.record(&service.id, id, Sign::Unreached);
-    Sent::NotRun("endpoint-unreachable")
+    Sent::Unreached("endpoint-unreachable")
 }
 
 fn read_head<W: Wire>(run: &Run<'_, W>, service: &Service, pick: Pick<W>, answer: Answer) -> Sent<W> {
@@ -123,7 +125,7 @@
             "send: another endpoint has the address"
         );
         edge.record(&service.id, id, Sign::Unreached);
-        return Sent::NotRun("endpoint-replaced");
+        return Sent::Rejected("endpoint-replaced");
     }
     if answer.headers.contains_key(&names.not_run) {
         let status = answer.status.as_u16();
@@ -134,7 +136,7 @@
             after_ms = since_ms(&pick),
             "send: rejected"
         );
-        return Sent::NotRun("endpoint-full");
+        return Sent::Rejected("endpoint-full");
     }
     if answer.status.is_success() && !answer.headers.contains_key(&names.seal) {
         info!(request = run.intake.id, endpoint = id, "send: answer without a seal");
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -132,7 +132,7 @@
                 run.ran += 1;
             }
             Sent::Broken(_) => run.ran += 1,
-            Sent::NotRun(_) => run.rejected += 1,
+            Sent::Rejected(_) | Sent::Unreached(_) => run.rejected += 1,
         }
         if run.rejected > super::MAX_REJECTED {
             return None;
