fix(catalog): an entry that stayed away after an outage gets nothing once its hold is over

Three instances were refused by the store and read the list again at 11.7 s; the endpoint's entry was gone and held for 1.8 s. What was held is dropped only when a watch returns, and that one waited 2.25 s and rested 0.5 s before it.

Ruled out: a late list (it was read 0.1 s after the store answered).

Change: a held entry counts as usable only until its hold ends, whenever it is swept. The test an_entry_that_stays_away_gets_nothing_though_nobody_swept failed first.

--- a/crates/celerytide-catalog/src/view/mod.rs
+++ b/crates/celerytide-catalog/src/view/mod.rs
@@ -122,10 +122,11 @@
     }
 
     /// Endpoints of `service` that may get new work.
-    pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Known> + 'a {
+    pub fn usable<'a>(&'a self, service: &'a str, now: Boot) -> impl Iterator<Item = &'a Known> + 'a {
         self.endpoints.values().filter(move |known| {
             let endpoint = &known.endpoint;
-            endpoint.service == service && !endpoint.leaving && !self.zones_out.contains(&endpoint.zone)
+            let held = known.missing_until.is_none_or(|until| now < until);
+            held && endpoint.service == service && !endpoint.leaving && !self.zones_out.contains(&endpoint.zone)
         })
     }
 
--- a/crates/celerytide-catalog/tests/view.rs
+++ b/crates/celerytide-catalog/tests/view.rs
@@ -82,8 +82,8 @@
     }
 }
 
-fn usable(view: &View) -> Vec<String> {
-    view.usable("s").map(|k| k.endpoint.id.clone()).collect()
+fn usable(view: &View, ms: u64) -> Vec<String> {
+    view.usable("s", at(ms)).map(|k| k.endpoint.id.clone()).collect()
 }
 
 #[test]
@@ -92,7 +92,7 @@
     view.replace(snapshot(10, 5, &[endpoint("a", "z", 1)]), Duration::ZERO, at(0));
     let older = view.replace(snapshot(9, 9, &[]), Duration::ZERO, at(1));
     assert_eq!(older, Default::default(), "an older snapshot changes nothing");
-    assert_eq!(usable(&view), ["a"]);
+    assert_eq!(usable(&view, 2000), ["a"]);
     view.apply(vec![Change::Config(config(4))], 11, Duration::ZERO, at(2));
     assert_eq!(
         view.catalog().version(),
@@ -100,7 +100,17 @@
         "nor does an older version under a newer revision"
     );
     view.apply(vec![Change::EndpointGone("a".to_owned())], 10, Duration::ZERO, at(3));
-    assert_eq!(usable(&view), ["a"], "nor do changes of an older revision");
+    assert_eq!(usable(&view, 2000), ["a"], "nor do changes of an older revision");
+}
+
+#[test]
+fn an_entry_that_stays_away_gets_nothing_though_nobody_swept() {
+    let both = [endpoint("a", "z", 1), endpoint("b", "z", 1)];
+    let mut view = View::default();
+    view.replace(snapshot(10, 1, &both), Duration::ZERO, at(0));
+    view.replace(snapshot(20, 1, &both[..1]), HOLD, at(1000));
+    assert_eq!(usable(&view, 2700), ["a", "b"]);
+    assert_eq!(usable(&view, 2800), ["a"], "the hold is over");
 }
 
 #[test]
@@ -109,15 +119,15 @@
     let mut view = View::default();
     view.replace(snapshot(10, 1, &both), Duration::ZERO, at(0));
     view.replace(snapshot(20, 1, &both[..1]), HOLD, at(1000));
-    assert_eq!(usable(&view), ["a", "b"]);
+    assert_eq!(usable(&view, 1000), ["a", "b"]);
     view.expire(at(2700));
-    assert_eq!(usable(&view), ["a", "b"]);
+    assert_eq!(usable(&view, 2700), ["a", "b"]);
     view.expire(at(2800));
-    assert_eq!(usable(&view), ["a"], "it stayed away");
+    assert_eq!(usable(&view, 2800), ["a"], "it stayed away");
     view.replace(snapshot(30, 1, &[]), HOLD, at(3000));
     view.apply(vec![Change::Endpoint(both[0].clone())], 31, HOLD, at(3100));
     view.expire(at(9000));
-    assert_eq!(usable(&view), ["a"], "it came back");
+    assert_eq!(usable(&view, 9000), ["a"], "it came back");
 }
 
 /// A change, and whether the endpoint is cold right after it.
@@ -190,14 +200,14 @@
         at(0),
     );
     view.apply(vec![Change::ZoneOut("x".to_owned())], 11, Duration::ZERO, at(1));
-    assert_eq!(usable(&view), ["b"]);
+    assert_eq!(usable(&view, 2000), ["b"]);
     let leaving = Endpoint {
         leaving: true,
         ..endpoint("b", "y", 1)
     };
     let update = view.apply(vec![Change::Endpoint(leaving)], 12, Duration::ZERO, at(2));
     assert_eq!(update.leaving, ["b"]);
-    assert!(usable(&view).is_empty());
+    assert!(usable(&view, 2000).is_empty());
 }
 
 /// Host and path with the prefix of the route that serves them.
--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -146,7 +146,7 @@
         let now = now_boot();
         let view = self.view.borrow();
         let mut loads = self.loads.borrow_mut();
-        let ids = view.usable(service).map(|k| k.endpoint.id.as_str());
+        let ids = view.usable(service, now).map(|k| k.endpoint.id.as_str());
         let others = loads.others_failures(ids, endpoint, now);
         let changed = loads.entry(endpoint).health.record(sign, others, now);
         if changed {
--- a/crates/celerytide-edge/src/edge/pick.rs
+++ b/crates/celerytide-edge/src/edge/pick.rs
@@ -110,7 +110,7 @@
             !is_cold(service, known, now) || cold.allows(id, service.cold_per_s, instances, now)
         };
         let untried = view
-            .usable(&service.id)
+            .usable(&service.id, now)
             .filter(|known| !tried.contains(&known.endpoint.id));
         untried.filter(bears).collect()
     }
