refactor(catalog): a counter and a setter that nobody calls are gone

Cause: read once more as a newcomer: View::generation was counted and never read, View::set_cold never called.

Change: both removed; behaviour stays.

--- a/crates/celerytide-catalog/src/view/mod.rs
+++ b/crates/celerytide-catalog/src/view/mod.rs
@@ -96,8 +96,6 @@
     catalog: Rc<Catalog>,
     endpoints: BTreeMap<EndpointId, Known>,
     zones_out: BTreeSet<ZoneId>,
-    /// Changes whenever something above does.
-    generation: u64,
 }
 
 impl View {
@@ -116,11 +114,6 @@
         self.config.is_some()
     }
 
-    /// Changes whenever the view does.
-    pub fn generation(&self) -> u64 {
-        self.generation
-    }
-
     /// Endpoints of `service` that may get new work.
     pub fn usable<'a>(&'a self, service: &'a str, now: Boot) -> impl Iterator<Item = &'a Known> + 'a {
         self.endpoints.values().filter(move |known| {
@@ -177,7 +170,6 @@
             self.miss(&id, hold, now, &mut update);
         }
         self.replace_zones(snapshot.zones_out, now, &mut update);
-        self.generation += 1;
         update
     }
 
@@ -198,7 +190,6 @@
                 Change::ZoneBack(zone) => self.zone_back(&zone, now, &mut update),
             }
         }
-        self.generation += 1;
         update
     }
 
@@ -216,19 +207,9 @@
             self.endpoints.remove(&id);
             update.gone.push(id);
         }
-        if !update.gone.is_empty() {
-            self.generation += 1;
-        }
         update
     }
 
-    /// Marks an endpoint as cold until `until`, as it told itself.
-    pub fn set_cold(&mut self, id: &str, until: Boot) {
-        if let Some(known) = self.endpoints.get_mut(id) {
-            known.cold_until = known.cold_until.max(Some(until));
-        }
-    }
-
     fn set_config(&mut self, config: Config, update: &mut Update) {
         if self.config.is_some() && config.version <= self.catalog.version() {
             return;
