fix(edge): the reading rate is a median, and pace is against what was to be expected

The costs, logged in a trial, show why: an engine's pace was the mean time to a first byte, so it told whether long or short prompts had gone there lately (0.47 to 1.55 among equal engines), and it multiplied the cost. The reading rate settled at 144,000 tokens/s in the median and up to 284,000 (the engines read 74,800): prompts that were held already and work in front that was half read both raise it, and a rise weighed ten times a fall.

Ruled out: homes that differ between instances (they agree on each session); the objective's share (few homes had more than that in front).

Change: the rate moves by 3% towards each measurement, up or down, and takes only prompts with little in front. A first event counts against the floor and the reading that were known of.

Test: the_reading_rate_settles_near_the_engines_own; failed before. Placement's tests have a file of their own.

--- a/crates/celerytide-edge/src/place/load.rs
+++ b/crates/celerytide-edge/src/place/load.rs
@@ -21,12 +21,11 @@
 const FIRST_RATE: f64 = 30_000.0;
 /// Prompts shorter than this tell little of the rate, in tokens.
 const LEAST_TOKENS: u64 = 2_000;
-/// Weight of a measurement above the rate.
-const RISE_WEIGHT: f64 = 0.1;
-/// Weight of a measurement below the rate: it mostly shows that more was waiting than this instance knew of.
-const FALL_WEIGHT: f64 = 0.01;
-/// Most by which one measurement counts above the rate, as a factor.
-const MOST_RISE: f64 = 3.0;
+/// Part by which one measurement moves the rate towards itself, so that it settles at their median: some show more that
+/// waited than this instance knew of, others a prompt that the engine held already.
+const RATE_STEP: f64 = 0.03;
+/// Part of a measured prompt up to which others may wait in front of it: what an engine has read of these isn't known.
+const MOST_AHEAD: f64 = 0.25;
 
 /// A request in flight at an endpoint.
 #[derive(Debug)]
@@ -34,8 +33,9 @@
     /// The endpoint.
     pub endpoint: EndpointId,
     service: ServiceId,
-    /// Tokens to be read before its first event, as far as was known.
-    waited_for: u64,
+    /// Tokens that waited in front of it, as far as was known.
+    ahead: u64,
+    /// Tokens of its own that were to be read.
     unread: u64,
     read: bool,
 }
@@ -68,7 +68,7 @@
         self.picked_at
     }
 
-    /// Time to the first byte against `mean`; 1 where it isn't known.
+    /// Time to the first byte, against what was to be expected, against `mean`; 1 where it isn't known.
     pub fn pace(&self, mean: Option<f64>) -> f64 {
         match (self.pace, mean) {
             (Some(own), Some(mean)) if mean > 0.0 => own / mean,
@@ -119,15 +119,17 @@
 }
 
 impl ReadRate {
-    fn note(&mut self, tokens: u64, took_s: f64) {
+    /// Takes in that a request had its first byte after `took_s`; returns that against the time that was to be expected.
+    fn note(&mut self, ahead: u64, unread: u64, took_s: f64) -> f64 {
         self.floor_s = self.floor_s.min(took_s);
+        let expected = self.floor_s + (ahead + unread) as f64 / self.per_s;
         let reading = took_s - self.floor_s;
-        if tokens < LEAST_TOKENS || reading <= 0.0 {
-            return;
+        let tells = unread >= LEAST_TOKENS && ahead as f64 <= unread as f64 * MOST_AHEAD;
+        if tells && reading > 0.0 {
+            let faster = unread as f64 / reading > self.per_s;
+            self.per_s *= if faster { 1.0 + RATE_STEP } else { 1.0 - RATE_STEP };
         }
-        let new = (tokens as f64 / reading).min(self.per_s * MOST_RISE);
-        let weight = if new > self.per_s { RISE_WEIGHT } else { FALL_WEIGHT };
-        self.per_s += (new - self.per_s) * weight;
+        took_s / expected.max(f64::MIN_POSITIVE)
     }
 }
 
@@ -166,7 +168,7 @@
         }
     }
 
-    /// Mean time to the first byte of `ids`, as far as it is known, in seconds.
+    /// Mean of the time to the first byte against what was to be expected, of `ids`, as far as it is known.
     pub fn mean_pace<'a>(&self, ids: impl Iterator<Item = &'a str>) -> Option<f64> {
         let known: Vec<f64> = ids.filter_map(|id| self.by_id.get(id)?.pace).collect();
         (!known.is_empty()).then(|| known.iter().sum::<f64>() / known.len() as f64)
@@ -206,7 +208,7 @@
         Ticket {
             endpoint: id.clone(),
             service: service.to_owned(),
-            waited_for: choice.ahead + unread,
+            ahead: choice.ahead,
             unread,
             read: false,
         }
@@ -216,11 +218,8 @@
     pub fn first_byte(&mut self, ticket: &mut Ticket, took: Duration) {
         let load = self.entry(&ticket.endpoint);
         load.settle(ticket);
-        let new = took.as_secs_f64();
-        self.rates
-            .entry(ticket.service.clone())
-            .or_default()
-            .note(ticket.waited_for, new);
+        let rate = self.rates.entry(ticket.service.clone()).or_default();
+        let new = rate.note(ticket.ahead, ticket.unread, took.as_secs_f64());
         let load = self.entry(&ticket.endpoint);
         load.pace = Some(load.pace.map_or(new, |old| old + (new - old) * PACE_WEIGHT));
     }
--- a/crates/celerytide-edge/tests/decisions.rs
+++ b/crates/celerytide-edge/tests/decisions.rs
@@ -2,18 +2,14 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
-use celerytide_catalog::{Endpoint, Known, Service};
 use celerytide_edge::admit::{Capacity, Held};
 use celerytide_edge::budget::{Budget, Options};
 use celerytide_edge::cold::ColdShares;
 use celerytide_edge::health::{Health, Sign, Standing};
-use celerytide_edge::names::{Part, Prompt};
 use celerytide_edge::peers::Members;
 use celerytide_edge::peers::digest::{Backlog, Digest, Digests, HeldAt, id_hash};
-use celerytide_edge::place::{Ask, Candidate, Facts, Loads, choose};
 use celerytide_types::Boot;
 
 fn at(ms: u64) -> Boot {
@@ -235,117 +231,6 @@
     assert_eq!(health.standing(at(2650)), Standing::In);
 }
 
-fn service() -> Service {
-    Service {
-        id: "llm".to_owned(),
-        health_path: String::new(),
-        cold_time: Duration::ZERO,
-        cold_per_s: 0.0,
-        engine_slots: Some(128),
-        engine_tokens: Some(352_253),
-    }
-}
-
-fn engines(count: usize) -> Vec<Known> {
-    let known = |n: usize| Known {
-        endpoint: Rc::new(Endpoint {
-            id: format!("e{n}"),
-            service: "llm".to_owned(),
-            address: instance(n as u8),
-            zone: "z".to_owned(),
-            slots: 128,
-            leaving: false,
-            cold_for: Duration::ZERO,
-            start: None,
-        }),
-        cold_until: None,
-        missing_until: None,
-    };
-    (0..count).map(known).collect()
-}
-
-fn prompt(document: u64, own: u64) -> Prompt {
-    let part = |id, tokens| Part { id, tokens };
-    Prompt {
-        parts: vec![part(1, 2520), part(document, 3780), part(own, 2890)],
-        tokens: 9190,
-        most_output: 52,
-    }
-}
-
-fn pick(engines: &[Known], prompt: &Prompt, target_ms: u64, loads: &Loads, digests: &Digests) -> String {
-    let service = service();
-    let candidates: Vec<Candidate<'_>> = engines.iter().map(|known| Candidate { known, near: true }).collect();
-    let ask = Ask {
-        service: &service,
-        prompt,
-        target: Some(Duration::from_millis(target_ms)),
-    };
-    let elsewhere = digests.sums(8, at(0));
-    let facts = Facts {
-        loads,
-        elsewhere: &elsewhere,
-        now: at(0),
-    };
-    choose(&candidates, ask, facts)
-        .expect("a choice")
-        .known
-        .endpoint
-        .id
-        .clone()
-}
-
-#[test]
-fn prompts_that_share_a_part_meet_at_one_endpoint_from_every_instance() {
-    let engines = engines(12);
-    for document in 100..140 {
-        let homes: Vec<String> = (0..5)
-            .map(|own| {
-                pick(
-                    &engines,
-                    &prompt(document, own),
-                    1200,
-                    &Loads::default(),
-                    &Digests::default(),
-                )
-            })
-            .collect();
-        assert!(homes.iter().all(|home| *home == homes[0]), "{homes:?}");
-    }
-}
-
-#[test]
-fn a_short_prompt_avoids_what_other_instances_have_waiting() {
-    let engines = engines(12);
-    let short = Prompt {
-        parts: Vec::new(),
-        tokens: 500,
-        most_output: 200,
-    };
-    let mut digests = Digests::default();
-    let waiting = |n: usize| Backlog {
-        endpoint: id_hash(&format!("e{n}")),
-        unread: 18_000,
-        running: 1,
-    };
-    digests.take(
-        instance(9),
-        Digest::new((0..11).map(waiting).collect(), Vec::new()),
-        at(0),
-    );
-    assert_eq!(pick(&engines, &short, 300, &Loads::default(), &digests), "e11");
-    let home = pick(&engines, &prompt(7, 1), 1200, &Loads::default(), &Digests::default());
-    let mut at_home = Digests::default();
-    let backlog = Backlog {
-        endpoint: id_hash(&home),
-        unread: 6_000,
-        running: 1,
-    };
-    at_home.take(instance(9), Digest::new(vec![backlog], Vec::new()), at(0));
-    let stays = pick(&engines, &prompt(7, 2), 1200, &Loads::default(), &at_home);
-    assert_eq!(stays, home, "a long prompt with time waits where its parts are");
-}
-
 #[test]
 fn a_digest_that_is_not_repeated_no_longer_counts() {
     let mut digests = Digests::default();
--- /dev/null
+++ b/crates/celerytide-edge/tests/placement.rs
@@ -0,0 +1,210 @@
+//! Placement replayed with the loads that it answers.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use celerytide_catalog::{Endpoint, Known, Service};
+use celerytide_edge::names::{Part, Prompt};
+use celerytide_edge::peers::digest::{Backlog, Digest, Digests, id_hash};
+use celerytide_edge::place::{Ask, Candidate, Choice, Facts, Loads, choose};
+use celerytide_types::Boot;
+
+fn at(ms: u64) -> Boot {
+    Boot::from_start(Duration::from_secs(1000) + Duration::from_millis(ms))
+}
+
+fn instance(n: u8) -> SocketAddr {
+    SocketAddr::from(([10, 1, 0, n], 8229))
+}
+
+fn service() -> Service {
+    Service {
+        id: "llm".to_owned(),
+        health_path: String::new(),
+        cold_time: Duration::ZERO,
+        cold_per_s: 0.0,
+        engine_slots: Some(128),
+        engine_tokens: Some(352_253),
+    }
+}
+
+fn engines(count: usize) -> Vec<Known> {
+    let known = |n: usize| Known {
+        endpoint: Rc::new(Endpoint {
+            id: format!("e{n}"),
+            service: "llm".to_owned(),
+            address: instance(n as u8),
+            zone: "z".to_owned(),
+            slots: 128,
+            leaving: false,
+            cold_for: Duration::ZERO,
+            start: None,
+        }),
+        cold_until: None,
+        missing_until: None,
+    };
+    (0..count).map(known).collect()
+}
+
+fn prompt(document: u64, own: u64) -> Prompt {
+    let part = |id, tokens| Part { id, tokens };
+    Prompt {
+        parts: vec![part(1, 2520), part(document, 3780), part(own, 2890)],
+        tokens: 9190,
+        most_output: 52,
+    }
+}
+
+fn pick(engines: &[Known], prompt: &Prompt, target_ms: u64, loads: &Loads, digests: &Digests) -> String {
+    let service = service();
+    let candidates: Vec<Candidate<'_>> = engines.iter().map(|known| Candidate { known, near: true }).collect();
+    let ask = Ask {
+        service: &service,
+        prompt,
+        target: Some(Duration::from_millis(target_ms)),
+    };
+    let elsewhere = digests.sums(8, at(0));
+    let facts = Facts {
+        loads,
+        elsewhere: &elsewhere,
+        now: at(0),
+    };
+    choose(&candidates, ask, facts)
+        .expect("a choice")
+        .known
+        .endpoint
+        .id
+        .clone()
+}
+
+#[test]
+fn prompts_that_share_a_part_meet_at_one_endpoint_from_every_instance() {
+    let engines = engines(12);
+    for document in 100..140 {
+        let homes: Vec<String> = (0..5)
+            .map(|own| {
+                pick(
+                    &engines,
+                    &prompt(document, own),
+                    1200,
+                    &Loads::default(),
+                    &Digests::default(),
+                )
+            })
+            .collect();
+        assert!(homes.iter().all(|home| *home == homes[0]), "{homes:?}");
+    }
+}
+
+#[test]
+fn a_short_prompt_avoids_what_other_instances_have_waiting() {
+    let engines = engines(12);
+    let short = Prompt {
+        parts: Vec::new(),
+        tokens: 500,
+        most_output: 200,
+    };
+    let mut digests = Digests::default();
+    let waiting = |n: usize| Backlog {
+        endpoint: id_hash(&format!("e{n}")),
+        unread: 18_000,
+        running: 1,
+    };
+    digests.take(
+        instance(9),
+        Digest::new((0..11).map(waiting).collect(), Vec::new()),
+        at(0),
+    );
+    assert_eq!(pick(&engines, &short, 300, &Loads::default(), &digests), "e11");
+    let home = pick(&engines, &prompt(7, 1), 1200, &Loads::default(), &Digests::default());
+    let mut at_home = Digests::default();
+    let backlog = Backlog {
+        endpoint: id_hash(&home),
+        unread: 6_000,
+        running: 1,
+    };
+    at_home.take(instance(9), Digest::new(vec![backlog], Vec::new()), at(0));
+    let stays = pick(&engines, &prompt(7, 2), 1200, &Loads::default(), &at_home);
+    assert_eq!(stays, home, "a long prompt with time waits where its parts are");
+}
+
+/// Engines that read as fast as each other, with requests of all lengths.
+struct Reading {
+    name: &'static str,
+    /// Tokens a second that each engine reads.
+    per_s: f64,
+    /// Every so manieth prompt is held already, so that its answer begins at once.
+    held_every: u64,
+    /// Every so manieth meets work that this instance doesn't know of, in tokens.
+    hidden_every: u64,
+    hidden: u64,
+}
+
+const READING: [Reading; 3] = [
+    Reading {
+        name: "all as known",
+        per_s: 75_000.0,
+        held_every: 1000,
+        hidden_every: 1000,
+        hidden: 0,
+    },
+    Reading {
+        name: "a third held, a third behind hidden work",
+        per_s: 75_000.0,
+        held_every: 3,
+        hidden_every: 4,
+        hidden: 9000,
+    },
+    Reading {
+        name: "slow engines",
+        per_s: 20_000.0,
+        held_every: 4,
+        hidden_every: 3,
+        hidden: 5000,
+    },
+];
+
+/// Least time to a first byte in the replays.
+const FLOOR: Duration = Duration::from_millis(15);
+
+/// One request that was sent and answered.
+fn answer(loads: &mut Loads, known: &Known, prompt: &Prompt, ahead: u64, took: Duration) {
+    let choice = Choice {
+        known,
+        missing: prompt.tokens,
+        ahead,
+    };
+    let mut ticket = loads.begin("llm", &choice, prompt, at(0));
+    loads.first_byte(&mut ticket, took);
+    loads.end(&mut ticket);
+}
+
+fn own(tokens: u32) -> Prompt {
+    Prompt {
+        parts: Vec::new(),
+        tokens,
+        most_output: 100,
+    }
+}
+
+#[test]
+fn the_reading_rate_settles_near_the_engines_own() {
+    let engines = engines(4);
+    for case in &READING {
+        let mut loads = Loads::default();
+        for n in 0..400_u64 {
+            let tokens = 2_000 + (n * 7919) % 8_000;
+            // A prompt in front is half read by the time it is known of.
+            let ahead = if n % 5 == 0 { 6_000 } else { 0 };
+            let hidden = if n % case.hidden_every == 0 { case.hidden } else { 0 };
+            let read = if n % case.held_every == 1 { 200 } else { tokens };
+            let reading = (read + ahead / 2 + hidden) as f64 / case.per_s;
+            let took = FLOOR + Duration::from_secs_f64(reading);
+            answer(&mut loads, &engines[(n % 4) as usize], &own(tokens as u32), ahead, took);
+        }
+        let rate = loads.read_rate("llm");
+        let close = (0.65..1.35).contains(&(rate / case.per_s));
+        assert!(close, "{}: {rate:.0} of {:.0}", case.name, case.per_s);
+    }
+}
