fix(edge): an engine's pace counts only where it is clearly slow

Change: up to 1.5 an engine counts like its kind; plain endpoints as before.

Test: an_engine_that_holds_the_parts_is_left_only_when_it_is_slow_for_what_it_reads; failed before.

--- a/crates/celerytide-edge/src/place/mod.rs
+++ b/crates/celerytide-edge/src/place/mod.rs
@@ -32,8 +32,11 @@
 const WAITING: f64 = 0.3;
 /// Share of the objective that may be spent waiting for others.
 const WAIT_SHARE: f64 = 0.35;
-/// Least and most that an endpoint's pace changes its cost.
+/// Least and most that a plain endpoint's pace changes its cost.
 const PACE_RANGE: (f64, f64) = (0.5, 6.0);
+/// Pace up to which an engine counts like its kind: a few first events tell no more, and to leave an engine costs the
+/// parts that it holds.
+const ENGINE_SLOW: f64 = 1.5;
 /// Cost of a request at a plain endpoint that is as fast as its kind.
 const PLAIN_COST: f64 = 1.0;
 
@@ -120,11 +123,14 @@
         .map_or(1.0, |l| l.pace(mean_pace))
         .clamp(PACE_RANGE.0, PACE_RANGE.1);
     let tokens = match ask.service.engine_slots {
-        Some(slots) => engine_cost(ask, facts, slots, running, ahead as f64, missing),
-        None => (PLAIN_COST + f64::from(running)) / f64::from(endpoint.slots.max(1)),
+        Some(slots) => {
+            let pace = if pace > ENGINE_SLOW { pace } else { 1.0 };
+            engine_cost(ask, facts, slots, running, ahead as f64, missing) * pace
+        }
+        None => (PLAIN_COST + f64::from(running)) / f64::from(endpoint.slots.max(1)) * pace,
     };
     let cost = Cost {
-        tokens: tokens * pace,
+        tokens,
         picked_at: load.map_or(Boot::default(), Load::picked_at),
         far: !candidate.near,
     };
--- a/crates/celerytide-edge/tests/placement.rs
+++ b/crates/celerytide-edge/tests/placement.rs
@@ -208,3 +208,59 @@
         assert!(close, "{}: {rate:.0} of {:.0}", case.name, case.per_s);
     }
 }
+
+/// What an instance saw of the engine that holds the parts, against the others, and whether it leaves it for that.
+struct Paces {
+    name: &'static str,
+    /// Prompt lengths at the home and elsewhere, in tokens.
+    lengths: (u32, u32),
+    /// Time to the first event at the home against what was to be expected.
+    slowness: f64,
+    leaves: bool,
+}
+
+const PACES: [Paces; 4] = [
+    Paces {
+        name: "long prompts at the home, short ones elsewhere",
+        lengths: (9_000, 1_000),
+        slowness: 1.0,
+        leaves: false,
+    },
+    Paces {
+        name: "short prompts at the home",
+        lengths: (500, 9_000),
+        slowness: 1.0,
+        leaves: false,
+    },
+    Paces {
+        name: "a little late at the home",
+        lengths: (4_000, 4_000),
+        slowness: 1.4,
+        leaves: false,
+    },
+    Paces {
+        name: "a slow home",
+        lengths: (4_000, 4_000),
+        slowness: 8.0,
+        leaves: true,
+    },
+];
+
+#[test]
+fn an_engine_that_holds_the_parts_is_left_only_when_it_is_slow_for_what_it_reads() {
+    let engines = engines(12);
+    for case in &PACES {
+        let home = pick(&engines, &prompt(7, 1), 1200, &Loads::default(), &Digests::default());
+        let mut loads = Loads::default();
+        for n in 0..240_usize {
+            let engine = &engines[n % 12];
+            let is_home = engine.endpoint.id == home;
+            let tokens = if is_home { case.lengths.0 } else { case.lengths.1 };
+            let times = if is_home { case.slowness } else { 1.0 };
+            let took = FLOOR + Duration::from_secs_f64(f64::from(tokens) / 75_000.0);
+            answer(&mut loads, engine, &own(tokens), 0, took.mul_f64(times));
+        }
+        let next = pick(&engines, &prompt(7, 2), 1200, &loads, &Digests::default());
+        assert_eq!(next != home, case.leaves, "{}: {home} then {next}", case.name);
+    }
+}
