feat(edge): in a large fleet a few instances read the store, and the others follow them

Change: with over 16 others, one in ten reads, chosen by rendezvous hashing over the instances that live. Each other one keeps a call waiting at a reader, which answers with the changes behind the asker's view (16 batches are kept, else the whole view), their age and the hold after an outage. A reader that fails, falls silent (0.3 of the time to apply, and 0.4 s) or has lost the store is left at once: the follower reads for 2 s and follows another one then. Readers watch for 0.3 of the time to apply at most, so that one cut off from the store says so in time.

Ruled out: longer idle watches alone (they leave the calls that each change wakes); telling of revisions by digests (a second way to the same end). allow_stale may be seconds old.

The small sites don't use it.

--- a/crates/celerytide-catalog/src/view/mod.rs
+++ b/crates/celerytide-catalog/src/view/mod.rs
@@ -1,6 +1,6 @@
 //! What is known now, and since when.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -88,9 +88,21 @@
     pub missing_until: Option<Boot>,
 }
 
+/// Changes that came together are kept for others up to this count of times.
+const KEPT_BATCHES: usize = 16;
+
+/// Changes that came together.
+#[derive(Debug)]
+struct Batch {
+    /// Revision of the view before.
+    from: Revision,
+    changes: Vec<Change>,
+}
+
 /// What this process knows.
 #[derive(Debug, Default)]
 pub struct View {
+    batches: VecDeque<Batch>,
     revision: Revision,
     config: Option<Rc<Config>>,
     catalog: Rc<Catalog>,
@@ -153,6 +165,7 @@
         }
         let first = self.revision == 0;
         self.revision = snapshot.revision;
+        self.batches.clear();
         if let Some(config) = snapshot.config {
             self.set_config(config, &mut update);
         }
@@ -180,6 +193,7 @@
         if revision < self.revision {
             return update;
         }
+        self.keep(&changes, revision);
         self.revision = revision;
         for change in changes {
             match change {
@@ -193,6 +207,30 @@
         update
     }
 
+    /// Changes after `revision` in their order, for a view of that revision; `None` if they are no longer kept. The first
+    /// ones may be such that it has already.
+    pub fn changes_after(&self, revision: Revision) -> Option<Vec<Change>> {
+        if revision >= self.revision {
+            return Some(Vec::new());
+        }
+        let start = self.batches.iter().rposition(|batch| batch.from <= revision)?;
+        let behind = self.batches.iter().skip(start);
+        Some(behind.flat_map(|batch| batch.changes.iter().cloned()).collect())
+    }
+
+    fn keep(&mut self, changes: &[Change], revision: Revision) {
+        if revision == self.revision {
+            return;
+        }
+        if self.batches.len() == KEPT_BATCHES {
+            self.batches.pop_front();
+        }
+        self.batches.push_back(Batch {
+            from: self.revision,
+            changes: changes.to_vec(),
+        });
+    }
+
     /// Drops the endpoints whose entries stayed away.
     pub fn expire(&mut self, now: Boot) -> Update {
         let mut update = Update::default();
--- a/crates/celerytide-catalog/tests/view.rs
+++ b/crates/celerytide-catalog/tests/view.rs
@@ -270,3 +270,82 @@
         assert_eq!(catalog.urgency(Some(customer), route), (position, 6));
     }
 }
+
+/// A view that fell behind by some batches, and whether it can be brought up by changes alone.
+struct Behind {
+    name: &'static str,
+    batches: u64,
+    by_changes: bool,
+}
+
+const BEHIND: [Behind; 4] = [
+    Behind {
+        name: "nothing",
+        batches: 0,
+        by_changes: true,
+    },
+    Behind {
+        name: "one batch",
+        batches: 1,
+        by_changes: true,
+    },
+    Behind {
+        name: "some batches",
+        batches: 12,
+        by_changes: true,
+    },
+    Behind {
+        name: "more than is kept",
+        batches: 40,
+        by_changes: false,
+    },
+];
+
+#[test]
+fn changes_kept_for_others_bring_them_up_to_date() {
+    for case in &BEHIND {
+        let start = Snapshot {
+            revision: 10,
+            config: Some(config(1)),
+            endpoints: vec![endpoint("a", "z1", 1), endpoint("b", "z2", 1)],
+            zones_out: Vec::new(),
+        };
+        let (mut ahead, mut behind) = (View::default(), View::default());
+        ahead.replace(start.clone(), Duration::ZERO, at(0));
+        behind.replace(start, Duration::ZERO, at(0));
+        for n in 0..case.batches {
+            let changes = vec![
+                Change::EndpointGone("a".to_owned()),
+                Change::Endpoint(endpoint("a", "z1", n)),
+                Change::Endpoint(endpoint(&format!("n{n}"), "z1", n)),
+                Change::EndpointGone(format!("n{}", n.wrapping_sub(3))),
+            ];
+            ahead.apply(changes, 12 + n * 3, Duration::ZERO, at(n));
+        }
+        let kept = ahead.changes_after(behind.revision());
+        assert_eq!(kept.is_some(), case.by_changes, "{}", case.name);
+        if let Some(list) = kept {
+            behind.apply(list, ahead.revision(), Duration::ZERO, at(100));
+            assert_eq!(behind.snapshot(), ahead.snapshot(), "{}", case.name);
+        }
+        // One between two batches takes the later one whole.
+        let between = ahead.changes_after(ahead.revision().saturating_sub(1));
+        assert_eq!(between.is_some(), case.batches > 0, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_new_list_ends_what_is_kept_for_others() {
+    let mut view = View::default();
+    let list = |revision| Snapshot {
+        revision,
+        config: Some(config(1)),
+        endpoints: Vec::new(),
+        zones_out: Vec::new(),
+    };
+    view.replace(list(10), Duration::ZERO, at(0));
+    view.apply(vec![Change::ZoneOut("z".to_owned())], 11, Duration::ZERO, at(0));
+    assert_eq!(view.changes_after(10).map(|list| list.len()), Some(1));
+    view.replace(list(14), Duration::ZERO, at(0));
+    assert_eq!(view.changes_after(10), None, "what lies between isn't known");
+}
--- a/crates/celerytide-dispatch/src/dispatch/mod.rs
+++ b/crates/celerytide-dispatch/src/dispatch/mod.rs
@@ -55,7 +55,7 @@
             Method::Gossip | Method::Manifest | Method::Section | Method::Lists => {
                 dispatch.node.serve(method, ex).await
             }
-            Method::Muster | Method::Relay | Method::Look | Method::Outcomes | Method::Peers => {
+            Method::Muster | Method::Relay | Method::Look | Method::Outcomes | Method::Peers | Method::Follow => {
                 tracing::warn!(?method, "dispatch: a method for another program came here");
             }
         }
--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -11,6 +11,7 @@
 use celerytide_http::client::{Client, Options};
 use celerytide_types::{Boot, ServiceId, now_boot};
 use rand::Rng;
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use tracing::info;
 
@@ -68,8 +69,14 @@
     pub limits: Rc<Cell<Limits>>,
     /// Counters and histograms.
     pub counters: Counters,
-    /// When the store last answered.
+    /// When the store last answered, this instance or the one that it follows.
     pub store_at: Cell<Option<Boot>>,
+    /// Until when endpoints whose entries are gone are still kept, after an outage of the store.
+    pub hold_until: Cell<Option<Boot>>,
+    /// Whether this instance reads the store, and it answers.
+    pub reading: Cell<bool>,
+    /// Wakes those that follow this instance: the view changed, or the store was lost.
+    pub changed: Notify,
     /// Cancelled when the process shall stop.
     pub stopping: CancellationToken,
     /// When it was asked to stop.
@@ -110,6 +117,9 @@
             limits: Rc::new(Cell::new(limits)),
             counters: Counters::default(),
             store_at: Cell::new(None),
+            hold_until: Cell::new(None),
+            reading: Cell::new(false),
+            changed: Notify::new(),
             stopping: CancellationToken::new(),
             stopping_since: Cell::new(None),
             busy: Cell::new(0),
@@ -126,6 +136,11 @@
         view.has_config() && view.endpoint_count() > 0 && self.stopping_since.get().is_none()
     }
 
+    /// For how long endpoints whose entries are gone are still kept.
+    pub fn hold(&self, now: Boot) -> Duration {
+        self.hold_until.get().map_or(Duration::ZERO, |until| until.since(now))
+    }
+
     /// Draws the service of a request by the weights of its route.
     pub fn draw_service(&self, route: &Route) -> Option<Rc<Service>> {
         let total: u32 = route.backends.iter().map(|b| b.weight).sum();
@@ -176,6 +191,7 @@
         if *update == Update::default() {
             return;
         }
+        self.changed.notify_waiters();
         let view = self.view.borrow();
         if update.config.is_some() {
             self.follow_limits(&view);
--- a/crates/celerytide-edge/src/follow/mod.rs
+++ b/crates/celerytide-edge/src/follow/mod.rs
@@ -1,24 +1,33 @@
-//! Follows the platform's store: one list, then watches behind it.
+//! Follows the platform's store: one list, then watches behind it, or in a large fleet behind an instance that reads it.
 //!
 //! A watch waits a short time only, so that a connection that went silent, or a store that serves others but not this
 //! instance, shows within the time in which a change has to be in force. After a failure the list is read again only if
 //! the store no longer keeps the changes behind the view. While the store is away everything known stays in force.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use celerytide_types::{Boot, now_boot};
+use celerytide_wire::Links;
 use monoio::time::sleep;
 use rand::Rng;
 use tracing::{info, warn};
 
 use crate::edge::Edge;
 use crate::names::Wire;
+use crate::peers;
+use crate::peers::digest::MAX_FULL;
+use crate::peers::readers::{Origin, Readers};
+use crate::peers::relay::{self, News, Told};
 use crate::source::{Source, SourceError};
 
 /// Longest wait of one watch, as a share of the time after an outage within which the view has to be up to date: a watch
 /// that began before the outage may hear nothing of its end.
 const WAIT_SHARE: f64 = 0.75;
+/// The same for one that others follow, and for those that follow it, as a share of the time in which a change has to be
+/// in force: with the time for an answer, a reader that hears nothing is left while there is time to read without it.
+const FOLLOWED_SHARE: f64 = 0.3;
 /// Time beyond its wait for the answer to a watch.
 const ANSWER: Duration = Duration::from_millis(500);
 /// Time for one page of the list.
@@ -38,26 +47,32 @@
 const RETURN: Duration = Duration::from_millis(1800);
 
 /// How the store has answered of late.
+#[derive(Default)]
 struct Contact {
     /// Failures in a row.
     failures: u32,
-    /// When it answered again after an outage in which entries may have lapsed.
-    back_at: Option<Boot>,
+    /// Those that read for others.
+    readers: Readers,
 }
 
 /// Follows the store until the process ends.
 pub async fn run<W: Wire, S: Source>(edge: Rc<Edge<W>>, source: S) {
-    let mut contact = Contact {
-        failures: 0,
-        back_at: None,
-    };
+    let mut contact = Contact::default();
+    let links = Links::new(peers::options(), edge.stopping.clone());
     let mut listed = false;
     loop {
-        let step = if listed {
-            watch(&edge, &source, &mut contact).await
-        } else {
-            list(&edge, &source, &mut contact).await
+        let origin = contact.origin(&edge);
+        let step = match origin {
+            Origin::Peer(reader) if listed => {
+                edge.reading.set(false);
+                follow(&edge, &links, reader, &mut contact).await;
+                continue;
+            }
+            Origin::Store if listed => watch(&edge, &source, &mut contact).await,
+            _ => list(&edge, &source, &mut contact).await,
         };
+        // A store that forgot changes answers; the list follows at once.
+        edge.reading.set(matches!(step, Ok(()) | Err(SourceError::Forgotten)));
         match step {
             Ok(()) => listed = true,
             Err(SourceError::Forgotten) => {
@@ -65,6 +80,7 @@
                 listed = false;
             }
             Err(error) => {
+                edge.changed.notify_waiters();
                 contact.fail(&edge, &error);
                 sleep(contact.pause()).await;
             }
@@ -87,7 +103,10 @@
 }
 
 async fn watch<W: Wire, S: Source>(edge: &Edge<W>, source: &S, contact: &mut Contact) -> Result<(), SourceError> {
-    let wait = edge.settings.bounds.contact().mul_f64(WAIT_SHARE);
+    let wait = match edge.members.borrow().live(now_boot()) {
+        others if others > MAX_FULL => edge.settings.bounds.apply().mul_f64(FOLLOWED_SHARE),
+        _ => edge.settings.bounds.contact().mul_f64(WAIT_SHARE),
+    };
     let revision = edge.view.borrow().revision();
     let changes = source.watch(revision, wait, ANSWER).await?;
     let now = now_boot();
@@ -103,20 +122,57 @@
     Ok(())
 }
 
+/// Takes what `reader` has newer; reads the store itself for a while if that fails.
+async fn follow<W: Wire>(edge: &Edge<W>, links: &Links, reader: SocketAddr, contact: &mut Contact) {
+    let wait = edge.settings.bounds.apply().mul_f64(FOLLOWED_SHARE);
+    let revision = edge.view.borrow().revision();
+    let told = relay::follow(links, reader, revision, wait).await;
+    let now = now_boot();
+    match told {
+        Ok(told) => take_told(edge, told, now),
+        Err(error) => {
+            info!(%reader, %error, "store: the reader gave nothing; read here for a while");
+            contact.readers.failed(reader, now);
+        }
+    }
+}
+
+fn take_told<W: Wire>(edge: &Edge<W>, told: Told, now: Boot) {
+    let hold = Duration::from_millis(told.hold_ms);
+    let answered = now.since_start().saturating_sub(Duration::from_millis(told.age_ms));
+    edge.store_at
+        .set(edge.store_at.get().max(Some(Boot::from_start(answered))));
+    edge.hold_until.set(Some(now.after(hold)));
+    let update = match told.news {
+        News::Changes { list, revision } => edge.view.borrow_mut().apply(list, revision, hold, now),
+        News::Whole(snapshot) => edge.view.borrow_mut().replace(snapshot, hold, now),
+        News::NotReading => return,
+    };
+    edge.follow_update(&update, "reader");
+    let expired = edge.view.borrow_mut().expire(now);
+    edge.follow_update(&expired, "expiry");
+}
+
 impl Contact {
+    fn origin<W: Wire>(&self, edge: &Edge<W>) -> Origin {
+        let now = now_boot();
+        let members = edge.members.borrow();
+        let own = edge.settings.peers.unwrap_or(edge.settings.callers);
+        self.readers.origin(own, &members.living(now), members.age(now), now)
+    }
+
     /// Notes an answer; returns for how long endpoints whose entries are gone are still kept.
     fn answered<W: Wire>(&mut self, edge: &Edge<W>, now: Boot) -> Duration {
         let before = edge.store_at.replace(Some(now));
         let lapse = edge.settings.bounds.heartbeat() * LAPSE_BEATS;
         if self.failures > 0 && before.is_some_and(|at| now.since(at) > lapse) {
-            self.back_at = Some(now);
+            edge.hold_until.set(Some(now.after(RETURN)));
         }
         if self.failures > 0 {
             info!(failures = self.failures, "store: answers again");
         }
         self.failures = 0;
-        let passed = self.back_at.map(|at| now.since(at));
-        passed.map_or(Duration::ZERO, |passed| RETURN.saturating_sub(passed))
+        edge.hold(now)
     }
 
     fn fail<W: Wire>(&mut self, edge: &Edge<W>, error: &SourceError) {
--- a/crates/celerytide-edge/src/metrics/mod.rs
+++ b/crates/celerytide-edge/src/metrics/mod.rs
@@ -33,6 +33,8 @@
     pub dropped_lines: Gauge,
     /// Revision of the view.
     pub revision: Gauge,
+    /// 1 while this instance reads the store, 0 while it follows one that does or has lost it.
+    pub reading: Gauge,
 }
 
 impl Default for Counters {
@@ -46,6 +48,7 @@
             busy: Gauge::default(),
             dropped_lines: Gauge::default(),
             revision: Gauge::default(),
+            reading: Gauge::default(),
         }
     }
 }
@@ -65,5 +68,7 @@
             "Revision of the store that the view rests on",
             self.revision.clone(),
         );
+        let reading = "1 while this instance reads the store, 0 while it follows another or has lost it";
+        registry.register("store_reading", reading, self.reading.clone());
     }
 }
--- a/crates/celerytide-edge/src/peers/members.rs
+++ b/crates/celerytide-edge/src/peers/members.rs
@@ -108,6 +108,12 @@
         self.heard.values().filter(|at| now.since(**at) < TALK_AGE).count()
     }
 
+    /// Live instances besides this one, in their order.
+    pub fn living(&self, now: Boot) -> Instances {
+        let fresh = self.heard.iter().filter(|(_, at)| now.since(**at) < TALK_AGE);
+        fresh.map(|(address, _)| *address).collect()
+    }
+
     /// Live instances to tell something, at most `most`.
     pub fn to_tell(&self, now: Boot, most: usize) -> Vec<SocketAddr> {
         let fresh = self.heard.iter().filter(|(_, at)| now.since(**at) < TALK_AGE);
--- a/crates/celerytide-edge/src/peers/mod.rs
+++ b/crates/celerytide-edge/src/peers/mod.rs
@@ -3,6 +3,8 @@
 pub mod digest;
 mod members;
 mod news;
+pub mod readers;
+pub mod relay;
 mod tell;
 
 pub use members::{Instances, Members};
--- a/crates/celerytide-edge/src/peers/news.rs
+++ b/crates/celerytide-edge/src/peers/news.rs
@@ -15,6 +15,7 @@
 use tracing::{debug, info};
 
 use super::members::Heard;
+use super::relay;
 use crate::edge::Edge;
 use crate::names::Wire;
 
@@ -110,9 +111,10 @@
 
 impl<W: Wire> celerytide_wire::Service for Service<W> {
     async fn serve(&self, method: Method, mut ex: Exchange) {
-        if method != Method::Peers {
-            debug!(?method, "peers: method not served here");
-            return;
+        match method {
+            Method::Peers => {}
+            Method::Follow => return relay::serve(&self.0, ex).await,
+            _ => return debug!(?method, "peers: method not served here"),
         }
         let Ok(ask) = ex.recv_some::<Ask>().await else {
             return;
--- /dev/null
+++ b/crates/celerytide-edge/src/peers/readers.rs
@@ -0,0 +1,75 @@
+//! Who reads the platform's store, and whom the others follow.
+//!
+//! Answers this load: each change of the store wakes a watch of each instance, and each idle watch ends after a moment, so
+//! that calls grow with the fleet. In a large fleet a few instances read, chosen by rendezvous hashing over those that
+//! live; each of the others follows one of them. One whose reader fails, falls silent or has lost the store reads for
+//! itself at once and follows another one later. An instance that knows few others reads.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use celerytide_types::{Boot, rendezvous_weight};
+
+use super::digest::MAX_FULL;
+
+/// Instances for each one that reads.
+const PER_READER: usize = 10;
+/// Time after the start in which an instance reads: it has heard of few others.
+const YOUNG: Duration = Duration::from_secs(3);
+/// Time for which an instance reads after its reader failed.
+const ALONE: Duration = Duration::from_secs(2);
+/// Time for which a reader that failed isn't followed: as long as it may still be taken to live.
+const AVOIDED: Duration = Duration::from_secs(8);
+/// Key by which readers are chosen.
+const READERS_KEY: &str = "readers";
+
+/// Where an instance takes changes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// The store.
+    Store,
+    /// An instance that reads the store.
+    Peer(SocketAddr),
+}
+
+/// What this instance knows of those that read.
+#[derive(Debug, Default)]
+pub struct Readers {
+    alone_until: Option<Boot>,
+    avoided: BTreeMap<SocketAddr, Boot>,
+}
+
+impl Readers {
+    /// Where `own`, which runs for `age` and knows `live` others, takes changes from.
+    pub fn origin(&self, own: SocketAddr, live: &[SocketAddr], age: Duration, now: Boot) -> Origin {
+        let alone = self.alone_until.is_some_and(|until| now < until);
+        if live.len() <= MAX_FULL || age < YOUNG || alone {
+            return Origin::Store;
+        }
+        let readers = readers(own, live);
+        if readers.contains(&own) {
+            return Origin::Store;
+        }
+        let avoided = |reader: &SocketAddr| self.avoided.get(reader).is_some_and(|until| now < *until);
+        let usable = readers.into_iter().filter(|reader| !avoided(reader));
+        let key = own.to_string();
+        let nearest = usable.max_by_key(|reader| rendezvous_weight(&key, &reader.to_string()));
+        nearest.map_or(Origin::Store, Origin::Peer)
+    }
+
+    /// The reader that was followed gave nothing.
+    pub fn failed(&mut self, reader: SocketAddr, now: Boot) {
+        self.avoided.retain(|_, until| now < *until);
+        self.avoided.insert(reader, now.after(AVOIDED));
+        self.alone_until = Some(now.after(ALONE));
+    }
+}
+
+fn readers(own: SocketAddr, live: &[SocketAddr]) -> Vec<SocketAddr> {
+    let mut all: Vec<SocketAddr> = live.to_vec();
+    all.push(own);
+    all.sort_by_cached_key(|addr| std::cmp::Reverse((rendezvous_weight(READERS_KEY, &addr.to_string()), *addr)));
+    all.truncate(all.len().div_ceil(PER_READER));
+    all
+}
--- /dev/null
+++ b/crates/celerytide-edge/src/peers/relay.rs
@@ -0,0 +1,127 @@
+//! Takes changes of the store from an instance that reads it, and hands them on to others.
+//!
+//! One call waits at the reader until it has something newer, or for a moment; its answer says how old the reader's word
+//! is, so that a follower never takes silence for calm.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use celerytide_catalog::{Change, Revision, Snapshot};
+use celerytide_types::{Millis, data, millis, now_boot};
+use celerytide_wire::messages::Method;
+use celerytide_wire::{Exchange, Links};
+use monoio::time::timeout;
+use snafu::Snafu;
+use tracing::debug;
+
+use crate::edge::Edge;
+use crate::names::Wire;
+
+/// Time beyond its wait for the answer of a reader.
+const ANSWER: Duration = Duration::from_millis(400);
+
+data! {
+    /// What a follower asks a reader.
+    pub struct Follow {
+        /// Revision of its view.
+        pub revision: Revision,
+        /// How long the reader may wait for something newer.
+        pub wait_ms: Millis,
+    }
+
+    /// What a reader tells.
+    pub struct Told {
+        /// News, or none.
+        pub news: News,
+        /// Time since the store last answered the reader.
+        pub age_ms: Millis,
+        /// For how long endpoints whose entries are gone are still kept.
+        pub hold_ms: Millis,
+    }
+
+    /// What is newer than the follower's view.
+    pub enum News {
+        /// The instance doesn't read the store now, or has lost it.
+        NotReading,
+        /// Changes in their order.
+        Changes {
+            /// The changes; none if nothing is newer.
+            list: Vec<Change>,
+            /// The store's revision after them.
+            revision: Revision,
+        },
+        /// Everything: the reader no longer keeps the changes after the follower's view.
+        Whole(Snapshot),
+    }
+}
+
+/// A reader gave nothing.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The call failed.
+    #[snafu(display("the call failed: {source}"), context(false))]
+    Call {
+        /// Why.
+        source: celerytide_wire::Error,
+    },
+    /// No answer in time.
+    #[snafu(display("no answer within {after:?}"))]
+    Silent {
+        /// The time.
+        after: Duration,
+    },
+    /// It doesn't read the store now.
+    #[snafu(display("it does not read the store now"))]
+    NotReading,
+}
+
+/// Waits at `reader` for up to `wait` for something newer than `revision`.
+pub async fn follow(links: &Links, reader: SocketAddr, revision: Revision, wait: Duration) -> Result<Told, Error> {
+    let ask = Follow {
+        revision,
+        wait_ms: millis(wait),
+    };
+    let after = wait + ANSWER;
+    let called = timeout(after, links.call::<Follow, Told>(reader, Method::Follow, &ask)).await;
+    let told = called.map_err(|_| Error::Silent { after })??;
+    if matches!(told.news, News::NotReading) {
+        return Err(Error::NotReading);
+    }
+    Ok(told)
+}
+
+/// Answers a follower.
+pub async fn serve<W: Wire>(edge: &Rc<Edge<W>>, mut ex: Exchange) {
+    let Ok(ask) = ex.recv_some::<Follow>().await else {
+        return;
+    };
+    let woken = edge.changed.notified();
+    if edge.reading.get() && edge.view.borrow().revision() <= ask.revision {
+        // Without a change the answer says just that.
+        let _ = timeout(Duration::from_millis(ask.wait_ms), woken).await;
+    }
+    if let Err(error) = ex.send_last(&told(edge, ask.revision)).await {
+        debug!(%error, "peers: changes not sent");
+    }
+}
+
+fn told<W: Wire>(edge: &Edge<W>, revision: Revision) -> Told {
+    let now = now_boot();
+    let view = edge.view.borrow();
+    let news = match edge.store_at.get() {
+        Some(_) if edge.reading.get() => match view.changes_after(revision) {
+            Some(list) => News::Changes {
+                list,
+                revision: view.revision().max(revision),
+            },
+            None => News::Whole(view.snapshot()),
+        },
+        _ => News::NotReading,
+    };
+    Told {
+        news,
+        age_ms: edge.store_at.get().map_or(0, |at| millis(now.since(at))),
+        hold_ms: millis(edge.hold(now)),
+    }
+}
--- /dev/null
+++ b/crates/celerytide-edge/tests/readers.rs
@@ -0,0 +1,119 @@
+//! Who reads the store, replayed over fleets of several sizes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use celerytide_edge::peers::readers::{Origin, Readers};
+use celerytide_types::Boot;
+
+const OLD: Duration = Duration::from_secs(60);
+
+fn at(ms: u64) -> Boot {
+    Boot::from_start(Duration::from_secs(1000) + Duration::from_millis(ms))
+}
+
+fn fleet(count: usize) -> Vec<SocketAddr> {
+    let instance = |n: usize| SocketAddr::from(([10, 1, (n / 200) as u8, (n % 200) as u8], 8229));
+    (0..count).map(instance).collect()
+}
+
+fn others(fleet: &[SocketAddr], own: SocketAddr) -> Vec<SocketAddr> {
+    fleet.iter().filter(|addr| **addr != own).copied().collect()
+}
+
+fn origin(fleet: &[SocketAddr], own: SocketAddr, readers: &Readers, now: Boot) -> Origin {
+    readers.origin(own, &others(fleet, own), OLD, now)
+}
+
+/// A fleet, and how many of it may read the store.
+struct Fleet {
+    name: &'static str,
+    size: usize,
+    reading: std::ops::RangeInclusive<usize>,
+}
+
+const FLEETS: [Fleet; 4] = [
+    Fleet {
+        name: "small",
+        size: 9,
+        reading: 9..=9,
+    },
+    Fleet {
+        name: "just large",
+        size: 18,
+        reading: 2..=2,
+    },
+    Fleet {
+        name: "grown",
+        size: 88,
+        reading: 9..=9,
+    },
+    Fleet {
+        name: "planned for",
+        size: 360,
+        reading: 36..=36,
+    },
+];
+
+#[test]
+fn a_few_read_the_store_and_the_others_follow_them() {
+    for case in &FLEETS {
+        let fleet = fleet(case.size);
+        let readers = Readers::default();
+        let origins: Vec<Origin> = fleet.iter().map(|own| origin(&fleet, *own, &readers, at(0))).collect();
+        let reading: Vec<SocketAddr> = fleet
+            .iter()
+            .zip(&origins)
+            .filter(|(_, origin)| **origin == Origin::Store)
+            .map(|(own, _)| *own)
+            .collect();
+        assert!(
+            case.reading.contains(&reading.len()),
+            "{}: {}",
+            case.name,
+            reading.len()
+        );
+        for origin in &origins {
+            if let Origin::Peer(reader) = origin {
+                assert!(
+                    reading.contains(reader),
+                    "{}: {reader} is followed and doesn't read",
+                    case.name
+                );
+            }
+        }
+        let most = reading
+            .iter()
+            .map(|reader| origins.iter().filter(|o| **o == Origin::Peer(*reader)).count())
+            .max();
+        assert!(most <= Some(30), "{}: {most:?} follow one reader", case.name);
+    }
+}
+
+#[test]
+fn an_instance_that_knows_few_others_reads() {
+    let fleet = fleet(88);
+    for own in &fleet {
+        let few = others(&fleet[..10], *own);
+        assert_eq!(Readers::default().origin(*own, &few, OLD, at(0)), Origin::Store);
+        let young = Readers::default().origin(*own, &others(&fleet, *own), Duration::from_secs(1), at(0));
+        assert_eq!(young, Origin::Store, "it has just started");
+    }
+}
+
+#[test]
+fn a_reader_that_failed_is_left_at_once_and_another_one_is_followed_later() {
+    let fleet = fleet(88);
+    for own in &fleet {
+        let mut readers = Readers::default();
+        let Origin::Peer(first) = origin(&fleet, *own, &readers, at(0)) else {
+            continue;
+        };
+        readers.failed(first, at(0));
+        assert_eq!(origin(&fleet, *own, &readers, at(0)), Origin::Store);
+        assert_eq!(origin(&fleet, *own, &readers, at(1900)), Origin::Store);
+        let next = origin(&fleet, *own, &readers, at(2100));
+        assert!(matches!(next, Origin::Peer(other) if other != first), "{next:?}");
+        assert_eq!(origin(&fleet, *own, &readers, at(9000)), Origin::Peer(first));
+    }
+}
--- a/crates/celerytide-entry/src/entry/peers.rs
+++ b/crates/celerytide-entry/src/entry/peers.rs
@@ -27,7 +27,7 @@
             Method::Look => ticket::serve_look(entry, ex).await,
             Method::Outcomes => ticket::take_in_outcomes(entry, ex).await,
             Method::Gossip | Method::Manifest | Method::Section | Method::Lists => entry.node.serve(method, ex).await,
-            Method::Permit | Method::Adopt | Method::Handover | Method::Peers => {
+            Method::Permit | Method::Adopt | Method::Handover | Method::Peers | Method::Follow => {
                 tracing::warn!(?method, "entry: a method for another program came here");
             }
         }
--- a/crates/celerytide-wire/src/messages/mod.rs
+++ b/crates/celerytide-wire/src/messages/mod.rs
@@ -25,6 +25,8 @@
     Gossip,
     /// Router to router: who lives, and a view for one that can't read the store.
     Peers,
+    /// Router to router: changes of the store, for one that follows a reader.
+    Follow,
     /// Any to any: the manifest's text.
     Manifest,
     /// Any to any: a section of a manifest.
@@ -44,7 +46,7 @@
     path: &'static str,
 }
 
-const METHODS: [Named; 12] = [
+const METHODS: [Named; 13] = [
     Named {
         method: Method::Permit,
         path: "/1/permit",
@@ -69,6 +71,10 @@
         method: Method::Peers,
         path: "/1/peers",
     },
+    Named {
+        method: Method::Follow,
+        path: "/1/follow",
+    },
     Named {
         method: Method::Manifest,
         path: "/1/manifest",
