feat(cli): check reads the settings of the router, with line and field

Unknown fields are left alone.

Tests: three cases in check.rs (fine with an unknown field, out of range, not an address).

--- a/crates/celerytide-cli/src/args/mod.rs
+++ b/crates/celerytide-cli/src/args/mod.rs
@@ -39,14 +39,33 @@
     /// files to check
     #[argh(positional)]
     pub files: Vec<String>,
-    /// manifest, section, entry or dispatch; told from a document's fields when absent
+    /// manifest, section, entry, dispatch or router; told from a document's fields when absent
     #[argh(option, from_str_fn(parse_kind))]
-    pub kind: Option<DocumentKind>,
+    pub kind: Option<Kind>,
     /// print JSON
     #[argh(switch)]
     pub json: bool,
 }
 
+/// What a document is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// A document of today's own interface.
+    Document(DocumentKind),
+    /// Settings of the router that runs alone on a machine.
+    Router,
+}
+
+impl Kind {
+    /// Its word.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Kind::Document(kind) => kind.as_str(),
+            Kind::Router => "router",
+        }
+    }
+}
+
 /// Split a manifest with many customers into a small manifest and sections, each a value of its own.
 #[derive(Debug, PartialEq, FromArgs)]
 #[argh(subcommand, name = "split")]
@@ -138,9 +157,10 @@
     }
 }
 
-fn parse_kind(text: &str) -> Result<DocumentKind, String> {
-    let kind = DocumentKind::ALL.into_iter().find(|kind| kind.as_str() == text);
-    kind.ok_or_else(|| "a kind is manifest, section, entry or dispatch".to_owned())
+fn parse_kind(text: &str) -> Result<Kind, String> {
+    let documents = DocumentKind::ALL.into_iter().map(Kind::Document);
+    let kind = documents.chain([Kind::Router]).find(|kind| kind.as_str() == text);
+    kind.ok_or_else(|| "a kind is manifest, section, entry, dispatch or router".to_owned())
 }
 
 fn parse_yes_no(text: &str) -> Result<bool, String> {
--- a/crates/celerytide-cli/src/check/mod.rs
+++ b/crates/celerytide-cli/src/check/mod.rs
@@ -5,13 +5,14 @@
 use std::path::Path;
 use std::rc::Rc;
 
+use celerytide_edge::settings;
 use celerytide_manifest::{
     DOCUMENT_MAX_BYTES, DocumentKind, Fault, Section, SectionFault, check_dispatch_settings, check_entry_settings,
     check_manifest, check_section, compose, guess_kind, hash_key,
 };
 use celerytide_types::{Digest, Version, data};
 
-use crate::args::Check;
+use crate::args::{Check, Kind};
 use crate::{Exit, show};
 
 /// Folder beside a manifest that holds its sections, each in a file named by its digest.
@@ -90,7 +91,7 @@
     }
 }
 
-fn report(file: &str, kind: Option<DocumentKind>) -> FileReport {
+fn report(file: &str, kind: Option<Kind>) -> FileReport {
     let mut report = FileReport {
         file: file.to_owned(),
         kind: kind.map(|kind| kind.as_str().to_owned()),
@@ -106,7 +107,7 @@
             return report;
         }
     };
-    let Some(kind) = kind.or_else(|| guess_kind(&text)) else {
+    let Some(kind) = kind.or_else(|| guess(&text)) else {
         report.error = Some("no field of a manifest or of settings; give --kind".to_owned());
         return report;
     };
@@ -127,7 +128,18 @@
     Unreadable(String),
 }
 
-fn check(file: &str, text: &str, kind: DocumentKind, report: &mut FileReport) -> Result<(), Stop> {
+fn guess(text: &str) -> Option<Kind> {
+    if settings::are_in(text) {
+        return Some(Kind::Router);
+    }
+    guess_kind(text).map(Kind::Document)
+}
+
+fn check(file: &str, text: &str, kind: Kind, report: &mut FileReport) -> Result<(), Stop> {
+    let kind = match kind {
+        Kind::Document(kind) => kind,
+        Kind::Router => return router(file, text),
+    };
     match kind {
         DocumentKind::Manifest => report.manifest = Some(manifest(file, text)?),
         DocumentKind::Section => report.section = Some(section(file, text)?),
@@ -137,6 +149,39 @@
     Ok(())
 }
 
+/// Checks the settings of a router; the first fault is told.
+fn router(file: &str, text: &str) -> Result<(), Stop> {
+    let Err(error) = settings::parse(text) else {
+        return Ok(());
+    };
+    let fault = match error {
+        settings::Error::Shape { line, column, reason } => Fault {
+            file: file.to_owned(),
+            line,
+            column,
+            field: String::new(),
+            message: reason,
+            allowed: "the fields of docs/SETTINGS.md".to_owned(),
+        },
+        settings::Error::Range { field, reason } => Fault {
+            file: file.to_owned(),
+            line: line_of(text, field),
+            column: 1,
+            field: field.to_owned(),
+            message: reason.to_owned(),
+            allowed: "what docs/SETTINGS.md says".to_owned(),
+        },
+    };
+    Err(Stop::Faults(vec![fault]))
+}
+
+/// The line of a field, from 1.
+fn line_of(text: &str, field: &str) -> usize {
+    let name = field.rsplit('.').next().unwrap_or(field);
+    let stands = |line: &str| line.trim_start().split(':').next() == Some(name);
+    text.lines().position(stands).map_or(1, |position| position + 1)
+}
+
 /// Checks a manifest together with the section files beside it.
 fn manifest(file: &str, text: &str) -> Result<ManifestReport, Stop> {
     let checked = check_manifest(file, text).map_err(Stop::Faults)?;
--- a/crates/celerytide-cli/tests/check.rs
+++ b/crates/celerytide-cli/tests/check.rs
@@ -27,7 +27,10 @@
     err: &'static [&'static str],
 }
 
-const CASES: [Case; 10] = [
+const ROUTER: &[u8] =
+    b"instance: r1\nzone: z1\ncallers: 127.0.0.1:8080\nreadiness: 127.0.0.1:8081\nstore: 127.0.0.1:7000\nrack: b4\n";
+
+const CASES: [Case; 13] = [
     Case {
         name: "manifest",
         text: MANIFEST.as_bytes(),
@@ -52,6 +55,37 @@
         out: &["FILE: fine; dispatch settings"],
         err: &[],
     },
+    Case {
+        name: "router",
+        text: ROUTER,
+        kind: None,
+        exit: Exit::Fine,
+        out: &["FILE: fine; router settings"],
+        err: &[],
+    },
+    Case {
+        name: "router with a value out of range",
+        text: b"instance: r1\nzone: z1\ncallers: 127.0.0.1:8080\nreadiness: 127.0.0.1:8081\nstore: 127.0.0.1:7000\n\
+                bounds:\n  apply_ms: 0\n",
+        kind: None,
+        exit: Exit::Findings,
+        out: &[
+            "FILE:7:1: bounds.apply_ms: is not positive (allowed: what docs/SETTINGS.md says)",
+            "FILE: 1 fault; read as router",
+        ],
+        err: &[],
+    },
+    Case {
+        name: "router with a host name",
+        text: b"instance: r1\nzone: z1\ncallers: localhost:8080\nreadiness: 127.0.0.1:8081\nstore: 127.0.0.1:7000\n",
+        kind: Some("router"),
+        exit: Exit::Findings,
+        out: &[
+            "FILE:3:10: invalid socket address syntax (allowed: the fields of docs/SETTINGS.md)",
+            "FILE: 1 fault; read as router",
+        ],
+        err: &[],
+    },
     Case {
         name: "kind given",
         text: DISPATCH.as_bytes(),
@@ -101,7 +135,9 @@
         kind: Some("gateway"),
         exit: Exit::Usage,
         out: &[],
-        err: &["Error parsing option '--kind' with value 'gateway': a kind is manifest, section, entry or dispatch"],
+        err: &[
+            "Error parsing option '--kind' with value 'gateway': a kind is manifest, section, entry, dispatch or router",
+        ],
     },
     Case {
         name: "not text",
--- a/crates/celerytide-edge/src/settings/mod.rs
+++ b/crates/celerytide-edge/src/settings/mod.rs
@@ -61,9 +61,13 @@
 #[derive(Debug, Snafu)]
 pub enum Error {
     /// The file is not YAML of that shape.
-    #[snafu(display("settings: {reason}"))]
+    #[snafu(display("settings, line {line}, column {column}: {reason}"))]
     Shape {
-        /// The parser's words with line and column.
+        /// Line, from 1.
+        line: usize,
+        /// Column, from 1.
+        column: usize,
+        /// The parser's words.
         reason: String,
     },
     /// A value is out of its range.
@@ -76,6 +80,8 @@
     },
 }
 
+/// Fields at the top that no other document has.
+const OWN_FIELDS: [&str; 2] = ["callers", "readiness"];
 const GRACE_S: f64 = 8.0;
 const HEARTBEAT_MS: Millis = 1200;
 const APPLY_MS: Millis = 2000;
@@ -87,11 +93,30 @@
 
 /// Reads and checks a settings file.
 pub fn parse(text: &str) -> Result<Settings, Error> {
-    let settings: Settings = serde_saphyr::from_str(text).map_err(|e| Error::Shape { reason: e.to_string() })?;
+    let settings: Settings = serde_saphyr::from_str(text).map_err(|error| shape(&error))?;
     settings.check()?;
     Ok(settings)
 }
 
+/// Whether a document has fields that only these settings have.
+pub fn are_in(text: &str) -> bool {
+    text.lines()
+        .filter_map(|line| line.split_once(':'))
+        .any(|(field, _)| OWN_FIELDS.contains(&field))
+}
+
+fn shape(error: &serde_saphyr::Error) -> Error {
+    let at = error.location();
+    let place = |part: Option<u64>| part.and_then(|n| usize::try_from(n).ok()).unwrap_or(1);
+    // The place follows the words.
+    let words = error.without_snippet().to_string();
+    Error::Shape {
+        line: place(at.map(|at| at.line())),
+        column: place(at.map(|at| at.column())),
+        reason: words.split(" at line ").next().unwrap_or_default().to_owned(),
+    }
+}
+
 impl Settings {
     fn check(&self) -> Result<(), Error> {
         let b = &self.bounds;
