--- /dev/null
+++ b/crates/celerytide-soak/src/main.rs
@@ -0,0 +1,64 @@
+//! `celerytide-soak`: plays runs with random faults and prints each promise that was broken.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use argh::FromArgs;
+use celerytide_soak::run::{Options, run};
+
+/// Plays runs with random faults against routers as real processes; prints the seed of each run.
+#[derive(FromArgs)]
+struct Args {
+    /// first seed; drawn if absent
+    #[argh(option)]
+    seed: Option<u64>,
+    /// runs, with one seed after the other
+    #[argh(option, default = "1")]
+    count: u64,
+    /// seconds in which faults begin
+    #[argh(option, default = "6")]
+    seconds: u64,
+    /// play fresh seeds for so many minutes instead of a count
+    #[argh(option)]
+    minutes: Option<u64>,
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let first = args.seed.unwrap_or_else(|| u64::from(rand::random::<u32>()));
+    let end = args
+        .minutes
+        .map(|minutes| Instant::now() + Duration::from_secs(minutes * 60));
+    let mut broken = 0;
+    let mut played = 0;
+    while end.map_or(played < args.count, |end| Instant::now() < end) {
+        let seed = first + played;
+        let outcome = run(Options {
+            seed,
+            length: Duration::from_secs(args.seconds),
+        });
+        played += 1;
+        println!(
+            "seed {seed}: {} faults, {} requests, {} broken",
+            outcome.faults,
+            outcome.calls,
+            outcome.violations.len()
+        );
+        for violation in &outcome.violations {
+            println!("  {violation}");
+        }
+        for line in &outcome.lines {
+            println!("    {line}");
+        }
+        broken += usize::from(!outcome.violations.is_empty());
+    }
+    println!("{played} runs, {broken} with a broken promise");
+    if broken == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- a/crates/celerytide-standin/src/platform/mod.rs
+++ b/crates/celerytide-standin/src/platform/mod.rs
@@ -8,5 +8,5 @@
 mod store;
 
 pub use request::Seen;
-pub use runner::{Answer, Runner};
+pub use runner::{Answer, Arrival, Runner};
 pub use store::{Mode, Store};
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -4,7 +4,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::{sleep, spawn};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::request::{self, Seen};
 
@@ -49,10 +49,24 @@
     },
 }
 
+/// A request that a runner began to work on, or refused as not run.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// Id of the request.
+    pub id: String,
+    /// When it was read whole.
+    pub at: Instant,
+    /// Whether the runner ran it.
+    pub ran: bool,
+    /// It goes on behind an event that the caller has.
+    pub goes_on: bool,
+}
+
 struct Shared {
     id: String,
     answer: Mutex<Answer>,
     seen: Mutex<Vec<Seen>>,
+    arrivals: Mutex<Vec<Arrival>>,
     /// Requests whose connection ended before the answer did.
     left: Mutex<usize>,
 }
@@ -77,6 +91,7 @@
             id: id.to_owned(),
             answer: Mutex::new(answer),
             seen: Mutex::default(),
+            arrivals: Mutex::default(),
             left: Mutex::default(),
         });
         let served = shared.clone();
@@ -99,6 +114,11 @@
         lock(&self.shared.seen).clone()
     }
 
+    /// What became of them, in the order of their arrival.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        lock(&self.shared.arrivals).clone()
+    }
+
     /// Requests whose caller left before the answer's end.
     pub fn left(&self) -> usize {
         *lock(&self.shared.left)
@@ -117,6 +137,12 @@
     while let Some(seen) = request::read(&mut conn) {
         lock(&shared.seen).push(seen.clone());
         let answer = *lock(&shared.answer);
+        lock(&shared.arrivals).push(Arrival {
+            id: seen.header("x-attempt-id").to_owned(),
+            at: Instant::now(),
+            ran: !matches!(answer, Answer::NotRun | Answer::Elsewhere),
+            goes_on: !seen.header("last-event-id").is_empty(),
+        });
         if !respond(shared, &mut out, &seen, answer) {
             // The connection ends here in any case.
             let _ = out.shutdown(Shutdown::Both);
