fix(edge): a request that can't end before the process gets a final answer

Change: once the process was asked to stop, the time that a request has ends 0.1 s before the process does; the caller gets 504 then, which promises nothing, and the runner is told the shorter time. A running stream that can't end is cut as before.

--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -208,9 +208,12 @@
         Next::GiveUp(cause)
     }
 
-    /// Time until the caller, or the route, no longer waits.
+    /// Time until the caller, or the route, no longer waits, or the process has to end.
     fn left(&self) -> Duration {
-        self.intake.deadline.since(now_boot())
+        let grace = self.edge.settings.bounds.grace();
+        let last = self.edge.stopping_since.get().map(|at| stop::last_answers(at, grace));
+        let deadline = self.intake.deadline;
+        last.map_or(deadline, |last| deadline.min(last)).since(now_boot())
     }
 
     async fn pass(&mut self, out: Responder, reached: Box<Reached<W>>, service: &Rc<Service>) -> End {
--- a/crates/celerytide-edge/src/stop/mod.rs
+++ b/crates/celerytide-edge/src/stop/mod.rs
@@ -1,13 +1,14 @@
 //! The end of a process: SIGTERM to exit.
 //!
 //! New connections come until the platform has noticed that the instance isn't ready, and later where no other instance
-//! is left; so requests are read to the end. Those that could not end within the grace time are refused as not run.
+//! is left; so requests are read to the end. Those that come too late are refused as not run; those that were sent on and
+//! have no answer shortly before the end of the grace time are told so.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use celerytide_http::server::Stop;
-use celerytide_types::now_boot;
+use celerytide_types::{Boot, now_boot};
 use monoio::time::sleep;
 use tracing::info;
 
@@ -16,8 +17,10 @@
 
 /// Time for which requests are still taken: two of the platform's looks at the readiness, and some.
 const TAKES: Duration = Duration::from_millis(2600);
-/// Part of the grace time after which requests are only waited for.
+/// Part of the grace time after which the process ends.
 const WAIT_SHARE: f64 = 0.93;
+/// Time before that by which each request has its final answer.
+const LAST_ANSWERS: Duration = Duration::from_millis(100);
 /// Time between looks at what still runs.
 const POLL: Duration = Duration::from_millis(50);
 /// Time without any request before the process ends.
@@ -28,6 +31,11 @@
     since.is_none_or(|since| since < TAKES)
 }
 
+/// When requests of a process that was asked to stop at `since` have to end.
+pub fn last_answers(since: Boot, grace: Duration) -> Boot {
+    since.after(grace.mul_f64(WAIT_SHARE).saturating_sub(LAST_ANSWERS))
+}
+
 /// Waits for the signal, then ends the process's work in good order.
 pub async fn run<W: Wire>(edge: &Rc<Edge<W>>, stop: &Stop) {
     edge.stopping.cancelled().await;
