perf(edge): a request's work is moved once, not nine times

The future of a request is some 26 KB, and the server's join and select, the wait for the caller to leave and the handler each moved it.

Change: it is boxed where it is made.

--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -80,7 +80,9 @@
         first_byte: None,
     };
     // Dropping the work closes the endpoint's connection, so that it stops too.
-    let ended = match cx.run_until_cancelled(run.forward(out)).await {
+    // Boxed: it is large, and those that wait for it would move it several times for each request.
+    let work = Box::pin(run.forward(out));
+    let ended = match cx.run_until_cancelled(work).await {
         Some(ended) => ended,
         None => End::of("caller-left", 0),
     };
