refactor(catalog): a type for urgency; fields that nothing reads are gone

A place in the order of urgency was a bare pair, read in two ways in two crates; it has a name, a rank and a scale now, and a table of cases. Route.sticky, Route.pause_target and Service.health_path were decoded and never used.

--- a/crates/celerytide-catalog/src/config/mod.rs
+++ b/crates/celerytide-catalog/src/config/mod.rs
@@ -42,8 +42,6 @@
         pub timeout: Duration,
         /// Objective for the answer, for streams for the first event.
         pub target: Option<Duration>,
-        /// Objective for the pause between two events.
-        pub pause_target: Option<Duration>,
         /// Rank; 0 is first.
         pub priority: u32,
         /// Where its requests go.
@@ -52,16 +50,12 @@
         pub max_attempts: u32,
         /// Needs no key.
         pub anonymous: bool,
-        /// Its requests share prompt parts.
-        pub sticky: bool,
     }
 
     /// A group of equal endpoints.
     pub struct Service {
         /// Its id.
         pub id: ServiceId,
-        /// Path of its health check.
-        pub health_path: String,
         /// Time for which a started endpoint is cold.
         pub cold_time: Duration,
         /// Requests a second that a cold endpoint bears from all callers together; zero if it needs no care.
@@ -151,6 +145,31 @@
     route: u32,
 }
 
+/// A place in the order of urgency.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Urgency {
+    /// From 0, the most urgent.
+    pub position: usize,
+    /// Number of positions that the configuration tells apart.
+    pub positions: usize,
+}
+
+impl Urgency {
+    /// 0 for the most urgent, 1 for the least.
+    pub fn rank(self) -> f64 {
+        let last = self.positions.max(2) - 1;
+        (self.position as f64 / last as f64).min(1.0)
+    }
+
+    /// The same on a scale of whole numbers from 0 to `last`.
+    pub fn on_scale(self, last: usize) -> usize {
+        if self.positions <= last + 1 {
+            return self.position.min(last);
+        }
+        (self.position * last / (self.positions - 1)).min(last)
+    }
+}
+
 impl Catalog {
     /// Indexes a configuration.
     pub fn new(config: &Config) -> Catalog {
@@ -209,14 +228,17 @@
     }
 
     /// Urgency of a request among all that the configuration tells apart: the customer's priority, then the route's,
-    /// as a position from 0 (first), with the number of positions.
-    pub fn urgency(&self, customer: Option<u32>, route: u32) -> (usize, usize) {
+    /// as a position.
+    pub fn urgency(&self, customer: Option<u32>, route: u32) -> Urgency {
         let own = Rank {
             customer: customer.unwrap_or(0),
             route,
         };
         let position = self.ranks.partition_point(|rank| *rank < own);
-        (position, self.ranks.len().max(1))
+        Urgency {
+            position,
+            positions: self.ranks.len().max(1),
+        }
     }
 }
 
--- a/crates/celerytide-catalog/src/lib.rs
+++ b/crates/celerytide-catalog/src/lib.rs
@@ -9,5 +9,5 @@
 mod config;
 mod view;
 
-pub use config::{Backend, CallerLimits, Catalog, Config, Customer, Kind, Lookup, Route, Service};
+pub use config::{Backend, CallerLimits, Catalog, Config, Customer, Kind, Lookup, Route, Service, Urgency};
 pub use view::{Change, Endpoint, Known, Revision, Snapshot, Update, View};
--- a/crates/celerytide-catalog/tests/view.rs
+++ b/crates/celerytide-catalog/tests/view.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use celerytide_catalog::{
-    Backend, CallerLimits, Catalog, Change, Config, Customer, Endpoint, Kind, Lookup, Route, Service, Snapshot, View,
+    Backend, CallerLimits, Catalog, Change, Config, Customer, Endpoint, Kind, Lookup, Route, Service, Snapshot,
+    Urgency, View,
 };
 use celerytide_types::Boot;
 
@@ -21,7 +22,6 @@
         kind: Kind::Safe,
         timeout: Duration::from_secs(1),
         target: None,
-        pause_target: None,
         priority,
         backends: vec![Backend {
             service: "s".to_owned(),
@@ -29,7 +29,6 @@
         }],
         max_attempts: 1,
         anonymous: false,
-        sticky: false,
     }
 }
 
@@ -44,7 +43,6 @@
         routes: vec![route("h", "/a/", 0), route("h", "/a/b/", 2), route("other", "/", 1)],
         services: vec![Service {
             id: "s".to_owned(),
-            health_path: String::new(),
             cold_time: Duration::from_secs(3),
             cold_per_s: 18.0,
             engine_slots: None,
@@ -267,7 +265,8 @@
     assert_eq!(catalog.customer(None), Lookup::Unknown);
     let order = [(1, 0), (1, 1), (1, 2), (2, 0), (2, 1), (2, 2)];
     for (position, (customer, route)) in order.into_iter().enumerate() {
-        assert_eq!(catalog.urgency(Some(customer), route), (position, 6));
+        let urgency = Urgency { position, positions: 6 };
+        assert_eq!(catalog.urgency(Some(customer), route), urgency);
     }
 }
 
@@ -349,3 +348,36 @@
     view.replace(list(14), Duration::ZERO, at(0));
     assert_eq!(view.changes_after(10), None, "what lies between isn't known");
 }
+
+/// A place in the order of urgency, and what it is as a rank and on a scale of three.
+struct Place {
+    urgency: Urgency,
+    rank: f64,
+    on_scale: usize,
+}
+
+const fn place(position: usize, positions: usize, rank: f64, on_scale: usize) -> Place {
+    Place {
+        urgency: Urgency { position, positions },
+        rank,
+        on_scale,
+    }
+}
+
+const PLACES: [Place; 7] = [
+    place(0, 1, 0.0, 0),
+    place(0, 3, 0.0, 0),
+    place(2, 3, 1.0, 2),
+    place(3, 3, 1.0, 2),
+    place(0, 9, 0.0, 0),
+    place(4, 9, 0.5, 1),
+    place(8, 9, 1.0, 2),
+];
+
+#[test]
+fn urgency_as_a_rank_and_on_a_scale() {
+    for case in &PLACES {
+        assert_eq!(case.urgency.rank(), case.rank, "{:?}", case.urgency);
+        assert_eq!(case.urgency.on_scale(2), case.on_scale, "{:?}", case.urgency);
+    }
+}
--- a/crates/celerytide-edge/src/admit/mod.rs
+++ b/crates/celerytide-edge/src/admit/mod.rs
@@ -8,6 +8,7 @@
 
 use std::collections::HashMap;
 
+use celerytide_catalog::Urgency;
 use celerytide_types::ServiceId;
 
 use crate::peers::digest::{HeldAt, id_hash};
@@ -41,11 +42,10 @@
 }
 
 impl Held {
-    /// Whether a request of `tokens` at `position` of `count` in order of urgency may be sent.
-    pub fn admits(&self, service: &str, tokens: f64, capacity: Capacity, (position, count): (usize, usize)) -> bool {
+    /// Whether a request of `tokens` and that urgency may be sent.
+    pub fn admits(&self, service: &str, tokens: f64, capacity: Capacity, urgency: Urgency) -> bool {
         let sum = self.by_service.get(service).copied().unwrap_or_default();
-        let rank = position as f64 / (count.max(2) - 1) as f64;
-        let part = PARTS.1 + (PARTS.0 - PARTS.1) * rank.min(1.0);
+        let part = PARTS.1 + (PARTS.0 - PARTS.1) * urgency.rank();
         let like_own = sum.tokens * (capacity.instances.max(1) - 1) as f64;
         let in_flight = sum.tokens + capacity.elsewhere.unwrap_or(like_own);
         sum.requests < ALWAYS || in_flight + tokens <= capacity.tokens * part
--- a/crates/celerytide-edge/src/forward/headers.rs
+++ b/crates/celerytide-edge/src/forward/headers.rs
@@ -58,20 +58,12 @@
         put(&mut out, &names.last_event, id);
     }
     if intake.route.kind.is_stream() {
-        let urgency = urgency(intake.urgency, wire.last_urgency());
+        let urgency = intake.urgency.on_scale(wire.last_urgency());
         put(&mut out, &names.urgency, urgency.to_string().as_bytes());
     }
     out
 }
 
-/// The position in order of urgency on the endpoints' scale from 0 to `last`.
-pub fn urgency((position, count): (usize, usize), last: usize) -> usize {
-    if count <= last + 1 {
-        return position.min(last);
-    }
-    (position * last / (count - 1)).min(last)
-}
-
 fn without_hop(headers: &HeaderMap) -> HeaderMap {
     let mut out = headers.clone();
     let listed: Vec<HeaderName> = headers
--- a/crates/celerytide-edge/src/intake/mod.rs
+++ b/crates/celerytide-edge/src/intake/mod.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use celerytide_catalog::{Catalog, Customer, Lookup, Route};
+use celerytide_catalog::{Catalog, Customer, Lookup, Route, Urgency};
 use celerytide_http::server::Request;
 use celerytide_types::Boot;
 use http::header::HOST;
@@ -29,8 +29,8 @@
     pub deadline: Boot,
     /// Its prompt.
     pub prompt: Prompt,
-    /// Position and number of positions in order of urgency.
-    pub urgency: (usize, usize),
+    /// Its place in the order of urgency.
+    pub urgency: Urgency,
 }
 
 /// Why a request isn't forwarded; it has not run.
--- a/crates/celerytide-edge/tests/decisions.rs
+++ b/crates/celerytide-edge/tests/decisions.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use celerytide_catalog::Urgency;
 use celerytide_edge::admit::{Capacity, Held};
 use celerytide_edge::budget::{Budget, Options};
 use celerytide_edge::cold::ColdShares;
@@ -295,7 +296,7 @@
                 instances: 9,
             };
             let mut sent = 0;
-            while held.admits("llm", 9000.0, capacity, (position, 3)) {
+            while held.admits("llm", 9000.0, capacity, Urgency { position, positions: 3 }) {
                 held.begin("llm", 9000.0);
                 sent += 1;
             }
--- a/crates/celerytide-edge/tests/placement.rs
+++ b/crates/celerytide-edge/tests/placement.rs
@@ -21,7 +21,6 @@
 fn service() -> Service {
     Service {
         id: "llm".to_owned(),
-        health_path: String::new(),
         cold_time: Duration::ZERO,
         cold_per_s: 0.0,
         engine_slots: Some(128),
