--- a/crates/celerytide-cli/src/check/mod.rs
+++ b/crates/celerytide-cli/src/check/mod.rs
@@ -155,11 +155,16 @@
         return Ok(());
     };
     let fault = match error {
-        settings::Error::Shape { line, column, reason } => Fault {
+        settings::Error::Shape {
+            line,
+            column,
+            field,
+            reason,
+        } => Fault {
             file: file.to_owned(),
             line,
             column,
-            field: String::new(),
+            field,
             message: reason,
             allowed: "the fields of docs/SETTINGS.md".to_owned(),
         },
--- a/crates/celerytide-cli/tests/check.rs
+++ b/crates/celerytide-cli/tests/check.rs
@@ -81,7 +81,7 @@
         kind: Some("router"),
         exit: Exit::Findings,
         out: &[
-            "FILE:3:10: invalid socket address syntax (allowed: the fields of docs/SETTINGS.md)",
+            "FILE:3:10: callers: invalid socket address syntax (allowed: the fields of docs/SETTINGS.md)",
             "FILE: 1 fault; read as router",
         ],
         err: &[],
--- a/crates/celerytide-edge/src/settings/mod.rs
+++ b/crates/celerytide-edge/src/settings/mod.rs
@@ -61,12 +61,14 @@
 #[derive(Debug, Snafu)]
 pub enum Error {
     /// The file is not YAML of that shape.
-    #[snafu(display("settings, line {line}, column {column}: {reason}"))]
+    #[snafu(display("settings, line {line}, column {column}: {field}: {reason}"))]
     Shape {
         /// Line, from 1.
         line: usize,
         /// Column, from 1.
         column: usize,
+        /// The field that stands there.
+        field: String,
         /// The parser's words.
         reason: String,
     },
@@ -93,7 +95,7 @@
 
 /// Reads and checks a settings file.
 pub fn parse(text: &str) -> Result<Settings, Error> {
-    let settings: Settings = serde_saphyr::from_str(text).map_err(|error| shape(&error))?;
+    let settings: Settings = serde_saphyr::from_str(text).map_err(|error| shape(text, &error))?;
     settings.check()?;
     Ok(settings)
 }
@@ -105,18 +107,27 @@
         .any(|(field, _)| OWN_FIELDS.contains(&field))
 }
 
-fn shape(error: &serde_saphyr::Error) -> Error {
+fn shape(text: &str, error: &serde_saphyr::Error) -> Error {
     let at = error.location();
     let place = |part: Option<u64>| part.and_then(|n| usize::try_from(n).ok()).unwrap_or(1);
     // The place follows the words.
     let words = error.without_snippet().to_string();
+    let line = place(at.map(|at| at.line()));
     Error::Shape {
-        line: place(at.map(|at| at.line())),
+        line,
+        field: field_at(text, line),
         column: place(at.map(|at| at.column())),
         reason: words.split(" at line ").next().unwrap_or_default().to_owned(),
     }
 }
 
+/// The field that a line belongs to; empty if there is none.
+fn field_at(text: &str, line: usize) -> String {
+    let above: Vec<&str> = text.lines().take(line).collect();
+    let named = above.iter().rev().find_map(|line| line.split_once(':'));
+    named.map_or(String::new(), |(field, _)| field.trim().to_owned())
+}
+
 impl Settings {
     fn check(&self) -> Result<(), Error> {
         let b = &self.bounds;
