fix(edge): one that is asked reads the store, and its follower asks again soon

Instances differ for a while on who lives (24 were cut off then and aged out), and so on who reads; the ones newly chosen went on following others. Of the calls, some 450 of 1,448 were made in the first seconds, when each instance reads.

Change: an instance that is asked reads for 4 s; its follower reads for 1 s and asks the same one again. Those that have lost the store say so, and are left as before.

--- a/crates/celerytide-edge/src/daemon/mod.rs
+++ b/crates/celerytide-edge/src/daemon/mod.rs
@@ -23,7 +23,7 @@
 use tokio_util::sync::CancellationToken;
 use tracing::{error, info, warn};
 
-use crate::edge::Edge;
+use crate::edge::{Edge, Reading};
 use crate::forward::Callers;
 use crate::names::Wire;
 use crate::settings::{self, Settings};
@@ -211,7 +211,9 @@
             headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static(CONTENT_TYPE));
             edge.counters.busy.set(edge.busy.get() as i64);
             edge.counters.dropped_lines.set(logs::dropped() as i64);
-            edge.counters.reading.set(i64::from(edge.reading.get()));
+            edge.counters
+                .reading
+                .set(i64::from(edge.reading.get() == Reading::Reads));
             edge.counters.revision.set(edge.view.borrow().revision() as i64);
             (StatusCode::OK, Bytes::from(self.metrics.text()))
         } else if edge.is_ready() {
--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -25,6 +25,7 @@
 use crate::names::Wire;
 use crate::peers::Members;
 use crate::peers::digest::Digests;
+use crate::peers::readers::Readers;
 use crate::place::Loads;
 use crate::settings::Settings;
 
@@ -43,6 +44,17 @@
 /// Descriptors kept for files.
 const FILES: usize = 200;
 
+/// Whether an instance reads the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reading {
+    /// It reads, and the store answers.
+    Reads,
+    /// It follows an instance that reads.
+    Follows,
+    /// It reads, and the store doesn't answer.
+    Lost,
+}
+
 /// The process.
 pub struct Edge<W: Wire> {
     /// Its settings at the start.
@@ -73,8 +85,10 @@
     pub store_at: Cell<Option<Boot>>,
     /// Until when endpoints whose entries are gone are still kept, after an outage of the store.
     pub hold_until: Cell<Option<Boot>>,
-    /// Whether this instance reads the store, and it answers.
-    pub reading: Cell<bool>,
+    /// Whether this instance reads the store.
+    pub reading: Cell<Reading>,
+    /// Those that read it for others.
+    pub readers: RefCell<Readers>,
     /// Wakes those that follow this instance: the view changed, or the store was lost.
     pub changed: Notify,
     /// Cancelled when the process shall stop.
@@ -118,7 +132,8 @@
             counters: Counters::default(),
             store_at: Cell::new(None),
             hold_until: Cell::new(None),
-            reading: Cell::new(false),
+            reading: Cell::new(Reading::Lost),
+            readers: RefCell::default(),
             changed: Notify::new(),
             stopping: CancellationToken::new(),
             stopping_since: Cell::new(None),
--- a/crates/celerytide-edge/src/follow/mod.rs
+++ b/crates/celerytide-edge/src/follow/mod.rs
@@ -14,11 +14,11 @@
 use rand::Rng;
 use tracing::{info, warn};
 
-use crate::edge::Edge;
+use crate::edge::{Edge, Reading};
 use crate::names::Wire;
 use crate::peers;
 use crate::peers::digest::MAX_FULL;
-use crate::peers::readers::{Origin, Readers};
+use crate::peers::readers::Origin;
 use crate::peers::relay::{self, News, Told};
 use crate::source::{Source, SourceError};
 
@@ -51,8 +51,6 @@
 struct Contact {
     /// Failures in a row.
     failures: u32,
-    /// Those that read for others.
-    readers: Readers,
 }
 
 /// Follows the store until the process ends.
@@ -61,18 +59,21 @@
     let links = Links::new(peers::options(), edge.stopping.clone());
     let mut listed = false;
     loop {
-        let origin = contact.origin(&edge);
+        let origin = origin(&edge);
         let step = match origin {
             Origin::Peer(reader) if listed => {
-                edge.reading.set(false);
-                follow(&edge, &links, reader, &mut contact).await;
+                edge.reading.set(Reading::Follows);
+                follow(&edge, &links, reader).await;
                 continue;
             }
             Origin::Store if listed => watch(&edge, &source, &mut contact).await,
             _ => list(&edge, &source, &mut contact).await,
         };
         // A store that forgot changes answers; the list follows at once.
-        edge.reading.set(matches!(step, Ok(()) | Err(SourceError::Forgotten)));
+        edge.reading.set(match step {
+            Ok(()) | Err(SourceError::Forgotten) => Reading::Reads,
+            Err(_) => Reading::Lost,
+        });
         match step {
             Ok(()) => listed = true,
             Err(SourceError::Forgotten) => {
@@ -123,7 +124,7 @@
 }
 
 /// Takes what `reader` has newer; reads the store itself for a while if that fails.
-async fn follow<W: Wire>(edge: &Edge<W>, links: &Links, reader: SocketAddr, contact: &mut Contact) {
+async fn follow<W: Wire>(edge: &Edge<W>, links: &Links, reader: SocketAddr) {
     let wait = edge.settings.bounds.apply().mul_f64(FOLLOWED_SHARE);
     let revision = edge.view.borrow().revision();
     let told = relay::follow(links, reader, revision, wait).await;
@@ -132,7 +133,11 @@
         Ok(told) => take_told(edge, told, now),
         Err(error) => {
             info!(%reader, %error, "store: the reader gave nothing; read here for a while");
-            contact.readers.failed(reader, now);
+            let mut readers = edge.readers.borrow_mut();
+            match error {
+                relay::Error::NotYet => readers.not_yet(now),
+                _ => readers.failed(reader, now),
+            }
         }
     }
 }
@@ -146,21 +151,23 @@
     let update = match told.news {
         News::Changes { list, revision } => edge.view.borrow_mut().apply(list, revision, hold, now),
         News::Whole(snapshot) => edge.view.borrow_mut().replace(snapshot, hold, now),
-        News::NotReading => return,
+        News::NotYet | News::Lost => return,
     };
     edge.follow_update(&update, "reader");
     let expired = edge.view.borrow_mut().expire(now);
     edge.follow_update(&expired, "expiry");
 }
 
-impl Contact {
-    fn origin<W: Wire>(&self, edge: &Edge<W>) -> Origin {
-        let now = now_boot();
-        let members = edge.members.borrow();
-        let own = edge.settings.peers.unwrap_or(edge.settings.callers);
-        self.readers.origin(own, &members.living(now), members.age(now), now)
-    }
+fn origin<W: Wire>(edge: &Edge<W>) -> Origin {
+    let now = now_boot();
+    let members = edge.members.borrow();
+    let own = edge.settings.peers.unwrap_or(edge.settings.callers);
+    edge.readers
+        .borrow()
+        .origin(own, &members.living(now), members.age(now), now)
+}
 
+impl Contact {
     /// Notes an answer; returns for how long endpoints whose entries are gone are still kept.
     fn answered<W: Wire>(&mut self, edge: &Edge<W>, now: Boot) -> Duration {
         let before = edge.store_at.replace(Some(now));
--- a/crates/celerytide-edge/src/peers/readers.rs
+++ b/crates/celerytide-edge/src/peers/readers.rs
@@ -3,7 +3,8 @@
 //! Answers this load: each change of the store wakes a watch of each instance, and each idle watch ends after a moment, so
 //! that calls grow with the fleet. In a large fleet a few instances read, chosen by rendezvous hashing over those that
 //! live; each of the others follows one of them. One whose reader fails, falls silent or has lost the store reads for
-//! itself at once and follows another one later. An instance that knows few others reads.
+//! itself at once and follows another one later. Instances may differ for a while on who lives, and so on who reads: one
+//! that is asked reads, and its follower asks again soon. An instance that knows few others reads.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -16,9 +17,14 @@
 /// Instances for each one that reads.
 const PER_READER: usize = 10;
 /// Time after the start in which an instance reads: it has heard of few others.
-const YOUNG: Duration = Duration::from_secs(3);
+const YOUNG: Duration = Duration::from_millis(1500);
 /// Time for which an instance reads after its reader failed.
 const ALONE: Duration = Duration::from_secs(2);
+/// Time for which an instance reads when the one that it chose didn't read yet: as long as that one may still wait for its
+/// own reader.
+const ALONE_UNTIL_READ: Duration = Duration::from_secs(1);
+/// Time for which an instance reads after it was asked.
+const ASKED: Duration = Duration::from_secs(4);
 /// Time for which a reader that failed isn't followed: as long as it may still be taken to live.
 const AVOIDED: Duration = Duration::from_secs(8);
 /// Key by which readers are chosen.
@@ -37,14 +43,15 @@
 #[derive(Debug, Default)]
 pub struct Readers {
     alone_until: Option<Boot>,
+    asked_until: Option<Boot>,
     avoided: BTreeMap<SocketAddr, Boot>,
 }
 
 impl Readers {
     /// Where `own`, which runs for `age` and knows `live` others, takes changes from.
     pub fn origin(&self, own: SocketAddr, live: &[SocketAddr], age: Duration, now: Boot) -> Origin {
-        let alone = self.alone_until.is_some_and(|until| now < until);
-        if live.len() <= MAX_FULL || age < YOUNG || alone {
+        let reads_on = self.alone_until.max(self.asked_until).is_some_and(|until| now < until);
+        if live.len() <= MAX_FULL || age < YOUNG || reads_on {
             return Origin::Store;
         }
         let readers = readers(own, live);
@@ -58,6 +65,16 @@
         nearest.map_or(Origin::Store, Origin::Peer)
     }
 
+    /// An instance follows this one.
+    pub fn asked(&mut self, now: Boot) {
+        self.asked_until = Some(now.after(ASKED));
+    }
+
+    /// The instance that was chosen didn't read yet; it does now that it was asked.
+    pub fn not_yet(&mut self, now: Boot) {
+        self.alone_until = Some(now.after(ALONE_UNTIL_READ));
+    }
+
     /// The reader that was followed gave nothing.
     pub fn failed(&mut self, reader: SocketAddr, now: Boot) {
         self.avoided.retain(|_, until| now < *until);
--- a/crates/celerytide-edge/src/peers/relay.rs
+++ b/crates/celerytide-edge/src/peers/relay.rs
@@ -15,7 +15,7 @@
 use snafu::Snafu;
 use tracing::debug;
 
-use crate::edge::Edge;
+use crate::edge::{Edge, Reading};
 use crate::names::Wire;
 
 /// Time beyond its wait for the answer of a reader.
@@ -42,8 +42,10 @@
 
     /// What is newer than the follower's view.
     pub enum News {
-        /// The instance doesn't read the store now, or has lost it.
-        NotReading,
+        /// The instance follows another one; it reads from now on.
+        NotYet,
+        /// The instance has lost the store.
+        Lost,
         /// Changes in their order.
         Changes {
             /// The changes; none if nothing is newer.
@@ -71,9 +73,12 @@
         /// The time.
         after: Duration,
     },
-    /// It doesn't read the store now.
-    #[snafu(display("it does not read the store now"))]
-    NotReading,
+    /// It follows another one.
+    #[snafu(display("it did not read the store yet"))]
+    NotYet,
+    /// It can't read the store.
+    #[snafu(display("it has lost the store"))]
+    Lost,
 }
 
 /// Waits at `reader` for up to `wait` for something newer than `revision`.
@@ -85,10 +90,11 @@
     let after = wait + ANSWER;
     let called = timeout(after, links.call::<Follow, Told>(reader, Method::Follow, &ask)).await;
     let told = called.map_err(|_| Error::Silent { after })??;
-    if matches!(told.news, News::NotReading) {
-        return Err(Error::NotReading);
+    match told.news {
+        News::NotYet => Err(Error::NotYet),
+        News::Lost => Err(Error::Lost),
+        News::Changes { .. } | News::Whole(_) => Ok(told),
     }
-    Ok(told)
 }
 
 /// Answers a follower.
@@ -96,8 +102,9 @@
     let Ok(ask) = ex.recv_some::<Follow>().await else {
         return;
     };
+    edge.readers.borrow_mut().asked(now_boot());
     let woken = edge.changed.notified();
-    if edge.reading.get() && edge.view.borrow().revision() <= ask.revision {
+    if edge.reading.get() == Reading::Reads && edge.view.borrow().revision() <= ask.revision {
         // Without a change the answer says just that.
         let _ = timeout(Duration::from_millis(ask.wait_ms), woken).await;
     }
@@ -109,15 +116,16 @@
 fn told<W: Wire>(edge: &Edge<W>, revision: Revision) -> Told {
     let now = now_boot();
     let view = edge.view.borrow();
-    let news = match edge.store_at.get() {
-        Some(_) if edge.reading.get() => match view.changes_after(revision) {
+    let news = match edge.reading.get() {
+        Reading::Follows => News::NotYet,
+        Reading::Lost => News::Lost,
+        Reading::Reads => match view.changes_after(revision) {
             Some(list) => News::Changes {
                 list,
                 revision: view.revision().max(revision),
             },
             None => News::Whole(view.snapshot()),
         },
-        _ => News::NotReading,
     };
     Told {
         news,
