--- a/crates/celerytide-edge/src/admit/mod.rs
+++ b/crates/celerytide-edge/src/admit/mod.rs
@@ -14,7 +14,7 @@
 use crate::peers::digest::{HeldAt, id_hash};
 
 /// Parts of the engines' memory that the least and the most urgent requests may use.
-const PARTS: (f64, f64) = (0.25, 0.7);
+const PARTS: (f64, f64) = (0.35, 0.8);
 /// Requests of any size that an instance may always have in flight.
 const ALWAYS: u32 = 2;
 
