--- a/crates/celerytide-catalog/src/config/mod.rs
+++ b/crates/celerytide-catalog/src/config/mod.rs
@@ -35,7 +35,7 @@
         /// Host that it serves, in lower case.
         pub host: String,
         /// Start of the paths that it serves.
-        pub path_prefix: String,
+        pub path_start: String,
         /// What may be repeated.
         pub kind: Kind,
         /// Longest time for which a request is kept.
@@ -47,7 +47,7 @@
         /// Where its requests go.
         pub backends: Vec<Backend>,
         /// Endpoints on which one request may run.
-        pub max_attempts: u32,
+        pub most_runs: u32,
         /// Needs no key.
         pub anonymous: bool,
     }
@@ -59,7 +59,7 @@
         /// Time for which a started endpoint is cold.
         pub cold_time: Duration,
         /// Requests a second that a cold endpoint bears from all callers together; zero if it needs no care.
-        pub cold_per_s: f64,
+        pub cold_rate: f64,
         /// Requests that an engine runs at once; `None` for a plain service.
         pub engine_slots: Option<u32>,
         /// Prompt and output tokens that an engine holds; `None` for a plain service.
@@ -181,7 +181,7 @@
                 .push(Rc::new(route.clone()));
         }
         for of_host in routes.values_mut() {
-            of_host.sort_by_key(|r| std::cmp::Reverse(r.path_prefix.len()));
+            of_host.sort_by_key(|r| std::cmp::Reverse(r.path_start.len()));
         }
         let services = config.services.iter().map(|s| (s.id.clone(), Rc::new(s.clone())));
         Catalog {
@@ -208,7 +208,7 @@
     pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
         let name = host.split(':').next().unwrap_or_default().to_ascii_lowercase();
         let of_host = self.routes.get(&name)?;
-        of_host.iter().find(|r| path.starts_with(&r.path_prefix))
+        of_host.iter().find(|r| path.starts_with(&r.path_start))
     }
 
     /// The service with that id.
--- a/crates/celerytide-catalog/tests/view.rs
+++ b/crates/celerytide-catalog/tests/view.rs
@@ -18,7 +18,7 @@
     Route {
         name: prefix.to_owned(),
         host: host.to_owned(),
-        path_prefix: prefix.to_owned(),
+        path_start: prefix.to_owned(),
         kind: Kind::Safe,
         timeout: Duration::from_secs(1),
         target: None,
@@ -27,7 +27,7 @@
             service: "s".to_owned(),
             weight: 1,
         }],
-        max_attempts: 1,
+        most_runs: 1,
         anonymous: false,
     }
 }
@@ -44,7 +44,7 @@
         services: vec![Service {
             id: "s".to_owned(),
             cold_time: Duration::from_secs(3),
-            cold_per_s: 18.0,
+            cold_rate: 18.0,
             engine_slots: None,
             engine_tokens: None,
         }],
@@ -252,7 +252,7 @@
 fn the_longest_prefix_of_the_host_wins() {
     let catalog = Catalog::new(&config(1));
     for case in &MATCHES {
-        let found = catalog.route(case.host, case.path).map(|r| r.path_prefix.as_str());
+        let found = catalog.route(case.host, case.path).map(|r| r.path_start.as_str());
         assert_eq!(found, case.prefix, "{} {}", case.host, case.path);
     }
 }
--- a/crates/celerytide-edge/src/edge/pick.rs
+++ b/crates/celerytide-edge/src/edge/pick.rs
@@ -90,7 +90,7 @@
         let choice = choice.ok_or(NoPick::NoEndpoint)?;
         if is_cold(service, choice.known, now) {
             let id = &choice.known.endpoint.id;
-            self.cold.borrow_mut().note(id, service.cold_per_s, &instances, now);
+            self.cold.borrow_mut().note(id, service.cold_rate, &instances, now);
         }
         Ok(self.take(service, &choice, intake, now))
     }
@@ -107,7 +107,7 @@
         let cold = self.cold.borrow();
         let bears = |known: &&Known| {
             let id = &known.endpoint.id;
-            !is_cold(service, known, now) || cold.allows(id, service.cold_per_s, instances, now)
+            !is_cold(service, known, now) || cold.allows(id, service.cold_rate, instances, now)
         };
         let untried = view
             .usable(&service.id, now)
@@ -204,7 +204,7 @@
 }
 
 fn is_cold(service: &Service, known: &Known, now: Boot) -> bool {
-    service.cold_per_s > 0.0 && known.cold_until.is_some_and(|until| now < until)
+    service.cold_rate > 0.0 && known.cold_until.is_some_and(|until| now < until)
 }
 
 /// Tokens of a prompt and its answer.
--- a/crates/celerytide-edge/src/follow/mod.rs
+++ b/crates/celerytide-edge/src/follow/mod.rs
@@ -143,7 +143,7 @@
 }
 
 fn take_told<W: Wire>(edge: &Edge<W>, told: Told, now: Boot) {
-    let hold = Duration::from_millis(told.hold_ms);
+    let hold = Duration::from_millis(told.keep_ms);
     let answered = now.since_start().saturating_sub(Duration::from_millis(told.age_ms));
     edge.store_at
         .set(edge.store_at.get().max(Some(Boot::from_start(answered))));
--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -189,7 +189,7 @@
     /// Whether the request may run at one more endpoint than those where it ran, the current one included.
     fn may_run_again(&self) -> bool {
         let route = &self.intake.route;
-        route.kind.is_idempotent() && self.ran + 1 < route.max_attempts && self.left() > LEAST * 2
+        route.kind.is_idempotent() && self.ran + 1 < route.most_runs && self.left() > LEAST * 2
     }
 
     fn after_rejection(&self, cause: &'static str) -> Next {
@@ -204,7 +204,7 @@
         if self.left() < LEAST {
             return Next::GiveUp(DEADLINE);
         }
-        if route.kind.is_idempotent() && self.ran < route.max_attempts {
+        if route.kind.is_idempotent() && self.ran < route.most_runs {
             return Next::Again;
         }
         Next::GiveUp(cause)
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -114,7 +114,7 @@
     last_event: Option<&[u8]>,
 ) -> Option<Box<Reached<W>>> {
     let edge = run.edge;
-    while run.intake.route.kind == Kind::ResumableStream && run.ran < run.intake.route.max_attempts {
+    while run.intake.route.kind == Kind::ResumableStream && run.ran < run.intake.route.most_runs {
         let pick = edge.pick(run.intake, service, &run.tried).ok()?;
         if !edge.take_repeat(&service.id) {
             info!(request = run.intake.id, "stream: no repeat left to go on");
--- a/crates/celerytide-edge/src/peers/relay.rs
+++ b/crates/celerytide-edge/src/peers/relay.rs
@@ -27,7 +27,7 @@
         /// Revision of its view.
         pub revision: Revision,
         /// How long the reader may wait for something newer.
-        pub wait_ms: Millis,
+        pub patience_ms: Millis,
     }
 
     /// What a reader tells.
@@ -37,7 +37,7 @@
         /// Time since the store last answered the reader.
         pub age_ms: Millis,
         /// For how long endpoints whose entries are gone are still kept.
-        pub hold_ms: Millis,
+        pub keep_ms: Millis,
     }
 
     /// What is newer than the follower's view.
@@ -85,7 +85,7 @@
 pub async fn follow(links: &Links, reader: SocketAddr, revision: Revision, wait: Duration) -> Result<Told, Error> {
     let ask = Follow {
         revision,
-        wait_ms: millis(wait),
+        patience_ms: millis(wait),
     };
     let after = wait + ANSWER;
     let called = timeout(after, links.call::<Follow, Told>(reader, Method::Follow, &ask)).await;
@@ -106,7 +106,7 @@
     let woken = edge.changed.notified();
     if edge.reading.get() == Reading::Reads && edge.view.borrow().revision() <= ask.revision {
         // Without a change the answer says just that.
-        let _ = timeout(Duration::from_millis(ask.wait_ms), woken).await;
+        let _ = timeout(Duration::from_millis(ask.patience_ms), woken).await;
     }
     if let Err(error) = ex.send_last(&told(edge, ask.revision)).await {
         debug!(%error, "peers: changes not sent");
@@ -130,6 +130,6 @@
     Told {
         news,
         age_ms: edge.store_at.get().map_or(0, |at| millis(now.since(at))),
-        hold_ms: millis(edge.hold(now)),
+        keep_ms: millis(edge.hold(now)),
     }
 }
--- a/crates/celerytide-edge/src/settings/mod.rs
+++ b/crates/celerytide-edge/src/settings/mod.rs
@@ -41,13 +41,13 @@
     #[derive(Default)]
     pub struct Bounds {
         /// Time from SIGTERM to SIGKILL, in seconds.
-        pub grace_s: Option<f64>,
+        pub stop_s: Option<f64>,
         /// Time between two writes of an endpoint's entry, in milliseconds.
-        pub heartbeat_ms: Option<Millis>,
+        pub beat_ms: Option<Millis>,
         /// Time in which a change has to be in force, in milliseconds: the shortest of those in force.
         pub apply_ms: Option<Millis>,
         /// Time after an outage within which an instance has to be up to date again, in milliseconds.
-        pub contact_ms: Option<Millis>,
+        pub regain_ms: Option<Millis>,
         /// Repeats for each request.
         pub repeat_ratio: Option<f64>,
         /// Repeats beyond the ratio, of all instances together.
@@ -84,10 +84,10 @@
 
 /// Fields at the top that no other document has.
 const OWN_FIELDS: [&str; 2] = ["callers", "readiness"];
-const GRACE_S: f64 = 8.0;
-const HEARTBEAT_MS: Millis = 1200;
+const STOP_S: f64 = 8.0;
+const BEAT_MS: Millis = 1200;
 const APPLY_MS: Millis = 2000;
-const CONTACT_MS: Millis = 3000;
+const REGAIN_MS: Millis = 3000;
 const REPEAT_RATIO: f64 = 0.2;
 const REPEAT_SLACK: f64 = 20.0;
 const REPEAT_WINDOW_S: f64 = 10.0;
@@ -141,9 +141,9 @@
         )?;
         let descriptors = self.descriptors.unwrap_or(LEAST_DESCRIPTORS);
         require("descriptors", descriptors >= LEAST_DESCRIPTORS, "is below 64")?;
-        positive("bounds.grace_s", b.grace_s)?;
-        positive("bounds.heartbeat_ms", b.heartbeat_ms.map(|ms| ms as f64))?;
-        positive("bounds.contact_ms", b.contact_ms.map(|ms| ms as f64))?;
+        positive("bounds.stop_s", b.stop_s)?;
+        positive("bounds.beat_ms", b.beat_ms.map(|ms| ms as f64))?;
+        positive("bounds.regain_ms", b.regain_ms.map(|ms| ms as f64))?;
         positive("bounds.apply_ms", b.apply_ms.map(|ms| ms as f64))?;
         positive("bounds.repeat_window_s", b.repeat_window_s)?;
         require(
@@ -162,12 +162,12 @@
 impl Bounds {
     /// Time from SIGTERM to SIGKILL.
     pub fn grace(&self) -> Duration {
-        Duration::from_secs_f64(self.grace_s.unwrap_or(GRACE_S))
+        Duration::from_secs_f64(self.stop_s.unwrap_or(STOP_S))
     }
 
     /// Time between two writes of an endpoint's entry.
     pub fn heartbeat(&self) -> Duration {
-        Duration::from_millis(self.heartbeat_ms.unwrap_or(HEARTBEAT_MS))
+        Duration::from_millis(self.beat_ms.unwrap_or(BEAT_MS))
     }
 
     /// Time in which a change has to be in force.
@@ -177,7 +177,7 @@
 
     /// Time after an outage within which an instance has to be up to date again.
     pub fn contact(&self) -> Duration {
-        Duration::from_millis(self.contact_ms.unwrap_or(CONTACT_MS))
+        Duration::from_millis(self.regain_ms.unwrap_or(REGAIN_MS))
     }
 
     /// The bound on repeats.
--- a/crates/celerytide-edge/tests/formats.rs
+++ b/crates/celerytide-edge/tests/formats.rs
@@ -66,7 +66,7 @@
     },
     Case {
         name: "empty bounds",
-        add: "bounds:\n  grace_s:\n  apply_ms:\n",
+        add: "bounds:\n  stop_s:\n  apply_ms:\n",
         error: None,
     },
     Case {
--- a/crates/celerytide-edge/tests/placement.rs
+++ b/crates/celerytide-edge/tests/placement.rs
@@ -22,7 +22,7 @@
     Service {
         id: "llm".to_owned(),
         cold_time: Duration::ZERO,
-        cold_per_s: 0.0,
+        cold_rate: 0.0,
         engine_slots: Some(128),
         engine_tokens: Some(352_253),
     }
--- a/crates/celerytide-soak/src/bed/mod.rs
+++ b/crates/celerytide-soak/src/bed/mod.rs
@@ -175,7 +175,7 @@
         let ports: Vec<SocketAddr> = free_ports(5);
         let seeds: Vec<String> = seeds.iter().map(|s| format!("\"{s}\"")).collect();
         let settings = format!(
-            "instance: {name}\nzone: z1\ncallers: \"{}\"\nreadiness: \"{}\"\npeers: \"{}\"\nmetrics: \"{}\"\ndigests: \"{}\"\nseeds: [{}]\nstore: \"{}\"\ndescriptors: 1000\nbounds:\n  grace_s: 4\n  apply_ms: 2000\n  contact_ms: 3000\n  repeat_slack: {}\n",
+            "instance: {name}\nzone: z1\ncallers: \"{}\"\nreadiness: \"{}\"\npeers: \"{}\"\nmetrics: \"{}\"\ndigests: \"{}\"\nseeds: [{}]\nstore: \"{}\"\ndescriptors: 1000\nbounds:\n  stop_s: 4\n  apply_ms: 2000\n  regain_ms: 3000\n  repeat_slack: {}\n",
             ports[0],
             ports[1],
             ports[2],
--- a/crates/celerytide-soak/src/check/mod.rs
+++ b/crates/celerytide-soak/src/check/mod.rs
@@ -140,7 +140,7 @@
 
 /// Time in which a change is known everywhere: `apply_ms` of the bed's settings.
 const APPLY: Duration = Duration::from_secs(2);
-/// Time after an outage in which a router is up to date again: `contact_ms` of the bed's settings.
+/// Time after an outage in which a router is up to date again: `regain_ms` of the bed's settings.
 const CONTACT: Duration = Duration::from_secs(3);
 /// Time for an answer on the bed's plain routes.
 const PLAIN_TIMEOUT: Duration = Duration::from_millis(1500);
--- a/crates/celerytide-soak/src/run/mod.rs
+++ b/crates/celerytide-soak/src/run/mod.rs
@@ -41,7 +41,7 @@
 const AFTER: Duration = Duration::from_secs(5);
 /// Pause between two looks at what is due.
 const TICK: Duration = Duration::from_millis(5);
-/// Longest time that a router has from SIGTERM to its end: `grace_s` of the bed's settings and a second.
+/// Longest time that a router has from SIGTERM to its end: `stop_s` of the bed's settings and a second.
 const GRACE: Duration = Duration::from_secs(5);
 
 /// Plays one run.
