fix(edge): three lists at most are awaited by a new process

Change: three at most, 1.8 s a page: a store that needs a second is heard, and a new call still begins each 600 ms.

Test: a_new_process_learns_from_a_store_that_is_slow holds.

--- a/crates/celerytide-edge/src/follow/mod.rs
+++ b/crates/celerytide-edge/src/follow/mod.rs
@@ -35,12 +35,12 @@
 /// Time for one page of the list.
 const PAGE: Duration = Duration::from_millis(1500);
 /// The same while nothing is known: the store, or the way to it, may be slow.
-const FIRST_PAGE: Duration = Duration::from_millis(4800);
+const FIRST_PAGE: Duration = Duration::from_millis(1800);
 /// Time after which a further list is asked for beside the ones that are awaited, while nothing is known: a call that began
 /// before the store came back hears nothing of that.
 const FIRST_AGAIN: Duration = Duration::from_millis(600);
-/// Lists that are awaited at once.
-const MOST_LISTS: usize = 6;
+/// Lists that are awaited at once: they share the link, which may be narrow.
+const MOST_LISTS: usize = 3;
 /// First pause after a failure; doubles up to [`MAX_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause.
