--- a/crates/celerytide-edge/src/follow/mod.rs
+++ b/crates/celerytide-edge/src/follow/mod.rs
@@ -8,11 +8,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use celerytide_catalog::Snapshot;
 use celerytide_types::{Boot, now_boot};
 use celerytide_wire::Links;
-use futures::stream::{FuturesUnordered, StreamExt};
-use monoio::time::{sleep, timeout};
+use monoio::time::sleep;
 use rand::Rng;
 use tracing::{info, warn};
 
@@ -34,13 +32,8 @@
 const ANSWER: Duration = Duration::from_millis(500);
 /// Time for one page of the list.
 const PAGE: Duration = Duration::from_millis(1500);
-/// The same while nothing is known: the store, or the way to it, may be slow.
-const FIRST_PAGE: Duration = Duration::from_millis(1800);
-/// Time after which a further list is asked for beside the ones that are awaited, while nothing is known: a call that began
-/// before the store came back hears nothing of that.
-const FIRST_AGAIN: Duration = Duration::from_millis(600);
-/// Lists that are awaited at once: they share the link, which may be narrow.
-const MOST_LISTS: usize = 3;
+/// The same while nothing is known: a call that began before the store came back hears nothing of that.
+const FIRST_PAGE: Duration = Duration::from_millis(600);
 /// First pause after a failure; doubles up to [`MAX_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause.
@@ -97,12 +90,12 @@
 }
 
 async fn list<W: Wire, S: Source>(edge: &Edge<W>, source: &S, contact: &mut Contact) -> Result<(), SourceError> {
-    let known = edge.view.borrow().has_config();
-    let snapshot = if known {
-        source.list(PAGE).await?
+    let page = if edge.view.borrow().has_config() {
+        PAGE
     } else {
-        first_list(source).await?
+        FIRST_PAGE
     };
+    let snapshot = source.list(page).await?;
     let now = now_boot();
     let hold = contact.answered(edge, now);
     let update = edge.view.borrow_mut().replace(snapshot, hold, now);
@@ -110,22 +103,6 @@
     Ok(())
 }
 
-/// The first list that comes, of several that are asked for one after the other.
-async fn first_list<S: Source>(source: &S) -> Result<Snapshot, SourceError> {
-    let mut lists = FuturesUnordered::new();
-    loop {
-        if lists.len() < MOST_LISTS {
-            lists.push(source.list(FIRST_PAGE));
-        }
-        match timeout(FIRST_AGAIN, lists.next()).await {
-            Ok(Some(Err(error))) if lists.is_empty() => return Err(error),
-            Ok(Some(Err(_))) => sleep(FIRST_PAUSE).await,
-            Ok(Some(Ok(snapshot))) => return Ok(snapshot),
-            Ok(None) | Err(_) => {}
-        }
-    }
-}
-
 async fn watch<W: Wire, S: Source>(edge: &Edge<W>, source: &S, contact: &mut Contact) -> Result<(), SourceError> {
     let wait = match edge.members.borrow().live(now_boot()) {
         others if others > MAX_FULL => edge.settings.bounds.apply().mul_f64(FOLLOWED_SHARE),
