refactor(soak): the platform's names and the launching of processes stand where the project had them

Change: entries, configuration and callers' requests are in celerytide-standin's platform, beside the store and the runner that speak the same; the bed uses launch::Process, free_addr and sibling, and a router's log is a file. free_addr looks at UDP, too, since digests need it. What a fault strikes, and the times of a history, are types instead of pairs; a field that no check read is gone; the test whether a router was struck stands once instead of three times.

--- a/crates/celerytide-soak/src/check/mod.rs
+++ b/crates/celerytide-soak/src/check/mod.rs
@@ -60,8 +60,6 @@
     pub at: Duration,
     /// Whether it ran.
     pub ran: bool,
-    /// Whether it goes on behind an event.
-    pub goes_on: bool,
 }
 
 /// A time in which something was the case.
@@ -73,6 +71,24 @@
     pub to: Duration,
 }
 
+/// A router was stopped or killed.
+#[derive(Debug, Clone, Copy)]
+pub struct Struck {
+    /// Its place in the fleet.
+    pub router: usize,
+    /// When.
+    pub span: Span,
+}
+
+/// A runner was published as leaving.
+#[derive(Debug, Clone)]
+pub struct Leaving {
+    /// The runner.
+    pub runner: String,
+    /// When.
+    pub span: Span,
+}
+
 impl Span {
     fn meets(&self, from: Duration, to: Duration) -> bool {
         self.from <= to && from <= self.to
@@ -86,14 +102,14 @@
     pub calls: Vec<Call>,
     /// Arrivals at runners.
     pub arrivals: Vec<Arrival>,
-    /// When a router was stopped or killed, by its place.
-    pub struck: Vec<(usize, Span)>,
+    /// When routers were stopped or killed.
+    pub struck: Vec<Struck>,
     /// When the store, or the way to it, was harmed.
     pub store_harmed: Vec<Span>,
     /// When a runner, or the way to it, was harmed.
     pub runners_harmed: Vec<Span>,
-    /// When a runner was published as leaving.
-    pub leaving: Vec<(String, Span)>,
+    /// When runners were published as leaving.
+    pub leaving: Vec<Leaving>,
     /// When the last fault was over.
     pub calm_at: Duration,
 }
@@ -189,6 +205,13 @@
         self.runs.get(id).map_or(&[], Vec::as_slice)
     }
 
+    /// Whether a router was stopped or killed from shortly before `from` to `to`.
+    fn is_struck(&self, router: usize, from: Duration, to: Duration) -> bool {
+        let since = from.saturating_sub(CONTACT);
+        let struck = &self.history.struck;
+        struck.iter().any(|s| s.router == router && s.span.meets(since, to))
+    }
+
     fn runs(&self, call: &Call) -> Option<Violation> {
         let runs = self.runs_of(&call.id).len();
         let once = matches!(call.kind, Kind::Once | Kind::Stream);
@@ -240,13 +263,7 @@
     fn loss(&self, call: &Call) -> Option<Violation> {
         let plain = matches!(call.kind, Kind::Safe | Kind::Once);
         let cut = call.answer.status == 0 || !call.answer.whole;
-        let h = self.history;
-        let since = call.sent.saturating_sub(CONTACT);
-        let struck = h
-            .struck
-            .iter()
-            .any(|(router, span)| *router == call.router && span.meets(since, call.ended));
-        if !plain || !cut || struck {
+        if !plain || !cut || self.is_struck(call.router, call.sent, call.ended) {
             return None;
         }
         let passed_on = !self.runs_of(&call.id).is_empty();
@@ -274,16 +291,15 @@
         let h = self.history;
         let routers: HashMap<&str, usize> = h.calls.iter().map(|c| (c.id.as_str(), c.router)).collect();
         let late = |arrival: &&Arrival| {
-            let left = h.leaving.iter().find(|(runner, span)| {
-                *runner == arrival.runner && span.from + APPLY < arrival.at && arrival.at <= span.to
-            });
-            let Some((_, span)) = left else {
+            let known = |l: &&Leaving| l.span.from + APPLY < arrival.at && arrival.at <= l.span.to;
+            let left = h.leaving.iter().filter(|l| l.runner == arrival.runner).find(known);
+            let Some(Leaving { span, .. }) = left else {
                 return false;
             };
             let since = span.from.saturating_sub(CONTACT);
             let harmed = |spans: &[Span]| spans.iter().any(|s| s.meets(since, arrival.at));
             let router = routers.get(arrival.id.as_str()).copied().unwrap_or_default();
-            let struck = h.struck.iter().any(|(r, s)| *r == router && s.meets(since, arrival.at));
+            let struck = self.is_struck(router, span.from, arrival.at);
             !struck && !harmed(&h.store_harmed) && !harmed(&h.runners_harmed)
         };
         let found = h.arrivals.iter().filter(late).map(|arrival| Violation {
@@ -297,11 +313,7 @@
         let h = self.history;
         let is_late = |call: &&Call| {
             let plain = matches!(call.kind, Kind::Safe | Kind::Once);
-            let since = call.sent.saturating_sub(CONTACT);
-            let struck = h
-                .struck
-                .iter()
-                .any(|(r, s)| *r == call.router && s.meets(since, call.ended));
+            let struck = self.is_struck(call.router, call.sent, call.ended);
             plain && !struck && call.ended.saturating_sub(call.sent) > PLAIN_TIMEOUT + LATE_BY
         };
         let late: Vec<&str> = h.calls.iter().filter(is_late).map(|call| call.id.as_str()).collect();
--- a/crates/celerytide-soak/src/run/callers.rs
+++ b/crates/celerytide-soak/src/run/callers.rs
@@ -7,10 +7,10 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
+use celerytide_standin::platform::caller::{Got, headers, read_answer, request};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use crate::bed::{Got, KEY, read_answer, request};
 use crate::check::{Answered, Call, Kind};
 use crate::plan::ROUTERS;
 
@@ -18,6 +18,8 @@
 pub const COUNT: usize = 16;
 /// Time for which an answer is waited for: more than any route has.
 const PATIENCE: Duration = Duration::from_secs(6);
+/// Time that callers give their requests, in milliseconds.
+const DEADLINE_MS: &str = "4000";
 /// Time for a new connection.
 const CONNECT: Duration = Duration::from_millis(300);
 /// Pause after a failed connection, and the longest one between two requests.
@@ -88,15 +90,14 @@
 
     /// Sends a request; returns the connection if it may be used again.
     fn call(&self, mut conn: Conn, id: String, kind: Kind, router: usize, began: Instant) -> Option<Conn> {
-        let headers = [("api-key", KEY), ("x-attempt-id", &id), ("x-deadline-ms", "4000")];
         let method = if kind == Kind::Once { "POST" } else { "GET" };
         let body = if kind == Kind::Once { "form" } else { "" };
-        let text = request(method, path(kind), &headers, body);
+        let text = request(method, path(kind), &headers(&id, DEADLINE_MS), body);
         // A connection that ended in the meantime took nothing of it.
         conn.read.get_mut().write_all(text.as_bytes()).ok()?;
         let sent = began.elapsed();
         let got = read_answer(&mut conn.read).unwrap_or_default();
-        let reusable = got.whole && !got.head.contains("connection: close");
+        let reusable = got.keeps_connection();
         let call = Call {
             id,
             kind,
@@ -113,7 +114,7 @@
 fn answered(got: Got) -> Answered {
     Answered {
         status: got.status,
-        sealed: got.head.contains("x-response-seal:"),
+        sealed: got.is_sealed(),
         whole: got.whole,
         body: got.body,
     }
--- a/crates/celerytide-soak/src/run/fleet.rs
+++ b/crates/celerytide-soak/src/run/fleet.rs
@@ -1,15 +1,23 @@
 //! The processes of a run, and what faults do to them.
 
 use std::collections::HashSet;
-use std::process::{Child, Command, Stdio};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
-use celerytide_standin::platform::Runner;
+use celerytide_standin::launch::{Process, Signal};
+use celerytide_standin::platform::caller::KEY;
+use celerytide_standin::platform::{self, Entry, ROUTES, Runner};
 use celerytide_standin::relay;
-use nix::sys::signal::Signal;
 
-use super::*;
-use crate::bed::{Bed, KEY, ROUTES, Router, eventually, free_ports, program};
+use super::callers::Callers;
+use crate::bed::{Bed, Router, eventually};
+use crate::check::Arrival;
+use crate::plan::{self, Fault, ROUTERS, RUNNERS};
 
+/// The availability zone that is taken out at times.
+const ZONE_OUT: &str = "z2";
+/// Longest time that a router has from SIGTERM to its end: `stop_s` of the bed's settings and a second.
+const GRACE: Duration = Duration::from_secs(5);
 /// Lines of a router's log that are shown of one request.
 const SHOWN: usize = 12;
 
@@ -20,11 +28,10 @@
     runners: Vec<Runner>,
     /// Where routers reach each runner.
     links: Vec<SocketAddr>,
-    relay: Child,
-    control: SocketAddr,
+    relay: Process,
     version: u64,
     /// Faults on, by what they strike: two of a kind on one thing don't overlap.
-    taken: HashSet<(u8, usize)>,
+    taken: HashSet<Target>,
     started: usize,
     /// Logs of routers that ended.
     logs: Vec<String>,
@@ -43,17 +50,12 @@
         let runners: Vec<Runner> = (0..RUNNERS)
             .map(|n| Runner::start(&runner_id(n), plan::calm(n)).expect("runner"))
             .collect();
-        let control = free_ports(1)[0];
         let targets = runners.iter().map(|r| r.address).chain([bed.store.address]);
-        let mut cmd = Command::new(program("celerytide-standin"));
-        cmd.arg("relay").arg("--listen").arg(control.to_string());
-        cmd.args(targets.flat_map(|to| ["--to".to_owned(), to.to_string()]));
-        let relay = cmd.stdout(Stdio::null()).stderr(Stdio::null()).spawn().expect("relay");
-        let mut links = Vec::new();
-        eventually("the relay answers", || {
-            links = relay::routes(control).map_or(Vec::new(), |all| all.iter().map(|r| r.listen).collect());
-            links.len() == RUNNERS + 1
-        });
+        let targets: Vec<String> = targets.map(|to| to.to_string()).collect();
+        let args: Vec<&str> = targets.iter().flat_map(|to| ["--to", to.as_str()]).collect();
+        let relay = Process::standin("relay", &args).expect("relay");
+        let routes = relay::routes(relay.addr()).expect("routes");
+        let mut links: Vec<SocketAddr> = routes.iter().map(|route| route.listen).collect();
         bed.store_at = links.pop().expect("the store's route");
         let mut fleet = Fleet {
             bed,
@@ -61,14 +63,13 @@
             runners,
             links,
             relay,
-            control,
             version: 1,
             taken: HashSet::new(),
             started: 0,
             logs: Vec::new(),
             terminated: vec![None; ROUTERS],
         };
-        (0..RUNNERS).for_each(|n| fleet.publish(n, "ready"));
+        (0..RUNNERS).for_each(|n| fleet.publish(n, false));
         for _ in 0..ROUTERS {
             let router = fleet.router();
             fleet.routers.push(Some(router));
@@ -90,10 +91,14 @@
         self.routers.iter().flatten().map(|r| r.callers).collect()
     }
 
-    fn publish(&self, n: usize, state: &str) {
-        let service = if plan::is_engine(n) { "engines" } else { "plain" };
-        let zone = if n.is_multiple_of(2) { "z1" } else { "z2" };
-        self.bed.publish_at(self.links[n], &runner_id(n), service, state, zone);
+    fn publish(&self, n: usize, leaving: bool) {
+        self.bed.store.publish(&Entry {
+            id: &runner_id(n),
+            service: if plan::is_engine(n) { "engines" } else { "plain" },
+            address: self.links[n],
+            zone: if n.is_multiple_of(2) { "z1" } else { ZONE_OUT },
+            leaving,
+        });
     }
 
     /// Begins a fault; false if its target is struck already.
@@ -113,12 +118,12 @@
             Fault::Link(n, mode) => self.relay(*n, *mode),
             Fault::Store(mode) => self.bed.store.set_mode(*mode),
             Fault::StoreLink(mode) => self.relay(RUNNERS, *mode),
-            Fault::Leave(n) => self.publish(*n, "draining"),
+            Fault::Leave(n) => self.publish(*n, true),
             Fault::Configure => {
                 self.version += 3;
-                self.bed.configure(self.version, &ROUTES, &[KEY]);
+                self.bed.store.configure(self.version, &ROUTES, &[KEY]);
             }
-            Fault::ZoneOut => self.bed.store.put("op/evacuate/z2", b"{}"),
+            Fault::ZoneOut => self.bed.store.take_out(ZONE_OUT),
         }
         true
     }
@@ -135,17 +140,17 @@
     }
 
     /// Ends a fault.
-    pub fn end(&mut self, fault: &Fault, callers: &callers::Callers) {
+    pub fn end(&mut self, fault: &Fault, callers: &Callers) {
         match fault {
             Fault::Pause(n) => self.signal(*n, Signal::SIGCONT),
             Fault::Kill(n) | Fault::Term(n) => self.restart(*n, callers),
             Fault::Hup(_) | Fault::Configure => {}
             Fault::Runner(n, _) => self.runners[*n].set(plan::calm(*n)),
-            Fault::Link(n, _) => self.relay(*n, RelayMode::Pass),
-            Fault::Store(_) => self.bed.store.set_mode(StoreMode::Serve),
-            Fault::StoreLink(_) => self.relay(RUNNERS, RelayMode::Pass),
-            Fault::Leave(n) => self.publish(*n, "ready"),
-            Fault::ZoneOut => self.bed.store.delete("op/evacuate/z2"),
+            Fault::Link(n, _) => self.relay(*n, relay::Mode::Pass),
+            Fault::Store(_) => self.bed.store.set_mode(platform::Mode::Serve),
+            Fault::StoreLink(_) => self.relay(RUNNERS, relay::Mode::Pass),
+            Fault::Leave(n) => self.publish(*n, false),
+            Fault::ZoneOut => self.bed.store.take_back(ZONE_OUT),
         }
         self.taken.remove(&target(fault));
     }
@@ -156,9 +161,9 @@
         }
     }
 
-    fn restart(&mut self, n: usize, callers: &callers::Callers) {
+    fn restart(&mut self, n: usize, callers: &Callers) {
         if let Some(old) = self.routers[n].take() {
-            self.logs.extend(old.lines.lock().expect("lines").iter().cloned());
+            self.logs.extend(old.lines());
         }
         let new = self.router();
         callers.move_to(n, new.callers);
@@ -166,19 +171,18 @@
         self.terminated[n] = None;
     }
 
-    fn relay(&self, route: usize, mode: RelayMode) {
-        relay::set(self.control, route, &mode).expect("the relay takes a mode");
+    fn relay(&self, route: usize, mode: relay::Mode) {
+        relay::set(self.relay.addr(), route, &mode).expect("the relay takes a mode");
     }
 
     /// What reached the runners.
     pub fn arrivals(&self, began: Instant) -> Vec<Arrival> {
         let of_runner = |(n, runner): (usize, &Runner)| {
-            let arrival = move |a: celerytide_standin::platform::Arrival| Arrival {
+            let arrival = move |a: platform::Arrival| Arrival {
                 id: a.id,
                 runner: runner_id(n),
                 at: a.at.saturating_duration_since(began),
                 ran: a.ran,
-                goes_on: a.goes_on,
             };
             runner.arrivals().into_iter().map(arrival)
         };
@@ -188,31 +192,36 @@
     /// Log lines that name one of the requests.
     pub fn lines_of(&self, ids: &[&str]) -> Vec<String> {
         let living = self.routers.iter().flatten();
-        let living = living.flat_map(|r| r.lines.lock().expect("lines").clone());
+        let living = living.flat_map(Router::lines);
         let all = self.logs.iter().cloned().chain(living);
         let about = all.filter(|line| ids.iter().any(|id| line.contains(&format!("\"{id}\""))));
         about.take(SHOWN * ids.len()).collect()
     }
 }
 
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        // It may have ended by itself.
-        let _ = self.relay.kill();
-        let _ = self.relay.wait();
-    }
+/// What a fault strikes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Target {
+    /// A router's process: signals to one exclude each other.
+    Router(usize),
+    Runner(usize),
+    Link(usize),
+    Entry(usize),
+    Store,
+    StoreLink,
+    Configuration,
+    Zone,
 }
 
-/// What a fault strikes; signals to one router exclude each other.
-fn target(fault: &Fault) -> (u8, usize) {
+fn target(fault: &Fault) -> Target {
     match fault {
-        Fault::Pause(n) | Fault::Kill(n) | Fault::Term(n) | Fault::Hup(n) => (0, *n),
-        Fault::Runner(n, _) => (1, *n),
-        Fault::Link(n, _) => (2, *n),
-        Fault::Leave(n) => (3, *n),
-        Fault::Store(_) => (4, 0),
-        Fault::StoreLink(_) => (5, 0),
-        Fault::Configure => (6, 0),
-        Fault::ZoneOut => (7, 0),
+        Fault::Pause(n) | Fault::Kill(n) | Fault::Term(n) | Fault::Hup(n) => Target::Router(*n),
+        Fault::Runner(n, _) => Target::Runner(*n),
+        Fault::Link(n, _) => Target::Link(*n),
+        Fault::Leave(n) => Target::Entry(*n),
+        Fault::Store(_) => Target::Store,
+        Fault::StoreLink(_) => Target::StoreLink,
+        Fault::Configure => Target::Configuration,
+        Fault::ZoneOut => Target::Zone,
     }
 }
--- a/crates/celerytide-soak/src/run/mod.rs
+++ b/crates/celerytide-soak/src/run/mod.rs
@@ -3,16 +3,13 @@
 mod callers;
 mod fleet;
 
-use std::net::SocketAddr;
 use std::thread::{scope, sleep};
 use std::time::{Duration, Instant};
 
-use celerytide_standin::platform::Mode as StoreMode;
-use celerytide_standin::relay::Mode as RelayMode;
-
-use crate::check::{Arrival, History, Span, Violation, check};
-use crate::plan::{self, Fault, ROUTERS, RUNNERS, Step};
+use crate::check::{History, Leaving, Span, Struck, Violation, check};
+use crate::plan::{self, Fault, Step};
 
+use callers::Callers;
 use fleet::Fleet;
 
 /// How a run is played.
@@ -41,14 +38,12 @@
 const AFTER: Duration = Duration::from_secs(5);
 /// Pause between two looks at what is due.
 const TICK: Duration = Duration::from_millis(5);
-/// Longest time that a router has from SIGTERM to its end: `stop_s` of the bed's settings and a second.
-const GRACE: Duration = Duration::from_secs(5);
 
 /// Plays one run.
 pub fn run(opts: Options) -> Outcome {
     let steps = plan::draw(opts.seed, opts.length);
     let mut fleet = Fleet::start(opts.seed);
-    let callers = callers::Callers::new(fleet.addresses());
+    let callers = Callers::new(fleet.addresses());
     let mut history = History::default();
     let began = Instant::now();
     scope(|s| {
@@ -80,7 +75,7 @@
     fault: Fault,
 }
 
-fn play(steps: &[Step], fleet: &mut Fleet, history: &mut History, callers: &callers::Callers, began: Instant) {
+fn play(steps: &[Step], fleet: &mut Fleet, history: &mut History, callers: &Callers, began: Instant) {
     let mut on: Vec<On> = Vec::new();
     let mut steps = steps.iter().peekable();
     while steps.peek().is_some() || !on.is_empty() {
@@ -107,10 +102,13 @@
 fn note(history: &mut History, on: &On, to: Duration) {
     let span = Span { from: on.from, to };
     match &on.fault {
-        Fault::Pause(router) | Fault::Kill(router) => history.struck.push((*router, span)),
+        Fault::Pause(router) | Fault::Kill(router) => history.struck.push(Struck { router: *router, span }),
         Fault::Store(_) | Fault::StoreLink(_) => history.store_harmed.push(span),
         Fault::Link(..) | Fault::Runner(..) => history.runners_harmed.push(span),
-        Fault::Leave(runner) => history.leaving.push((fleet::runner_id(*runner), span)),
+        Fault::Leave(runner) => history.leaving.push(Leaving {
+            runner: fleet::runner_id(*runner),
+            span,
+        }),
         Fault::Term(_) | Fault::Hup(_) | Fault::Configure | Fault::ZoneOut => {}
     }
 }
--- a/crates/celerytide-soak/tests/check.rs
+++ b/crates/celerytide-soak/tests/check.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use celerytide_soak::check::{Answered, Arrival, Call, History, Kind, Promise, Span, check};
+use celerytide_soak::check::{Answered, Arrival, Call, History, Kind, Leaving, Promise, Span, Struck, check};
 use celerytide_soak::plan::{self, EVENTS, Fault};
 
 fn ms(ms: u64) -> Duration {
@@ -16,6 +16,13 @@
     }
 }
 
+fn leaving(runner: &str, from: u64, to: u64) -> Leaving {
+    Leaving {
+        runner: runner.to_owned(),
+        span: span(from, to),
+    }
+}
+
 fn answer(status: u16, body: &str) -> Answered {
     Answered {
         status,
@@ -42,7 +49,6 @@
         runner: runner.to_owned(),
         at: ms(at),
         ran: true,
-        goes_on: false,
     }
 }
 
@@ -141,7 +147,7 @@
     Break {
         name: "a leaving runner gets a request late",
         promise: Promise::Leaving,
-        spoil: |h| h.leaving.push(("i0".to_owned(), span(1000, 9000))),
+        spoil: |h| h.leaving.push(leaving("i0", 1000, 9000)),
     },
     Break {
         name: "a request that ran has no answer",
@@ -193,7 +199,10 @@
         name: "the router was killed",
         spoil: |h| {
             h.calls[1].answer = answer(0, "");
-            h.struck.push((0, span(4200, 4300)));
+            h.struck.push(Struck {
+                router: 0,
+                span: span(4200, 4300),
+            });
         },
     },
     Excuse {
@@ -206,7 +215,7 @@
     Excuse {
         name: "the store was away when a runner left",
         spoil: |h| {
-            h.leaving.push(("i0".to_owned(), span(1000, 5000)));
+            h.leaving.push(leaving("i0", 1000, 5000));
             h.store_harmed.push(span(1100, 3000));
         },
     },
--- a/crates/celerytide-standin/src/launch/ports.rs
+++ b/crates/celerytide-standin/src/launch/ports.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashSet,
     io,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     ops::RangeInclusive,
     sync::{LazyLock, Mutex, PoisonError},
 };
@@ -23,12 +23,13 @@
 /// A child that is being started holds the sockets of this process for a moment, so the lock is also taken for that.
 pub(super) static GIVEN: LazyLock<Mutex<HashSet<u16>>> = LazyLock::new(Mutex::default);
 
-/// A loopback port that is free and that this process has not given out before.
+/// A loopback port that is free for TCP and UDP and that this process has not given out before.
 pub fn free_port() -> Result<u16, Error> {
     let mut given = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
     for _ in 0..MAX_DRAWS {
         let port = rand::rng().random_range(PORTS);
-        if !given.contains(&port) && TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok() {
+        let addr = (Ipv4Addr::LOCALHOST, port);
+        if !given.contains(&port) && TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
             given.insert(port);
             return Ok(port);
         }
--- a/crates/celerytide-standin/src/platform/mod.rs
+++ b/crates/celerytide-standin/src/platform/mod.rs
@@ -3,10 +3,13 @@
 //! They speak just enough of the platform's language to bring about what tests are meant for, and remember what reached
 //! them.
 
+pub mod caller;
+mod publish;
 mod request;
 mod runner;
 mod store;
 
+pub use publish::{Entry, ROUTES, Route};
 pub use request::Seen;
 pub use runner::{Answer, Arrival, Runner};
 pub use store::{Mode, Store};
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -58,8 +58,6 @@
     pub at: Instant,
     /// Whether the runner ran it.
     pub ran: bool,
-    /// It goes on behind an event that the caller has.
-    pub goes_on: bool,
 }
 
 struct Shared {
@@ -141,7 +139,6 @@
             id: seen.header("x-attempt-id").to_owned(),
             at: Instant::now(),
             ran: !matches!(answer, Answer::NotRun | Answer::Elsewhere),
-            goes_on: !seen.header("last-event-id").is_empty(),
         });
         if !respond(shared, &mut out, &seen, answer) {
             // The connection ends here in any case.
