refactor(edge): one place says what a large fleet is, and connections to peers are shared

Cause: the bound of a small fleet stood in the digests and was compared in five places, and the follower and the gossip each kept connections of their own to the same peers. Now Members says it, and Edge holds the links.

--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -10,6 +10,7 @@
 use celerytide_http::Limits;
 use celerytide_http::client::{Client, Options};
 use celerytide_types::{Boot, ServiceId, now_boot};
+use celerytide_wire::Links;
 use rand::Rng;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -23,9 +24,9 @@
 use crate::health::Sign;
 use crate::metrics::Counters;
 use crate::names::Wire;
-use crate::peers::Members;
 use crate::peers::digest::Digests;
 use crate::peers::readers::Readers;
+use crate::peers::{self, Members};
 use crate::place::Loads;
 use crate::settings::Settings;
 
@@ -75,6 +76,8 @@
     pub cold: RefCell<ColdShares>,
     /// Other instances.
     pub members: RefCell<Members>,
+    /// Connections to them.
+    pub links: Links,
     /// Connections to endpoints.
     pub client: Client,
     /// Bounds on callers, as the configuration in force says.
@@ -105,6 +108,7 @@
     /// A process that knows nothing yet.
     pub fn new(settings: Settings, wire: W) -> Edge<W> {
         let now = now_boot();
+        let stopping = CancellationToken::new();
         let own = settings.peers.unwrap_or(settings.callers);
         let descriptors = settings.descriptors.unwrap_or(DESCRIPTORS).saturating_sub(FILES).max(1);
         let limits = Limits {
@@ -135,7 +139,8 @@
             reading: Cell::new(Reading::Lost),
             readers: RefCell::default(),
             changed: Notify::new(),
-            stopping: CancellationToken::new(),
+            links: Links::new(peers::options(), stopping.clone()),
+            stopping,
             stopping_since: Cell::new(None),
             busy: Cell::new(0),
             started: now,
--- a/crates/celerytide-edge/src/follow/mod.rs
+++ b/crates/celerytide-edge/src/follow/mod.rs
@@ -8,16 +8,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use celerytide_catalog::Update;
 use celerytide_types::{Boot, now_boot};
-use celerytide_wire::Links;
 use monoio::time::sleep;
 use rand::Rng;
 use tracing::{info, warn};
 
 use crate::edge::{Edge, Reading};
 use crate::names::Wire;
-use crate::peers;
-use crate::peers::digest::MAX_FULL;
 use crate::peers::readers::Origin;
 use crate::peers::relay::{self, News, Told};
 use crate::source::{Source, SourceError};
@@ -56,14 +54,13 @@
 /// Follows the store until the process ends.
 pub async fn run<W: Wire, S: Source>(edge: Rc<Edge<W>>, source: S) {
     let mut contact = Contact::default();
-    let links = Links::new(peers::options(), edge.stopping.clone());
     let mut listed = false;
     loop {
         let origin = origin(&edge);
         let step = match origin {
             Origin::Peer(reader) if listed => {
                 edge.reading.set(Reading::Follows);
-                follow(&edge, &links, reader).await;
+                follow(&edge, reader).await;
                 continue;
             }
             Origin::Store if listed => watch(&edge, &source, &mut contact).await,
@@ -104,9 +101,11 @@
 }
 
 async fn watch<W: Wire, S: Source>(edge: &Edge<W>, source: &S, contact: &mut Contact) -> Result<(), SourceError> {
-    let wait = match edge.members.borrow().live(now_boot()) {
-        others if others > MAX_FULL => edge.settings.bounds.apply().mul_f64(FOLLOWED_SHARE),
-        _ => edge.settings.bounds.contact().mul_f64(WAIT_SHARE),
+    let bounds = &edge.settings.bounds;
+    let wait = if edge.members.borrow().is_large(now_boot()) {
+        bounds.apply().mul_f64(FOLLOWED_SHARE)
+    } else {
+        bounds.contact().mul_f64(WAIT_SHARE)
     };
     let revision = edge.view.borrow().revision();
     let changes = source.watch(revision, wait, ANSWER).await?;
@@ -114,20 +113,18 @@
     let hold = contact.answered(edge, now);
     let any = !changes.list.is_empty();
     let update = edge.view.borrow_mut().apply(changes.list, changes.revision, hold, now);
-    edge.follow_update(&update, "store");
-    let expired = edge.view.borrow_mut().expire(now);
-    edge.follow_update(&expired, "expiry");
+    follow_update(edge, &update, "store", now);
     if any {
-        sleep(edge.settings.bounds.apply().mul_f64(REST_SHARE)).await;
+        sleep(bounds.apply().mul_f64(REST_SHARE)).await;
     }
     Ok(())
 }
 
 /// Takes what `reader` has newer; reads the store itself for a while if that fails.
-async fn follow<W: Wire>(edge: &Edge<W>, links: &Links, reader: SocketAddr) {
+async fn follow<W: Wire>(edge: &Edge<W>, reader: SocketAddr) {
     let wait = edge.settings.bounds.apply().mul_f64(FOLLOWED_SHARE);
     let revision = edge.view.borrow().revision();
-    let told = relay::follow(links, reader, revision, wait).await;
+    let told = relay::follow(&edge.links, reader, revision, wait).await;
     let now = now_boot();
     match told {
         Ok(told) => take_told(edge, told, now),
@@ -153,7 +150,12 @@
         News::Whole(snapshot) => edge.view.borrow_mut().replace(snapshot, hold, now),
         News::NotYet | News::Lost => return,
     };
-    edge.follow_update(&update, "reader");
+    follow_update(edge, &update, "reader", now);
+}
+
+/// Follows what an update did, and drops what was kept for long enough.
+fn follow_update<W: Wire>(edge: &Edge<W>, update: &Update, from: &'static str, now: Boot) {
+    edge.follow_update(update, from);
     let expired = edge.view.borrow_mut().expire(now);
     edge.follow_update(&expired, "expiry");
 }
@@ -161,10 +163,9 @@
 fn origin<W: Wire>(edge: &Edge<W>) -> Origin {
     let now = now_boot();
     let members = edge.members.borrow();
-    let own = edge.settings.peers.unwrap_or(edge.settings.callers);
     edge.readers
         .borrow()
-        .origin(own, &members.living(now), members.age(now), now)
+        .origin(members.own(), &members.living(now), members.age(now), now)
 }
 
 impl Contact {
--- a/crates/celerytide-edge/src/peers/digest.rs
+++ b/crates/celerytide-edge/src/peers/digest.rs
@@ -13,10 +13,10 @@
 use celerytide_types::{Boot, data};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::members::is_large;
+
 /// Age up to which a digest counts.
 const FRESH: Duration = Duration::from_millis(600);
-/// Other instances up to which each is told everything; a larger fleet is told sums, a few instances at a time.
-pub const MAX_FULL: usize = 16;
 /// Instances that have to be heard before the rest is taken to be like them.
 const LEAST_HEARD: usize = 4;
 /// Entries of one digest.
@@ -103,7 +103,7 @@
     /// Digests that still count, and for how many instances each stands.
     fn fresh(&self, others: usize, now: Boot) -> (Vec<&Received>, f64) {
         let fresh: Vec<&Received> = self.by_peer.values().filter(|r| now.since(r.at) < FRESH).collect();
-        let unheard = others > MAX_FULL && fresh.len() >= LEAST_HEARD;
+        let unheard = is_large(others) && fresh.len() >= LEAST_HEARD;
         let times = if unheard {
             (others as f64 / fresh.len() as f64).max(1.0)
         } else {
@@ -115,7 +115,7 @@
     /// Sums by endpoint; none in a large fleet of `others`.
     pub fn sums(&self, others: usize, now: Boot) -> HashMap<u32, Elsewhere> {
         let mut sums: HashMap<u32, Elsewhere> = HashMap::new();
-        if others > MAX_FULL {
+        if is_large(others) {
             return sums;
         }
         let (fresh, _) = self.fresh(others, now);
--- a/crates/celerytide-edge/src/peers/members.rs
+++ b/crates/celerytide-edge/src/peers/members.rs
@@ -17,6 +17,13 @@
 const SHARE_AGE: Duration = Duration::from_secs(40);
 /// Entries in one message.
 const MAX_ENTRIES: usize = 24;
+/// Other instances up to which a fleet is small: each tells all others everything, and reads the store itself.
+const MAX_SMALL: usize = 16;
+
+/// Whether a fleet of so many `others` is too large for each instance to talk to all.
+pub fn is_large(others: usize) -> bool {
+    others > MAX_SMALL
+}
 
 /// Peer addresses of instances.
 pub type Instances = Vec<SocketAddr>;
@@ -79,47 +86,53 @@
         self.heard.retain(|_, at| now.since(*at) < SHARE_AGE);
     }
 
+    /// This instance's own address.
+    pub fn own(&self) -> SocketAddr {
+        self.own
+    }
+
+    /// Live instances besides this one, with the time at which each was last heard from.
+    fn live(&self, now: Boot) -> impl Iterator<Item = (SocketAddr, Boot)> {
+        let fresh = move |(_, at): &(SocketAddr, Boot)| now.since(*at) < TALK_AGE;
+        self.heard.iter().map(|(address, at)| (*address, *at)).filter(fresh)
+    }
+
     /// What to tell a peer: this instance, and some of those heard of.
     pub fn digest(&self, now: Boot) -> Vec<Heard> {
         let own = Heard {
             address: self.own,
             age_ms: 0,
         };
-        let fresh = self.heard.iter().filter(|(_, at)| now.since(**at) < TALK_AGE);
-        let some = fresh.choose_multiple(&mut rand::rng(), MAX_ENTRIES - 1);
+        let some = self.live(now).choose_multiple(&mut rand::rng(), MAX_ENTRIES - 1);
         let some = some.into_iter().map(|(address, at)| Heard {
-            address: *address,
-            age_ms: millis(now.since(*at)),
+            address,
+            age_ms: millis(now.since(at)),
         });
         std::iter::once(own).chain(some).collect()
     }
 
     /// One to talk to: a live instance, at times a seed.
     pub fn draw(&self, now: Boot) -> Option<SocketAddr> {
-        let fresh = self.heard.iter().filter(|(_, at)| now.since(**at) < TALK_AGE);
-        let live = fresh.map(|(address, _)| *address).choose(&mut rand::rng());
+        let live = self.live(now).map(|(address, _)| address).choose(&mut rand::rng());
         let seed = self.seeds.iter().copied().choose(&mut rand::rng());
         let prefer_seed = live.is_none() || rand::random_ratio(1, 6);
         if prefer_seed { seed.or(live) } else { live }
     }
 
-    /// Live instances besides this one.
-    pub fn live(&self, now: Boot) -> usize {
-        self.heard.values().filter(|at| now.since(**at) < TALK_AGE).count()
+    /// Whether the fleet is too large for each instance to talk to all.
+    pub fn is_large(&self, now: Boot) -> bool {
+        is_large(self.live(now).count())
     }
 
     /// Live instances besides this one, in their order.
     pub fn living(&self, now: Boot) -> Instances {
-        let fresh = self.heard.iter().filter(|(_, at)| now.since(**at) < TALK_AGE);
-        fresh.map(|(address, _)| *address).collect()
+        self.live(now).map(|(address, _)| address).collect()
     }
 
-    /// Live instances to tell something, at most `most`.
-    pub fn to_tell(&self, now: Boot, most: usize) -> Vec<SocketAddr> {
-        let fresh = self.heard.iter().filter(|(_, at)| now.since(**at) < TALK_AGE);
-        fresh
-            .map(|(address, _)| *address)
-            .choose_multiple(&mut rand::rng(), most)
+    /// Some live instances besides this one, `most` at most.
+    pub fn some(&self, now: Boot, most: usize) -> Instances {
+        let live = self.live(now).map(|(address, _)| address);
+        live.choose_multiple(&mut rand::rng(), most)
     }
 
     /// Instances that share bounds with this one, itself among them.
--- a/crates/celerytide-edge/src/peers/news.rs
+++ b/crates/celerytide-edge/src/peers/news.rs
@@ -9,7 +9,7 @@
 use celerytide_catalog::{Revision, Snapshot};
 use celerytide_types::{Boot, data, now_boot};
 use celerytide_wire::messages::Method;
-use celerytide_wire::{Exchange, Links, Options};
+use celerytide_wire::{Exchange, Options};
 use monoio::time::{sleep, timeout};
 use rand::Rng;
 use tracing::{debug, info};
@@ -63,7 +63,6 @@
 
 /// Talks to other instances until the process ends.
 pub async fn run<W: Wire>(edge: Rc<Edge<W>>) {
-    let links = Links::new(options(), edge.stopping.clone());
     loop {
         let now = now_boot();
         let wants_view = store_is_silent(&edge, now);
@@ -79,7 +78,7 @@
             revision: edge.view.borrow().revision(),
             wants_view,
         };
-        match timeout(CALL, links.call::<Ask, Reply>(peer, Method::Peers, &ask)).await {
+        match timeout(CALL, edge.links.call::<Ask, Reply>(peer, Method::Peers, &ask)).await {
             Ok(Ok(reply)) => take(&edge, reply),
             Ok(Err(error)) => debug!(%peer, %error, "peers: call failed"),
             Err(_) => debug!(%peer, "peers: no answer in time"),
--- a/crates/celerytide-edge/src/peers/readers.rs
+++ b/crates/celerytide-edge/src/peers/readers.rs
@@ -12,7 +12,7 @@
 
 use celerytide_types::{Boot, rendezvous_weight};
 
-use super::digest::MAX_FULL;
+use super::members::is_large;
 
 /// Instances for each one that reads.
 const PER_READER: usize = 10;
@@ -51,7 +51,7 @@
     /// Where `own`, which runs for `age` and knows `live` others, takes changes from.
     pub fn origin(&self, own: SocketAddr, live: &[SocketAddr], age: Duration, now: Boot) -> Origin {
         let reads_on = self.alone_until.max(self.asked_until).is_some_and(|until| now < until);
-        if live.len() <= MAX_FULL || age < YOUNG || reads_on {
+        if !is_large(live.len()) || age < YOUNG || reads_on {
             return Origin::Store;
         }
         let readers = readers(own, live);
--- a/crates/celerytide-edge/src/peers/tell.rs
+++ b/crates/celerytide-edge/src/peers/tell.rs
@@ -5,12 +5,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use celerytide_types::now_boot;
+use celerytide_types::{Boot, now_boot};
 use monoio::net::udp::UdpSocket;
 use monoio::time::sleep;
 use tracing::{debug, warn};
 
-use super::digest::{Digest, MAX_FULL};
+use super::digest::Digest;
+use super::members::{Instances, Members};
 use crate::edge::Edge;
 use crate::names::Wire;
 
@@ -31,14 +32,13 @@
     let mut told = Digest::default();
     let mut told_at = now_boot();
     loop {
-        let others = edge.members.borrow().live(now_boot());
-        let small = others <= MAX_FULL;
-        sleep(if small { PAUSE } else { LARGE_PAUSE }).await;
+        let large = edge.members.borrow().is_large(now_boot());
+        sleep(if large { LARGE_PAUSE } else { PAUSE }).await;
         let now = now_boot();
-        let backlogs = if small {
-            edge.loads.borrow().backlogs()
-        } else {
+        let backlogs = if large {
             Vec::new()
+        } else {
+            edge.loads.borrow().backlogs()
         };
         let digest = Digest::new(backlogs, edge.held.borrow().told());
         let repeats = digest != Digest::default() && now.since(told_at) >= REPEAT;
@@ -51,10 +51,7 @@
         };
         told = digest;
         told_at = now;
-        let peers = edge
-            .members
-            .borrow()
-            .to_tell(now, if small { MAX_FULL } else { LARGE_TOLD });
+        let peers = to_tell(&edge.members.borrow(), large, now);
         for peer in peers {
             let addr = SocketAddr::new(peer.ip(), edge.settings.digests.map_or(0, |d| d.port()));
             if let (Err(error), _) = socket.send_to(buf.clone(), addr).await {
@@ -64,6 +61,14 @@
     }
 }
 
+fn to_tell(members: &Members, large: bool, now: Boot) -> Instances {
+    if large {
+        members.some(now, LARGE_TOLD)
+    } else {
+        members.living(now)
+    }
+}
+
 /// Takes the digests of others, until the process ends.
 pub async fn hear<W: Wire>(edge: Rc<Edge<W>>, socket: Rc<UdpSocket>) {
     let mut buf = vec![0_u8; MAX_DATAGRAM];
