feat(edge): an endpoint that says it leaves, or wants a pause, is obeyed from that word on

Cause: what an endpoint says of itself in its answers was read nowhere, so an instance went on sending to one that leaves until its entry said so, and through a pause until nothing. Where all of a service pause, the caller is told to come back behind the first pause. Others aren't told: the answer that tells an instance serves its request or says that it did not run. Ruled out: a word of another endpoint at the address (such an answer is not read), of an earlier start (starts are compared). Besides, forward: ended tells the longest time between two events of a stream, when it began and what this instance had there, and a histogram by route counts it; what makes a pause could not be told from the logs before.

--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use celerytide_catalog::{Route, Service, Update, View};
+use celerytide_catalog::{Endpoint, Route, Service, Update, View};
 use celerytide_http::Limits;
 use celerytide_http::client::{Client, Options};
 use celerytide_types::{Boot, ServiceId, now_boot};
@@ -14,7 +14,7 @@
 use rand::Rng;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
-use tracing::info;
+use tracing::{info, warn};
 
 pub use pick::{InFlight, NoPick, Pick};
 
@@ -24,6 +24,7 @@
 use crate::health::Sign;
 use crate::metrics::Counters;
 use crate::names::Wire;
+use crate::notice::{Heard, Notice, Notices};
 use crate::peers::digest::Digests;
 use crate::peers::readers::Readers;
 use crate::peers::{self, Members};
@@ -72,6 +73,8 @@
     pub held: RefCell<Held>,
     /// Repeats.
     pub budget: RefCell<Budget>,
+    /// What endpoints say of themselves.
+    pub notices: RefCell<Notices>,
     /// Shares of cold endpoints.
     pub cold: RefCell<ColdShares>,
     /// Other instances.
@@ -132,6 +135,7 @@
             loads: RefCell::default(),
             digests: RefCell::default(),
             held: RefCell::default(),
+            notices: RefCell::default(),
             limits: Rc::new(Cell::new(limits)),
             counters: Counters::default(),
             store_at: Cell::new(None),
@@ -189,6 +193,31 @@
         }
     }
 
+    /// Takes in what an endpoint says of itself in an answer.
+    pub fn hear(&self, endpoint: &Endpoint, notice: Notice) {
+        let id = &endpoint.id;
+        let Heard {
+            leaves,
+            pauses,
+            senseless,
+        } = self.notices.borrow_mut().note(endpoint, notice, now_boot());
+        if senseless {
+            warn!(endpoint = id, asked = ?notice.pause, kept = ?pauses, "notice: a pause of no sense");
+        }
+        if leaves {
+            self.counters.leaving.inc();
+            info!(endpoint = id, start = endpoint.start, "notice: the endpoint leaves");
+        }
+        if let Some(pause) = pauses {
+            self.counters.pauses.inc();
+            info!(
+                endpoint = id,
+                ms = pause.as_millis() as u64,
+                "notice: the endpoint pauses"
+            );
+        }
+    }
+
     /// Takes one repeat of a request to `service`, if there is one left.
     pub fn take_repeat(&self, service: &str) -> bool {
         let now = now_boot();
@@ -208,6 +237,7 @@
         }
         drop(loads);
         self.cold.borrow_mut().sweep(now);
+        self.notices.borrow_mut().sweep(now);
         if *update == Update::default() {
             return;
         }
--- a/crates/celerytide-edge/src/edge/pick.rs
+++ b/crates/celerytide-edge/src/edge/pick.rs
@@ -11,6 +11,7 @@
 use crate::health::Standing;
 use crate::intake::Intake;
 use crate::names::{Prompt, Wire};
+use crate::notice::Standing as Said;
 use crate::peers::Instances;
 use crate::place::{Ask, Candidate, Choice, Facts, Ticket, choose};
 
@@ -32,6 +33,10 @@
 pub enum NoPick {
     /// None may get work now.
     NoEndpoint,
+    /// Those that could get it leave.
+    Leaving,
+    /// Those that could get it pause; the first pause ends then.
+    Pause(Boot),
     /// The engines hold as much of this instance as they may.
     Overload,
 }
@@ -41,6 +46,8 @@
     pub fn cause(self) -> &'static str {
         match self {
             NoPick::NoEndpoint => "no-endpoint",
+            NoPick::Leaving => "endpoints-leave",
+            NoPick::Pause(_) => "endpoints-pause",
             NoPick::Overload => "overload",
         }
     }
@@ -87,7 +94,7 @@
             return Err(NoPick::Overload);
         }
         let choice = self.cheapest(intake, service, &usable, instances.len(), now);
-        let choice = choice.ok_or(NoPick::NoEndpoint)?;
+        let choice = choice.ok_or_else(|| self.why_none(&view, service, now))?;
         if is_cold(service, choice.known, now) {
             let id = &choice.known.endpoint.id;
             self.cold.borrow_mut().note(id, service.cold_rate, &instances, now);
@@ -105,7 +112,11 @@
         now: Boot,
     ) -> Vec<&'a Known> {
         let cold = self.cold.borrow();
+        let notices = self.notices.borrow();
         let bears = |known: &&Known| {
+            if notices.standing(&known.endpoint, now) != Said::Open {
+                return false;
+            }
             let id = &known.endpoint.id;
             !is_cold(service, known, now) || cold.allows(id, service.cold_rate, instances, now)
         };
@@ -115,6 +126,23 @@
         untried.filter(bears).collect()
     }
 
+    /// Why no endpoint may get the request.
+    fn why_none(&self, view: &View, service: &Service, now: Boot) -> NoPick {
+        let notices = self.notices.borrow();
+        let usable = view.usable(&service.id, now);
+        let said: Vec<Said> = usable.map(|k| notices.standing(&k.endpoint, now)).collect();
+        let pauses = said.iter().filter_map(|s| match s {
+            Said::Pauses(until) => Some(*until),
+            Said::Open | Said::Leaves => None,
+        });
+        match pauses.min() {
+            _ if said.contains(&Said::Open) => NoPick::NoEndpoint,
+            Some(until) => NoPick::Pause(until),
+            None if said.is_empty() => NoPick::NoEndpoint,
+            None => NoPick::Leaving,
+        }
+    }
+
     fn standing(&self, known: &Known, now: Boot) -> Standing {
         let loads = self.loads.borrow();
         loads
--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -20,15 +20,15 @@
 use tokio_util::sync::CancellationToken;
 use tracing::info;
 
-use crate::edge::Edge;
+use crate::edge::{Edge, NoPick};
 use crate::health::Sign;
 use crate::intake::{self, Intake};
-use crate::metrics::Ended;
+use crate::metrics::{Ended, OfRoute};
 use crate::names::{Wire, kind_word};
 use crate::stop;
 
 use refuse::{Back, Refusal, refuse};
-use send::{Reached, Sent};
+use send::{Beside, Reached, Sent};
 
 /// Least time for which a request is sent to an endpoint; with less left it could not end.
 const LEAST: Duration = Duration::from_millis(15);
@@ -78,6 +78,7 @@
         arrived: false,
         endpoint: String::new(),
         first_byte: None,
+        gap: Gap::default(),
     };
     // Dropping the work closes the endpoint's connection, so that it stops too.
     // Boxed: it is large, and those that wait for it would move it several times for each request.
@@ -89,6 +90,14 @@
     run.note(&ended);
 }
 
+/// When a caller may come back whose request has no endpoint.
+fn back(none: NoPick) -> Back {
+    match none {
+        NoPick::NoEndpoint | NoPick::Leaving | NoPick::Overload => Back::Later,
+        NoPick::Pause(until) => Back::Behind(until.since(now_boot())),
+    }
+}
+
 /// How a request ended.
 struct End {
     cause: &'static str,
@@ -116,6 +125,18 @@
     endpoint: String,
     /// Time from the start to the first byte of an answer.
     first_byte: Option<Duration>,
+    /// The longest time between two events.
+    gap: Gap,
+}
+
+/// Time between two events of a stream.
+#[derive(Debug, Clone, Copy, Default)]
+struct Gap {
+    lasted: Duration,
+    /// When it began, from the start of the request.
+    began: Duration,
+    /// What this instance had at the endpoint when it ended.
+    beside: Beside,
 }
 
 /// What comes after a send.
@@ -143,7 +164,7 @@
             }
             let pick = match edge.pick(self.intake, &service, &self.tried) {
                 Ok(pick) => pick,
-                Err(none) => return self.give_up(out, none.cause()).await,
+                Err(none) => return self.give_up_for(out, none.cause(), back(none)).await,
             };
             if self.arrived && !edge.take_repeat(&service.id) {
                 return self.give_up(out, "no-repeat-left").await;
@@ -257,8 +278,12 @@
 
     /// Says that the request is given up: not run if that is certain, failed otherwise.
     async fn give_up(&self, out: Responder, cause: &'static str) -> End {
+        let back = if cause == STOPPING { Back::AtOnce } else { Back::Later };
+        self.give_up_for(out, cause, back).await
+    }
+
+    async fn give_up_for(&self, out: Responder, cause: &'static str, back: Back) -> End {
         let refusal = if self.ran == 0 {
-            let back = if cause == STOPPING { Back::AtOnce } else { Back::Later };
             Refusal::not_run(cause, self.left(), back)
         } else if cause == DEADLINE {
             Refusal::failed(StatusCode::GATEWAY_TIMEOUT, cause)
@@ -279,6 +304,11 @@
             status: end.status,
         };
         edge.counters.ended.get_or_create(&label).inc();
+        if !self.gap.lasted.is_zero() {
+            let route = self.intake.route.name.clone();
+            let of_route = edge.counters.gap.get_or_create(&OfRoute { route });
+            of_route.observe(self.gap.lasted.as_secs_f64());
+        }
         let customer = self.intake.customer.as_ref().map(|c| c.id.as_str());
         info!(
             request = self.intake.id,
@@ -291,6 +321,10 @@
             cause = end.cause,
             status = end.status,
             first_ms = self.first_byte.map(|t| t.as_millis() as u64),
+            gap_ms = self.gap.lasted.as_millis() as u64,
+            gap_at_ms = self.gap.began.as_millis() as u64,
+            gap_unread = self.gap.beside.unread,
+            gap_running = self.gap.beside.running,
             prompt = self.intake.prompt.tokens,
             ms = took.as_millis() as u64,
             left_ms = self.left().as_millis() as u64,
--- a/crates/celerytide-edge/src/forward/refuse.rs
+++ b/crates/celerytide-edge/src/forward/refuse.rs
@@ -17,6 +17,8 @@
 const LEAST_WAIT: Duration = Duration::from_millis(50);
 /// Part of the longest wait over which those that come later are spread.
 const LATER: Range<f64> = 0.6..1.0;
+/// Part of a time that has to pass, over which those that come back behind it are spread.
+const BEHIND: Range<f64> = 1.0..1.25;
 /// Most time after which a caller is told to come back.
 const MOST_WAIT: Duration = Duration::from_millis(2500);
 
@@ -30,6 +32,8 @@
     AtOnce,
     /// Spread over the time that it has: what it needs is in use everywhere.
     Later,
+    /// Shortly behind that time: what it needs is to be had again then.
+    Behind(Duration),
 }
 
 /// A final answer that no endpoint gave.
@@ -62,6 +66,7 @@
         let most = left.mul_f64(MOST_SHARE).min(MOST_WAIT);
         let wait = match back {
             Back::AtOnce => LEAST_WAIT,
+            Back::Behind(time) => time.max(LEAST_WAIT).mul_f64(rand::rng().random_range(BEHIND)),
             Back::Later => most.mul_f64(rand::rng().random_range(LATER)).max(LEAST_WAIT),
         };
         Refusal {
--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -65,12 +65,30 @@
         next
     }
 
+    /// Tokens to be read, and requests, that this instance has at the endpoint now.
+    pub fn beside(&self) -> Beside {
+        let loads = self.edge.loads.borrow();
+        loads.get(&self.endpoint).map_or(Beside::default(), |load| Beside {
+            unread: load.unread_tokens(),
+            running: load.running(),
+        })
+    }
+
     /// The request is over at this endpoint; `sign` is what that tells of it.
     pub fn end(self, sign: Sign) {
         self.edge.record(&self.service, &self.endpoint, sign);
     }
 }
 
+/// What this instance has at an endpoint, as far as it knows.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Beside {
+    /// Prompt tokens of requests without a first event.
+    pub unread: u64,
+    /// Requests.
+    pub running: u32,
+}
+
 /// Gathers a whole body.
 pub async fn gather<W: Wire>(reached: &mut Reached<W>) -> Result<Bytes, SendError> {
     let mut body = BytesMut::new();
@@ -127,6 +145,7 @@
         edge.record(&service.id, id, Sign::Unreached);
         return Sent::Rejected("endpoint-replaced");
     }
+    edge.hear(&pick.endpoint, edge.wire.notice(answer.status, &answer.headers));
     if answer.headers.contains_key(&names.not_run) {
         let status = answer.status.as_u16();
         info!(
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -9,12 +9,12 @@
 use bytes::Bytes;
 use celerytide_catalog::{Kind, Service};
 use celerytide_http::server::{ChunkWriter, Responder};
-use celerytide_types::now_boot;
+use celerytide_types::{Boot, now_boot};
 use monoio::time::timeout;
 use tracing::info;
 
 use super::send::{Reached, Sent, send};
-use super::{End, Run, headers};
+use super::{End, Gap, Run, headers};
 use crate::events::Splitter;
 use crate::health::Sign;
 use crate::names::Wire;
@@ -69,6 +69,7 @@
     last_event: &mut Option<Bytes>,
 ) -> Ended {
     let mut split = Splitter::default();
+    let mut last: Option<Boot> = None;
     loop {
         let data = match timeout(run.left(), reached.next()).await {
             Err(_) => return Ended::Late,
@@ -86,6 +87,8 @@
             return Ended::Broken("event-too-large");
         }
         while let Some(event) = split.next_event() {
+            let now = now_boot();
+            run.note_gap(last.replace(now), now, reached);
             if event.id.is_some() {
                 *last_event = event.id;
             }
@@ -96,6 +99,20 @@
     }
 }
 
+impl<W: Wire> Run<'_, W> {
+    /// An event came at `now`, the one before it at `last`.
+    fn note_gap(&mut self, last: Option<Boot>, now: Boot, reached: &Reached<W>) {
+        let Some(last) = last.filter(|last| now.since(*last) > self.gap.lasted) else {
+            return;
+        };
+        self.gap = Gap {
+            lasted: now.since(last),
+            began: last.since(self.intake.began),
+            beside: reached.beside(),
+        };
+    }
+}
+
 /// The endpoint ended its answer in good order: what follows the last whole event belongs to the body, too.
 async fn finish(split: &mut Splitter, out: &mut ChunkWriter) -> Ended {
     if split.is_empty() {
--- a/crates/celerytide-edge/src/metrics/mod.rs
+++ b/crates/celerytide-edge/src/metrics/mod.rs
@@ -16,6 +16,17 @@
     pub status: u16,
 }
 
+/// Label of what is counted for a route.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct OfRoute {
+    /// The route's name.
+    pub route: String,
+}
+
+fn gaps() -> Histogram {
+    Histogram::new(exponential_buckets(0.01, 1.6, 14))
+}
+
 /// What is counted.
 #[derive(Debug)]
 pub struct Counters {
@@ -23,6 +34,12 @@
     pub ended: Family<Ended, Counter>,
     /// Requests sent again.
     pub repeats: Counter,
+    /// Endpoints that said that they leave.
+    pub leaving: Counter,
+    /// Pauses that endpoints asked for.
+    pub pauses: Counter,
+    /// Longest time between two events of a stream, in seconds.
+    pub gap: Family<OfRoute, Histogram>,
     /// Time to the first byte of an endpoint's answer, in seconds.
     pub first_byte: Histogram,
     /// Time to the end of an answer, in seconds.
@@ -43,6 +60,9 @@
         Counters {
             ended: Family::default(),
             repeats: Counter::default(),
+            leaving: Counter::default(),
+            pauses: Counter::default(),
+            gap: Family::new_with_constructor(gaps),
             first_byte: Histogram::new(buckets()),
             whole: Histogram::new(buckets()),
             busy: Gauge::default(),
@@ -58,6 +78,12 @@
     pub fn register(&self, registry: &mut Registry) {
         registry.register("requests", "Requests by how they ended", self.ended.clone());
         registry.register("repeats", "Requests sent again", self.repeats.clone());
+        let leaving = "Endpoints that said that they leave";
+        registry.register("endpoints_leaving", leaving, self.leaving.clone());
+        let pauses = "Pauses that endpoints asked for";
+        registry.register("endpoint_pauses", pauses, self.pauses.clone());
+        let gap = "Longest time between two events of a stream, in seconds";
+        registry.register("stream_gap_seconds", gap, self.gap.clone());
         let first = "Seconds to the first byte of an endpoint's answer";
         registry.register("first_byte_seconds", first, self.first_byte.clone());
         registry.register("answer_seconds", "Seconds to the end of an answer", self.whole.clone());
--- a/crates/celerytide-edge/src/names/mod.rs
+++ b/crates/celerytide-edge/src/names/mod.rs
@@ -1,7 +1,9 @@
 //! What an adapter tells of the language that callers and endpoints speak.
 
 use celerytide_catalog::Kind;
-use http::{HeaderMap, HeaderName};
+use http::{HeaderMap, HeaderName, StatusCode};
+
+use crate::notice::Notice;
 
 /// Headers by their meaning.
 #[derive(Debug, Clone)]
@@ -60,7 +62,10 @@
     fn last_urgency(&self) -> usize;
 
     /// Whether an answer of that status says that the request was meant for another endpoint.
-    fn is_elsewhere(&self, status: http::StatusCode) -> bool;
+    fn is_elsewhere(&self, status: StatusCode) -> bool;
+
+    /// What an answer says of its endpoint.
+    fn notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice;
 }
 
 /// A word for logs.
--- a/crates/celerytide-soak/src/bed/mod.rs
+++ b/crates/celerytide-soak/src/bed/mod.rs
@@ -7,7 +7,7 @@
 
 use celerytide_standin::launch::{Options, Process, Signal, free_addr, sibling};
 use celerytide_standin::platform::caller::{self, Got, KEY};
-use celerytide_standin::platform::{Answer, Entry, ROUTES, Runner, Store};
+use celerytide_standin::platform::{Answer, BORN, Entry, ROUTES, Runner, Store};
 
 /// Time after which something that was waited for counts as missing.
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -71,6 +71,7 @@
             address: runner.address,
             zone: "z1",
             leaving: false,
+            born: BORN,
         });
         runner
     }
--- a/crates/celerytide-soak/src/check/mod.rs
+++ b/crates/celerytide-soak/src/check/mod.rs
@@ -60,6 +60,19 @@
     pub at: Duration,
     /// Whether it ran.
     pub ran: bool,
+    /// What the runner said of itself in its answer.
+    pub said: Said,
+}
+
+/// What a runner says of itself in an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Said {
+    /// Nothing.
+    Nothing,
+    /// It leaves.
+    Leaves,
+    /// It wants a pause of this length.
+    Pauses(Duration),
 }
 
 /// A time in which something was the case.
@@ -108,8 +121,14 @@
     pub store_harmed: Vec<Span>,
     /// When a runner, or the way to it, was harmed.
     pub runners_harmed: Vec<Span>,
+    /// When the way to a runner was harmed.
+    pub links_harmed: Vec<Span>,
     /// When runners were published as leaving.
     pub leaving: Vec<Leaving>,
+    /// Routers that were told to stop and started again.
+    pub restarted: Vec<Struck>,
+    /// Runners that started anew, and when.
+    pub renewed: Vec<(String, Duration)>,
     /// When the last fault was over.
     pub calm_at: Duration,
 }
@@ -129,6 +148,8 @@
     Denied,
     /// A leaving runner got a request after the time in which that is known.
     Leaving,
+    /// A runner that said that it leaves, or wants a pause, got requests from a router that had heard it.
+    Notice,
     /// A request that was passed on lost its answer, and nothing excuses that.
     Lost,
     /// Requests had no final answer at their route's time.
@@ -158,6 +179,10 @@
 const APPLY: Duration = Duration::from_secs(2);
 /// Time after an outage in which a router is up to date again: `regain_ms` of the bed's settings.
 const CONTACT: Duration = Duration::from_secs(3);
+/// Time after a runner's word in which requests that were on their way reach it.
+const HEARD: Duration = Duration::from_millis(500);
+/// Requests that may reach a runner in its pause, from one router.
+const IN_PAUSE: usize = 2;
 /// Time for an answer on the bed's plain routes.
 const PLAIN_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time beyond that by which a final answer has to be there.
@@ -182,6 +207,7 @@
     }
     found.extend(facts.unasked());
     found.extend(facts.leaving());
+    found.extend(facts.notices());
     found.extend(facts.late());
     found.extend(facts.recovery());
     found
@@ -309,6 +335,48 @@
         found.collect()
     }
 
+    /// Requests that a router sent to a runner behind its word.
+    fn notices(&self) -> Vec<Violation> {
+        let calls: HashMap<&str, &Call> = self.history.calls.iter().map(|c| (c.id.as_str(), c)).collect();
+        let said = self.history.arrivals.iter().filter(|a| a.said != Said::Nothing);
+        said.filter_map(|word| self.ignored(word, &calls)).collect()
+    }
+
+    fn ignored(&self, word: &Arrival, calls: &HashMap<&str, &Call>) -> Option<Violation> {
+        let h = self.history;
+        let call = calls.get(word.id.as_str())?;
+        let renewed = h
+            .renewed
+            .iter()
+            .filter(|(runner, at)| *runner == word.runner && *at > word.at);
+        let (until, most) = match word.said {
+            Said::Nothing => return None,
+            Said::Leaves => (renewed.map(|(_, at)| *at).min()?, 0),
+            Said::Pauses(pause) => (word.at + pause, IN_PAUSE),
+        };
+        let harmed = h
+            .links_harmed
+            .iter()
+            .any(|s| s.meets(word.at.saturating_sub(CONTACT), until));
+        let restarted = h
+            .restarted
+            .iter()
+            .any(|s| s.router == call.router && s.span.meets(word.at, until));
+        if harmed || restarted || self.is_struck(call.router, word.at, until) {
+            return None;
+        }
+        let from_router = |a: &&Arrival| calls.get(a.id.as_str()).is_some_and(|c| c.router == call.router);
+        let behind = |a: &&Arrival| a.runner == word.runner && word.at + HEARD < a.at && a.at < until;
+        let reached = h.arrivals.iter().filter(behind).filter(from_router).count();
+        (reached > most).then(|| Violation {
+            promise: Promise::Notice,
+            seen: format!(
+                "{} at {} said {:?}, {reached} reached it behind that",
+                word.id, word.runner, word.said
+            ),
+        })
+    }
+
     fn late(&self) -> Option<Violation> {
         let h = self.history;
         let is_late = |call: &&Call| {
--- a/crates/celerytide-soak/src/plan/mod.rs
+++ b/crates/celerytide-soak/src/plan/mod.rs
@@ -122,6 +122,8 @@
         Answer::Late(300),
         Answer::Failed,
         Answer::NotRun,
+        Answer::Leaving,
+        Answer::Paused("0.9"),
         Answer::Elsewhere,
         Answer::Unsealed,
         Answer::Torn,
--- a/crates/celerytide-soak/src/run/fleet.rs
+++ b/crates/celerytide-soak/src/run/fleet.rs
@@ -6,12 +6,12 @@
 
 use celerytide_standin::launch::{Process, Signal};
 use celerytide_standin::platform::caller::KEY;
-use celerytide_standin::platform::{self, Entry, ROUTES, Runner};
+use celerytide_standin::platform::{self, Answer, BORN, Entry, ROUTES, Runner};
 use celerytide_standin::relay;
 
 use super::callers::Callers;
 use crate::bed::{Bed, Router, eventually};
-use crate::check::Arrival;
+use crate::check::{Arrival, Said};
 use crate::plan::{self, Fault, ROUTERS, RUNNERS};
 
 /// The availability zone that is taken out at times.
@@ -30,6 +30,10 @@
     links: Vec<SocketAddr>,
     relay: Process,
     version: u64,
+    /// Start of each runner, in Unix milliseconds.
+    born: Vec<u64>,
+    /// Runners whose entry says that they leave.
+    leaving: Vec<bool>,
     /// Faults on, by what they strike: two of a kind on one thing don't overlap.
     taken: HashSet<Target>,
     started: usize,
@@ -64,12 +68,14 @@
             links,
             relay,
             version: 1,
+            born: vec![BORN; RUNNERS],
+            leaving: vec![false; RUNNERS],
             taken: HashSet::new(),
             started: 0,
             logs: Vec::new(),
             terminated: vec![None; ROUTERS],
         };
-        (0..RUNNERS).for_each(|n| fleet.publish(n, false));
+        (0..RUNNERS).for_each(|n| fleet.publish(n));
         for _ in 0..ROUTERS {
             let router = fleet.router();
             fleet.routers.push(Some(router));
@@ -91,16 +97,31 @@
         self.routers.iter().flatten().map(|r| r.callers).collect()
     }
 
-    fn publish(&self, n: usize, leaving: bool) {
+    fn publish(&self, n: usize) {
         self.bed.store.publish(&Entry {
             id: &runner_id(n),
             service: if plan::is_engine(n) { "engines" } else { "plain" },
             address: self.links[n],
             zone: if n.is_multiple_of(2) { "z1" } else { ZONE_OUT },
-            leaving,
+            leaving: self.leaving[n],
+            born: self.born[n],
         });
     }
 
+    fn publish_leaving(&mut self, n: usize, leaving: bool) {
+        self.leaving[n] = leaving;
+        self.publish(n);
+    }
+
+    /// A runner answers well again; one that said that it leaves started anew.
+    fn cure(&mut self, n: usize, answer: Answer) {
+        self.runners[n].set(plan::calm(n));
+        if answer == Answer::Leaving {
+            self.born[n] += 1000;
+            self.publish(n);
+        }
+    }
+
     /// Begins a fault; false if its target is struck already.
     pub fn begin(&mut self, fault: &Fault) -> bool {
         if !self.taken.insert(target(fault)) {
@@ -118,7 +139,7 @@
             Fault::Link(n, mode) => self.relay(*n, *mode),
             Fault::Store(mode) => self.bed.store.set_mode(*mode),
             Fault::StoreLink(mode) => self.relay(RUNNERS, *mode),
-            Fault::Leave(n) => self.publish(*n, true),
+            Fault::Leave(n) => self.publish_leaving(*n, true),
             Fault::Configure => {
                 self.version += 3;
                 self.bed.store.configure(self.version, &ROUTES, &[KEY]);
@@ -145,11 +166,11 @@
             Fault::Pause(n) => self.signal(*n, Signal::SIGCONT),
             Fault::Kill(n) | Fault::Term(n) => self.restart(*n, callers),
             Fault::Hup(_) | Fault::Configure => {}
-            Fault::Runner(n, _) => self.runners[*n].set(plan::calm(*n)),
+            Fault::Runner(n, answer) => self.cure(*n, *answer),
             Fault::Link(n, _) => self.relay(*n, relay::Mode::Pass),
             Fault::Store(_) => self.bed.store.set_mode(platform::Mode::Serve),
             Fault::StoreLink(_) => self.relay(RUNNERS, relay::Mode::Pass),
-            Fault::Leave(n) => self.publish(*n, false),
+            Fault::Leave(n) => self.publish_leaving(*n, false),
             Fault::ZoneOut => self.bed.store.take_back(ZONE_OUT),
         }
         self.taken.remove(&target(fault));
@@ -183,6 +204,7 @@
                 runner: runner_id(n),
                 at: a.at.saturating_duration_since(began),
                 ran: a.ran,
+                said: said(a.answer),
             };
             runner.arrivals().into_iter().map(arrival)
         };
@@ -199,6 +221,14 @@
     }
 }
 
+fn said(answer: Answer) -> Said {
+    match answer {
+        Answer::Leaving => Said::Leaves,
+        Answer::Paused(seconds) => Said::Pauses(seconds.parse().map_or(Duration::ZERO, Duration::from_secs_f64)),
+        _ => Said::Nothing,
+    }
+}
+
 /// What a fault strikes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum Target {
--- a/crates/celerytide-soak/src/run/mod.rs
+++ b/crates/celerytide-soak/src/run/mod.rs
@@ -6,6 +6,8 @@
 use std::thread::{scope, sleep};
 use std::time::{Duration, Instant};
 
+use celerytide_standin::platform::Answer;
+
 use crate::check::{History, Leaving, Span, Struck, Violation, check};
 use crate::plan::{self, Fault, Step};
 
@@ -104,11 +106,21 @@
     match &on.fault {
         Fault::Pause(router) | Fault::Kill(router) => history.struck.push(Struck { router: *router, span }),
         Fault::Store(_) | Fault::StoreLink(_) => history.store_harmed.push(span),
-        Fault::Link(..) | Fault::Runner(..) => history.runners_harmed.push(span),
+        Fault::Link(..) => {
+            history.links_harmed.push(span);
+            history.runners_harmed.push(span);
+        }
+        Fault::Runner(n, answer) => {
+            history.runners_harmed.push(span);
+            if *answer == Answer::Leaving {
+                history.renewed.push((fleet::runner_id(*n), to));
+            }
+        }
+        Fault::Term(router) => history.restarted.push(Struck { router: *router, span }),
         Fault::Leave(runner) => history.leaving.push(Leaving {
             runner: fleet::runner_id(*runner),
             span,
         }),
-        Fault::Term(_) | Fault::Hup(_) | Fault::Configure | Fault::ZoneOut => {}
+        Fault::Hup(_) | Fault::Configure | Fault::ZoneOut => {}
     }
 }
--- a/crates/celerytide-soak/tests/check.rs
+++ b/crates/celerytide-soak/tests/check.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use celerytide_soak::check::{Answered, Arrival, Call, History, Kind, Leaving, Promise, Span, Struck, check};
+use celerytide_soak::check::{Answered, Arrival, Call, History, Kind, Leaving, Promise, Said, Span, Struck, check};
 use celerytide_soak::plan::{self, EVENTS, Fault};
 
 fn ms(ms: u64) -> Duration {
@@ -49,6 +49,16 @@
         runner: runner.to_owned(),
         at: ms(at),
         ran: true,
+        said: Said::Nothing,
+    }
+}
+
+/// An arrival whose answer says something of the runner.
+fn saying(id: &str, runner: &str, at: u64, said: Said) -> Arrival {
+    Arrival {
+        said,
+        ran: said == Said::Leaves,
+        ..arrival(id, runner, at)
     }
 }
 
@@ -93,7 +103,26 @@
     spoil: fn(&mut History),
 }
 
-const BREAKS: [Break; 15] = [
+const BREAKS: [Break; 17] = [
+    Break {
+        name: "a request to a runner that said that it leaves",
+        promise: Promise::Notice,
+        spoil: |h| {
+            h.arrivals[0].said = Said::Leaves;
+            h.renewed.push(("i0".to_owned(), ms(8000)));
+            h.arrivals.push(saying("once", "i0", 4700, Said::Nothing));
+        },
+    },
+    Break {
+        name: "three requests in a pause",
+        promise: Promise::Notice,
+        spoil: |h| {
+            h.arrivals.push(saying("refused", "i2", 4100, Said::Pauses(ms(1500))));
+            for (n, id) in ["safe", "safe", "resume"].into_iter().enumerate() {
+                h.arrivals.push(saying(id, "i2", 4700 + n as u64, Said::Nothing));
+            }
+        },
+    },
     Break {
         name: "a request that may run once runs at two runners",
         promise: Promise::Twice,
--- a/crates/celerytide-standin/src/platform/caller.rs
+++ b/crates/celerytide-standin/src/platform/caller.rs
@@ -32,6 +32,14 @@
         self.head.contains("x-response-seal:")
     }
 
+    /// The value of a header, by its name in lower case; empty if it is absent.
+    pub fn header(&self, name: &str) -> &str {
+        let named = |line: &str| line.split_once(':').is_some_and(|(n, _)| n == name);
+        let line = self.head.lines().find(|line| named(line));
+        line.and_then(|line| line.split_once(':'))
+            .map_or("", |(_, value)| value.trim())
+    }
+
     /// Whether the connection may be used again.
     pub fn keeps_connection(&self) -> bool {
         self.whole && !self.head.contains("connection: close")
--- a/crates/celerytide-standin/src/platform/mod.rs
+++ b/crates/celerytide-standin/src/platform/mod.rs
@@ -9,7 +9,7 @@
 mod runner;
 mod store;
 
-pub use publish::{Entry, ROUTES, Route};
+pub use publish::{BORN, Entry, ROUTES, Route};
 pub use request::Seen;
 pub use runner::{Answer, Arrival, Runner};
 pub use store::{Mode, Store};
--- a/crates/celerytide-standin/src/platform/publish.rs
+++ b/crates/celerytide-standin/src/platform/publish.rs
@@ -58,6 +58,9 @@
     },
 ];
 
+/// Start of a runner that started once, in Unix milliseconds.
+pub const BORN: u64 = 1_700_000_000_000;
+
 /// A runner's entry.
 #[derive(Debug, Clone, Copy)]
 pub struct Entry<'a> {
@@ -71,6 +74,8 @@
     pub zone: &'a str,
     /// It takes no new work and will end.
     pub leaving: bool,
+    /// Unix milliseconds of its start.
+    pub born: u64,
 }
 
 impl Store {
@@ -93,9 +98,9 @@
     /// Publishes a runner's entry.
     pub fn publish(&self, entry: &Entry<'_>) {
         let state = if entry.leaving { "draining" } else { "ready" };
-        let (service, address, zone) = (entry.service, entry.address, entry.zone);
+        let (service, address, zone, born) = (entry.service, entry.address, entry.zone, entry.born);
         let text = format!(
-            r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":8,"state":"{state}","cold_remaining_ms":0,"sequence":1,"born":1700000000000}}"#
+            r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":8,"state":"{state}","cold_remaining_ms":0,"sequence":1,"born":{born}}}"#
         );
         self.put(&format!("servers/{}", entry.id), text.as_bytes());
     }
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -37,6 +37,10 @@
     Lost,
     /// No answer at all.
     Mute,
+    /// A sealed answer that says that the runner leaves.
+    Leaving,
+    /// It did not run the request, and asks for a pause of that many seconds.
+    Paused(&'static str),
     /// Events from the one behind `Last-Event-Id` up to `all`; the connection of a stream from the start
     /// ends in the middle of event `cut`.
     Events {
@@ -58,6 +62,8 @@
     pub at: Instant,
     /// Whether the runner ran it.
     pub ran: bool,
+    /// How it was answered.
+    pub answer: Answer,
 }
 
 struct Shared {
@@ -138,7 +144,8 @@
         lock(&shared.arrivals).push(Arrival {
             id: seen.header("x-attempt-id").to_owned(),
             at: Instant::now(),
-            ran: !matches!(answer, Answer::NotRun | Answer::Elsewhere),
+            ran: !matches!(answer, Answer::NotRun | Answer::Elsewhere | Answer::Paused(_)),
+            answer,
         });
         if !respond(shared, &mut out, &seen, answer) {
             // The connection ends here in any case.
@@ -160,12 +167,12 @@
             whole(out, "200 OK", &sealed, &body)
         }
         Answer::Failed => whole(out, "500 Failed", &sealed, &body),
-        Answer::NotRun => whole(
-            out,
-            "503 Full",
-            &format!("x-attempt-id: {id}\r\nx-not-executed: 1\r\n"),
-            "",
-        ),
+        Answer::NotRun => whole(out, "503 Full", &not_run(id), ""),
+        Answer::Paused(seconds) => {
+            let headers = format!("{}retry-after: {seconds}\r\n", not_run(id));
+            whole(out, "503 Full", &headers, "")
+        }
+        Answer::Leaving => whole(out, "200 OK", &format!("{sealed}server-leaving: 1\r\n"), &body),
         Answer::Elsewhere => whole(out, "421 Misdirected", "x-instance-id: other\r\n", ""),
         Answer::Unsealed => whole(out, "200 OK", &format!("x-attempt-id: {id}\r\n"), &body),
         Answer::Torn => {
@@ -199,6 +206,10 @@
     }
 }
 
+fn not_run(id: &str) -> String {
+    format!("x-attempt-id: {id}\r\nx-not-executed: 1\r\n")
+}
+
 fn whole(out: &mut TcpStream, status: &str, headers: &str, body: &str) -> bool {
     let length = body.len();
     let answer = format!("HTTP/1.1 {status}\r\n{headers}content-length: {length}\r\n\r\n{body}");
