feat(edge): in a large fleet, long prompts are read by a part of the engines that follows the work

Ruled out: the batch's size (20 to 29 ms an event up to 33 running), our own hop. Change: split::Split. A prompt is long where reading it takes longer than the tightest pause of a route of its service. An order of engines by rendezvous hashing gives the part, its size is the share of engine time of the long ones, over 2 and 6 s, own and told.

--- a/crates/celerytide-catalog/src/config/mod.rs
+++ b/crates/celerytide-catalog/src/config/mod.rs
@@ -42,6 +42,8 @@
         pub timeout: Duration,
         /// Objective for the answer, for streams for the first event.
         pub target: Option<Duration>,
+        /// Longest time between two events of a stream that is still on time.
+        pub pause: Option<Duration>,
         /// Rank; 0 is first.
         pub priority: u32,
         /// Where its requests go.
@@ -134,6 +136,7 @@
     limits: Option<CallerLimits>,
     routes: HashMap<String, Vec<Rc<Route>>>,
     services: HashMap<ServiceId, Rc<Service>>,
+    pauses: HashMap<ServiceId, Duration>,
     keys: Option<HashMap<String, Rc<Customer>>>,
     ranks: Vec<Rank>,
 }
@@ -189,6 +192,7 @@
             limits: Some(config.limits),
             routes,
             services: services.collect(),
+            pauses: pauses(config),
             keys: config.customers.as_deref().map(index_keys),
             ranks: ranks(config),
         }
@@ -216,6 +220,11 @@
         self.services.get(id)
     }
 
+    /// The tightest pause between two events that a route of the service allows.
+    pub fn tightest_pause(&self, service: &str) -> Option<Duration> {
+        self.pauses.get(service).copied()
+    }
+
     /// Whose key `key` is.
     pub fn customer(&self, key: Option<&str>) -> Lookup {
         let Some(keys) = &self.keys else {
@@ -253,6 +262,20 @@
     keys
 }
 
+fn pauses(config: &Config) -> HashMap<ServiceId, Duration> {
+    let mut pauses: HashMap<ServiceId, Duration> = HashMap::new();
+    for route in &config.routes {
+        let Some(pause) = route.pause else {
+            continue;
+        };
+        for backend in &route.backends {
+            let tightest = pauses.entry(backend.service.clone()).or_insert(pause);
+            *tightest = pause.min(*tightest);
+        }
+    }
+    pauses
+}
+
 fn ranks(config: &Config) -> Vec<Rank> {
     let customers = config.customers.as_deref().unwrap_or_default();
     let mut ranks = Vec::new();
--- a/crates/celerytide-catalog/tests/view.rs
+++ b/crates/celerytide-catalog/tests/view.rs
@@ -21,6 +21,7 @@
         path_start: prefix.to_owned(),
         kind: Kind::Safe,
         timeout: Duration::from_secs(1),
+        pause: None,
         target: None,
         priority,
         backends: vec![Backend {
--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -30,6 +30,7 @@
 use crate::peers::{self, Members};
 use crate::place::Loads;
 use crate::settings::Settings;
+use crate::split::Split;
 
 /// Silence after which an idle connection is probed; one that answers nothing is found within three times that.
 const PROBE: Duration = Duration::from_secs(1);
@@ -73,6 +74,8 @@
     pub held: RefCell<Held>,
     /// Repeats.
     pub budget: RefCell<Budget>,
+    /// Which engines read long prompts.
+    pub split: RefCell<Split>,
     /// What endpoints say of themselves.
     pub notices: RefCell<Notices>,
     /// Shares of cold endpoints.
@@ -135,6 +138,7 @@
             loads: RefCell::default(),
             digests: RefCell::default(),
             held: RefCell::default(),
+            split: RefCell::default(),
             notices: RefCell::default(),
             limits: Rc::new(Cell::new(limits)),
             counters: Counters::default(),
--- a/crates/celerytide-edge/src/edge/pick.rs
+++ b/crates/celerytide-edge/src/edge/pick.rs
@@ -5,6 +5,7 @@
 
 use celerytide_catalog::{Endpoint, Known, Service, View};
 use celerytide_types::{Boot, ServiceId, now_boot};
+use tracing::info;
 
 use super::Edge;
 use crate::admit::Capacity;
@@ -14,6 +15,7 @@
 use crate::notice::Standing as Said;
 use crate::peers::Instances;
 use crate::place::{Ask, Candidate, Choice, Facts, Ticket, choose};
+use crate::split::{self, Size};
 
 /// Most endpoints of a service that may be out at once, as a share.
 const MAX_OUT: f64 = 0.4;
@@ -60,6 +62,12 @@
     service: ServiceId,
     /// Tokens of its prompt and answer.
     tokens: f64,
+    /// How it counts where engines are divided.
+    size: Option<Size>,
+    /// Requests that the engine runs at once.
+    slots: u32,
+    /// When its answer began.
+    begun: Option<Boot>,
 }
 
 impl<W: Wire> InFlight<W> {
@@ -67,11 +75,23 @@
     pub fn first_byte(&mut self, took: Duration) {
         self.edge.counters.first_byte.observe(took.as_secs_f64());
         self.edge.loads.borrow_mut().first_byte(&mut self.ticket, took);
+        self.begun = Some(now_boot());
+    }
+
+    /// Counts the time for which it held one of the engine's places.
+    fn note_place(&self) {
+        let (Some(size), Some(begun)) = (self.size, self.begun) else {
+            return;
+        };
+        let now = now_boot();
+        let share = now.since(begun) / self.slots.max(1);
+        self.edge.split.borrow_mut().note(&self.service, size, share, now);
     }
 }
 
 impl<W: Wire> Drop for InFlight<W> {
     fn drop(&mut self) {
+        self.note_place();
         self.edge.held.borrow_mut().end(&self.service, self.tokens);
         let mut loads = self.edge.loads.borrow_mut();
         loads.end(&mut self.ticket);
@@ -86,20 +106,26 @@
         let view = self.view.borrow();
         let instances = self.members.borrow().known(now);
         let bearing = self.bearing(&view, service, tried, &instances, now);
+        let size = self.size(&view, intake, service, now);
         if let Some(choice) = self.trial(intake, &bearing, now) {
-            return Ok(self.take(service, &choice, intake, now));
+            return Ok(self.take(service, &choice, intake, size, now));
         }
         let usable = self.healthy(bearing, now);
         if !self.admits(intake, service, usable.len(), instances.len(), now) {
             return Err(NoPick::Overload);
         }
+        let usable = match size {
+            // A short request that was sent already may go to any.
+            Some(size) if size == Size::Long || tried.is_empty() => self.part(&view, size, service, usable, now),
+            _ => usable,
+        };
         let choice = self.cheapest(intake, service, &usable, instances.len(), now);
         let choice = choice.ok_or_else(|| self.why_none(&view, service, now))?;
         if is_cold(service, choice.known, now) {
             let id = &choice.known.endpoint.id;
             self.cold.borrow_mut().note(id, service.cold_rate, &instances, now);
         }
-        Ok(self.take(service, &choice, intake, now))
+        Ok(self.take(service, &choice, intake, size, now))
     }
 
     /// Usable endpoints that aren't cold, or of which this instance has a part.
@@ -126,6 +152,51 @@
         untried.filter(bears).collect()
     }
 
+    /// How the request counts where engines are divided: in a fleet that is too large for each instance to know what
+    /// waits at each engine.
+    fn size(&self, view: &View, intake: &Intake, service: &Service, now: Boot) -> Option<Size> {
+        service.engine_slots.filter(|_| self.members.borrow().is_large(now))?;
+        let pause = view.catalog().tightest_pause(&service.id)?;
+        let per_s = self.loads.borrow().read_rate(&service.id);
+        Some(split::size(intake.prompt.tokens, pause, per_s))
+    }
+
+    /// Endpoints of the part that reads such prompts.
+    fn part<'a>(
+        &self,
+        view: &'a View,
+        size: Size,
+        service: &Service,
+        usable: Vec<&'a Known>,
+        now: Boot,
+    ) -> Vec<&'a Known> {
+        let ids: Vec<&str> = view.usable(&service.id, now).map(|k| k.endpoint.id.as_str()).collect();
+        let elsewhere = self.digests.borrow().work(&service.id, now);
+        let parts = self.split.borrow_mut().parts(&service.id, ids.len(), elsewhere, now);
+        if parts.moved {
+            let (long, engines) = (parts.readers, ids.len());
+            info!(
+                service = service.id,
+                long,
+                engines,
+                wanted = parts.wanted,
+                per_s = self.loads.borrow().read_rate(&service.id),
+                ?elsewhere,
+                "split: parts moved"
+            );
+        }
+        if !(1..ids.len()).contains(&parts.readers) {
+            return usable;
+        }
+        let readers = split::readers(&service.id, &ids, parts.readers);
+        let fits = |known: &&&Known| {
+            let reads = readers.contains(&known.endpoint.id.as_str());
+            reads == (size == Size::Long)
+        };
+        let part: Vec<&Known> = usable.iter().filter(fits).copied().collect();
+        if part.is_empty() { usable } else { part }
+    }
+
     /// Why no endpoint may get the request.
     fn why_none(&self, view: &View, service: &Service, now: Boot) -> NoPick {
         let notices = self.notices.borrow();
@@ -214,8 +285,20 @@
         self.held.borrow().admits(&service.id, tokens, capacity, intake.urgency)
     }
 
-    fn take(self: &Rc<Self>, service: &Service, choice: &Choice<'_>, intake: &Intake, now: Boot) -> Pick<W> {
+    fn take(
+        self: &Rc<Self>,
+        service: &Service,
+        choice: &Choice<'_>,
+        intake: &Intake,
+        size: Option<Size>,
+        now: Boot,
+    ) -> Pick<W> {
         let tokens = tokens_of(&intake.prompt);
+        if let Some(size) = size {
+            let per_s = self.loads.borrow().read_rate(&service.id);
+            let reading = Duration::from_secs_f64(f64::from(choice.missing) / per_s.max(1.0));
+            self.split.borrow_mut().note(&service.id, size, reading, now);
+        }
         self.held.borrow_mut().begin(&service.id, tokens);
         let ticket = self.loads.borrow_mut().begin(&service.id, choice, &intake.prompt, now);
         Pick {
@@ -225,6 +308,9 @@
                 ticket,
                 service: service.id.clone(),
                 tokens,
+                size,
+                slots: service.engine_slots.unwrap_or(1),
+                begun: None,
             },
             at: now,
         }
--- a/crates/celerytide-edge/src/lib.rs
+++ b/crates/celerytide-edge/src/lib.rs
@@ -1,7 +1,7 @@
 //! A router in one process: it reads what the platform publishes, and decides alone about each request.
 //!
 //! Decisions take facts and times as arguments and do no I/O: [`admit`], [`budget`], [`cold`], [`health`], [`intake`], [`notice`],
-//! [`place`].
+//! [`place`], [`split`].
 //! The tasks around them: [`follow`] reads the store, [`peers`] talks to other instances, [`forward`] serves callers,
 //! [`stop`] ends the process. What callers, endpoints and the store speak is the adapter's: [`names::Wire`] and
 //! [`source::Source`].
@@ -26,4 +26,5 @@
 pub mod place;
 pub mod settings;
 pub mod source;
+pub mod split;
 pub mod stop;
--- a/crates/celerytide-edge/src/peers/digest.rs
+++ b/crates/celerytide-edge/src/peers/digest.rs
@@ -14,9 +14,13 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::members::is_large;
+use crate::split::{Demand, WorkAt};
 
 /// Age up to which a digest counts.
 const FRESH: Duration = Duration::from_millis(600);
+/// Age up to which it tells of the work that an instance has: that changes slowly, and in a large fleet more instances
+/// are heard in this time.
+const KEPT: Duration = Duration::from_secs(3);
 /// Instances that have to be heard before the rest is taken to be like them.
 const LEAST_HEARD: usize = 4;
 /// Entries of one digest.
@@ -50,6 +54,8 @@
         pub backlogs: Vec<Backlog>,
         /// By service.
         pub held: Vec<HeldAt>,
+        /// By service: the engine time that its work takes.
+        pub work: Vec<WorkAt>,
     }
 }
 
@@ -82,7 +88,7 @@
 impl Digests {
     /// Takes a peer's newest digest.
     pub fn take(&mut self, from: SocketAddr, digest: Digest, now: Boot) {
-        self.by_peer.retain(|_, received| now.since(received.at) < FRESH);
+        self.by_peer.retain(|_, received| now.since(received.at) < KEPT);
         self.by_peer.insert(from, Received { at: now, digest });
     }
 
@@ -100,6 +106,14 @@
         Some(held.map(|held| f64::from(held.tokens)).sum::<f64>() * times)
     }
 
+    /// Engine time that the work of those that were heard takes at `service`; its parts matter, not its sum.
+    pub fn work(&self, service: &str, now: Boot) -> Demand {
+        let hash = id_hash(service);
+        let fresh = self.by_peer.values().filter(|r| now.since(r.at) < KEPT);
+        let work = fresh.flat_map(|r| &r.digest.work).filter(|w| w.service == hash);
+        work.fold(Demand::default(), Demand::with)
+    }
+
     /// Digests that still count, and for how many instances each stands.
     fn fresh(&self, others: usize, now: Boot) -> (Vec<&Received>, f64) {
         let fresh: Vec<&Received> = self.by_peer.values().filter(|r| now.since(r.at) < FRESH).collect();
@@ -135,6 +149,10 @@
             backlogs.sort_unstable_by_key(|b| std::cmp::Reverse((b.unread, b.running)));
             backlogs.truncate(MAX_ENTRIES);
         }
-        Digest { backlogs, held }
+        Digest {
+            backlogs,
+            held,
+            work: Vec::new(),
+        }
     }
 }
--- a/crates/celerytide-edge/src/peers/tell.rs
+++ b/crates/celerytide-edge/src/peers/tell.rs
@@ -31,6 +31,7 @@
 pub async fn tell<W: Wire>(edge: Rc<Edge<W>>, socket: Rc<UdpSocket>) {
     let mut told = Digest::default();
     let mut told_at = now_boot();
+    let mut worked_at = told_at;
     loop {
         let large = edge.members.borrow().is_large(now_boot());
         sleep(if large { LARGE_PAUSE } else { PAUSE }).await;
@@ -40,7 +41,17 @@
         } else {
             edge.loads.borrow().backlogs()
         };
-        let digest = Digest::new(backlogs, edge.held.borrow().told());
+        // Work changes all the time: what is told of it stays for a while, so that it alone makes no new digest.
+        let work = if now.since(worked_at) >= REPEAT {
+            worked_at = now;
+            edge.split.borrow().told(now)
+        } else {
+            told.work.clone()
+        };
+        let digest = Digest {
+            work,
+            ..Digest::new(backlogs, edge.held.borrow().told())
+        };
         let repeats = digest != Digest::default() && now.since(told_at) >= REPEAT;
         if digest == told && !repeats {
             continue;
--- /dev/null
+++ b/crates/celerytide-edge/src/split/mod.rs
@@ -0,0 +1,190 @@
+//! Which engines read long prompts.
+//!
+//! Answers this load: prompts that take long to read arrive beside streams whose events may not pause for so long. An
+//! engine reads prompts piece by piece between the events of all streams that it runs, so a few long ones in a row make
+//! every stream there late. The engines of a service are therefore divided: one part reads the long prompts, the other
+//! part is left to the rest. Every instance works out the same parts without a call: the order of the engines is drawn by
+//! rendezvous hashing, and the parts follow the engine time that both kinds of work take, as far as this instance and
+//! those that it hears have seen it. A burst counts at once and fades slowly. Where one kind of work is missing, or earns
+//! no engine of its own, nothing is divided.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use celerytide_types::{Boot, ServiceId, data, rendezvous_weight};
+
+use crate::peers::digest::id_hash;
+
+/// Times over which work is counted: the shorter one sees a burst at once, the longer one is steady.
+const WINDOWS: [Duration; 2] = [Duration::from_secs(2), Duration::from_secs(6)];
+/// Engines by which the part that the work asks for has to differ from the one in force before it is moved.
+const STEP: f64 = 1.0;
+
+/// How a request counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Size {
+    /// Reading it makes streams beside it late.
+    Long,
+    /// It doesn't.
+    Short,
+}
+
+data! {
+    /// Engine time that an instance's work takes at one service.
+    #[derive(Copy, Eq)]
+    pub struct WorkAt {
+        /// Hash of the service's id.
+        pub service: u32,
+        /// Milliseconds a second for long prompts, over the shorter and the longer window.
+        pub long_ms: [u32; 2],
+        /// Milliseconds a second for the rest.
+        pub short_ms: [u32; 2],
+    }
+}
+
+/// Engine time a second, by kind of work and over both windows.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Demand {
+    /// Seconds for long prompts.
+    pub long: [f64; 2],
+    /// Seconds for the rest.
+    pub short: [f64; 2],
+}
+
+impl Demand {
+    /// Adds what another instance told.
+    pub fn with(mut self, work: &WorkAt) -> Demand {
+        for n in 0..WINDOWS.len() {
+            self.long[n] += f64::from(work.long_ms[n]) / 1000.0;
+            self.short[n] += f64::from(work.short_ms[n]) / 1000.0;
+        }
+        self
+    }
+}
+
+/// The parts of all services.
+#[derive(Debug, Default)]
+pub struct Split {
+    by_service: HashMap<ServiceId, Work>,
+}
+
+#[derive(Debug, Default)]
+struct Work {
+    long: Rate,
+    short: Rate,
+    /// Engines that read long prompts, as it is in force.
+    readers: usize,
+}
+
+/// How the engines of a service are divided.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Parts {
+    /// Engines that read long prompts; none or all of them if they aren't divided.
+    pub readers: usize,
+    /// What the work asks for.
+    pub wanted: f64,
+    /// Whether that moved the parts.
+    pub moved: bool,
+}
+
+/// Seconds a second, over both windows.
+#[derive(Debug, Default)]
+struct Rate {
+    sums: [f64; 2],
+    at: Boot,
+}
+
+impl Rate {
+    fn add(&mut self, seconds: f64, now: Boot) {
+        let passed = now.since(self.at).as_secs_f64();
+        for (sum, window) in self.sums.iter_mut().zip(WINDOWS) {
+            *sum = *sum * (-passed / window.as_secs_f64()).exp() + seconds;
+        }
+        self.at = now;
+    }
+
+    fn per_s(&self, now: Boot) -> [f64; 2] {
+        let passed = now.since(self.at).as_secs_f64();
+        let rate = |n: usize| {
+            let window = WINDOWS[n].as_secs_f64();
+            self.sums[n] * (-passed / window).exp() / window
+        };
+        [rate(0), rate(1)]
+    }
+}
+
+/// How a prompt of `tokens` counts beside streams that may pause for `pause`, at engines that read `per_s` tokens a second:
+/// as long where it takes longer to read than that.
+pub fn size(tokens: u32, pause: Duration, per_s: f64) -> Size {
+    let reading = f64::from(tokens) / per_s.max(1.0);
+    if reading > pause.as_secs_f64() {
+        Size::Long
+    } else {
+        Size::Short
+    }
+}
+
+impl Split {
+    /// Counts work that takes an engine of `service` that time.
+    pub fn note(&mut self, service: &str, size: Size, takes: Duration, now: Boot) {
+        if !self.by_service.contains_key(service) {
+            self.by_service.insert(service.to_owned(), Work::default());
+        }
+        let Some(work) = self.by_service.get_mut(service) else {
+            return;
+        };
+        let rate = match size {
+            Size::Long => &mut work.long,
+            Size::Short => &mut work.short,
+        };
+        rate.add(takes.as_secs_f64(), now);
+    }
+
+    /// This instance's work, for others.
+    pub fn told(&self, now: Boot) -> Vec<WorkAt> {
+        let told = self.by_service.iter().map(|(service, work)| WorkAt {
+            service: id_hash(service),
+            long_ms: in_ms(work.long.per_s(now)),
+            short_ms: in_ms(work.short.per_s(now)),
+        });
+        let mut told: Vec<WorkAt> = told.filter(|w| w.long_ms != [0; 2] || w.short_ms != [0; 2]).collect();
+        told.sort_unstable_by_key(|w| w.service);
+        told
+    }
+
+    /// The parts of the `engines` of `service`, beside what others have to do.
+    pub fn parts(&mut self, service: &str, engines: usize, elsewhere: Demand, now: Boot) -> Parts {
+        let Some(work) = self.by_service.get_mut(service) else {
+            return Parts::default();
+        };
+        let long = most(work.long.per_s(now), elsewhere.long);
+        let short = most(work.short.per_s(now), elsewhere.short);
+        let all = long + short;
+        let wanted = if all > 0.0 { engines as f64 * long / all } else { 0.0 };
+        let moved = (wanted - work.readers as f64).abs() >= STEP;
+        if moved {
+            work.readers = wanted.round() as usize;
+        }
+        Parts {
+            readers: work.readers,
+            wanted,
+            moved,
+        }
+    }
+}
+
+/// Those of `ids` that read long prompts: `count` engines of `service`.
+pub fn readers<'a>(service: &str, ids: &[&'a str], count: usize) -> Vec<&'a str> {
+    let mut ranked: Vec<(u64, &str)> = ids.iter().map(|id| (rendezvous_weight(service, id), *id)).collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.into_iter().take(count).map(|(_, id)| id).collect()
+}
+
+/// The work of all that were heard, over the window in which it is more.
+fn most(own: [f64; 2], elsewhere: [f64; 2]) -> f64 {
+    (own[0] + elsewhere[0]).max(own[1] + elsewhere[1])
+}
+
+fn in_ms(seconds: [f64; 2]) -> [u32; 2] {
+    seconds.map(|s| (s * 1000.0) as u32)
+}
