feat(place): a part that is asked for often has more homes, and equal engines are taken in each instance's own order

Besides, all instances went through equal engines in the order of their ids. Change: place::heat. Each request of a part behind the first in 4 s stands for as many at the other instances; as many homes as keep an engine under half. Ties go by rendezvous of the instance with the engine. Replayed in edge/tests/placement.rs.

--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -29,6 +29,7 @@
 use crate::peers::readers::Readers;
 use crate::peers::{self, Members};
 use crate::place::Loads;
+use crate::place::heat::Heat;
 use crate::settings::Settings;
 use crate::split::Split;
 
@@ -68,6 +69,8 @@
     pub view: RefCell<View>,
     /// What is in flight.
     pub loads: RefCell<Loads>,
+    /// How often shared parts are asked for.
+    pub heat: RefCell<Heat>,
     /// What other instances have in flight.
     pub digests: RefCell<Digests>,
     /// Tokens in flight at engines.
@@ -136,6 +139,7 @@
             members: RefCell::new(Members::new(own, &settings.seeds, now)),
             view: RefCell::default(),
             loads: RefCell::default(),
+            heat: RefCell::default(),
             digests: RefCell::default(),
             held: RefCell::default(),
             split: RefCell::default(),
--- a/crates/celerytide-edge/src/edge/pick.rs
+++ b/crates/celerytide-edge/src/edge/pick.rs
@@ -14,7 +14,7 @@
 use crate::names::{Prompt, Wire};
 use crate::notice::Standing as Said;
 use crate::peers::Instances;
-use crate::place::{Ask, Candidate, Choice, Facts, Ticket, choose};
+use crate::place::{Ask, Candidate, Choice, Facts, Ticket, choose, shared};
 use crate::split::{self, Size};
 
 /// Most endpoints of a service that may be out at once, as a share.
@@ -263,15 +263,28 @@
             service,
             prompt: &intake.prompt,
             target: intake.route.target,
+            homes: self.homes(intake, service, instances, now),
         };
         let facts = Facts {
             loads: &self.loads.borrow(),
             elsewhere: &elsewhere,
+            draw: &self.settings.instance,
             now,
         };
         choose(&candidates, ask, facts)
     }
 
+    /// Engines that should hold the deepest shared part of the request's prompt.
+    fn homes(&self, intake: &Intake, service: &Service, instances: usize, now: Boot) -> usize {
+        let Some(part) = shared(&intake.prompt).last() else {
+            return 1;
+        };
+        let own = intake.prompt.parts.last().map_or(0, |own| own.tokens);
+        let per_s = self.loads.borrow().read_rate(&service.id);
+        let takes = Duration::from_secs_f64(f64::from(own) / per_s.max(1.0));
+        self.heat.borrow().homes(part.id, instances, takes, now)
+    }
+
     fn admits(&self, intake: &Intake, service: &Service, engines: usize, instances: usize, now: Boot) -> bool {
         let Some(held) = service.engine_tokens else {
             return true;
@@ -299,6 +312,9 @@
             let reading = Duration::from_secs_f64(f64::from(choice.missing) / per_s.max(1.0));
             self.split.borrow_mut().note(&service.id, size, reading, now);
         }
+        if let Some(part) = shared(&intake.prompt).last() {
+            self.heat.borrow_mut().note(part.id, now);
+        }
         self.held.borrow_mut().begin(&service.id, tokens);
         let ticket = self.loads.borrow_mut().begin(&service.id, choice, &intake.prompt, now);
         Pick {
--- a/crates/celerytide-edge/src/place/mod.rs
+++ b/crates/celerytide-edge/src/place/mod.rs
@@ -6,6 +6,7 @@
 //! beyond what its objective allows, and a little for each other. Shared parts are taken to be held where this instance
 //! sent them lately, and at the part's home, an order of endpoints by rendezvous hashing that all instances compute alike.
 
+pub mod heat;
 mod load;
 
 use std::collections::HashMap;
@@ -58,6 +59,8 @@
     pub prompt: &'a Prompt,
     /// Objective for its first event.
     pub target: Option<Duration>,
+    /// Engines that should hold its deepest shared part.
+    pub homes: usize,
 }
 
 /// What the choice rests on.
@@ -67,6 +70,8 @@
     pub loads: &'a Loads,
     /// What the others have in flight, by the hash of the endpoint.
     pub elsewhere: &'a HashMap<u32, Elsewhere>,
+    /// Draws an order of this instance's own among equal endpoints, so that not all instances take the same one.
+    pub draw: &'a str,
     /// The time.
     pub now: Boot,
 }
@@ -82,17 +87,18 @@
     pub ahead: u64,
 }
 
-/// Cost of one candidate; the least is chosen, and among equals the one that was used longest ago.
+/// Cost of one candidate; the least is chosen, and among equals the one that was used longest ago, then a near one.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 struct Cost {
     tokens: f64,
     picked_at: Boot,
     far: bool,
+    drawn: u64,
 }
 
 /// Chooses the cheapest candidate.
 pub fn choose<'a>(candidates: &[Candidate<'a>], ask: Ask<'_>, facts: Facts<'_>) -> Option<Choice<'a>> {
-    let homes = homes(candidates, shared(ask.prompt));
+    let homes = homes(candidates, shared(ask.prompt), ask.homes);
     let mean_pace = facts
         .loads
         .mean_pace(candidates.iter().map(|c| c.known.endpoint.id.as_str()));
@@ -133,6 +139,7 @@
         tokens,
         picked_at: load.map_or(Boot::default(), Load::picked_at),
         far: !candidate.near,
+        drawn: rendezvous_weight(facts.draw, &endpoint.id),
     };
     let choice = Choice {
         known: candidate.known,
@@ -150,14 +157,15 @@
     }
 }
 
-/// The two endpoints that most likely hold the deepest shared part.
+/// The endpoints that most likely hold the deepest shared part.
 #[derive(Debug, Default)]
 struct Homes {
-    first: Option<EndpointId>,
+    first: Vec<EndpointId>,
+    /// The next one, which holds it at times.
     second: Option<EndpointId>,
 }
 
-fn homes(candidates: &[Candidate<'_>], shared: &[Part]) -> Homes {
+fn homes(candidates: &[Candidate<'_>], shared: &[Part], count: usize) -> Homes {
     let Some(part) = shared.last() else {
         return Homes::default();
     };
@@ -169,7 +177,7 @@
     ranked.sort_unstable_by(|a, b| b.cmp(a));
     let mut ids = ranked.into_iter().map(|(_, id)| id.clone());
     Homes {
-        first: ids.next(),
+        first: ids.by_ref().take(count).collect(),
         second: ids.next(),
     }
 }
@@ -188,7 +196,7 @@
     let shared_tokens: f64 = shared(prompt).iter().map(|p| f64::from(p.tokens)).sum();
     let seen = load.map_or(0, |l| l.held_tokens(&prompt.parts, now)) as f64;
     let by_home = match () {
-        () if homes.first.as_ref() == Some(id) => shared_tokens,
+        () if homes.first.contains(id) => shared_tokens,
         () if homes.second.as_ref() == Some(id) => shared_tokens * SECOND_HOME,
         () => 0.0,
     };
--- a/crates/celerytide-edge/tests/placement.rs
+++ b/crates/celerytide-edge/tests/placement.rs
@@ -7,6 +7,7 @@
 use celerytide_catalog::{Endpoint, Known, Service};
 use celerytide_edge::names::{Part, Prompt};
 use celerytide_edge::peers::digest::{Backlog, Digest, Digests, id_hash};
+use celerytide_edge::place::heat::Heat;
 use celerytide_edge::place::{Ask, Candidate, Choice, Facts, Loads, choose};
 use celerytide_types::Boot;
 
@@ -59,6 +60,27 @@
     pick_among(8, engines, prompt, target_ms, loads, digests)
 }
 
+/// The choice of an instance with that name that has nothing in flight, for a part with so many homes.
+fn pick_drawn(name: &str, homes: usize, others: usize, engines: &[Known], prompt: &Prompt) -> String {
+    let draw = Draw { name, homes };
+    pick_with(
+        draw,
+        others,
+        engines,
+        prompt,
+        1200,
+        &Loads::default(),
+        &Digests::default(),
+    )
+}
+
+/// Who chooses, and how many homes a part has.
+#[derive(Clone, Copy)]
+struct Draw<'a> {
+    name: &'a str,
+    homes: usize,
+}
+
 /// The choice of an instance that knows `others`.
 fn pick_among(
     others: usize,
@@ -67,6 +89,19 @@
     target_ms: u64,
     loads: &Loads,
     digests: &Digests,
+) -> String {
+    let draw = Draw { name: "i1", homes: 1 };
+    pick_with(draw, others, engines, prompt, target_ms, loads, digests)
+}
+
+fn pick_with(
+    draw: Draw<'_>,
+    others: usize,
+    engines: &[Known],
+    prompt: &Prompt,
+    target_ms: u64,
+    loads: &Loads,
+    digests: &Digests,
 ) -> String {
     let service = service();
     let candidates: Vec<Candidate<'_>> = engines.iter().map(|known| Candidate { known, near: true }).collect();
@@ -74,11 +109,13 @@
         service: &service,
         prompt,
         target: Some(Duration::from_millis(target_ms)),
+        homes: draw.homes,
     };
     let elsewhere = digests.sums(others, at(0));
     let facts = Facts {
         loads,
         elsewhere: &elsewhere,
+        draw: draw.name,
         now: at(0),
     };
     choose(&candidates, ask, facts)
@@ -293,3 +330,79 @@
         assert_eq!(next != home, case.leaves, "{}: {home} then {next}", case.name);
     }
 }
+
+/// Requests about one part that one of many instances sees in ten seconds, spread evenly.
+struct Hot {
+    name: &'static str,
+    instances: usize,
+    requests: u64,
+    /// Time that one takes an engine.
+    takes_ms: u64,
+    homes: std::ops::RangeInclusive<usize>,
+}
+
+const HOT: [Hot; 5] = [
+    Hot {
+        name: "one request tells nothing",
+        instances: 90,
+        requests: 1,
+        takes_ms: 150,
+        homes: 1..=1,
+    },
+    Hot {
+        name: "a quarter of the traffic in a large fleet",
+        instances: 90,
+        requests: 6,
+        takes_ms: 150,
+        homes: 6..=20,
+    },
+    Hot {
+        name: "the same in a small fleet",
+        instances: 9,
+        requests: 6,
+        takes_ms: 150,
+        homes: 1..=2,
+    },
+    Hot {
+        name: "often, and read at once",
+        instances: 90,
+        requests: 6,
+        takes_ms: 2,
+        homes: 1..=1,
+    },
+    Hot {
+        name: "a part of each prompt",
+        instances: 90,
+        requests: 100,
+        takes_ms: 150,
+        homes: 60..=1200,
+    },
+];
+
+#[test]
+fn a_part_that_is_asked_for_often_gets_more_homes() {
+    for case in &HOT {
+        let mut heat = Heat::default();
+        for n in 0..case.requests {
+            heat.note(7, at(n * 10_000 / case.requests));
+        }
+        let last = at((case.requests - 1) * 10_000 / case.requests);
+        let homes = heat.homes(7, case.instances, Duration::from_millis(case.takes_ms), last);
+        assert!(case.homes.contains(&homes), "{}: {homes}", case.name);
+        let later = heat.homes(7, case.instances, Duration::from_millis(case.takes_ms), at(60_000));
+        assert_eq!(later, 1, "{}: long after", case.name);
+    }
+}
+
+#[test]
+fn instances_that_know_nothing_spread_over_equal_engines() {
+    let engines = engines(12);
+    let short = own(500);
+    let drawn = |n: usize| pick_drawn(&format!("i{n}"), 3, 68, &engines, &short);
+    let first: std::collections::BTreeSet<String> = (0..60).map(drawn).collect();
+    assert!(first.len() >= 10, "60 instances begin at {first:?}");
+    let hot: std::collections::BTreeSet<String> = (0..60)
+        .map(|n| pick_drawn(&format!("i{n}"), 3, 68, &engines, &prompt(7, n as u64)))
+        .collect();
+    assert_eq!(hot.len(), 3, "a part with three homes is read at {hot:?}");
+}
