fix(edge): a process that knows nothing gives a page of the list a longer time by turns

Cause: each try of the first list gave a page 0.6 s, so that a store that takes a second an answer was never heard (KNOWN-RED's a_new_process_learns_from_a_store_that_is_slow: not ready within 10 s, each run). Change: tries go by turns, 0.6 s and the 1.5 s of all other pages.

--- a/crates/celerytide-edge/src/follow/mod.rs
+++ b/crates/celerytide-edge/src/follow/mod.rs
@@ -30,7 +30,8 @@
 const ANSWER: Duration = Duration::from_millis(500);
 /// Time for one page of the list.
 const PAGE: Duration = Duration::from_millis(1500);
-/// The same while nothing is known: a call that began before the store came back hears nothing of that.
+/// The same while nothing is known, by turns with [`PAGE`]: a call that began before the store came back hears nothing of
+/// that, and one to a slow store needs longer.
 const FIRST_PAGE: Duration = Duration::from_millis(600);
 /// First pause after a failure; doubles up to [`MAX_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -87,11 +88,8 @@
 }
 
 async fn list<W: Wire, S: Source>(edge: &Edge<W>, source: &S, contact: &mut Contact) -> Result<(), SourceError> {
-    let page = if edge.view.borrow().has_config() {
-        PAGE
-    } else {
-        FIRST_PAGE
-    };
+    let short = contact.failures.is_multiple_of(2) && !edge.view.borrow().has_config();
+    let page = if short { FIRST_PAGE } else { PAGE };
     let snapshot = source.list(page).await?;
     let now = now_boot();
     let hold = contact.answered(edge, now);
