feat(peers): six instances read the store, whatever the fleet's size; others hand on what they hear

Cause: one instance in ten read the store, so that its calls grew with the fleet (20 readers at 195, store calls the largest price). Change: the first six in the order of rendezvous read. The rest of the first tenth follow them and hand on what they hear while it is fresh (0.75 of the time in which a change has to be in force), the others follow any of that tenth: two steps at most. Age grows with each step, so a ring is found out and somebody reads. One that follows doesn't ask peers for their view besides. Ruled out: leaves only at those that don't read (57 of 64 would follow one instance). What is left is the start (each instance reads for its first 1.5 s) and instances that are turned away.

--- a/crates/celerytide-edge/src/peers/news.rs
+++ b/crates/celerytide-edge/src/peers/news.rs
@@ -16,7 +16,7 @@
 
 use super::members::Heard;
 use super::relay;
-use crate::edge::Edge;
+use crate::edge::{Edge, Reading};
 use crate::names::Wire;
 
 /// Pause between two calls while the store answers.
@@ -86,7 +86,11 @@
     }
 }
 
+/// Whether the store gives nothing; one that follows a reader hears less often, and finds out by itself when it ends.
 fn store_is_silent<W: Wire>(edge: &Edge<W>, now: Boot) -> bool {
+    if edge.reading.get() == Reading::Follows {
+        return false;
+    }
     edge.store_at.get().is_none_or(|at| now.since(at) > STORE_SILENCE)
 }
 
--- a/crates/celerytide-edge/src/peers/readers.rs
+++ b/crates/celerytide-edge/src/peers/readers.rs
@@ -2,7 +2,8 @@
 //!
 //! Answers this load: each change of the store wakes a watch of each instance, and each idle watch ends after a moment, so
 //! that calls grow with the fleet. In a large fleet a few instances read, chosen by rendezvous hashing over those that
-//! live; each of the others follows one of them. One whose reader fails, falls silent or has lost the store reads for
+//! live, and no more of them in a larger one. The next ones in that order follow them and hand on what they hear; each of
+//! the others follows one of either. One whose reader fails, falls silent or has lost the store reads for
 //! itself at once and follows another one later. Instances may differ for a while on who lives, and so on who reads: one
 //! that is asked reads, and its follower asks again soon. An instance that knows few others reads.
 
@@ -14,8 +15,10 @@
 
 use super::members::is_large;
 
-/// Instances for each one that reads.
-const PER_READER: usize = 10;
+/// Instances that read the store, at most.
+const MOST_READERS: usize = 6;
+/// Instances for each one that others follow.
+const PER_RELAY: usize = 10;
 /// Time after the start in which an instance reads: it has heard of few others.
 const YOUNG: Duration = Duration::from_millis(1500);
 /// Time for which an instance reads after its reader failed.
@@ -54,12 +57,11 @@
         if !is_large(live.len()) || age < YOUNG || reads_on {
             return Origin::Store;
         }
-        let readers = readers(own, live);
-        if readers.contains(&own) {
+        let Some(followed) = followed(own, live) else {
             return Origin::Store;
-        }
+        };
         let avoided = |reader: &SocketAddr| self.avoided.get(reader).is_some_and(|until| now < *until);
-        let usable = readers.into_iter().filter(|reader| !avoided(reader));
+        let usable = followed.into_iter().filter(|reader| !avoided(reader));
         let key = own.to_string();
         let nearest = usable.max_by_key(|reader| rendezvous_weight(&key, &reader.to_string()));
         nearest.map_or(Origin::Store, Origin::Peer)
@@ -83,10 +85,18 @@
     }
 }
 
-fn readers(own: SocketAddr, live: &[SocketAddr]) -> Vec<SocketAddr> {
+/// Those that `own` may follow; `None` if it reads.
+fn followed(own: SocketAddr, live: &[SocketAddr]) -> Option<Vec<SocketAddr>> {
     let mut all: Vec<SocketAddr> = live.to_vec();
     all.push(own);
     all.sort_by_cached_key(|addr| std::cmp::Reverse((rendezvous_weight(READERS_KEY, &addr.to_string()), *addr)));
-    all.truncate(all.len().div_ceil(PER_READER));
-    all
+    all.truncate(all.len().div_ceil(PER_RELAY));
+    let place = all.iter().position(|addr| *addr == own);
+    if place.is_some_and(|place| place < MOST_READERS) {
+        return None;
+    }
+    if place.is_some() {
+        all.truncate(MOST_READERS);
+    }
+    Some(all)
 }
--- a/crates/celerytide-edge/src/peers/relay.rs
+++ b/crates/celerytide-edge/src/peers/relay.rs
@@ -1,14 +1,15 @@
 //! Takes changes of the store from an instance that reads it, and hands them on to others.
 //!
 //! One call waits at the reader until it has something newer, or for a moment; its answer says how old the reader's word
-//! is, so that a follower never takes silence for calm.
+//! is, so that a follower never takes silence for calm. An instance that follows a reader hands on what it hears while
+//! that is fresh; the age grows with each step, so that instances that follow each other in a ring find out.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use celerytide_catalog::{Change, Revision, Snapshot};
-use celerytide_types::{Millis, data, millis, now_boot};
+use celerytide_types::{Boot, Millis, data, millis, now_boot};
 use celerytide_wire::messages::Method;
 use celerytide_wire::{Exchange, Links};
 use monoio::time::timeout;
@@ -18,6 +19,8 @@
 use crate::edge::{Edge, Reading};
 use crate::names::Wire;
 
+/// Age up to which a follower hands on what it heard, as a share of the time in which a change has to be in force.
+const RELAYED_SHARE: f64 = 0.75;
 /// Time beyond its wait for the answer of a reader.
 const ANSWER: Duration = Duration::from_millis(400);
 
@@ -42,7 +45,7 @@
 
     /// What is newer than the follower's view.
     pub enum News {
-        /// The instance follows another one; it reads from now on.
+        /// The instance follows another one and heard nothing of late; it reads from now on.
         NotYet,
         /// The instance has lost the store.
         Lost,
@@ -102,9 +105,12 @@
     let Ok(ask) = ex.recv_some::<Follow>().await else {
         return;
     };
-    edge.readers.borrow_mut().asked(now_boot());
+    let tells = tells(edge, now_boot());
+    if !tells || edge.reading.get() == Reading::Reads {
+        edge.readers.borrow_mut().asked(now_boot());
+    }
     let woken = edge.changed.notified();
-    if edge.reading.get() == Reading::Reads && edge.view.borrow().revision() <= ask.revision {
+    if tells && edge.view.borrow().revision() <= ask.revision {
         // Without a change the answer says just that.
         let _ = timeout(Duration::from_millis(ask.patience_ms), woken).await;
     }
@@ -113,13 +119,23 @@
     }
 }
 
+/// Whether this instance has something fresh to tell: it reads, or follows one that does.
+fn tells<W: Wire>(edge: &Edge<W>, now: Boot) -> bool {
+    let most = edge.settings.bounds.apply().mul_f64(RELAYED_SHARE);
+    match edge.reading.get() {
+        Reading::Reads => true,
+        Reading::Lost => false,
+        Reading::Follows => edge.store_at.get().is_some_and(|at| now.since(at) < most),
+    }
+}
+
 fn told<W: Wire>(edge: &Edge<W>, revision: Revision) -> Told {
     let now = now_boot();
     let view = edge.view.borrow();
     let news = match edge.reading.get() {
-        Reading::Follows => News::NotYet,
         Reading::Lost => News::Lost,
-        Reading::Reads => match view.changes_after(revision) {
+        Reading::Follows if !tells(edge, now) => News::NotYet,
+        Reading::Follows | Reading::Reads => match view.changes_after(revision) {
             Some(list) => News::Changes {
                 list,
                 revision: view.revision().max(revision),
