feat(split): answers count when they are sent for

Cause: the places that streams hold were counted at their end, 1 to 2 s late in a burst of chats, so that the part for short prompts grew late. Change: the engine time of a token is learned from ended answers, and a request counts with all of it at its start. Replayed in edge/tests/split.rs.

--- a/crates/celerytide-edge/src/edge/pick.rs
+++ b/crates/celerytide-edge/src/edge/pick.rs
@@ -62,9 +62,9 @@
     service: ServiceId,
     /// Tokens of its prompt and answer.
     tokens: f64,
-    /// How it counts where engines are divided.
-    size: Option<Size>,
-    /// Requests that the engine runs at once.
+    /// Most tokens of its answer.
+    output: u32,
+    /// Requests that the engine runs at once; none of a plain endpoint.
     slots: u32,
     /// When its answer began.
     begun: Option<Boot>,
@@ -78,20 +78,20 @@
         self.begun = Some(now_boot());
     }
 
-    /// Counts the time for which it held one of the engine's places.
-    fn note_place(&self) {
-        let (Some(size), Some(begun)) = (self.size, self.begun) else {
+    /// Learns from the time for which it held one of the engine's places.
+    fn learn_place(&self) {
+        let Some(begun) = self.begun.filter(|_| self.slots > 0) else {
             return;
         };
-        let now = now_boot();
-        let share = now.since(begun) / self.slots.max(1);
-        self.edge.split.borrow_mut().note(&self.service, size, share, now);
+        let held = now_boot().since(begun);
+        let mut split = self.edge.split.borrow_mut();
+        split.learn(&self.service, self.output, held, self.slots);
     }
 }
 
 impl<W: Wire> Drop for InFlight<W> {
     fn drop(&mut self) {
-        self.note_place();
+        self.learn_place();
         self.edge.held.borrow_mut().end(&self.service, self.tokens);
         let mut loads = self.edge.loads.borrow_mut();
         loads.end(&mut self.ticket);
@@ -310,7 +310,8 @@
         if let Some(size) = size {
             let per_s = self.loads.borrow().read_rate(&service.id);
             let reading = Duration::from_secs_f64(f64::from(choice.missing) / per_s.max(1.0));
-            self.split.borrow_mut().note(&service.id, size, reading, now);
+            let output = intake.prompt.most_output;
+            self.split.borrow_mut().note(&service.id, size, reading, output, now);
         }
         if let Some(part) = shared(&intake.prompt).last() {
             self.heat.borrow_mut().note(part.id, now);
@@ -324,8 +325,8 @@
                 ticket,
                 service: service.id.clone(),
                 tokens,
-                size,
-                slots: service.engine_slots.unwrap_or(1),
+                output: intake.prompt.most_output,
+                slots: service.engine_slots.unwrap_or(0),
                 begun: None,
             },
             at: now,
--- a/crates/celerytide-edge/src/split/mod.rs
+++ b/crates/celerytide-edge/src/split/mod.rs
@@ -17,6 +17,8 @@
 
 /// Times over which work is counted: the shorter one sees a burst at once, the longer one is steady.
 const WINDOWS: [Duration; 2] = [Duration::from_secs(2), Duration::from_secs(6)];
+/// Answers that the mean time of a token counts, the last ones most.
+const MEAN_OF: u32 = 40;
 /// Engines by which the part that the work asks for has to differ from the one in force before it is moved.
 const STEP: f64 = 1.0;
 
@@ -72,6 +74,10 @@
 struct Work {
     long: Rate,
     short: Rate,
+    /// Share of an engine's time that one token of an answer takes, in seconds.
+    token_s: f64,
+    /// Answers that it was learned from, up to [`MEAN_OF`].
+    answers: u32,
     /// Engines that read long prompts, as it is in force.
     readers: usize,
 }
@@ -125,19 +131,31 @@
 }
 
 impl Split {
-    /// Counts work that takes an engine of `service` that time.
-    pub fn note(&mut self, service: &str, size: Size, takes: Duration, now: Boot) {
-        if !self.by_service.contains_key(service) {
-            self.by_service.insert(service.to_owned(), Work::default());
-        }
-        let Some(work) = self.by_service.get_mut(service) else {
-            return;
-        };
+    /// Counts a request of `service` that is sent: the time that reading takes an engine, and the time for which it will
+    /// hold one of its places.
+    pub fn note(&mut self, service: &str, size: Size, reading: Duration, output: u32, now: Boot) {
+        let work = self.work(service);
+        let writing = f64::from(output) * work.token_s;
         let rate = match size {
             Size::Long => &mut work.long,
             Size::Short => &mut work.short,
         };
-        rate.add(takes.as_secs_f64(), now);
+        rate.add(reading.as_secs_f64() + writing, now);
+    }
+
+    /// An answer of at most `output` tokens held one of the `slots` of an engine of `service` for `held`.
+    pub fn learn(&mut self, service: &str, output: u32, held: Duration, slots: u32) {
+        let work = self.work(service);
+        let token_s = held.as_secs_f64() / f64::from(slots.max(1)) / f64::from(output.max(1));
+        work.answers = work.answers.saturating_add(1).min(MEAN_OF);
+        work.token_s += (token_s - work.token_s) / f64::from(work.answers);
+    }
+
+    fn work(&mut self, service: &str) -> &mut Work {
+        if !self.by_service.contains_key(service) {
+            self.by_service.insert(service.to_owned(), Work::default());
+        }
+        self.by_service.entry(service.to_owned()).or_default()
     }
 
     /// This instance's work, for others.
--- a/crates/celerytide-edge/tests/split.rs
+++ b/crates/celerytide-edge/tests/split.rs
@@ -121,7 +121,7 @@
             (Size::Short, load.per_s.1, load.takes_ms.1),
         ] {
             if per_s > 0 && ms.is_multiple_of(1000 / per_s) {
-                split.note(SERVICE, size, Duration::from_millis(takes), at(ms));
+                split.note(SERVICE, size, Duration::from_millis(takes), 0, at(ms));
             }
         }
     }
@@ -168,7 +168,7 @@
     let mut split = Split::default();
     play(&mut split, load, 0, 12_000);
     split.parts(SERVICE, 60, Demand::default(), at(12_000));
-    split.note(SERVICE, Size::Long, Duration::from_millis(50), at(12_000));
+    split.note(SERVICE, Size::Long, Duration::from_millis(50), 0, at(12_000));
     assert!(!split.parts(SERVICE, 60, Demand::default(), at(12_000)).moved);
 }
 
@@ -187,7 +187,7 @@
                 .wrapping_add(1_442_695_040_888_963_407);
             if (draw >> 33) % 1000 < 90 {
                 let instance = ((draw >> 13) % INSTANCES) as usize;
-                fleet[instance].note(SERVICE, size, Duration::from_millis(takes), at(ms));
+                fleet[instance].note(SERVICE, size, Duration::from_millis(takes), 0, at(ms));
             }
         }
     }
@@ -222,3 +222,18 @@
         "the order of the list doesn't matter"
     );
 }
+
+#[test]
+fn answers_count_when_they_are_sent_for() {
+    let mut split = Split::default();
+    for _ in 0..10 {
+        split.learn(SERVICE, 100, Duration::from_millis(6_400), 64);
+    }
+    split.note(SERVICE, Size::Long, Duration::from_millis(100), 0, at(0));
+    split.note(SERVICE, Size::Short, Duration::ZERO, 100, at(0));
+    let parts = split.parts(SERVICE, 60, Demand::default(), at(0));
+    assert_eq!(
+        parts.readers, 30,
+        "an answer that holds a place of 64 for 6.4 s takes 0.1 s"
+    );
+}
