fix(http): what callers sent before a listener's end is read and refused, not cut

Cause: when a stopping process ended its listener, connections that waited in its queue were reset, and those just accepted were closed though their request was there: an idle wait was ended before the socket was looked at. Change: the rest of the queue is accepted (5 ms without a new one, 128 at most), a connection without a request is read for 100 ms more, and the router leaves 250 ms for that. Ruled out: an ending of the wait for idle connections at the first sign of the stop; requests cross it.

--- a/crates/celerytide-edge/src/stop/mod.rs
+++ b/crates/celerytide-edge/src/stop/mod.rs
@@ -21,6 +21,8 @@
 const WAIT_SHARE: f64 = 0.93;
 /// Time before that by which each request has its final answer.
 const LAST_ANSWERS: Duration = Duration::from_millis(100);
+/// Time in which requests that crossed the end are read and refused.
+const LAST_REQUESTS: Duration = Duration::from_millis(250);
 /// Time between looks at what still runs.
 const POLL: Duration = Duration::from_millis(50);
 /// Time without any request before the process ends.
@@ -58,6 +60,6 @@
         }
     }
     stop.end.cancel();
-    sleep(POLL).await;
+    sleep(LAST_REQUESTS).await;
     info!(cut = edge.busy.get(), "stop: ended");
 }
--- a/crates/celerytide-http/src/server/conn.rs
+++ b/crates/celerytide-http/src/server/conn.rs
@@ -23,6 +23,8 @@
 use crate::guard::{Fault, Framing, request_framing, wants_close};
 use crate::wire::{Body, HeadError, Length, Piece, Reader, RequestHead, Writer, answer_head};
 
+/// Time for which a connection without a request is still read when the server ends.
+pub(super) const LAST_LOOK: Duration = Duration::from_millis(100);
 /// Time for which a refused caller's remaining bytes are read, so that it gets to see the answer.
 const LINGER: Duration = Duration::from_secs(2);
 /// Bytes read and dropped from a refused caller.
@@ -144,8 +146,13 @@
         self.reader.release();
         let cancelled = std::pin::pin!(self.stop.end.cancelled());
         let read = std::pin::pin!(timeout(idle, self.reader.fill()));
-        match select(read, cancelled).await {
-            Either::Left((Ok(Ok(n)), _)) if n > 0 => Ok(()),
+        let read = match select(read, cancelled).await {
+            Either::Left((read, _)) => read,
+            // What the caller sent before the end may not have been seen yet.
+            Either::Right(((), read)) => timeout(LAST_LOOK, read).await.and_then(|read| read),
+        };
+        match read {
+            Ok(Ok(n)) if n > 0 => Ok(()),
             _ => Err(End::Close),
         }
     }
--- a/crates/celerytide-http/src/server/listen.rs
+++ b/crates/celerytide-http/src/server/listen.rs
@@ -11,7 +11,7 @@
 use futures::channel::mpsc;
 use futures::future::{Either, select};
 use monoio::net::{TcpListener, TcpStream};
-use monoio::time::sleep;
+use monoio::time::{sleep, timeout};
 use snafu::{ResultExt, Snafu};
 use tokio_util::sync::CancellationToken;
 use tracing::{debug, warn};
@@ -24,6 +24,10 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Failed accepts in a row after which the listener is given up.
 const MAX_ACCEPT_FAILURES: u32 = 200;
+/// Time for which a connection is waited for when the server ends.
+const LAST_ACCEPT: Duration = Duration::from_millis(5);
+/// Connections that are accepted when the server ends, at most.
+const MOST_WAITING: usize = 128;
 /// Share of the connection bound that may be busy with refusals beyond it.
 const REFUSAL_SHARE: usize = 8;
 
@@ -121,7 +125,7 @@
     loop {
         let accept = std::pin::pin!(listener.accept());
         let accepted = match select(cancelled.as_mut(), accept).await {
-            Either::Left(_) => return Ok(()),
+            Either::Left(_) => break,
             Either::Right((accepted, _)) => accepted,
         };
         match accepted {
@@ -137,6 +141,24 @@
             }
         }
     }
+    accept_rest(listener, limits, handler, slot, stop).await;
+    Ok(())
+}
+
+/// Accepts the connections that wait at the end, so that their requests are read and answered.
+async fn accept_rest<H: Handler>(
+    listener: &TcpListener,
+    limits: &Rc<Cell<Limits>>,
+    handler: &Rc<H>,
+    slot: &Slot,
+    stop: &Stop,
+) {
+    for _ in 0..MOST_WAITING {
+        match timeout(LAST_ACCEPT, listener.accept()).await {
+            Ok(Ok((stream, peer))) => admit(stream, peer, limits, handler, slot, stop),
+            Ok(Err(_)) | Err(_) => return,
+        }
+    }
 }
 
 fn admit<H: Handler>(
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -29,6 +29,11 @@
     Unframed,
     /// Two whole answers to one request.
     Doubled,
+    /// A whole answer, and the same once more after this many milliseconds, whatever was asked meanwhile.
+    Again(u64),
+    /// The head of a stream, and then one byte of an event that never ends, again and again with this many milliseconds
+    /// between two.
+    Drip(u64),
     /// An answer that carries the id of another request.
     Crossed,
     /// Bytes that are no answer.
@@ -187,6 +192,12 @@
             false
         }
         Answer::Doubled => whole(out, "200 OK", &sealed, &body) && whole(out, "200 OK", &sealed, "a second body"),
+        Answer::Again(ms) => {
+            let good = whole(out, "200 OK", &sealed, &body);
+            sleep(Duration::from_millis(ms));
+            good && whole(out, "200 OK", &sealed, &body)
+        }
+        Answer::Drip(ms) => drip(shared, out, &sealed, Duration::from_millis(ms)),
         Answer::Crossed => whole(
             out,
             "200 OK",
@@ -216,9 +227,21 @@
     out.write_all(answer.as_bytes()).is_ok()
 }
 
+const STREAM: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+
+/// Sends bytes until the caller leaves.
+fn drip(shared: &Shared, out: &mut TcpStream, sealed: &str, gap: Duration) -> bool {
+    let mut sent = out.write_all(format!("HTTP/1.1 200 OK\r\n{sealed}{STREAM}").as_bytes());
+    while sent.is_ok() {
+        sent = out.write_all(b"1\r\nd\r\n");
+        sleep(gap);
+    }
+    *lock(&shared.left) += 1;
+    false
+}
+
 fn events(shared: &Shared, out: &mut TcpStream, seen: &Seen, sealed: &str, all: u32, cut: u32, gap_ms: u64) -> bool {
-    let head =
-        format!("HTTP/1.1 200 OK\r\n{sealed}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n");
+    let head = format!("HTTP/1.1 200 OK\r\n{sealed}{STREAM}");
     drop(out.write_all(head.as_bytes()));
     let from: u32 = seen.header("last-event-id").parse().unwrap_or(0);
     let cut = if from == 0 { cut } else { 0 };
