--- a/crates/celerytide-soak/src/check/mod.rs
+++ b/crates/celerytide-soak/src/check/mod.rs
@@ -121,8 +121,8 @@
     pub store_harmed: Vec<Span>,
     /// When a runner, or the way to it, was harmed.
     pub runners_harmed: Vec<Span>,
-    /// When the way to a runner was harmed.
-    pub links_harmed: Vec<Span>,
+    /// When the way to which runner was harmed.
+    pub links_harmed: Vec<(String, Span)>,
     /// When runners were published as leaving.
     pub leaving: Vec<Leaving>,
     /// Routers that were told to stop and started again.
@@ -354,10 +354,8 @@
             Said::Leaves => (renewed.map(|(_, at)| *at).min()?, 0),
             Said::Pauses(pause) => (word.at + pause, IN_PAUSE),
         };
-        let harmed = h
-            .links_harmed
-            .iter()
-            .any(|s| s.meets(word.at.saturating_sub(CONTACT), until));
+        let on_way = |(runner, s): &(String, Span)| *runner == word.runner && s.meets(word.at, until);
+        let harmed = h.links_harmed.iter().any(on_way);
         let restarted = h
             .restarted
             .iter()
