--- a/crates/celerytide-edge/tests/split.rs
+++ b/crates/celerytide-edge/tests/split.rs
@@ -237,3 +237,13 @@
         "an answer that holds a place of 64 for 6.4 s takes 0.1 s"
     );
 }
+
+/// Prompts about one document, whose lengths lie about the bound: each part of the engines would read the document.
+#[test]
+fn prompts_that_share_a_document_count_alike() {
+    let pause = Duration::from_millis(250);
+    let sizes: Vec<Size> = [8_000, 9_200, 10_500]
+        .map(|tokens| size(tokens, pause, 36_000.0))
+        .into();
+    assert!(sizes.iter().all(|s| *s == sizes[0]), "{sizes:?}");
+}
