refactor(split): a service's work is looked up once

Cause: Split::work asked whether the service was known, inserted it, and then took an entry that does both: three look-ups and a copy of the id too many for each request that is sent. Ruled out: a change of behaviour; the entry makes the same default. Checked: formatter, clippy, and the tests of celerytide-edge pass (the known red one skipped). No measured effect is claimed.

--- a/crates/celerytide-edge/src/split/mod.rs
+++ b/crates/celerytide-edge/src/split/mod.rs
@@ -152,9 +152,6 @@
     }
 
     fn work(&mut self, service: &str) -> &mut Work {
-        if !self.by_service.contains_key(service) {
-            self.by_service.insert(service.to_owned(), Work::default());
-        }
         self.by_service.entry(service.to_owned()).or_default()
     }
 
