--- a/crates/celerytide-catalog/src/view/mod.rs
+++ b/crates/celerytide-catalog/src/view/mod.rs
@@ -1,81 +1,24 @@
 //! What is known now, and since when.
+//!
+//! A list of a higher era comes from a copy of the store that is some seconds old: what was written since is missing in
+//! it until it is written again. Such a list may add to the view; it undoes nothing that may have been lost with the
+//! writes. The endpoints that it lacks are kept for a while, an endpoint that left goes on leaving, an availability zone
+//! that was out stays out, and an endpoint that was gone is used only once it proves to live. A write of the new era goes
+//! before all of these.
+
+mod facts;
+mod gone;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use celerytide_types::{Boot, EndpointId, ServiceId, Version, ZoneId, data};
-
-use crate::{Catalog, Config};
-
-/// Counts the changes of the platform's store.
-pub type Revision = u64;
-
-data! {
-    /// A back end as the platform publishes it.
-    pub struct Endpoint {
-        /// Its id; an endpoint that starts again mostly has another.
-        pub id: EndpointId,
-        /// The service that it is part of.
-        pub service: ServiceId,
-        /// Where it listens.
-        pub address: SocketAddr,
-        /// Its availability zone.
-        pub zone: ZoneId,
-        /// Requests that it runs at once.
-        pub slots: u32,
-        /// It takes no new work and will end.
-        pub leaving: bool,
-        /// For how much longer it is cold, as of the writing of its entry.
-        pub cold_for: Duration,
-        /// Tells two starts under one id apart; `None` if it isn't told.
-        pub start: Option<u64>,
-    }
-
-    /// One change of what the platform publishes.
-    pub enum Change {
-        /// A configuration came into force.
-        Config(Config),
-        /// An endpoint's entry was written.
-        Endpoint(Endpoint),
-        /// An endpoint's entry is gone or names no endpoint that can be used.
-        EndpointGone(EndpointId),
-        /// An availability zone was taken out.
-        ZoneOut(ZoneId),
-        /// An availability zone was taken back.
-        ZoneBack(ZoneId),
-    }
+use celerytide_types::{Boot, EndpointId, ZoneId};
 
-    /// Everything that the platform publishes, as of one revision.
-    pub struct Snapshot {
-        /// The revision.
-        pub revision: Revision,
-        /// The configuration, once there is one.
-        pub config: Option<Config>,
-        /// All endpoints.
-        pub endpoints: Vec<Endpoint>,
-        /// Availability zones that are out.
-        pub zones_out: Vec<ZoneId>,
-    }
-}
+pub use facts::{Change, Endpoint, Era, Position, Restored, Revision, Snapshot, Update};
 
-/// What an update did.
-#[derive(Debug, Default, PartialEq)]
-pub struct Update {
-    /// The configuration's version, if it is a new one.
-    pub config: Option<Version>,
-    /// Endpoints that appeared or started anew.
-    pub appeared: Vec<EndpointId>,
-    /// Endpoints that began to leave.
-    pub leaving: Vec<EndpointId>,
-    /// Endpoints that are gone.
-    pub gone: Vec<EndpointId>,
-    /// Availability zones taken out.
-    pub zones_out: Vec<ZoneId>,
-    /// Availability zones taken back.
-    pub zones_back: Vec<ZoneId>,
-}
+use crate::{Catalog, Config};
+use gone::Gone;
 
 /// An endpoint and what follows from the history of its entry.
 #[derive(Debug, Clone)]
@@ -86,10 +29,49 @@
     pub cold_until: Option<Boot>,
     /// Its entry was absent from the newest list; the endpoint is dropped at this time unless the entry returns.
     pub missing_until: Option<Boot>,
+    /// It left before the store came back from a copy in which it does not.
+    still_leaving: bool,
+    /// It was gone before the store came back with its entry; an entry that stays that long is renewed by a living one.
+    unproven_until: Option<Boot>,
+}
+
+impl Known {
+    /// An endpoint of which only its entry is known.
+    pub fn new(endpoint: Rc<Endpoint>) -> Known {
+        Known {
+            endpoint,
+            cold_until: None,
+            missing_until: None,
+            still_leaving: false,
+            unproven_until: None,
+        }
+    }
+
+    fn may_get_work(&self, now: Boot) -> bool {
+        let held = self.missing_until.is_none_or(|until| now < until);
+        let proven = self.unproven_until.is_none_or(|until| until <= now);
+        held && proven && !self.endpoint.leaving && !self.still_leaving
+    }
+}
+
+/// Where an entry comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Via {
+    /// The first list of this process.
+    First,
+    /// A list of the era that is known.
+    List,
+    /// A list of a higher era.
+    Restored,
+    /// A write of its own.
+    Write,
 }
 
 /// Changes that came together are kept for others up to this count of times.
 const KEPT_BATCHES: usize = 16;
+/// Time for which an availability zone stays out that a restored list lacks: longer than it takes an operator's tool to
+/// write it again.
+const STILL_OUT: Duration = Duration::from_secs(30);
 
 /// Changes that came together.
 #[derive(Debug)]
@@ -103,17 +85,32 @@
 #[derive(Debug, Default)]
 pub struct View {
     batches: VecDeque<Batch>,
-    revision: Revision,
+    position: Position,
+    /// Revision up to which the list may have held changes that come after the position.
+    read_to: Revision,
     config: Option<Rc<Config>>,
     catalog: Rc<Catalog>,
     endpoints: BTreeMap<EndpointId, Known>,
     zones_out: BTreeSet<ZoneId>,
+    /// Zones that are out though a restored list lacks them, until then.
+    still_out: BTreeMap<ZoneId, Boot>,
+    gone: Gone,
+    /// Time after which the entry of a dead endpoint has lapsed.
+    lapse: Duration,
 }
 
 impl View {
-    /// The store's revision that the view rests on; 0 before the first snapshot.
-    pub fn revision(&self) -> Revision {
-        self.revision
+    /// A view that knows nothing; the store drops the entry of a dead endpoint within `lapse`.
+    pub fn new(lapse: Duration) -> View {
+        View {
+            lapse,
+            ..View::default()
+        }
+    }
+
+    /// The store's position that the view rests on; revision 0 before the first snapshot.
+    pub fn position(&self) -> Position {
+        self.position
     }
 
     /// The newest configuration with its indexes.
@@ -121,6 +118,11 @@
         &self.catalog
     }
 
+    /// The newest configuration, once one is known.
+    pub fn config(&self) -> Option<&Config> {
+        self.config.as_deref()
+    }
+
     /// Whether a configuration is known.
     pub fn has_config(&self) -> bool {
         self.config.is_some()
@@ -130,8 +132,7 @@
     pub fn usable<'a>(&'a self, service: &'a str, now: Boot) -> impl Iterator<Item = &'a Known> + 'a {
         self.endpoints.values().filter(move |known| {
             let endpoint = &known.endpoint;
-            let held = known.missing_until.is_none_or(|until| now < until);
-            held && endpoint.service == service && !endpoint.leaving && !self.zones_out.contains(&endpoint.zone)
+            endpoint.service == service && known.may_get_work(now) && !self.zones_out.contains(&endpoint.zone)
         })
     }
 
@@ -145,13 +146,16 @@
         self.endpoints.get(id)
     }
 
-    /// Everything that is known, for a peer.
+    /// What the store published, for a peer; what is only kept here is left out, since the peer would not learn of its end.
     pub fn snapshot(&self) -> Snapshot {
+        let published = self.endpoints.values().filter(|k| k.missing_until.is_none());
+        let out = self.zones_out.iter().filter(|zone| !self.still_out.contains_key(*zone));
         Snapshot {
-            revision: self.revision,
+            position: self.position,
+            read_to: self.read_to.max(self.position.revision),
             config: self.config.as_deref().cloned(),
-            endpoints: self.endpoints.values().map(|k| (*k.endpoint).clone()).collect(),
-            zones_out: self.zones_out.iter().cloned().collect(),
+            endpoints: published.map(|k| (*k.endpoint).clone()).collect(),
+            zones_out: out.cloned().collect(),
         }
     }
 
@@ -160,45 +164,74 @@
     /// changes nothing.
     pub fn replace(&mut self, snapshot: Snapshot, hold: Duration, now: Boot) -> Update {
         let mut update = Update::default();
-        if snapshot.revision < self.revision {
+        if self.is_past(snapshot.position) {
             return update;
         }
-        let first = self.revision == 0;
-        self.revision = snapshot.revision;
+        let via = match self.position {
+            Position { revision: 0, .. } => Via::First,
+            before if before.era < snapshot.position.era => Via::Restored,
+            _ => Via::List,
+        };
+        if via == Via::Restored {
+            update.restored = Some(Restored {
+                from: self.position,
+                to: snapshot.position,
+                ..Restored::default()
+            });
+        }
+        self.position = snapshot.position;
+        self.read_to = snapshot.read_to;
         self.batches.clear();
         if let Some(config) = snapshot.config {
             self.set_config(config, &mut update);
         }
-        let listed: BTreeSet<EndpointId> = snapshot.endpoints.iter().map(|e| e.id.clone()).collect();
-        for endpoint in snapshot.endpoints {
-            self.set_endpoint(endpoint, first, now, &mut update);
+        self.replace_endpoints(snapshot.endpoints, via, hold, now, &mut update);
+        self.replace_zones(snapshot.zones_out, via, now, &mut update);
+        update
+    }
+
+    /// Whether what ends at `position` may lack a change that is known: one behind the view, or such that the last pages
+    /// of the list were read later.
+    fn is_past(&self, position: Position) -> bool {
+        let same_era = position.era == self.position.era;
+        position < self.position || same_era && position.revision < self.read_to
+    }
+
+    fn replace_endpoints(&mut self, listed: Vec<Endpoint>, via: Via, hold: Duration, now: Boot, update: &mut Update) {
+        let mut absent: BTreeSet<EndpointId> = self.endpoints.keys().cloned().collect();
+        for endpoint in listed {
+            if via == Via::Restored && self.knows_later_start(&endpoint) {
+                continue;
+            }
+            absent.remove(&endpoint.id);
+            self.set_endpoint(endpoint, via, now, update);
+        }
+        for id in &absent {
+            self.miss(id, hold, now, update);
         }
-        let absent: Vec<EndpointId> = self
-            .endpoints
-            .keys()
-            .filter(|id| !listed.contains(*id))
-            .cloned()
-            .collect();
-        for id in absent {
-            self.miss(&id, hold, now, &mut update);
+        if let Some(restored) = &mut update.restored {
+            restored.missing = absent.into_iter().collect();
         }
-        self.replace_zones(snapshot.zones_out, now, &mut update);
-        update
     }
 
-    /// Takes changes in their order; `revision` is the store's after them. Changes that the view already has are
-    /// ignored.
-    pub fn apply(&mut self, changes: Vec<Change>, revision: Revision, hold: Duration, now: Boot) -> Update {
+    fn knows_later_start(&self, listed: &Endpoint) -> bool {
+        let known = self.endpoints.get(&listed.id);
+        known.is_some_and(|k| listed.start < k.endpoint.start)
+    }
+
+    /// Takes changes in their order; `position` is the store's after them. Changes that the view already has are
+    /// ignored, and so are those of another era: they don't follow the view.
+    pub fn apply(&mut self, changes: Vec<Change>, position: Position, hold: Duration, now: Boot) -> Update {
         let mut update = Update::default();
-        if revision < self.revision {
+        if self.is_past(position) || position.era != self.position.era {
             return update;
         }
-        self.keep(&changes, revision);
-        self.revision = revision;
+        self.keep(&changes, position.revision);
+        self.position = position;
         for change in changes {
             match change {
                 Change::Config(config) => self.set_config(config, &mut update),
-                Change::Endpoint(endpoint) => self.set_endpoint(endpoint, false, now, &mut update),
+                Change::Endpoint(endpoint) => self.set_endpoint(endpoint, Via::Write, now, &mut update),
                 Change::EndpointGone(id) => self.miss(&id, hold, now, &mut update),
                 Change::ZoneOut(zone) => self.zone_out(zone, &mut update),
                 Change::ZoneBack(zone) => self.zone_back(&zone, now, &mut update),
@@ -207,49 +240,63 @@
         update
     }
 
-    /// Changes after `revision` in their order, for a view of that revision; `None` if they are no longer kept. The first
-    /// ones may be such that it has already.
-    pub fn changes_after(&self, revision: Revision) -> Option<Vec<Change>> {
-        if revision >= self.revision {
+    /// Takes a configuration that a peer knows, if it is newer: versions grow whatever the store's era is.
+    pub fn learn_config(&mut self, config: Config) -> Update {
+        let mut update = Update::default();
+        self.set_config(config, &mut update);
+        update
+    }
+
+    /// Changes after `position` in their order, for a view of that position; `None` if they are no longer kept, or the
+    /// view is of an earlier era. The first ones may be such that it has already. A view that is ahead gets none.
+    pub fn changes_after(&self, position: Position) -> Option<Vec<Change>> {
+        if position >= self.position {
             return Some(Vec::new());
         }
-        let start = self.batches.iter().rposition(|batch| batch.from <= revision)?;
+        if position.era < self.position.era {
+            return None;
+        }
+        let start = self.batches.iter().rposition(|batch| batch.from <= position.revision)?;
         let behind = self.batches.iter().skip(start);
         Some(behind.flat_map(|batch| batch.changes.iter().cloned()).collect())
     }
 
     fn keep(&mut self, changes: &[Change], revision: Revision) {
-        if revision == self.revision {
+        if revision == self.position.revision {
             return;
         }
         if self.batches.len() == KEPT_BATCHES {
             self.batches.pop_front();
         }
         self.batches.push_back(Batch {
-            from: self.revision,
+            from: self.position.revision,
             changes: changes.to_vec(),
         });
     }
 
-    /// Drops the endpoints whose entries stayed away.
+    /// Drops the endpoints whose entries stayed away, and takes back the zones that nobody took out again.
     pub fn expire(&mut self, now: Boot) -> Update {
         let mut update = Update::default();
         let over = |k: &Known| k.missing_until.is_some_and(|until| until <= now);
-        let gone: Vec<EndpointId> = self
-            .endpoints
-            .iter()
-            .filter(|(_, k)| over(k))
-            .map(|(id, _)| id.clone())
-            .collect();
+        let gone = self.endpoints.iter().filter(|(_, k)| over(k));
+        let gone: Vec<EndpointId> = gone.map(|(id, _)| id.clone()).collect();
         for id in gone {
-            self.endpoints.remove(&id);
-            update.gone.push(id);
+            self.remove(&id, now, &mut update);
+        }
+        let back = self.still_out.iter().filter(|(_, until)| **until <= now);
+        let back: Vec<ZoneId> = back.map(|(zone, _)| zone.clone()).collect();
+        for zone in back {
+            self.zone_back(&zone, now, &mut update);
         }
         update
     }
 
     fn set_config(&mut self, config: Config, update: &mut Update) {
         if self.config.is_some() && config.version <= self.catalog.version() {
+            let is_older = config.version < self.catalog.version();
+            if let Some(restored) = update.restored.as_mut().filter(|_| is_older) {
+                restored.older_config = Some(config.version);
+            }
             return;
         }
         update.config = Some(config.version);
@@ -257,46 +304,71 @@
         self.config = Some(Rc::new(config));
     }
 
-    fn set_endpoint(&mut self, endpoint: Endpoint, first: bool, now: Boot, update: &mut Update) {
+    fn set_endpoint(&mut self, endpoint: Endpoint, via: Via, now: Boot, update: &mut Update) {
         let before = self.endpoints.get(&endpoint.id);
-        let same_start = before.is_some_and(|k| k.endpoint.start == endpoint.start);
-        let mut cold_until = (!endpoint.cold_for.is_zero()).then(|| now.after(endpoint.cold_for));
-        if same_start {
-            cold_until = cold_until.max(before.and_then(|k| k.cold_until));
+        let same = before.filter(|k| k.endpoint.start == endpoint.start);
+        let mut known = Known {
+            cold_until: (!endpoint.cold_for.is_zero()).then(|| now.after(endpoint.cold_for)),
+            missing_until: None,
+            still_leaving: same.is_some_and(|k| keeps_leaving(k, &endpoint, via)),
+            unproven_until: same.and_then(|k| k.unproven_until).filter(|_| via != Via::Write),
+            endpoint: Rc::new(endpoint),
+        };
+        let endpoint = &known.endpoint;
+        if let Some(same) = same {
+            known.cold_until = known.cold_until.max(same.cold_until);
         } else {
             update.appeared.push(endpoint.id.clone());
-            if !first {
+            if via != Via::First {
                 let cold_time = self.catalog.service(&endpoint.service).map(|s| s.cold_time);
-                cold_until = cold_until.max(cold_time.map(|time| now.after(time)));
+                known.cold_until = known.cold_until.max(cold_time.map(|time| now.after(time)));
+            }
+            if via == Via::Restored && self.gone.holds(endpoint, now) {
+                known.unproven_until = Some(now.after(self.lapse));
             }
         }
-        let began_leaving = endpoint.leaving && !before.is_some_and(|k| same_start && k.endpoint.leaving);
-        if began_leaving {
+        if endpoint.leaving && !same.is_some_and(|k| k.endpoint.leaving) {
             update.leaving.push(endpoint.id.clone());
         }
-        let known = Known {
-            endpoint: Rc::new(endpoint),
-            cold_until,
-            missing_until: None,
-        };
+        if let Some(restored) = &mut update.restored {
+            if known.still_leaving {
+                restored.still_leaving.push(endpoint.id.clone());
+            }
+            if known.unproven_until.is_some() {
+                restored.unproven.push(endpoint.id.clone());
+            }
+        }
+        self.gone.forget(&endpoint.id);
         self.endpoints.insert(known.endpoint.id.clone(), known);
     }
 
     fn miss(&mut self, id: &str, hold: Duration, now: Boot, update: &mut Update) {
         if hold.is_zero() {
-            if self.endpoints.remove(id).is_some() {
-                update.gone.push(id.to_owned());
-            }
+            self.remove(id, now, update);
         } else if let Some(known) = self.endpoints.get_mut(id) {
             known.missing_until.get_or_insert(now.after(hold));
         }
     }
 
-    fn replace_zones(&mut self, zones: Vec<ZoneId>, now: Boot, update: &mut Update) {
+    fn remove(&mut self, id: &str, now: Boot, update: &mut Update) {
+        if let Some(known) = self.endpoints.remove(id) {
+            self.gone.note(&known.endpoint, now);
+            update.gone.push(id.to_owned());
+        }
+    }
+
+    fn replace_zones(&mut self, zones: Vec<ZoneId>, via: Via, now: Boot, update: &mut Update) {
         let out: BTreeSet<ZoneId> = zones.into_iter().collect();
-        let back: Vec<ZoneId> = self.zones_out.difference(&out).cloned().collect();
-        for zone in back {
-            self.zone_back(&zone, now, update);
+        let absent: Vec<ZoneId> = self.zones_out.difference(&out).cloned().collect();
+        for zone in absent {
+            if via == Via::Restored {
+                self.still_out.insert(zone.clone(), now.after(STILL_OUT));
+            }
+            match &mut update.restored {
+                Some(restored) => restored.still_out.push(zone),
+                None if self.still_out.contains_key(&zone) => {}
+                None => self.zone_back(&zone, now, update),
+            }
         }
         for zone in out {
             self.zone_out(zone, update);
@@ -304,12 +376,14 @@
     }
 
     fn zone_out(&mut self, zone: ZoneId, update: &mut Update) {
+        self.still_out.remove(&zone);
         if self.zones_out.insert(zone.clone()) {
             update.zones_out.push(zone);
         }
     }
 
     fn zone_back(&mut self, zone: &str, now: Boot, update: &mut Update) {
+        self.still_out.remove(zone);
         if !self.zones_out.remove(zone) {
             return;
         }
@@ -321,3 +395,13 @@
         update.zones_back.push(zone.to_owned());
     }
 }
+
+/// Whether an endpoint that left goes on leaving though its `entry` says otherwise.
+fn keeps_leaving(known: &Known, entry: &Endpoint, via: Via) -> bool {
+    let left = match via {
+        Via::Restored => known.endpoint.leaving || known.still_leaving,
+        Via::List => known.still_leaving,
+        Via::First | Via::Write => false,
+    };
+    left && !entry.leaving
+}
--- a/crates/celerytide-catalog/tests/view.rs
+++ b/crates/celerytide-catalog/tests/view.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use celerytide_catalog::{
-    Backend, CallerLimits, Catalog, Change, Config, Customer, Endpoint, Kind, Lookup, Route, Service, Snapshot,
-    Urgency, View,
+    Backend, CallerLimits, Catalog, Change, Config, Customer, Endpoint, Kind, Lookup, Position, Route, Service,
+    Snapshot, Urgency, View,
 };
 use celerytide_types::Boot;
 
@@ -14,6 +14,11 @@
     Boot::from_start(Duration::from_millis(ms))
 }
 
+/// A position in the first era.
+fn pos(revision: u64) -> Position {
+    Position { era: 1, revision }
+}
+
 fn route(host: &str, prefix: &str, priority: u32) -> Route {
     Route {
         name: prefix.to_owned(),
@@ -74,7 +79,8 @@
 
 fn snapshot(revision: u64, version: u64, endpoints: &[Endpoint]) -> Snapshot {
     Snapshot {
-        revision,
+        position: pos(revision),
+        read_to: revision,
         config: Some(config(version)),
         endpoints: endpoints.to_vec(),
         zones_out: Vec::new(),
@@ -92,13 +98,18 @@
     let older = view.replace(snapshot(9, 9, &[]), Duration::ZERO, at(1));
     assert_eq!(older, Default::default(), "an older snapshot changes nothing");
     assert_eq!(usable(&view, 2000), ["a"]);
-    view.apply(vec![Change::Config(config(4))], 11, Duration::ZERO, at(2));
+    view.apply(vec![Change::Config(config(4))], pos(11), Duration::ZERO, at(2));
     assert_eq!(
         view.catalog().version(),
         5,
         "nor does an older version under a newer revision"
     );
-    view.apply(vec![Change::EndpointGone("a".to_owned())], 10, Duration::ZERO, at(3));
+    view.apply(
+        vec![Change::EndpointGone("a".to_owned())],
+        pos(10),
+        Duration::ZERO,
+        at(3),
+    );
     assert_eq!(usable(&view, 2000), ["a"], "nor do changes of an older revision");
 }
 
@@ -124,7 +135,7 @@
     view.expire(at(2800));
     assert_eq!(usable(&view, 2800), ["a"], "it stayed away");
     view.replace(snapshot(30, 1, &[]), HOLD, at(3000));
-    view.apply(vec![Change::Endpoint(both[0].clone())], 31, HOLD, at(3100));
+    view.apply(vec![Change::Endpoint(both[0].clone())], pos(31), HOLD, at(3100));
     view.expire(at(9000));
     assert_eq!(usable(&view, 9000), ["a"], "it came back");
 }
@@ -179,7 +190,7 @@
     for case in &COLD {
         let mut view = View::default();
         view.replace(snapshot(10, 1, &[endpoint("a", "z", 1)]), Duration::ZERO, at(0));
-        view.apply((case.change)(), 11, Duration::ZERO, at(100));
+        view.apply((case.change)(), pos(11), Duration::ZERO, at(100));
         let cold_until = view.endpoint("a").and_then(|k| k.cold_until);
         assert_eq!(
             cold_until.is_some_and(|until| until > at(200)),
@@ -198,13 +209,13 @@
         Duration::ZERO,
         at(0),
     );
-    view.apply(vec![Change::ZoneOut("x".to_owned())], 11, Duration::ZERO, at(1));
+    view.apply(vec![Change::ZoneOut("x".to_owned())], pos(11), Duration::ZERO, at(1));
     assert_eq!(usable(&view, 2000), ["b"]);
     let leaving = Endpoint {
         leaving: true,
         ..endpoint("b", "y", 1)
     };
-    let update = view.apply(vec![Change::Endpoint(leaving)], 12, Duration::ZERO, at(2));
+    let update = view.apply(vec![Change::Endpoint(leaving)], pos(12), Duration::ZERO, at(2));
     assert_eq!(update.leaving, ["b"]);
     assert!(usable(&view, 2000).is_empty());
 }
@@ -305,7 +316,8 @@
 fn changes_kept_for_others_bring_them_up_to_date() {
     for case in &BEHIND {
         let start = Snapshot {
-            revision: 10,
+            position: pos(10),
+            read_to: 10,
             config: Some(config(1)),
             endpoints: vec![endpoint("a", "z1", 1), endpoint("b", "z2", 1)],
             zones_out: Vec::new(),
@@ -320,34 +332,59 @@
                 Change::Endpoint(endpoint(&format!("n{n}"), "z1", n)),
                 Change::EndpointGone(format!("n{}", n.wrapping_sub(3))),
             ];
-            ahead.apply(changes, 12 + n * 3, Duration::ZERO, at(n));
+            ahead.apply(changes, pos(12 + n * 3), Duration::ZERO, at(n));
         }
-        let kept = ahead.changes_after(behind.revision());
+        let kept = ahead.changes_after(behind.position());
         assert_eq!(kept.is_some(), case.by_changes, "{}", case.name);
         if let Some(list) = kept {
-            behind.apply(list, ahead.revision(), Duration::ZERO, at(100));
+            behind.apply(list, ahead.position(), Duration::ZERO, at(100));
             assert_eq!(behind.snapshot(), ahead.snapshot(), "{}", case.name);
         }
         // One between two batches takes the later one whole.
-        let between = ahead.changes_after(ahead.revision().saturating_sub(1));
+        let between = ahead.changes_after(pos(ahead.position().revision.saturating_sub(1)));
         assert_eq!(between.is_some(), case.batches > 0, "{}", case.name);
     }
 }
 
+#[test]
+fn what_the_last_page_told_does_not_go_back() {
+    let mut view = View::default();
+    let mut list = snapshot(
+        10,
+        1,
+        &[Endpoint {
+            leaving: true,
+            ..endpoint("a", "z", 1)
+        }],
+    );
+    list.read_to = 12;
+    view.replace(list, Duration::ZERO, at(0));
+    // A reader that is at 11 hands on a write of the endpoint before it left.
+    let before = vec![Change::Endpoint(endpoint("a", "z", 1))];
+    view.apply(before, pos(11), Duration::ZERO, at(1));
+    assert!(usable(&view, 1).is_empty());
+    let older = view.replace(snapshot(11, 1, &[endpoint("a", "z", 1)]), Duration::ZERO, at(2));
+    assert_eq!(older, Default::default());
+    let later = vec![Change::Endpoint(endpoint("a", "z", 2))];
+    view.apply(later, pos(12), Duration::ZERO, at(3));
+    assert_eq!(usable(&view, 3), ["a"]);
+}
+
 #[test]
 fn a_new_list_ends_what_is_kept_for_others() {
     let mut view = View::default();
     let list = |revision| Snapshot {
-        revision,
+        position: pos(revision),
+        read_to: revision,
         config: Some(config(1)),
         endpoints: Vec::new(),
         zones_out: Vec::new(),
     };
     view.replace(list(10), Duration::ZERO, at(0));
-    view.apply(vec![Change::ZoneOut("z".to_owned())], 11, Duration::ZERO, at(0));
-    assert_eq!(view.changes_after(10).map(|list| list.len()), Some(1));
+    view.apply(vec![Change::ZoneOut("z".to_owned())], pos(11), Duration::ZERO, at(0));
+    assert_eq!(view.changes_after(pos(10)).map(|list| list.len()), Some(1));
     view.replace(list(14), Duration::ZERO, at(0));
-    assert_eq!(view.changes_after(10), None, "what lies between isn't known");
+    assert_eq!(view.changes_after(pos(10)), None, "what lies between isn't known");
 }
 
 /// A place in the order of urgency, and what it is as a rank and on a scale of three.
--- a/crates/celerytide-edge/src/daemon/mod.rs
+++ b/crates/celerytide-edge/src/daemon/mod.rs
@@ -214,7 +214,9 @@
             edge.counters
                 .reading
                 .set(i64::from(edge.reading.get() == Reading::Reads));
-            edge.counters.revision.set(edge.view.borrow().revision() as i64);
+            let position = edge.view.borrow().position();
+            edge.counters.revision.set(position.revision as i64);
+            edge.counters.era.set(position.era as i64);
             (StatusCode::OK, Bytes::from(self.metrics.text()))
         } else if edge.is_ready() {
             (StatusCode::OK, Bytes::from_static(b"ready\n"))
--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -1,12 +1,13 @@
 //! The state of the process and the decisions that need more than one part of it.
 
 mod pick;
+mod sure;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
-use celerytide_catalog::{Endpoint, Route, Service, Update, View};
+use celerytide_catalog::{Endpoint, Restored, Route, Service, Update, View};
 use celerytide_http::Limits;
 use celerytide_http::client::{Client, Options};
 use celerytide_types::{Boot, ServiceId, now_boot};
@@ -17,6 +18,7 @@
 use tracing::{info, warn};
 
 pub use pick::{InFlight, NoPick, Pick};
+pub use sure::Sure;
 
 use crate::admit::Held;
 use crate::budget::Budget;
@@ -45,6 +47,8 @@
 const IDLE_SHARE: f64 = 0.2;
 /// Descriptors where the settings name no bound.
 const DESCRIPTORS: usize = 1024;
+/// Heartbeats after which the entry of a dead endpoint has lapsed for sure.
+const LAPSE_BEATS: u32 = 4;
 /// Descriptors kept for files.
 const FILES: usize = 200;
 
@@ -67,6 +71,8 @@
     pub wire: W,
     /// What is known.
     pub view: RefCell<View>,
+    /// Whether the configuration is known to be the newest.
+    pub sure: RefCell<Sure>,
     /// What is in flight.
     pub loads: RefCell<Loads>,
     /// How often shared parts are asked for.
@@ -137,7 +143,8 @@
             budget: RefCell::new(Budget::new(settings.bounds.repeats())),
             cold: RefCell::new(ColdShares::new(own, now)),
             members: RefCell::new(Members::new(own, &settings.seeds, now)),
-            view: RefCell::default(),
+            view: RefCell::new(View::new(settings.bounds.heartbeat() * LAPSE_BEATS)),
+            sure: RefCell::default(),
             loads: RefCell::default(),
             heat: RefCell::default(),
             digests: RefCell::default(),
@@ -165,7 +172,8 @@
     /// Whether new connections may come.
     pub fn is_ready(&self) -> bool {
         let view = self.view.borrow();
-        view.has_config() && view.endpoint_count() > 0 && self.stopping_since.get().is_none()
+        let knows = view.has_config() && view.endpoint_count() > 0;
+        knows && self.stopping_since.get().is_none() && self.serves(now_boot())
     }
 
     /// For how long endpoints whose entries are gone are still kept.
@@ -253,10 +261,14 @@
         let view = self.view.borrow();
         if update.config.is_some() {
             self.follow_limits(&view);
+            self.sure.borrow_mut().learned(now);
+        }
+        if let Some(restored) = &update.restored {
+            self.follow_restore(restored, now);
         }
         info!(
             from,
-            revision = view.revision(),
+            position = ?view.position(),
             config = view.catalog().version(),
             endpoints = view.endpoint_count(),
             update = ?update,
@@ -264,6 +276,21 @@
         );
     }
 
+    fn follow_restore(&self, restored: &Restored, now: Boot) {
+        self.counters.restores.inc();
+        self.sure.borrow_mut().restored(now);
+        warn!(
+            from = ?restored.from,
+            to = ?restored.to,
+            listed_config = restored.older_config,
+            still_leaving = ?restored.still_leaving,
+            still_out = ?restored.still_out,
+            missing = ?restored.missing,
+            unproven = ?restored.unproven,
+            "store: came back older; what it lacks stays in force until it is written again"
+        );
+    }
+
     fn follow_limits(&self, view: &View) {
         let Some(new) = view.catalog().limits() else {
             return;
--- /dev/null
+++ b/crates/celerytide-edge/src/edge/sure.rs
@@ -0,0 +1,87 @@
+//! Whether the configuration that is known is the newest that was in force.
+//!
+//! Answers this fault: the store comes back from a copy and lists an older configuration until the newest is written again.
+//! A process that starts, or was cut off, in that time would deny routes and keys that are in force, and a new one would
+//! serve by keys that were taken away. Other instances know better, so a word of one of them is waited for: a new process
+//! serves nothing until then, and any process denies nothing. Where no other answers, a short time takes its place.
+
+use std::time::Duration;
+
+use celerytide_types::{Boot, Version};
+use tracing::info;
+
+use super::Edge;
+use crate::names::Wire;
+
+/// Time after which a configuration counts as the newest though no other instance has told of its own.
+const ALONE: Duration = Duration::from_millis(300);
+
+/// What is known of the configuration's age.
+#[derive(Debug, Default)]
+pub struct Sure {
+    /// When a first configuration was learned.
+    learned: Option<Boot>,
+    /// When the store came back from a copy.
+    restored: Option<Boot>,
+    /// When another instance last told of its own.
+    compared: Option<Boot>,
+}
+
+impl Sure {
+    /// A configuration was learned.
+    pub fn learned(&mut self, now: Boot) {
+        self.learned.get_or_insert(now);
+    }
+
+    /// The store came back from a copy.
+    pub fn restored(&mut self, now: Boot) {
+        self.restored = Some(now);
+    }
+
+    /// Another instance told of its configuration, which is known here now.
+    pub fn compared(&mut self, now: Boot) {
+        self.compared = Some(now);
+    }
+
+    /// Whether the process may serve by what it knows.
+    pub fn serves(&self, now: Boot) -> bool {
+        self.learned.is_some_and(|since| self.settled(since, now))
+    }
+
+    /// Whether it may deny by it.
+    pub fn denies(&self, now: Boot) -> bool {
+        self.serves(now) && self.restored.is_none_or(|since| self.settled(since, now))
+    }
+
+    fn settled(&self, since: Boot, now: Boot) -> bool {
+        self.compared.is_some_and(|at| at >= since) || now.since(since) >= ALONE
+    }
+}
+
+impl<W: Wire> Edge<W> {
+    /// Whether callers may be served by what is known.
+    pub fn serves(&self, now: Boot) -> bool {
+        self.sure.borrow().serves(now) || self.is_alone(now)
+    }
+
+    /// Whether the configuration is known to be the newest.
+    pub fn is_sure(&self, now: Boot) -> bool {
+        self.sure.borrow().denies(now) || self.is_alone(now)
+    }
+
+    /// Takes in the version of the configuration of another instance that is sure of it; 0 from one that isn't.
+    pub fn compare_config(&self, version: Version, now: Boot) {
+        let own = self.view.borrow().catalog().version();
+        if version == 0 || version > own {
+            return;
+        }
+        if !self.is_sure(now) {
+            info!(own, version, "edge: another instance knows no newer configuration");
+        }
+        self.sure.borrow_mut().compared(now);
+    }
+
+    fn is_alone(&self, now: Boot) -> bool {
+        self.members.borrow().known(now).len() <= 1
+    }
+}
--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -22,7 +22,7 @@
 
 use crate::edge::{Edge, NoPick};
 use crate::health::Sign;
-use crate::intake::{self, Intake};
+use crate::intake::{self, Denial, Intake};
 use crate::metrics::{Ended, OfRoute};
 use crate::names::{Wire, kind_word};
 use crate::stop;
@@ -54,15 +54,16 @@
 async fn serve<W: Wire>(edge: &Rc<Edge<W>>, req: Request, out: Responder, cx: CancellationToken) {
     let began = now_boot();
     let catalog = edge.view.borrow().catalog().clone();
-    let intake = match intake::read(&req, &catalog, &edge.wire, began) {
-        Ok(intake) => intake,
-        Err(denial) => {
+    let intake = match intake::read(&req, &catalog, &edge.wire, began).map_err(|denial| denied(edge, denial)) {
+        Ok(intake) if edge.serves(began) => intake,
+        read => {
+            let denial = read.err().unwrap_or(Denial::Unconfigured);
             let refusal = Refusal::denied(denial);
             info!(
                 path = req.uri.path(),
                 cause = refusal.cause,
                 config = catalog.version(),
-                revision = edge.view.borrow().revision(),
+                position = ?edge.view.borrow().position(),
                 "refuse: not forwarded"
             );
             return refuse(out, &refusal).await;
@@ -90,6 +91,15 @@
     run.note(&ended);
 }
 
+/// What a caller is told: a route or key that is unknown may be in a newer configuration.
+fn denied<W: Wire>(edge: &Edge<W>, denial: Denial) -> Denial {
+    if edge.is_sure(now_boot()) {
+        denial
+    } else {
+        Denial::Unconfigured
+    }
+}
+
 /// When a caller may come back whose request has no endpoint.
 fn back(none: NoPick) -> Back {
     match none {
@@ -328,7 +338,7 @@
             prompt = self.intake.prompt.tokens,
             ms = took.as_millis() as u64,
             left_ms = self.left().as_millis() as u64,
-            revision = edge.view.borrow().revision(),
+            position = ?edge.view.borrow().position(),
             "forward: ended"
         );
     }
--- a/crates/celerytide-edge/src/metrics/mod.rs
+++ b/crates/celerytide-edge/src/metrics/mod.rs
@@ -50,6 +50,12 @@
     pub dropped_lines: Gauge,
     /// Revision of the view.
     pub revision: Gauge,
+    /// Era of the view.
+    pub era: Gauge,
+    /// Times that the store came back from a copy.
+    pub restores: Counter,
+    /// Pages of the list asked for.
+    pub pages: Counter,
     /// 1 while this instance reads the store, 0 while it follows one that does or has lost it.
     pub reading: Gauge,
 }
@@ -68,6 +74,9 @@
             busy: Gauge::default(),
             dropped_lines: Gauge::default(),
             revision: Gauge::default(),
+            era: Gauge::default(),
+            restores: Counter::default(),
+            pages: Counter::default(),
             reading: Gauge::default(),
         }
     }
@@ -94,6 +103,11 @@
             "Revision of the store that the view rests on",
             self.revision.clone(),
         );
+        registry.register("view_era", "Era of the store that the view rests on", self.era.clone());
+        let restores = "Times that the store came back from a copy";
+        registry.register("store_restores", restores, self.restores.clone());
+        let pages = "Pages of the store's list asked for";
+        registry.register("store_pages", pages, self.pages.clone());
         let reading = "1 while this instance reads the store, 0 while it follows another or has lost it";
         registry.register("store_reading", reading, self.reading.clone());
     }
--- a/crates/celerytide-edge/src/peers/news.rs
+++ b/crates/celerytide-edge/src/peers/news.rs
@@ -1,13 +1,15 @@
 //! Talks to other instances: one call a second to one of them.
 //!
 //! A call tells who lives and how new this instance's view is. The answer carries the peer's whole view if it is newer
-//! and the caller can't read the store itself.
+//! and the caller can't read the store itself. It also tells the version of the peer's configuration, and carries that if it
+//! is higher and the caller can't tell whether its own is the newest: a store that came back from a copy may list an
+//! older one. A view that is behind, or of an earlier era, teaches nothing else.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use celerytide_catalog::{Revision, Snapshot};
-use celerytide_types::{Boot, data, now_boot};
+use celerytide_catalog::{Config, Position, Snapshot};
+use celerytide_types::{Boot, Millis, Version, data, millis, now_boot};
 use celerytide_wire::messages::Method;
 use celerytide_wire::{Exchange, Options};
 use monoio::time::{sleep, timeout};
@@ -23,6 +25,8 @@
 const CALM: Duration = Duration::from_millis(1000);
 /// Pause between two calls while it doesn't, or while the instance is new.
 const ANXIOUS: Duration = Duration::from_millis(250);
+/// Pause while it can't be told whether the configuration is the newest.
+const UNSURE: Duration = Duration::from_millis(100);
 /// Time after the start in which an instance looks for others.
 const YOUNG: Duration = Duration::from_secs(3);
 /// Silence of the store after which peers are asked for their view.
@@ -37,10 +41,14 @@
     pub struct Ask {
         /// Who lives; the sender first.
         pub heard: Vec<Heard>,
-        /// Revision of the sender's view.
-        pub revision: Revision,
+        /// Position of the sender's view.
+        pub position: Position,
+        /// Version of its configuration; 0 if it knows none.
+        pub config: Version,
         /// The sender can't read the store and wants a newer view.
         pub wants_view: bool,
+        /// The sender can't tell whether its configuration is the newest.
+        pub is_unsure: bool,
     }
 
     /// The answer to [`Ask`].
@@ -49,6 +57,12 @@
         pub heard: Vec<Heard>,
         /// Its view, if it is newer and wanted.
         pub view: Option<Snapshot>,
+        /// For how long endpoints whose entries are gone are still kept.
+        pub keep_ms: Millis,
+        /// Version of its configuration; 0 if it knows none, or is unsure itself.
+        pub config: Version,
+        /// Its configuration, if that is newer and the asker is unsure.
+        pub newer_config: Option<Config>,
     }
 }
 
@@ -67,7 +81,12 @@
         let now = now_boot();
         let wants_view = store_is_silent(&edge, now);
         let young = edge.members.borrow().age(now) < YOUNG;
-        let pause = if wants_view || young { ANXIOUS } else { CALM };
+        let is_unsure = !edge.is_sure(now);
+        let pause = match () {
+            () if is_unsure => UNSURE,
+            () if wants_view || young => ANXIOUS,
+            () => CALM,
+        };
         sleep(pause.mul_f64(rand::rng().random_range(1.0 - SPREAD..1.0 + SPREAD))).await;
         let drawn = edge.members.borrow().draw(now);
         let Some(peer) = drawn else {
@@ -75,8 +94,10 @@
         };
         let ask = Ask {
             heard: edge.members.borrow().digest(now),
-            revision: edge.view.borrow().revision(),
+            position: edge.view.borrow().position(),
+            config: edge.view.borrow().catalog().version(),
             wants_view,
+            is_unsure,
         };
         match timeout(CALL, edge.links.call::<Ask, Reply>(peer, Method::Peers, &ask)).await {
             Ok(Ok(reply)) => take(&edge, reply),
@@ -97,15 +118,24 @@
 fn take<W: Wire>(edge: &Edge<W>, reply: Reply) {
     let now = now_boot();
     edge.members.borrow_mut().merge(&reply.heard, now);
-    let Some(view) = reply.view else {
-        return;
-    };
+    if let Some(config) = reply.newer_config {
+        info!(version = config.version, "peers: took the configuration of a peer");
+        let update = edge.view.borrow_mut().learn_config(config);
+        edge.follow_update(&update, "peer");
+    }
+    if let Some(view) = reply.view {
+        take_view(edge, view, Duration::from_millis(reply.keep_ms), now);
+    }
+    edge.compare_config(reply.config, now);
+}
+
+fn take_view<W: Wire>(edge: &Edge<W>, view: Snapshot, hold: Duration, now: Boot) {
     // The store may have answered since the question was sent.
-    if view.revision <= edge.view.borrow().revision() {
+    if view.position <= edge.view.borrow().position() {
         return;
     }
-    info!(revision = view.revision, "peers: took the view of a peer");
-    let update = edge.view.borrow_mut().replace(view, Duration::ZERO, now);
+    info!(position = ?view.position, "peers: took the view of a peer");
+    let update = edge.view.borrow_mut().replace(view, hold, now);
     edge.follow_update(&update, "peer");
 }
 
@@ -133,16 +163,27 @@
     fn answer(&self, ask: &Ask) -> Reply {
         let edge = &self.0;
         let now = now_boot();
-        let mut members = edge.members.borrow_mut();
-        members.merge(&ask.heard, now);
-        if let Some(sender) = ask.heard.first() {
-            members.note(sender.address, now);
-        }
+        let heard = self.hear(&ask.heard, now);
         let view = edge.view.borrow();
-        let newer = ask.wants_view && view.revision() > ask.revision;
+        let version = view.catalog().version();
+        let newer = ask.wants_view && view.position() > ask.position;
+        let newer_config = view.config().filter(|_| ask.is_unsure && version > ask.config);
         Reply {
-            heard: members.digest(now),
+            heard,
             view: newer.then(|| view.snapshot()),
+            keep_ms: millis(edge.hold(now)),
+            config: if edge.is_sure(now) { version } else { 0 },
+            newer_config: newer_config.cloned(),
+        }
+    }
+
+    /// Takes in who lives by another instance's word; returns this one's.
+    fn hear(&self, heard: &[Heard], now: Boot) -> Vec<Heard> {
+        let mut members = self.0.members.borrow_mut();
+        members.merge(heard, now);
+        if let Some(sender) = heard.first() {
+            members.note(sender.address, now);
         }
+        members.digest(now)
     }
 }
--- a/crates/celerytide-edge/src/peers/readers.rs
+++ b/crates/celerytide-edge/src/peers/readers.rs
@@ -57,14 +57,19 @@
         if !is_large(live.len()) || age < YOUNG || reads_on {
             return Origin::Store;
         }
-        let Some(followed) = followed(own, live) else {
+        let Some(mut followed) = followed(own, live) else {
             return Origin::Store;
         };
-        let avoided = |reader: &SocketAddr| self.avoided.get(reader).is_some_and(|until| now < *until);
-        let usable = followed.into_iter().filter(|reader| !avoided(reader));
-        let key = own.to_string();
-        let nearest = usable.max_by_key(|reader| rendezvous_weight(&key, &reader.to_string()));
-        nearest.map_or(Origin::Store, Origin::Peer)
+        followed.retain(|reader| self.avoided.get(reader).is_none_or(|until| *until <= now));
+        chosen(own, followed).map_or(Origin::Store, Origin::Peer)
+    }
+
+    /// The instance that reads for `own`, though it may have failed of late; `None` if it reads itself.
+    pub fn reader(own: SocketAddr, live: &[SocketAddr]) -> Option<SocketAddr> {
+        if !is_large(live.len()) {
+            return None;
+        }
+        chosen(own, followed(own, live)?)
     }
 
     /// An instance follows this one.
@@ -85,6 +90,14 @@
     }
 }
 
+/// The one of `followed` that `own` follows.
+fn chosen(own: SocketAddr, followed: Vec<SocketAddr>) -> Option<SocketAddr> {
+    let key = own.to_string();
+    followed
+        .into_iter()
+        .max_by_key(|reader| rendezvous_weight(&key, &reader.to_string()))
+}
+
 /// Those that `own` may follow; `None` if it reads.
 fn followed(own: SocketAddr, live: &[SocketAddr]) -> Option<Vec<SocketAddr>> {
     let mut all: Vec<SocketAddr> = live.to_vec();
--- a/crates/celerytide-edge/src/peers/relay.rs
+++ b/crates/celerytide-edge/src/peers/relay.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use celerytide_catalog::{Change, Revision, Snapshot};
+use celerytide_catalog::{Change, Position, Snapshot};
 use celerytide_types::{Boot, Millis, data, millis, now_boot};
 use celerytide_wire::messages::Method;
 use celerytide_wire::{Exchange, Links};
@@ -27,8 +27,8 @@
 data! {
     /// What a follower asks a reader.
     pub struct Follow {
-        /// Revision of its view.
-        pub revision: Revision,
+        /// Position of its view.
+        pub position: Position,
         /// How long the reader may wait for something newer.
         pub patience_ms: Millis,
     }
@@ -53,10 +53,10 @@
         Changes {
             /// The changes; none if nothing is newer.
             list: Vec<Change>,
-            /// The store's revision after them.
-            revision: Revision,
+            /// The store's position after them.
+            position: Position,
         },
-        /// Everything: the reader no longer keeps the changes after the follower's view.
+        /// Everything: the reader no longer keeps the changes after the follower's view, or that is of an earlier era.
         Whole(Snapshot),
     }
 }
@@ -84,10 +84,10 @@
     Lost,
 }
 
-/// Waits at `reader` for up to `wait` for something newer than `revision`.
-pub async fn follow(links: &Links, reader: SocketAddr, revision: Revision, wait: Duration) -> Result<Told, Error> {
+/// Waits at `reader` for up to `wait` for something newer than `position`.
+pub async fn follow(links: &Links, reader: SocketAddr, position: Position, wait: Duration) -> Result<Told, Error> {
     let ask = Follow {
-        revision,
+        position,
         patience_ms: millis(wait),
     };
     let after = wait + ANSWER;
@@ -110,11 +110,11 @@
         edge.readers.borrow_mut().asked(now_boot());
     }
     let woken = edge.changed.notified();
-    if tells && edge.view.borrow().revision() <= ask.revision {
+    if tells && edge.view.borrow().position() <= ask.position {
         // Without a change the answer says just that.
         let _ = timeout(Duration::from_millis(ask.patience_ms), woken).await;
     }
-    if let Err(error) = ex.send_last(&told(edge, ask.revision)).await {
+    if let Err(error) = ex.send_last(&told(edge, ask.position)).await {
         debug!(%error, "peers: changes not sent");
     }
 }
@@ -129,16 +129,16 @@
     }
 }
 
-fn told<W: Wire>(edge: &Edge<W>, revision: Revision) -> Told {
+fn told<W: Wire>(edge: &Edge<W>, position: Position) -> Told {
     let now = now_boot();
     let view = edge.view.borrow();
     let news = match edge.reading.get() {
         Reading::Lost => News::Lost,
         Reading::Follows if !tells(edge, now) => News::NotYet,
-        Reading::Follows | Reading::Reads => match view.changes_after(revision) {
+        Reading::Follows | Reading::Reads => match view.changes_after(position) {
             Some(list) => News::Changes {
                 list,
-                revision: view.revision().max(revision),
+                position: view.position().max(position),
             },
             None => News::Whole(view.snapshot()),
         },
--- a/crates/celerytide-edge/src/source/mod.rs
+++ b/crates/celerytide-edge/src/source/mod.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::time::Duration;
 
-use celerytide_catalog::{Change, Revision, Snapshot};
+use celerytide_catalog::{Change, Era, Revision};
 use snafu::Snafu;
 
 /// Why a read gave nothing.
@@ -13,6 +13,22 @@
     /// The changes asked for are no longer kept; the whole list must be read.
     #[snafu(display("the changes after that revision are no longer kept"))]
     Forgotten,
+    /// The store came back from a copy; the whole list must be read.
+    #[snafu(display("the store came back older: its era rose from {from} to {to}"))]
+    Restored {
+        /// The era that was known.
+        from: Era,
+        /// The era of the answer.
+        to: Era,
+    },
+    /// The answer is of an era that is over.
+    #[snafu(display("the answer is of era {era}, and era {newest} was seen"))]
+    Outdated {
+        /// The era of the answer.
+        era: Era,
+        /// The newest one.
+        newest: Era,
+    },
     /// The store refused the call; nothing was read.
     #[snafu(display("the store refused the call with status {status}"))]
     Refused {
@@ -33,6 +49,37 @@
     },
 }
 
+/// What an answer says of the store's era.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EraWord {
+    /// The era.
+    Count(Era),
+    /// Nothing.
+    Absent,
+    /// Something that is no count.
+    Unreadable,
+}
+
+/// One answer of the store, a refusal among them.
+#[derive(Debug)]
+pub struct Answer<T> {
+    /// What it says of the era; `None` if there was no answer.
+    pub era: Option<EraWord>,
+    /// What was read.
+    pub result: Result<T, SourceError>,
+}
+
+/// One page of the list.
+#[derive(Debug)]
+pub struct Page {
+    /// Its items.
+    pub changes: Vec<Change>,
+    /// The store's revision.
+    pub revision: Revision,
+    /// The last key, if more pages follow.
+    pub next: Option<String>,
+}
+
 /// Changes with the revision after them.
 #[derive(Debug)]
 pub struct Changes {
@@ -44,15 +91,10 @@
 
 /// Reads what the platform publishes.
 pub trait Source: 'static {
-    /// Everything, as of the revision of the first page. Each call is bounded by `bound`.
-    fn list(&self, bound: Duration) -> impl Future<Output = Result<Snapshot, SourceError>>;
+    /// The first page of the list, or the one behind the key `after`, within `bound`.
+    fn page(&self, after: Option<&str>, bound: Duration) -> impl Future<Output = Answer<Page>>;
 
     /// What changed after `revision`; waits up to `wait` for a first change, and up to `bound` beyond that for the
     /// answer.
-    fn watch(
-        &self,
-        revision: Revision,
-        wait: Duration,
-        bound: Duration,
-    ) -> impl Future<Output = Result<Changes, SourceError>>;
+    fn watch(&self, revision: Revision, wait: Duration, bound: Duration) -> impl Future<Output = Answer<Changes>>;
 }
--- a/crates/celerytide-edge/tests/placement.rs
+++ b/crates/celerytide-edge/tests/placement.rs
@@ -30,8 +30,8 @@
 }
 
 fn engines(count: usize) -> Vec<Known> {
-    let known = |n: usize| Known {
-        endpoint: Rc::new(Endpoint {
+    let known = |n: usize| {
+        Known::new(Rc::new(Endpoint {
             id: format!("e{n}"),
             service: "llm".to_owned(),
             address: instance(n as u8),
@@ -40,9 +40,7 @@
             leaving: false,
             cold_for: Duration::ZERO,
             start: None,
-        }),
-        cold_until: None,
-        missing_until: None,
+        }))
     };
     (0..count).map(known).collect()
 }
--- a/crates/celerytide-standin/src/platform/mod.rs
+++ b/crates/celerytide-standin/src/platform/mod.rs
@@ -12,4 +12,4 @@
 pub use publish::{BORN, Entry, ROUTES, Route};
 pub use request::Seen;
 pub use runner::{Answer, Arrival, Runner};
-pub use store::{Mode, Store};
+pub use store::{Copy, Era, Mode, Store};
--- a/crates/celerytide-standin/src/platform/store.rs
+++ b/crates/celerytide-standin/src/platform/store.rs
@@ -1,4 +1,4 @@
-//! A store that can be listed and watched, and that fails on demand.
+//! A store that can be listed and watched, that fails on demand, and that comes back from an older copy of itself.
 
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
@@ -32,12 +32,36 @@
 
 /// Items in one page of a list.
 const PAGE: usize = 3;
+/// Header with the count of restores.
+const ERA: &str = "Store-Era";
 
-#[derive(Default)]
-struct State {
+/// What the header that counts restores says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Era {
+    /// The count.
+    Counted,
+    /// It is absent.
+    Absent,
+    /// This text.
+    Text(String),
+}
+
+/// What a restore brings back.
+#[derive(Clone, Default)]
+struct Content {
     revision: u64,
     items: BTreeMap<String, (Vec<u8>, u64)>,
     log: Vec<Value>,
+}
+
+/// A copy of what the store held, to be restored later.
+#[derive(Clone)]
+pub struct Copy(Content);
+
+#[derive(Default)]
+struct State {
+    content: Content,
+    era: u64,
     lists: usize,
     watches: usize,
 }
@@ -46,6 +70,7 @@
     state: Mutex<State>,
     changed: Condvar,
     mode: Mutex<Mode>,
+    shown: Mutex<Era>,
 }
 
 /// A store on a thread of its own.
@@ -62,11 +87,16 @@
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let shared = Arc::new(Shared {
             state: Mutex::new(State {
-                revision: 10,
+                content: Content {
+                    revision: 10,
+                    ..Content::default()
+                },
+                era: 1,
                 ..State::default()
             }),
             changed: Condvar::new(),
             mode: Mutex::new(Mode::Serve),
+            shown: Mutex::new(Era::Counted),
         });
         let address = listener.local_addr()?;
         let served = shared.clone();
@@ -81,27 +111,45 @@
 
     /// Writes an item.
     pub fn put(&self, key: &str, value: &[u8]) {
-        let mut state = lock(&self.shared.state);
-        state.revision += 1;
-        let revision = state.revision;
-        state.items.insert(key.to_owned(), (value.to_vec(), revision));
+        let content = &mut lock(&self.shared.state).content;
+        content.revision += 1;
+        let revision = content.revision;
+        content.items.insert(key.to_owned(), (value.to_vec(), revision));
         let event = item(key, value, revision);
-        state.log.push(event);
+        content.log.push(event);
         self.shared.changed.notify_all();
     }
 
     /// Removes an item.
     pub fn delete(&self, key: &str) {
-        let mut state = lock(&self.shared.state);
-        state.revision += 1;
-        let revision = state.revision;
-        state.items.remove(key);
-        state
+        let content = &mut lock(&self.shared.state).content;
+        content.revision += 1;
+        let revision = content.revision;
+        content.items.remove(key);
+        content
             .log
             .push(json!({"key": key, "revision": revision, "deleted": true}));
         self.shared.changed.notify_all();
     }
 
+    /// A copy of what the store holds now.
+    pub fn copy(&self) -> Copy {
+        Copy(lock(&self.shared.state).content.clone())
+    }
+
+    /// Goes back to a copy: revisions are given out again from there, and the count of restores rises by one.
+    pub fn restore(&self, copy: &Copy) {
+        let mut state = lock(&self.shared.state);
+        state.content = copy.0.clone();
+        state.era += 1;
+        self.shared.changed.notify_all();
+    }
+
+    /// Changes what the header that counts restores says.
+    pub fn show_era(&self, era: Era) {
+        *lock(&self.shared.shown) = era;
+    }
+
     /// Changes how the store answers from now on.
     pub fn set_mode(&self, mode: Mode) {
         *lock(&self.shared.mode) = mode;
@@ -143,48 +191,72 @@
             Mode::Slow(ms) => sleep(Duration::from_millis(ms)),
             Mode::Serve | Mode::Busy | Mode::Forgetful => {}
         }
-        let (status, body) = match mode {
-            Mode::Busy => (503, json!({})),
-            _ if seen.line.contains("/-/kv-range") => (200, list(shared, &seen)),
-            Mode::Forgetful => (410, json!({})),
-            _ => (200, watch(shared, &seen)),
+        let answered = match mode {
+            Mode::Busy => Some((503, json!({}))),
+            _ if seen.line.contains("/-/kv-range") => Some((200, list(shared, &seen))),
+            Mode::Forgetful => Some((410, json!({}))),
+            _ => watch(shared, &seen),
+        };
+        let Some((status, body)) = answered else {
+            return;
         };
         let body = body.to_string();
         let length = body.len();
-        let head = format!("HTTP/1.1 {status} X\r\ncontent-type: application/json\r\ncontent-length: {length}\r\n\r\n");
+        let era = era_line(shared);
+        let head =
+            format!("HTTP/1.1 {status} X\r\ncontent-type: application/json\r\n{era}content-length: {length}\r\n\r\n");
         if out.write_all(format!("{head}{body}").as_bytes()).is_err() {
             return;
         }
     }
 }
 
+fn era_line(shared: &Shared) -> String {
+    let era = match &*lock(&shared.shown) {
+        Era::Absent => return String::new(),
+        Era::Text(text) => text.clone(),
+        Era::Counted => lock(&shared.state).era.to_string(),
+    };
+    format!("{ERA}: {era}\r\n")
+}
+
 fn list(shared: &Shared, seen: &Seen) -> Value {
     let mut state = lock(&shared.state);
     state.lists += 1;
+    let content = &state.content;
     let after = seen.query("after").replace("%2F", "/").replace("%2D", "-");
-    let rest: Vec<_> = state.items.iter().filter(|(key, _)| **key > after).collect();
+    let rest: Vec<_> = content.items.iter().filter(|(key, _)| **key > after).collect();
     let page: Vec<Value> = rest
         .iter()
         .take(PAGE)
         .map(|(key, (value, revision))| item(key, value, *revision))
         .collect();
-    json!({"items": page, "has_more": rest.len() > PAGE, "current_rev": state.revision})
+    json!({"items": page, "has_more": rest.len() > PAGE, "current_rev": content.revision})
 }
 
-fn watch(shared: &Shared, seen: &Seen) -> Value {
+/// Waits for changes; `None` if a restore cuts the watch.
+fn watch(shared: &Shared, seen: &Seen) -> Option<(u16, Value)> {
     let after: u64 = seen.query("after").parse().unwrap_or(0);
     let wait = Duration::from_millis(seen.query("wait_ms").parse().unwrap_or(0));
     let until = Instant::now() + wait;
     let mut state = lock(&shared.state);
     state.watches += 1;
+    let era = state.era;
+    if after > state.content.revision {
+        return Some((410, json!({})));
+    }
     loop {
+        let content = &state.content;
         let newer = |event: &&Value| event["revision"].as_u64().is_some_and(|revision| revision > after);
-        let events: Vec<Value> = state.log.iter().filter(newer).cloned().collect();
+        let events: Vec<Value> = content.log.iter().filter(newer).cloned().collect();
         let left = until.saturating_duration_since(Instant::now());
         if !events.is_empty() || left.is_zero() {
-            return json!({"events": events, "current_rev": state.revision});
+            return Some((200, json!({"events": events, "current_rev": content.revision})));
         }
         let waited = shared.changed.wait_timeout(state, left);
         state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        if state.era != era {
+            return None;
+        }
     }
 }
