--- a/crates/celerytide-soak/src/plan/mod.rs
+++ b/crates/celerytide-soak/src/plan/mod.rs
@@ -38,6 +38,8 @@
     Store(StoreMode),
     /// Connections to the store are treated in another way.
     StoreLink(RelayMode),
+    /// After the time the store is away for a moment and comes back as it was at its start.
+    Restore,
     /// A runner says that it leaves, and is ready again after the time.
     Leave(usize),
     /// A new version of the configuration.
@@ -76,7 +78,7 @@
 fn fault(rng: &mut StdRng) -> Fault {
     let router = rng.random_range(0..ROUTERS);
     let runner = rng.random_range(0..RUNNERS);
-    match rng.random_range(0..14) {
+    match rng.random_range(0..15) {
         0 => Fault::Pause(router),
         1 => Fault::Kill(router),
         2 | 3 => Fault::Term(router),
@@ -87,6 +89,7 @@
         10 => Fault::StoreLink(link(rng)),
         11 => Fault::Leave(runner),
         12 => Fault::Configure,
+        13 => Fault::Restore,
         _ => Fault::ZoneOut,
     }
 }
--- a/crates/celerytide-soak/src/run/fleet.rs
+++ b/crates/celerytide-soak/src/run/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 use celerytide_standin::launch::{Process, Signal};
@@ -18,6 +19,9 @@
 const ZONE_OUT: &str = "z2";
 /// Longest time that a router has from SIGTERM to its end: `stop_s` of the bed's settings and a second.
 const GRACE: Duration = Duration::from_secs(5);
+/// Time for which the store is away before it comes back from a copy, and time until what was lost is written again.
+const AWAY: Duration = Duration::from_millis(150);
+const AGAIN: Duration = Duration::from_millis(500);
 /// Lines of a router's log that are shown of one request.
 const SHOWN: usize = 12;
 
@@ -34,6 +38,9 @@
     born: Vec<u64>,
     /// Runners whose entry says that they leave.
     leaving: Vec<bool>,
+    zone_out: bool,
+    /// The store as it was when a restore began.
+    copy: Option<platform::Copy>,
     /// Faults on, by what they strike: two of a kind on one thing don't overlap.
     taken: HashSet<Target>,
     started: usize,
@@ -70,6 +77,8 @@
             version: 1,
             born: vec![BORN; RUNNERS],
             leaving: vec![false; RUNNERS],
+            zone_out: false,
+            copy: None,
             taken: HashSet::new(),
             started: 0,
             logs: Vec::new(),
@@ -140,11 +149,12 @@
             Fault::Store(mode) => self.bed.store.set_mode(*mode),
             Fault::StoreLink(mode) => self.relay(RUNNERS, *mode),
             Fault::Leave(n) => self.publish_leaving(*n, true),
+            Fault::Restore => self.copy = Some(self.bed.store.copy()),
             Fault::Configure => {
                 self.version += 3;
                 self.bed.store.configure(self.version, &ROUTES, &[KEY]);
             }
-            Fault::ZoneOut => self.bed.store.take_out(ZONE_OUT),
+            Fault::ZoneOut => self.set_zone_out(true),
         }
         true
     }
@@ -171,11 +181,36 @@
             Fault::Store(_) => self.bed.store.set_mode(platform::Mode::Serve),
             Fault::StoreLink(_) => self.relay(RUNNERS, relay::Mode::Pass),
             Fault::Leave(n) => self.publish_leaving(*n, false),
-            Fault::ZoneOut => self.bed.store.take_back(ZONE_OUT),
+            Fault::ZoneOut => self.set_zone_out(false),
+            Fault::Restore => self.restore(),
         }
         self.taken.remove(&target(fault));
     }
 
+    fn set_zone_out(&mut self, out: bool) {
+        self.zone_out = out;
+        if out {
+            self.bed.store.take_out(ZONE_OUT);
+        } else {
+            self.bed.store.take_back(ZONE_OUT);
+        }
+    }
+
+    /// The store comes back from its copy; what was written since is written again.
+    fn restore(&mut self) {
+        let Some(copy) = self.copy.take() else {
+            return;
+        };
+        self.bed.store.set_mode(platform::Mode::Reset);
+        sleep(AWAY);
+        self.bed.store.restore(&copy);
+        self.bed.store.set_mode(platform::Mode::Serve);
+        sleep(AGAIN);
+        (0..RUNNERS).for_each(|n| self.publish(n));
+        self.bed.store.configure(self.version, &ROUTES, &[KEY]);
+        self.set_zone_out(self.zone_out);
+    }
+
     fn signal(&self, n: usize, signal: Signal) {
         if let Some(router) = &self.routers[n] {
             router.signal(signal);
@@ -249,7 +284,7 @@
         Fault::Runner(n, _) => Target::Runner(*n),
         Fault::Link(n, _) => Target::Link(*n),
         Fault::Leave(n) => Target::Entry(*n),
-        Fault::Store(_) => Target::Store,
+        Fault::Store(_) | Fault::Restore => Target::Store,
         Fault::StoreLink(_) => Target::StoreLink,
         Fault::Configure => Target::Configuration,
         Fault::ZoneOut => Target::Zone,
--- a/crates/celerytide-soak/src/run/mod.rs
+++ b/crates/celerytide-soak/src/run/mod.rs
@@ -105,7 +105,7 @@
     let span = Span { from: on.from, to };
     match &on.fault {
         Fault::Pause(router) | Fault::Kill(router) => history.struck.push(Struck { router: *router, span }),
-        Fault::Store(_) | Fault::StoreLink(_) => history.store_harmed.push(span),
+        Fault::Store(_) | Fault::StoreLink(_) | Fault::Restore => history.store_harmed.push(span),
         Fault::Link(n, _) => {
             history.links_harmed.push((fleet::runner_id(*n), span));
             history.runners_harmed.push(span);
