feat(forward): bytes without end cost bounded memory and time, and are never told as not run

Cause: an answer that is no stream was held whole without a bound. By reading, on the product's own interface: bytes behind a stream's last event held its caller's end back, and comments alone kept a stream for ever.

Now an answer's head and the whole of it have times of their own in the client (Bounds::head, Bounds::whole), checked also where bytes are always there and a timer gets no turn; gathered answers share a bound; a body over 64 KiB is passed on as it comes; a stream whose bytes bring no event for as long as its caller would wait counts as broken, silence has its bounds as before.

Ruled out: streaming all bodies (a failure behind the head could no longer be told).

--- a/crates/celerytide-edge/src/events/mod.rs
+++ b/crates/celerytide-edge/src/events/mod.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// Bytes of one event.
-pub const MAX_EVENT: usize = 1024 * 1024;
+pub const MAX_EVENT: usize = 128 * 1024;
 
 /// One whole event.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -15,6 +15,8 @@
     pub raw: Bytes,
     /// Its id, if it has one.
     pub id: Option<Bytes>,
+    /// It has data: comments and empty events bring a caller no further.
+    pub has_data: bool,
 }
 
 /// Bytes of an event that is not whole yet.
@@ -37,7 +39,8 @@
         self.scanned = 0;
         let raw = self.buf.split_to(end).freeze();
         let id = event_id(&raw);
-        Some(Event { raw, id })
+        let has_data = raw.split(|b| *b == b'\n').any(|line| line.starts_with(b"data"));
+        Some(Event { raw, id, has_data })
     }
 
     /// Bytes of an event that did not become whole.
--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -8,6 +8,7 @@
 mod refuse;
 mod send;
 mod stream;
+mod whole;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,7 +17,6 @@
 use celerytide_http::server::{Handler, Request, Responder};
 use celerytide_types::now_boot;
 use http::StatusCode;
-use monoio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tracing::info;
 
@@ -57,7 +57,7 @@
     let intake = match intake::read(&req, &catalog, &edge.wire, began).map_err(|denial| denied(edge, denial)) {
         Ok(intake) if edge.serves(began) => intake,
         read => {
-            let denial = read.err().unwrap_or(Denial::Unconfigured);
+            let denial = read.err().unwrap_or(Denial::Unsure);
             let refusal = Refusal::denied(denial);
             info!(
                 path = req.uri.path(),
@@ -93,10 +93,9 @@
 
 /// What a caller is told: a route or key that is unknown may be in a newer configuration.
 fn denied<W: Wire>(edge: &Edge<W>, denial: Denial) -> Denial {
-    if edge.is_sure(now_boot()) {
-        denial
-    } else {
-        Denial::Unconfigured
+    match denial {
+        Denial::NoRoute | Denial::NoCustomer if !edge.is_sure(now_boot()) => Denial::Unsure,
+        _ => denial,
     }
 }
 
@@ -254,36 +253,7 @@
         if stream {
             return stream::pass(self, out, reached, service).await;
         }
-        self.pass_whole(out, reached).await
-    }
-
-    async fn pass_whole(&mut self, out: Responder, mut reached: Box<Reached<W>>) -> End {
-        let status = reached.answer.status;
-        let headers = headers::to_caller(&reached.answer.headers);
-        let left = self.left();
-        let body = match timeout(left, send::gather(&mut reached)).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(error)) => {
-                info!(request = self.intake.id, %error, "forward: answer broke off");
-                reached.end(Sign::Bad);
-                self.ran += 1;
-                return self.give_up(out, "answer-broken").await;
-            }
-            Err(_) => {
-                reached.end(Sign::Bad);
-                self.ran += 1;
-                return self.give_up(out, DEADLINE).await;
-            }
-        };
-        let sign = if status.is_server_error() {
-            Sign::Bad
-        } else {
-            Sign::Good
-        };
-        reached.end(sign);
-        // A caller that is gone needs no answer.
-        let _ = out.whole(status, headers, body).await;
-        End::of("answered", status.as_u16())
+        whole::pass(self, out, reached).await
     }
 
     /// Says that the request is given up: not run if that is certain, failed otherwise.
--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use celerytide_catalog::Service;
 use celerytide_http::client::{Answer, Bounds, Call, SendError};
 use celerytide_types::{Boot, now_boot};
@@ -89,15 +89,6 @@
     pub running: u32,
 }
 
-/// Gathers a whole body.
-pub async fn gather<W: Wire>(reached: &mut Reached<W>) -> Result<Bytes, SendError> {
-    let mut body = BytesMut::new();
-    while let Some(data) = reached.next().await {
-        body.extend_from_slice(&data?);
-    }
-    Ok(body.freeze())
-}
-
 /// Sends the request to the endpoint that was picked; `last_event` makes a stream go on behind that event.
 pub async fn send<W: Wire>(run: &Run<'_, W>, service: &Service, pick: Pick<W>, last_event: Option<&[u8]>) -> Sent<W> {
     let edge = run.edge;
@@ -178,6 +169,8 @@
         connect: CONNECT.min(left.mul_f64(CONNECT_SHARE)),
         first_byte: left,
         between_bytes: left,
+        head: left,
+        whole: left,
         ..Bounds::default()
     };
     if run.may_run_again() {
@@ -185,6 +178,7 @@
         bounds.first_byte = left
             .mul_f64(SILENT_SHARE)
             .max(target.min(left.mul_f64(MOST_SILENT_SHARE)));
+        bounds.head = bounds.first_byte;
     }
     bounds
 }
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -5,10 +5,12 @@
 //! go on is cut without its end.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use celerytide_catalog::{Kind, Service};
 use celerytide_http::server::{ChunkWriter, Responder};
+use celerytide_http::sse::Progress;
 use celerytide_types::{Boot, now_boot};
 use monoio::time::timeout;
 use tracing::info;
@@ -19,6 +21,12 @@
 use crate::health::Sign;
 use crate::names::Wire;
 
+/// Least time without an event after which a stream whose bytes come counts as broken.
+const LEAST_STALL: Duration = Duration::from_secs(2);
+/// The same as multiples of the objective for the first event, and of the longest pause that is on time.
+const STALL_TARGETS: u32 = 4;
+const STALL_PAUSES: u32 = 8;
+
 /// How a stream at one endpoint ended.
 enum Ended {
     /// In good order.
@@ -69,6 +77,7 @@
     last_event: &mut Option<Bytes>,
 ) -> Ended {
     let mut split = Splitter::default();
+    let mut progress = Progress::new(stall_after(run), now_boot());
     let mut last: Option<Boot> = None;
     loop {
         let data = match timeout(run.left(), reached.next()).await {
@@ -89,6 +98,9 @@
         while let Some(event) = split.next_event() {
             let now = now_boot();
             run.note_gap(last.replace(now), now, reached);
+            if event.has_data {
+                progress.event(now);
+            }
             if event.id.is_some() {
                 *last_event = event.id;
             }
@@ -96,9 +108,23 @@
                 return Ended::Gone;
             }
         }
+        if run.left().is_zero() {
+            return Ended::Late;
+        }
+        if progress.is_stalled(now_boot()) {
+            return Ended::Broken("stream-stalled");
+        }
     }
 }
 
+/// Time after which a stream whose bytes bring no event counts as broken: callers that wait for one leave then.
+fn stall_after<W: Wire>(run: &Run<'_, W>) -> Duration {
+    let route = &run.intake.route;
+    let by_target = route.target.unwrap_or_default() * STALL_TARGETS;
+    let by_pause = route.pause.unwrap_or_default() * STALL_PAUSES;
+    by_target.max(by_pause).max(LEAST_STALL)
+}
+
 impl<W: Wire> Run<'_, W> {
     /// An event came at `now`, the one before it at `last`.
     fn note_gap(&mut self, last: Option<Boot>, now: Boot, reached: &Reached<W>) {
--- a/crates/celerytide-edge/src/peers/members.rs
+++ b/crates/celerytide-edge/src/peers/members.rs
@@ -63,6 +63,11 @@
         self.seeds = seeds.iter().filter(|s| **s != self.own).copied().collect();
     }
 
+    /// Instances that the settings name, besides this one.
+    pub fn seeds(&self) -> Instances {
+        self.seeds.clone()
+    }
+
     /// An instance spoke to this one.
     pub fn note(&mut self, address: SocketAddr, now: Boot) {
         if address != self.own {
--- a/crates/celerytide-edge/src/peers/news.rs
+++ b/crates/celerytide-edge/src/peers/news.rs
@@ -5,6 +5,7 @@
 //! is higher and the caller can't tell whether its own is the newest: a store that came back from a copy may list an
 //! older one. A view that is behind, or of an earlier era, teaches nothing else.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -75,38 +76,46 @@
     }
 }
 
-/// Talks to other instances until the process ends.
+/// Talks to other instances until the process ends; at the start to all seeds at once, since some may be down.
 pub async fn run<W: Wire>(edge: Rc<Edge<W>>) {
+    for seed in edge.members.borrow().seeds() {
+        let edge = edge.clone();
+        monoio::spawn(async move { call(&edge, seed).await });
+    }
     loop {
-        let now = now_boot();
-        let wants_view = store_is_silent(&edge, now);
-        let young = edge.members.borrow().age(now) < YOUNG;
-        let is_unsure = !edge.is_sure(now);
-        let pause = match () {
-            () if is_unsure => UNSURE,
-            () if wants_view || young => ANXIOUS,
-            () => CALM,
-        };
-        sleep(pause.mul_f64(rand::rng().random_range(1.0 - SPREAD..1.0 + SPREAD))).await;
-        let drawn = edge.members.borrow().draw(now);
-        let Some(peer) = drawn else {
-            continue;
-        };
-        let ask = Ask {
-            heard: edge.members.borrow().digest(now),
-            position: edge.view.borrow().position(),
-            config: edge.view.borrow().catalog().version(),
-            wants_view,
-            is_unsure,
-        };
-        match timeout(CALL, edge.links.call::<Ask, Reply>(peer, Method::Peers, &ask)).await {
-            Ok(Ok(reply)) => take(&edge, reply),
-            Ok(Err(error)) => debug!(%peer, %error, "peers: call failed"),
-            Err(_) => debug!(%peer, "peers: no answer in time"),
+        sleep(pause(&edge, now_boot()).mul_f64(rand::rng().random_range(1.0 - SPREAD..1.0 + SPREAD))).await;
+        let drawn = edge.members.borrow().draw(now_boot());
+        if let Some(peer) = drawn {
+            call(&edge, peer).await;
         }
     }
 }
 
+fn pause<W: Wire>(edge: &Edge<W>, now: Boot) -> Duration {
+    let young = edge.members.borrow().age(now) < YOUNG;
+    match () {
+        () if !edge.is_sure(now) => UNSURE,
+        () if young || store_is_silent(edge, now) => ANXIOUS,
+        () => CALM,
+    }
+}
+
+async fn call<W: Wire>(edge: &Edge<W>, peer: SocketAddr) {
+    let now = now_boot();
+    let ask = Ask {
+        heard: edge.members.borrow().digest(now),
+        position: edge.view.borrow().position(),
+        config: edge.view.borrow().catalog().version(),
+        wants_view: store_is_silent(edge, now),
+        is_unsure: !edge.is_sure(now),
+    };
+    match timeout(CALL, edge.links.call::<Ask, Reply>(peer, Method::Peers, &ask)).await {
+        Ok(Ok(reply)) => take(edge, reply),
+        Ok(Err(error)) => debug!(%peer, %error, "peers: call failed"),
+        Err(_) => debug!(%peer, "peers: no answer in time"),
+    }
+}
+
 /// Whether the store gives nothing; one that follows a reader hears less often, and finds out by itself when it ends.
 fn store_is_silent<W: Wire>(edge: &Edge<W>, now: Boot) -> bool {
     if edge.reading.get() == Reading::Follows {
--- a/crates/celerytide-entry/src/model/stream.rs
+++ b/crates/celerytide-entry/src/model/stream.rs
@@ -1,15 +1,17 @@
 //! Model calls that are streamed.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use celerytide_http::client::{Answer, SendError};
+use celerytide_http::client::{Answer, Bounds, SendError};
 use celerytide_http::server::{ChunkWriter, Responder};
-use celerytide_http::sse::{DONE, Reader, write_event};
+use celerytide_http::sse::{DONE, Progress, Reader, write_event};
 use celerytide_types::{Word, now_boot};
 use celerytide_wire::messages::Ended;
 use http::StatusCode;
 use http::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderMap, HeaderValue};
+use monoio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use super::whole::ended;
@@ -23,6 +25,10 @@
 
 /// Largest event of an engine's stream in bytes.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// Bytes that an engine may send behind the last event.
+const MAX_BEHIND_BYTES: usize = 1024;
+/// Time for the end of an engine's answer behind the last event.
+const BEHIND: Duration = Duration::from_millis(500);
 /// Tokens between two notes to the pool's owner.
 const NOTE_EVERY_TOKENS: u32 = 64;
 
@@ -152,7 +158,9 @@
 }
 
 async fn once(entry: &Entry, model: &ModelRequest, lease: &Lease, sink: &mut Sink, cx: &CancellationToken) -> Tried {
-    let call = model.call_for(entry, lease, sink.tokens);
+    let mut call = model.call_for(entry, lease, sink.tokens);
+    // A stream lasts as long as it brings events.
+    call.bounds.whole = Bounds::default().whole;
     let answer = monoio::select! {
         answer = entry.client.send(call, cx) => answer,
         () = lease.preempted().cancelled() => return Tried::Preempted,
@@ -165,7 +173,7 @@
     if answer.status != StatusCode::OK {
         return read_error(answer).await;
     }
-    forward(model, lease, answer, sink, cx).await
+    forward(model, lease, answer, sink, entry.settings.timeouts.between_bytes, cx).await
 }
 
 async fn read_error(mut answer: Answer) -> Tried {
@@ -185,9 +193,11 @@
     lease: &Lease,
     mut answer: Answer,
     sink: &mut Sink,
+    stall: Duration,
     cx: &CancellationToken,
 ) -> Tried {
     let mut reader = Reader::new(MAX_EVENT_BYTES);
+    let mut progress = Progress::new(stall, now_boot());
     loop {
         let data = monoio::select! {
             data = answer.next() => data,
@@ -204,6 +214,12 @@
             Ok(batch) => batch,
             Err(detail) => return Tried::Broke(Ended::Failed, true, detail),
         };
+        let now = now_boot();
+        if !batch.bytes.is_empty() {
+            progress.event(now);
+        } else if !batch.done && progress.is_stalled(now) {
+            return Tried::Broke(Ended::Failed, true, String::from("bytes came and no event"));
+        }
         let finished = batch.done;
         if sink.send(model, batch, &answer.headers).await.is_err() {
             return Tried::Left;
@@ -239,9 +255,19 @@
 }
 
 async fn finish(sink: &mut Sink, mut answer: Answer) -> Tried {
-    // The body's own end follows; reading it lets the connection be used again.
-    while let Some(Ok(_)) = answer.next().await {}
-    match sink.end().await {
+    let ended = sink.end().await;
+    // The body's own end follows; reading it lets the connection be used again. What is longer or later is no end.
+    let mut behind = 0;
+    let read = async {
+        while let Some(Ok(data)) = answer.next().await {
+            behind += data.len();
+            if behind > MAX_BEHIND_BYTES {
+                return;
+            }
+        }
+    };
+    let _ = timeout(BEHIND, read).await;
+    match ended {
         Ok(()) => Tried::Whole,
         Err(Gone) => Tried::Left,
     }
--- a/crates/celerytide-entry/src/plain/attempt.rs
+++ b/crates/celerytide-entry/src/plain/attempt.rs
@@ -92,6 +92,8 @@
         connect: timeouts.connect,
         first_byte: timeouts.first_byte.min(lease.lasts()),
         between_bytes: timeouts.between_bytes,
+        head: timeouts.first_byte.min(lease.lasts()) + timeouts.between_bytes,
+        whole: lease.lasts(),
         max_head: entry.settings.limits.max_head_bytes,
     }
 }
--- a/crates/celerytide-http/src/client/answer.rs
+++ b/crates/celerytide-http/src/client/answer.rs
@@ -1,10 +1,13 @@
 //! An answer, read as it arrives.
 
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
+use celerytide_types::{Boot, now_boot};
 use http::{HeaderMap, HeaderName, StatusCode};
 use monoio::time::timeout;
 
@@ -19,6 +22,9 @@
 const KEEP_ALIVE: &str = "keep-alive";
 const KEEP_ALIVE_TIMEOUT: &str = "timeout=";
 
+/// Bytes of a body after which other tasks have their turn.
+const TURN: usize = 256 * 1024;
+
 /// An answer whose head has been read. Dropped before its end it closes the connection.
 pub struct Answer {
     /// Status.
@@ -33,16 +39,21 @@
     addr: SocketAddr,
     first_byte: Duration,
     between_bytes: Duration,
+    /// When it has to have ended.
+    until: Boot,
+    /// Bytes since other tasks had their turn.
+    turn: usize,
     pool: Rc<Pool>,
 }
 
 impl Answer {
-    /// An answer whose body follows on `conn`; `written` tells whether the whole request was.
+    /// An answer whose body follows on `conn` and has to end by `until`; `written` tells whether the whole request was.
     pub(super) fn new(
         head: AnswerHead,
         conn: Conn,
         call: &Call,
         written: bool,
+        until: Boot,
         pool: Rc<Pool>,
     ) -> Result<Self, SendError> {
         if crossed(call, &head.headers, &pool.options().id_header) {
@@ -67,6 +78,8 @@
             addr: call.addr,
             first_byte: call.bounds.first_byte,
             between_bytes: call.bounds.between_bytes,
+            until,
+            turn: 0,
             pool,
         };
         if answer.body.ended() {
@@ -102,6 +115,7 @@
                 Piece::End => return Ok(None),
                 Piece::Data(data) => {
                     self.started = true;
+                    self.rest_from(data.len()).await;
                     return Ok(Some(data));
                 }
                 Piece::More => self.fill(conn).await?,
@@ -115,7 +129,13 @@
         } else {
             (self.first_byte, Cause::FirstByteTimeout)
         };
-        match timeout(bound, conn.reader.fill()).await {
+        let left = self.until.since(now_boot());
+        // A peer whose bytes never let a read wait gives a timer no turn.
+        if left.is_zero() {
+            return Err(Cause::WholeTimeout);
+        }
+        match timeout(bound.min(left), conn.reader.fill()).await {
+            Err(_) if left <= bound => Err(Cause::WholeTimeout),
             Err(_) => Err(late),
             Ok(Ok(0)) if self.body.close() => Ok(()),
             Ok(Ok(0)) => Err(Cause::Closed),
@@ -124,6 +144,28 @@
         }
     }
 
+    /// Lets other tasks run after each [`TURN`]: the bytes of a fast peer are always there.
+    async fn rest_from(&mut self, bytes: usize) {
+        self.turn += bytes;
+        if self.turn < TURN {
+            return;
+        }
+        self.turn = 0;
+        let mut rested = false;
+        poll_fn(|cx| {
+            if std::mem::replace(&mut rested, true) {
+                return Poll::Ready(());
+            }
+            cx.waker().wake_by_ref();
+            Poll::Pending
+        })
+        .await;
+    }
+
+    pub(super) fn pool(&self) -> Rc<Pool> {
+        Rc::clone(&self.pool)
+    }
+
     fn release(&mut self) {
         if let Some(conn) = self.conn.take()
             && self.keep
--- a/crates/celerytide-http/src/client/call.rs
+++ b/crates/celerytide-http/src/client/call.rs
@@ -11,6 +11,8 @@
 const CONNECT: Duration = Duration::from_secs(2);
 const FIRST_BYTE: Duration = Duration::from_secs(60);
 const BETWEEN_BYTES: Duration = Duration::from_secs(20);
+const HEAD: Duration = Duration::from_secs(120);
+const WHOLE: Duration = Duration::from_secs(3600);
 const MAX_HEAD: usize = 64 * 1024;
 
 /// Bounds on one call.
@@ -22,6 +24,10 @@
     pub first_byte: Duration,
     /// Wait for each further byte.
     pub between_bytes: Duration,
+    /// Time from the request's first byte to the end of the answer's head, interim answers among it.
+    pub head: Duration,
+    /// Time from the request's first byte to the end of the answer, however its bytes come.
+    pub whole: Duration,
     /// Bytes of the answer's head.
     pub max_head: usize,
 }
@@ -32,6 +38,8 @@
             connect: CONNECT,
             first_byte: FIRST_BYTE,
             between_bytes: BETWEEN_BYTES,
+            head: HEAD,
+            whole: WHOLE,
             max_head: MAX_HEAD,
         }
     }
--- a/crates/celerytide-http/src/client/error.rs
+++ b/crates/celerytide-http/src/client/error.rs
@@ -64,6 +64,12 @@
     /// No byte within the between-bytes bound.
     #[snafu(display("no further byte in time"))]
     BetweenBytesTimeout,
+    /// The head had not ended within its bound, though bytes came.
+    #[snafu(display("the head of the answer had no end in time"))]
+    HeadTimeout,
+    /// The answer had not ended within its bound, though bytes came.
+    #[snafu(display("the answer had no end in time"))]
+    WholeTimeout,
     /// The answer broke the protocol or a bound.
     #[snafu(display("{source}"), context(false))]
     Protocol {
--- a/crates/celerytide-http/src/client/mod.rs
+++ b/crates/celerytide-http/src/client/mod.rs
@@ -16,6 +16,8 @@
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
+use celerytide_types::now_boot;
+use monoio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 pub use answer::Answer;
@@ -26,7 +28,7 @@
 
 use conn::Conn;
 use error::failed;
-use pool::Pool;
+use pool::{Gathered, Pool};
 
 /// Calls endpoints; clones share one pool.
 #[derive(Clone)]
@@ -74,9 +76,12 @@
             None => self.open(&call).await?,
         };
         *stage = Stage::Written;
-        let asked = conn.ask(&call).await;
+        let began = now_boot();
+        let asked = timeout(call.bounds.head.min(call.bounds.whole), conn.ask(&call)).await;
+        let asked = asked.unwrap_or(Err(Cause::HeadTimeout));
         let (head, whole) = asked.map_err(|cause| failed(Stage::Written, cause))?;
-        Answer::new(head, conn, &call, whole, Rc::clone(&self.pool))
+        let until = began.after(call.bounds.whole);
+        Answer::new(head, conn, &call, whole, until, Rc::clone(&self.pool))
     }
 
     fn reusable(&self, call: &Call) -> Option<Conn> {
@@ -96,9 +101,10 @@
 async fn gather(mut answer: Answer, max: usize) -> Result<Whole, SendError> {
     let mut first = Bytes::new();
     let mut rest = BytesMut::new();
+    let mut gathered = Gathered::new(answer.pool());
     while let Some(data) = answer.next().await {
         let data = data?;
-        if first.len() + rest.len() + data.len() > max {
+        if first.len() + rest.len() + data.len() > max || !gathered.add(data.len()) {
             return Err(failed(Stage::Body, Cause::TooLarge));
         }
         if first.is_empty() {
--- a/crates/celerytide-http/src/client/pool.rs
+++ b/crates/celerytide-http/src/client/pool.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use celerytide_types::{Boot, now_boot};
@@ -18,6 +19,7 @@
 const STATED_SHARE: u32 = 3;
 const STATED_WHOLE: u32 = 4;
 const SILENCE: Duration = Duration::from_secs(20);
+const GATHERED: usize = 64 * 1024 * 1024;
 const REQUEST_ID: &str = "x-request-id";
 const WRITE_STALL: Duration = Duration::from_secs(20);
 
@@ -38,6 +40,8 @@
     pub id_header: HeaderName,
     /// Takes answers that state no length and end with their connection.
     pub until_close: bool,
+    /// Bytes of answers that are being gathered whole, of all calls together.
+    pub gathered: usize,
     /// Probes idle connections after this silence, and each time it lasts again; `None` sends no probes.
     pub probe: Option<Duration>,
 }
@@ -52,6 +56,7 @@
             write: WRITE_STALL,
             id_header: HeaderName::from_static(REQUEST_ID),
             until_close: false,
+            gathered: GATHERED,
             probe: None,
         }
     }
@@ -68,6 +73,36 @@
     opts: Options,
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
     swept: Cell<Boot>,
+    gathered: Cell<usize>,
+}
+
+/// Bytes of one answer that is being gathered, counted in the pool until it is dropped.
+pub(super) struct Gathered {
+    pool: Rc<Pool>,
+    bytes: usize,
+}
+
+impl Gathered {
+    pub(super) fn new(pool: Rc<Pool>) -> Self {
+        Gathered { pool, bytes: 0 }
+    }
+
+    /// Counts further bytes; false if all answers together are too large then.
+    pub(super) fn add(&mut self, bytes: usize) -> bool {
+        let all = self.pool.gathered.get() + bytes;
+        if all > self.pool.opts.gathered {
+            return false;
+        }
+        self.pool.gathered.set(all);
+        self.bytes += bytes;
+        true
+    }
+}
+
+impl Drop for Gathered {
+    fn drop(&mut self) {
+        self.pool.gathered.set(self.pool.gathered.get() - self.bytes);
+    }
 }
 
 impl Pool {
@@ -76,6 +111,7 @@
             opts,
             idle: RefCell::new(HashMap::new()),
             swept: Cell::new(now_boot()),
+            gathered: Cell::new(0),
         }
     }
 
--- a/crates/celerytide-soak/src/bed/mod.rs
+++ b/crates/celerytide-soak/src/bed/mod.rs
@@ -131,6 +131,15 @@
         self.process.signal(signal).expect("signal");
     }
 
+    /// Kilobytes that the process has had in memory at most.
+    pub fn peak_memory_kb(&self) -> usize {
+        let path = format!("/proc/{}/status", self.process.pid());
+        let text = std::fs::read_to_string(path).expect("status");
+        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let value = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        value.and_then(|kb| kb.trim().parse().ok()).expect("peak")
+    }
+
     /// Whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         !self.process.is_running()
--- a/crates/celerytide-soak/src/plan/mod.rs
+++ b/crates/celerytide-soak/src/plan/mod.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use celerytide_standin::platform::{Answer, Mode as StoreMode};
+use celerytide_standin::platform::{Answer, Endless, Mode as StoreMode};
 use celerytide_standin::relay::Mode as RelayMode;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
@@ -138,8 +138,24 @@
         Answer::Garbage,
         Answer::Lost,
         Answer::Mute,
+        Answer::Endless(Endless::Headers),
+        Answer::Endless(Endless::Interim),
+        Answer::Endless(Endless::ChunkLine),
+        Answer::Endless(Endless::DripHead),
+        Answer::Endless(Endless::DripBody),
+    ];
+    let engine = [
+        cut,
+        cut,
+        cut,
+        Answer::NotRun,
+        Answer::Failed,
+        Answer::Garbage,
+        Answer::Lost,
+        Answer::Endless(Endless::Comments),
+        Answer::Endless(Endless::Event),
+        Answer::Endless(Endless::DripBody),
     ];
-    let engine = [cut, cut, Answer::NotRun, Answer::Failed, Answer::Garbage, Answer::Lost];
     let drawn = if is_engine(runner) {
         engine.choose(rng)
     } else {
@@ -167,6 +183,8 @@
         StoreMode::Reset,
         StoreMode::Slow(300),
         StoreMode::Forgetful,
+        StoreMode::Endless(Endless::Headers),
+        StoreMode::Endless(Endless::DripBody),
     ];
     modes.choose(rng).copied().unwrap_or(StoreMode::Busy)
 }
--- a/crates/celerytide-soak/tests/check.rs
+++ b/crates/celerytide-soak/tests/check.rs
@@ -275,5 +275,5 @@
         .map(|s| s.fault)
         .collect();
     let kinds: std::collections::HashSet<_> = all.iter().map(std::mem::discriminant).collect();
-    assert_eq!(kinds.len(), 11, "kinds of faults");
+    assert_eq!(kinds.len(), 12, "kinds of faults");
 }
--- a/crates/celerytide-standin/src/platform/mod.rs
+++ b/crates/celerytide-standin/src/platform/mod.rs
@@ -4,11 +4,13 @@
 //! them.
 
 pub mod caller;
+mod endless;
 mod publish;
 mod request;
 mod runner;
 mod store;
 
+pub use endless::Endless;
 pub use publish::{BORN, Entry, ROUTES, Route};
 pub use request::Seen;
 pub use runner::{Answer, Arrival, Runner};
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -6,6 +6,7 @@
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
+use super::Endless;
 use super::request::{self, Seen};
 
 /// How a runner answers.
@@ -34,6 +35,8 @@
     /// The head of a stream, and then one byte of an event that never ends, again and again with this many milliseconds
     /// between two.
     Drip(u64),
+    /// Bytes without end that are no answer.
+    Endless(Endless),
     /// An answer that carries the id of another request.
     Crossed,
     /// Bytes that are no answer.
@@ -197,6 +200,11 @@
             sleep(Duration::from_millis(ms));
             good && whole(out, "200 OK", &sealed, &body)
         }
+        Answer::Endless(endless) => {
+            endless.send(out, &sealed);
+            *lock(&shared.left) += 1;
+            false
+        }
         Answer::Drip(ms) => drip(shared, out, &sealed, Duration::from_millis(ms)),
         Answer::Crossed => whole(
             out,
--- a/crates/celerytide-standin/src/platform/store.rs
+++ b/crates/celerytide-standin/src/platform/store.rs
@@ -11,6 +11,7 @@
 use base64::prelude::BASE64_STANDARD;
 use serde_json::{Value, json};
 
+use super::Endless;
 use super::request::{self, Seen};
 
 /// How the store answers.
@@ -28,6 +29,8 @@
     Slow(u64),
     /// Watches get 410: it has dropped its history.
     Forgetful,
+    /// Bytes without end that are no answer.
+    Endless(Endless),
 }
 
 /// Items in one page of a list.
@@ -189,6 +192,7 @@
                 return;
             }
             Mode::Slow(ms) => sleep(Duration::from_millis(ms)),
+            Mode::Endless(endless) => return endless.send(&mut out, ""),
             Mode::Serve | Mode::Busy | Mode::Forgetful => {}
         }
         let answered = match mode {
