--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -173,7 +173,7 @@
     pub fn is_ready(&self) -> bool {
         let view = self.view.borrow();
         let knows = view.has_config() && view.endpoint_count() > 0;
-        knows && self.stopping_since.get().is_none() && self.serves(now_boot())
+        knows && self.stopping_since.get().is_none()
     }
 
     /// For how long endpoints whose entries are gone are still kept.
--- a/crates/celerytide-edge/src/edge/sure.rs
+++ b/crates/celerytide-edge/src/edge/sure.rs
@@ -2,12 +2,14 @@
 //!
 //! Answers this fault: the store comes back from a copy and lists an older configuration until the newest is written again.
 //! A process that starts, or was cut off, in that time would deny routes and keys that are in force, and a new one would
-//! serve by keys that were taken away. Other instances know better, so a word of one of them is waited for: a new process
-//! serves nothing until then, and any process denies nothing. Where no other answers, a short time takes its place.
+//! serve by keys that were taken away. Other instances know better, so a word of one of them is waited for: requests of a
+//! new process wait until then, and at any process those that would be denied. Where no other answers, a short time takes
+//! its place.
 
 use std::time::Duration;
 
-use celerytide_types::{Boot, Version};
+use celerytide_types::{Boot, Version, now_boot};
+use monoio::time::sleep;
 use tracing::info;
 
 use super::Edge;
@@ -16,6 +18,9 @@
 /// Time after which a configuration counts as the newest though no other instance has told of its own.
 const ALONE: Duration = Duration::from_millis(300);
 
+/// Pause between two looks while it is waited for.
+const LOOK: Duration = Duration::from_millis(10);
+
 /// What is known of the configuration's age.
 #[derive(Debug, Default)]
 pub struct Sure {
@@ -69,6 +74,13 @@
         self.sure.borrow().denies(now) || self.is_alone(now)
     }
 
+    /// Waits until `holds`, which it does after [`ALONE`] at the latest.
+    pub async fn until(&self, holds: impl Fn(Boot) -> bool) {
+        while !holds(now_boot()) {
+            sleep(LOOK).await;
+        }
+    }
+
     /// Takes in the version of the configuration of another instance that is sure of it; 0 from one that isn't.
     pub fn compare_config(&self, version: Version, now: Boot) {
         let own = self.view.borrow().catalog().version();
--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -15,7 +15,7 @@
 
 use celerytide_catalog::Service;
 use celerytide_http::server::{Handler, Request, Responder};
-use celerytide_types::now_boot;
+use celerytide_types::{Boot, now_boot};
 use http::StatusCode;
 use tokio_util::sync::CancellationToken;
 use tracing::info;
@@ -53,19 +53,25 @@
 
 async fn serve<W: Wire>(edge: &Rc<Edge<W>>, req: Request, out: Responder, cx: CancellationToken) {
     let began = now_boot();
-    let catalog = edge.view.borrow().catalog().clone();
-    let intake = match intake::read(&req, &catalog, &edge.wire, began).map_err(|denial| denied(edge, denial)) {
-        Ok(intake) if edge.serves(began) => intake,
-        read => {
-            let denial = read.err().unwrap_or(Denial::Unsure);
+    let Some(read) = cx.run_until_cancelled(read(edge, &req, began)).await else {
+        return info!(
+            path = req.uri.path(),
+            "forward: the caller left before its request was read"
+        );
+    };
+    let intake = match read {
+        Ok(intake) => intake,
+        Err(denial) => {
             let refusal = Refusal::denied(denial);
+            let view = edge.view.borrow();
             info!(
                 path = req.uri.path(),
                 cause = refusal.cause,
-                config = catalog.version(),
-                position = ?edge.view.borrow().position(),
+                config = view.catalog().version(),
+                position = ?view.position(),
                 "refuse: not forwarded"
             );
+            drop(view);
             return refuse(out, &refusal).await;
         }
     };
@@ -91,11 +97,22 @@
     run.note(&ended);
 }
 
-/// What a caller is told: a route or key that is unknown may be in a newer configuration.
-fn denied<W: Wire>(edge: &Edge<W>, denial: Denial) -> Denial {
-    match denial {
-        Denial::NoRoute | Denial::NoCustomer if !edge.is_sure(now_boot()) => Denial::Unsure,
-        _ => denial,
+/// Reads what the request is, by a configuration that is known to be the newest where that matters.
+async fn read<W: Wire>(edge: &Rc<Edge<W>>, req: &Request, began: Boot) -> Result<Intake, Denial> {
+    let has_config = edge.view.borrow().has_config();
+    if has_config && !edge.serves(began) {
+        edge.until(|now| edge.serves(now)).await;
+    }
+    let by_newest = |edge: &Edge<W>| {
+        let catalog = edge.view.borrow().catalog().clone();
+        intake::read(req, &catalog, &edge.wire, began)
+    };
+    match by_newest(edge) {
+        Err(Denial::NoRoute | Denial::NoCustomer) if !edge.is_sure(now_boot()) => {
+            edge.until(|now| edge.is_sure(now)).await;
+            by_newest(edge)
+        }
+        read => read,
     }
 }
 
--- a/crates/celerytide-edge/src/forward/refuse.rs
+++ b/crates/celerytide-edge/src/forward/refuse.rs
@@ -24,9 +24,6 @@
 
 /// Time after which a caller is told to come back while no configuration is known.
 const UNCONFIGURED_WAIT: Duration = Duration::from_millis(1000);
-/// The same while a newer configuration may be in force: another instance knows it, and this one soon does.
-const UNSURE_WAIT: Duration = Duration::from_millis(100);
-
 /// When a refused caller does best to come back.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Back {
@@ -54,16 +51,12 @@
 impl Refusal {
     /// The request isn't forwarded.
     pub fn denied(denial: Denial) -> Refusal {
-        let retry_after = match denial {
-            Denial::Unconfigured => Some(UNCONFIGURED_WAIT),
-            Denial::Unsure => Some(UNSURE_WAIT),
-            Denial::NoRoute | Denial::NoCustomer => None,
-        };
+        let retry = denial == Denial::Unconfigured;
         Refusal {
             status: denial.status(),
             cause: denial.cause(),
             word: Word::NotRun,
-            retry_after,
+            retry_after: retry.then_some(UNCONFIGURED_WAIT),
         }
     }
 
--- a/crates/celerytide-edge/src/intake/mod.rs
+++ b/crates/celerytide-edge/src/intake/mod.rs
@@ -38,8 +38,6 @@
 pub enum Denial {
     /// No configuration is known yet.
     Unconfigured,
-    /// A newer configuration than the known one may be in force.
-    Unsure,
     /// No route matches.
     NoRoute,
     /// The key is missing or unknown.
@@ -50,7 +48,7 @@
     /// Status of the answer.
     pub fn status(self) -> StatusCode {
         match self {
-            Denial::Unconfigured | Denial::Unsure => StatusCode::SERVICE_UNAVAILABLE,
+            Denial::Unconfigured => StatusCode::SERVICE_UNAVAILABLE,
             Denial::NoRoute => StatusCode::NOT_FOUND,
             Denial::NoCustomer => StatusCode::UNAUTHORIZED,
         }
@@ -60,7 +58,6 @@
     pub fn cause(self) -> &'static str {
         match self {
             Denial::Unconfigured => "no-configuration",
-            Denial::Unsure => "configuration-not-sure",
             Denial::NoRoute => "no-route",
             Denial::NoCustomer => "unknown-key",
         }
