fix(edge): an instance that serves tells its configuration's version also right behind a restore

Cause: behind a restore all instances say for a moment that they can't tell, and a new process took two such answers for a fleet that has just started; found by reading. Only one that has just started itself says so now.

--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -48,7 +48,7 @@
 /// Descriptors where the settings name no bound.
 const DESCRIPTORS: usize = 1024;
 /// Heartbeats after which the entry of a dead endpoint has lapsed for sure.
-const LAPSE_BEATS: u32 = 4;
+const PROOF_BEATS: u32 = 4;
 /// Descriptors kept for files.
 const FILES: usize = 200;
 
@@ -143,7 +143,7 @@
             budget: RefCell::new(Budget::new(settings.bounds.repeats())),
             cold: RefCell::new(ColdShares::new(own, now)),
             members: RefCell::new(Members::new(own, &settings.seeds, now)),
-            view: RefCell::new(View::new(settings.bounds.heartbeat() * LAPSE_BEATS)),
+            view: RefCell::new(View::new(settings.bounds.heartbeat() * PROOF_BEATS)),
             sure: RefCell::default(),
             loads: RefCell::default(),
             heat: RefCell::default(),
--- a/crates/celerytide-edge/src/edge/sure.rs
+++ b/crates/celerytide-edge/src/edge/sure.rs
@@ -17,8 +17,7 @@
 
 /// Time after which a configuration counts as the newest though no other instance has told of its own.
 const ALONE: Duration = Duration::from_millis(300);
-
-/// Instances that can't tell either, for the fleet to count as one that has just started.
+/// New instances met, for the whole fleet to count as new.
 const MANY_NEW: u32 = 2;
 /// Pause between two looks while it is waited for.
 const LOOK: Duration = Duration::from_millis(10);
@@ -32,8 +31,8 @@
     restored: Option<Boot>,
     /// When another instance last told of its own.
     compared: Option<Boot>,
-    /// Answers of instances that can't tell either.
-    unsure: u32,
+    /// Answers of instances that have just started, too.
+    new: u32,
 }
 
 impl Sure {
@@ -52,14 +51,14 @@
         self.compared = Some(now);
     }
 
-    /// Another instance answered that can't tell either.
-    pub fn unsure(&mut self) {
-        self.unsure += 1;
+    /// Another instance answered that has just started, too.
+    pub fn met_new(&mut self) {
+        self.new += 1;
     }
 
     /// Whether the process may serve by what it knows: also where several have just started, since then none knows better.
     pub fn serves(&self, now: Boot) -> bool {
-        let many_new = self.unsure >= MANY_NEW;
+        let many_new = self.new >= MANY_NEW;
         self.learned.is_some_and(|since| many_new || self.settled(since, now))
     }
 
@@ -91,11 +90,11 @@
         }
     }
 
-    /// Takes in the version of the configuration of another instance that is sure of it; 0 from one that isn't.
+    /// Takes in the version of another instance's configuration; 0 from one that has just started, too.
     pub fn compare_config(&self, version: Version, now: Boot) {
         let own = self.view.borrow().catalog().version();
         if version == 0 {
-            self.sure.borrow_mut().unsure();
+            self.sure.borrow_mut().met_new();
             return;
         }
         if version > own {
--- a/crates/celerytide-edge/src/peers/news.rs
+++ b/crates/celerytide-edge/src/peers/news.rs
@@ -60,7 +60,7 @@
         pub view: Option<Snapshot>,
         /// For how long endpoints whose entries are gone are still kept.
         pub keep_ms: Millis,
-        /// Version of its configuration; 0 if it knows none, or is unsure itself.
+        /// Version of its configuration; 0 if it knows none, or has just started and can't tell.
         pub config: Version,
         /// Its configuration, if that is newer and the asker is unsure.
         pub newer_config: Option<Config>,
@@ -182,7 +182,7 @@
             heard,
             view: newer.then(|| view.snapshot()),
             keep_ms: millis(edge.hold(now)),
-            config: if edge.is_sure(now) { version } else { 0 },
+            config: if edge.serves(now) { version } else { 0 },
             newer_config: newer_config.cloned(),
         }
     }
