--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -1,5 +1,6 @@
 //! The state of the process and the decisions that need more than one part of it.
 
+mod flight;
 mod pick;
 mod sure;
 
@@ -17,7 +18,8 @@
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
 
-pub use pick::{InFlight, NoPick, Pick};
+pub use flight::InFlight;
+pub use pick::{NoPick, Pick};
 pub use sure::Sure;
 
 use crate::admit::Held;
--- a/crates/celerytide-edge/src/edge/pick.rs
+++ b/crates/celerytide-edge/src/edge/pick.rs
@@ -4,17 +4,17 @@
 use std::time::Duration;
 
 use celerytide_catalog::{Endpoint, Known, Service, View};
-use celerytide_types::{Boot, ServiceId, now_boot};
+use celerytide_types::{Boot, now_boot};
 use tracing::info;
 
-use super::Edge;
+use super::{Edge, InFlight};
 use crate::admit::Capacity;
 use crate::health::Standing;
 use crate::intake::Intake;
 use crate::names::{Prompt, Wire};
 use crate::notice::Standing as Said;
 use crate::peers::Instances;
-use crate::place::{Ask, Candidate, Choice, Facts, Ticket, choose, shared};
+use crate::place::{Ask, Candidate, Choice, Facts, choose, shared};
 use crate::split::{self, Size};
 
 /// Most endpoints of a service that may be out at once, as a share.
@@ -55,69 +55,6 @@
     }
 }
 
-/// Counts a request at its endpoint until it is dropped.
-pub struct InFlight<W: Wire> {
-    edge: Rc<Edge<W>>,
-    ticket: Ticket,
-    service: ServiceId,
-    /// Tokens of its prompt and answer.
-    tokens: f64,
-    /// Most tokens of its answer.
-    output: u32,
-    /// Requests that the engine runs at once; none of a plain endpoint.
-    slots: u32,
-    /// When its answer began.
-    begun: Option<Boot>,
-    /// The tightest pause between two events that a route of the service allows.
-    pause: Option<Duration>,
-    /// The longest one that was seen.
-    gap: Duration,
-}
-
-impl<W: Wire> InFlight<W> {
-    /// The first byte of the answer came after `took`.
-    pub fn first_byte(&mut self, took: Duration) {
-        self.edge.counters.first_byte.observe(took.as_secs_f64());
-        self.edge.loads.borrow_mut().first_byte(&mut self.ticket, took);
-        self.begun = Some(now_boot());
-    }
-
-    /// The next event of its answer came after `gap`.
-    pub fn event_gap(&mut self, gap: Duration) {
-        self.gap = self.gap.max(gap);
-    }
-
-    /// Learns whether its events came in time.
-    fn learn_gap(&self) {
-        let (Some(pause), true) = (self.pause, self.begun.is_some()) else {
-            return;
-        };
-        let mut split = self.edge.split.borrow_mut();
-        split.saw(&self.service, self.gap > pause, now_boot());
-    }
-
-    /// Learns from the time for which it held one of the engine's places.
-    fn learn_place(&self) {
-        let Some(begun) = self.begun.filter(|_| self.slots > 0) else {
-            return;
-        };
-        let held = now_boot().since(begun);
-        let mut split = self.edge.split.borrow_mut();
-        split.learn(&self.service, self.output, held, self.slots);
-    }
-}
-
-impl<W: Wire> Drop for InFlight<W> {
-    fn drop(&mut self) {
-        self.learn_place();
-        self.learn_gap();
-        self.edge.held.borrow_mut().end(&self.service, self.tokens);
-        let mut loads = self.edge.loads.borrow_mut();
-        loads.end(&mut self.ticket);
-        loads.entry(&self.ticket.endpoint).health.end_trial();
-    }
-}
-
 impl<W: Wire> Edge<W> {
     /// Chooses an endpoint for the request, not among `tried`, and counts the request there.
     pub fn pick(self: &Rc<Self>, intake: &Intake, service: &Service, tried: &[String]) -> Result<Pick<W>, NoPick> {
