--- a/crates/celerytide-load/tests/demo.rs
+++ b/crates/celerytide-load/tests/demo.rs
@@ -4,6 +4,8 @@
 
 use std::{
     fs,
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
     path::PathBuf,
     thread,
     time::{Duration, Instant},
@@ -99,3 +101,53 @@
     let left: Vec<u32> = children.into_iter().filter(|pid| parent_of(*pid).is_some()).collect();
     assert!(left.is_empty(), "still there: {left:?}");
 }
+
+/// A newcomer's first burst.
+const BURST: usize = 40;
+
+/// A streamed chat of 24 tokens over a connection of its own.
+fn chat(addr: SocketAddr, request: &str) -> String {
+    let body = r#"{"model":"demo-model","stream":true,"max_tokens":24,"messages":[{"role":"user","content":"hello"}]}"#;
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: demo\r\nauthorization: Bearer key-acme\r\nx-request-id: {request}\r\n\
+         content-type: application/json\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    let mut conn = TcpStream::connect(addr).expect("connection");
+    conn.set_read_timeout(Some(BOUND)).expect("timeout");
+    conn.write_all(format!("{head}{body}").as_bytes()).expect("sent");
+    let mut answer = String::new();
+    conn.read_to_string(&mut answer).expect("answer");
+    answer
+}
+
+#[test]
+fn forty_requests_at_once_are_served_each_with_its_own_answer() {
+    let dir = WorkDir::create().expect("folder");
+    let (mut process, log) = demo(&dir, &["demo"]);
+    let until = Instant::now() + BOUND;
+    let text = || fs::read_to_string(&log).unwrap_or_default();
+    while !text().contains("Ctrl-C ends everything") {
+        assert!(process.is_running() && Instant::now() < until, "{}", text());
+        thread::sleep(Duration::from_millis(20));
+    }
+    let text = text();
+    let after = text.split("callers http://").skip(1);
+    let callers: Vec<SocketAddr> = after.filter_map(|rest| rest.split(' ').next()?.parse().ok()).collect();
+    assert_eq!(callers.len(), 2, "{text}");
+    let asked: Vec<_> = (0..BURST)
+        .map(|n| {
+            let addr = callers[n % callers.len()];
+            thread::spawn(move || (n, chat(addr, &format!("burst-{n}-"))))
+        })
+        .collect();
+    for thread in asked {
+        let (n, answer) = thread.join().expect("thread");
+        assert!(answer.contains("\"word\":\"done\""), "request {n}: {answer}");
+        let own = answer.matches(&format!("\"id\":\"burst-{n}-\"")).count();
+        assert_eq!(answer.matches("\"id\":\"").count(), own, "request {n}: {answer}");
+        assert!(own >= 2, "request {n}: {own} pieces");
+    }
+    process.signal(Signal::SIGINT).expect("signal");
+    assert!(process.wait(BOUND).is_some_and(|status| status.success()));
+}
