--- a/crates/celerytide-http/src/client/mod.rs
+++ b/crates/celerytide-http/src/client/mod.rs
@@ -77,7 +77,9 @@
         };
         *stage = Stage::Written;
         let began = now_boot();
-        let asked = timeout(call.bounds.head.min(call.bounds.whole), conn.ask(&call)).await;
+        // Boxed: it is large, and all that wait for it would hold it in their own frames.
+        let asking = Box::pin(conn.ask(&call));
+        let asked = timeout(call.bounds.head.min(call.bounds.whole), asking).await;
         let asked = asked.unwrap_or(Err(Cause::HeadTimeout));
         let (head, whole) = asked.map_err(|cause| failed(Stage::Written, cause))?;
         let until = began.after(call.bounds.whole);
