--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -174,8 +174,7 @@
     /// Whether new connections may come.
     pub fn is_ready(&self) -> bool {
         let view = self.view.borrow();
-        let knows = view.has_config() && view.endpoint_count() > 0;
-        knows && self.stopping_since.get().is_none()
+        view.has_config() && view.endpoint_count() > 0 && self.stopping_since.get().is_none()
     }
 
     /// For how long endpoints whose entries are gone are still kept.
