--- a/crates/celerytide-load/tests/demo.rs
+++ b/crates/celerytide-load/tests/demo.rs
@@ -32,6 +32,15 @@
     (Process::start(&options).expect("start"), log)
 }
 
+/// Waits until the process has written `line`.
+fn await_line(process: &mut Process, text: impl Fn() -> String, line: &str) {
+    let until = Instant::now() + BOUND;
+    while !text().contains(line) {
+        assert!(process.is_running() && Instant::now() < until, "{}", text());
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
 fn children(parent: u32) -> Vec<u32> {
     let pids = fs::read_dir("/proc").expect("proc").flatten();
     let pids = pids.filter_map(|entry| entry.file_name().to_str()?.parse::<u32>().ok());
@@ -64,12 +73,8 @@
     let dir = WorkDir::create().expect("folder");
     let scenario = concat!(env!("CARGO_MANIFEST_DIR"), "/../../scenarios/smoke.yaml");
     let (mut process, log) = demo(&dir, &["run", scenario]);
-    let until = Instant::now() + BOUND;
     let text = || fs::read_to_string(&log).unwrap_or_default();
-    while !text().contains("1.0 s  sent") {
-        assert!(process.is_running() && Instant::now() < until, "{}", text());
-        thread::sleep(Duration::from_millis(20));
-    }
+    await_line(&mut process, text, "1.0 s  sent");
     let children = children(process.pid());
     assert_eq!(children.len(), SMOKE_CHILDREN, "{}", text());
     process.signal(Signal::SIGTERM).expect("signal");
@@ -87,12 +92,8 @@
 fn a_signal_ends_every_process() {
     let dir = WorkDir::create().expect("folder");
     let (mut process, log) = demo(&dir, &["demo"]);
-    let until = Instant::now() + BOUND;
     let text = || fs::read_to_string(&log).unwrap_or_default();
-    while !text().contains("Ctrl-C ends everything") {
-        assert!(process.is_running() && Instant::now() < until, "{}", text());
-        thread::sleep(Duration::from_millis(20));
-    }
+    await_line(&mut process, text, "Ctrl-C ends everything");
     let children = children(process.pid());
     assert_eq!(children.len(), CHILDREN, "{}", text());
     process.signal(Signal::SIGINT).expect("signal");
@@ -125,12 +126,8 @@
 fn forty_requests_at_once_are_served_each_with_its_own_answer() {
     let dir = WorkDir::create().expect("folder");
     let (mut process, log) = demo(&dir, &["demo"]);
-    let until = Instant::now() + BOUND;
     let text = || fs::read_to_string(&log).unwrap_or_default();
-    while !text().contains("Ctrl-C ends everything") {
-        assert!(process.is_running() && Instant::now() < until, "{}", text());
-        thread::sleep(Duration::from_millis(20));
-    }
+    await_line(&mut process, text, "Ctrl-C ends everything");
     let text = text();
     let after = text.split("callers http://").skip(1);
     let callers: Vec<SocketAddr> = after.filter_map(|rest| rest.split(' ').next()?.parse().ok()).collect();
