feat(edge): say which rate limits endpoints name and what is sent to them

Now the adapter decodes the limit, `limit: the endpoint's rate changed` gives the endpoint, its start and both rates, `forward: ended` has `limit_per_s` as known when the endpoint was picked, and the metrics count changes, limited endpoints and requests sent to them. A value that can't be read gets one line until one can be.

No decision depends on it yet: where requests go is unchanged.

--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -34,6 +34,7 @@
 use crate::placement::EndpointLoads;
 use crate::placement::popularity::Popularity;
 use crate::protocol::Protocol;
+use crate::rate_limit::{Change, NamedLimits, StatedLimit};
 use crate::settings::Settings;
 use crate::split::EngineSplit;
 
@@ -89,6 +90,8 @@
     pub split: RefCell<EngineSplit>,
     /// Pauses and departures of endpoints.
     pub notices: RefCell<Notices>,
+    /// Rate limits that endpoints name.
+    pub named_limits: RefCell<NamedLimits>,
     /// Rate limits of cold endpoints.
     pub cold: RefCell<ColdLimiter>,
     /// Other instances.
@@ -157,6 +160,7 @@
             tokens_in_flight: RefCell::default(),
             split: RefCell::default(),
             notices: RefCell::default(),
+            named_limits: RefCell::default(),
             limits: Rc::new(Cell::new(limits)),
             counters: Counters::default(),
             store_responded_at: Cell::new(None),
@@ -241,6 +245,23 @@
         }
     }
 
+    /// Applies the rate limit that an endpoint stated in the response to a request that was sent at `sent_at`.
+    pub fn apply_stated_limit(&self, endpoint: &Endpoint, stated: StatedLimit, sent_at: BootTime) {
+        let mut limits = self.named_limits.borrow_mut();
+        let Some(change) = limits.record(endpoint, stated, sent_at, now_boot()) else {
+            return;
+        };
+        self.counters.limited_endpoints.set(limits.count() as i64);
+        let (id, start) = (&endpoint.id, endpoint.start);
+        match change {
+            Change::Limit { from, to } => {
+                self.counters.limit_changes.inc();
+                info!(endpoint = id, start, from, to, "limit: the endpoint's rate changed");
+            }
+            Change::Unreadable => warn!(endpoint = id, start, "limit: the endpoint's rate can't be read"),
+        }
+    }
+
     /// Takes one retry of a request to `service` from the budget, if any is left.
     pub fn take_retry(&self, service: &str) -> bool {
         let now = now_boot();
--- a/crates/celerytide-edge/src/edge/pick.rs
+++ b/crates/celerytide-edge/src/edge/pick.rs
@@ -28,6 +28,8 @@
     pub in_flight: InFlight<P>,
     /// When it was picked.
     pub at: BootTime,
+    /// Requests per second that the endpoint takes from all instances together, if it names a limit.
+    pub limit_per_s: Option<f64>,
 }
 
 /// Why no endpoint was picked.
@@ -293,6 +295,10 @@
         now: BootTime,
     ) -> Pick<P> {
         let tokens = total_tokens(&request.prompt);
+        let limit_per_s = self.named_limits.borrow().per_s(&choice.known.endpoint);
+        if limit_per_s.is_some() {
+            self.counters.limited_requests.inc();
+        }
         if let Some(prompt_size) = prompt_size {
             let per_s = self.loads.borrow().prefill_rate(&service.id);
             let prefill_time = Duration::from_secs_f64(f64::from(choice.uncached) / per_s.max(1.0));
@@ -325,6 +331,7 @@
                 gap: Duration::ZERO,
             },
             at: now,
+            limit_per_s,
         }
     }
 }
--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -21,7 +21,7 @@
 use tokio_util::sync::CancellationToken;
 use tracing::info;
 
-use crate::edge::{Edge, PickError};
+use crate::edge::{Edge, Pick, PickError};
 use crate::health::Outcome;
 use crate::metrics::{RequestLabels, RouteLabel};
 use crate::protocol::{Protocol, kind_name};
@@ -85,6 +85,7 @@
         rejected_count: 0,
         reached_endpoint: false,
         endpoint: String::new(),
+        limit_per_s: None,
         first_byte: None,
         gap: Gap::default(),
     };
@@ -152,6 +153,8 @@
     /// Whether an attempt reached an endpoint; a further one then counts as a retry.
     reached_endpoint: bool,
     endpoint: String,
+    /// Rate limit that the endpoint had named when it was picked, in requests per second.
+    limit_per_s: Option<f64>,
     /// Time from the start to the first byte of a response.
     first_byte: Option<Duration>,
     /// The longest gap between two events.
@@ -198,8 +201,7 @@
             if self.reached_endpoint && !edge.take_retry(&service.id) {
                 return self.give_up(out, "no-repeat-left").await;
             }
-            self.tried.push(pick.endpoint.id.clone());
-            self.endpoint.clone_from(&pick.endpoint.id);
+            self.note_pick(&pick);
             let sent = send::send(self, &service, pick, None).await;
             let next = match sent {
                 Sent::Response(upstream) if self.is_final(&upstream) => {
@@ -232,6 +234,12 @@
         }
     }
 
+    fn note_pick(&mut self, pick: &Pick<P>) {
+        self.tried.push(pick.endpoint.id.clone());
+        self.endpoint.clone_from(&pick.endpoint.id);
+        self.limit_per_s = pick.limit_per_s;
+    }
+
     /// Whether a response goes to the caller: all but a server error after which another endpoint may be tried.
     fn is_final(&self, upstream: &Upstream<P>) -> bool {
         let failed = upstream.response.status.is_server_error();
@@ -333,6 +341,7 @@
             customer,
             endpoint = self.endpoint,
             tried = self.tried.len(),
+            limit_per_s = self.limit_per_s,
             ran = self.may_have_run_count,
             cause = end.cause,
             status = end.status,
--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -16,6 +16,7 @@
 use crate::edge::{Edge, InFlight, Pick};
 use crate::health::Outcome;
 use crate::protocol::Protocol;
+use crate::rate_limit::StatedLimit;
 
 /// Longest time for a new connection.
 const CONNECT: Duration = Duration::from_millis(500);
@@ -147,7 +148,14 @@
         return Sent::Rejected("endpoint-replaced");
     }
     edge.apply_notice(&pick.endpoint, edge.protocol.notice(response.status, &response.headers));
-    if response.headers.contains_key(&names.not_run) {
+    let is_rejected = response.headers.contains_key(&names.not_run);
+    let is_sealed = response.headers.contains_key(&names.seal);
+    let limit = edge.protocol.rate_limit(&response.headers);
+    // A response without a seal may not come from the endpoint as it was sent, so that a missing limit proves nothing.
+    if is_sealed || is_rejected || limit != StatedLimit::Absent {
+        edge.apply_stated_limit(&pick.endpoint, limit, pick.at);
+    }
+    if is_rejected {
         let status = response.status.as_u16();
         info!(
             request = fwd.request.id,
@@ -158,7 +166,7 @@
         );
         return Sent::Rejected("endpoint-full");
     }
-    if response.status.is_success() && !response.headers.contains_key(&names.seal) {
+    if response.status.is_success() && !is_sealed {
         info!(
             request = fwd.request.id,
             endpoint = id,
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -175,8 +175,7 @@
             info!(request = fwd.request.id, "stream: no repeat left to go on");
             return None;
         }
-        fwd.tried.push(pick.endpoint.id.clone());
-        fwd.endpoint.clone_from(&pick.endpoint.id);
+        fwd.note_pick(&pick);
         match send(fwd, service, pick, last_event).await {
             Sent::Response(upstream) if upstream.response.status.is_success() => {
                 info!(request = fwd.request.id, endpoint = fwd.endpoint, "stream: goes on");
--- a/crates/celerytide-edge/src/lib.rs
+++ b/crates/celerytide-edge/src/lib.rs
@@ -1,8 +1,8 @@
 //! A router in one process: it reads what the platform publishes and decides about each request by itself.
 //!
 //! Decisions take facts and times as arguments and do no I/O: [`admission`], [`budget`], [`cold`], [`health`],
-//! [`notice`], [`placement`], [`request`], [`split`]. The tasks around them: [`follow`] reads the store, [`peers`]
-//! talks to other instances, [`forward`] serves callers, [`stop`] ends the process. An adapter supplies
+//! [`notice`], [`placement`], [`rate_limit`], [`request`], [`split`]. The tasks around them: [`follow`] reads the store,
+//! [`peers`] talks to other instances, [`forward`] serves callers, [`stop`] ends the process. An adapter supplies
 //! [`protocol::Protocol`] for callers and endpoints, and [`source::Source`] for the store.
 
 #![forbid(unsafe_code)]
@@ -22,6 +22,7 @@
 pub mod peers;
 pub mod placement;
 pub mod protocol;
+pub mod rate_limit;
 pub mod request;
 pub mod settings;
 pub mod source;
--- a/crates/celerytide-edge/src/metrics/mod.rs
+++ b/crates/celerytide-edge/src/metrics/mod.rs
@@ -38,6 +38,12 @@
     pub leaving: Counter,
     /// Pauses requested by endpoints.
     pub pauses: Counter,
+    /// Changes of rate limits that endpoints name.
+    pub limit_changes: Counter,
+    /// Requests sent to endpoints that name a rate limit.
+    pub limited_requests: Counter,
+    /// Endpoints that name a rate limit.
+    pub limited_endpoints: Gauge,
     /// Longest gap between two events of a stream, in seconds.
     pub stream_gap: Family<RouteLabel, Histogram>,
     /// Time to the first byte of an endpoint's response, in seconds.
@@ -68,6 +74,9 @@
             retries: Counter::default(),
             leaving: Counter::default(),
             pauses: Counter::default(),
+            limit_changes: Counter::default(),
+            limited_requests: Counter::default(),
+            limited_endpoints: Gauge::default(),
             stream_gap: Family::new_with_constructor(gap_histogram),
             first_byte: Histogram::new(buckets()),
             response_time: Histogram::new(buckets()),
@@ -91,6 +100,12 @@
         registry.register("endpoints_leaving", leaving, self.leaving.clone());
         let pauses = "Pauses that endpoints asked for";
         registry.register("endpoint_pauses", pauses, self.pauses.clone());
+        let limit_changes = "Changes of rate limits that endpoints name";
+        registry.register("endpoint_limit_changes", limit_changes, self.limit_changes.clone());
+        let limited_requests = "Requests sent to endpoints that name a rate limit";
+        registry.register("limited_requests", limited_requests, self.limited_requests.clone());
+        let limited_endpoints = "Endpoints that name a rate limit";
+        registry.register("limited_endpoints", limited_endpoints, self.limited_endpoints.clone());
         let stream_gap = "Longest time between two events of a stream, in seconds";
         registry.register("stream_gap_seconds", stream_gap, self.stream_gap.clone());
         let first_byte = "Seconds to the first byte of an endpoint's answer";
--- a/crates/celerytide-edge/src/protocol/mod.rs
+++ b/crates/celerytide-edge/src/protocol/mod.rs
@@ -4,6 +4,7 @@
 use http::{HeaderMap, HeaderName, StatusCode};
 
 use crate::notice::Notice;
+use crate::rate_limit::StatedLimit;
 
 /// Header names by their meaning.
 #[derive(Debug, Clone)]
@@ -66,6 +67,9 @@
 
     /// What a response announces about its endpoint.
     fn notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice;
+
+    /// The rate limit that a response states.
+    fn rate_limit(&self, headers: &HeaderMap) -> StatedLimit;
 }
 
 /// Name of a route's kind in logs.
