--- a/crates/celerytide-soak/src/check/mod.rs
+++ b/crates/celerytide-soak/src/check/mod.rs
@@ -1,11 +1,15 @@
 //! Guarantees of the router, checked over what callers and runners saw.
 
+mod limits;
+
 use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::time::Duration;
 
 use crate::plan::STREAM_EVENTS;
 
+pub use limits::{Excess, RatedArrival, find_excess};
+
 /// Kind of a request, by the guarantees of its route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestKind {
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -60,6 +60,22 @@
     },
 }
 
+impl RunnerMode {
+    /// Whether a whole response head of the runner itself is sent, with the request's id.
+    fn has_own_head(self) -> bool {
+        !matches!(
+            self,
+            RunnerMode::Misdirected
+                | RunnerMode::Unsealed
+                | RunnerMode::Endless(_)
+                | RunnerMode::Crossed
+                | RunnerMode::Garbage
+                | RunnerMode::Lost
+                | RunnerMode::NoResponse
+        )
+    }
+}
+
 /// A request that a runner ran, or refused without running it.
 #[derive(Debug, Clone)]
 pub struct Arrival {
@@ -71,11 +87,15 @@
     pub ran: bool,
     /// Mode in which the runner responded.
     pub mode: RunnerMode,
+    /// Rate limit that the response named, if it named one.
+    pub limit: Option<&'static str>,
 }
 
 struct Shared {
     id: String,
     mode: Mutex<RunnerMode>,
+    /// Rate limit in requests per second that each response with the request's id names, sent as written.
+    limit: Mutex<Option<&'static str>>,
     requests: Mutex<Vec<Request>>,
     arrivals: Mutex<Vec<Arrival>>,
     /// Requests whose client, the router, closed the connection before the response ended.
@@ -101,6 +121,7 @@
         let shared = Arc::new(Shared {
             id: id.to_owned(),
             mode: Mutex::new(mode),
+            limit: Mutex::default(),
             requests: Mutex::default(),
             arrivals: Mutex::default(),
             disconnect_count: Mutex::default(),
@@ -120,6 +141,11 @@
         *lock(&self.shared.mode) = mode;
     }
 
+    /// Sets the rate limit that the next responses name, sent as written; `None` for no limit.
+    pub fn name_limit(&self, limit: Option<&'static str>) {
+        *lock(&self.shared.limit) = limit;
+    }
+
     /// All requests received so far.
     pub fn requests(&self) -> Vec<Request> {
         lock(&self.shared.requests).clone()
@@ -148,6 +174,7 @@
     while let Some(req) = request::read(&mut conn) {
         lock(&shared.requests).push(req.clone());
         let mode = *lock(&shared.mode);
+        let limit = *lock(&shared.limit);
         lock(&shared.arrivals).push(Arrival {
             id: req.header("x-attempt-id").to_owned(),
             at: Instant::now(),
@@ -156,8 +183,9 @@
                 RunnerMode::NotRun | RunnerMode::Misdirected | RunnerMode::Paused(_)
             ),
             mode,
+            limit: limit.filter(|_| mode.has_own_head()),
         });
-        if !respond(shared, &mut out, &req, mode) {
+        if !respond(shared, &mut out, &req, mode, limit) {
             // Fails only if the connection has ended already.
             let _ = out.shutdown(Shutdown::Both);
             return;
@@ -166,10 +194,12 @@
 }
 
 /// Responds to a request; true if the connection stays open.
-fn respond(shared: &Shared, out: &mut TcpStream, req: &Request, mode: RunnerMode) -> bool {
+fn respond(shared: &Shared, out: &mut TcpStream, req: &Request, mode: RunnerMode, limit: Option<&'static str>) -> bool {
     let id = req.header("x-attempt-id");
     let body = format!("answer of {} to {id}", shared.id);
-    let sealed = format!("x-attempt-id: {id}\r\nx-response-seal: {SEAL}\r\n");
+    let limit = limit.map_or(String::new(), |value| format!("server-limit: {value}\r\n"));
+    let sealed = format!("x-attempt-id: {id}\r\nx-response-seal: {SEAL}\r\n{limit}");
+    let not_run = format!("x-attempt-id: {id}\r\nx-not-executed: 1\r\n{limit}");
     match mode {
         RunnerMode::Good => send_response(out, "200 OK", &sealed, &body),
         RunnerMode::Late(ms) => {
@@ -177,9 +207,9 @@
             send_response(out, "200 OK", &sealed, &body)
         }
         RunnerMode::Failed => send_response(out, "500 Failed", &sealed, &body),
-        RunnerMode::NotRun => send_response(out, "503 Full", &not_run_headers(id), ""),
+        RunnerMode::NotRun => send_response(out, "503 Full", &not_run, ""),
         RunnerMode::Paused(seconds) => {
-            let headers = format!("{}retry-after: {seconds}\r\n", not_run_headers(id));
+            let headers = format!("{not_run}retry-after: {seconds}\r\n");
             send_response(out, "503 Full", &headers, "")
         }
         RunnerMode::Leaving => send_response(out, "200 OK", &format!("{sealed}server-leaving: 1\r\n"), &body),
@@ -229,10 +259,6 @@
     }
 }
 
-fn not_run_headers(id: &str) -> String {
-    format!("x-attempt-id: {id}\r\nx-not-executed: 1\r\n")
-}
-
 fn send_response(out: &mut TcpStream, status: &str, headers: &str, body: &str) -> bool {
     let length = body.len();
     let response = format!("HTTP/1.1 {status}\r\n{headers}content-length: {length}\r\n\r\n{body}");
