--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -24,7 +24,6 @@
 
 use crate::admission::TokensInFlight;
 use crate::budget::RetryBudget;
-use crate::cold::ColdLimiter;
 use crate::health::Outcome;
 use crate::metrics::Counters;
 use crate::notice::{Notice, NoticeEffect, Notices};
@@ -34,7 +33,7 @@
 use crate::placement::EndpointLoads;
 use crate::placement::popularity::Popularity;
 use crate::protocol::Protocol;
-use crate::rate_limit::{Change, NamedLimits, StatedLimit};
+use crate::rate_limit::{Change, NamedLimits, RateLimiter, StatedLimit};
 use crate::settings::Settings;
 use crate::split::EngineSplit;
 
@@ -92,8 +91,8 @@
     pub notices: RefCell<Notices>,
     /// Rate limits that endpoints name.
     pub named_limits: RefCell<NamedLimits>,
-    /// Rate limits of cold endpoints.
-    pub cold: RefCell<ColdLimiter>,
+    /// This instance's part of the rates of limited endpoints.
+    pub rate_limiter: RefCell<RateLimiter>,
     /// Other instances.
     pub members: RefCell<Members>,
     /// Connections to other instances.
@@ -150,7 +149,7 @@
         });
         Edge {
             retry_budget: RefCell::new(RetryBudget::new(settings.bounds.retry_limits())),
-            cold: RefCell::new(ColdLimiter::new(own, now)),
+            rate_limiter: RefCell::new(RateLimiter::new(own, now)),
             members: RefCell::new(Members::new(own, &settings.seeds, now)),
             view: RefCell::new(View::new(settings.bounds.heartbeat() * MAX_EXPIRY_BEATS)),
             config_freshness: RefCell::default(),
@@ -280,7 +279,7 @@
             loads.remove_idle(id);
         }
         drop(loads);
-        self.cold.borrow_mut().sweep(now);
+        self.rate_limiter.borrow_mut().sweep(now);
         self.notices.borrow_mut().sweep(now);
         if *update == Update::default() {
             return;
--- a/crates/celerytide-edge/src/edge/pick.rs
+++ b/crates/celerytide-edge/src/edge/pick.rs
@@ -14,6 +14,7 @@
 use crate::peers::Instances;
 use crate::placement::{Candidate, Choice, Inputs, Query, choose, shared_blocks};
 use crate::protocol::{Prompt, Protocol};
+use crate::rate_limit::usable_rate;
 use crate::request::RoutedRequest;
 use crate::split::{self, PromptSize};
 
@@ -88,7 +89,8 @@
         let choice = choice.ok_or_else(|| self.pick_error(&view, service, now))?;
         if is_cold(service, choice.known, now) {
             let id = &choice.known.endpoint.id;
-            self.cold.borrow_mut().record(id, service.cold_rate, &instances, now);
+            let per_s = usable_rate(service.cold_rate);
+            self.rate_limiter.borrow_mut().record(id, per_s, &instances, now);
         }
         Ok(self.reserve(service, &choice, request, prompt_size, now))
     }
@@ -102,14 +104,14 @@
         instances: &Instances,
         now: BootTime,
     ) -> Vec<&'a KnownEndpoint> {
-        let cold = self.cold.borrow();
+        let limiter = self.rate_limiter.borrow();
         let notices = self.notices.borrow();
         let may_serve = |known: &&KnownEndpoint| {
             if notices.availability(&known.endpoint, now) != Availability::Available {
                 return false;
             }
             let id = &known.endpoint.id;
-            !is_cold(service, known, now) || cold.allows(id, service.cold_rate, instances, now)
+            !is_cold(service, known, now) || limiter.allows(id, usable_rate(service.cold_rate), instances, now)
         };
         let untried = view
             .usable(&service.id, now)
--- a/crates/celerytide-edge/src/lib.rs
+++ b/crates/celerytide-edge/src/lib.rs
@@ -1,8 +1,8 @@
 //! A router in one process: it reads what the platform publishes and decides about each request by itself.
 //!
-//! Decisions take facts and times as arguments and do no I/O: [`admission`], [`budget`], [`cold`], [`health`],
-//! [`notice`], [`placement`], [`rate_limit`], [`request`], [`split`]. The tasks around them: [`follow`] reads the store,
-//! [`peers`] talks to other instances, [`forward`] serves callers, [`stop`] ends the process. An adapter supplies
+//! Decisions take facts and times as arguments and do no I/O: [`admission`], [`budget`], [`health`], [`notice`],
+//! [`placement`], [`rate_limit`], [`request`], [`split`]. The tasks around them: [`follow`] reads the store, [`peers`]
+//! talks to other instances, [`forward`] serves callers, [`stop`] ends the process. An adapter supplies
 //! [`protocol::Protocol`] for callers and endpoints, and [`source::Source`] for the store.
 
 #![forbid(unsafe_code)]
@@ -10,7 +10,6 @@
 
 pub mod admission;
 pub mod budget;
-pub mod cold;
 pub mod daemon;
 pub mod edge;
 pub mod events;
--- a/crates/celerytide-edge/tests/decisions.rs
+++ b/crates/celerytide-edge/tests/decisions.rs
@@ -7,10 +7,10 @@
 use celerytide_catalog::Urgency;
 use celerytide_edge::admission::{Capacity, TokensInFlight};
 use celerytide_edge::budget::{RetryBudget, RetryLimits};
-use celerytide_edge::cold::ColdLimiter;
 use celerytide_edge::health::{Health, HealthState, Outcome};
 use celerytide_edge::peers::Members;
 use celerytide_edge::peers::digest::{Backlog, Digest, Digests, ServiceTokens, id_hash};
+use celerytide_edge::rate_limit::{RateLimiter, usable_rate};
 use celerytide_types::BootTime;
 
 fn at(ms: u64) -> BootTime {
@@ -131,12 +131,13 @@
 fn a_cold_endpoint_is_neither_overloaded_nor_starved() {
     for case in &COLD_CASES {
         let all = instances(case.instances);
-        let mut limiters: Vec<ColdLimiter> = all.iter().map(|i| ColdLimiter::new(*i, at(0))).collect();
+        let mut limiters: Vec<RateLimiter> = all.iter().map(|i| RateLimiter::new(*i, at(0))).collect();
         let mut sent = Vec::new();
         for ms in (5000..9000).step_by(5) {
             for limiter in &mut limiters {
-                if limiter.allows("e", case.per_s, &all, at(ms)) {
-                    limiter.record("e", case.per_s, &all, at(ms));
+                let per_s = usable_rate(case.per_s);
+                if limiter.allows("e", per_s, &all, at(ms)) {
+                    limiter.record("e", per_s, &all, at(ms));
                     sent.push(ms);
                 }
             }
@@ -154,9 +155,9 @@
 #[test]
 fn a_new_instance_sends_nothing_to_cold_endpoints() {
     let own = instances(1);
-    let limiters = ColdLimiter::new(own[0], at(0));
-    assert!(!limiters.allows("e", 18.0, &own, at(2000)));
-    assert!(limiters.allows("e", 18.0, &own, at(4500)));
+    let limiters = RateLimiter::new(own[0], at(0));
+    assert!(!limiters.allows("e", usable_rate(18.0), &own, at(2000)));
+    assert!(limiters.allows("e", usable_rate(18.0), &own, at(4500)));
 }
 
 /// An endpoint fails some of its requests.
