fix(edge): the rate that an endpoint names binds all instances together

Cause: the limit in an answer was no input of any decision. What instances together may send to one endpoint was known from the configuration only (cold endpoints); of what endpoints say themselves, only departures and pauses were read, and each instance obeys these for itself.

Fix: one mechanism for both sources. `usable_rate` takes the lower of the cold and the named rate, and `RateLimiter` shares it: rendezvous hashing selects at least four instances, each with an equal part, so that the sum holds however many were told; the selected ones begin one after the other. First sends, retries and resumed streams all pass `pick`. A limit doesn't outlive the start of the endpoint that named it, isn't ended by an answer to an earlier request, and however low it is, the endpoint is asked now and then.

Cold rates of 12 a second and less are now shared by four instances instead of one to three; above that nothing changes.

--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -33,7 +33,7 @@
 use crate::placement::EndpointLoads;
 use crate::placement::popularity::Popularity;
 use crate::protocol::Protocol;
-use crate::rate_limit::{Change, NamedLimits, RateLimiter, StatedLimit};
+use crate::rate_limit::{Change, NamedLimits, RateLimiter, StatedLimit, usable_rate};
 use crate::settings::Settings;
 use crate::split::EngineSplit;
 
@@ -246,8 +246,9 @@
 
     /// Applies the rate limit that an endpoint stated in the response to a request that was sent at `sent_at`.
     pub fn apply_stated_limit(&self, endpoint: &Endpoint, stated: StatedLimit, sent_at: BootTime) {
+        let now = now_boot();
         let mut limits = self.named_limits.borrow_mut();
-        let Some(change) = limits.record(endpoint, stated, sent_at, now_boot()) else {
+        let Some(change) = limits.record(endpoint, stated, sent_at, now) else {
             return;
         };
         self.counters.limited_endpoints.set(limits.count() as i64);
@@ -256,6 +257,10 @@
             Change::Limit { from, to } => {
                 self.counters.limit_changes.inc();
                 info!(endpoint = id, start, from, to, "limit: the endpoint's rate changed");
+                if let Some(per_s) = usable_rate(None, to) {
+                    let instances = self.members.borrow().sharing_limits(now);
+                    self.rate_limiter.borrow_mut().begin(id, per_s, &instances, now);
+                }
             }
             Change::Unreadable => warn!(endpoint = id, start, "limit: the endpoint's rate can't be read"),
         }
--- a/crates/celerytide-edge/src/edge/pick.rs
+++ b/crates/celerytide-edge/src/edge/pick.rs
@@ -87,15 +87,20 @@
         };
         let choice = self.cheapest(request, service, &usable, instances.len(), now);
         let choice = choice.ok_or_else(|| self.pick_error(&view, service, now))?;
-        if is_cold(service, choice.known, now) {
+        if let Some(per_s) = self.rate(service, choice.known, now) {
             let id = &choice.known.endpoint.id;
-            let per_s = usable_rate(service.cold_rate);
             self.rate_limiter.borrow_mut().record(id, per_s, &instances, now);
         }
         Ok(self.reserve(service, &choice, request, prompt_size, now))
     }
 
-    /// Usable endpoints that neither leave nor pause, and cold ones only if this instance may send there now.
+    /// Requests per second that all instances together send to an endpoint; `None` without a limit.
+    fn rate(&self, service: &Service, known: &KnownEndpoint, now: BootTime) -> Option<f64> {
+        let cold = is_cold(service, known, now).then_some(service.cold_rate);
+        usable_rate(cold, self.named_limits.borrow().per_s(&known.endpoint))
+    }
+
+    /// Usable endpoints that neither leave nor pause, and limited ones only if this instance may send there now.
     fn available<'a>(
         &self,
         view: &'a View,
@@ -110,8 +115,8 @@
             if notices.availability(&known.endpoint, now) != Availability::Available {
                 return false;
             }
-            let id = &known.endpoint.id;
-            !is_cold(service, known, now) || limiter.allows(id, usable_rate(service.cold_rate), instances, now)
+            let rate = self.rate(service, known, now);
+            rate.is_none_or(|per_s| limiter.allows(&known.endpoint.id, per_s, instances, now))
         };
         let untried = view
             .usable(&service.id, now)
--- a/crates/celerytide-edge/src/rate_limit/limiter.rs
+++ b/crates/celerytide-edge/src/rate_limit/limiter.rs
@@ -10,8 +10,14 @@
 
 use celerytide_types::{BootTime, EndpointId, rendezvous_weight};
 
-/// Requests per second in the part of one instance.
+/// Requests per second in the part of one instance, if that selects more than [`MIN_SELECTED`] instances.
 const RATE_PER_INSTANCE: f64 = 3.0;
+/// Instances that are selected however low the rate is: an instance that isn't selected may know no other endpoint, and
+/// each one selected may send its first request in the same moment.
+const MIN_SELECTED: usize = 4;
+/// Least rate in requests per second: an endpoint that takes less is still asked now and then, since only a response can
+/// tell that its limit has ended.
+const MIN_RATE: f64 = 0.1;
 /// Time after startup during which no request goes to limited endpoints.
 const STARTUP_TIME: Duration = Duration::from_secs(4);
 
@@ -33,38 +39,75 @@
         }
     }
 
-    /// Whether a request may go to `endpoint`, which gets `per_s` requests per second from all `instances` (including
-    /// this one).
-    pub fn allows(&self, endpoint: &str, per_s: f64, instances: &[SocketAddr], now: BootTime) -> bool {
-        if now.since(self.started) < STARTUP_TIME || self.interval(endpoint, per_s, instances).is_none() {
-            return false;
+    /// When a request may go to `endpoint`, which gets `per_s` requests per second from all `instances` (including this
+    /// one); `None` if this instance sends it nothing.
+    pub fn next_at(&self, endpoint: &str, per_s: f64, instances: &[SocketAddr], now: BootTime) -> Option<BootTime> {
+        if now.since(self.started) < STARTUP_TIME {
+            return None;
         }
-        self.next_at.get(endpoint).is_none_or(|next_at| *next_at <= now)
+        self.part(endpoint, per_s, instances)?;
+        let next_at = self.next_at.get(endpoint).copied();
+        Some(next_at.map_or(now, |next_at| next_at.max(now)))
+    }
+
+    /// Whether a request may go to `endpoint` now.
+    pub fn allows(&self, endpoint: &str, per_s: f64, instances: &[SocketAddr], now: BootTime) -> bool {
+        self.next_at(endpoint, per_s, instances, now) == Some(now)
     }
 
     /// Counts a request sent to `endpoint`.
     pub fn record(&mut self, endpoint: &str, per_s: f64, instances: &[SocketAddr], now: BootTime) {
-        if let Some(interval) = self.interval(endpoint, per_s, instances) {
-            self.next_at.insert(endpoint.to_owned(), now.after(interval));
+        if let Some(part) = self.part(endpoint, per_s, instances) {
+            self.next_at.insert(endpoint.to_owned(), now.after(part.interval));
         }
     }
 
+    /// Begins with the part of a rate that became known: the selected instances send their first requests one after the
+    /// other.
+    pub fn begin(&mut self, endpoint: &str, per_s: f64, instances: &[SocketAddr], now: BootTime) {
+        let Some(part) = self.part(endpoint, per_s, instances) else {
+            return;
+        };
+        let turn = (part.rank + 1) as f64 / part.selected as f64;
+        let first_at = now.after(part.interval.mul_f64(turn));
+        let next_at = self.next_at.entry(endpoint.to_owned()).or_insert(first_at);
+        // A wait that a lower rate left behind ends sooner.
+        *next_at = if *next_at > now {
+            (*next_at).min(first_at)
+        } else {
+            first_at
+        };
+    }
+
     /// Removes the endpoints for which this instance's wait is over.
     pub fn sweep(&mut self, now: BootTime) {
         self.next_at.retain(|_, next_at| *next_at > now);
     }
 
-    /// Time between two requests of this instance; `None` if it isn't selected for the endpoint.
-    fn interval(&self, endpoint: &str, per_s: f64, instances: &[SocketAddr]) -> Option<Duration> {
-        if per_s <= 0.0 {
-            return None;
-        }
-        let selected_instances = ((per_s / RATE_PER_INSTANCE).floor() as usize).clamp(1, instances.len().max(1));
+    /// This instance's part of the rate; `None` if it isn't selected for the endpoint.
+    fn part(&self, endpoint: &str, per_s: f64, instances: &[SocketAddr]) -> Option<Part> {
+        let per_s = per_s.max(MIN_RATE);
+        let by_rate = (per_s / RATE_PER_INSTANCE).floor() as usize;
+        let selected = by_rate.max(MIN_SELECTED).min(instances.len().max(1));
         let own = rendezvous_weight(endpoint, &self.own.to_string());
-        let ranked_higher = instances.iter().filter(|i| **i != self.own);
-        let ranked_higher = ranked_higher
+        let others = instances.iter().filter(|i| **i != self.own);
+        let rank = others
             .filter(|i| rendezvous_weight(endpoint, &i.to_string()) > own)
             .count();
-        (ranked_higher < selected_instances).then(|| Duration::from_secs_f64(selected_instances as f64 / per_s))
+        (rank < selected).then(|| Part {
+            rank,
+            selected,
+            interval: Duration::from_secs_f64(selected as f64 / per_s),
+        })
     }
 }
+
+/// One instance's part of an endpoint's rate.
+struct Part {
+    /// Number of selected instances that rank higher.
+    rank: usize,
+    /// Number of selected instances.
+    selected: usize,
+    /// Time between two requests of this instance.
+    interval: Duration,
+}
--- a/crates/celerytide-edge/tests/decisions.rs
+++ b/crates/celerytide-edge/tests/decisions.rs
@@ -135,7 +135,7 @@
         let mut sent = Vec::new();
         for ms in (5000..9000).step_by(5) {
             for limiter in &mut limiters {
-                let per_s = usable_rate(case.per_s);
+                let per_s = usable_rate(Some(case.per_s), None).expect("a rate");
                 if limiter.allows("e", per_s, &all, at(ms)) {
                     limiter.record("e", per_s, &all, at(ms));
                     sent.push(ms);
@@ -156,8 +156,9 @@
 fn a_new_instance_sends_nothing_to_cold_endpoints() {
     let own = instances(1);
     let limiters = RateLimiter::new(own[0], at(0));
-    assert!(!limiters.allows("e", usable_rate(18.0), &own, at(2000)));
-    assert!(limiters.allows("e", usable_rate(18.0), &own, at(4500)));
+    let per_s = usable_rate(Some(18.0), None).expect("a rate");
+    assert!(!limiters.allows("e", per_s, &own, at(2000)));
+    assert!(limiters.allows("e", per_s, &own, at(4500)));
 }
 
 /// An endpoint fails some of its requests.
