fix(edge): a trial at a limited endpoint is counted

What callers saw: nothing by itself; a cold or limited endpoint got one request more than its rate from each selected instance whenever it was tried again after an ejection.

Cause: `pick` returned a trial before the limiter counted it. Now `reserve`, which every request passes, is the one place that counts.

Evidence: `a_trial_at_a_limited_endpoint_is_not_counted` (cold and named) failed in the row `cold` on the commit before: the next request went out at once. It passes now.

--- a/crates/celerytide-edge/src/edge/pick.rs
+++ b/crates/celerytide-edge/src/edge/pick.rs
@@ -72,7 +72,7 @@
         let available = self.available(&view, service, tried, &instances, now);
         let prompt_size = self.prompt_size(&view, request, service);
         if let Some(choice) = self.trial_choice(request, &available, now) {
-            return Ok(self.reserve(service, &choice, request, prompt_size, now));
+            return Ok(self.reserve(service, &choice, request, prompt_size, &instances, now));
         }
         let usable = self.healthy(available, now);
         if !self.admits(request, service, usable.len(), instances.len(), now) {
@@ -87,11 +87,7 @@
         };
         let choice = self.cheapest(request, service, &usable, instances.len(), now);
         let choice = choice.ok_or_else(|| self.pick_error(&view, service, now))?;
-        if let Some(per_s) = self.rate(service, choice.known, now) {
-            let id = &choice.known.endpoint.id;
-            self.rate_limiter.borrow_mut().record(id, per_s, &instances, now);
-        }
-        Ok(self.reserve(service, &choice, request, prompt_size, now))
+        Ok(self.reserve(service, &choice, request, prompt_size, &instances, now))
     }
 
     /// Requests per second that all instances together send to an endpoint; `None` without a limit.
@@ -293,14 +289,20 @@
             .admits(&service.id, tokens, capacity, request.urgency)
     }
 
+    /// Counts a request at its endpoint, whichever way that was chosen.
     fn reserve(
         self: &Rc<Self>,
         service: &Service,
         choice: &Choice<'_>,
         request: &RoutedRequest,
         prompt_size: Option<PromptSize>,
+        instances: &Instances,
         now: BootTime,
     ) -> Pick<P> {
+        if let Some(per_s) = self.rate(service, choice.known, now) {
+            let id = &choice.known.endpoint.id;
+            self.rate_limiter.borrow_mut().record(id, per_s, instances, now);
+        }
         let tokens = total_tokens(&request.prompt);
         let limit_per_s = self.named_limits.borrow().per_s(&choice.known.endpoint);
         if limit_per_s.is_some() {
--- /dev/null
+++ b/crates/celerytide-edge/tests/pick.rs
@@ -0,0 +1,188 @@
+//! What one instance sends to limited endpoints: every request that is picked for one counts.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::thread::sleep;
+use std::time::Duration;
+
+use celerytide_catalog::{Endpoint, Position, Route, RouteKind, Service, Snapshot, Urgency};
+use celerytide_edge::edge::{Edge, Pick, PickError};
+use celerytide_edge::health::Outcome;
+use celerytide_edge::notice::Notice;
+use celerytide_edge::protocol::{HeaderNames, Prompt, Protocol};
+use celerytide_edge::rate_limit::StatedLimit;
+use celerytide_edge::request::RoutedRequest;
+use celerytide_edge::settings;
+use celerytide_types::now_boot;
+use http::{HeaderMap, HeaderName, StatusCode};
+
+const SETTINGS: &str = "instance: r1\nzone: z1\ncallers: \"127.0.0.1:9001\"\nreadiness: \"127.0.0.1:9002\"\npeers: \"127.0.0.1:9003\"\nstore: \"127.0.0.1:9004\"\n";
+/// Time after startup from which limited endpoints get requests.
+const STARTUP_TIME: Duration = Duration::from_millis(4100);
+/// Longest first ejection of an endpoint.
+const EJECTION: Duration = Duration::from_millis(900);
+
+/// Headers of no platform: nothing is sent in these tests.
+struct NoHeaders(HeaderNames);
+
+impl NoHeaders {
+    fn new() -> NoHeaders {
+        let name = HeaderName::from_static;
+        NoHeaders(HeaderNames {
+            request_id: name("id"),
+            seal: name("seal"),
+            not_run: name("not-run"),
+            deadline_ms: name("deadline"),
+            key: name("key"),
+            customer: name("customer"),
+            endpoint: name("endpoint"),
+            urgency: name("urgency"),
+            last_event: name("last"),
+            internal: Vec::new(),
+        })
+    }
+}
+
+impl Protocol for NoHeaders {
+    fn header_names(&self) -> &HeaderNames {
+        &self.0
+    }
+
+    fn prompt(&self, _: &HeaderMap) -> Prompt {
+        Prompt::default()
+    }
+
+    fn least_urgent(&self) -> usize {
+        9
+    }
+
+    fn is_wrong_endpoint(&self, _: StatusCode) -> bool {
+        false
+    }
+
+    fn notice(&self, _: StatusCode, _: &HeaderMap) -> Notice {
+        Notice::default()
+    }
+
+    fn rate_limit(&self, _: &HeaderMap) -> StatedLimit {
+        StatedLimit::Absent
+    }
+}
+
+fn endpoint(cold_remaining: Duration) -> Endpoint {
+    Endpoint {
+        id: "e1".to_owned(),
+        service: "s".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9100)),
+        zone: "z1".to_owned(),
+        slots: 8,
+        leaving: false,
+        cold_remaining,
+        start: Some(1),
+    }
+}
+
+fn service(cold_rate: f64) -> Service {
+    Service {
+        id: "s".to_owned(),
+        cold_period: Duration::from_secs(60),
+        cold_rate,
+        engine_slots: None,
+        engine_tokens: None,
+    }
+}
+
+fn request() -> RoutedRequest {
+    let route = Route {
+        name: "r".to_owned(),
+        host: "h".to_owned(),
+        path_prefix: "/".to_owned(),
+        kind: RouteKind::Safe,
+        timeout: Duration::from_secs(5),
+        latency_target: None,
+        max_event_gap: None,
+        priority: 0,
+        backends: Vec::new(),
+        max_attempts: 2,
+        anonymous: true,
+    };
+    RoutedRequest {
+        id: "1".to_owned(),
+        route: Rc::new(route),
+        customer: None,
+        began: now_boot(),
+        deadline: now_boot().after(Duration::from_secs(5)),
+        prompt: Prompt::default(),
+        urgency: Urgency {
+            position: 0,
+            positions: 1,
+        },
+    }
+}
+
+/// An instance that knows one endpoint.
+fn instance(endpoint: &Endpoint) -> Rc<Edge<NoHeaders>> {
+    let edge = Edge::new(settings::parse(SETTINGS).expect("settings"), NoHeaders::new());
+    let snapshot = Snapshot {
+        position: Position { era: 0, revision: 1 },
+        read_to: 1,
+        config: None,
+        endpoints: vec![endpoint.clone()],
+        zones_out: Vec::new(),
+    };
+    edge.view.borrow_mut().replace(snapshot, Duration::ZERO, now_boot());
+    Rc::new(edge)
+}
+
+fn pick(edge: &Rc<Edge<NoHeaders>>, service: &Service) -> Result<Pick<NoHeaders>, PickError> {
+    edge.pick(&request(), service, &[])
+}
+
+/// Why the only endpoint is limited.
+struct Case {
+    name: &'static str,
+    cold_rate: f64,
+    cold_remaining: Duration,
+    named: StatedLimit,
+}
+
+const CASES: [Case; 2] = [
+    Case {
+        name: "cold",
+        cold_rate: 1.0,
+        cold_remaining: Duration::from_secs(60),
+        named: StatedLimit::Absent,
+    },
+    Case {
+        name: "named",
+        cold_rate: 0.0,
+        cold_remaining: Duration::ZERO,
+        named: StatedLimit::PerSecond(10.0),
+    },
+];
+
+#[test]
+fn a_trial_at_a_limited_endpoint_is_not_counted() {
+    for case in &CASES {
+        let endpoint = endpoint(case.cold_remaining);
+        let service = service(case.cold_rate);
+        let edge = instance(&endpoint);
+        sleep(STARTUP_TIME);
+        edge.apply_stated_limit(&endpoint, case.named, now_boot());
+        // Ejected by failures; the other endpoint, which doesn't exist, fails none.
+        for _ in 0..8 {
+            edge.record("s", "e1", Outcome::Bad);
+        }
+        sleep(EJECTION);
+        let trial = pick(&edge, &service);
+        assert!(trial.is_ok(), "{}: the trial is sent: {:?}", case.name, trial.err());
+        edge.record("s", "e1", Outcome::Good);
+        drop(trial);
+        let next = pick(&edge, &service);
+        assert!(
+            next.is_err(),
+            "{}: the trial counts, so the next request waits",
+            case.name
+        );
+    }
+}
