fix(edge): instances tell each other which rates endpoints name

What callers saw: on the commit before, an instance that isn't selected for a limited endpoint sent it nothing, so it never heard that the limit had ended, and kept refusing or going elsewhere for good.

A process of before reads the digest and leaves the rest.

The test bed gave each router another port for digests, while the port has to be the same on all: no router of a test ever heard a digest. Each has an address of its own now.

--- a/crates/celerytide-catalog/src/view/mod.rs
+++ b/crates/celerytide-catalog/src/view/mod.rs
@@ -136,6 +136,11 @@
         })
     }
 
+    /// All known endpoints, usable or not.
+    pub fn endpoints(&self) -> impl Iterator<Item = &KnownEndpoint> {
+        self.endpoints.values()
+    }
+
     /// Number of known endpoints, usable or not.
     pub fn endpoint_count(&self) -> usize {
         self.endpoints.len()
--- a/crates/celerytide-edge/src/peers/datagrams.rs
+++ b/crates/celerytide-edge/src/peers/datagrams.rs
@@ -14,6 +14,7 @@
 use super::members::{Instances, Members};
 use crate::edge::Edge;
 use crate::protocol::Protocol;
+use crate::rate_limit::LimitEntry;
 
 /// Interval between digests while something changes.
 const INTERVAL: Duration = Duration::from_millis(25);
@@ -53,11 +54,12 @@
             work,
             ..Digest::new(backlogs, edge.tokens_in_flight.borrow().entries())
         };
+        let limits = edge.limits_to_tell(now);
         let is_due = digest != Digest::default() && now.since(sent_at) >= REPEAT_INTERVAL;
-        if digest == sent && !is_due {
+        if digest == sent && !is_due && limits.is_empty() {
             continue;
         }
-        let Ok(buf) = bincode::serde::encode_to_vec(&digest, bincode::config::standard()) else {
+        let Some(buf) = encode(&digest, &limits) else {
             warn!("peers: failed to encode a digest");
             continue;
         };
@@ -73,6 +75,16 @@
     }
 }
 
+/// Encodes a digest, followed by rate limits if there are any; a process that knows no limits reads the digest alone.
+fn encode(digest: &Digest, limits: &[LimitEntry]) -> Option<Vec<u8>> {
+    let config = bincode::config::standard();
+    let mut buf = bincode::serde::encode_to_vec(digest, config).ok()?;
+    if !limits.is_empty() {
+        buf.extend(bincode::serde::encode_to_vec(limits, config).ok()?);
+    }
+    Some(buf)
+}
+
 fn recipients(members: &Members, is_large: bool, now: BootTime) -> Instances {
     if is_large {
         members.sample(now, LARGE_FLEET_RECIPIENTS)
@@ -99,9 +111,20 @@
 }
 
 fn receive<P: Protocol>(edge: &Edge<P>, bytes: &[u8], from: SocketAddr) {
-    match bincode::serde::decode_from_slice::<Digest, _>(bytes, bincode::config::standard()) {
-        Ok((digest, _)) => edge.digests.borrow_mut().insert(from, digest, now_boot()),
-        Err(error) => debug!(%from, %error, "peers: failed to decode a digest"),
+    let config = bincode::config::standard();
+    let rest = match bincode::serde::decode_from_slice::<Digest, _>(bytes, config) {
+        Ok((digest, read)) => {
+            edge.digests.borrow_mut().insert(from, digest, now_boot());
+            bytes.get(read..).unwrap_or_default()
+        }
+        Err(error) => return debug!(%from, %error, "peers: failed to decode a digest"),
+    };
+    if rest.is_empty() {
+        return;
+    }
+    match bincode::serde::decode_from_slice::<Vec<LimitEntry>, _>(rest, config) {
+        Ok((limits, _)) => edge.apply_told_limits(&limits),
+        Err(error) => debug!(%from, %error, "peers: failed to decode rate limits"),
     }
 }
 
--- a/crates/celerytide-edge/src/rate_limit/mod.rs
+++ b/crates/celerytide-edge/src/rate_limit/mod.rs
@@ -10,7 +10,7 @@
 mod named;
 
 pub use limiter::RateLimiter;
-pub use named::{Change, NamedLimits, StatedLimit};
+pub use named::{Change, LimitEntry, NamedLimits, StatedLimit};
 
 /// Share of an endpoint's cold rate that is used: instances know different sets of others, so more of them than intended
 /// may send.
--- a/crates/celerytide-soak/src/testbed/mod.rs
+++ b/crates/celerytide-soak/src/testbed/mod.rs
@@ -1,6 +1,7 @@
 //! Test bed: routers as separate processes between stand-ins for the platform's store and runners.
 
-use std::net::SocketAddr;
+use std::cell::Cell;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -13,6 +14,8 @@
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time between two checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Routers with addresses of their own; later ones take the addresses of the first.
+const MAX_ROUTERS: u8 = 200;
 /// Name of the router binary.
 const ROUTER_BINARY: &str = "celerytide-platform";
 
@@ -24,6 +27,10 @@
     pub store_addr: SocketAddr,
     /// Retries in ten seconds that are allowed in addition to the retry ratio: `repeat_slack` in the settings.
     pub repeat_slack: u32,
+    /// UDP port for digests, the same on all routers.
+    digest_port: u16,
+    /// Routers started so far; each has an IP address of its own for other routers.
+    routers_started: Cell<u8>,
     dir: PathBuf,
 }
 
@@ -58,6 +65,8 @@
             store_addr: store.address,
             store,
             repeat_slack: 50,
+            digest_port: free_addr().expect("port").port(),
+            routers_started: Cell::new(0),
             dir,
         }
     }
@@ -78,7 +87,10 @@
 
     /// Starts a router that joins through `seeds`; doesn't wait until it is ready.
     pub fn router(&self, name: &str, seeds: &[SocketAddr]) -> Router {
-        let [callers, readiness, peers, metrics, digests] = [(); 5].map(|()| free_addr().expect("port"));
+        let [callers, readiness, peers, metrics] = [(); 4].map(|()| free_addr().expect("port"));
+        let ip = self.next_ip();
+        let peers = SocketAddr::new(ip, peers.port());
+        let digests = SocketAddr::new(ip, self.digest_port);
         let (store, repeat_slack) = (self.store_addr, self.repeat_slack);
         let seeds: Vec<String> = seeds.iter().map(|s| format!("\"{s}\"")).collect();
         let seeds = seeds.join(",");
@@ -105,6 +117,13 @@
         }
     }
 
+    /// Address on the loopback interface for the next router.
+    fn next_ip(&self) -> IpAddr {
+        let n = self.routers_started.get();
+        self.routers_started.set((n + 1) % MAX_ROUTERS);
+        IpAddr::from([127, 0, 0, 2 + n])
+    }
+
     /// Starts a router and waits until it is ready.
     pub fn ready_router(&self, name: &str, seeds: &[SocketAddr]) -> Router {
         let router = self.router(name, seeds);
