fix(edge): a refusal by named rates says so, and when one more request fits

What callers saw: with every endpoint of a service at the rate that it named, `no-endpoint` and a random third of their time. Now the cause is `endpoints-limited`, and Retry-After lies between the time in which the endpoints together take one request and three times that, within what the caller would wait anyway, so that retries meet the rate and are spread. The request was sent nowhere.

Evidence: `a_refusal_for_a_rate_does_not_say_when_to_retry` failed before (`no-endpoint`).

--- a/crates/celerytide-edge/src/edge/pick.rs
+++ b/crates/celerytide-edge/src/edge/pick.rs
@@ -42,6 +42,8 @@
     Leaving,
     /// All endpoints that could get it are paused; the first pause ends at this time.
     Paused(BootTime),
+    /// All endpoints that could get it name a rate; together they take one request in this time.
+    Limited(Duration),
     /// The engines hold as many tokens as they may.
     Overload,
 }
@@ -53,6 +55,7 @@
             PickError::NoEndpoint => "no-endpoint",
             PickError::Leaving => "endpoints-leave",
             PickError::Paused(_) => "endpoints-pause",
+            PickError::Limited(_) => "endpoints-limited",
             PickError::Overload => "overload",
         }
     }
@@ -86,7 +89,7 @@
             _ => usable,
         };
         let choice = self.cheapest(request, service, &usable, instances.len(), now);
-        let choice = choice.ok_or_else(|| self.pick_error(&view, service, now))?;
+        let choice = choice.ok_or_else(|| self.pick_error(&view, service, tried, now))?;
         Ok(self.reserve(service, &choice, request, prompt_size, &instances, now))
     }
 
@@ -169,7 +172,10 @@
     }
 
     /// Why no endpoint may get the request.
-    fn pick_error(&self, view: &View, service: &Service, now: BootTime) -> PickError {
+    fn pick_error(&self, view: &View, service: &Service, tried: &[String], now: BootTime) -> PickError {
+        if let Some(interval) = self.limited_interval(view, service, tried, now) {
+            return PickError::Limited(interval);
+        }
         let notices = self.notices.borrow();
         let usable = view.usable(&service.id, now);
         let states: Vec<Availability> = usable.map(|k| notices.availability(&k.endpoint, now)).collect();
@@ -185,6 +191,26 @@
         }
     }
 
+    /// Time in which the endpoints that could get a request take one from all instances together; `None` if one of them
+    /// names no rate.
+    fn limited_interval(&self, view: &View, service: &Service, tried: &[String], now: BootTime) -> Option<Duration> {
+        let notices = self.notices.borrow();
+        let named = self.named_limits.borrow();
+        let is_available = |known: &&KnownEndpoint| {
+            let availability = notices.availability(&known.endpoint, now);
+            availability == Availability::Available && !tried.contains(&known.endpoint.id)
+        };
+        let available = view.usable(&service.id, now).filter(is_available);
+        let rates: Option<Vec<f64>> = available
+            .map(|known| {
+                named.per_s(&known.endpoint)?;
+                self.rate(service, known, now)
+            })
+            .collect();
+        let per_s: f64 = rates?.iter().sum();
+        Duration::try_from_secs_f64(1.0 / per_s).ok()
+    }
+
     fn health_state(&self, known: &KnownEndpoint, now: BootTime) -> HealthState {
         let loads = self.loads.borrow();
         loads
--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -124,6 +124,7 @@
     match error {
         PickError::NoEndpoint | PickError::Leaving | PickError::Overload => RetryHint::AfterRandomDelay,
         PickError::Paused(until) => RetryHint::After(until.since(now_boot())),
+        PickError::Limited(interval) => RetryHint::Spread(interval),
     }
 }
 
--- a/crates/celerytide-edge/src/forward/refusal.rs
+++ b/crates/celerytide-edge/src/forward/refusal.rs
@@ -19,6 +19,8 @@
 const SPREAD_RANGE: Range<f64> = 0.6..1.0;
 /// Range, as multiples of the time that has to pass, over which retries after it are spread.
 const AFTER_RANGE: Range<f64> = 1.0..1.25;
+/// Multiple of the time in which one request can be sent, over which retries are spread at most.
+const MAX_INTERVALS: f64 = 3.0;
 /// Longest wait that a caller is asked for.
 const MAX_WAIT: Duration = Duration::from_millis(2500);
 
@@ -34,6 +36,8 @@
     AfterRandomDelay,
     /// A random while after this time, when an endpoint is available again.
     After(Duration),
+    /// After a random time from this one, in which one more request can be sent.
+    Spread(Duration),
 }
 
 /// A final response of the router itself.
@@ -67,6 +71,12 @@
         let wait = match retry_hint {
             RetryHint::AtOnce => MIN_WAIT,
             RetryHint::After(time) => time.max(MIN_WAIT).mul_f64(rand::rng().random_range(AFTER_RANGE)),
+            RetryHint::Spread(interval) => {
+                let latest = interval.mul_f64(MAX_INTERVALS).min(max_wait);
+                let earliest = interval.min(max_wait.mul_f64(SPREAD_RANGE.start)).min(latest);
+                let extra = (latest - earliest).mul_f64(rand::rng().random_range(0.0..1.0));
+                (earliest + extra).max(MIN_WAIT)
+            }
             RetryHint::AfterRandomDelay => max_wait.mul_f64(rand::rng().random_range(SPREAD_RANGE)).max(MIN_WAIT),
         };
         Refusal {
