test(soak): runners name rate limits, and what arrives at them is counted

Three runners of a run name a limit of 0 to 6 a second for 5 to 8 s, over all other faults; the check counts windows of 4 s over all routers by the users' rule, excuses routers that were paused, killed or restarted and runners whose link was harmed, and begins anew when a runner restarts. Drawn by a generator of their own, so that the seeds draw the other faults as before.

--- a/crates/celerytide-soak/src/check/limits.rs
+++ b/crates/celerytide-soak/src/check/limits.rs
@@ -19,9 +19,9 @@
     pub router: usize,
     /// Time of the arrival.
     pub at: Duration,
-    /// Time at which the head of the response was sent.
-    pub responded_at: Duration,
-    /// Rate limit in the response, in requests per second.
+    /// Time at which its router had the head of a response that named the runner's limit, if any.
+    pub told_at: Option<Duration>,
+    /// Rate limit that the runner named then, in requests per second.
     pub per_s: Option<f64>,
     /// Whether a fault on the router excuses the arrival.
     pub is_excused: bool,
@@ -44,7 +44,7 @@
     periods.filter_map(find_in_period).next()
 }
 
-/// The same for arrivals that were all answered with a limit.
+/// The same for arrivals during which the runner named a limit.
 fn find_in_period(arrivals: &[RatedArrival]) -> Option<Excess> {
     let checked_from = arrivals.first()?.at + GRACE;
     let last_of_windows = arrivals.iter().enumerate().filter(|(_, last)| last.at >= checked_from);
@@ -65,5 +65,5 @@
 /// Whether the router of the arrival had been told of the limit in time.
 fn is_told(arrival: &RatedArrival, arrivals: &[RatedArrival]) -> bool {
     let mut of_router = arrivals.iter().filter(|a| a.router == arrival.router);
-    of_router.any(|a| a.responded_at + TOLD_DELAY <= arrival.at)
+    of_router.any(|a| a.told_at.is_some_and(|told| told + TOLD_DELAY <= arrival.at))
 }
--- a/crates/celerytide-soak/src/plan/mod.rs
+++ b/crates/celerytide-soak/src/plan/mod.rs
@@ -19,6 +19,15 @@
 /// Range of the duration of a fault in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 150..1800;
 
+/// Runners that name a rate limit in a run.
+const LIMITED_RUNNERS: usize = 3;
+/// Range of the time for which they name it, in milliseconds.
+const LIMIT_DURATION_MS: std::ops::Range<u64> = 5000..8000;
+/// Values that they name.
+const LIMITS: [&str; 5] = ["0", "0.4", "1.5", "2", "6"];
+/// Keeps the seeds of limits apart from those of other faults.
+const LIMIT_SEED: u64 = 0x11_0000_0000;
+
 /// A fault; indices refer to routers or runners.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Fault {
@@ -32,6 +41,8 @@
     Hup(usize),
     /// Changes how a runner responds.
     Runner(usize, RunnerMode),
+    /// Lets a runner name a rate limit in its responses, as written, until the end.
+    NameLimit(usize, &'static str),
     /// Changes how the relay treats connections to a runner.
     Link(usize, RelayMode),
     /// Changes how the store responds.
@@ -64,6 +75,7 @@
     let mut rng = StdRng::seed_from_u64(seed);
     let mut at = START_DELAY;
     let mut steps = Vec::new();
+    let mut limits = draw_limits(seed, length);
     while at < length {
         steps.push(Step {
             at,
@@ -72,9 +84,27 @@
         });
         at += Duration::from_millis(rng.random_range(0..MAX_GAP_MS));
     }
+    steps.append(&mut limits);
+    steps.sort_by_key(|step| step.at);
     steps
 }
 
+/// Draws the runners that name rate limits. They have a generator of their own, since they last longer than other faults,
+/// so that a window with the limit is over before it ends.
+fn draw_limits(seed: u64, length: Duration) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(seed ^ LIMIT_SEED);
+    let latest = u64::try_from(length.as_millis()).unwrap_or(u64::MAX).max(1);
+    let mut draw = |_| Step {
+        at: START_DELAY + Duration::from_millis(rng.random_range(0..latest)),
+        duration: Duration::from_millis(rng.random_range(LIMIT_DURATION_MS)),
+        fault: Fault::NameLimit(
+            rng.random_range(0..RUNNERS),
+            LIMITS.choose(&mut rng).copied().unwrap_or("1"),
+        ),
+    };
+    (0..LIMITED_RUNNERS).map(&mut draw).collect()
+}
+
 fn draw_fault(rng: &mut StdRng) -> Fault {
     let router = rng.random_range(0..ROUTERS);
     let runner = rng.random_range(0..RUNNERS);
--- a/crates/celerytide-soak/src/run/fleet.rs
+++ b/crates/celerytide-soak/src/run/fleet.rs
@@ -147,6 +147,7 @@
                 self.signal(*index, Signal::SIGTERM);
             }
             Fault::Runner(index, mode) => self.runners[*index].set(*mode),
+            Fault::NameLimit(index, limit) => self.runners[*index].name_limit(Some(*limit)),
             Fault::Link(index, mode) => self.set_relay_mode(*index, *mode),
             Fault::Store(mode) => self.bed.store.set_mode(*mode),
             Fault::StoreLink(mode) => self.set_relay_mode(RUNNERS, *mode),
@@ -182,6 +183,7 @@
             Fault::Kill(index) | Fault::Term(index) => self.restart(*index, callers),
             Fault::Hup(_) | Fault::Configure => {}
             Fault::Runner(index, mode) => self.restore_runner(*index, *mode),
+            Fault::NameLimit(index, _) => self.runners[*index].name_limit(None),
             Fault::Link(index, _) => self.set_relay_mode(*index, relay::Mode::Pass),
             Fault::Store(_) => self.bed.store.set_mode(platform::StoreMode::Serve),
             Fault::StoreLink(_) => self.set_relay_mode(RUNNERS, relay::Mode::Pass),
@@ -246,6 +248,8 @@
                 at: a.at.saturating_duration_since(started),
                 ran: a.ran,
                 notice: runner_notice(a.mode),
+                limit: a.limit.and_then(|limit| limit.parse().ok()),
+                head_after: head_after(a.mode),
             };
             runner.arrivals().into_iter().map(arrival)
         };
@@ -272,12 +276,21 @@
     }
 }
 
+/// Time until the head of a response in this mode; `None` if the runner sends none.
+fn head_after(mode: RunnerMode) -> Option<Duration> {
+    match mode {
+        RunnerMode::Late(ms) => Some(Duration::from_millis(ms)),
+        _ => mode.has_own_head().then_some(Duration::ZERO),
+    }
+}
+
 /// What a fault acts on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum Target {
     /// A router process; faults that signal the same router exclude each other.
     Router(usize),
     Runner(usize),
+    Rate(usize),
     Link(usize),
     Entry(usize),
     Store,
@@ -290,6 +303,7 @@
     match fault {
         Fault::Pause(index) | Fault::Kill(index) | Fault::Term(index) | Fault::Hup(index) => Target::Router(*index),
         Fault::Runner(index, _) => Target::Runner(*index),
+        Fault::NameLimit(index, _) => Target::Rate(*index),
         Fault::Link(index, _) => Target::Link(*index),
         Fault::Leave(index) => Target::Entry(*index),
         Fault::Store(_) | Fault::Restore => Target::Store,
--- a/crates/celerytide-soak/src/run/mod.rs
+++ b/crates/celerytide-soak/src/run/mod.rs
@@ -123,6 +123,6 @@
             runner: fleet::runner_id(*runner),
             span,
         }),
-        Fault::Hup(_) | Fault::Configure | Fault::ZoneOut => {}
+        Fault::Hup(_) | Fault::Configure | Fault::ZoneOut | Fault::NameLimit(..) => {}
     }
 }
--- a/crates/celerytide-soak/tests/check.rs
+++ b/crates/celerytide-soak/tests/check.rs
@@ -52,6 +52,8 @@
         at: ms(at),
         ran: true,
         notice: RunnerNotice::Nothing,
+        limit: None,
+        head_after: Some(Duration::ZERO),
     }
 }
 
@@ -64,6 +66,14 @@
     }
 }
 
+/// Arrivals every 150 ms at a runner that names a limit of 2 a second.
+fn limited_arrivals(count: u64) -> impl Iterator<Item = Arrival> {
+    (0..count).map(|n| Arrival {
+        limit: Some(2.0),
+        ..arrival("safe", "i3", 4000 + n * 150)
+    })
+}
+
 fn events(numbers: impl IntoIterator<Item = u32>) -> String {
     numbers
         .into_iter()
@@ -105,7 +115,7 @@
     change: fn(&mut History),
 }
 
-const VIOLATIONS: [ViolationCase; 17] = [
+const VIOLATIONS: [ViolationCase; 18] = [
     ViolationCase {
         name: "a request to a runner after its notice that it leaves",
         guarantee: Guarantee::Notice,
@@ -116,6 +126,11 @@
                 .push(arrival_with_notice("once", "i0", 4700, RunnerNotice::Nothing));
         },
     },
+    ViolationCase {
+        name: "more requests than a runner's limit",
+        guarantee: Guarantee::Limit,
+        change: |h| h.arrivals.extend(limited_arrivals(30)),
+    },
     ViolationCase {
         name: "three requests in a pause",
         guarantee: Guarantee::Notice,
@@ -232,7 +247,7 @@
     change: fn(&mut History),
 }
 
-const EXCUSED: [ExcusedCase; 4] = [
+const EXCUSED: [ExcusedCase; 7] = [
     ExcusedCase {
         name: "the router was killed",
         change: |h| {
@@ -257,6 +272,27 @@
             h.store_faults.push(span(1100, 3000));
         },
     },
+    ExcusedCase {
+        name: "a limit that was first named less than 3 s ago",
+        change: |h| h.arrivals.extend(limited_arrivals(20)),
+    },
+    ExcusedCase {
+        name: "a router that was paused sends more than a limit",
+        change: |h| {
+            h.arrivals.extend(limited_arrivals(30));
+            h.outages.push(RouterOutage {
+                router: 0,
+                span: span(4000, 8000),
+            });
+        },
+    },
+    ExcusedCase {
+        name: "a runner restarts while it names a limit",
+        change: |h| {
+            h.arrivals.extend(limited_arrivals(30));
+            h.runner_restarts.push(("i3".to_owned(), ms(6500)));
+        },
+    },
     ExcusedCase {
         name: "a runner broke a stream off",
         change: |h| {
@@ -284,5 +320,5 @@
         .map(|s| s.fault)
         .collect();
     let kinds: std::collections::HashSet<_> = faults.iter().map(std::mem::discriminant).collect();
-    assert_eq!(kinds.len(), 12, "kinds of faults");
+    assert_eq!(kinds.len(), 13, "kinds of faults");
 }
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -62,7 +62,7 @@
 
 impl RunnerMode {
     /// Whether a whole response head of the runner itself is sent, with the request's id.
-    fn has_own_head(self) -> bool {
+    pub fn has_own_head(self) -> bool {
         !matches!(
             self,
             RunnerMode::Misdirected
@@ -87,7 +87,7 @@
     pub ran: bool,
     /// Mode in which the runner responded.
     pub mode: RunnerMode,
-    /// Rate limit that the response named, if it named one.
+    /// Rate limit that responses with a head of the runner named then.
     pub limit: Option<&'static str>,
 }
 
@@ -183,7 +183,7 @@
                 RunnerMode::NotRun | RunnerMode::Misdirected | RunnerMode::Paused(_)
             ),
             mode,
-            limit: limit.filter(|_| mode.has_own_head()),
+            limit,
         });
         if !respond(shared, &mut out, &req, mode, limit) {
             // Fails only if the connection has ended already.
