fix(edge): an error or a rejection without a limit doesn't end the limit

What callers saw: nothing yet; an endpoint in trouble that names its limit in successes only would have been let off by its first error, and all instances would have sent at once until the next success.

Cause: any answer with the proof or "not run" counted as the end. Only a success does now; every answer may still name a limit.

--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -151,8 +151,8 @@
     let is_rejected = response.headers.contains_key(&names.not_run);
     let is_sealed = response.headers.contains_key(&names.seal);
     let limit = edge.protocol.rate_limit(&response.headers);
-    // A response without a seal may not come from the endpoint as it was sent, so that a missing limit proves nothing.
-    if is_sealed || is_rejected || limit != StatedLimit::Absent {
+    // Any response may name a limit; only a success is sure to name one as long as it holds.
+    if limit != StatedLimit::Absent || (is_sealed && response.status.is_success()) {
         edge.apply_stated_limit(&pick.endpoint, limit, pick.at);
     }
     if is_rejected {
--- a/crates/celerytide-edge/tests/rate_limits.rs
+++ b/crates/celerytide-edge/tests/rate_limits.rs
@@ -5,6 +5,7 @@
 
 use arbtest::arbitrary::{Result, Unstructured};
 use celerytide_catalog::Endpoint;
+use celerytide_edge::peers::digest::{Backlog, Digest, ServiceTokens};
 use celerytide_edge::rate_limit::{Change, LimitEntry, NamedLimits, RateLimiter, StatedLimit, usable_rate};
 use celerytide_seeds::each_seed;
 use celerytide_types::BootTime;
@@ -305,3 +306,30 @@
     let listed = |id: &str| endpoints.iter().find(|e| e.id == id);
     assert_eq!(limits.entries(listed, at(20)).len(), 4);
 }
+
+#[test]
+fn limits_make_a_digest_larger_than_a_datagram() {
+    let backlog = Backlog {
+        endpoint: u32::MAX,
+        queued_tokens: 400_000,
+        running: 1000,
+    };
+    let tokens = ServiceTokens {
+        service: u32::MAX,
+        tokens: u32::MAX,
+    };
+    let digest = Digest::new(vec![backlog; 200], vec![tokens; 5]);
+    let limit = LimitEntry {
+        endpoint: u32::MAX,
+        start: Some(u64::MAX),
+        per_s: Some(2.0),
+        version: 100,
+    };
+    let config = bincode::config::standard();
+    let size =
+        |bytes: std::result::Result<Vec<u8>, _>| bytes.map_err(|_: bincode::error::EncodeError| ()).map(|b| b.len());
+    let digest = size(bincode::serde::encode_to_vec(&digest, config)).expect("a digest");
+    let limits = size(bincode::serde::encode_to_vec(vec![limit; 4], config)).expect("limits");
+    assert_eq!(limits, 101, "bytes of four rows");
+    assert!(digest + limits < 1400, "{digest} and {limits} bytes");
+}
