fix(edge): a refusal by a named rate of zero says so

What callers saw: where all endpoints name zero or next to it, `no-endpoint` with a random wait, since one over the sum of the rates was infinite. The least rate that the limiter uses is now the least here as well.

--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -2,6 +2,7 @@
 
 mod freshness;
 mod in_flight;
+mod limited;
 mod pick;
 
 use std::cell::{Cell, RefCell};
@@ -27,13 +28,13 @@
 use crate::health::Outcome;
 use crate::metrics::Counters;
 use crate::notice::{Notice, NoticeEffect, Notices};
-use crate::peers::digest::{Digests, id_hash};
+use crate::peers::digest::Digests;
 use crate::peers::readers::Readers;
 use crate::peers::{self, Members};
 use crate::placement::EndpointLoads;
 use crate::placement::popularity::Popularity;
 use crate::protocol::Protocol;
-use crate::rate_limit::{Change, LimitEntry, NamedLimits, RateLimiter, StatedLimit, usable_rate};
+use crate::rate_limit::{NamedLimits, RateLimiter};
 use crate::settings::Settings;
 use crate::split::EngineSplit;
 
@@ -244,48 +245,6 @@
         }
     }
 
-    /// Applies the rate limit that an endpoint stated in the response to a request that was sent at `sent_at`.
-    pub fn apply_stated_limit(&self, endpoint: &Endpoint, stated: StatedLimit, sent_at: BootTime) {
-        let now = now_boot();
-        let change = self.named_limits.borrow_mut().record(endpoint, stated, sent_at, now);
-        self.apply_limit_change(endpoint, change, "endpoint", now);
-    }
-
-    /// Applies the rate limits that a peer tells.
-    pub fn apply_told_limits(&self, told: &[LimitEntry]) {
-        let now = now_boot();
-        let view = self.view.borrow();
-        for known in view.endpoints() {
-            let hash = id_hash(&known.endpoint.id);
-            for entry in told.iter().filter(|entry| entry.endpoint == hash) {
-                let change = self.named_limits.borrow_mut().learn(&known.endpoint, *entry, now);
-                self.apply_limit_change(&known.endpoint, change, "peer", now);
-            }
-        }
-    }
-
-    fn apply_limit_change(&self, endpoint: &Endpoint, change: Option<Change>, source: &'static str, now: BootTime) {
-        let (id, start) = (&endpoint.id, endpoint.start);
-        match change {
-            None => {}
-            Some(Change::Unreadable) => warn!(endpoint = id, start, "limit: the endpoint's rate can't be read"),
-            Some(Change::Limit { from, to }) => {
-                let limits = self.named_limits.borrow();
-                self.counters.limit_changes.inc();
-                self.counters.limited_endpoints.set(limits.count() as i64);
-                let version = limits.version(endpoint);
-                info!(
-                    endpoint = id,
-                    start, from, to, source, version, "limit: the endpoint's rate changed"
-                );
-                if let Some(per_s) = usable_rate(None, to) {
-                    let instances = self.members.borrow().sharing_limits(now);
-                    self.rate_limiter.borrow_mut().begin(id, per_s, &instances, now);
-                }
-            }
-        }
-    }
-
     /// Takes one retry of a request to `service` from the budget, if any is left.
     pub fn take_retry(&self, service: &str) -> bool {
         let now = now_boot();
@@ -330,21 +289,6 @@
         );
     }
 
-    fn sweep_named_limits(&self, now: BootTime) {
-        let view = self.view.borrow();
-        let listed = |id: &str| view.endpoint(id).map(|known| &*known.endpoint);
-        let mut limits = self.named_limits.borrow_mut();
-        limits.sweep(listed, now);
-        self.counters.limited_endpoints.set(limits.count() as i64);
-    }
-
-    /// Rate limits to tell other instances now.
-    pub fn limits_to_tell(&self, now: BootTime) -> Vec<LimitEntry> {
-        let view = self.view.borrow();
-        let listed = |id: &str| view.endpoint(id).map(|known| &*known.endpoint);
-        self.named_limits.borrow_mut().entries(listed, now)
-    }
-
     fn note_restore(&self, restored: &Restored, now: BootTime) {
         self.counters.restores.inc();
         self.config_freshness.borrow_mut().note_restored(now);
--- a/crates/celerytide-edge/src/edge/pick.rs
+++ b/crates/celerytide-edge/src/edge/pick.rs
@@ -14,7 +14,6 @@
 use crate::peers::Instances;
 use crate::placement::{Candidate, Choice, Inputs, Query, choose, shared_blocks};
 use crate::protocol::{Prompt, Protocol};
-use crate::rate_limit::usable_rate;
 use crate::request::RoutedRequest;
 use crate::split::{self, PromptSize};
 
@@ -93,12 +92,6 @@
         Ok(self.reserve(service, &choice, request, prompt_size, &instances, now))
     }
 
-    /// Requests per second that all instances together send to an endpoint; `None` without a limit.
-    fn rate(&self, service: &Service, known: &KnownEndpoint, now: BootTime) -> Option<f64> {
-        let cold = is_cold(service, known, now).then_some(service.cold_rate);
-        usable_rate(cold, self.named_limits.borrow().per_s(&known.endpoint))
-    }
-
     /// Usable endpoints that neither leave nor pause, and limited ones only if this instance may send there now.
     fn available<'a>(
         &self,
@@ -191,26 +184,6 @@
         }
     }
 
-    /// Time in which the endpoints that could get a request take one from all instances together; `None` if one of them
-    /// names no rate.
-    fn limited_interval(&self, view: &View, service: &Service, tried: &[String], now: BootTime) -> Option<Duration> {
-        let notices = self.notices.borrow();
-        let named = self.named_limits.borrow();
-        let is_available = |known: &&KnownEndpoint| {
-            let availability = notices.availability(&known.endpoint, now);
-            availability == Availability::Available && !tried.contains(&known.endpoint.id)
-        };
-        let available = view.usable(&service.id, now).filter(is_available);
-        let rates: Option<Vec<f64>> = available
-            .map(|known| {
-                named.per_s(&known.endpoint)?;
-                self.rate(service, known, now)
-            })
-            .collect();
-        let per_s: f64 = rates?.iter().sum();
-        Duration::try_from_secs_f64(1.0 / per_s).ok()
-    }
-
     fn health_state(&self, known: &KnownEndpoint, now: BootTime) -> HealthState {
         let loads = self.loads.borrow();
         loads
@@ -371,10 +344,6 @@
     }
 }
 
-fn is_cold(service: &Service, known: &KnownEndpoint, now: BootTime) -> bool {
-    service.cold_rate > 0.0 && known.cold_until.is_some_and(|until| now < until)
-}
-
 /// Tokens of a prompt and its longest response.
 fn total_tokens(prompt: &Prompt) -> f64 {
     f64::from(prompt.tokens) + f64::from(prompt.max_output_tokens)
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -170,7 +170,17 @@
     while fwd.request.route.kind == RouteKind::ResumableStream
         && fwd.may_have_run_count < fwd.request.route.max_attempts
     {
-        let pick = edge.pick(fwd.request, service, &fwd.tried).ok()?;
+        let pick = match edge.pick(fwd.request, service, &fwd.tried) {
+            Ok(pick) => pick,
+            Err(error) => {
+                info!(
+                    request = fwd.request.id,
+                    cause = error.cause(),
+                    "stream: no endpoint to go on"
+                );
+                return None;
+            }
+        };
         if !edge.take_retry(&service.id) {
             info!(request = fwd.request.id, "stream: no repeat left to go on");
             return None;
--- a/crates/celerytide-edge/src/rate_limit/limiter.rs
+++ b/crates/celerytide-edge/src/rate_limit/limiter.rs
@@ -17,7 +17,7 @@
 const MIN_SELECTED: usize = 4;
 /// Least rate in requests per second: an endpoint that takes less is still asked now and then, since only a response can
 /// tell that its limit has ended.
-const MIN_RATE: f64 = 0.1;
+pub const MIN_RATE: f64 = 0.1;
 /// Time after startup during which no request goes to limited endpoints.
 const STARTUP_TIME: Duration = Duration::from_secs(4);
 
--- a/crates/celerytide-edge/src/rate_limit/mod.rs
+++ b/crates/celerytide-edge/src/rate_limit/mod.rs
@@ -9,7 +9,7 @@
 mod limiter;
 mod named;
 
-pub use limiter::RateLimiter;
+pub use limiter::{MIN_RATE, RateLimiter};
 pub use named::{Change, LimitEntry, NamedLimits, StatedLimit};
 
 /// Share of an endpoint's cold rate that is used: instances know different sets of others, so more of them than intended
--- a/crates/celerytide-soak/src/check/limits.rs
+++ b/crates/celerytide-soak/src/check/limits.rs
@@ -1,11 +1,16 @@
 //! Rate limits that runners name, checked over what arrived at one runner.
 
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use super::{Arrival, Checker, Guarantee, REGAIN_TIME, Span, Violation};
+
 /// Length of the windows in which arrivals are counted.
 const WINDOW: Duration = Duration::from_secs(4);
 /// Time after a runner first named a limit from which windows are checked: `regain_ms` in the settings of the test bed.
 const GRACE: Duration = Duration::from_secs(3);
+/// Time after an arrival within which the head of its response has reached the router.
+const RESPONSE_TIME: Duration = Duration::from_millis(500);
 /// Time after a response with a limit from which its router's requests are counted.
 const TOLD_DELAY: Duration = Duration::from_millis(500);
 /// Factor on the limit, and number of requests beyond it, that a window may have.
@@ -67,3 +72,70 @@
     let mut of_router = arrivals.iter().filter(|a| a.router == arrival.router);
     of_router.any(|a| a.told_at.is_some_and(|told| told + TOLD_DELAY <= arrival.at))
 }
+
+impl<'a> Checker<'a> {
+    /// Runners that got more than the rate limits that they named.
+    pub(super) fn check_limits(&self) -> Vec<Violation> {
+        let mut by_runner: BTreeMap<&str, Vec<&Arrival>> = BTreeMap::new();
+        for arrival in &self.history.arrivals {
+            by_runner.entry(&arrival.runner).or_default().push(arrival);
+        }
+        let routers: HashMap<&str, usize> = self.history.calls.iter().map(|c| (c.id.as_str(), c.router)).collect();
+        let violations = by_runner.into_iter().filter_map(|(runner, mut arrivals)| {
+            arrivals.sort_by_key(|arrival| arrival.at);
+            let (excess, last) = self.check_limit(runner, &arrivals, &routers)?;
+            let Excess { at, count, allowed } = excess;
+            Some(Violation {
+                guarantee: Guarantee::Limit,
+                details: format!("{last} reached {runner} at {at:?} as number {count} in 4 s, allowed {allowed}"),
+            })
+        });
+        violations.collect()
+    }
+
+    /// The first excess at a runner, and the request that exceeds. A restart of the runner begins anew.
+    fn check_limit(
+        &self,
+        runner: &str,
+        arrivals: &[&'a Arrival],
+        routers: &HashMap<&str, usize>,
+    ) -> Option<(Excess, &'a str)> {
+        let h = self.history;
+        let restarts: Vec<Duration> = h
+            .runner_restarts
+            .iter()
+            .filter_map(|(r, at)| (r == runner).then_some(*at))
+            .collect();
+        let starts_between = |a: &&Arrival, b: &&Arrival| restarts.iter().any(|at| a.at <= *at && *at < b.at);
+        let lives = arrivals.chunk_by(|a, b| !starts_between(a, b));
+        lives
+            .filter_map(|life| {
+                let rated: Vec<RatedArrival> = life.iter().map(|a| self.rated(a, routers)).collect();
+                let excess = find_excess(&rated)?;
+                let last = life.iter().find(|a| a.at == excess.at)?;
+                Some((excess, last.id.as_str()))
+            })
+            .next()
+    }
+
+    fn rated(&self, arrival: &Arrival, routers: &HashMap<&str, usize>) -> RatedArrival {
+        let h = self.history;
+        let router = routers.get(arrival.id.as_str()).copied().unwrap_or_default();
+        let since = arrival.at.saturating_sub(REGAIN_TIME);
+        let was_restarted = h
+            .restarts
+            .iter()
+            .any(|s| s.router == router && s.span.overlaps(since, arrival.at));
+        let on_link =
+            |(runner, s): &(String, Span)| *runner == arrival.runner && s.overlaps(since, arrival.at + RESPONSE_TIME);
+        let had_link_fault = h.link_faults.iter().any(on_link);
+        let told_at = arrival.head_after.map(|after| arrival.at + after);
+        RatedArrival {
+            router,
+            at: arrival.at,
+            told_at: told_at.filter(|_| !had_link_fault),
+            per_s: arrival.limit,
+            is_excused: was_restarted || had_link_fault || self.had_outage(router, since, arrival.at),
+        }
+    }
+}
--- a/crates/celerytide-soak/src/check/mod.rs
+++ b/crates/celerytide-soak/src/check/mod.rs
@@ -2,7 +2,7 @@
 
 mod limits;
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::time::Duration;
 
@@ -193,8 +193,6 @@
 const NOTICE_DELAY: Duration = Duration::from_millis(500);
 /// Requests that one router may send to a runner during its pause.
 const MAX_REQUESTS_IN_PAUSE: usize = 2;
-/// Time after an arrival within which the head of its response has reached the router.
-const RESPONSE_TIME: Duration = Duration::from_millis(500);
 /// Response timeout of the plain routes of the test bed.
 const PLAIN_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time beyond that timeout within which a final response has to arrive.
@@ -399,71 +397,6 @@
         })
     }
 
-    /// Runners that got more than the rate limits that they named.
-    fn check_limits(&self) -> Vec<Violation> {
-        let mut by_runner: BTreeMap<&str, Vec<&Arrival>> = BTreeMap::new();
-        for arrival in &self.history.arrivals {
-            by_runner.entry(&arrival.runner).or_default().push(arrival);
-        }
-        let routers: HashMap<&str, usize> = self.history.calls.iter().map(|c| (c.id.as_str(), c.router)).collect();
-        let violations = by_runner.into_iter().filter_map(|(runner, mut arrivals)| {
-            arrivals.sort_by_key(|arrival| arrival.at);
-            let (excess, last) = self.check_limit(runner, &arrivals, &routers)?;
-            let Excess { at, count, allowed } = excess;
-            Some(Violation {
-                guarantee: Guarantee::Limit,
-                details: format!("{last} reached {runner} at {at:?} as number {count} in 4 s, allowed {allowed}"),
-            })
-        });
-        violations.collect()
-    }
-
-    /// The first excess at a runner, and the request that exceeds. A restart of the runner begins anew.
-    fn check_limit(
-        &self,
-        runner: &str,
-        arrivals: &[&'a Arrival],
-        routers: &HashMap<&str, usize>,
-    ) -> Option<(Excess, &'a str)> {
-        let h = self.history;
-        let restarts: Vec<Duration> = h
-            .runner_restarts
-            .iter()
-            .filter_map(|(r, at)| (r == runner).then_some(*at))
-            .collect();
-        let starts_between = |a: &&Arrival, b: &&Arrival| restarts.iter().any(|at| a.at <= *at && *at < b.at);
-        let lives = arrivals.chunk_by(|a, b| !starts_between(a, b));
-        lives
-            .filter_map(|life| {
-                let rated: Vec<RatedArrival> = life.iter().map(|a| self.rated(a, routers)).collect();
-                let excess = find_excess(&rated)?;
-                let last = life.iter().find(|a| a.at == excess.at)?;
-                Some((excess, last.id.as_str()))
-            })
-            .next()
-    }
-
-    fn rated(&self, arrival: &Arrival, routers: &HashMap<&str, usize>) -> RatedArrival {
-        let h = self.history;
-        let router = routers.get(arrival.id.as_str()).copied().unwrap_or_default();
-        let since = arrival.at.saturating_sub(REGAIN_TIME);
-        let was_restarted = h
-            .restarts
-            .iter()
-            .any(|s| s.router == router && s.span.overlaps(since, arrival.at));
-        let on_link =
-            |(runner, s): &(String, Span)| *runner == arrival.runner && s.overlaps(since, arrival.at + RESPONSE_TIME);
-        let had_link_fault = h.link_faults.iter().any(on_link);
-        let told_at = arrival.head_after.map(|after| arrival.at + after);
-        RatedArrival {
-            router,
-            at: arrival.at,
-            told_at: told_at.filter(|_| !had_link_fault),
-            per_s: arrival.limit,
-            is_excused: was_restarted || had_link_fault || self.had_outage(router, since, arrival.at),
-        }
-    }
-
     fn check_late(&self) -> Option<Violation> {
         let h = self.history;
         let is_late = |call: &&Call| {
