refactor(edge): one look-up of what is known of an endpoint's start

The filter by the endpoint's present start stood four times in `named.rs`; it is `NamedLimits::state` now. `RateLimiter::next_at` was public and used by `allows` alone, so `allows` says it directly.

--- a/crates/celerytide-edge/src/rate_limit/limiter.rs
+++ b/crates/celerytide-edge/src/rate_limit/limiter.rs
@@ -39,20 +39,13 @@
         }
     }
 
-    /// When a request may go to `endpoint`, which gets `per_s` requests per second from all `instances` (including this
-    /// one); `None` if this instance sends it nothing.
-    pub fn next_at(&self, endpoint: &str, per_s: f64, instances: &[SocketAddr], now: BootTime) -> Option<BootTime> {
-        if now.since(self.started) < STARTUP_TIME {
-            return None;
-        }
-        self.part(endpoint, per_s, instances)?;
-        let next_at = self.next_at.get(endpoint).copied();
-        Some(next_at.map_or(now, |next_at| next_at.max(now)))
-    }
-
-    /// Whether a request may go to `endpoint` now.
+    /// Whether a request may go to `endpoint` now, which gets `per_s` requests per second from all `instances` (including
+    /// this one).
     pub fn allows(&self, endpoint: &str, per_s: f64, instances: &[SocketAddr], now: BootTime) -> bool {
-        self.next_at(endpoint, per_s, instances, now) == Some(now)
+        if now.since(self.started) < STARTUP_TIME || self.part(endpoint, per_s, instances).is_none() {
+            return false;
+        }
+        self.next_at.get(endpoint).is_none_or(|next_at| *next_at <= now)
     }
 
     /// Counts a request sent to `endpoint`.
--- a/crates/celerytide-edge/src/rate_limit/named.rs
+++ b/crates/celerytide-edge/src/rate_limit/named.rs
@@ -93,9 +93,8 @@
         sent_at: BootTime,
         now: BootTime,
     ) -> Option<Change> {
-        let known = self.by_id.get(&endpoint.id);
-        let is_older = known.is_some_and(|state| endpoint.start < state.start);
-        let same = known.filter(|state| state.start == endpoint.start).copied();
+        let is_older = self.by_id.get(&endpoint.id).is_some_and(|s| endpoint.start < s.start);
+        let same = self.state(endpoint).copied();
         if is_older || (stated == StatedLimit::Absent && same.is_none_or(|state| sent_at <= state.stated_at)) {
             return None;
         }
@@ -107,9 +106,7 @@
 
     /// Applies what a peer tells of `endpoint`, if that is newer.
     pub fn learn(&mut self, endpoint: &Endpoint, told: LimitEntry, now: BootTime) -> Option<Change> {
-        let known = self.by_id.get(&endpoint.id);
-        let same = known.filter(|state| state.start == endpoint.start).copied();
-        let mut state = same.unwrap_or(State::new(endpoint, now));
+        let mut state = self.state(endpoint).copied().unwrap_or(State::new(endpoint, now));
         if told.start != endpoint.start || !state.is_older_than(told) {
             return None;
         }
@@ -152,14 +149,18 @@
 
     /// Requests per second that the endpoint takes from all instances together; `None` without a limit.
     pub fn per_s(&self, endpoint: &Endpoint) -> Option<f64> {
-        let state = self.by_id.get(&endpoint.id)?;
-        state.per_s.filter(|_| state.start == endpoint.start)
+        self.state(endpoint)?.per_s
     }
 
     /// Version of what is known of the endpoint; 0 if nothing is.
     pub fn version(&self, endpoint: &Endpoint) -> u32 {
-        let state = self.by_id.get(&endpoint.id).filter(|s| s.start == endpoint.start);
-        state.map_or(0, |state| state.version)
+        self.state(endpoint).map_or(0, |state| state.version)
+    }
+
+    /// What is known of the endpoint's present start.
+    fn state(&self, endpoint: &Endpoint) -> Option<&State> {
+        let state = self.by_id.get(&endpoint.id);
+        state.filter(|state| state.start == endpoint.start)
     }
 
     /// Number of endpoints with a limit.
