--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -86,6 +86,8 @@
         reached_endpoint: false,
         endpoint: String::new(),
         limit_per_s: None,
+        framing: None,
+        rest_bytes: 0,
         first_byte: None,
         gap: Gap::default(),
     };
@@ -156,6 +158,10 @@
     endpoint: String,
     /// Rate limit that the endpoint had named when it was picked, in requests per second.
     limit_per_s: Option<f64>,
+    /// How the body of the last response is delimited, by name.
+    framing: Option<&'static str>,
+    /// Bytes of an unfinished event at the end of the last stream.
+    rest_bytes: usize,
     /// Time from the start to the first byte of a response.
     first_byte: Option<Duration>,
     /// The longest gap between two events.
@@ -289,6 +295,7 @@
     }
 
     async fn relay(&mut self, out: Responder, upstream: Box<Upstream<P>>, service: &Rc<Service>) -> End {
+        self.framing = Some(upstream.response.framing.name());
         let stream = self.request.route.kind.is_stream() && upstream.response.status == StatusCode::OK;
         if stream {
             return stream::relay(self, out, upstream, service).await;
@@ -346,6 +353,8 @@
             ran = self.may_have_run_count,
             cause = end.cause,
             status = end.status,
+            framing = self.framing,
+            rest_bytes = self.rest_bytes,
             first_ms = self.first_byte.map(|t| t.as_millis() as u64),
             gap_ms = self.gap.length.as_millis() as u64,
             gap_at_ms = self.gap.offset.as_millis() as u64,
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -88,7 +88,7 @@
     loop {
         let data = match timeout(fwd.time_left(), upstream.next()).await {
             Err(_) => return StreamEnd::Late,
-            Ok(None) => return finish(&mut splitter, out).await,
+            Ok(None) => return finish(fwd, &mut splitter, out).await,
             Ok(Some(Ok(data))) => {
                 fwd.first_byte
                     .get_or_insert_with(|| now_boot().since(fwd.request.began));
@@ -150,11 +150,17 @@
 }
 
 /// Ends a stream whose endpoint ended it regularly: bytes after the last whole event are part of the body.
-async fn finish(splitter: &mut EventSplitter, out: &mut ChunkWriter) -> StreamEnd {
+async fn finish<P: Protocol>(
+    fwd: &mut Forwarding<'_, P>,
+    splitter: &mut EventSplitter,
+    out: &mut ChunkWriter,
+) -> StreamEnd {
     if splitter.is_empty() {
         return StreamEnd::Whole;
     }
-    match out.send(splitter.take_rest()).await {
+    let rest = splitter.take_rest();
+    fwd.rest_bytes = rest.len();
+    match out.send(rest).await {
         Ok(()) => StreamEnd::Whole,
         Err(_) => StreamEnd::Gone,
     }
@@ -189,6 +195,7 @@
         match send(fwd, service, pick, last_event).await {
             Sent::Response(upstream) if upstream.response.status.is_success() => {
                 info!(request = fwd.request.id, endpoint = fwd.endpoint, "stream: goes on");
+                fwd.framing = Some(upstream.response.framing.name());
                 return Some(upstream);
             }
             Sent::Response(upstream) => {
--- a/crates/celerytide-http/src/client/response.rs
+++ b/crates/celerytide-http/src/client/response.rs
@@ -31,6 +31,8 @@
     pub status: StatusCode,
     /// Response headers.
     pub headers: HeaderMap,
+    /// How the body is delimited.
+    pub framing: Framing,
     body: Body,
     conn: Option<Conn>,
     is_reusable: bool,
@@ -72,6 +74,7 @@
             http_keep_alive: keep_alive_timeout(&head.headers),
             status: head.status,
             headers: head.headers,
+            framing,
             body: Body::new(framing),
             conn: Some(conn),
             body_started: false,
--- a/crates/celerytide-http/src/validate/framing.rs
+++ b/crates/celerytide-http/src/validate/framing.rs
@@ -18,6 +18,18 @@
     UntilClose,
 }
 
+impl Framing {
+    /// Name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Framing::Empty => "empty",
+            Framing::Length(_) => "length",
+            Framing::Chunked => "chunks",
+            Framing::UntilClose => "close",
+        }
+    }
+}
+
 /// Returns the framing of a request's body, or an error if method, version or `host` header are not acceptable.
 pub fn request_framing(method: &Method, version: Version, headers: &HeaderMap) -> Result<Framing, ProtocolError> {
     if *method == Method::CONNECT {
