--- a/crates/celerytide-standin/src/platform/mod.rs
+++ b/crates/celerytide-standin/src/platform/mod.rs
@@ -13,5 +13,5 @@
 pub use endless::Endless;
 pub use publish::{Entry, ROUTES, Route, START_UNIX_MS};
 pub use request::Request;
-pub use runner::{Arrival, Runner, RunnerMode};
+pub use runner::{Arrival, Runner, RunnerMode, StreamFraming};
 pub use store::{EraHeader, Snapshot, Store, StoreMode};
