fix(edge): an event whose lines end with CR is passed on when it is whole

Callers of an endpoint that ends lines with CR got all of a stream at once at its end, since only LF ended a line, and a resumed one got events twice. CR, LF and CRLF end lines in event streams.

--- a/crates/celerytide-edge/src/events/mod.rs
+++ b/crates/celerytide-edge/src/events/mod.rs
@@ -24,6 +24,7 @@
 pub struct EventSplitter {
     buf: BytesMut,
     scanned: usize,
+    line: Line,
 }
 
 impl EventSplitter {
@@ -39,13 +40,14 @@
         self.scanned = 0;
         let raw = self.buf.split_to(end).freeze();
         let id = event_id(&raw);
-        let has_data = raw.split(|b| *b == b'\n').any(|line| line.starts_with(b"data"));
+        let has_data = raw.split(is_line_end).any(|line| line.starts_with(b"data"));
         Some(Event { raw, id, has_data })
     }
 
     /// Takes the bytes of the incomplete event.
     pub fn take_rest(&mut self) -> Bytes {
         self.scanned = 0;
+        self.line = Line::default();
         self.buf.split().freeze()
     }
 
@@ -55,38 +57,70 @@
     }
 
     fn find_end(&mut self) -> Option<usize> {
-        let mut at = self.scanned;
-        while let Some(step) = self.buf.get(at..)?.iter().position(|b| *b == b'\n') {
-            let lf = at + step;
-            let after = self.buf.get(lf + 1..).unwrap_or_default();
-            if after.first() == Some(&b'\n') {
-                return Some(lf + 2);
+        while let Some(byte) = self.buf.get(self.scanned) {
+            let ends = self.line.push(*byte);
+            self.scanned += usize::from(ends != Some(EventEnd::Before));
+            if ends.is_some() {
+                self.line = Line::default();
+                return Some(self.scanned);
             }
-            if after.starts_with(b"\r\n") {
-                return Some(lf + 3);
-            }
-            if after.len() < 2 {
-                self.scanned = lf;
-                return None;
-            }
-            at = lf + 1;
         }
-        self.scanned = self.buf.len();
         None
     }
 }
 
+/// Where an event ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EventEnd {
+    /// With this byte.
+    With,
+    /// Before this byte.
+    Before,
+}
+
+/// How far the current line is. Lines end with CRLF, LF or CR.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Line {
+    /// Nothing of it is there.
+    #[default]
+    Start,
+    /// It has text.
+    Text,
+    /// Nothing of it is there, and the line before ended with a CR; an LF that follows belongs to that end.
+    StartAfterCr,
+    /// It is empty and ended with a CR; an LF that follows belongs to its end.
+    EmptyCr,
+}
+
+impl Line {
+    /// Takes the next byte; tells if an empty line and with it the event ends here.
+    fn push(&mut self, byte: u8) -> Option<EventEnd> {
+        let (next, end) = match (*self, byte) {
+            (Line::Text, b'\r') => (Line::StartAfterCr, None),
+            (Line::Text, b'\n') | (Line::StartAfterCr, b'\n') => (Line::Start, None),
+            (Line::Start | Line::EmptyCr, b'\n') | (Line::StartAfterCr, b'\r') => (Line::Start, Some(EventEnd::With)),
+            (Line::Start, b'\r') => (Line::EmptyCr, None),
+            (Line::EmptyCr, _) => (Line::Start, Some(EventEnd::Before)),
+            _ => (Line::Text, None),
+        };
+        *self = next;
+        end
+    }
+}
+
+fn is_line_end(byte: &u8) -> bool {
+    matches!(byte, b'\n' | b'\r')
+}
+
 fn event_id(raw: &Bytes) -> Option<Bytes> {
     let mut start = 0;
-    for line in raw.split(|b| *b == b'\n') {
-        let len = line.len();
-        let line = line.strip_suffix(b"\r").unwrap_or(line);
+    for line in raw.split(is_line_end) {
+        let end = start + line.len();
         if let Some(value) = line.strip_prefix(b"id:") {
             let value = value.strip_prefix(b" ").unwrap_or(value);
-            let end = start + line.len();
             return Some(raw.slice(end - value.len()..end));
         }
-        start += len + 1;
+        start = end + 1;
     }
     None
 }
--- a/crates/celerytide-edge/tests/formats.rs
+++ b/crates/celerytide-edge/tests/formats.rs
@@ -12,7 +12,7 @@
         let mut text = String::new();
         let mut ends = Vec::new();
         for n in 1..=count {
-            let end = if u.arbitrary()? { "\r\n" } else { "\n" };
+            let end = *u.choose(&["\r\n", "\n", "\r"])?;
             text.push_str(&format!(
                 "id: {n}{end}data: {}{end}{end}",
                 "x".repeat(u.int_in_range(0..=20)?)
@@ -47,6 +47,52 @@
     });
 }
 
+/// A stream, and its events.
+struct SplitCase {
+    stream: &'static str,
+    events: &'static [&'static str],
+}
+
+const SPLIT_CASES: [SplitCase; 6] = [
+    SplitCase {
+        stream: "data: 1\n\r\ndata: 2\r\n\n",
+        events: &["data: 1\n\r\n", "data: 2\r\n\n"],
+    },
+    SplitCase {
+        stream: "data: 1\r\rdata: 2\n\n",
+        events: &["data: 1\r\r", "data: 2\n\n"],
+    },
+    SplitCase {
+        stream: "data: 1\n\rdata: 2\r\n\rdata: 3",
+        events: &["data: 1\n\r", "data: 2\r\n\r"],
+    },
+    SplitCase {
+        stream: "data: 1\r\n\r",
+        events: &[],
+    },
+    SplitCase {
+        stream: "\ndata: 1\rid: 7\r\r",
+        events: &["\n", "data: 1\rid: 7\r\r"],
+    },
+    SplitCase {
+        stream: ": note\n\ndata",
+        events: &[": note\n\n"],
+    },
+];
+
+#[test]
+fn each_kind_of_empty_line_ends_an_event() {
+    for case in &SPLIT_CASES {
+        let mut splitter = EventSplitter::default();
+        let mut events = Vec::new();
+        for byte in case.stream.bytes() {
+            assert!(splitter.push(&[byte]));
+            events.extend(std::iter::from_fn(|| splitter.next_event()).map(|event| event.raw));
+        }
+        assert_eq!(events, case.events, "{:?}", case.stream);
+    }
+}
+
 const VALID: &str = "instance: a\nzone: z\ncallers: \"127.0.0.1:1\"\nreadiness: \"127.0.0.1:2\"\npeers: null\nmetrics:\nstore: \"127.0.0.1:3\"\n";
 
 /// Text added to valid settings, and a word that the error must contain.
