fix(edge): a stream that ends inside an event was broken off, whatever its body says

Cause: the end of a body was taken as the end of its stream. A body without length or chunks ends with its connection, so an endpoint that crashes and closes in good order looked like one that had finished, and the bytes behind the last whole event were sent on. The class: the transport's end stood for the content's end.

Why it works: the splitter of events decides (check_end). A stream is whole only at the border of an event; a body that only the connection ends must have had one. Else it is broken off like after a reset: the rest isn't passed on, the stream is resumed where its route allows it, else the caller's is cut; the endpoint's health counts it as bad. All framings take the same way, so that something in front of an engine that frames the rest of a crashed run changes nothing.

--- a/crates/celerytide-edge/src/events/mod.rs
+++ b/crates/celerytide-edge/src/events/mod.rs
@@ -1,9 +1,11 @@
 //! Splits an event stream into whole events without changing a byte.
 //!
 //! An endpoint may stop in the middle of an event. The incomplete event is never passed on, so that the caller's data
-//! always ends with a whole event and a resumed stream continues after it.
+//! always ends with a whole event and a resumed stream continues after it. A body that ends in good order doesn't show
+//! that its stream is whole: [`EventSplitter::check_end`] does.
 
 use bytes::{Bytes, BytesMut};
+use snafu::Snafu;
 
 /// Largest event, in bytes.
 pub const MAX_EVENT: usize = 128 * 1024;
@@ -19,10 +21,22 @@
     pub has_data: bool,
 }
 
+/// Why a stream was broken off though its body ended in good order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum Torn {
+    /// The body ended inside an event.
+    #[snafu(display("it ended inside an event"))]
+    InsideEvent,
+    /// The body ended with the connection and had no event.
+    #[snafu(display("the connection ended before the first event"))]
+    NoEvent,
+}
+
 /// Buffers the bytes of an incomplete event.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buf: BytesMut,
+    has_events: bool,
     scanned: usize,
     line: Line,
 }
@@ -38,22 +52,28 @@
     pub fn next_event(&mut self) -> Option<Event> {
         let end = self.find_end()?;
         self.scanned = 0;
+        self.has_events = true;
         let raw = self.buf.split_to(end).freeze();
         let id = event_id(&raw);
         let has_data = raw.split(is_line_end).any(|line| line.starts_with(b"data"));
         Some(Event { raw, id, has_data })
     }
 
-    /// Takes the bytes of the incomplete event.
-    pub fn take_rest(&mut self) -> Bytes {
-        self.scanned = 0;
-        self.line = Line::default();
-        self.buf.split().freeze()
+    /// Number of bytes of the incomplete event.
+    pub fn rest_bytes(&self) -> usize {
+        self.buf.len()
     }
 
-    /// Whether the buffer is empty.
-    pub fn is_empty(&self) -> bool {
-        self.buf.is_empty()
+    /// Checks at the end of the body that the stream is whole. If only the end of the connection delimits the body
+    /// (`until_close`), a body without an event is no stream: its endpoint may have crashed before the first one.
+    pub fn check_end(&self, until_close: bool) -> Result<(), Torn> {
+        if !self.buf.is_empty() {
+            return Err(Torn::InsideEvent);
+        }
+        if until_close && !self.has_events {
+            return Err(Torn::NoEvent);
+        }
+        Ok(())
     }
 
     fn find_end(&mut self) -> Option<usize> {
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -11,6 +11,7 @@
 use celerytide_catalog::{RouteKind, Service};
 use celerytide_http::server::{ChunkWriter, Responder};
 use celerytide_http::sse::StallTimer;
+use celerytide_http::validate::Framing;
 use celerytide_types::{BootTime, now_boot};
 use monoio::time::timeout;
 use tracing::info;
@@ -21,6 +22,8 @@
 use crate::health::Outcome;
 use crate::protocol::Protocol;
 
+/// Cause of a stream that broke off.
+const BROKEN: &str = "stream-broken";
 /// Least time without an event after which a stream that still sends bytes counts as broken.
 const MIN_STALL: Duration = Duration::from_secs(2);
 /// The same as a multiple of the latency target for the first event.
@@ -30,7 +33,7 @@
 
 /// How a stream at one endpoint ended.
 enum StreamEnd {
-    /// Regularly.
+    /// At an event's border, with the regular end of the body.
     Whole,
     /// The endpoint broke it off or sent no event for too long.
     Broken(&'static str),
@@ -88,15 +91,16 @@
     loop {
         let data = match timeout(fwd.time_left(), upstream.next()).await {
             Err(_) => return StreamEnd::Late,
-            Ok(None) => return finish(fwd, &mut splitter, out).await,
+            Ok(None) => return end_of_body(fwd, upstream, &splitter),
             Ok(Some(Ok(data))) => {
                 fwd.first_byte
                     .get_or_insert_with(|| now_boot().since(fwd.request.began));
                 data
             }
             Ok(Some(Err(error))) => {
+                fwd.rest_bytes = splitter.rest_bytes();
                 info!(request = fwd.request.id, endpoint = fwd.endpoint, %error, "stream: broke off");
-                return StreamEnd::Broken("stream-broken");
+                return StreamEnd::Broken(BROKEN);
             }
         };
         if !splitter.push(&data) {
@@ -149,20 +153,22 @@
     }
 }
 
-/// Ends a stream whose endpoint ended it regularly: bytes after the last whole event are part of the body.
-async fn finish<P: Protocol>(
+/// How a stream ended whose body ended in good order.
+fn end_of_body<P: Protocol>(
     fwd: &mut Forwarding<'_, P>,
-    splitter: &mut EventSplitter,
-    out: &mut ChunkWriter,
+    upstream: &Upstream<P>,
+    splitter: &EventSplitter,
 ) -> StreamEnd {
-    if splitter.is_empty() {
-        return StreamEnd::Whole;
-    }
-    let rest = splitter.take_rest();
-    fwd.rest_bytes = rest.len();
-    match out.send(rest).await {
+    let framing = upstream.response.framing;
+    fwd.rest_bytes = splitter.rest_bytes();
+    match splitter.check_end(framing == Framing::UntilClose) {
         Ok(()) => StreamEnd::Whole,
-        Err(_) => StreamEnd::Gone,
+        Err(error) => {
+            let (request, endpoint) = (&fwd.request.id, &fwd.endpoint);
+            let (framing, rest_bytes) = (framing.name(), fwd.rest_bytes);
+            info!(request, endpoint, %error, framing, rest_bytes, "stream: broke off");
+            StreamEnd::Broken(BROKEN)
+        }
     }
 }
 
--- a/crates/celerytide-edge/tests/formats.rs
+++ b/crates/celerytide-edge/tests/formats.rs
@@ -42,7 +42,10 @@
                 .as_deref()
                 .map(str::as_bytes)
         );
-        assert_eq!(splitter.take_rest(), &text.as_bytes()[out.len()..cut]);
+        assert_eq!(splitter.rest_bytes(), cut - out.len());
+        let is_whole = out.len() == cut;
+        assert_eq!(splitter.check_end(false).is_ok(), is_whole);
+        assert_eq!(splitter.check_end(true).is_ok(), is_whole && cut > 0);
         Ok(())
     });
 }
