--- a/crates/celerytide-soak/src/plan/mod.rs
+++ b/crates/celerytide-soak/src/plan/mod.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use celerytide_standin::platform::{Endless, RunnerMode, StoreMode};
+use celerytide_standin::platform::{Endless, RunnerMode, StoreMode, StreamFraming, TornStream};
 use celerytide_standin::relay::Mode as RelayMode;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
@@ -145,12 +145,22 @@
 /// Number of events in each stream.
 pub const STREAM_EVENTS: u32 = 8;
 
+/// What delimits a stream that ends inside an event.
+const TORN_FRAMINGS: [StreamFraming; 3] = [StreamFraming::Close, StreamFraming::Chunks, StreamFraming::Length];
+
 fn draw_runner_mode(rng: &mut StdRng, runner: usize) -> RunnerMode {
     let cut = RunnerMode::Events {
         all: STREAM_EVENTS,
         cut: rng.random_range(1..STREAM_EVENTS),
         gap_ms: 15,
     };
+    let torn = RunnerMode::Torn(TornStream {
+        status: 200,
+        framing: *TORN_FRAMINGS.choose(rng).unwrap_or(&StreamFraming::Close),
+        all: STREAM_EVENTS,
+        sent: rng.random_range(0..STREAM_EVENTS),
+        rest: "id: 9\ndata: pie",
+    });
     let plain = [
         RunnerMode::Late(300),
         RunnerMode::Failed,
@@ -178,6 +188,8 @@
         cut,
         cut,
         cut,
+        torn,
+        torn,
         RunnerMode::NotRun,
         RunnerMode::Failed,
         RunnerMode::Garbage,
--- a/crates/celerytide-standin/src/platform/mod.rs
+++ b/crates/celerytide-standin/src/platform/mod.rs
@@ -5,13 +5,15 @@
 
 pub mod caller;
 mod endless;
+mod events;
 mod publish;
 mod request;
 mod runner;
 mod store;
 
 pub use endless::Endless;
+pub use events::{StreamFraming, TornStream};
 pub use publish::{Entry, ROUTES, Route, START_UNIX_MS};
 pub use request::Request;
-pub use runner::{Arrival, Runner, RunnerMode, StreamFraming};
+pub use runner::{Arrival, Runner, RunnerMode};
 pub use store::{EraHeader, Snapshot, Store, StoreMode};
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -7,19 +7,9 @@
 use std::time::{Duration, Instant};
 
 use super::Endless;
+use super::events::{self, TornStream};
 use super::request::{self, Request};
 
-/// What delimits the body of a stream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StreamFraming {
-    /// Chunks, with the last chunk.
-    Chunks,
-    /// A stated length.
-    Length,
-    /// The end of the connection.
-    Close,
-}
-
 /// How a runner responds to requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunnerMode {
@@ -69,16 +59,8 @@
         /// Milliseconds between two events.
         gap_ms: u64,
     },
-    /// The first `whole` of five events, then `rest`, then the regular end of the body. A stream that continues after
-    /// `Last-Event-Id` has all of the five that are left.
-    Torn {
-        /// What delimits the body.
-        framing: StreamFraming,
-        /// Number of whole events.
-        whole: u32,
-        /// Bytes behind them.
-        rest: &'static str,
-    },
+    /// A stream whose body ends in good order, whole or not.
+    Torn(TornStream),
 }
 
 impl RunnerMode {
@@ -260,7 +242,7 @@
             *lock(&shared.disconnect_count) += 1;
             false
         }
-        RunnerMode::Drip(ms) => send_drip(shared, out, &sealed, Duration::from_millis(ms)),
+        RunnerMode::Drip(ms) => stream(shared, events::send_drip(out, &sealed, Duration::from_millis(ms))),
         RunnerMode::Crossed => send_response(
             out,
             "200 OK",
@@ -276,9 +258,20 @@
             sleep(Duration::from_secs(20));
             false
         }
-        RunnerMode::Events { all, cut, gap_ms } => send_events(shared, out, req, &sealed, all, cut, gap_ms),
-        RunnerMode::Torn { framing, whole, rest } => send_torn(out, req, &sealed, framing, whole, rest),
+        RunnerMode::Events { all, cut, gap_ms } => {
+            let gap = Duration::from_millis(gap_ms);
+            stream(shared, events::send_events(out, req, &sealed, all, cut, gap))
+        }
+        RunnerMode::Torn(torn) => stream(shared, torn.send(out, req, &sealed)),
+    }
+}
+
+/// Counts a client that closed the connection before the stream ended; true if the connection stays open.
+fn stream(shared: &Shared, sent: std::io::Result<bool>) -> bool {
+    if sent.is_err() {
+        *lock(&shared.disconnect_count) += 1;
     }
+    sent.unwrap_or(false)
 }
 
 fn send_response(out: &mut TcpStream, status: &str, headers: &str, body: &str) -> bool {
@@ -286,75 +279,3 @@
     let response = format!("HTTP/1.1 {status}\r\n{headers}content-length: {length}\r\n\r\n{body}");
     out.write_all(response.as_bytes()).is_ok()
 }
-
-const STREAM_HEADERS: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
-
-/// Number of events of a [`RunnerMode::Torn`] stream that isn't torn.
-const TORN_EVENTS: u32 = 5;
-
-fn event(number: u32) -> String {
-    format!("id: {number}\ndata: piece {number}\n\n")
-}
-
-fn send_torn(out: &mut TcpStream, req: &Request, sealed: &str, framing: StreamFraming, whole: u32, rest: &str) -> bool {
-    let from: u32 = req.header("last-event-id").parse().unwrap_or(0);
-    let (to, rest) = if from > 0 { (TORN_EVENTS, "") } else { (whole, rest) };
-    let body: String = (from + 1..=to).map(event).chain([rest.to_owned()]).collect();
-    let head = format!("HTTP/1.1 200 OK\r\n{sealed}content-type: text/event-stream\r\n");
-    let length = body.len();
-    let response = match framing {
-        StreamFraming::Close => format!("{head}\r\n{body}"),
-        StreamFraming::Length => format!("{head}content-length: {length}\r\n\r\n{body}"),
-        StreamFraming::Chunks if body.is_empty() => format!("{head}transfer-encoding: chunked\r\n\r\n0\r\n\r\n"),
-        StreamFraming::Chunks => {
-            format!("{head}transfer-encoding: chunked\r\n\r\n{length:x}\r\n{body}\r\n0\r\n\r\n")
-        }
-    };
-    out.write_all(response.as_bytes()).is_ok() && framing != StreamFraming::Close
-}
-
-/// Sends one byte at a time until the client closes the connection.
-fn send_drip(shared: &Shared, out: &mut TcpStream, sealed: &str, gap: Duration) -> bool {
-    let mut sent = out.write_all(format!("HTTP/1.1 200 OK\r\n{sealed}{STREAM_HEADERS}").as_bytes());
-    while sent.is_ok() {
-        sent = out.write_all(b"1\r\nd\r\n");
-        sleep(gap);
-    }
-    *lock(&shared.disconnect_count) += 1;
-    false
-}
-
-fn send_events(
-    shared: &Shared,
-    out: &mut TcpStream,
-    req: &Request,
-    sealed: &str,
-    all: u32,
-    cut: u32,
-    gap_ms: u64,
-) -> bool {
-    let head = format!("HTTP/1.1 200 OK\r\n{sealed}{STREAM_HEADERS}");
-    drop(out.write_all(head.as_bytes()));
-    let from: u32 = req.header("last-event-id").parse().unwrap_or(0);
-    let cut = if from == 0 { cut } else { 0 };
-    for number in from + 1..=all {
-        if number > from + 1 {
-            sleep(Duration::from_millis(gap_ms));
-        }
-        let event = event(number);
-        let sent = if number == cut {
-            &event[..event.len() / 2]
-        } else {
-            &event
-        };
-        let chunk = format!("{:x}\r\n{sent}\r\n", sent.len());
-        if out.write_all(chunk.as_bytes()).is_err() {
-            *lock(&shared.disconnect_count) += 1;
-            return false;
-        }
-        if number == cut {
-            return false;
-        }
-    }
-    out.write_all(b"0\r\n\r\n").is_ok()
-}
