--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -296,7 +296,7 @@
 
     async fn relay(&mut self, out: Responder, upstream: Box<Upstream<P>>, service: &Rc<Service>) -> End {
         self.framing = Some(upstream.response.framing.name());
-        let stream = self.request.route.kind.is_stream() && upstream.response.status == StatusCode::OK;
+        let stream = self.request.route.kind.is_stream() && upstream.response.status.is_success();
         if stream {
             return stream::relay(self, out, upstream, service).await;
         }
