feat(edge): say which prompt parts a broken stream had, and how far it had come

stream: broke off has the endpoint's start, the time since the response's head, whether an event had arrived and the shared parts of the prompt, so that deaths of engines under one part can be told from deaths of other causes. Behaviour is unchanged.

--- a/crates/celerytide-edge/src/events/mod.rs
+++ b/crates/celerytide-edge/src/events/mod.rs
@@ -59,6 +59,11 @@
         Some(Event { raw, id, has_data })
     }
 
+    /// Whether an event has been taken.
+    pub fn has_events(&self) -> bool {
+        self.has_events
+    }
+
     /// Number of bytes of the incomplete event.
     pub fn rest_bytes(&self) -> usize {
         self.buf.len()
--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -49,9 +49,13 @@
     service: String,
     /// The endpoint's id.
     endpoint: String,
+    /// Start of the endpoint.
+    start: Option<u64>,
     edge: Rc<Edge<P>>,
     in_flight: InFlight<P>,
     sent_at: BootTime,
+    /// When the head of the response arrived.
+    head_at: BootTime,
     has_begun: bool,
 }
 
@@ -80,12 +84,32 @@
         })
     }
 
+    /// How far its stream had come when it broke off.
+    pub fn break_off(&self, has_events: bool) -> BreakOff {
+        BreakOff {
+            start: self.start,
+            head_age: now_boot().since(self.head_at),
+            has_events,
+        }
+    }
+
     /// Ends the request at this endpoint and records its outcome.
     pub fn end(self, outcome: Outcome) {
         self.edge.record(&self.service, &self.endpoint, outcome);
     }
 }
 
+/// How far a stream had come when its endpoint broke it off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BreakOff {
+    /// Start of the endpoint.
+    pub start: Option<u64>,
+    /// Time since the head of the response.
+    pub head_age: Duration,
+    /// Whether an event had arrived.
+    pub has_events: bool,
+}
+
 /// Requests of this instance at an endpoint.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Backlog {
@@ -179,9 +203,11 @@
         response,
         service: service.id.clone(),
         endpoint: id.clone(),
+        start: pick.endpoint.start,
         edge: edge.clone(),
         in_flight: pick.in_flight,
         sent_at: pick.at,
+        head_at: now_boot(),
         has_begun: false,
     }))
 }
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -4,6 +4,7 @@
 //! route allows that. The caller sees one response with the headers of the first endpoint. A stream that can't continue
 //! is cut off without its regular end.
 
+use std::fmt::Display;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,6 +21,7 @@
 use super::{End, Forwarding, Gap, headers};
 use crate::events::EventSplitter;
 use crate::health::Outcome;
+use crate::placement::shared_blocks;
 use crate::protocol::Protocol;
 
 /// Cause of a stream that broke off.
@@ -97,11 +99,7 @@
                     .get_or_insert_with(|| now_boot().since(fwd.request.began));
                 data
             }
-            Ok(Some(Err(error))) => {
-                fwd.rest_bytes = splitter.rest_bytes();
-                info!(request = fwd.request.id, endpoint = fwd.endpoint, %error, "stream: broke off");
-                return StreamEnd::Broken(BROKEN);
-            }
+            Ok(Some(Err(error))) => return broken(fwd, upstream, &splitter, &error),
         };
         if !splitter.push(&data) {
             return StreamEnd::Broken("event-too-large");
@@ -159,19 +157,39 @@
     upstream: &Upstream<P>,
     splitter: &EventSplitter,
 ) -> StreamEnd {
-    let framing = upstream.response.framing;
-    fwd.rest_bytes = splitter.rest_bytes();
-    match splitter.check_end(framing == Framing::UntilClose) {
-        Ok(()) => StreamEnd::Whole,
-        Err(error) => {
-            let (request, endpoint) = (&fwd.request.id, &fwd.endpoint);
-            let (framing, rest_bytes) = (framing.name(), fwd.rest_bytes);
-            info!(request, endpoint, %error, framing, rest_bytes, "stream: broke off");
-            StreamEnd::Broken(BROKEN)
+    match splitter.check_end(upstream.response.framing == Framing::UntilClose) {
+        Ok(()) => {
+            fwd.rest_bytes = 0;
+            StreamEnd::Whole
         }
+        Err(error) => broken(fwd, upstream, splitter, &error),
     }
 }
 
+/// Ends a stream that its endpoint broke off.
+fn broken<P: Protocol>(
+    fwd: &mut Forwarding<'_, P>,
+    upstream: &Upstream<P>,
+    splitter: &EventSplitter,
+    error: &impl Display,
+) -> StreamEnd {
+    fwd.rest_bytes = splitter.rest_bytes();
+    let at = upstream.break_off(splitter.has_events());
+    info!(
+        request = fwd.request.id,
+        endpoint = fwd.endpoint,
+        start = at.start,
+        %error,
+        framing = upstream.response.framing.name(),
+        rest_bytes = fwd.rest_bytes,
+        head_ms = at.head_age.as_millis() as u64,
+        has_events = at.has_events,
+        parts = ?shared_blocks(&fwd.request.prompt),
+        "stream: broke off"
+    );
+    StreamEnd::Broken(BROKEN)
+}
+
 /// Continues the stream at another endpoint, if its route allows that and a retry is left.
 async fn resume<P: Protocol>(
     fwd: &mut Forwarding<'_, P>,
