--- a/crates/celerytide-standin/src/platform/mod.rs
+++ b/crates/celerytide-standin/src/platform/mod.rs
@@ -4,6 +4,7 @@
 //! they receive. [`caller`] is a blocking client for the router under test.
 
 pub mod caller;
+mod crash;
 mod endless;
 mod events;
 mod publish;
@@ -11,6 +12,7 @@
 mod runner;
 mod store;
 
+pub use crash::DeadlyPart;
 pub use endless::Endless;
 pub use events::{StreamFraming, TornStream};
 pub use publish::{Entry, ROUTES, Route, START_UNIX_MS};
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use super::Endless;
+use super::crash::{Crashes, DeadlyPart};
 use super::events::{self, TornStream};
 use super::request::{self, Request};
 
@@ -103,6 +104,8 @@
     arrivals: Mutex<Vec<Arrival>>,
     /// Requests whose client, the router, closed the connection before the response ended.
     disconnect_count: Mutex<usize>,
+    crashes: Crashes,
+    address: SocketAddr,
 }
 
 /// A runner on a thread of its own.
@@ -128,12 +131,22 @@
             requests: Mutex::default(),
             arrivals: Mutex::default(),
             disconnect_count: Mutex::default(),
+            crashes: Crashes::default(),
+            address,
         });
         let served = shared.clone();
         spawn(move || {
-            for conn in listener.incoming().flatten() {
-                let shared = served.clone();
-                spawn(move || serve(&shared, conn));
+            let mut listener = listener;
+            loop {
+                let accepted = listener.accept();
+                if let Some(down) = served.crashes.down() {
+                    drop((accepted, listener));
+                    listener = served.crashes.listen_again(address, down);
+                } else if let Ok((conn, _)) = accepted {
+                    let shared = served.clone();
+                    served.crashes.add(&conn);
+                    spawn(move || serve(&shared, conn));
+                }
             }
         });
         Ok(Runner { address, shared })
@@ -149,6 +162,16 @@
         *lock(&self.shared.limit) = limit;
     }
 
+    /// Sets the part of prompts under which the runner crashes.
+    pub fn crash_on(&self, deadly: Option<DeadlyPart>) {
+        self.shared.crashes.set(deadly);
+    }
+
+    /// Times of the crashes so far.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.shared.crashes.times()
+    }
+
     /// All requests received so far.
     pub fn requests(&self) -> Vec<Request> {
         lock(&self.shared.requests).clone()
@@ -165,7 +188,7 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -203,6 +226,10 @@
     let limit = limit.map_or(String::new(), |value| format!("server-limit: {value}\r\n"));
     let sealed = format!("x-attempt-id: {id}\r\nx-response-seal: {SEAL}\r\n{limit}");
     let not_run = format!("x-attempt-id: {id}\r\nx-not-executed: 1\r\n{limit}");
+    if let Some(deadly) = shared.crashes.deadly_part(req) {
+        shared.crashes.crash(shared.address, out, &sealed, deadly.down);
+        return false;
+    }
     match mode {
         RunnerMode::Good => send_response(out, "200 OK", &sealed, &body),
         RunnerMode::Late(ms) => {
