fix(edge): a prompt part under which engines crash is withheld

Cause: what a request holds was no input of any decision about failures, and a death was a failure of its endpoint; so each tainted request went on to the next engine, and repeats helped. Class: a fault that travels with the request was booked on the endpoint, by each instance for itself.

--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -4,6 +4,7 @@
 mod in_flight;
 mod limited;
 mod pick;
+mod quarantined;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -34,6 +35,7 @@
 use crate::placement::EndpointLoads;
 use crate::placement::popularity::Popularity;
 use crate::protocol::Protocol;
+use crate::quarantine::Quarantine;
 use crate::rate_limit::{NamedLimits, RateLimiter};
 use crate::settings::Settings;
 use crate::split::EngineSplit;
@@ -94,6 +96,8 @@
     pub named_limits: RefCell<NamedLimits>,
     /// This instance's part of the rates of limited endpoints.
     pub rate_limiter: RefCell<RateLimiter>,
+    /// Prompt blocks under which engines crashed.
+    pub quarantine: RefCell<Quarantine>,
     /// Other instances.
     pub members: RefCell<Members>,
     /// Connections to other instances.
@@ -161,6 +165,7 @@
             split: RefCell::default(),
             notices: RefCell::default(),
             named_limits: RefCell::default(),
+            quarantine: RefCell::default(),
             limits: Rc::new(Cell::new(limits)),
             counters: Counters::default(),
             store_responded_at: Cell::new(None),
@@ -266,6 +271,7 @@
         self.rate_limiter.borrow_mut().sweep(now);
         self.notices.borrow_mut().sweep(now);
         self.sweep_named_limits(now);
+        self.sweep_quarantine(now);
         if *update == Update::default() {
             return;
         }
--- a/crates/celerytide-edge/src/edge/pick.rs
+++ b/crates/celerytide-edge/src/edge/pick.rs
@@ -45,6 +45,8 @@
     Limited(Duration),
     /// The engines hold as many tokens as they may.
     Overload,
+    /// Engines crash under a part of the prompt.
+    Withheld,
 }
 
 impl PickError {
@@ -56,6 +58,7 @@
             PickError::Paused(_) => "endpoints-pause",
             PickError::Limited(_) => "endpoints-limited",
             PickError::Overload => "overload",
+            PickError::Withheld => "prompt-withheld",
         }
     }
 }
@@ -69,6 +72,9 @@
         tried: &[String],
     ) -> Result<Pick<P>, PickError> {
         let now = now_boot();
+        if self.is_withheld(request, now) {
+            return Err(PickError::Withheld);
+        }
         let view = self.view.borrow();
         let instances = self.members.borrow().sharing_limits(now);
         let available = self.available(&view, service, tried, &instances, now);
--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -33,6 +33,8 @@
 
 /// Least time left for which a request is sent to an endpoint; in less time it can't finish.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(15);
+/// Wait that a caller is asked for whose prompt is withheld.
+const WITHHELD_WAIT: Duration = Duration::from_secs(30);
 /// Cause of a request that arrived after the signal to stop.
 const STOPPING: &str = "stopping";
 /// Cause of a request that ran out of time.
@@ -125,6 +127,7 @@
 fn retry_hint(error: PickError) -> RetryHint {
     match error {
         PickError::NoEndpoint | PickError::Leaving | PickError::Overload => RetryHint::AfterRandomDelay,
+        PickError::Withheld => RetryHint::After(WITHHELD_WAIT),
         PickError::Paused(until) => RetryHint::After(until.since(now_boot())),
         PickError::Limited(interval) => RetryHint::Spread(interval),
     }
--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -15,7 +15,9 @@
 use super::headers::{self, Overrides};
 use crate::edge::{Edge, InFlight, Pick};
 use crate::health::Outcome;
+use crate::peers::digest::start_hash;
 use crate::protocol::Protocol;
+use crate::quarantine::BreakOff;
 use crate::rate_limit::StatedLimit;
 
 /// Longest time for a new connection.
@@ -50,7 +52,7 @@
     /// The endpoint's id.
     endpoint: String,
     /// Start of the endpoint.
-    start: Option<u64>,
+    pub start: Option<u64>,
     edge: Rc<Edge<P>>,
     in_flight: InFlight<P>,
     sent_at: BootTime,
@@ -84,11 +86,16 @@
         })
     }
 
+    /// Time since the head of the response.
+    pub fn head_age(&self) -> Duration {
+        now_boot().since(self.head_at)
+    }
+
     /// How far its stream had come when it broke off.
     pub fn break_off(&self, has_events: bool) -> BreakOff {
         BreakOff {
-            start: self.start,
-            head_age: now_boot().since(self.head_at),
+            endpoint: start_hash(&self.endpoint, self.start),
+            head_age: self.head_age(),
             has_events,
         }
     }
@@ -99,17 +106,6 @@
     }
 }
 
-/// How far a stream had come when its endpoint broke it off.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct BreakOff {
-    /// Start of the endpoint.
-    pub start: Option<u64>,
-    /// Time since the head of the response.
-    pub head_age: Duration,
-    /// Whether an event had arrived.
-    pub has_events: bool,
-}
-
 /// Requests of this instance at an endpoint.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Backlog {
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -23,6 +23,7 @@
 use crate::health::Outcome;
 use crate::placement::shared_blocks;
 use crate::protocol::Protocol;
+use crate::quarantine::{BreakOff, SURVIVAL_TIME};
 
 /// Cause of a stream that broke off.
 const BROKEN: &str = "stream-broken";
@@ -37,8 +38,10 @@
 enum StreamEnd {
     /// At an event's border, with the regular end of the body.
     Whole,
-    /// The endpoint broke it off or sent no event for too long.
-    Broken(&'static str),
+    /// The endpoint broke it off.
+    Broken(BreakOff),
+    /// The endpoint sent no event for too long, or one that is too large.
+    Stopped(&'static str),
     /// The time for the whole request is over.
     Late,
     /// The caller disconnected.
@@ -61,7 +64,7 @@
     loop {
         let ended = copy(fwd, &mut upstream, &mut out, &mut last_event).await;
         fwd.may_have_run_count += 1;
-        let cause = match ended {
+        let (cause, may_repeat) = match ended {
             StreamEnd::Whole => {
                 upstream.end(Outcome::Good);
                 // The caller may have disconnected.
@@ -70,10 +73,15 @@
             }
             StreamEnd::Gone => return End::new("caller-left", status.as_u16()),
             StreamEnd::Late => return End::new("stream-late", status.as_u16()),
-            StreamEnd::Broken(cause) => cause,
+            StreamEnd::Stopped(cause) => (cause, true),
+            StreamEnd::Broken(at) => (BROKEN, fwd.edge.record_break_off(fwd.request, at)),
         };
         upstream.end(Outcome::Bad);
-        match resume(fwd, service, last_event.as_deref()).await {
+        let next = match may_repeat {
+            true => resume(fwd, service, last_event.as_deref()).await,
+            false => None,
+        };
+        match next {
             Some(next) => upstream = next,
             None => return End::new(cause, status.as_u16()),
         }
@@ -90,6 +98,7 @@
     let mut splitter = EventSplitter::default();
     let mut stall_timer = StallTimer::new(stall_after(fwd), now_boot());
     let mut last: Option<BootTime> = None;
+    let mut is_good = false;
     loop {
         let data = match timeout(fwd.time_left(), upstream.next()).await {
             Err(_) => return StreamEnd::Late,
@@ -102,7 +111,7 @@
             Ok(Some(Err(error))) => return broken(fwd, upstream, &splitter, &error),
         };
         if !splitter.push(&data) {
-            return StreamEnd::Broken("event-too-large");
+            return StreamEnd::Stopped("event-too-large");
         }
         while let Some(event) = splitter.next_event() {
             let now = now_boot();
@@ -120,11 +129,15 @@
                 return StreamEnd::Gone;
             }
         }
+        if !is_good && splitter.has_events() && upstream.head_age() > SURVIVAL_TIME {
+            is_good = true;
+            fwd.edge.record_good_response(fwd.request);
+        }
         if fwd.time_left().is_zero() {
             return StreamEnd::Late;
         }
         if stall_timer.is_stalled(now_boot()) {
-            return StreamEnd::Broken("stream-stalled");
+            return StreamEnd::Stopped("stream-stalled");
         }
     }
 }
@@ -160,6 +173,9 @@
     match splitter.check_end(upstream.response.framing == Framing::UntilClose) {
         Ok(()) => {
             fwd.rest_bytes = 0;
+            if splitter.has_events() {
+                fwd.edge.record_good_response(fwd.request);
+            }
             StreamEnd::Whole
         }
         Err(error) => broken(fwd, upstream, splitter, &error),
@@ -178,7 +194,7 @@
     info!(
         request = fwd.request.id,
         endpoint = fwd.endpoint,
-        start = at.start,
+        start = upstream.start,
         %error,
         framing = upstream.response.framing.name(),
         rest_bytes = fwd.rest_bytes,
@@ -187,7 +203,7 @@
         parts = ?shared_blocks(&fwd.request.prompt),
         "stream: broke off"
     );
-    StreamEnd::Broken(BROKEN)
+    StreamEnd::Broken(at)
 }
 
 /// Continues the stream at another endpoint, if its route allows that and a retry is left.
--- a/crates/celerytide-edge/src/lib.rs
+++ b/crates/celerytide-edge/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod peers;
 pub mod placement;
 pub mod protocol;
+pub mod quarantine;
 pub mod rate_limit;
 pub mod request;
 pub mod settings;
--- a/crates/celerytide-edge/src/metrics/mod.rs
+++ b/crates/celerytide-edge/src/metrics/mod.rs
@@ -44,6 +44,10 @@
     pub limited_requests: Counter,
     /// Endpoints that name a rate limit.
     pub limited_endpoints: Gauge,
+    /// Sends refused since engines crash under a part of the prompt.
+    pub withheld_requests: Counter,
+    /// Prompt blocks that are withheld.
+    pub withheld_blocks: Gauge,
     /// Longest gap between two events of a stream, in seconds.
     pub stream_gap: Family<RouteLabel, Histogram>,
     /// Time to the first byte of an endpoint's response, in seconds.
@@ -77,6 +81,8 @@
             limit_changes: Counter::default(),
             limited_requests: Counter::default(),
             limited_endpoints: Gauge::default(),
+            withheld_requests: Counter::default(),
+            withheld_blocks: Gauge::default(),
             stream_gap: Family::new_with_constructor(gap_histogram),
             first_byte: Histogram::new(buckets()),
             response_time: Histogram::new(buckets()),
@@ -106,6 +112,10 @@
         registry.register("limited_requests", limited_requests, self.limited_requests.clone());
         let limited_endpoints = "Endpoints that name a rate limit";
         registry.register("limited_endpoints", limited_endpoints, self.limited_endpoints.clone());
+        let withheld_requests = "Sends refused since engines crash under a part of the prompt";
+        registry.register("withheld_requests", withheld_requests, self.withheld_requests.clone());
+        let withheld_blocks = "Prompt parts that are withheld since engines crash under them";
+        registry.register("withheld_blocks", withheld_blocks, self.withheld_blocks.clone());
         let stream_gap = "Longest time between two events of a stream, in seconds";
         registry.register("stream_gap_seconds", stream_gap, self.stream_gap.clone());
         let first_byte = "Seconds to the first byte of an endpoint's answer";
--- a/crates/celerytide-edge/src/peers/datagrams.rs
+++ b/crates/celerytide-edge/src/peers/datagrams.rs
@@ -14,6 +14,7 @@
 use super::members::{Instances, Members};
 use crate::edge::Edge;
 use crate::protocol::Protocol;
+use crate::quarantine::SuspectEntry;
 use crate::rate_limit::LimitEntry;
 
 /// Interval between digests while something changes.
@@ -56,10 +57,11 @@
         };
         let limits = edge.limits_to_tell(now);
         let is_due = digest != Digest::default() && now.since(sent_at) >= REPEAT_INTERVAL;
-        if digest == sent && !is_due && limits.is_empty() {
+        let suspects = edge.suspects_to_tell(now);
+        if digest == sent && !is_due && limits.is_empty() && suspects.is_empty() {
             continue;
         }
-        let Some(buf) = encode(&digest, &limits) else {
+        let Some(buf) = encode(&digest, &limits, &suspects) else {
             warn!("peers: failed to encode a digest");
             continue;
         };
@@ -75,13 +77,21 @@
     }
 }
 
-/// Encodes a digest, followed by rate limits if there are any; a process that knows no limits reads the digest alone.
-fn encode(digest: &Digest, limits: &[LimitEntry]) -> Option<Vec<u8>> {
+/// Encodes a digest, followed by rate limits and by suspected blocks if there are any; a process that doesn't know them
+/// reads what is in front of them. Suspected blocks that don't fit are left out.
+fn encode(digest: &Digest, limits: &[LimitEntry], suspects: &[SuspectEntry]) -> Option<Vec<u8>> {
     let config = bincode::config::standard();
     let mut buf = bincode::serde::encode_to_vec(digest, config).ok()?;
-    if !limits.is_empty() {
+    if !limits.is_empty() || !suspects.is_empty() {
         buf.extend(bincode::serde::encode_to_vec(limits, config).ok()?);
     }
+    for count in (1..=suspects.len()).rev() {
+        let told = bincode::serde::encode_to_vec(suspects.get(..count)?, config).ok()?;
+        if buf.len() + told.len() <= MAX_DATAGRAM {
+            buf.extend(told);
+            break;
+        }
+    }
     Some(buf)
 }
 
@@ -122,9 +132,19 @@
     if rest.is_empty() {
         return;
     }
-    match bincode::serde::decode_from_slice::<Vec<LimitEntry>, _>(rest, config) {
-        Ok((limits, _)) => edge.apply_told_limits(&limits),
-        Err(error) => debug!(%from, %error, "peers: failed to decode rate limits"),
+    let rest = match bincode::serde::decode_from_slice::<Vec<LimitEntry>, _>(rest, config) {
+        Ok((limits, read)) => {
+            edge.apply_told_limits(&limits);
+            rest.get(read..).unwrap_or_default()
+        }
+        Err(error) => return debug!(%from, %error, "peers: failed to decode rate limits"),
+    };
+    if rest.is_empty() {
+        return;
+    }
+    match bincode::serde::decode_from_slice::<Vec<SuspectEntry>, _>(rest, config) {
+        Ok((suspects, _)) => edge.apply_told_suspects(&suspects),
+        Err(error) => debug!(%from, %error, "peers: failed to decode suspected blocks"),
     }
 }
 
--- a/crates/celerytide-edge/src/peers/digest.rs
+++ b/crates/celerytide-edge/src/peers/digest.rs
@@ -65,6 +65,11 @@
     xxh3_64(id.as_bytes()) as u32
 }
 
+/// Hash that stands for one start of an endpoint in digests.
+pub fn start_hash(id: &str, start: Option<u64>) -> u32 {
+    id_hash(&format!("{id}/{}", start.unwrap_or_default()))
+}
+
 /// Latest digest of each other instance.
 #[derive(Debug, Default)]
 pub struct Digests {
--- /dev/null
+++ b/crates/celerytide-edge/src/quarantine/suspect.rs
@@ -0,0 +1,172 @@
+//! The evidence against one block.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use celerytide_types::BootTime;
+
+use super::{CrashEntry, MIN_CRASH_GAP_MS, SuspectEntry};
+
+/// Milliseconds of the boot clock; negative before the machine booted.
+type BootMillis = i64;
+
+/// Most crashes that are kept.
+const MAX_CRASHES: usize = 8;
+
+/// The evidence against one block.
+#[derive(Debug, Clone)]
+pub(super) struct Suspect {
+    /// Number of blocks in front of it.
+    pub(super) depth: u16,
+    /// Good responses behind crashes; evidence with more of them is newer.
+    pub(super) acquittals: u32,
+    crashes: Vec<Crash>,
+    /// When this instance last learned something new.
+    pub(super) changed_at: BootTime,
+    /// When the last crash was, or the last request that was refused.
+    active_at: BootMillis,
+}
+
+/// One crash of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Crash {
+    endpoint: u32,
+    at: BootMillis,
+}
+
+impl Suspect {
+    pub(super) fn new(depth: u16, now: BootTime) -> Suspect {
+        Suspect {
+            depth,
+            acquittals: 0,
+            crashes: Vec::new(),
+            changed_at: now,
+            active_at: millis(now),
+        }
+    }
+
+    /// Notes that a request with the block came.
+    pub(super) fn touch(&mut self, now: BootTime) {
+        self.active_at = millis(now);
+    }
+
+    /// Time since the last crash or refused request.
+    pub(super) fn idle(&self, now: BootTime) -> Duration {
+        Duration::from_millis(u64::try_from(millis(now) - self.active_at).unwrap_or(0))
+    }
+
+    /// Crashes at different endpoints and moments.
+    pub(super) fn crash_count(&self) -> usize {
+        count_moments(self.crashes.iter())
+    }
+
+    /// The same without crashes of these endpoints.
+    pub(super) fn crash_count_without(&self, endpoints: &HashSet<u32>) -> usize {
+        count_moments(self.crashes.iter().filter(|crash| !endpoints.contains(&crash.endpoint)))
+    }
+
+    /// Endpoints that crashed.
+    pub(super) fn endpoints(&self) -> impl Iterator<Item = u32> {
+        self.crashes.iter().map(|crash| crash.endpoint)
+    }
+
+    /// Adds a crash; returns whether it is news.
+    pub(super) fn add_crash(&mut self, endpoint: u32, now: BootTime) -> bool {
+        let at = millis(now);
+        let is_news = self.insert(Crash { endpoint, at });
+        if is_news {
+            self.changed_at = now;
+            self.touch(now);
+        }
+        is_news
+    }
+
+    /// Drops the crashes before a good response that ended at `good_at`; returns whether there were any.
+    pub(super) fn acquit(&mut self, good_at: BootTime, now: BootTime) -> bool {
+        let before = self.crashes.len();
+        self.crashes.retain(|crash| crash.at > millis(good_at));
+        let is_news = self.crashes.len() < before;
+        if is_news {
+            self.acquittals = self.acquittals.saturating_add(1);
+            self.changed_at = now;
+        }
+        is_news
+    }
+
+    /// Takes over what a peer knows; returns whether it is news.
+    pub(super) fn merge(&mut self, told: &SuspectEntry, now: BootTime) -> bool {
+        if told.acquittals < self.acquittals {
+            return false;
+        }
+        let mut is_news = told.acquittals > self.acquittals;
+        if is_news {
+            self.acquittals = told.acquittals;
+            self.crashes.clear();
+        }
+        self.depth = self.depth.min(told.depth);
+        for crash in &told.crashes {
+            let at = millis(now) - BootMillis::from(crash.age_ms);
+            let endpoint = crash.endpoint;
+            is_news |= self.insert(Crash { endpoint, at });
+        }
+        let active_at = millis(now) - BootMillis::from(told.idle_ms);
+        self.active_at = self.active_at.max(active_at);
+        if is_news {
+            self.changed_at = now;
+        }
+        is_news
+    }
+
+    pub(super) fn entry(&self, block: u64, now: BootTime) -> SuspectEntry {
+        let age = |at: BootMillis| u32::try_from((millis(now) - at).max(0)).unwrap_or(u32::MAX);
+        let crash = |crash: &Crash| CrashEntry {
+            endpoint: crash.endpoint,
+            age_ms: age(crash.at),
+        };
+        SuspectEntry {
+            block,
+            depth: self.depth,
+            acquittals: self.acquittals,
+            crashes: self.crashes.iter().map(crash).collect(),
+            idle_ms: age(self.active_at),
+        }
+    }
+
+    /// Inserts a crash in the order of time; false if its endpoint is known.
+    fn insert(&mut self, crash: Crash) -> bool {
+        if self.crashes.iter().any(|known| known.endpoint == crash.endpoint) {
+            return false;
+        }
+        let index = self.crashes.partition_point(|known| known.at <= crash.at);
+        self.crashes.insert(index, crash);
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.remove(self.least_telling());
+        }
+        self.crashes.contains(&crash)
+    }
+
+    /// A crash without which the count is the same; the last one if there is none.
+    fn least_telling(&self) -> usize {
+        let at = |index: usize| self.crashes[index].at;
+        let is_close = |index: &usize| at(*index) - at(index - 1) < MIN_CRASH_GAP_MS;
+        let last = self.crashes.len() - 1;
+        (1..last).find(is_close).unwrap_or(last)
+    }
+}
+
+/// Number of crashes, of which those shortly after a counted one don't count: they have a common cause.
+fn count_moments<'a>(crashes: impl Iterator<Item = &'a Crash>) -> usize {
+    let mut last: Option<BootMillis> = None;
+    let is_counted = |crash: &&Crash| {
+        let counts = last.is_none_or(|last| crash.at - last >= MIN_CRASH_GAP_MS);
+        if counts {
+            last = Some(crash.at);
+        }
+        counts
+    };
+    crashes.filter(is_counted).count()
+}
+
+fn millis(at: BootTime) -> BootMillis {
+    BootMillis::try_from(at.since_start().as_millis()).unwrap_or(BootMillis::MAX)
+}
--- /dev/null
+++ b/crates/celerytide-edge/tests/quarantine.rs
@@ -0,0 +1,330 @@
+//! Which prompt blocks are withheld, by the evidence of all instances.
+
+use std::time::Duration;
+
+use celerytide_edge::quarantine::{BreakOff, MIN_CRASHES, Quarantine, Verdict};
+use celerytide_seeds::each_seed;
+use celerytide_types::BootTime;
+
+const WIDE: u64 = 1;
+const CUSTOMER: u64 = 2;
+const DEADLY: u64 = 3;
+const OTHER: u64 = 4;
+
+fn at(ms: u64) -> BootTime {
+    BootTime::from_start(Duration::from_millis(ms))
+}
+
+/// What an instance sees, with its time in milliseconds.
+#[derive(Debug, Clone, Copy)]
+enum Seen {
+    /// A crash of this endpoint under a prompt with these blocks.
+    Crash(u64, u32, &'static [u64]),
+    /// A good response to a prompt with these blocks.
+    Good(u64, &'static [u64]),
+}
+
+use Seen::{Crash, Good};
+
+struct Case {
+    name: &'static str,
+    seen: &'static [Seen],
+    withheld: &'static [u64],
+}
+
+const CASES: [Case; 11] = [
+    Case {
+        name: "fewer crashes",
+        seen: &[Crash(0, 1, &[DEADLY]), Crash(500, 2, &[DEADLY])],
+        withheld: &[],
+    },
+    Case {
+        name: "enough crashes",
+        seen: &[
+            Crash(0, 1, &[DEADLY]),
+            Crash(500, 2, &[DEADLY]),
+            Crash(1000, 3, &[DEADLY]),
+        ],
+        withheld: &[DEADLY],
+    },
+    Case {
+        name: "one start of an endpoint counts once",
+        seen: &[
+            Crash(0, 1, &[DEADLY]),
+            Crash(500, 1, &[DEADLY]),
+            Crash(1000, 1, &[DEADLY]),
+            Crash(1500, 2, &[DEADLY]),
+        ],
+        withheld: &[],
+    },
+    Case {
+        name: "endpoints that crash at one moment count once",
+        seen: &[
+            Crash(0, 1, &[WIDE]),
+            Crash(10, 2, &[WIDE]),
+            Crash(20, 3, &[WIDE]),
+            Crash(30, 4, &[WIDE]),
+        ],
+        withheld: &[],
+    },
+    Case {
+        name: "a moment with many crashes leaves room for further ones",
+        seen: &[
+            Crash(0, 1, &[WIDE]),
+            Crash(1, 2, &[WIDE]),
+            Crash(2, 3, &[WIDE]),
+            Crash(3, 4, &[WIDE]),
+            Crash(4, 5, &[WIDE]),
+            Crash(5, 6, &[WIDE]),
+            Crash(6, 7, &[WIDE]),
+            Crash(7, 8, &[WIDE]),
+            Crash(8, 9, &[WIDE]),
+            Crash(500, 10, &[WIDE]),
+            Crash(1000, 11, &[WIDE]),
+        ],
+        withheld: &[WIDE],
+    },
+    Case {
+        name: "a good response acquits",
+        seen: &[
+            Crash(0, 1, &[WIDE, DEADLY]),
+            Crash(500, 2, &[WIDE, DEADLY]),
+            Good(600, &[WIDE, OTHER]),
+            Crash(1000, 3, &[WIDE, DEADLY]),
+        ],
+        withheld: &[DEADLY],
+    },
+    Case {
+        name: "blocks that are always together: the deepest",
+        seen: &[
+            Crash(0, 1, &[WIDE, CUSTOMER, DEADLY]),
+            Crash(500, 2, &[WIDE, CUSTOMER, DEADLY]),
+            Crash(1000, 3, &[WIDE, CUSTOMER, DEADLY]),
+        ],
+        withheld: &[DEADLY],
+    },
+    Case {
+        name: "a further crash without the deepest one releases it",
+        seen: &[
+            Crash(0, 1, &[DEADLY, OTHER]),
+            Crash(500, 2, &[DEADLY, OTHER]),
+            Crash(1000, 3, &[DEADLY, OTHER]),
+            Crash(1500, 4, &[DEADLY, CUSTOMER]),
+        ],
+        withheld: &[DEADLY],
+    },
+    Case {
+        name: "two of their own",
+        seen: &[
+            Crash(0, 1, &[WIDE, DEADLY]),
+            Crash(300, 2, &[WIDE, OTHER]),
+            Crash(600, 3, &[WIDE, DEADLY]),
+            Crash(900, 4, &[WIDE, OTHER]),
+            Good(950, &[WIDE, CUSTOMER]),
+            Crash(1200, 5, &[WIDE, DEADLY]),
+            Crash(1500, 6, &[WIDE, OTHER]),
+        ],
+        withheld: &[DEADLY, OTHER],
+    },
+    Case {
+        name: "a good response of before the crashes doesn't acquit",
+        seen: &[
+            Good(0, &[DEADLY]),
+            Crash(100, 1, &[DEADLY]),
+            Crash(500, 2, &[DEADLY]),
+            Crash(1000, 3, &[DEADLY]),
+        ],
+        withheld: &[DEADLY],
+    },
+    Case {
+        name: "a good response releases",
+        seen: &[
+            Crash(0, 1, &[DEADLY]),
+            Crash(500, 2, &[DEADLY]),
+            Crash(1000, 3, &[DEADLY]),
+            Good(1100, &[DEADLY]),
+        ],
+        withheld: &[],
+    },
+];
+
+fn apply(quarantine: &mut Quarantine, seen: Seen) -> BootTime {
+    match seen {
+        Crash(ms, endpoint, blocks) => {
+            quarantine.record_crash(blocks, endpoint, at(ms));
+            at(ms)
+        }
+        Good(ms, blocks) => {
+            quarantine.record_good(blocks.iter().copied(), at(ms));
+            at(ms)
+        }
+    }
+}
+
+fn withheld(quarantine: &mut Quarantine, now: BootTime) -> Vec<u64> {
+    let blocks = [WIDE, CUSTOMER, DEADLY, OTHER].into_iter();
+    blocks
+        .filter(|block| quarantine.withheld([*block].into_iter(), now).is_some())
+        .collect()
+}
+
+#[test]
+fn a_block_is_withheld_after_crashes_that_nothing_else_explains() {
+    for case in &CASES {
+        let mut quarantine = Quarantine::default();
+        let mut now = at(0);
+        for seen in case.seen {
+            now = apply(&mut quarantine, *seen);
+        }
+        assert_eq!(withheld(&mut quarantine, now), case.withheld, "{}", case.name);
+    }
+}
+
+/// Tells all that `from` knows to `to`.
+fn tell(from: &mut Quarantine, to: &mut Quarantine, now: BootTime) {
+    let told = from.entries(now);
+    to.learn(&told, now.after(Duration::from_millis(2)));
+}
+
+#[test]
+fn instances_that_see_one_crash_each_come_to_the_verdict_together() {
+    let mut instances = [(); 5].map(|()| Quarantine::default());
+    for n in 0..MIN_CRASHES {
+        let now = at(1000 + 400 * n as u64);
+        instances[n].record_crash(&[WIDE, DEADLY], n as u32, now);
+        for other in 0..5 {
+            if other != n {
+                let (mut from, mut to) = (std::mem::take(&mut instances[n]), std::mem::take(&mut instances[other]));
+                tell(&mut from, &mut to, now);
+                (instances[n], instances[other]) = (from, to);
+            }
+        }
+        // Only one instance serves the block that is innocent.
+        instances[4].record_good([WIDE].into_iter(), now.after(Duration::from_millis(100)));
+    }
+    let now = at(3000);
+    let (mut last, mut acquits) = (std::mem::take(&mut instances[0]), std::mem::take(&mut instances[4]));
+    tell(&mut acquits, &mut last, now);
+    assert_eq!(withheld(&mut last, now), [DEADLY]);
+    assert_eq!(withheld(&mut acquits, now), [DEADLY]);
+}
+
+#[test]
+fn an_instance_that_starts_later_learns_crashes_of_before_its_machine_booted() {
+    let mut knows = Quarantine::default();
+    for n in 0..MIN_CRASHES as u32 {
+        knows.record_crash(&[DEADLY], n, at(10_000 + 500 * u64::from(n)));
+    }
+    let told = knows.entries(at(100_000));
+    let mut new = Quarantine::default();
+    let changes = new.learn(&told, at(50));
+    assert_eq!(
+        changes.iter().map(|c| c.verdict).collect::<Vec<_>>(),
+        [Verdict::Withheld]
+    );
+    assert_eq!(withheld(&mut new, at(60)), [DEADLY]);
+}
+
+#[test]
+fn a_withheld_block_is_kept_while_requests_with_it_come() {
+    let mut quarantine = Quarantine::default();
+    for n in 0..MIN_CRASHES as u32 {
+        quarantine.record_crash(&[DEADLY], n, at(500 * u64::from(n)));
+    }
+    const HOUR_MS: u64 = 3_600_000;
+    for hour in (20..200).step_by(20) {
+        quarantine.sweep(at(hour * HOUR_MS));
+        assert_eq!(withheld(&mut quarantine, at(hour * HOUR_MS)), [DEADLY], "{hour}");
+    }
+    let changes = quarantine.sweep(at(300 * HOUR_MS));
+    assert_eq!(changes.first().map(|c| c.verdict), Some(Verdict::Released));
+}
+
+#[test]
+fn a_suspected_request_is_not_repeated_where_one_more_crash_convicts() {
+    let mut quarantine = Quarantine::default();
+    let blocks = || [WIDE, DEADLY].into_iter();
+    for n in 0..MIN_CRASHES {
+        assert_eq!(quarantine.allows_repeat(blocks()), n + 1 < MIN_CRASHES, "{n}");
+        quarantine.record_crash(&[DEADLY], n as u32, at(500 * n as u64));
+    }
+    assert!(quarantine.allows_repeat([WIDE].into_iter()));
+}
+
+#[test]
+fn only_a_response_that_had_just_begun_is_suspicious() {
+    for (head_ms, has_events, is_suspicious) in [
+        (10, false, true),
+        (900, false, true),
+        (10, true, true),
+        (900, true, false),
+    ] {
+        let at = BreakOff {
+            endpoint: 1,
+            head_age: Duration::from_millis(head_ms),
+            has_events,
+        };
+        assert_eq!(at.is_suspicious(), is_suspicious, "{at:?}");
+    }
+}
+
+/// Guards against verdicts that depend on the order in which instances tell each other, and against tables that grow.
+#[test]
+fn all_instances_agree_in_the_end_and_stay_bounded() {
+    each_seed(2048, 12, |u| {
+        let mut instances = [(); 4].map(|()| Quarantine::default());
+        let mut now = at(1000);
+        for n in 0..u.int_in_range(20..=120)? {
+            now = now.after(Duration::from_millis(u.int_in_range(0..=400)?));
+            let who: usize = u.int_in_range(0..=3)?;
+            match u.int_in_range(0..=5)? {
+                0 => {
+                    instances[who].record_crash(&[WIDE, u.int_in_range(2..=4)?], n, now);
+                }
+                1 => {
+                    instances[who].record_good([WIDE, OTHER].into_iter(), now);
+                }
+                _ => {
+                    let to: usize = u.int_in_range(0..=3)?;
+                    let told = instances[who].entries(now);
+                    instances[to].learn(&told, now);
+                }
+            }
+        }
+        for round in 0..20 {
+            now = now.after(Duration::from_millis(1100));
+            for from in 0..4 {
+                let told = instances[from].entries(now);
+                for to in (0..4).filter(|to| *to != from) {
+                    instances[to].learn(&told, now);
+                }
+            }
+            let verdicts: Vec<Vec<u64>> = instances.iter_mut().map(|i| withheld(i, now)).collect();
+            let agree = verdicts.windows(2).all(|pair| pair[0] == pair[1]);
+            assert!(agree || round < 19, "{verdicts:?}");
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn tables_are_bounded() {
+    let mut quarantine = Quarantine::default();
+    for n in 0..MIN_CRASHES as u32 {
+        quarantine.record_crash(&[DEADLY], n, at(500 * u64::from(n)));
+    }
+    for n in 0..9_000_u64 {
+        quarantine.record_crash(&[1000 + n], n as u32, at(5000 + n));
+        quarantine.record_good([100_000 + n].into_iter(), at(5000 + n));
+    }
+    assert_eq!(
+        withheld(&mut quarantine, at(30_000)),
+        [DEADLY],
+        "the strongest evidence stays"
+    );
+    let told = quarantine.entries(at(40_000));
+    assert!(
+        told.len() <= 4 && told.iter().any(|entry| entry.block == DEADLY),
+        "{told:?}"
+    );
+}
