fix(edge): engines that crash under every prompt withhold none

Found while reading how a wrong verdict ends: where a bad version of an engine crashes under any prompt, no good answer acquits, and the widest part would have been withheld from three crashes on, also once the engines are mended. A verdict now needs an answer of the same service to a prompt without the part since its first crash, own or told. engines_that_crash_under_every_prompt_cause_no_verdict shows it; without the condition it fails, since the tie goes to the deepest part after three crashes.

--- a/crates/celerytide-edge/src/edge/quarantined.rs
+++ b/crates/celerytide-edge/src/edge/quarantined.rs
@@ -4,6 +4,7 @@
 use tracing::{info, warn};
 
 use super::Edge;
+use crate::peers::digest::id_hash;
 use crate::placement::shared_blocks;
 use crate::protocol::Protocol;
 use crate::quarantine::{BreakOff, Change, SuspectEntry, Verdict};
@@ -24,16 +25,17 @@
         true
     }
 
-    /// Records that an endpoint broke off a response to a request; returns whether the request may be sent again.
-    pub fn record_break_off(&self, request: &RoutedRequest, at: BreakOff) -> bool {
+    /// Records that an endpoint of `service` broke off a response to a request; returns whether the request may be sent
+    /// again.
+    pub fn record_break_off(&self, service: &str, request: &RoutedRequest, at: BreakOff) -> bool {
         if !at.is_suspicious() {
             return true;
         }
+        let service = id_hash(service);
         let blocks: Vec<u64> = shared_ids(request).collect();
-        let changes = self
-            .quarantine
-            .borrow_mut()
-            .record_crash(&blocks, at.endpoint, now_boot());
+        let mut quarantine = self.quarantine.borrow_mut();
+        let changes = quarantine.record_crash(service, &blocks, at.endpoint, now_boot());
+        drop(quarantine);
         self.note_changes(&changes, "response");
         let may_repeat = self.quarantine.borrow().allows_repeat(shared_ids(request));
         if !may_repeat {
@@ -42,12 +44,11 @@
         may_repeat
     }
 
-    /// Records that a response to a request went on.
-    pub fn record_good_response(&self, request: &RoutedRequest) {
-        let changes = self
-            .quarantine
-            .borrow_mut()
-            .record_good(shared_ids(request), now_boot());
+    /// Records that a response of `service` to a request went on.
+    pub fn record_good_response(&self, service: &str, request: &RoutedRequest) {
+        let service = id_hash(service);
+        let blocks: Vec<u64> = shared_ids(request).collect();
+        let changes = self.quarantine.borrow_mut().record_good(service, &blocks, now_boot());
         self.note_changes(&changes, "response");
     }
 
--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -48,7 +48,7 @@
     /// The response.
     pub response: Response,
     /// The service's id.
-    service: String,
+    pub service: String,
     /// The endpoint's id.
     endpoint: String,
     /// Start of the endpoint.
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -74,7 +74,7 @@
             StreamEnd::Gone => return End::new("caller-left", status.as_u16()),
             StreamEnd::Late => return End::new("stream-late", status.as_u16()),
             StreamEnd::Stopped(cause) => (cause, true),
-            StreamEnd::Broken(at) => (BROKEN, fwd.edge.record_break_off(fwd.request, at)),
+            StreamEnd::Broken(at) => (BROKEN, fwd.edge.record_break_off(&upstream.service, fwd.request, at)),
         };
         upstream.end(Outcome::Bad);
         let next = match may_repeat {
@@ -131,7 +131,7 @@
         }
         if !is_good && splitter.has_events() && upstream.head_age() > SURVIVAL_TIME {
             is_good = true;
-            fwd.edge.record_good_response(fwd.request);
+            fwd.edge.record_good_response(&upstream.service, fwd.request);
         }
         if fwd.time_left().is_zero() {
             return StreamEnd::Late;
@@ -174,7 +174,7 @@
         Ok(()) => {
             fwd.rest_bytes = 0;
             if splitter.has_events() {
-                fwd.edge.record_good_response(fwd.request);
+                fwd.edge.record_good_response(&upstream.service, fwd.request);
             }
             StreamEnd::Whole
         }
--- a/crates/celerytide-edge/src/quarantine/mod.rs
+++ b/crates/celerytide-edge/src/quarantine/mod.rs
@@ -9,7 +9,7 @@
 //! crashes at one moment count once, since they have a common cause. A response that goes on acquits all of its blocks:
 //! blocks of many prompts are in most crashes, and in far more good responses. Instances tell each other what they saw,
 //! so that all come to the same verdict. A block with [`MIN_CRASHES`] crashes and no good response since is withheld, unless
-//! another one explains its crashes.
+//! another one explains its crashes, or its service answers no other prompts either: then the engines are the cause.
 
 mod goods;
 mod suspect;
@@ -62,8 +62,12 @@
     pub struct SuspectEntry {
         /// The block's id.
         pub block: u64,
+        /// Hash of the id of the service whose engines crashed.
+        pub service: u32,
         /// Number of blocks in front of it.
         pub depth: u16,
+        /// Whether the service has answered prompts without it since the first of the crashes.
+        pub others_served: bool,
         /// Increases with each good response behind a crash.
         pub acquittals: u32,
         /// Crashes since then.
@@ -142,12 +146,16 @@
         blocks.map(crashes).max().unwrap_or(0) + 1 < MIN_CRASHES
     }
 
-    /// Records that an endpoint crashed while a response to a prompt with `blocks`, from the front, had just begun.
-    pub fn record_crash(&mut self, blocks: &[u64], endpoint: u32, now: BootTime) -> Vec<Change> {
+    /// Records that an endpoint of `service` crashed while a response to a prompt with `blocks`, from the front, had just
+    /// begun.
+    pub fn record_crash(&mut self, service: u32, blocks: &[u64], endpoint: u32, now: BootTime) -> Vec<Change> {
         let mut changes = Vec::new();
         for (depth, block) in blocks.iter().enumerate() {
             let depth = u16::try_from(depth).unwrap_or(u16::MAX);
-            let suspect = self.suspects.entry(*block).or_insert_with(|| Suspect::new(depth, now));
+            let suspect = self
+                .suspects
+                .entry(*block)
+                .or_insert_with(|| Suspect::new(service, depth, now));
             if suspect.add_crash(endpoint, now) {
                 changes.extend(self.change(*block, Verdict::Suspected));
             }
@@ -157,13 +165,18 @@
         changes
     }
 
-    /// Records that a response to a prompt with `blocks` went on.
-    pub fn record_good(&mut self, blocks: impl Iterator<Item = u64>, now: BootTime) -> Vec<Change> {
+    /// Records that a response of `service` to a prompt with `blocks` went on.
+    pub fn record_good(&mut self, service: u32, blocks: &[u64], now: BootTime) -> Vec<Change> {
         let mut is_news = false;
         for block in blocks {
-            self.goods.record(block, now);
-            let suspect = self.suspects.get_mut(&block);
-            is_news |= suspect.is_some_and(|suspect| suspect.acquit(now, now));
+            self.goods.record(*block, now);
+        }
+        for (block, suspect) in &mut self.suspects {
+            is_news |= if blocks.contains(block) {
+                suspect.acquit(now, now)
+            } else {
+                suspect.service == service && suspect.note_other_served(now)
+            };
         }
         if is_news { self.judge() } else { Vec::new() }
     }
@@ -178,7 +191,7 @@
             let suspect = self
                 .suspects
                 .entry(entry.block)
-                .or_insert_with(|| Suspect::new(entry.depth, now));
+                .or_insert_with(|| Suspect::new(entry.service, entry.depth, now));
             is_news |= suspect.merge(entry, now);
             if let Some(good_at) = self.goods.last(entry.block) {
                 is_news |= suspect.acquit(good_at, now);
@@ -245,7 +258,7 @@
     /// Decides anew which blocks are withheld: as few as explain the crashes. The one with the most crashes comes first, of
     /// equal ones the deepest, since fewer prompts have it; each further one needs as many crashes without those before.
     fn judge(&mut self) -> Vec<Change> {
-        let is_heavy = |suspect: &Suspect| suspect.crash_count() >= MIN_CRASHES;
+        let is_heavy = |suspect: &Suspect| suspect.others_served && suspect.crash_count() >= MIN_CRASHES;
         let mut heavy: Vec<(&u64, &Suspect)> = self.suspects.iter().filter(|(_, s)| is_heavy(s)).collect();
         heavy.sort_by_key(|(block, suspect)| Reverse((suspect.crash_count(), suspect.depth, **block)));
         let mut explained = HashSet::new();
--- a/crates/celerytide-edge/src/quarantine/suspect.rs
+++ b/crates/celerytide-edge/src/quarantine/suspect.rs
@@ -16,8 +16,12 @@
 /// The evidence against one block.
 #[derive(Debug, Clone)]
 pub(super) struct Suspect {
+    /// Hash of the id of the service whose engines crashed.
+    pub(super) service: u32,
     /// Number of blocks in front of it.
     pub(super) depth: u16,
+    /// Whether the service has answered prompts without it since the first of the crashes.
+    pub(super) others_served: bool,
     /// Good responses behind crashes; evidence with more of them is newer.
     pub(super) acquittals: u32,
     crashes: Vec<Crash>,
@@ -35,9 +39,11 @@
 }
 
 impl Suspect {
-    pub(super) fn new(depth: u16, now: BootTime) -> Suspect {
+    pub(super) fn new(service: u32, depth: u16, now: BootTime) -> Suspect {
         Suspect {
+            service,
             depth,
+            others_served: false,
             acquittals: 0,
             crashes: Vec::new(),
             changed_at: now,
@@ -88,11 +94,22 @@
         let is_news = self.crashes.len() < before;
         if is_news {
             self.acquittals = self.acquittals.saturating_add(1);
+            self.others_served = false;
             self.changed_at = now;
         }
         is_news
     }
 
+    /// Notes that the service answered a prompt without the block; returns whether it is news.
+    pub(super) fn note_other_served(&mut self, now: BootTime) -> bool {
+        if self.others_served || self.crashes.is_empty() {
+            return false;
+        }
+        self.others_served = true;
+        self.changed_at = now;
+        true
+    }
+
     /// Takes over what a peer knows; returns whether it is news.
     pub(super) fn merge(&mut self, told: &SuspectEntry, now: BootTime) -> bool {
         if told.acquittals < self.acquittals {
@@ -102,7 +119,10 @@
         if is_news {
             self.acquittals = told.acquittals;
             self.crashes.clear();
+            self.others_served = false;
         }
+        is_news |= told.others_served && !self.others_served;
+        self.others_served |= told.others_served;
         self.depth = self.depth.min(told.depth);
         for crash in &told.crashes {
             let at = millis(now) - BootMillis::from(crash.age_ms);
@@ -125,7 +145,9 @@
         };
         SuspectEntry {
             block,
+            service: self.service,
             depth: self.depth,
+            others_served: self.others_served,
             acquittals: self.acquittals,
             crashes: self.crashes.iter().map(crash).collect(),
             idle_ms: age(self.active_at),
