fix(edge): silence and invalid bytes blame no prompt

Found while reading the diff: any error in the body of a response that had just begun counted as a crash of its engine, also no first byte in time and bytes that don't parse, though docs/design/platform.md says that a time-out blames nobody. Only the end of the connection, or of the body inside an event, is evidence now; the others are handled as before the quarantine.

--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -23,7 +23,7 @@
 use crate::health::Outcome;
 use crate::placement::shared_blocks;
 use crate::protocol::Protocol;
-use crate::quarantine::{BreakOff, SURVIVAL_TIME};
+use crate::quarantine::{BreakOff, SURVIVAL_TIME, is_crash};
 
 /// Cause of a stream that broke off.
 const BROKEN: &str = "stream-broken";
@@ -38,9 +38,9 @@
 enum StreamEnd {
     /// At an event's border, with the regular end of the body.
     Whole,
-    /// The endpoint broke it off.
+    /// The endpoint closed its connection, or ended the body inside an event.
     Broken(BreakOff),
-    /// The endpoint sent no event for too long, or one that is too large.
+    /// The endpoint sent nothing or no event for too long, one that is too large, or invalid bytes.
     Stopped(&'static str),
     /// The time for the whole request is over.
     Late,
@@ -108,7 +108,14 @@
                     .get_or_insert_with(|| now_boot().since(fwd.request.began));
                 data
             }
-            Ok(Some(Err(error))) => return broken(fwd, upstream, &splitter, &error),
+            Ok(Some(Err(error))) => {
+                let at = note_break_off(fwd, upstream, &splitter, &error);
+                return if is_crash(&error.source) {
+                    StreamEnd::Broken(at)
+                } else {
+                    StreamEnd::Stopped(BROKEN)
+                };
+            }
         };
         if !splitter.push(&data) {
             return StreamEnd::Stopped("event-too-large");
@@ -178,17 +185,17 @@
             }
             StreamEnd::Whole
         }
-        Err(error) => broken(fwd, upstream, splitter, &error),
+        Err(error) => StreamEnd::Broken(note_break_off(fwd, upstream, splitter, &error)),
     }
 }
 
-/// Ends a stream that its endpoint broke off.
-fn broken<P: Protocol>(
+/// Notes how far a stream had come that broke off.
+fn note_break_off<P: Protocol>(
     fwd: &mut Forwarding<'_, P>,
     upstream: &Upstream<P>,
     splitter: &EventSplitter,
     error: &impl Display,
-) -> StreamEnd {
+) -> BreakOff {
     fwd.rest_bytes = splitter.rest_bytes();
     let at = upstream.break_off(splitter.has_events());
     info!(
@@ -203,7 +210,7 @@
         parts = ?shared_blocks(&fwd.request.prompt),
         "stream: broke off"
     );
-    StreamEnd::Broken(at)
+    at
 }
 
 /// Continues the stream at another endpoint, if its route allows that and a retry is left.
--- a/crates/celerytide-edge/src/quarantine/mod.rs
+++ b/crates/celerytide-edge/src/quarantine/mod.rs
@@ -18,6 +18,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
+use celerytide_http::client::Cause;
 use celerytide_types::{BootTime, data};
 use rand::seq::IteratorRandom;
 
@@ -77,6 +78,12 @@
     }
 }
 
+/// Whether an error in the body of a response is what a crash of its endpoint looks like: the end of the connection, and
+/// neither silence nor invalid bytes.
+pub fn is_crash(cause: &Cause) -> bool {
+    matches!(cause, Cause::Closed | Cause::Read { .. })
+}
+
 /// How an endpoint broke off a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BreakOff {
--- a/crates/celerytide-edge/tests/quarantine.rs
+++ b/crates/celerytide-edge/tests/quarantine.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use celerytide_edge::quarantine::{BreakOff, MIN_CRASHES, Quarantine, Verdict};
+use celerytide_edge::quarantine::{BreakOff, MIN_CRASHES, Quarantine, Verdict, is_crash};
+use celerytide_http::client::Cause;
+use celerytide_http::validate::ProtocolError;
 use celerytide_seeds::each_seed;
 use celerytide_types::BootTime;
 
@@ -289,6 +291,23 @@
     }
 }
 
+#[test]
+fn silence_and_invalid_bytes_blame_no_prompt() {
+    let reset = std::io::Error::from(std::io::ErrorKind::ConnectionReset);
+    let causes = [
+        (Cause::Closed, true),
+        (Cause::Read { source: reset }, true),
+        (Cause::FirstByteTimeout, false),
+        (Cause::BetweenBytesTimeout, false),
+        (Cause::TotalTimeout, false),
+        (Cause::TooLarge, false),
+        (ProtocolError::Chunk.into(), false),
+    ];
+    for (cause, expected) in causes {
+        assert_eq!(is_crash(&cause), expected, "{cause:?}");
+    }
+}
+
 /// Guards against verdicts that depend on the order in which instances tell each other, and against tables that grow.
 #[test]
 fn all_instances_agree_in_the_end_and_stay_bounded() {
