--- a/crates/celerytide-edge/src/edge/quarantined.rs
+++ b/crates/celerytide-edge/src/edge/quarantined.rs
@@ -7,7 +7,7 @@
 use crate::peers::digest::id_hash;
 use crate::placement::shared_blocks;
 use crate::protocol::Protocol;
-use crate::quarantine::{BreakOff, Change, SuspectEntry, Verdict};
+use crate::quarantine::{BlockStatus, BreakOff, Change, SuspectEntry};
 use crate::request::RoutedRequest;
 
 impl<P: Protocol> Edge<P> {
@@ -71,11 +71,11 @@
 
     fn note_changes(&self, changes: &[Change], source: &'static str) {
         for change in changes {
-            let (block, crashes, acquittals) = (hex(change.block), change.crashes, change.acquittals);
-            match change.verdict {
-                Verdict::Suspected => info!(block, crashes, acquittals, source, "quarantine: a block is suspected"),
-                Verdict::Withheld => warn!(block, crashes, acquittals, source, "quarantine: a block is withheld"),
-                Verdict::Released => warn!(block, crashes, acquittals, source, "quarantine: a block is released"),
+            let (block, crashes, resets) = (hex(change.block), change.crashes, change.resets);
+            match change.status {
+                BlockStatus::Suspected => info!(block, crashes, resets, source, "quarantine: a block is suspected"),
+                BlockStatus::Withheld => warn!(block, crashes, resets, source, "quarantine: a block is withheld"),
+                BlockStatus::Released => warn!(block, crashes, resets, source, "quarantine: a block is released"),
             }
         }
         if !changes.is_empty() {
--- a/crates/celerytide-edge/src/quarantine/goods.rs
+++ b/crates/celerytide-edge/src/quarantine/good_responses.rs
@@ -12,11 +12,11 @@
 
 /// The last good response of this instance for each block.
 #[derive(Debug, Default)]
-pub(super) struct RecentGoods {
+pub(super) struct GoodResponses {
     last: HashMap<u64, BootTime>,
 }
 
-impl RecentGoods {
+impl GoodResponses {
     pub(super) fn record(&mut self, block: u64, now: BootTime) {
         if self.last.len() >= MAX_BLOCKS && !self.last.contains_key(&block) {
             self.sweep(now);
--- a/crates/celerytide-edge/src/quarantine/mod.rs
+++ b/crates/celerytide-edge/src/quarantine/mod.rs
@@ -6,12 +6,12 @@
 //!
 //! When an engine breaks off a response that had just begun, the shared blocks of that prompt are suspects. Suspicion is
 //! counted by crash, so by start of an endpoint, whatever number of requests broke off there and whoever saw it, and
-//! crashes at one moment count once, since they have a common cause. A response that goes on acquits all of its blocks:
+//! crashes at one moment count once, since they have a common cause. A response that goes on ends suspicion of its blocks:
 //! blocks of many prompts are in most crashes, and in far more good responses. Instances tell each other what they saw,
-//! so that all come to the same verdict. A block with [`MIN_CRASHES`] crashes and no good response since is withheld, unless
+//! so that all reach the same decision. A block with [`MIN_CRASHES`] crashes and no good response since is withheld, unless
 //! another one explains its crashes, or its service answers no other prompts either: then the engines are the cause.
 
-mod goods;
+mod good_responses;
 mod suspect;
 
 use std::cmp::Reverse;
@@ -22,7 +22,7 @@
 use celerytide_types::{BootTime, data};
 use rand::seq::IteratorRandom;
 
-use goods::RecentGoods;
+use good_responses::GoodResponses;
 use suspect::Suspect;
 
 /// Crashes from which a block is withheld.
@@ -33,7 +33,7 @@
 const BEGIN_TIME: Duration = Duration::from_millis(300);
 /// The same for a response without an event.
 const SILENT_BEGIN_TIME: Duration = Duration::from_secs(2);
-/// Time after the head from which a response that goes on acquits its blocks.
+/// Time after the head from which a response that goes on is a good one.
 pub const SURVIVAL_TIME: Duration = Duration::from_secs(1);
 /// Time without a crash or a refused request after which a withheld block is forgotten.
 const KEEP_TIME: Duration = Duration::from_secs(24 * 3600);
@@ -69,8 +69,8 @@
         pub depth: u16,
         /// Whether the service has answered prompts without it since the first of the crashes.
         pub others_served: bool,
-        /// Increases with each good response behind a crash.
-        pub acquittals: u32,
+        /// Number of good responses that reset the crashes.
+        pub resets: u32,
         /// Crashes since then.
         pub crashes: Vec<CrashEntry>,
         /// Time since the last crash or refused request in milliseconds.
@@ -109,16 +109,16 @@
     /// The block's id.
     pub block: u64,
     /// What it is now.
-    pub verdict: Verdict,
+    pub status: BlockStatus,
     /// Crashes that count.
     pub crashes: usize,
-    /// Good responses behind crashes.
-    pub acquittals: u32,
+    /// Good responses that reset the crashes.
+    pub resets: u32,
 }
 
 /// What follows for requests with a block.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
+pub enum BlockStatus {
     /// They are sent, though engines crashed under the block.
     Suspected,
     /// They are refused.
@@ -132,7 +132,7 @@
 pub struct Quarantine {
     suspects: HashMap<u64, Suspect>,
     withheld: HashSet<u64>,
-    goods: RecentGoods,
+    good_responses: GoodResponses,
     told_at: BootTime,
 }
 
@@ -164,11 +164,11 @@
                 .entry(*block)
                 .or_insert_with(|| Suspect::new(service, depth, now));
             if suspect.add_crash(endpoint, now) {
-                changes.extend(self.change(*block, Verdict::Suspected));
+                changes.extend(self.change(*block, BlockStatus::Suspected));
             }
         }
         self.make_room(now);
-        changes.extend(self.judge());
+        changes.extend(self.update_withheld());
         changes
     }
 
@@ -176,16 +176,16 @@
     pub fn record_good(&mut self, service: u32, blocks: &[u64], now: BootTime) -> Vec<Change> {
         let mut is_news = false;
         for block in blocks {
-            self.goods.record(*block, now);
+            self.good_responses.record(*block, now);
         }
         for (block, suspect) in &mut self.suspects {
             is_news |= if blocks.contains(block) {
-                suspect.acquit(now, now)
+                suspect.reset(now, now)
             } else {
                 suspect.service == service && suspect.note_other_served(now)
             };
         }
-        if is_news { self.judge() } else { Vec::new() }
+        if is_news { self.update_withheld() } else { Vec::new() }
     }
 
     /// Applies what a peer tells.
@@ -200,15 +200,15 @@
                 .entry(entry.block)
                 .or_insert_with(|| Suspect::new(entry.service, entry.depth, now));
             is_news |= suspect.merge(entry, now);
-            if let Some(good_at) = self.goods.last(entry.block) {
-                is_news |= suspect.acquit(good_at, now);
+            if let Some(good_at) = self.good_responses.last(entry.block) {
+                is_news |= suspect.reset(good_at, now);
             }
         }
         if !is_news {
             return Vec::new();
         }
         self.make_room(now);
-        self.judge()
+        self.update_withheld()
     }
 
     /// Entries to tell others now: recent changes each time, and a sample of all now and then.
@@ -240,7 +240,7 @@
 
     /// Forgets blocks that nobody has asked for in a long time.
     pub fn sweep(&mut self, now: BootTime) -> Vec<Change> {
-        self.goods.sweep(now);
+        self.good_responses.sweep(now);
         let before = self.suspects.len();
         self.suspects.retain(|block, suspect| {
             let keep = if self.withheld.contains(block) {
@@ -253,7 +253,7 @@
         if self.suspects.len() == before {
             Vec::new()
         } else {
-            self.judge()
+            self.update_withheld()
         }
     }
 
@@ -264,7 +264,7 @@
 
     /// Decides anew which blocks are withheld: as few as explain the crashes. The one with the most crashes comes first, of
     /// equal ones the deepest, since fewer prompts have it; each further one needs as many crashes without those before.
-    fn judge(&mut self) -> Vec<Change> {
+    fn update_withheld(&mut self) -> Vec<Change> {
         let is_heavy = |suspect: &Suspect| suspect.others_served && suspect.crash_count() >= MIN_CRASHES;
         let mut heavy: Vec<(&u64, &Suspect)> = self.suspects.iter().filter(|(_, s)| is_heavy(s)).collect();
         heavy.sort_by_key(|(block, suspect)| Reverse((suspect.crash_count(), suspect.depth, **block)));
@@ -280,22 +280,22 @@
         let new = self
             .withheld
             .difference(&before)
-            .map(|block| (*block, Verdict::Withheld));
+            .map(|block| (*block, BlockStatus::Withheld));
         let gone = before
             .difference(&self.withheld)
-            .map(|block| (*block, Verdict::Released));
+            .map(|block| (*block, BlockStatus::Released));
         new.chain(gone)
-            .filter_map(|(block, verdict)| self.change(block, verdict))
+            .filter_map(|(block, status)| self.change(block, status))
             .collect()
     }
 
-    fn change(&self, block: u64, verdict: Verdict) -> Option<Change> {
+    fn change(&self, block: u64, status: BlockStatus) -> Option<Change> {
         let suspect = self.suspects.get(&block);
-        (suspect.is_some() || verdict == Verdict::Released).then(|| Change {
+        (suspect.is_some() || status == BlockStatus::Released).then(|| Change {
             block,
-            verdict,
+            status,
             crashes: suspect.map_or(0, Suspect::crash_count),
-            acquittals: suspect.map_or(0, |suspect| suspect.acquittals),
+            resets: suspect.map_or(0, |suspect| suspect.resets),
         })
     }
 
--- a/crates/celerytide-edge/src/quarantine/suspect.rs
+++ b/crates/celerytide-edge/src/quarantine/suspect.rs
@@ -1,4 +1,4 @@
-//! The evidence against one block.
+//! Crashes under one block.
 
 use std::collections::HashSet;
 use std::time::Duration;
@@ -13,7 +13,7 @@
 /// Most crashes that are kept.
 const MAX_CRASHES: usize = 8;
 
-/// The evidence against one block.
+/// Crashes under one block.
 #[derive(Debug, Clone)]
 pub(super) struct Suspect {
     /// Hash of the id of the service whose engines crashed.
@@ -22,8 +22,8 @@
     pub(super) depth: u16,
     /// Whether the service has answered prompts without it since the first of the crashes.
     pub(super) others_served: bool,
-    /// Good responses behind crashes; evidence with more of them is newer.
-    pub(super) acquittals: u32,
+    /// Good responses that reset the crashes; of two records the one with more of them is newer.
+    pub(super) resets: u32,
     crashes: Vec<Crash>,
     /// When this instance last learned something new.
     pub(super) changed_at: BootTime,
@@ -44,7 +44,7 @@
             service,
             depth,
             others_served: false,
-            acquittals: 0,
+            resets: 0,
             crashes: Vec::new(),
             changed_at: now,
             active_at: millis(now),
@@ -88,12 +88,12 @@
     }
 
     /// Drops the crashes before a good response that ended at `good_at`; returns whether there were any.
-    pub(super) fn acquit(&mut self, good_at: BootTime, now: BootTime) -> bool {
+    pub(super) fn reset(&mut self, good_at: BootTime, now: BootTime) -> bool {
         let before = self.crashes.len();
         self.crashes.retain(|crash| crash.at > millis(good_at));
         let is_news = self.crashes.len() < before;
         if is_news {
-            self.acquittals = self.acquittals.saturating_add(1);
+            self.resets = self.resets.saturating_add(1);
             self.others_served = false;
             self.changed_at = now;
         }
@@ -112,12 +112,12 @@
 
     /// Takes over what a peer knows; returns whether it is news.
     pub(super) fn merge(&mut self, told: &SuspectEntry, now: BootTime) -> bool {
-        if told.acquittals < self.acquittals {
+        if told.resets < self.resets {
             return false;
         }
-        let mut is_news = told.acquittals > self.acquittals;
+        let mut is_news = told.resets > self.resets;
         if is_news {
-            self.acquittals = told.acquittals;
+            self.resets = told.resets;
             self.crashes.clear();
             self.others_served = false;
         }
@@ -148,7 +148,7 @@
             service: self.service,
             depth: self.depth,
             others_served: self.others_served,
-            acquittals: self.acquittals,
+            resets: self.resets,
             crashes: self.crashes.iter().map(crash).collect(),
             idle_ms: age(self.active_at),
         }
--- a/crates/celerytide-edge/tests/quarantine.rs
+++ b/crates/celerytide-edge/tests/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use celerytide_edge::quarantine::{BreakOff, MIN_CRASHES, Quarantine, Verdict, is_crash};
+use celerytide_edge::quarantine::{BlockStatus, BreakOff, MIN_CRASHES, Quarantine, is_crash};
 use celerytide_http::client::Cause;
 use celerytide_http::validate::ProtocolError;
 use celerytide_seeds::each_seed;
@@ -10,7 +10,7 @@
 
 const WIDE: u64 = 1;
 const CUSTOMER: u64 = 2;
-const DEADLY: u64 = 3;
+const CRASHING: u64 = 3;
 const OTHER: u64 = 4;
 /// A block of prompts that engines answer.
 const SOUND: u64 = 5;
@@ -40,25 +40,25 @@
 const CASES: [Case; 11] = [
     Case {
         name: "fewer crashes",
-        seen: &[Crash(0, 1, &[DEADLY]), Crash(500, 2, &[DEADLY])],
+        seen: &[Crash(0, 1, &[CRASHING]), Crash(500, 2, &[CRASHING])],
         withheld: &[],
     },
     Case {
         name: "enough crashes",
         seen: &[
-            Crash(0, 1, &[DEADLY]),
-            Crash(500, 2, &[DEADLY]),
-            Crash(1000, 3, &[DEADLY]),
+            Crash(0, 1, &[CRASHING]),
+            Crash(500, 2, &[CRASHING]),
+            Crash(1000, 3, &[CRASHING]),
         ],
-        withheld: &[DEADLY],
+        withheld: &[CRASHING],
     },
     Case {
         name: "one start of an endpoint counts once",
         seen: &[
-            Crash(0, 1, &[DEADLY]),
-            Crash(500, 1, &[DEADLY]),
-            Crash(1000, 1, &[DEADLY]),
-            Crash(1500, 2, &[DEADLY]),
+            Crash(0, 1, &[CRASHING]),
+            Crash(500, 1, &[CRASHING]),
+            Crash(1000, 1, &[CRASHING]),
+            Crash(1500, 2, &[CRASHING]),
         ],
         withheld: &[],
     },
@@ -90,64 +90,64 @@
         withheld: &[WIDE],
     },
     Case {
-        name: "a good response acquits",
+        name: "a good response ends suspicion",
         seen: &[
-            Crash(0, 1, &[WIDE, DEADLY]),
-            Crash(500, 2, &[WIDE, DEADLY]),
+            Crash(0, 1, &[WIDE, CRASHING]),
+            Crash(500, 2, &[WIDE, CRASHING]),
             Good(600, &[WIDE, OTHER]),
-            Crash(1000, 3, &[WIDE, DEADLY]),
+            Crash(1000, 3, &[WIDE, CRASHING]),
         ],
-        withheld: &[DEADLY],
+        withheld: &[CRASHING],
     },
     Case {
         name: "blocks that are always together: the deepest",
         seen: &[
-            Crash(0, 1, &[WIDE, CUSTOMER, DEADLY]),
-            Crash(500, 2, &[WIDE, CUSTOMER, DEADLY]),
-            Crash(1000, 3, &[WIDE, CUSTOMER, DEADLY]),
+            Crash(0, 1, &[WIDE, CUSTOMER, CRASHING]),
+            Crash(500, 2, &[WIDE, CUSTOMER, CRASHING]),
+            Crash(1000, 3, &[WIDE, CUSTOMER, CRASHING]),
         ],
-        withheld: &[DEADLY],
+        withheld: &[CRASHING],
     },
     Case {
         name: "a further crash without the deepest one releases it",
         seen: &[
-            Crash(0, 1, &[DEADLY, OTHER]),
-            Crash(500, 2, &[DEADLY, OTHER]),
-            Crash(1000, 3, &[DEADLY, OTHER]),
-            Crash(1500, 4, &[DEADLY, CUSTOMER]),
+            Crash(0, 1, &[CRASHING, OTHER]),
+            Crash(500, 2, &[CRASHING, OTHER]),
+            Crash(1000, 3, &[CRASHING, OTHER]),
+            Crash(1500, 4, &[CRASHING, CUSTOMER]),
         ],
-        withheld: &[DEADLY],
+        withheld: &[CRASHING],
     },
     Case {
         name: "two of their own",
         seen: &[
-            Crash(0, 1, &[WIDE, DEADLY]),
+            Crash(0, 1, &[WIDE, CRASHING]),
             Crash(300, 2, &[WIDE, OTHER]),
-            Crash(600, 3, &[WIDE, DEADLY]),
+            Crash(600, 3, &[WIDE, CRASHING]),
             Crash(900, 4, &[WIDE, OTHER]),
             Good(950, &[WIDE, CUSTOMER]),
-            Crash(1200, 5, &[WIDE, DEADLY]),
+            Crash(1200, 5, &[WIDE, CRASHING]),
             Crash(1500, 6, &[WIDE, OTHER]),
         ],
-        withheld: &[DEADLY, OTHER],
+        withheld: &[CRASHING, OTHER],
     },
     Case {
-        name: "a good response of before the crashes doesn't acquit",
+        name: "a good response of before the crashes has no effect",
         seen: &[
-            Good(0, &[DEADLY]),
-            Crash(100, 1, &[DEADLY]),
-            Crash(500, 2, &[DEADLY]),
-            Crash(1000, 3, &[DEADLY]),
+            Good(0, &[CRASHING]),
+            Crash(100, 1, &[CRASHING]),
+            Crash(500, 2, &[CRASHING]),
+            Crash(1000, 3, &[CRASHING]),
         ],
-        withheld: &[DEADLY],
+        withheld: &[CRASHING],
     },
     Case {
         name: "a good response releases",
         seen: &[
-            Crash(0, 1, &[DEADLY]),
-            Crash(500, 2, &[DEADLY]),
-            Crash(1000, 3, &[DEADLY]),
-            Good(1100, &[DEADLY]),
+            Crash(0, 1, &[CRASHING]),
+            Crash(500, 2, &[CRASHING]),
+            Crash(1000, 3, &[CRASHING]),
+            Good(1100, &[CRASHING]),
         ],
         withheld: &[],
     },
@@ -169,7 +169,7 @@
 fn withheld(quarantine: &mut Quarantine, now: BootTime) -> Vec<u64> {
     // The service answers other prompts.
     quarantine.record_good(SERVICE, &[SOUND], now);
-    let blocks = [WIDE, CUSTOMER, DEADLY, OTHER].into_iter();
+    let blocks = [WIDE, CUSTOMER, CRASHING, OTHER].into_iter();
     blocks
         .filter(|block| quarantine.withheld([*block].into_iter(), now).is_some())
         .collect()
@@ -194,11 +194,11 @@
 }
 
 #[test]
-fn instances_that_see_one_crash_each_come_to_the_verdict_together() {
+fn instances_that_see_one_crash_each_agree_on_what_is_withheld() {
     let mut instances = [(); 5].map(|()| Quarantine::default());
     for n in 0..MIN_CRASHES {
         let now = at(1000 + 400 * n as u64);
-        instances[n].record_crash(SERVICE, &[WIDE, DEADLY], n as u32, now);
+        instances[n].record_crash(SERVICE, &[WIDE, CRASHING], n as u32, now);
         for other in 0..5 {
             if other != n {
                 let (mut from, mut to) = (std::mem::take(&mut instances[n]), std::mem::take(&mut instances[other]));
@@ -206,37 +206,37 @@
                 (instances[n], instances[other]) = (from, to);
             }
         }
-        // Only one instance serves the block that is innocent.
+        // Only one instance serves the other block.
         instances[4].record_good(SERVICE, &[WIDE], now.after(Duration::from_millis(100)));
     }
     let now = at(3000);
-    let (mut last, mut acquits) = (std::mem::take(&mut instances[0]), std::mem::take(&mut instances[4]));
-    tell(&mut acquits, &mut last, now);
-    assert_eq!(withheld(&mut last, now), [DEADLY]);
-    assert_eq!(withheld(&mut acquits, now), [DEADLY]);
+    let (mut last, mut serves) = (std::mem::take(&mut instances[0]), std::mem::take(&mut instances[4]));
+    tell(&mut serves, &mut last, now);
+    assert_eq!(withheld(&mut last, now), [CRASHING]);
+    assert_eq!(withheld(&mut serves, now), [CRASHING]);
 }
 
 #[test]
 fn an_instance_that_starts_later_learns_crashes_of_before_its_machine_booted() {
     let mut knows = Quarantine::default();
     for n in 0..MIN_CRASHES as u32 {
-        knows.record_crash(SERVICE, &[DEADLY], n, at(10_000 + 500 * u64::from(n)));
+        knows.record_crash(SERVICE, &[CRASHING], n, at(10_000 + 500 * u64::from(n)));
     }
     knows.record_good(SERVICE, &[SOUND], at(12_000));
     let told = knows.entries(at(100_000));
     let mut new = Quarantine::default();
     let changes = new.learn(&told, at(50));
     assert_eq!(
-        changes.iter().map(|c| c.verdict).collect::<Vec<_>>(),
-        [Verdict::Withheld]
+        changes.iter().map(|c| c.status).collect::<Vec<_>>(),
+        [BlockStatus::Withheld]
     );
-    assert_eq!(withheld(&mut new, at(60)), [DEADLY]);
+    assert_eq!(withheld(&mut new, at(60)), [CRASHING]);
 }
 
 #[test]
-fn engines_that_crash_under_every_prompt_cause_no_verdict() {
+fn engines_that_crash_under_every_prompt_withhold_no_block() {
     let mut quarantine = Quarantine::default();
-    let mut crash = |n: u32| quarantine.record_crash(SERVICE, &[WIDE, DEADLY], n, at(500 * u64::from(n)));
+    let mut crash = |n: u32| quarantine.record_crash(SERVICE, &[WIDE, CRASHING], n, at(500 * u64::from(n)));
     for n in 0..10 {
         crash(n);
     }
@@ -244,32 +244,32 @@
     quarantine.record_good(SERVICE + 1, &[SOUND], at(6000));
     assert_eq!(quarantine.withheld_count(), 0);
     quarantine.record_good(SERVICE, &[SOUND], at(6100));
-    assert_eq!(withheld(&mut quarantine, at(6100)), [DEADLY]);
+    assert_eq!(withheld(&mut quarantine, at(6100)), [CRASHING]);
 }
 
 #[test]
 fn a_withheld_block_is_kept_while_requests_with_it_come() {
     let mut quarantine = Quarantine::default();
     for n in 0..MIN_CRASHES as u32 {
-        quarantine.record_crash(SERVICE, &[DEADLY], n, at(500 * u64::from(n)));
+        quarantine.record_crash(SERVICE, &[CRASHING], n, at(500 * u64::from(n)));
     }
-    assert_eq!(withheld(&mut quarantine, at(2000)), [DEADLY]);
+    assert_eq!(withheld(&mut quarantine, at(2000)), [CRASHING]);
     const HOUR_MS: u64 = 3_600_000;
     for hour in (20..200).step_by(20) {
         quarantine.sweep(at(hour * HOUR_MS));
-        assert_eq!(withheld(&mut quarantine, at(hour * HOUR_MS)), [DEADLY], "{hour}");
+        assert_eq!(withheld(&mut quarantine, at(hour * HOUR_MS)), [CRASHING], "{hour}");
     }
     let changes = quarantine.sweep(at(300 * HOUR_MS));
-    assert_eq!(changes.first().map(|c| c.verdict), Some(Verdict::Released));
+    assert_eq!(changes.first().map(|c| c.status), Some(BlockStatus::Released));
 }
 
 #[test]
-fn a_suspected_request_is_not_repeated_where_one_more_crash_convicts() {
+fn a_suspected_request_is_not_repeated_where_one_more_crash_would_withhold_it() {
     let mut quarantine = Quarantine::default();
-    let blocks = || [WIDE, DEADLY].into_iter();
+    let blocks = || [WIDE, CRASHING].into_iter();
     for n in 0..MIN_CRASHES {
         assert_eq!(quarantine.allows_repeat(blocks()), n + 1 < MIN_CRASHES, "{n}");
-        quarantine.record_crash(SERVICE, &[DEADLY], n as u32, at(500 * n as u64));
+        quarantine.record_crash(SERVICE, &[CRASHING], n as u32, at(500 * n as u64));
     }
     assert!(quarantine.allows_repeat([WIDE].into_iter()));
 }
@@ -292,7 +292,7 @@
 }
 
 #[test]
-fn silence_and_invalid_bytes_blame_no_prompt() {
+fn silence_and_invalid_bytes_are_no_crash() {
     let reset = std::io::Error::from(std::io::ErrorKind::ConnectionReset);
     let causes = [
         (Cause::Closed, true),
@@ -308,7 +308,7 @@
     }
 }
 
-/// Guards against verdicts that depend on the order in which instances tell each other, and against tables that grow.
+/// Guards against decisions that depend on the order in which instances tell each other, and against tables that grow.
 #[test]
 fn all_instances_agree_in_the_end_and_stay_bounded() {
     each_seed(2048, 12, |u| {
@@ -339,9 +339,9 @@
                     instances[to].learn(&told, now);
                 }
             }
-            let verdicts: Vec<Vec<u64>> = instances.iter_mut().map(|i| withheld(i, now)).collect();
-            let agree = verdicts.windows(2).all(|pair| pair[0] == pair[1]);
-            assert!(agree || round < 19, "{verdicts:?}");
+            let decisions: Vec<Vec<u64>> = instances.iter_mut().map(|i| withheld(i, now)).collect();
+            let agree = decisions.windows(2).all(|pair| pair[0] == pair[1]);
+            assert!(agree || round < 19, "{decisions:?}");
         }
         Ok(())
     });
@@ -351,7 +351,7 @@
 fn tables_are_bounded() {
     let mut quarantine = Quarantine::default();
     for n in 0..MIN_CRASHES as u32 {
-        quarantine.record_crash(SERVICE, &[DEADLY], n, at(500 * u64::from(n)));
+        quarantine.record_crash(SERVICE, &[CRASHING], n, at(500 * u64::from(n)));
     }
     for n in 0..9_000_u64 {
         quarantine.record_crash(SERVICE, &[1000 + n], n as u32, at(5000 + n));
@@ -359,12 +359,12 @@
     }
     assert_eq!(
         withheld(&mut quarantine, at(30_000)),
-        [DEADLY],
+        [CRASHING],
         "the strongest evidence stays"
     );
     let told = quarantine.entries(at(40_000));
     assert!(
-        told.len() <= 4 && told.iter().any(|entry| entry.block == DEADLY),
+        told.len() <= 4 && told.iter().any(|entry| entry.block == CRASHING),
         "{told:?}"
     );
 }
--- a/crates/celerytide-standin/src/platform/crash.rs
+++ b/crates/celerytide-standin/src/platform/crash.rs
@@ -18,7 +18,7 @@
 
 /// A part of prompts, under which a runner crashes.
 #[derive(Debug, Clone, Copy)]
-pub struct DeadlyPart {
+pub struct CrashingPart {
     /// Its id as in the header.
     pub part: &'static str,
     /// Time until the runner listens again.
@@ -28,15 +28,15 @@
 /// Connections and crashes of one runner.
 #[derive(Debug, Default)]
 pub(super) struct Crashes {
-    deadly: Mutex<Option<DeadlyPart>>,
+    crashing: Mutex<Option<CrashingPart>>,
     connections: Mutex<Vec<TcpStream>>,
     crashed_at: Mutex<Vec<Instant>>,
     down: Mutex<Option<Duration>>,
 }
 
 impl Crashes {
-    pub(super) fn set(&self, deadly: Option<DeadlyPart>) {
-        *lock(&self.deadly) = deadly;
+    pub(super) fn set(&self, crashing: Option<CrashingPart>) {
+        *lock(&self.crashing) = crashing;
     }
 
     /// Times of the crashes so far.
@@ -51,12 +51,12 @@
         }
     }
 
-    /// The deadly part, if the prompt of `req` has it in front of its last part.
-    pub(super) fn deadly_part(&self, req: &Request) -> Option<DeadlyPart> {
-        let deadly = (*lock(&self.deadly))?;
+    /// The crashing part, if the prompt of `req` has it in front of its last part.
+    pub(super) fn crashing_part(&self, req: &Request) -> Option<CrashingPart> {
+        let crashing = (*lock(&self.crashing))?;
         let (shared, _) = req.header(PARTS).rsplit_once(',')?;
         let mut parts = shared.split(',').filter_map(|part| part.split_once(':'));
-        parts.any(|(id, _)| id.trim() == deadly.part).then_some(deadly)
+        parts.any(|(id, _)| id.trim() == crashing.part).then_some(crashing)
     }
 
     /// Begins to answer, and ends all connections.
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use super::Endless;
-use super::crash::{Crashes, DeadlyPart};
+use super::crash::{Crashes, CrashingPart};
 use super::events::{self, TornStream};
 use super::request::{self, Request};
 
@@ -163,8 +163,8 @@
     }
 
     /// Sets the part of prompts under which the runner crashes.
-    pub fn crash_on(&self, deadly: Option<DeadlyPart>) {
-        self.shared.crashes.set(deadly);
+    pub fn crash_on(&self, crashing: Option<CrashingPart>) {
+        self.shared.crashes.set(crashing);
     }
 
     /// Times of the crashes so far.
@@ -226,8 +226,8 @@
     let limit = limit.map_or(String::new(), |value| format!("server-limit: {value}\r\n"));
     let sealed = format!("x-attempt-id: {id}\r\nx-response-seal: {SEAL}\r\n{limit}");
     let not_run = format!("x-attempt-id: {id}\r\nx-not-executed: 1\r\n{limit}");
-    if let Some(deadly) = shared.crashes.deadly_part(req) {
-        shared.crashes.crash(shared.address, out, &sealed, deadly.down);
+    if let Some(crashing) = shared.crashes.crashing_part(req) {
+        shared.crashes.crash(shared.address, out, &sealed, crashing.down);
         return false;
     }
     match mode {
