feat(edge): say which requests are the same one come again

A request has a content now, a hash of method, host, path with query, customer and body; the lines of a failed send, a broken stream and a request's end have it, and the failed send its endpoint's start.

Behaviour is unchanged.

--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -347,6 +347,7 @@
         let customer = self.request.customer.as_ref().map(|c| c.id.as_str());
         info!(
             request = self.request.id,
+            content = format!("{:x}", self.request.content),
             route = self.request.route.name,
             kind = kind_name(self.request.route.kind),
             customer,
--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -145,7 +145,15 @@
         Err(error) => error,
     };
     let id = &pick.endpoint.id;
-    info!(request = fwd.request.id, endpoint = id, %error, after_ms = since_ms(&pick), "send: failed");
+    info!(
+        request = fwd.request.id,
+        content = format!("{:x}", fwd.request.content),
+        endpoint = id,
+        start = pick.endpoint.start,
+        %error,
+        after_ms = since_ms(&pick),
+        "send: failed"
+    );
     if error.may_have_run() {
         edge.record(&service.id, id, Outcome::Bad);
         return Sent::Broken("endpoint-broke-off");
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -200,6 +200,7 @@
     let at = upstream.break_off(splitter.has_events());
     info!(
         request = fwd.request.id,
+        content = format!("{:x}", fwd.request.content),
         endpoint = fwd.endpoint,
         start = upstream.start,
         %error,
--- a/crates/celerytide-edge/src/request/mod.rs
+++ b/crates/celerytide-edge/src/request/mod.rs
@@ -8,17 +8,23 @@
 use celerytide_types::BootTime;
 use http::header::HOST;
 use http::{HeaderMap, StatusCode};
+use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::protocol::{Prompt, Protocol};
 
 /// Longest deadline that a caller can request; longer ones are reduced to this.
 const MAX_DEADLINE: Duration = Duration::from_secs(3600);
 
+/// Hash of what makes two requests the same: method, host, path with query, customer and body.
+pub type ContentHash = u64;
+
 /// A request that may be forwarded.
 #[derive(Debug, Clone)]
 pub struct RoutedRequest {
     /// The caller's id of the request.
     pub id: String,
+    /// The same each time that this request comes again.
+    pub content: ContentHash,
     /// The matching route.
     pub route: Rc<Route>,
     /// The customer; `None` if the configuration has no customers or the route needs none.
@@ -91,6 +97,7 @@
     let urgency = catalog.urgency(customer.as_ref().map(|c| c.priority), route.priority);
     Ok(RoutedRequest {
         id: text(&req.headers, &names.request_id).unwrap_or_default().to_owned(),
+        content: content_hash(req, host, customer.as_deref()),
         route: route.clone(),
         customer,
         began,
@@ -100,6 +107,25 @@
     })
 }
 
+fn content_hash(req: &Request, host: &str, customer: Option<&Customer>) -> ContentHash {
+    let target = req.uri.path_and_query().map_or("/", |target| target.as_str());
+    let customer = customer.map_or("", |customer| customer.id.as_str());
+    let parts = [
+        req.method.as_str().as_bytes(),
+        host.as_bytes(),
+        target.as_bytes(),
+        customer.as_bytes(),
+        &req.body,
+    ];
+    let mut hasher = Xxh3Default::new();
+    for part in parts {
+        // The length keeps two neighbours apart.
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.digest()
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &http::HeaderName) -> Option<&'a str> {
     headers.get(name).and_then(|v| v.to_str().ok())
 }
--- a/crates/celerytide-edge/tests/pick.rs
+++ b/crates/celerytide-edge/tests/pick.rs
@@ -108,6 +108,7 @@
     };
     RoutedRequest {
         id: "1".to_owned(),
+        content: 1,
         route: Rc::new(route),
         customer: None,
         began: now_boot(),
