--- a/crates/celerytide-standin/src/platform/crash.rs
+++ b/crates/celerytide-standin/src/platform/crash.rs
@@ -1,4 +1,4 @@
-//! A runner that crashes when it begins to answer a prompt with a certain part.
+//! A runner that crashes when it begins to run certain requests.
 
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -9,33 +9,59 @@
 use super::request::Request;
 use super::runner::lock;
 
-/// Time from the response's head to the crash.
-const HEAD_TO_CRASH: Duration = Duration::from_millis(60);
+/// Time from the begin of a run to the crash.
+const TIME_TO_CRASH: Duration = Duration::from_millis(60);
 /// Interval at which a runner tries to listen again.
 const BIND_INTERVAL: Duration = Duration::from_millis(20);
 /// Header that lists the parts of a prompt.
 const PARTS: &str = "x-prefix-hash";
 
-/// A part of prompts, under which a runner crashes.
+/// What a request has under which a runner crashes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trigger {
+    /// A part of the prompt with this id, in front of the last part.
+    Part(&'static str),
+    /// This body.
+    Body(&'static str),
+}
+
+/// How a runner crashes.
 #[derive(Debug, Clone, Copy)]
-pub struct CrashingPart {
-    /// Its id as in the header.
-    pub part: &'static str,
+pub struct Crashing {
+    /// What a request has under which it crashes.
+    pub trigger: Trigger,
+    /// Whether the head of a response is sent before.
+    pub sends_head: bool,
     /// Time until the runner listens again.
     pub down: Duration,
 }
 
+impl Trigger {
+    fn is_in(self, req: &Request) -> bool {
+        match self {
+            Trigger::Body(body) => req.body == body.as_bytes(),
+            Trigger::Part(id) => {
+                let Some((shared, _)) = req.header(PARTS).rsplit_once(',') else {
+                    return false;
+                };
+                let mut parts = shared.split(',').filter_map(|part| part.split_once(':'));
+                parts.any(|(other, _)| other.trim() == id)
+            }
+        }
+    }
+}
+
 /// Connections and crashes of one runner.
 #[derive(Debug, Default)]
 pub(super) struct Crashes {
-    crashing: Mutex<Option<CrashingPart>>,
+    crashing: Mutex<Option<Crashing>>,
     connections: Mutex<Vec<TcpStream>>,
     crashed_at: Mutex<Vec<Instant>>,
     down: Mutex<Option<Duration>>,
 }
 
 impl Crashes {
-    pub(super) fn set(&self, crashing: Option<CrashingPart>) {
+    pub(super) fn set(&self, crashing: Option<Crashing>) {
         *lock(&self.crashing) = crashing;
     }
 
@@ -51,20 +77,19 @@
         }
     }
 
-    /// The crashing part, if the prompt of `req` has it in front of its last part.
-    pub(super) fn crashing_part(&self, req: &Request) -> Option<CrashingPart> {
-        let crashing = (*lock(&self.crashing))?;
-        let (shared, _) = req.header(PARTS).rsplit_once(',')?;
-        let mut parts = shared.split(',').filter_map(|part| part.split_once(':'));
-        parts.any(|(id, _)| id.trim() == crashing.part).then_some(crashing)
+    /// How the runner crashes under `req`; `None` if it doesn't.
+    pub(super) fn of(&self, req: &Request) -> Option<Crashing> {
+        (*lock(&self.crashing)).filter(|crashing| crashing.trigger.is_in(req))
     }
 
-    /// Begins to answer, and ends all connections.
-    pub(super) fn crash(&self, address: SocketAddr, out: &mut TcpStream, sealed: &str, down: Duration) {
-        let head = format!("HTTP/1.1 200 OK\r\n{sealed}content-type: text/event-stream\r\n\r\n");
-        drop(out.write_all(head.as_bytes()));
-        sleep(HEAD_TO_CRASH);
-        if lock(&self.down).replace(down).is_some() {
+    /// Begins to run a request, and ends all connections.
+    pub(super) fn crash(&self, address: SocketAddr, out: &mut TcpStream, sealed: &str, crashing: Crashing) {
+        if crashing.sends_head {
+            let head = format!("HTTP/1.1 200 OK\r\n{sealed}content-type: text/event-stream\r\n\r\n");
+            drop(out.write_all(head.as_bytes()));
+        }
+        sleep(TIME_TO_CRASH);
+        if lock(&self.down).replace(crashing.down).is_some() {
             return;
         }
         lock(&self.crashed_at).push(Instant::now());
--- a/crates/celerytide-standin/src/platform/mod.rs
+++ b/crates/celerytide-standin/src/platform/mod.rs
@@ -12,7 +12,7 @@
 mod runner;
 mod store;
 
-pub use crash::CrashingPart;
+pub use crash::{Crashing, Trigger};
 pub use endless::Endless;
 pub use events::{StreamFraming, TornStream};
 pub use publish::{Entry, ROUTES, Route, START_UNIX_MS};
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use super::Endless;
-use super::crash::{Crashes, CrashingPart};
+use super::crash::{Crashes, Crashing};
 use super::events::{self, TornStream};
 use super::request::{self, Request};
 
@@ -162,8 +162,8 @@
         *lock(&self.shared.limit) = limit;
     }
 
-    /// Sets the part of prompts under which the runner crashes.
-    pub fn crash_on(&self, crashing: Option<CrashingPart>) {
+    /// Sets under which requests the runner crashes.
+    pub fn crash_on(&self, crashing: Option<Crashing>) {
         self.shared.crashes.set(crashing);
     }
 
@@ -226,8 +226,8 @@
     let limit = limit.map_or(String::new(), |value| format!("server-limit: {value}\r\n"));
     let sealed = format!("x-attempt-id: {id}\r\nx-response-seal: {SEAL}\r\n{limit}");
     let not_run = format!("x-attempt-id: {id}\r\nx-not-executed: 1\r\n{limit}");
-    if let Some(crashing) = shared.crashes.crashing_part(req) {
-        shared.crashes.crash(shared.address, out, &sealed, crashing.down);
+    if let Some(crashing) = shared.crashes.of(req) {
+        shared.crashes.crash(shared.address, out, &sealed, crashing);
         return false;
     }
     match mode {
