fix(edge): a request under which endpoints crash is withheld

What callers saw: one request crashed each endpoint that began to run it and went on to the next ones each time that it came again.

Cause: what is withheld was known by the shared parts of prompts alone, and only a response with a head blamed anything. Plain requests have no parts and no head when they crash an endpoint; a stream with a deadly content of its own was caught only where its shared parts happened not to be answered in between, and then all requests with that part were refused with it.

Why this works: the quarantine holds subjects of two kinds, requests by content and shared blocks, with one set of rules, one table and one row in digests. A request that breaks off before a head suspects itself only. Three crashes of different endpoints since its last good answer, over all instances, withhold it; of equal explanations the narrowest is withheld, so that a part isn't where one request explains it, and is where it explains two crashes more. A request answered within 10 s here is spared: polls are equal to the letter. Repeats of a suspect stop one crash earlier. Of a subject's crashes the newest eight are kept, whoever learned of them when: the random schedules showed instances that kept different ones. A peer with fewer resets is told again.

The cases of the quarantine are the old ones and seven new.

--- a/crates/celerytide-edge/src/edge/pick.rs
+++ b/crates/celerytide-edge/src/edge/pick.rs
@@ -46,7 +46,9 @@
     /// The engines hold as many tokens as they may.
     Overload,
     /// Engines crash under a part of the prompt.
-    Withheld,
+    PromptWithheld,
+    /// Endpoints crash under the request.
+    RequestWithheld,
 }
 
 impl PickError {
@@ -58,7 +60,8 @@
             PickError::Paused(_) => "endpoints-pause",
             PickError::Limited(_) => "endpoints-limited",
             PickError::Overload => "overload",
-            PickError::Withheld => "prompt-withheld",
+            PickError::PromptWithheld => "prompt-withheld",
+            PickError::RequestWithheld => "request-withheld",
         }
     }
 }
@@ -72,9 +75,7 @@
         tried: &[String],
     ) -> Result<Pick<P>, PickError> {
         let now = now_boot();
-        if self.is_withheld(request, now) {
-            return Err(PickError::Withheld);
-        }
+        self.check_withheld(request, now)?;
         let view = self.view.borrow();
         let instances = self.members.borrow().sharing_limits(now);
         let available = self.available(&view, service, tried, &instances, now);
--- a/crates/celerytide-edge/src/edge/quarantined.rs
+++ b/crates/celerytide-edge/src/edge/quarantined.rs
@@ -1,43 +1,43 @@
-//! Prompt blocks that are withheld: what is learned of them, told, and refused for them.
+//! Requests that are withheld: what is learned of them, told, and refused for them.
 
 use celerytide_types::{BootTime, now_boot};
 use tracing::{info, warn};
 
-use super::Edge;
+use super::{Edge, PickError};
 use crate::peers::digest::id_hash;
 use crate::placement::shared_blocks;
 use crate::protocol::Protocol;
-use crate::quarantine::{BlockStatus, BreakOff, Change, SuspectEntry};
+use crate::quarantine::{BreakOff, Change, Subject, SubjectStatus, SuspectEntry};
 use crate::request::RoutedRequest;
 
 impl<P: Protocol> Edge<P> {
-    /// Whether the prompt of a request has a block under which engines crash.
-    pub(super) fn is_withheld(&self, request: &RoutedRequest, now: BootTime) -> bool {
-        let Some(block) = self.quarantine.borrow_mut().withheld(shared_ids(request), now) else {
-            return false;
+    /// Fails if endpoints crash under a request, or under a block of its prompt.
+    pub(super) fn check_withheld(&self, request: &RoutedRequest, now: BootTime) -> Result<(), PickError> {
+        let Some(subject) = self.quarantine.borrow_mut().withheld(subjects(request), now) else {
+            return Ok(());
         };
         self.counters.withheld_requests.inc();
-        info!(
-            request = request.id,
-            block = hex(block),
-            "quarantine: a request is withheld"
-        );
-        true
+        let (kind, id) = described(subject);
+        info!(request = request.id, kind, id, "quarantine: a send is refused");
+        Err(match subject {
+            Subject::Block(_) => PickError::PromptWithheld,
+            Subject::Request(_) => PickError::RequestWithheld,
+        })
     }
 
-    /// Records that an endpoint of `service` broke off a response to a request; returns whether the request may be sent
-    /// again.
+    /// Records that an endpoint of `service` broke off a request; returns whether the request may be sent again.
     pub fn record_break_off(&self, service: &str, request: &RoutedRequest, at: BreakOff) -> bool {
         if !at.is_suspicious() {
             return true;
         }
         let service = id_hash(service);
-        let blocks: Vec<u64> = shared_ids(request).collect();
+        let is_blamed = |subject: &Subject| matches!(subject, Subject::Request(_)) || at.is_suspicious_of_blocks();
+        let blamed: Vec<Subject> = subjects(request).filter(is_blamed).collect();
         let mut quarantine = self.quarantine.borrow_mut();
-        let changes = quarantine.record_crash(service, &blocks, at.endpoint, now_boot());
+        let changes = quarantine.record_crash(service, &blamed, at.endpoint, now_boot());
+        let may_repeat = quarantine.allows_repeat(blamed.into_iter());
         drop(quarantine);
         self.note_changes(&changes, "response");
-        let may_repeat = self.quarantine.borrow().allows_repeat(shared_ids(request));
         if !may_repeat {
             info!(request = request.id, "quarantine: a suspected request isn't sent again");
         }
@@ -47,23 +47,23 @@
     /// Records that a response of `service` to a request went on.
     pub fn record_good_response(&self, service: &str, request: &RoutedRequest) {
         let service = id_hash(service);
-        let blocks: Vec<u64> = shared_ids(request).collect();
-        let changes = self.quarantine.borrow_mut().record_good(service, &blocks, now_boot());
+        let subjects: Vec<Subject> = subjects(request).collect();
+        let changes = self.quarantine.borrow_mut().record_good(service, &subjects, now_boot());
         self.note_changes(&changes, "response");
     }
 
-    /// Applies what a peer tells of blocks.
+    /// Applies what a peer tells of subjects.
     pub fn apply_told_suspects(&self, told: &[SuspectEntry]) {
         let changes = self.quarantine.borrow_mut().learn(told, now_boot());
         self.note_changes(&changes, "peer");
     }
 
-    /// Blocks to tell other instances now.
+    /// Subjects to tell other instances now.
     pub fn suspects_to_tell(&self, now: BootTime) -> Vec<SuspectEntry> {
         self.quarantine.borrow_mut().entries(now)
     }
 
-    /// Forgets what is known of blocks that nobody has asked for in a long time.
+    /// Forgets what is known of subjects that nobody has asked for in a long time.
     pub(super) fn sweep_quarantine(&self, now: BootTime) {
         let changes = self.quarantine.borrow_mut().sweep(now);
         self.note_changes(&changes, "age");
@@ -71,25 +71,34 @@
 
     fn note_changes(&self, changes: &[Change], source: &'static str) {
         for change in changes {
-            let (block, crashes, resets) = (hex(change.block), change.crashes, change.resets);
+            let (kind, id) = described(change.subject);
+            let (crashes, resets) = (change.crashes, change.resets);
             match change.status {
-                BlockStatus::Suspected => info!(block, crashes, resets, source, "quarantine: a block is suspected"),
-                BlockStatus::Withheld => warn!(block, crashes, resets, source, "quarantine: a block is withheld"),
-                BlockStatus::Released => warn!(block, crashes, resets, source, "quarantine: a block is released"),
+                SubjectStatus::Suspected => info!(kind, id, crashes, resets, source, "quarantine: suspected"),
+                SubjectStatus::Withheld => warn!(kind, id, crashes, resets, source, "quarantine: withheld"),
+                SubjectStatus::Released => warn!(kind, id, crashes, resets, source, "quarantine: released"),
             }
         }
         if !changes.is_empty() {
-            let count = self.quarantine.borrow().withheld_count();
-            self.counters.withheld_blocks.set(count as i64);
+            let withheld: Vec<Subject> = self.quarantine.borrow().all_withheld().collect();
+            let blocks = withheld.iter().filter(|s| matches!(s, Subject::Block(_))).count();
+            self.counters.withheld_blocks.set(blocks as i64);
+            self.counters.withheld_contents.set((withheld.len() - blocks) as i64);
         }
     }
 }
 
-/// Ids of the blocks that the prompt may share with others.
-fn shared_ids(request: &RoutedRequest) -> impl Iterator<Item = u64> {
-    shared_blocks(&request.prompt).iter().map(|block| block.id)
+/// What the request has that may crash endpoints, from the widest on.
+fn subjects(request: &RoutedRequest) -> impl Iterator<Item = Subject> {
+    let blocks = shared_blocks(&request.prompt).iter();
+    let blocks = blocks.map(|block| Subject::Block(block.id));
+    blocks.chain([Subject::Request(request.content)])
 }
 
-fn hex(block: u64) -> String {
-    format!("{block:x}")
+/// Kind and id of a subject in logs.
+fn described(subject: Subject) -> (&'static str, String) {
+    match subject {
+        Subject::Block(id) => ("block", format!("{id:x}")),
+        Subject::Request(content) => ("request", format!("{content:x}")),
+    }
 }
--- a/crates/celerytide-edge/src/forward/body.rs
+++ b/crates/celerytide-edge/src/forward/body.rs
@@ -14,6 +14,7 @@
 use super::{DEADLINE, End, Forwarding, MIN_TIME_LEFT, headers};
 use crate::health::Outcome;
 use crate::protocol::Protocol;
+use crate::quarantine::is_crash;
 
 /// Largest body that is buffered to its end, in bytes.
 const MAX_BUFFERED: usize = 64 * 1024;
@@ -34,7 +35,7 @@
     let headers = headers::to_caller(&upstream.response.headers);
     let cause = match timeout(fwd.time_left(), buffer(&mut upstream)).await {
         Ok(Ok(Buffered::Complete(body))) => {
-            upstream.end(outcome_of(status));
+            end_whole(fwd, upstream);
             // The caller may have disconnected.
             let _ = out.whole(status, headers, body).await;
             return End::new("answered", status.as_u16());
@@ -47,7 +48,7 @@
             };
         }
         Ok(Err(error)) => {
-            info!(request = fwd.request.id, endpoint = fwd.endpoint, %error, "forward: the response broke off");
+            note_break_off(fwd, &upstream, &error);
             BROKEN
         }
         Err(_) => DEADLINE,
@@ -84,13 +85,13 @@
         data = match timeout(fwd.time_left(), upstream.next()).await {
             Ok(Some(Ok(data))) => data,
             Ok(None) => {
-                upstream.end(outcome_of(status));
+                end_whole(fwd, upstream);
                 // The caller may have disconnected.
                 let _ = out.finish().await;
                 return End::new("answered", status.as_u16());
             }
             Ok(Some(Err(error))) => {
-                info!(request = fwd.request.id, endpoint = fwd.endpoint, %error, "forward: a long response broke off");
+                note_break_off(fwd, &upstream, &error);
                 return cut(upstream, BROKEN);
             }
             Err(_) => return cut(upstream, DEADLINE),
@@ -104,6 +105,32 @@
     End::new(cause, status)
 }
 
+/// Ends a response that came whole.
+fn end_whole<P: Protocol>(fwd: &Forwarding<'_, P>, upstream: Box<Upstream<P>>) {
+    if upstream.response.status.is_success() {
+        fwd.edge.record_good_response(&upstream.service, fwd.request);
+    }
+    let outcome = outcome_of(upstream.response.status);
+    upstream.end(outcome);
+}
+
+/// Notes how far a response had come that broke off.
+fn note_break_off<P: Protocol>(fwd: &Forwarding<'_, P>, upstream: &Upstream<P>, error: &SendError) {
+    let at = upstream.break_off(false);
+    info!(
+        request = fwd.request.id,
+        content = format!("{:x}", fwd.request.content),
+        endpoint = fwd.endpoint,
+        start = upstream.start,
+        %error,
+        head_ms = at.head_age.map(|age| age.as_millis() as u64),
+        "forward: the response broke off"
+    );
+    if is_crash(&error.source) {
+        fwd.edge.record_break_off(&upstream.service, fwd.request, at);
+    }
+}
+
 fn outcome_of(status: http::StatusCode) -> Outcome {
     if status.is_server_error() {
         Outcome::Bad
--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -33,7 +33,7 @@
 
 /// Least time left for which a request is sent to an endpoint; in less time it can't finish.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(15);
-/// Wait that a caller is asked for whose prompt is withheld.
+/// Wait that a caller is asked for whose request is withheld.
 const WITHHELD_WAIT: Duration = Duration::from_secs(30);
 /// Cause of a request that arrived after the signal to stop.
 const STOPPING: &str = "stopping";
@@ -127,7 +127,7 @@
 fn retry_hint(error: PickError) -> RetryHint {
     match error {
         PickError::NoEndpoint | PickError::Leaving | PickError::Overload => RetryHint::AfterRandomDelay,
-        PickError::Withheld => RetryHint::After(WITHHELD_WAIT),
+        PickError::PromptWithheld | PickError::RequestWithheld => RetryHint::After(WITHHELD_WAIT),
         PickError::Paused(until) => RetryHint::After(until.since(now_boot())),
         PickError::Limited(interval) => RetryHint::Spread(interval),
     }
@@ -232,10 +232,14 @@
                     self.rejected_count += 1;
                     self.after_rejection(cause)
                 }
-                Sent::Broken(cause) => {
+                Sent::Broken { cause, may_repeat } => {
                     self.reached_endpoint = true;
                     self.may_have_run_count += 1;
-                    self.after_failure(cause)
+                    if may_repeat {
+                        self.after_failure(cause)
+                    } else {
+                        Next::GiveUp(cause)
+                    }
                 }
             };
             if let Next::GiveUp(cause) = next {
--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -17,7 +17,7 @@
 use crate::health::Outcome;
 use crate::peers::digest::start_hash;
 use crate::protocol::Protocol;
-use crate::quarantine::BreakOff;
+use crate::quarantine::{BreakOff, is_crash};
 use crate::rate_limit::StatedLimit;
 
 /// Longest time for a new connection.
@@ -40,7 +40,12 @@
     /// The request wasn't sent: no connection.
     Unreached(&'static str),
     /// The request may have run, and no response came.
-    Broken(&'static str),
+    Broken {
+        /// Machine-readable cause, a stable text.
+        cause: &'static str,
+        /// Whether it may be sent to another endpoint as far as its content goes.
+        may_repeat: bool,
+    },
 }
 
 /// A response whose body follows, with the request still counted at its endpoint.
@@ -95,7 +100,7 @@
     pub fn break_off(&self, has_events: bool) -> BreakOff {
         BreakOff {
             endpoint: start_hash(&self.endpoint, self.start),
-            head_age: self.head_age(),
+            head_age: Some(self.head_age()),
             has_events,
         }
     }
@@ -156,12 +161,25 @@
     );
     if error.may_have_run() {
         edge.record(&service.id, id, Outcome::Bad);
-        return Sent::Broken("endpoint-broke-off");
+        return Sent::Broken {
+            cause: "endpoint-broke-off",
+            may_repeat: !is_crash(&error.source) || note_crash(fwd, service, &pick),
+        };
     }
     edge.record(&service.id, id, Outcome::Unreached);
     Sent::Unreached("endpoint-unreachable")
 }
 
+/// Notes that an endpoint broke off before the head of a response; returns whether the request may be sent again.
+fn note_crash<P: Protocol>(fwd: &Forwarding<'_, P>, service: &Service, pick: &Pick<P>) -> bool {
+    let at = BreakOff {
+        endpoint: start_hash(&pick.endpoint.id, pick.endpoint.start),
+        head_age: None,
+        has_events: false,
+    };
+    fwd.edge.record_break_off(&service.id, fwd.request, at)
+}
+
 fn read_head<P: Protocol>(fwd: &Forwarding<'_, P>, service: &Service, pick: Pick<P>, response: Response) -> Sent<P> {
     let edge = fwd.edge;
     let names = edge.protocol.header_names();
@@ -201,7 +219,10 @@
             "send: a response without a seal"
         );
         edge.record(&service.id, id, Outcome::Bad);
-        return Sent::Broken("answer-unsealed");
+        return Sent::Broken {
+            cause: "answer-unsealed",
+            may_repeat: true,
+        };
     }
     Sent::Response(Box::new(Upstream {
         response,
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -206,7 +206,7 @@
         %error,
         framing = upstream.response.framing.name(),
         rest_bytes = fwd.rest_bytes,
-        head_ms = at.head_age.as_millis() as u64,
+        head_ms = at.head_age.map(|age| age.as_millis() as u64),
         has_events = at.has_events,
         parts = ?shared_blocks(&fwd.request.prompt),
         "stream: broke off"
@@ -250,7 +250,12 @@
                 upstream.end(Outcome::Bad);
                 fwd.may_have_run_count += 1;
             }
-            Sent::Broken(_) => fwd.may_have_run_count += 1,
+            Sent::Broken { may_repeat, .. } => {
+                fwd.may_have_run_count += 1;
+                if !may_repeat {
+                    return None;
+                }
+            }
             Sent::Rejected(_) | Sent::Unreached(_) => fwd.rejected_count += 1,
         }
         if fwd.rejected_count > super::MAX_REJECTIONS {
--- a/crates/celerytide-edge/src/metrics/mod.rs
+++ b/crates/celerytide-edge/src/metrics/mod.rs
@@ -44,10 +44,12 @@
     pub limited_requests: Counter,
     /// Endpoints that name a rate limit.
     pub limited_endpoints: Gauge,
-    /// Sends refused since engines crash under a part of the prompt.
+    /// Sends refused since endpoints crash under the request or a part of its prompt.
     pub withheld_requests: Counter,
     /// Prompt blocks that are withheld.
     pub withheld_blocks: Gauge,
+    /// Requests that are withheld, each counted once.
+    pub withheld_contents: Gauge,
     /// Longest gap between two events of a stream, in seconds.
     pub stream_gap: Family<RouteLabel, Histogram>,
     /// Time to the first byte of an endpoint's response, in seconds.
@@ -83,6 +85,7 @@
             limited_endpoints: Gauge::default(),
             withheld_requests: Counter::default(),
             withheld_blocks: Gauge::default(),
+            withheld_contents: Gauge::default(),
             stream_gap: Family::new_with_constructor(gap_histogram),
             first_byte: Histogram::new(buckets()),
             response_time: Histogram::new(buckets()),
@@ -112,10 +115,12 @@
         registry.register("limited_requests", limited_requests, self.limited_requests.clone());
         let limited_endpoints = "Endpoints that name a rate limit";
         registry.register("limited_endpoints", limited_endpoints, self.limited_endpoints.clone());
-        let withheld_requests = "Sends refused since engines crash under a part of the prompt";
+        let withheld_requests = "Sends refused since endpoints crash under the request or a part of its prompt";
         registry.register("withheld_requests", withheld_requests, self.withheld_requests.clone());
         let withheld_blocks = "Prompt parts that are withheld since engines crash under them";
         registry.register("withheld_blocks", withheld_blocks, self.withheld_blocks.clone());
+        let withheld_contents = "Requests that are withheld since endpoints crash under them";
+        registry.register("withheld_contents", withheld_contents, self.withheld_contents.clone());
         let stream_gap = "Longest time between two events of a stream, in seconds";
         registry.register("stream_gap_seconds", stream_gap, self.stream_gap.clone());
         let first_byte = "Seconds to the first byte of an endpoint's answer";
--- a/crates/celerytide-edge/src/quarantine/good_responses.rs
+++ b/crates/celerytide-edge/src/quarantine/good_responses.rs
@@ -1,33 +1,40 @@
-//! When responses to prompts with a block last went on.
+//! When responses under a subject last went on.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use celerytide_types::BootTime;
 
+use super::Subject;
+
 /// Time for which a good response is remembered; longer than a crash takes to be told.
 const KEEP_TIME: Duration = Duration::from_secs(10);
-/// Most blocks that are remembered.
-const MAX_BLOCKS: usize = 8192;
+/// Most subjects that are remembered.
+const MAX_SUBJECTS: usize = 8192;
 
-/// The last good response of this instance for each block.
+/// The last good response of this instance for each subject.
 #[derive(Debug, Default)]
 pub(super) struct GoodResponses {
-    last: HashMap<u64, BootTime>,
+    last: HashMap<Subject, BootTime>,
 }
 
 impl GoodResponses {
-    pub(super) fn record(&mut self, block: u64, now: BootTime) {
-        if self.last.len() >= MAX_BLOCKS && !self.last.contains_key(&block) {
+    pub(super) fn record(&mut self, subject: Subject, now: BootTime) {
+        if self.last.len() >= MAX_SUBJECTS && !self.last.contains_key(&subject) {
             self.sweep(now);
         }
-        if self.last.len() < MAX_BLOCKS || self.last.contains_key(&block) {
-            self.last.insert(block, now);
+        if self.last.len() < MAX_SUBJECTS || self.last.contains_key(&subject) {
+            self.last.insert(subject, now);
         }
     }
 
-    pub(super) fn last(&self, block: u64) -> Option<BootTime> {
-        self.last.get(&block).copied()
+    /// Whether there was one in the time for which they are remembered.
+    pub(super) fn is_recent(&self, subject: Subject, now: BootTime) -> bool {
+        self.last(subject).is_some_and(|at| now.since(at) < KEEP_TIME)
+    }
+
+    pub(super) fn last(&self, subject: Subject) -> Option<BootTime> {
+        self.last.get(&subject).copied()
     }
 
     pub(super) fn sweep(&mut self, now: BootTime) {
--- a/crates/celerytide-edge/src/quarantine/mod.rs
+++ b/crates/celerytide-edge/src/quarantine/mod.rs
@@ -1,15 +1,18 @@
-//! Withholds prompt blocks under which engines crash.
+//! Withholds requests under which endpoints crash.
 //!
-//! Designed for this fault: one block of a prompt crashes each engine that begins to answer it. Its requests come at any
-//! instance, so that each instance sees few of the crashes and none could tell alone; each one takes a whole engine with
-//! all of its streams.
+//! Designed for this fault: a request, or one block of many prompts, crashes each endpoint that begins to run it. Such
+//! requests come at any instance, so that each instance sees few of the crashes and none could tell alone; each one takes
+//! a whole endpoint with all that it runs.
 //!
-//! When an engine breaks off a response that had just begun, the shared blocks of that prompt are suspects. Suspicion is
-//! counted by crash, so by start of an endpoint, whatever number of requests broke off there and whoever saw it, and
-//! crashes at one moment count once, since they have a common cause. A response that goes on ends suspicion of its blocks:
-//! blocks of many prompts are in most crashes, and in far more good responses. Instances tell each other what they saw,
-//! so that all reach the same decision. A block with [`MIN_CRASHES`] crashes and no good response since is withheld, unless
-//! another one explains its crashes, or its service answers no other prompts either: then the engines are the cause.
+//! What a request has that may be the cause is a [`Subject`]: the request itself, known again by its content, and the shared
+//! blocks of its prompt. When an endpoint breaks off a response that had just begun, all of these are suspects; before the
+//! head of a response only the request is, since all that wait there look alike. Suspicion is counted by crash, so by
+//! start of an endpoint, whatever number of requests broke off there and whoever saw it. Under a block, crashes at one moment
+//! count once, since they have a common cause. A response that goes on ends
+//! suspicion of its subjects: blocks of many prompts are in most crashes, and in far more good responses. Instances tell
+//! each other what they saw, so that all reach the same decision. A subject with [`MIN_CRASHES`] crashes and no good
+//! response since is withheld, unless another one explains its crashes, or its service answers nothing else either: then
+//! the endpoints are the cause.
 
 mod good_responses;
 mod suspect;
@@ -25,30 +28,45 @@
 use good_responses::GoodResponses;
 use suspect::Suspect;
 
-/// Crashes from which a block is withheld.
+use crate::request::ContentHash;
+
+/// Crashes from which a subject is withheld.
 pub const MIN_CRASHES: usize = 3;
-/// Milliseconds between two crashes from which they count as two.
+/// Milliseconds between two crashes from which they count as two for a block.
 const MIN_CRASH_GAP_MS: i64 = 250;
-/// Time after the head of a response within which a broken response makes its blocks suspects.
+/// Crashes beyond those of a request by which a block explains more than that request.
+const BLOCK_LEAD: usize = 2;
+/// Time after the head of a response within which a broken response makes its subjects suspects.
 const BEGIN_TIME: Duration = Duration::from_millis(300);
 /// The same for a response without an event.
 const SILENT_BEGIN_TIME: Duration = Duration::from_secs(2);
 /// Time after the head from which a response that goes on is a good one.
 pub const SURVIVAL_TIME: Duration = Duration::from_secs(1);
-/// Time without a crash or a refused request after which a withheld block is forgotten.
+/// Time without a crash or a refused request after which a withheld subject is forgotten.
 const KEEP_TIME: Duration = Duration::from_secs(24 * 3600);
-/// The same for a block that isn't withheld.
+/// The same for a subject that isn't withheld.
 const KEEP_SUSPECT_TIME: Duration = Duration::from_secs(600);
-/// Most blocks that are known.
+/// Most subjects that are known.
 const MAX_SUSPECTS: usize = 512;
 /// Time for which a change is told in every digest.
 const NEWS_TIME: Duration = Duration::from_millis(800);
-/// Interval at which known blocks are told again, for instances that missed the change.
+/// Interval at which known subjects are told again, for instances that missed the change.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// Most entries in one digest.
 const MAX_ENTRIES: usize = 4;
+/// Most of them for subjects that are withheld or close to it.
+const MAX_LIKELY_ENTRIES: usize = 3;
 
 data! {
+    /// What a request has that may be the cause of a crash; the narrower one is the greater.
+    #[derive(Copy, Eq, Hash, PartialOrd, Ord)]
+    pub enum Subject {
+        /// A shared block of its prompt, by id.
+        Block(u64),
+        /// The request itself, each time that it comes.
+        Request(ContentHash),
+    }
+
     /// One crash of an endpoint.
     #[derive(Copy, Eq)]
     pub struct CrashEntry {
@@ -58,16 +76,16 @@
         pub age_ms: u32,
     }
 
-    /// What one instance tells others of a block.
+    /// What one instance tells others of a subject.
     #[derive(Eq)]
     pub struct SuspectEntry {
-        /// The block's id.
-        pub block: u64,
-        /// Hash of the id of the service whose engines crashed.
+        /// The subject.
+        pub subject: Subject,
+        /// Hash of the id of the service whose endpoints crashed.
         pub service: u32,
-        /// Number of blocks in front of it.
+        /// Number of subjects in front of it.
         pub depth: u16,
-        /// Whether the service has answered prompts without it since the first of the crashes.
+        /// Whether the service has answered requests without it since the first of the crashes.
         pub others_served: bool,
         /// Number of good responses that reset the crashes.
         pub resets: u32,
@@ -78,7 +96,7 @@
     }
 }
 
-/// Whether an error in the body of a response is what a crash of its endpoint looks like: the end of the connection, and
+/// Whether an error of a request is what a crash of its endpoint looks like: the end of the connection, and
 /// neither silence nor invalid bytes.
 pub fn is_crash(cause: &Cause) -> bool {
     matches!(cause, Cause::Closed | Cause::Read { .. })
@@ -89,37 +107,42 @@
 pub struct BreakOff {
     /// Hash of the endpoint's id and start.
     pub endpoint: u32,
-    /// Time since the head of the response.
-    pub head_age: Duration,
+    /// Time since the head of the response; `None` before it.
+    pub head_age: Option<Duration>,
     /// Whether an event had arrived.
     pub has_events: bool,
 }
 
 impl BreakOff {
-    /// Whether the response had just begun, so that its prompt may be the cause.
+    /// Whether the request had just begun to run, or may have, so that it may be the cause.
     pub fn is_suspicious(&self) -> bool {
         let time = if self.has_events { BEGIN_TIME } else { SILENT_BEGIN_TIME };
-        self.head_age < time
+        self.head_age.is_none_or(|age| age < time)
+    }
+
+    /// Whether the blocks of its prompt may be the cause. Before a head all requests that wait there look alike.
+    pub fn is_suspicious_of_blocks(&self) -> bool {
+        self.is_suspicious() && self.head_age.is_some()
     }
 }
 
-/// A change of what is known of a block.
+/// A change of what is known of a subject.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Change {
-    /// The block's id.
-    pub block: u64,
+    /// The subject.
+    pub subject: Subject,
     /// What it is now.
-    pub status: BlockStatus,
+    pub status: SubjectStatus,
     /// Crashes that count.
     pub crashes: usize,
     /// Good responses that reset the crashes.
     pub resets: u32,
 }
 
-/// What follows for requests with a block.
+/// What follows for requests with a subject.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum BlockStatus {
-    /// They are sent, though engines crashed under the block.
+pub enum SubjectStatus {
+    /// They are sent, though endpoints crashed under it.
     Suspected,
     /// They are refused.
     Withheld,
@@ -127,80 +150,79 @@
     Released,
 }
 
-/// Blocks under which engines crashed.
+/// Subjects under which endpoints crashed.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    suspects: HashMap<u64, Suspect>,
-    withheld: HashSet<u64>,
+    suspects: HashMap<Subject, Suspect>,
+    withheld: HashSet<Subject>,
     good_responses: GoodResponses,
     told_at: BootTime,
 }
 
 impl Quarantine {
-    /// The first of `blocks` that is withheld; notes that a request with it came.
-    pub fn withheld(&mut self, mut blocks: impl Iterator<Item = u64>, now: BootTime) -> Option<u64> {
-        let block = blocks.find(|block| self.withheld.contains(block))?;
-        if let Some(suspect) = self.suspects.get_mut(&block) {
+    /// The first of `subjects` that is withheld; notes that a request with it came.
+    pub fn withheld(&mut self, mut subjects: impl Iterator<Item = Subject>, now: BootTime) -> Option<Subject> {
+        let subject = subjects.find(|subject| self.withheld.contains(subject))?;
+        if let Some(suspect) = self.suspects.get_mut(&subject) {
             suspect.touch(now);
         }
-        Some(block)
+        Some(subject)
     }
 
-    /// Whether a request with `blocks` that broke off suspiciously may be sent again: not if one more crash would make one
+    /// Whether a request with `subjects` that broke off suspiciously may be sent again: not if one more crash would make one
     /// of them withheld.
-    pub fn allows_repeat(&self, blocks: impl Iterator<Item = u64>) -> bool {
-        let crashes = |block| self.suspects.get(&block).map_or(0, Suspect::crash_count);
-        blocks.map(crashes).max().unwrap_or(0) + 1 < MIN_CRASHES
+    pub fn allows_repeat(&self, subjects: impl Iterator<Item = Subject>) -> bool {
+        let crashes = |subject| self.suspects.get(&subject).map_or(0, Suspect::crash_count);
+        subjects.map(crashes).max().unwrap_or(0) + 1 < MIN_CRASHES
     }
 
-    /// Records that an endpoint of `service` crashed while a response to a prompt with `blocks`, from the front, had just
-    /// begun.
-    pub fn record_crash(&mut self, service: u32, blocks: &[u64], endpoint: u32, now: BootTime) -> Vec<Change> {
+    /// Records that an endpoint of `service` crashed while a request with `subjects`, from the widest on, had just begun.
+    pub fn record_crash(&mut self, service: u32, subjects: &[Subject], endpoint: u32, now: BootTime) -> Vec<Change> {
         let mut changes = Vec::new();
-        for (depth, block) in blocks.iter().enumerate() {
+        for (depth, subject) in subjects.iter().enumerate() {
             let depth = u16::try_from(depth).unwrap_or(u16::MAX);
             let suspect = self
                 .suspects
-                .entry(*block)
-                .or_insert_with(|| Suspect::new(service, depth, now));
+                .entry(*subject)
+                .or_insert_with(|| Suspect::new(*subject, service, depth, now));
             if suspect.add_crash(endpoint, now) {
-                changes.extend(self.change(*block, BlockStatus::Suspected));
+                changes.extend(self.change(*subject, SubjectStatus::Suspected));
             }
         }
         self.make_room(now);
-        changes.extend(self.update_withheld());
+        changes.extend(self.update_withheld(now));
         changes
     }
 
-    /// Records that a response of `service` to a prompt with `blocks` went on.
-    pub fn record_good(&mut self, service: u32, blocks: &[u64], now: BootTime) -> Vec<Change> {
+    /// Records that a response of `service` to a request with `subjects` went on.
+    pub fn record_good(&mut self, service: u32, subjects: &[Subject], now: BootTime) -> Vec<Change> {
         let mut is_news = false;
-        for block in blocks {
-            self.good_responses.record(*block, now);
+        for subject in subjects {
+            self.good_responses.record(*subject, now);
         }
-        for (block, suspect) in &mut self.suspects {
-            is_news |= if blocks.contains(block) {
+        for (subject, suspect) in &mut self.suspects {
+            is_news |= if subjects.contains(subject) {
                 suspect.reset(now, now)
             } else {
                 suspect.service == service && suspect.note_other_served(now)
             };
         }
-        if is_news { self.update_withheld() } else { Vec::new() }
+        if is_news { self.update_withheld(now) } else { Vec::new() }
     }
 
     /// Applies what a peer tells.
     pub fn learn(&mut self, told: &[SuspectEntry], now: BootTime) -> Vec<Change> {
         let mut is_news = false;
         for entry in told {
-            if entry.crashes.is_empty() && !self.suspects.contains_key(&entry.block) {
+            if entry.crashes.is_empty() && !self.suspects.contains_key(&entry.subject) {
                 continue;
             }
             let suspect = self
                 .suspects
-                .entry(entry.block)
-                .or_insert_with(|| Suspect::new(entry.service, entry.depth, now));
+                .entry(entry.subject)
+                .or_insert_with(|| Suspect::new(entry.subject, entry.service, entry.depth, now));
             is_news |= suspect.merge(entry, now);
-            if let Some(good_at) = self.good_responses.last(entry.block) {
+            if let Some(good_at) = self.good_responses.last(entry.subject) {
                 is_news |= suspect.reset(good_at, now);
             }
         }
@@ -208,7 +230,7 @@
             return Vec::new();
         }
         self.make_room(now);
-        self.update_withheld()
+        self.update_withheld(now)
     }
 
     /// Entries to tell others now: recent changes each time, and a sample of all now and then.
@@ -221,29 +243,29 @@
             self.told_at = now;
         }
         let is_due = |suspect: &Suspect| tells_all || now.since(suspect.changed_at) < NEWS_TIME;
-        let sample = |of_withheld: bool, count: usize| {
+        let is_likely = |subject: &Subject, suspect: &Suspect| {
+            self.withheld.contains(subject) || suspect.crash_count() + 1 >= MIN_CRASHES
+        };
+        let sample = |of_likely: bool, count: usize| {
             let of_kind = self
                 .suspects
                 .iter()
-                .filter(|(block, _)| self.withheld.contains(block) == of_withheld);
+                .filter(|(subject, s)| is_likely(subject, s) == of_likely);
             of_kind
                 .filter(|(_, suspect)| is_due(suspect))
                 .choose_multiple(&mut rand::rng(), count)
         };
-        let mut chosen = sample(true, MAX_ENTRIES);
+        let mut chosen = sample(true, MAX_LIKELY_ENTRIES);
         chosen.extend(sample(false, MAX_ENTRIES - chosen.len()));
-        chosen
-            .into_iter()
-            .map(|(block, suspect)| suspect.entry(*block, now))
-            .collect()
+        chosen.into_iter().map(|(_, suspect)| suspect.entry(now)).collect()
     }
 
-    /// Forgets blocks that nobody has asked for in a long time.
+    /// Forgets subjects that nobody has asked for in a long time.
     pub fn sweep(&mut self, now: BootTime) -> Vec<Change> {
         self.good_responses.sweep(now);
         let before = self.suspects.len();
-        self.suspects.retain(|block, suspect| {
-            let keep = if self.withheld.contains(block) {
+        self.suspects.retain(|subject, suspect| {
+            let keep = if self.withheld.contains(subject) {
                 KEEP_TIME
             } else {
                 KEEP_SUSPECT_TIME
@@ -253,26 +275,28 @@
         if self.suspects.len() == before {
             Vec::new()
         } else {
-            self.update_withheld()
+            self.update_withheld(now)
         }
     }
 
-    /// Number of blocks that are withheld.
-    pub fn withheld_count(&self) -> usize {
-        self.withheld.len()
+    /// Subjects that are withheld.
+    pub fn all_withheld(&self) -> impl Iterator<Item = Subject> {
+        self.withheld.iter().copied()
     }
 
-    /// Decides anew which blocks are withheld: as few as explain the crashes. The one with the most crashes comes first, of
-    /// equal ones the deepest, since fewer prompts have it; each further one needs as many crashes without those before.
-    fn update_withheld(&mut self) -> Vec<Change> {
-        let is_heavy = |suspect: &Suspect| suspect.others_served && suspect.crash_count() >= MIN_CRASHES;
-        let mut heavy: Vec<(&u64, &Suspect)> = self.suspects.iter().filter(|(_, s)| is_heavy(s)).collect();
-        heavy.sort_by_key(|(block, suspect)| Reverse((suspect.crash_count(), suspect.depth, **block)));
+    /// Decides anew which subjects are withheld: as few as explain the crashes. The one with the most crashes comes first, of
+    /// equal ones the narrowest, since fewer requests have it; each further one needs as many crashes without those before.
+    fn update_withheld(&mut self, now: BootTime) -> Vec<Change> {
+        let is_heavy = |(subject, suspect): &(&Subject, &Suspect)| {
+            suspect.others_served && suspect.crash_count() >= MIN_CRASHES && !self.is_just_answered(**subject, now)
+        };
+        let mut heavy: Vec<(&Subject, &Suspect)> = self.suspects.iter().filter(is_heavy).collect();
+        heavy.sort_by_key(|(subject, suspect)| Reverse((rank(**subject, suspect), suspect.depth, **subject)));
         let mut explained = HashSet::new();
         let mut withheld = HashSet::new();
-        for (block, suspect) in heavy {
+        for (subject, suspect) in heavy {
             if suspect.crash_count_without(&explained) >= MIN_CRASHES {
-                withheld.insert(*block);
+                withheld.insert(*subject);
                 explained.extend(suspect.endpoints());
             }
         }
@@ -280,34 +304,49 @@
         let new = self
             .withheld
             .difference(&before)
-            .map(|block| (*block, BlockStatus::Withheld));
+            .map(|subject| (*subject, SubjectStatus::Withheld));
         let gone = before
             .difference(&self.withheld)
-            .map(|block| (*block, BlockStatus::Released));
+            .map(|subject| (*subject, SubjectStatus::Released));
         new.chain(gone)
-            .filter_map(|(block, status)| self.change(block, status))
+            .filter_map(|(subject, status)| self.change(subject, status))
             .collect()
     }
 
-    fn change(&self, block: u64, status: BlockStatus) -> Option<Change> {
-        let suspect = self.suspects.get(&block);
-        (suspect.is_some() || status == BlockStatus::Released).then(|| Change {
-            block,
+    /// Whether it is a request that was answered a moment ago. Requests that are polled are equal to the letter, and some
+    /// of them break off at several endpoints by chance. Blocks aren't spared: one may become deadly while it is in use.
+    fn is_just_answered(&self, subject: Subject, now: BootTime) -> bool {
+        matches!(subject, Subject::Request(_)) && self.good_responses.is_recent(subject, now)
+    }
+
+    fn change(&self, subject: Subject, status: SubjectStatus) -> Option<Change> {
+        let suspect = self.suspects.get(&subject);
+        (suspect.is_some() || status == SubjectStatus::Released).then(|| Change {
+            subject,
             status,
             crashes: suspect.map_or(0, Suspect::crash_count),
             resets: suspect.map_or(0, |suspect| suspect.resets),
         })
     }
 
-    /// Drops the blocks with the least evidence, the oldest first, if there are too many.
+    /// Drops the subjects with the least evidence, the oldest first, if there are too many.
     fn make_room(&mut self, now: BootTime) {
         let rank = |suspect: &Suspect| (suspect.crash_count(), Reverse(suspect.idle(now)));
         while self.suspects.len() > MAX_SUSPECTS {
             let least = self.suspects.iter().min_by_key(|(_, suspect)| rank(suspect));
-            let Some(block) = least.map(|(block, _)| *block) else {
+            let Some(subject) = least.map(|(subject, _)| *subject) else {
                 return;
             };
-            self.suspects.remove(&block);
+            self.suspects.remove(&subject);
         }
     }
 }
+
+/// Crashes by which subjects are compared: a block needs some more than a request to explain more.
+fn rank(subject: Subject, suspect: &Suspect) -> usize {
+    let lead = match subject {
+        Subject::Block(_) => 0,
+        Subject::Request(_) => BLOCK_LEAD - 1,
+    };
+    suspect.crash_count() + lead
+}
--- a/crates/celerytide-edge/src/quarantine/suspect.rs
+++ b/crates/celerytide-edge/src/quarantine/suspect.rs
@@ -1,11 +1,11 @@
-//! Crashes under one block.
+//! Crashes under one subject.
 
 use std::collections::HashSet;
 use std::time::Duration;
 
 use celerytide_types::BootTime;
 
-use super::{CrashEntry, MIN_CRASH_GAP_MS, SuspectEntry};
+use super::{CrashEntry, MIN_CRASH_GAP_MS, Subject, SuspectEntry};
 
 /// Milliseconds of the boot clock; negative before the machine booted.
 type BootMillis = i64;
@@ -13,14 +13,15 @@
 /// Most crashes that are kept.
 const MAX_CRASHES: usize = 8;
 
-/// Crashes under one block.
+/// Crashes under one subject.
 #[derive(Debug, Clone)]
 pub(super) struct Suspect {
+    subject: Subject,
     /// Hash of the id of the service whose engines crashed.
     pub(super) service: u32,
     /// Number of blocks in front of it.
     pub(super) depth: u16,
-    /// Whether the service has answered prompts without it since the first of the crashes.
+    /// Whether the service has answered requests without it since the first of the crashes.
     pub(super) others_served: bool,
     /// Good responses that reset the crashes; of two records the one with more of them is newer.
     pub(super) resets: u32,
@@ -39,8 +40,9 @@
 }
 
 impl Suspect {
-    pub(super) fn new(service: u32, depth: u16, now: BootTime) -> Suspect {
+    pub(super) fn new(subject: Subject, service: u32, depth: u16, now: BootTime) -> Suspect {
         Suspect {
+            subject,
             service,
             depth,
             others_served: false,
@@ -51,7 +53,7 @@
         }
     }
 
-    /// Notes that a request with the block came.
+    /// Notes that a request with the subject came.
     pub(super) fn touch(&mut self, now: BootTime) {
         self.active_at = millis(now);
     }
@@ -61,14 +63,22 @@
         Duration::from_millis(u64::try_from(millis(now) - self.active_at).unwrap_or(0))
     }
 
-    /// Crashes at different endpoints and moments.
+    /// Crashes at different endpoints; under a block also at different moments, since some of its many requests are at
+    /// each endpoint.
     pub(super) fn crash_count(&self) -> usize {
-        count_moments(self.crashes.iter())
+        self.count(self.crashes.iter())
     }
 
     /// The same without crashes of these endpoints.
     pub(super) fn crash_count_without(&self, endpoints: &HashSet<u32>) -> usize {
-        count_moments(self.crashes.iter().filter(|crash| !endpoints.contains(&crash.endpoint)))
+        self.count(self.crashes.iter().filter(|crash| !endpoints.contains(&crash.endpoint)))
+    }
+
+    fn count<'a>(&self, crashes: impl Iterator<Item = &'a Crash>) -> usize {
+        match self.subject {
+            Subject::Block(_) => count_moments(crashes),
+            Subject::Request(_) => crashes.count(),
+        }
     }
 
     /// Endpoints that crashed.
@@ -100,7 +110,7 @@
         is_news
     }
 
-    /// Notes that the service answered a prompt without the block; returns whether it is news.
+    /// Notes that the service answered a request without the subject; returns whether it is news.
     pub(super) fn note_other_served(&mut self, now: BootTime) -> bool {
         if self.others_served || self.crashes.is_empty() {
             return false;
@@ -113,6 +123,8 @@
     /// Takes over what a peer knows; returns whether it is news.
     pub(super) fn merge(&mut self, told: &SuspectEntry, now: BootTime) -> bool {
         if told.resets < self.resets {
+            // The peer missed a good response: it is told again.
+            self.changed_at = now;
             return false;
         }
         let mut is_news = told.resets > self.resets;
@@ -137,14 +149,14 @@
         is_news
     }
 
-    pub(super) fn entry(&self, block: u64, now: BootTime) -> SuspectEntry {
+    pub(super) fn entry(&self, now: BootTime) -> SuspectEntry {
         let age = |at: BootMillis| u32::try_from((millis(now) - at).max(0)).unwrap_or(u32::MAX);
         let crash = |crash: &Crash| CrashEntry {
             endpoint: crash.endpoint,
             age_ms: age(crash.at),
         };
         SuspectEntry {
-            block,
+            subject: self.subject,
             service: self.service,
             depth: self.depth,
             others_served: self.others_served,
@@ -159,21 +171,15 @@
         if self.crashes.iter().any(|known| known.endpoint == crash.endpoint) {
             return false;
         }
-        let index = self.crashes.partition_point(|known| known.at <= crash.at);
+        let order = |crash: &Crash| (crash.at, crash.endpoint);
+        let index = self.crashes.partition_point(|known| order(known) <= order(&crash));
         self.crashes.insert(index, crash);
         if self.crashes.len() > MAX_CRASHES {
-            self.crashes.remove(self.least_telling());
+            // The oldest goes, whoever learned of it when, so that all instances and all subjects of a crash keep the same.
+            self.crashes.remove(0);
         }
         self.crashes.contains(&crash)
     }
-
-    /// A crash without which the count is the same; the last one if there is none.
-    fn least_telling(&self) -> usize {
-        let at = |index: usize| self.crashes[index].at;
-        let is_close = |index: &usize| at(*index) - at(index - 1) < MIN_CRASH_GAP_MS;
-        let last = self.crashes.len() - 1;
-        (1..last).find(is_close).unwrap_or(last)
-    }
 }
 
 /// Number of crashes, of which those shortly after a counted one don't count: they have a common cause.
--- a/crates/celerytide-edge/tests/quarantine.rs
+++ b/crates/celerytide-edge/tests/quarantine.rs
@@ -1,20 +1,23 @@
-//! Which prompt blocks are withheld, by the evidence of all instances.
+//! Which requests and prompt blocks are withheld, by the evidence of all instances.
 
 use std::time::Duration;
 
-use celerytide_edge::quarantine::{BlockStatus, BreakOff, MIN_CRASHES, Quarantine, is_crash};
+use celerytide_edge::quarantine::{BreakOff, MIN_CRASHES, Quarantine, Subject, SubjectStatus, is_crash};
 use celerytide_http::client::Cause;
 use celerytide_http::validate::ProtocolError;
 use celerytide_seeds::each_seed;
 use celerytide_types::BootTime;
 
-const WIDE: u64 = 1;
-const CUSTOMER: u64 = 2;
-const CRASHING: u64 = 3;
-const OTHER: u64 = 4;
+const WIDE: Subject = Subject::Block(1);
+const CUSTOMER: Subject = Subject::Block(2);
+const CRASHING: Subject = Subject::Block(3);
+const OTHER: Subject = Subject::Block(4);
 /// A block of prompts that engines answer.
-const SOUND: u64 = 5;
+const SOUND: Subject = Subject::Block(5);
 const SERVICE: u32 = 1;
+/// A request, and another one with the same blocks.
+const REQUEST: Subject = Subject::Request(1);
+const NEIGHBOUR: Subject = Subject::Request(2);
 
 fn at(ms: u64) -> BootTime {
     BootTime::from_start(Duration::from_millis(ms))
@@ -23,10 +26,10 @@
 /// What an instance sees, with its time in milliseconds.
 #[derive(Debug, Clone, Copy)]
 enum Seen {
-    /// A crash of this endpoint under a prompt with these blocks.
-    Crash(u64, u32, &'static [u64]),
-    /// A good response to a prompt with these blocks.
-    Good(u64, &'static [u64]),
+    /// A crash of this endpoint under a request with these subjects.
+    Crash(u64, u32, &'static [Subject]),
+    /// A good response to a request with these subjects.
+    Good(u64, &'static [Subject]),
 }
 
 use Seen::{Crash, Good};
@@ -34,10 +37,10 @@
 struct Case {
     name: &'static str,
     seen: &'static [Seen],
-    withheld: &'static [u64],
+    withheld: &'static [Subject],
 }
 
-const CASES: [Case; 11] = [
+const CASES: [Case; 18] = [
     Case {
         name: "fewer crashes",
         seen: &[Crash(0, 1, &[CRASHING]), Crash(500, 2, &[CRASHING])],
@@ -151,6 +154,77 @@
         ],
         withheld: &[],
     },
+    Case {
+        name: "a request that explains its blocks' crashes",
+        seen: &[
+            Crash(0, 1, &[WIDE, CRASHING, REQUEST]),
+            Crash(500, 2, &[WIDE, CRASHING, REQUEST]),
+            Crash(1000, 3, &[WIDE, CRASHING, REQUEST]),
+            Crash(1500, 4, &[WIDE, CRASHING, NEIGHBOUR]),
+        ],
+        withheld: &[REQUEST],
+    },
+    Case {
+        name: "a block that explains the crashes of several requests",
+        seen: &[
+            Crash(0, 1, &[CRASHING, REQUEST]),
+            Crash(500, 2, &[CRASHING, REQUEST]),
+            Crash(1000, 3, &[CRASHING, REQUEST]),
+            Crash(1500, 4, &[CRASHING, NEIGHBOUR]),
+            Crash(2000, 5, &[CRASHING, NEIGHBOUR]),
+        ],
+        withheld: &[CRASHING],
+    },
+    Case {
+        name: "a request is withheld though its blocks are answered",
+        seen: &[
+            Crash(0, 1, &[CRASHING, REQUEST]),
+            Good(100, &[CRASHING, NEIGHBOUR]),
+            Crash(500, 2, &[CRASHING, REQUEST]),
+            Good(600, &[CRASHING, NEIGHBOUR]),
+            Crash(1000, 3, &[CRASHING, REQUEST]),
+        ],
+        withheld: &[REQUEST],
+    },
+    Case {
+        name: "a request whose copies crash endpoints at one moment",
+        seen: &[
+            Crash(0, 1, &[WIDE, REQUEST]),
+            Crash(10, 2, &[WIDE, REQUEST]),
+            Crash(20, 3, &[WIDE, REQUEST]),
+        ],
+        withheld: &[REQUEST],
+    },
+    Case {
+        name: "equal requests at endpoints that crash at one moment, of which one is answered elsewhere",
+        seen: &[
+            Crash(0, 1, &[REQUEST]),
+            Crash(10, 2, &[REQUEST]),
+            Crash(20, 3, &[REQUEST]),
+            Good(40, &[REQUEST]),
+        ],
+        withheld: &[],
+    },
+    Case {
+        name: "equal requests of which one was answered a moment ago",
+        seen: &[
+            Good(0, &[REQUEST]),
+            Crash(500, 1, &[REQUEST]),
+            Crash(1000, 2, &[REQUEST]),
+            Crash(1500, 3, &[REQUEST]),
+        ],
+        withheld: &[],
+    },
+    Case {
+        name: "equal requests of which none was answered in a long time",
+        seen: &[
+            Good(0, &[REQUEST]),
+            Crash(10_500, 1, &[REQUEST]),
+            Crash(11_000, 2, &[REQUEST]),
+            Crash(11_500, 3, &[REQUEST]),
+        ],
+        withheld: &[REQUEST],
+    },
 ];
 
 fn apply(quarantine: &mut Quarantine, seen: Seen) -> BootTime {
@@ -166,12 +240,12 @@
     }
 }
 
-fn withheld(quarantine: &mut Quarantine, now: BootTime) -> Vec<u64> {
+fn withheld(quarantine: &mut Quarantine, now: BootTime) -> Vec<Subject> {
     // The service answers other prompts.
     quarantine.record_good(SERVICE, &[SOUND], now);
-    let blocks = [WIDE, CUSTOMER, CRASHING, OTHER].into_iter();
-    blocks
-        .filter(|block| quarantine.withheld([*block].into_iter(), now).is_some())
+    let subjects = [WIDE, CUSTOMER, CRASHING, OTHER, REQUEST, NEIGHBOUR].into_iter();
+    subjects
+        .filter(|subject| quarantine.withheld([*subject].into_iter(), now).is_some())
         .collect()
 }
 
@@ -228,7 +302,7 @@
     let changes = new.learn(&told, at(50));
     assert_eq!(
         changes.iter().map(|c| c.status).collect::<Vec<_>>(),
-        [BlockStatus::Withheld]
+        [SubjectStatus::Withheld]
     );
     assert_eq!(withheld(&mut new, at(60)), [CRASHING]);
 }
@@ -242,7 +316,7 @@
     }
     // Another service answers; this one doesn't.
     quarantine.record_good(SERVICE + 1, &[SOUND], at(6000));
-    assert_eq!(quarantine.withheld_count(), 0);
+    assert_eq!(quarantine.all_withheld().count(), 0);
     quarantine.record_good(SERVICE, &[SOUND], at(6100));
     assert_eq!(withheld(&mut quarantine, at(6100)), [CRASHING]);
 }
@@ -260,7 +334,7 @@
         assert_eq!(withheld(&mut quarantine, at(hour * HOUR_MS)), [CRASHING], "{hour}");
     }
     let changes = quarantine.sweep(at(300 * HOUR_MS));
-    assert_eq!(changes.first().map(|c| c.status), Some(BlockStatus::Released));
+    assert_eq!(changes.first().map(|c| c.status), Some(SubjectStatus::Released));
 }
 
 #[test]
@@ -276,18 +350,32 @@
 
 #[test]
 fn only_a_response_that_had_just_begun_is_suspicious() {
-    for (head_ms, has_events, is_suspicious) in [
-        (10, false, true),
-        (900, false, true),
-        (10, true, true),
-        (900, true, false),
+    struct Begun {
+        head_ms: Option<u64>,
+        has_events: bool,
+        is_suspicious: bool,
+        of_blocks: bool,
+    }
+    let begun = |head_ms, has_events, is_suspicious, of_blocks| Begun {
+        head_ms,
+        has_events,
+        is_suspicious,
+        of_blocks,
+    };
+    for case in [
+        begun(None, false, true, false),
+        begun(Some(10), false, true, true),
+        begun(Some(900), false, true, true),
+        begun(Some(10), true, true, true),
+        begun(Some(900), true, false, false),
     ] {
         let at = BreakOff {
             endpoint: 1,
-            head_age: Duration::from_millis(head_ms),
-            has_events,
+            head_age: case.head_ms.map(Duration::from_millis),
+            has_events: case.has_events,
         };
-        assert_eq!(at.is_suspicious(), is_suspicious, "{at:?}");
+        assert_eq!(at.is_suspicious(), case.is_suspicious, "{at:?}");
+        assert_eq!(at.is_suspicious_of_blocks(), case.of_blocks, "{at:?}");
     }
 }
 
@@ -319,10 +407,15 @@
             let who: usize = u.int_in_range(0..=3)?;
             match u.int_in_range(0..=5)? {
                 0 => {
-                    instances[who].record_crash(SERVICE, &[WIDE, u.int_in_range(2..=4)?], n, now);
+                    instances[who].record_crash(
+                        SERVICE,
+                        &[WIDE, Subject::Block(u.int_in_range(2..=4)?), REQUEST],
+                        n,
+                        now,
+                    );
                 }
                 1 => {
-                    instances[who].record_good(SERVICE, &[WIDE, OTHER], now);
+                    instances[who].record_good(SERVICE, &[WIDE, OTHER, NEIGHBOUR], now);
                 }
                 _ => {
                     let to: usize = u.int_in_range(0..=3)?;
@@ -339,7 +432,7 @@
                     instances[to].learn(&told, now);
                 }
             }
-            let decisions: Vec<Vec<u64>> = instances.iter_mut().map(|i| withheld(i, now)).collect();
+            let decisions: Vec<Vec<Subject>> = instances.iter_mut().map(|i| withheld(i, now)).collect();
             let agree = decisions.windows(2).all(|pair| pair[0] == pair[1]);
             assert!(agree || round < 19, "{decisions:?}");
         }
@@ -354,8 +447,8 @@
         quarantine.record_crash(SERVICE, &[CRASHING], n, at(500 * u64::from(n)));
     }
     for n in 0..9_000_u64 {
-        quarantine.record_crash(SERVICE, &[1000 + n], n as u32, at(5000 + n));
-        quarantine.record_good(SERVICE, &[100_000 + n], at(5000 + n));
+        quarantine.record_crash(SERVICE, &[Subject::Request(1000 + n)], n as u32, at(5000 + n));
+        quarantine.record_good(SERVICE, &[Subject::Request(100_000 + n)], at(5000 + n));
     }
     assert_eq!(
         withheld(&mut quarantine, at(30_000)),
@@ -364,7 +457,7 @@
     );
     let told = quarantine.entries(at(40_000));
     assert!(
-        told.len() <= 4 && told.iter().any(|entry| entry.block == CRASHING),
+        told.len() <= 4 && told.iter().any(|entry| entry.subject == CRASHING),
         "{told:?}"
     );
 }
