feat(edge): say which version an endpoint runs and what a caller takes up

The record's version is decoded; the lines of a broken stream and of one that goes on have it. A request that takes up a stream (the last event's id, or the name of the request that brought the first) is known as such and logged at its end. Nothing is decided by it yet.

--- a/crates/celerytide-catalog/src/view/model.rs
+++ b/crates/celerytide-catalog/src/view/model.rs
@@ -40,6 +40,8 @@
         pub cold_remaining: Duration,
         /// Distinguishes starts under the same id; `None` if unknown.
         pub start: Option<u64>,
+        /// Version of its software; what two versions write doesn't fit together.
+        pub version: String,
     }
 
     /// One change of what the platform publishes.
--- a/crates/celerytide-catalog/tests/restore.rs
+++ b/crates/celerytide-catalog/tests/restore.rs
@@ -51,6 +51,7 @@
         leaving,
         cold_remaining: Duration::ZERO,
         start: Some(start),
+        version: String::new(),
     }
 }
 
--- a/crates/celerytide-catalog/tests/view.rs
+++ b/crates/celerytide-catalog/tests/view.rs
@@ -74,6 +74,7 @@
         leaving: false,
         cold_remaining: Duration::ZERO,
         start: Some(start),
+        version: String::new(),
     }
 }
 
--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -356,6 +356,11 @@
             kind = kind_name(self.request.route.kind),
             customer,
             endpoint = self.endpoint,
+            takes_up = self
+                .request
+                .take_up
+                .as_ref()
+                .map(|t| t.first_request.as_deref().unwrap_or("-")),
             tried = self.tried.len(),
             limit_per_s = self.limit_per_s,
             ran = self.may_have_run_count,
--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -58,6 +58,8 @@
     endpoint: String,
     /// Start of the endpoint.
     pub start: Option<u64>,
+    /// Version of its software.
+    pub version: String,
     edge: Rc<Edge<P>>,
     in_flight: InFlight<P>,
     sent_at: BootTime,
@@ -229,6 +231,7 @@
         service: service.id.clone(),
         endpoint: id.clone(),
         start: pick.endpoint.start,
+        version: pick.endpoint.version.clone(),
         edge: edge.clone(),
         in_flight: pick.in_flight,
         sent_at: pick.at,
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -203,6 +203,7 @@
         content = format!("{:x}", fwd.request.content),
         endpoint = fwd.endpoint,
         start = upstream.start,
+        version = upstream.version,
         %error,
         framing = upstream.response.framing.name(),
         rest_bytes = fwd.rest_bytes,
@@ -242,7 +243,12 @@
         fwd.note_pick(&pick);
         match send(fwd, service, pick, last_event).await {
             Sent::Response(upstream) if upstream.response.status.is_success() => {
-                info!(request = fwd.request.id, endpoint = fwd.endpoint, "stream: goes on");
+                info!(
+                    request = fwd.request.id,
+                    endpoint = fwd.endpoint,
+                    version = upstream.version,
+                    "stream: goes on"
+                );
                 fwd.framing = Some(upstream.response.framing.name());
                 return Some(upstream);
             }
--- a/crates/celerytide-edge/src/protocol/mod.rs
+++ b/crates/celerytide-edge/src/protocol/mod.rs
@@ -27,6 +27,8 @@
     pub urgency: HeaderName,
     /// Id of the last event that the caller received.
     pub last_event: HeaderName,
+    /// Id of the caller's request that brought the first event of a stream that it takes up.
+    pub first_request: HeaderName,
     /// Headers that only the router may send to endpoints; they are removed from callers' requests.
     pub internal: Vec<HeaderName>,
 }
--- a/crates/celerytide-edge/src/request/mod.rs
+++ b/crates/celerytide-edge/src/request/mod.rs
@@ -3,14 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use celerytide_catalog::{Catalog, Customer, KeyLookup, Route, Urgency};
+use celerytide_catalog::{Catalog, Customer, KeyLookup, Route, RouteKind, Urgency};
 use celerytide_http::server::Request;
 use celerytide_types::BootTime;
 use http::header::HOST;
 use http::{HeaderMap, StatusCode};
 use xxhash_rust::xxh3::Xxh3Default;
 
-use crate::protocol::{Prompt, Protocol};
+use crate::protocol::{HeaderNames, Prompt, Protocol};
 
 /// Longest deadline that a caller can request; longer ones are reduced to this.
 const MAX_DEADLINE: Duration = Duration::from_secs(3600);
@@ -37,6 +37,15 @@
     pub prompt: Prompt,
     /// Its rank by urgency.
     pub urgency: Urgency,
+    /// The stream that it takes up, if any.
+    pub take_up: Option<TakeUp>,
+}
+
+/// A stream that broke off and that its caller takes up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TakeUp {
+    /// Id of the caller's request that brought its first event; `None` if the caller doesn't say.
+    pub first_request: Option<String>,
 }
 
 /// Why a request isn't forwarded; it has not run.
@@ -104,6 +113,23 @@
         deadline: began.after(requested.min(route.timeout)),
         prompt: protocol.prompt(&req.headers),
         urgency,
+        take_up: take_up(&req.headers, names).filter(|_| route.kind == RouteKind::ResumableStream),
+    })
+}
+
+/// The stream that a request takes up: it names the last event, or the request that brought the first one.
+fn take_up(headers: &HeaderMap, names: &HeaderNames) -> Option<TakeUp> {
+    let last_event = text(headers, &names.last_event).filter(|id| !id.is_empty());
+    let mut named = headers.get_all(&names.first_request).iter();
+    let first = named.next();
+    if first.is_none() && last_event.is_none() {
+        return None;
+    }
+    // Of two different names neither is believed.
+    let is_one = named.all(|other| Some(other) == first);
+    let first_request = first.filter(|_| is_one).and_then(|id| id.to_str().ok());
+    Some(TakeUp {
+        first_request: first_request.filter(|id| !id.is_empty()).map(str::to_owned),
     })
 }
 
--- a/crates/celerytide-edge/tests/notices.rs
+++ b/crates/celerytide-edge/tests/notices.rs
@@ -20,6 +20,7 @@
         leaving: false,
         cold_remaining: Duration::ZERO,
         start,
+        version: String::new(),
     }
 }
 
--- a/crates/celerytide-edge/tests/pick.rs
+++ b/crates/celerytide-edge/tests/pick.rs
@@ -38,6 +38,7 @@
             endpoint: name("endpoint"),
             urgency: name("urgency"),
             last_event: name("last"),
+            first_request: name("first"),
             internal: Vec::new(),
         })
     }
@@ -79,6 +80,7 @@
         leaving: false,
         cold_remaining,
         start: Some(1),
+        version: String::new(),
     }
 }
 
@@ -118,6 +120,7 @@
             position: 0,
             positions: 1,
         },
+        take_up: None,
     }
 }
 
--- a/crates/celerytide-edge/tests/placement.rs
+++ b/crates/celerytide-edge/tests/placement.rs
@@ -40,6 +40,7 @@
             leaving: false,
             cold_remaining: Duration::ZERO,
             start: None,
+            version: String::new(),
         }))
     };
     (0..count).map(known).collect()
--- a/crates/celerytide-edge/tests/rate_limits.rs
+++ b/crates/celerytide-edge/tests/rate_limits.rs
@@ -28,6 +28,7 @@
         leaving: false,
         cold_remaining: Duration::ZERO,
         start: Some(start),
+        version: String::new(),
     }
 }
 
--- a/crates/celerytide-edge/tests/restores.rs
+++ b/crates/celerytide-edge/tests/restores.rs
@@ -53,6 +53,7 @@
         leaving,
         cold_remaining: Duration::ZERO,
         start: Some(start),
+        version: String::new(),
     }
 }
 
