--- a/crates/celerytide-soak/src/run/fleet.rs
+++ b/crates/celerytide-soak/src/run/fleet.rs
@@ -7,7 +7,7 @@
 
 use celerytide_standin::launch::{Process, Signal};
 use celerytide_standin::platform::caller::KEY;
-use celerytide_standin::platform::{self, Entry, ROUTES, Runner, RunnerMode, START_UNIX_MS};
+use celerytide_standin::platform::{self, Entry, ROUTES, Runner, RunnerMode, START_UNIX_MS, VERSION};
 use celerytide_standin::relay;
 
 use super::callers::Callers;
@@ -116,6 +116,7 @@
             zone: if index.is_multiple_of(2) { "z1" } else { EVACUATED_ZONE },
             leaving: self.leaving[index],
             born: self.start_unix_ms[index],
+            version: VERSION,
         });
     }
 
--- a/crates/celerytide-soak/src/testbed/mod.rs
+++ b/crates/celerytide-soak/src/testbed/mod.rs
@@ -8,7 +8,7 @@
 
 use celerytide_standin::launch::{Options, Process, Signal, free_addr, sibling_binary};
 use celerytide_standin::platform::caller::{self, KEY, Response};
-use celerytide_standin::platform::{Entry, ROUTES, Runner, RunnerMode, START_UNIX_MS, Store};
+use celerytide_standin::platform::{Entry, ROUTES, Runner, RunnerMode, START_UNIX_MS, Store, VERSION};
 
 /// Timeout of [`eventually`].
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
@@ -81,6 +81,7 @@
             zone: "z1",
             leaving: false,
             born: START_UNIX_MS,
+            version: VERSION,
         });
         runner
     }
--- a/crates/celerytide-standin/src/platform/mod.rs
+++ b/crates/celerytide-standin/src/platform/mod.rs
@@ -15,7 +15,7 @@
 pub use crash::{Crashing, Trigger};
 pub use endless::Endless;
 pub use events::{StreamFraming, TornStream};
-pub use publish::{Entry, ROUTES, Route, START_UNIX_MS};
+pub use publish::{Entry, ROUTES, Route, START_UNIX_MS, VERSION};
 pub use request::Request;
 pub use runner::{Arrival, Runner, RunnerMode};
 pub use store::{EraHeader, Snapshot, Store, StoreMode};
--- a/crates/celerytide-standin/src/platform/publish.rs
+++ b/crates/celerytide-standin/src/platform/publish.rs
@@ -58,6 +58,8 @@
     },
 ];
 
+/// Software version of a runner unless a test says otherwise.
+pub const VERSION: &str = "v1";
 /// Start time of a runner that has not been restarted.
 pub const START_UNIX_MS: u64 = 1_700_000_000_000;
 
@@ -76,6 +78,8 @@
     pub leaving: bool,
     /// Start time in Unix milliseconds.
     pub born: u64,
+    /// Version of the runner's software.
+    pub version: &'a str,
 }
 
 impl Store {
@@ -98,9 +102,16 @@
     /// Publishes the entry of a runner.
     pub fn publish(&self, entry: &Entry<'_>) {
         let state = if entry.leaving { "draining" } else { "ready" };
-        let (service, address, zone, born) = (entry.service, entry.address, entry.zone, entry.born);
+        let Entry {
+            service,
+            address,
+            zone,
+            born,
+            version,
+            ..
+        } = entry;
         let text = format!(
-            r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":8,"state":"{state}","cold_remaining_ms":0,"sequence":1,"born":{born}}}"#
+            r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"{version}","slots":8,"state":"{state}","cold_remaining_ms":0,"sequence":1,"born":{born}}}"#
         );
         self.put(&format!("servers/{}", entry.id), text.as_bytes());
     }
