fix(edge): a stream goes on within one response at the software that began it

What callers saw: one answer, 200 and whole, whose first events one software version of an engine wrote and whose rest another one (ORDER).

Cause: a resume picked among all endpoints of the service; the version wasn't an input of any decision.

Why this works: the endpoint whose first event is passed on binds the stream to its software, by the version of the picked start; pick leaves out all others, before the retry budget is spent. Without one the stream is broken off at once (no-endpoint-of-version). An ejected endpoint of that software is used if no healthy one is left; admission counts all engines as before.

--- a/crates/celerytide-edge/src/edge/pick.rs
+++ b/crates/celerytide-edge/src/edge/pick.rs
@@ -15,6 +15,7 @@
 use crate::placement::{Candidate, Choice, Inputs, Query, choose, shared_blocks};
 use crate::protocol::{Prompt, Protocol};
 use crate::request::RoutedRequest;
+use crate::software::{Software, fits};
 use crate::split::{self, PromptSize};
 
 /// Largest share of a service's endpoints that may be ejected.
@@ -49,6 +50,8 @@
     PromptWithheld,
     /// Endpoints crash under the request.
     RequestWithheld,
+    /// No endpoint of the software that began the stream may get work now.
+    NoSoftware,
 }
 
 impl PickError {
@@ -62,17 +65,20 @@
             PickError::Overload => "overload",
             PickError::PromptWithheld => "prompt-withheld",
             PickError::RequestWithheld => "request-withheld",
+            PickError::NoSoftware => "no-endpoint-of-version",
         }
     }
 }
 
 impl<P: Protocol> Edge<P> {
-    /// Picks an endpoint that isn't in `tried`, and counts the request there.
+    /// Picks an endpoint that isn't in `tried`, of the software that the stream is bound to if any, and counts the request
+    /// there.
     pub fn pick(
         self: &Rc<Self>,
         request: &RoutedRequest,
         service: &Service,
         tried: &[String],
+        bound: Option<Software>,
     ) -> Result<Pick<P>, PickError> {
         let now = now_boot();
         self.check_withheld(request, now)?;
@@ -80,13 +86,20 @@
         let instances = self.members.borrow().sharing_limits(now);
         let available = self.available(&view, service, tried, &instances, now);
         let prompt_size = self.prompt_size(&view, request, service);
-        if let Some(choice) = self.trial_choice(request, &available, now) {
+        let fitting: Vec<&KnownEndpoint> = available.iter().copied().filter(|known| fits(known, bound)).collect();
+        if fitting.is_empty() && bound.is_some() {
+            return Err(PickError::NoSoftware);
+        }
+        if let Some(choice) = self.trial_choice(request, &fitting, now) {
             return Ok(self.reserve(service, &choice, request, prompt_size, &instances, now));
         }
         let usable = self.healthy(available, now);
         if !self.admits(request, service, usable.len(), instances.len(), now) {
             return Err(PickError::Overload);
         }
+        // Admission counts all engines; a bound stream may go to an ejected one if the others are of another version.
+        let healthy: Vec<&KnownEndpoint> = usable.into_iter().filter(|known| fits(known, bound)).collect();
+        let usable = if healthy.is_empty() { fitting } else { healthy };
         let usable = match prompt_size {
             // A retry of a short request may go to any engine.
             Some(prompt_size) if prompt_size == PromptSize::Long || tried.is_empty() => {
--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -26,6 +26,7 @@
 use crate::metrics::{RequestLabels, RouteLabel};
 use crate::protocol::{Protocol, kind_name};
 use crate::request::{self, Denial, RoutedRequest};
+use crate::software::Software;
 use crate::stop;
 
 use refusal::{Refusal, RetryHint, refuse};
@@ -83,6 +84,7 @@
         request: &request,
         req: &req,
         tried: Vec::new(),
+        bound: None,
         may_have_run_count: 0,
         rejected_count: 0,
         reached_endpoint: false,
@@ -126,7 +128,9 @@
 /// When a caller whose request got no endpoint may retry.
 fn retry_hint(error: PickError) -> RetryHint {
     match error {
-        PickError::NoEndpoint | PickError::Leaving | PickError::Overload => RetryHint::AfterRandomDelay,
+        PickError::NoEndpoint | PickError::Leaving | PickError::Overload | PickError::NoSoftware => {
+            RetryHint::AfterRandomDelay
+        }
         PickError::PromptWithheld | PickError::RequestWithheld => RetryHint::After(WITHHELD_WAIT),
         PickError::Paused(until) => RetryHint::After(until.since(now_boot())),
         PickError::Limited(interval) => RetryHint::Spread(interval),
@@ -152,6 +156,8 @@
     request: &'a RoutedRequest,
     req: &'a Request,
     tried: Vec<String>,
+    /// The software that wrote the first event of the stream.
+    bound: Option<Software>,
     /// Attempts that may have run; `ran` in logs.
     may_have_run_count: u32,
     /// Attempts that certainly did not run.
@@ -204,7 +210,7 @@
             if self.time_left() < MIN_TIME_LEFT {
                 return self.give_up(out, DEADLINE).await;
             }
-            let pick = match edge.pick(self.request, &service, &self.tried) {
+            let pick = match edge.pick(self.request, &service, &self.tried, self.bound) {
                 Ok(pick) => pick,
                 Err(error) => return self.give_up_for(out, error.cause(), retry_hint(error)).await,
             };
--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -19,6 +19,7 @@
 use crate::protocol::Protocol;
 use crate::quarantine::{BreakOff, is_crash};
 use crate::rate_limit::StatedLimit;
+use crate::software::{Software, software};
 
 /// Longest time for a new connection.
 const CONNECT: Duration = Duration::from_millis(500);
@@ -60,6 +61,8 @@
     pub start: Option<u64>,
     /// Version of its software.
     pub version: String,
+    /// Its software, as it was when the endpoint was picked.
+    pub software: Software,
     edge: Rc<Edge<P>>,
     in_flight: InFlight<P>,
     sent_at: BootTime,
@@ -232,6 +235,7 @@
         endpoint: id.clone(),
         start: pick.endpoint.start,
         version: pick.endpoint.version.clone(),
+        software: software(&pick.endpoint),
         edge: edge.clone(),
         in_flight: pick.in_flight,
         sent_at: pick.at,
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -129,6 +129,7 @@
             if event.has_data {
                 stall_timer.reset(now);
             }
+            fwd.bind(upstream);
             if event.id.is_some() {
                 *last_event = event.id;
             }
@@ -158,6 +159,13 @@
 }
 
 impl<P: Protocol> Forwarding<'_, P> {
+    /// Binds the stream to the software of the endpoint that wrote its first event.
+    fn bind(&mut self, upstream: &Upstream<P>) {
+        if self.bound.is_none() {
+            self.bound = Some(upstream.software);
+        }
+    }
+
     /// Keeps the gap from `last` to `now` if it is the longest.
     fn record_gap(&mut self, last: Option<BootTime>, now: BootTime, upstream: &Upstream<P>) {
         let Some(last) = last.filter(|last| now.since(*last) > self.gap.length) else {
@@ -225,7 +233,7 @@
     while fwd.request.route.kind == RouteKind::ResumableStream
         && fwd.may_have_run_count < fwd.request.route.max_attempts
     {
-        let pick = match edge.pick(fwd.request, service, &fwd.tried) {
+        let pick = match edge.pick(fwd.request, service, &fwd.tried, fwd.bound) {
             Ok(pick) => pick,
             Err(error) => {
                 info!(
--- a/crates/celerytide-edge/src/lib.rs
+++ b/crates/celerytide-edge/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod rate_limit;
 pub mod request;
 pub mod settings;
+pub mod software;
 pub mod source;
 pub mod split;
 pub mod stop;
--- a/crates/celerytide-edge/tests/pick.rs
+++ b/crates/celerytide-edge/tests/pick.rs
@@ -139,7 +139,7 @@
 }
 
 fn pick(edge: &Rc<Edge<NoHeaders>>, service: &Service) -> Result<Pick<NoHeaders>, PickError> {
-    edge.pick(&request(), service, &[])
+    edge.pick(&request(), service, &[], None)
 }
 
 /// Why the only endpoint is limited.
