fix(edge): a taken-up stream goes on at the software that began it, or not at all

Cause: a take-up was routed like a new request. What it names was decoded nowhere, and no instance knew what another one, or it itself before a restart, had begun.

Why this works: one place knows which software wrote a stream. Its first event is recorded under the id of the request that brought it, and told to others at once while more than one version serves, or served within the life of a stream (all others in a small fleet, three by rendezvous hashing in a large one); when a version appears, what began before is told. An instance that doesn't know a taken-up stream asks five. If nobody knows it, it goes on only where an instance has seen one version alone for as long as it can have lived; in doubt it is refused as not run. A version that is gone counts for 10 s more, since others may be cut off.

Ruled out: telling with the next digest.

--- a/crates/celerytide-catalog/src/config/mod.rs
+++ b/crates/celerytide-catalog/src/config/mod.rs
@@ -215,6 +215,11 @@
         host_routes.iter().find(|r| path.starts_with(&r.path_prefix))
     }
 
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Rc<Route>> {
+        self.routes.values().flatten()
+    }
+
     /// The service with this id.
     pub fn service(&self, id: &str) -> Option<&Rc<Service>> {
         self.services.get(id)
--- a/crates/celerytide-dispatch/src/dispatch/mod.rs
+++ b/crates/celerytide-dispatch/src/dispatch/mod.rs
@@ -55,7 +55,13 @@
             Method::Gossip | Method::Manifest | Method::Section | Method::Lists => {
                 dispatch.node.serve(method, ex).await
             }
-            Method::Muster | Method::Relay | Method::Look | Method::Outcomes | Method::Peers | Method::Follow => {
+            Method::Muster
+            | Method::Relay
+            | Method::Look
+            | Method::Outcomes
+            | Method::Peers
+            | Method::Follow
+            | Method::Streams => {
                 tracing::warn!(?method, "dispatch: unexpected method, meant for another program");
             }
         }
--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -5,6 +5,7 @@
 mod limited;
 mod pick;
 mod quarantined;
+mod taken_up;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -38,6 +39,7 @@
 use crate::quarantine::Quarantine;
 use crate::rate_limit::{NamedLimits, RateLimiter};
 use crate::settings::Settings;
+use crate::software::{History, Streams};
 use crate::split::EngineSplit;
 
 /// Silence after which an idle connection is probed; a dead one is detected within three times that.
@@ -98,6 +100,12 @@
     pub rate_limiter: RefCell<RateLimiter>,
     /// Prompt blocks under which engines crashed.
     pub quarantine: RefCell<Quarantine>,
+    /// Which software was published until when.
+    pub history: RefCell<History>,
+    /// Which software began the streams of late.
+    pub streams: RefCell<Streams>,
+    /// Wakes the sender of digests: a stream is to be told.
+    pub stream_news: Notify,
     /// Other instances.
     pub members: RefCell<Members>,
     /// Connections to other instances.
@@ -166,6 +174,9 @@
             notices: RefCell::default(),
             named_limits: RefCell::default(),
             quarantine: RefCell::default(),
+            history: RefCell::default(),
+            streams: RefCell::default(),
+            stream_news: Notify::new(),
             limits: Rc::new(Cell::new(limits)),
             counters: Counters::default(),
             store_responded_at: Cell::new(None),
@@ -272,6 +283,7 @@
         self.notices.borrow_mut().sweep(now);
         self.sweep_named_limits(now);
         self.sweep_quarantine(now);
+        self.update_history(now);
         if *update == Update::default() {
             return;
         }
--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -85,6 +85,7 @@
         req: &req,
         tried: Vec::new(),
         bound: None,
+        has_events: false,
         may_have_run_count: 0,
         rejected_count: 0,
         reached_endpoint: false,
@@ -158,6 +159,8 @@
     tried: Vec<String>,
     /// The software that wrote the first event of the stream.
     bound: Option<Software>,
+    /// Whether an event was passed on.
+    has_events: bool,
     /// Attempts that may have run; `ran` in logs.
     may_have_run_count: u32,
     /// Attempts that certainly did not run.
@@ -202,8 +205,19 @@
         if !stop::accepts_requests(since) {
             return self.give_up(out, STOPPING).await;
         }
-        let Some(service) = edge.choose_service(&self.request.route) else {
-            return self.give_up(out, "no-service").await;
+        if let Some(take_up) = &self.request.take_up {
+            match edge.resolve_take_up(self.request, take_up).await {
+                Ok(software) => self.bound = Some(software),
+                Err(doubt) => return self.give_up(out, doubt.cause()).await,
+            }
+        }
+        let service = match self.bound {
+            Some(bound) => edge.service_with(&self.request.route, bound),
+            None => edge.choose_service(&self.request.route),
+        };
+        let Some(service) = service else {
+            let cause = self.bound.map_or("no-service", |_| PickError::NoSoftware.cause());
+            return self.give_up(out, cause).await;
         };
         edge.retry_budget.borrow_mut().count_request(&service.id, now_boot());
         loop {
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -161,8 +161,12 @@
 impl<P: Protocol> Forwarding<'_, P> {
     /// Binds the stream to the software of the endpoint that wrote its first event.
     fn bind(&mut self, upstream: &Upstream<P>) {
-        if self.bound.is_none() {
-            self.bound = Some(upstream.software);
+        if std::mem::replace(&mut self.has_events, true) {
+            return;
+        }
+        let bound = *self.bound.get_or_insert(upstream.software);
+        if self.request.route.kind == RouteKind::ResumableStream {
+            self.edge.record_stream(self.request, bound, &upstream.version);
         }
     }
 
--- a/crates/celerytide-edge/src/metrics/mod.rs
+++ b/crates/celerytide-edge/src/metrics/mod.rs
@@ -16,6 +16,13 @@
     pub status: u16,
 }
 
+/// Label of streams that callers take up.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct TakeUpLabel {
+    /// What was decided.
+    pub outcome: &'static str,
+}
+
 /// Label for metrics by route.
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct RouteLabel {
@@ -50,6 +57,8 @@
     pub withheld_blocks: Gauge,
     /// Requests that are withheld, each counted once.
     pub withheld_contents: Gauge,
+    /// Streams that callers took up, by what was decided.
+    pub take_ups: Family<TakeUpLabel, Counter>,
     /// Longest gap between two events of a stream, in seconds.
     pub stream_gap: Family<RouteLabel, Histogram>,
     /// Time to the first byte of an endpoint's response, in seconds.
@@ -86,6 +95,7 @@
             withheld_requests: Counter::default(),
             withheld_blocks: Gauge::default(),
             withheld_contents: Gauge::default(),
+            take_ups: Family::default(),
             stream_gap: Family::new_with_constructor(gap_histogram),
             first_byte: Histogram::new(buckets()),
             response_time: Histogram::new(buckets()),
@@ -121,6 +131,8 @@
         registry.register("withheld_blocks", withheld_blocks, self.withheld_blocks.clone());
         let withheld_contents = "Requests that are withheld since endpoints crash under them";
         registry.register("withheld_contents", withheld_contents, self.withheld_contents.clone());
+        let take_ups = "Streams that callers took up, by what was decided";
+        registry.register("take_ups", take_ups, self.take_ups.clone());
         let stream_gap = "Longest time between two events of a stream, in seconds";
         registry.register("stream_gap_seconds", stream_gap, self.stream_gap.clone());
         let first_byte = "Seconds to the first byte of an endpoint's answer";
--- a/crates/celerytide-edge/src/peers/datagrams.rs
+++ b/crates/celerytide-edge/src/peers/datagrams.rs
@@ -12,10 +12,12 @@
 
 use super::digest::Digest;
 use super::members::{Instances, Members};
+use super::streams;
 use crate::edge::Edge;
 use crate::protocol::Protocol;
 use crate::quarantine::SuspectEntry;
 use crate::rate_limit::LimitEntry;
+use crate::software::StreamEntry;
 
 /// Interval between digests while something changes.
 const INTERVAL: Duration = Duration::from_millis(25);
@@ -23,6 +25,8 @@
 const REPEAT_INTERVAL: Duration = Duration::from_millis(250);
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM: usize = 1400;
+/// Most streams in one digest of a small fleet.
+const MAX_STREAMS: usize = 16;
 /// Interval between digests in a large fleet, where each goes to few instances.
 const LARGE_FLEET_INTERVAL: Duration = Duration::from_millis(100);
 /// Recipients of one digest in a large fleet: with the interval, about 1.5 KB per second of the 2 KB that control
@@ -36,7 +40,10 @@
     let mut work_at = sent_at;
     loop {
         let is_large = edge.members.borrow().is_large(now_boot());
-        sleep(if is_large { LARGE_FLEET_INTERVAL } else { INTERVAL }).await;
+        monoio::select! {
+            () = sleep(if is_large { LARGE_FLEET_INTERVAL } else { INTERVAL }) => {}
+            () = edge.stream_news.notified() => {}
+        }
         let now = now_boot();
         let backlogs = if is_large {
             Vec::new()
@@ -58,16 +65,17 @@
         let limits = edge.limits_to_tell(now);
         let is_due = digest != Digest::default() && now.since(sent_at) >= REPEAT_INTERVAL;
         let suspects = edge.suspects_to_tell(now);
-        if digest == sent && !is_due && limits.is_empty() && suspects.is_empty() {
+        let streams = edge.streams.borrow_mut().take_untold(max_streams(is_large), now);
+        if digest == sent && !is_due && limits.is_empty() && suspects.is_empty() && streams.is_empty() {
             continue;
         }
-        let Some(buf) = encode(&digest, &limits, &suspects) else {
+        let Some(buf) = encode(&digest, &limits, &suspects, &streams) else {
             warn!("peers: failed to encode a digest");
             continue;
         };
         sent = digest;
         sent_at = now;
-        let peers = recipients(&edge.members.borrow(), is_large, now);
+        let peers = recipients(&edge.members.borrow(), is_large, &streams, now);
         for peer in peers {
             let addr = SocketAddr::new(peer.ip(), edge.settings.digests.map_or(0, |d| d.port()));
             if let (Err(error), _) = socket.send_to(buf.clone(), addr).await {
@@ -77,29 +85,43 @@
     }
 }
 
-/// Encodes a digest, followed by rate limits and by suspected blocks if there are any; a process that doesn't know them
-/// reads what is in front of them. Suspected blocks that don't fit are left out.
-fn encode(digest: &Digest, limits: &[LimitEntry], suspects: &[SuspectEntry]) -> Option<Vec<u8>> {
+/// Streams told in one digest: in a large fleet one, whose holders are the recipients.
+fn max_streams(is_large: bool) -> usize {
+    if is_large { 1 } else { MAX_STREAMS }
+}
+
+/// Encodes a digest, followed by rate limits, suspects and streams if there are any; a process that doesn't know them
+/// reads what is in front of them. Suspects that don't fit are left out.
+fn encode(
+    digest: &Digest,
+    limits: &[LimitEntry],
+    suspects: &[SuspectEntry],
+    streams: &[StreamEntry],
+) -> Option<Vec<u8>> {
     let config = bincode::config::standard();
     let mut buf = bincode::serde::encode_to_vec(digest, config).ok()?;
-    if !limits.is_empty() || !suspects.is_empty() {
-        buf.extend(bincode::serde::encode_to_vec(limits, config).ok()?);
+    if limits.is_empty() && suspects.is_empty() && streams.is_empty() {
+        return Some(buf);
     }
-    for count in (1..=suspects.len()).rev() {
+    buf.extend(bincode::serde::encode_to_vec(limits, config).ok()?);
+    let streams = bincode::serde::encode_to_vec(streams, config).ok()?;
+    for count in (0..=suspects.len()).rev() {
         let told = bincode::serde::encode_to_vec(suspects.get(..count)?, config).ok()?;
-        if buf.len() + told.len() <= MAX_DATAGRAM {
+        if count == 0 || buf.len() + told.len() + streams.len() <= MAX_DATAGRAM {
             buf.extend(told);
             break;
         }
     }
+    buf.extend(streams);
     Some(buf)
 }
 
-fn recipients(members: &Members, is_large: bool, now: BootTime) -> Instances {
-    if is_large {
-        members.sample(now, LARGE_FLEET_RECIPIENTS)
-    } else {
-        members.live_peers(now)
+fn recipients(members: &Members, is_large: bool, streams: &[StreamEntry], now: BootTime) -> Instances {
+    let live = members.live_peers(now);
+    match streams.first() {
+        _ if !is_large => live,
+        Some(entry) => streams::holders(entry.stream, &live),
+        None => members.sample(now, LARGE_FLEET_RECIPIENTS),
     }
 }
 
@@ -142,9 +164,19 @@
     if rest.is_empty() {
         return;
     }
-    match bincode::serde::decode_from_slice::<Vec<SuspectEntry>, _>(rest, config) {
-        Ok((suspects, _)) => edge.apply_told_suspects(&suspects),
-        Err(error) => debug!(%from, %error, "peers: failed to decode suspected blocks"),
+    let rest = match bincode::serde::decode_from_slice::<Vec<SuspectEntry>, _>(rest, config) {
+        Ok((suspects, read)) => {
+            edge.apply_told_suspects(&suspects);
+            rest.get(read..).unwrap_or_default()
+        }
+        Err(error) => return debug!(%from, %error, "peers: failed to decode suspects"),
+    };
+    if rest.is_empty() {
+        return;
+    }
+    match bincode::serde::decode_from_slice::<Vec<StreamEntry>, _>(rest, config) {
+        Ok((streams, _)) => edge.streams.borrow_mut().learn(&streams, now_boot()),
+        Err(error) => debug!(%from, %error, "peers: failed to decode streams"),
     }
 }
 
--- a/crates/celerytide-edge/src/peers/exchange.rs
+++ b/crates/celerytide-edge/src/peers/exchange.rs
@@ -18,7 +18,7 @@
 use tracing::{debug, info};
 
 use super::members::PeerEntry;
-use super::relay;
+use super::{relay, streams};
 use crate::edge::{Edge, StoreAccess};
 use crate::protocol::Protocol;
 
@@ -169,6 +169,7 @@
         match method {
             Method::Peers => {}
             Method::Follow => return relay::serve(&self.0, ex).await,
+            Method::Streams => return streams::serve(&self.0, ex).await,
             _ => return debug!(?method, "peers: unsupported method"),
         }
         let Ok(request) = ex.recv_required::<ExchangeRequest>().await else {
--- a/crates/celerytide-edge/src/peers/mod.rs
+++ b/crates/celerytide-edge/src/peers/mod.rs
@@ -6,6 +6,7 @@
 mod members;
 pub mod readers;
 pub mod relay;
+pub mod streams;
 
 pub use datagrams::{bind, receive_digests, send_digests};
 pub use exchange::{Service, options, run};
--- /dev/null
+++ b/crates/celerytide-edge/src/software/take_up.rs
@@ -0,0 +1,69 @@
+//! Whether a stream that a caller takes up may go on, and at which software.
+
+use celerytide_types::data;
+
+use super::Software;
+
+data! {
+    /// What one instance knows of the software that began a stream.
+    #[derive(Copy, Eq)]
+    pub enum Knowledge {
+        /// It was told, or passed the first event on itself.
+        Begun(Software),
+        /// It has seen all that was published while the stream can have begun, and that was one software.
+        Sole(Software),
+        /// More than one software was published in that time.
+        Several,
+        /// It started too recently, or doesn't hear from the store, and so can't tell.
+        Unsure,
+    }
+}
+
+/// Why a stream may not go on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Doubt {
+    /// Several versions serve or served, and nobody knows which one began the stream.
+    Several,
+    /// Nobody has seen for long enough what was published.
+    Unsure,
+}
+
+impl Doubt {
+    /// Machine-readable cause, a stable text.
+    pub fn cause(self) -> &'static str {
+        match self {
+            Doubt::Several => "stream-unknown",
+            Doubt::Unsure => "versions-unknown",
+        }
+    }
+}
+
+/// The software at which a stream goes on, by what this instance and others know. A wrong one joins the text of two
+/// versions without a sign, so that any doubt is a no.
+pub fn decide(own: Knowledge, others: &[Knowledge]) -> Result<Software, Doubt> {
+    let all = || others.iter().chain([&own]).copied();
+    let begun = all().filter_map(|known| match known {
+        Knowledge::Begun(software) => Some(software),
+        _ => None,
+    });
+    if let Some(software) = agreed(begun)? {
+        return Ok(software);
+    }
+    if all().any(|known| known == Knowledge::Several) {
+        return Err(Doubt::Several);
+    }
+    let sole = all().filter_map(|known| match known {
+        Knowledge::Sole(software) => Some(software),
+        _ => None,
+    });
+    agreed(sole)?.ok_or(Doubt::Unsure)
+}
+
+/// The one software that is named, if any.
+fn agreed(mut named: impl Iterator<Item = Software>) -> Result<Option<Software>, Doubt> {
+    let first = named.next();
+    if named.any(|other| Some(other) != first) {
+        return Err(Doubt::Several);
+    }
+    Ok(first)
+}
--- a/crates/celerytide-wire/src/messages/mod.rs
+++ b/crates/celerytide-wire/src/messages/mod.rs
@@ -29,6 +29,8 @@
     Peers,
     /// Between routers: changes of the store, for a router that follows another one instead of reading the store.
     Follow,
+    /// Between routers: asks what is known of a stream that a caller takes up.
+    Streams,
     /// Any to any: fetches the manifest's text.
     Manifest,
     /// Any to any: fetches a section of a manifest.
@@ -49,7 +51,7 @@
     path: &'static str,
 }
 
-const METHODS: [MethodPath; 13] = [
+const METHODS: [MethodPath; 14] = [
     MethodPath {
         method: Method::Permit,
         path: "/1/permit",
@@ -78,6 +80,10 @@
         method: Method::Follow,
         path: "/1/follow",
     },
+    MethodPath {
+        method: Method::Streams,
+        path: "/1/streams",
+    },
     MethodPath {
         method: Method::Manifest,
         path: "/1/manifest",
