fix(edge): a refusal that names no request is no promise on a used connection

Cause: a response was taken for another request's only if it named another id. One without an id, written once more on a kept connection while the current request ran, was believed as its refusal.

Why this works: a response says whether it certainly belongs to its request: it names the id, or nothing else was sent on its connection. A refusal (not executed, or another process at the address) of any other kind may have run: 502 for what may run once, another endpoint within the budget otherwise.

--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -189,7 +189,23 @@
     let edge = fwd.edge;
     let names = edge.protocol.header_names();
     let id = &pick.endpoint.id;
-    if edge.protocol.is_wrong_endpoint(response.status) {
+    let is_wrong_endpoint = edge.protocol.is_wrong_endpoint(response.status);
+    let is_rejected = response.headers.contains_key(&names.not_run);
+    if (is_wrong_endpoint || is_rejected) && !response.is_own {
+        let status = response.status.as_u16();
+        info!(
+            request = fwd.request.id,
+            endpoint = id,
+            status,
+            "send: a refusal on a used connection names no request"
+        );
+        edge.record(&service.id, id, Outcome::Bad);
+        return Sent::Broken {
+            cause: "refusal-unproven",
+            may_repeat: true,
+        };
+    }
+    if is_wrong_endpoint {
         info!(
             request = fwd.request.id,
             endpoint = id,
@@ -199,7 +215,6 @@
         return Sent::Rejected("endpoint-replaced");
     }
     edge.apply_notice(&pick.endpoint, edge.protocol.notice(response.status, &response.headers));
-    let is_rejected = response.headers.contains_key(&names.not_run);
     let is_sealed = response.headers.contains_key(&names.seal);
     let limit = edge.protocol.rate_limit(&response.headers);
     // Any response may name a limit; only a success is sure to name one as long as it holds.
--- a/crates/celerytide-http/src/client/conn.rs
+++ b/crates/celerytide-http/src/client/conn.rs
@@ -25,6 +25,8 @@
     pub(super) reader: Reader,
     writer: Writer,
     socket: Socket,
+    /// Whether a request was sent on it before the current one.
+    pub(super) is_used: bool,
 }
 
 impl Conn {
@@ -38,6 +40,7 @@
             reader: Reader::new(r),
             writer: Writer::new(w, opts.write_timeout),
             socket,
+            is_used: false,
         })
     }
 
--- a/crates/celerytide-http/src/client/pool.rs
+++ b/crates/celerytide-http/src/client/pool.rs
@@ -156,6 +156,7 @@
         let list = idle.entry(addr).or_default();
         if list.len() < self.opts.idle_per_addr {
             conn.reader.release_buffer();
+            conn.is_used = true;
             let age = http_keep_alive.map_or(self.opts.idle_age, |s| {
                 (s * KEEP_ALIVE_NUMERATOR / KEEP_ALIVE_DENOMINATOR).min(self.opts.idle_age)
             });
--- a/crates/celerytide-http/src/client/response.rs
+++ b/crates/celerytide-http/src/client/response.rs
@@ -33,6 +33,8 @@
     pub headers: HeaderMap,
     /// How the body is delimited.
     pub framing: Framing,
+    /// Whether it certainly belongs to this request: it names its id, or no other request was sent on its connection.
+    pub is_own: bool,
     body: Body,
     conn: Option<Conn>,
     is_reusable: bool,
@@ -61,6 +63,7 @@
         if has_foreign_id(call, &head.headers, &pool.options().id_header) {
             return Err(send_error(Stage::Written, Cause::RequestIdMismatch));
         }
+        let is_own = !conn.is_used || names_id(call, &head.headers, &pool.options().id_header);
         let framing = response_framing(
             &call.method,
             head.status,
@@ -75,6 +78,7 @@
             status: head.status,
             headers: head.headers,
             framing,
+            is_own,
             body: Body::new(framing),
             conn: Some(conn),
             body_started: false,
@@ -185,6 +189,10 @@
     headers.get_all(id_header).iter().any(|id| id != own)
 }
 
+fn names_id(call: &Call, headers: &HeaderMap, id_header: &HeaderName) -> bool {
+    call.headers.contains_key(id_header) && headers.contains_key(id_header)
+}
+
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get(KEEP_ALIVE)?.to_str().ok()?;
     let mut parts = text.split(',').map(str::trim);
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -22,6 +22,12 @@
     Failed,
     /// A 503 that states that the request did not run.
     NotRun,
+    /// As `NotRun` to the first request on a connection; to each further one, which runs, the refusal of the one before is
+    /// written once more in front of the response, with its id or without one.
+    RefusedAgain {
+        /// Whether the refusals name a request.
+        names_id: bool,
+    },
     /// A 421, as from another runner at this address.
     Misdirected,
     /// A successful response without a seal.
@@ -197,6 +203,7 @@
         return;
     };
     let mut conn = BufReader::new(conn);
+    let mut refused: Option<String> = None;
     while let Some(req) = request::read(&mut conn) {
         lock(&shared.requests).push(req.clone());
         let mode = *lock(&shared.mode);
@@ -207,10 +214,24 @@
             ran: !matches!(
                 mode,
                 RunnerMode::NotRun | RunnerMode::Misdirected | RunnerMode::Paused(_)
-            ),
+            ) && (refused.is_some() || !matches!(mode, RunnerMode::RefusedAgain { .. })),
             mode,
             limit,
         });
+        if let RunnerMode::RefusedAgain { names_id } = mode {
+            let id = req.header("x-attempt-id").to_owned();
+            let refusal = refused.replace(id.clone()).unwrap_or(id);
+            let named = if names_id {
+                format!("x-attempt-id: {refusal}\r\n")
+            } else {
+                String::new()
+            };
+            // Fails only if the connection has ended already.
+            send_response(&mut out, "503 Full", &format!("{named}x-not-executed: 1\r\n"), "");
+            if refusal == req.header("x-attempt-id") {
+                continue;
+            }
+        }
         if !respond(shared, &mut out, &req, mode, limit) {
             // Fails only if the connection has ended already.
             let _ = out.shutdown(Shutdown::Both);
@@ -231,7 +252,7 @@
         return false;
     }
     match mode {
-        RunnerMode::Good => send_response(out, "200 OK", &sealed, &body),
+        RunnerMode::Good | RunnerMode::RefusedAgain { .. } => send_response(out, "200 OK", &sealed, &body),
         RunnerMode::Late(ms) => {
             sleep(Duration::from_millis(ms));
             send_response(out, "200 OK", &sealed, &body)
