fix(edge): what counts as silence of the store follows the settings

A process that hasn't heard the store for 3 s didn't vouch for a version that is alone. Where the time to be up to date again is 4 s, as on the grown sites, a watch of a small fleet waits up to 3 s: between two of them nobody would have vouched, and take-ups would have been refused at random. The bound is that time itself now, and a watch ends within three quarters of it. The tests of versions pass.

--- a/crates/celerytide-edge/src/edge/taken_up.rs
+++ b/crates/celerytide-edge/src/edge/taken_up.rs
@@ -14,8 +14,6 @@
 use crate::request::{RoutedRequest, TakeUp};
 use crate::software::{self, Doubt, Knowledge, Software, StreamName, decide, stream_name};
 
-/// Silence of the store after which this instance may not know the newest endpoints: longer than one watch.
-const STORE_SILENCE: Duration = Duration::from_secs(3);
 /// How often a stream is told in a small fleet; a datagram may be lost.
 const TOLD_TIMES: u32 = 2;
 
@@ -32,10 +30,10 @@
             return Knowledge::Begun(software);
         }
         let history = self.history.borrow();
-        let hears_store = self
-            .store_responded_at
-            .get()
-            .is_some_and(|at| now.since(at) < STORE_SILENCE);
+        // A watch ends within this time.
+        let silence = self.settings.bounds.recovery_time();
+        let responded_at = self.store_responded_at.get();
+        let hears_store = responded_at.is_some_and(|at| now.since(at) < silence);
         match history.within(services, window, now).as_slice() {
             [] => Knowledge::Unsure,
             [sole] if hears_store && history.covers(window, now) => Knowledge::Sole(*sole),
--- a/crates/celerytide-edge/src/quarantine/mod.rs
+++ b/crates/celerytide-edge/src/quarantine/mod.rs
@@ -314,7 +314,8 @@
     }
 
     /// Whether it is a request that was answered a moment ago. Requests that are polled are equal to the letter, and some
-    /// of them break off at several endpoints by chance. Blocks aren't spared: one may become deadly while it is in use.
+    /// of them break off at several endpoints by chance. Blocks aren't spared: engines may begin to crash under one that is
+    /// in use.
     fn is_just_answered(&self, subject: Subject, now: BootTime) -> bool {
         matches!(subject, Subject::Request(_)) && self.good_responses.is_recent(subject, now)
     }
