fix(edge): a request comes before its block wherever it broke off

A request that had crashed an endpoint before a head was ranked as if it were the widest of its subjects, so that a block with one crash more was withheld in its place, with all sound requests that have it. Found on reading; the case is red before the fix (the block in place of the request). Requests rank before blocks of equal explanation now, then by depth.

--- a/crates/celerytide-edge/src/quarantine/mod.rs
+++ b/crates/celerytide-edge/src/quarantine/mod.rs
@@ -7,12 +7,11 @@
 //! What a request has that may be the cause is a [`Subject`]: the request itself, known again by its content, and the shared
 //! blocks of its prompt. When an endpoint breaks off a response that had just begun, all of these are suspects; before the
 //! head of a response only the request is, since all that wait there look alike. Suspicion is counted by crash, so by
-//! start of an endpoint, whatever number of requests broke off there and whoever saw it. Under a block, crashes at one moment
-//! count once, since they have a common cause. A response that goes on ends
-//! suspicion of its subjects: blocks of many prompts are in most crashes, and in far more good responses. Instances tell
-//! each other what they saw, so that all reach the same decision. A subject with [`MIN_CRASHES`] crashes and no good
-//! response since is withheld, unless another one explains its crashes, or its service answers nothing else either: then
-//! the endpoints are the cause.
+//! start of an endpoint, whatever number of requests broke off there and whoever saw it. Under a block, crashes at one
+//! moment count once, since they have a common cause. A response that goes on ends suspicion of its subjects: blocks of
+//! many prompts are in most crashes, and in far more good responses. Instances tell each other what they saw, so that all
+//! reach the same decision. A subject with [`MIN_CRASHES`] crashes and no good response since is withheld, unless another
+//! one explains its crashes, or its service answers nothing else either: then the endpoints are the cause.
 
 mod good_responses;
 mod suspect;
@@ -291,7 +290,9 @@
             suspect.others_served && suspect.crash_count() >= MIN_CRASHES && !self.is_just_answered(**subject, now)
         };
         let mut heavy: Vec<(&Subject, &Suspect)> = self.suspects.iter().filter(is_heavy).collect();
-        heavy.sort_by_key(|(subject, suspect)| Reverse((rank(**subject, suspect), suspect.depth, **subject)));
+        heavy.sort_by_key(|(subject, suspect)| {
+            Reverse((rank(**subject, suspect), is_request(subject), suspect.depth, **subject))
+        });
         let mut explained = HashSet::new();
         let mut withheld = HashSet::new();
         for (subject, suspect) in heavy {
@@ -317,7 +318,7 @@
     /// of them break off at several endpoints by chance. Blocks aren't spared: engines may begin to crash under one that is
     /// in use.
     fn is_just_answered(&self, subject: Subject, now: BootTime) -> bool {
-        matches!(subject, Subject::Request(_)) && self.good_responses.is_recent(subject, now)
+        is_request(&subject) && self.good_responses.is_recent(subject, now)
     }
 
     fn change(&self, subject: Subject, status: SubjectStatus) -> Option<Change> {
@@ -343,6 +344,10 @@
     }
 }
 
+fn is_request(subject: &Subject) -> bool {
+    matches!(subject, Subject::Request(_))
+}
+
 /// Crashes by which subjects are compared: a block needs some more than a request to explain more.
 fn rank(subject: Subject, suspect: &Suspect) -> usize {
     let lead = match subject {
--- a/crates/celerytide-edge/tests/quarantine.rs
+++ b/crates/celerytide-edge/tests/quarantine.rs
@@ -40,7 +40,7 @@
     withheld: &'static [Subject],
 }
 
-const CASES: [Case; 18] = [
+const CASES: [Case; 19] = [
     Case {
         name: "fewer crashes",
         seen: &[Crash(0, 1, &[CRASHING]), Crash(500, 2, &[CRASHING])],
@@ -175,6 +175,17 @@
         ],
         withheld: &[CRASHING],
     },
+    Case {
+        name: "a request that crashed an endpoint before a head, and explains nearly as much as its block",
+        seen: &[
+            Crash(0, 1, &[REQUEST]),
+            Crash(500, 2, &[WIDE, CRASHING, REQUEST]),
+            Crash(1000, 3, &[WIDE, CRASHING, REQUEST]),
+            Crash(1500, 4, &[WIDE, CRASHING, NEIGHBOUR]),
+            Crash(2000, 5, &[WIDE, CRASHING, Subject::Request(3)]),
+        ],
+        withheld: &[REQUEST],
+    },
     Case {
         name: "a request is withheld though its blocks are answered",
         seen: &[
