--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -19,7 +19,7 @@
 /// When the release begins: the third runner is replaced by one of a new version.
 const RELEASE_AT: Duration = Duration::from_secs(4);
 const END_AT: Duration = Duration::from_secs(14);
-/// Idle timeout that the new version states: it closes no idle connection.
+/// Idle timeout that the new version states: longer than any connection is idle.
 const UNLIMITED: &str = "Keep-Alive: timeout=9223372036854775807\r\n";
 const USUAL: &str = "Keep-Alive: timeout=15\r\n";
 
@@ -54,7 +54,7 @@
             let head = sealed("200 OK", req.id(), &format!("{keep_alive}Content-Length: 4\r\n\r\n"));
             out.write_all((head + "done").as_bytes()).is_ok()
         });
-        publish_runner(&bed.store, id, "wuno96b", address, 6)
+        publish_runner(&bed.store, id, "wuno96b", address, 32)
     };
     let old: Vec<_> = ["i-1", "i-2", "i-3"].map(|id| runner(id, USUAL, true)).into();
     let nodes: Vec<Arc<Node>> = (0..NODES).map(|n| Arc::new(bed.node(n))).collect();
--- a/review/lib/bed.rs
+++ b/review/lib/bed.rs
@@ -405,7 +405,9 @@
         while flag.load(Ordering::Relaxed) {
             sleep(HEARTBEAT);
             sequence += 1;
-            put(sequence);
+            if flag.load(Ordering::Relaxed) {
+                put(sequence);
+            }
         }
     });
     alive
