--- a/review/lib/bed.rs
+++ b/review/lib/bed.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -26,9 +26,12 @@
 const RLIMIT_NOFILE: i32 = 7;
 const PR_SET_PDEATHSIG: i32 = 1;
 
-/// What the configuration of every case has: one key and these limits, as on the users' pages (`fleetbench wire`).
+/// What the configuration of every case has: these keys and limits, as on the users' pages (`fleetbench wire`).
 pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
 pub const TENANT: &str = "hule930";
+/// A second tenant and its key.
+pub const OTHER_TENANT: &str = "tami221";
+pub const OTHER_KEY: &str = "anfqasnmgkcuyj8pjbvk";
 pub const HOST: &str = "ficu95.example";
 pub const MAX_BODY_BYTES: usize = 4_194_304;
 pub const IDLE_TIMEOUT_MS: u64 = 15_000;
@@ -168,9 +171,22 @@
 
 /// A consumer's request as bytes.
 pub fn request(method: &str, path: &str, id: &str, deadline_ms: u64, extra: &str, body: &[u8]) -> Vec<u8> {
+    request_as(KEY, method, path, id, deadline_ms, extra, body)
+}
+
+/// The same with this key.
+pub fn request_as(
+    key: &str,
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u64,
+    extra: &str,
+    body: &[u8],
+) -> Vec<u8> {
     let length = if method == "GET" { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
     let head = format!(
-        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\nApi-Key: {KEY}\r\n{extra}{length}\r\n"
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\nApi-Key: {key}\r\n{extra}{length}\r\n"
     );
     let mut bytes = head.into_bytes();
     bytes.extend_from_slice(body);
@@ -365,7 +381,7 @@
     let routes: Vec<String> = routes.iter().map(route).collect();
     let services: Vec<String> = services.iter().map(service).collect();
     let text = format!(
-        r#"{{"version":{version},"routes":[{}],"services":[{}],"limits":{{"max_header_bytes":16384,"max_body_bytes":{MAX_BODY_BYTES},"header_timeout_ms":3000,"idle_timeout_ms":{IDLE_TIMEOUT_MS}}},"tenants":[{{"name":"{TENANT}","api_keys":["{KEY}"],"priority":1}}]}}"#,
+        r#"{{"version":{version},"routes":[{}],"services":[{}],"limits":{{"max_header_bytes":16384,"max_body_bytes":{MAX_BODY_BYTES},"header_timeout_ms":3000,"idle_timeout_ms":{IDLE_TIMEOUT_MS}}},"tenants":[{{"name":"{TENANT}","api_keys":["{KEY}"],"priority":1}},{{"name":"{OTHER_TENANT}","api_keys":["{OTHER_KEY}"],"priority":1}}]}}"#,
         routes.join(","),
         services.join(",")
     );
@@ -463,6 +479,8 @@
 }
 
 const DESCRIPTORS: u64 = 4100;
+/// In the template of the settings.
+const METRICS_PORT: u16 = 9464;
 pub const MEMORY_MB: u64 = 110;
 
 impl Bed {
@@ -475,7 +493,7 @@
         let net = [127, 1 + (pid % 200) as u8, (pid / 200 % 250) as u8];
         let ip = IpAddr::from([net[0], net[1], net[2], 1]);
         let node_ips: Vec<IpAddr> = (0..nodes).map(|n| IpAddr::from([net[0], net[1], net[2], 10 + n])).collect();
-        let ports = [(); 4].map(|()| free_port(&node_ips));
+        let ports = free_ports(&node_ips);
         Bed { root, dir, store: Store::start(ip), net, ports, nodes }
     }
 
@@ -543,15 +561,15 @@
     }
 }
 
-fn free_port(ips: &[IpAddr]) -> u16 {
-    for _ in 0..100 {
-        let listener = TcpListener::bind((ips[0], 0)).unwrap_or_else(|e| cannot_run(&e.to_string()));
-        let port = listener.local_addr().unwrap().port();
-        if ips.iter().skip(1).all(|ip| TcpListener::bind((*ip, port)).is_ok()) {
-            return port;
-        }
-    }
-    cannot_run("no free port");
+/// Four ports that are free on all of `ips`, below the range from which the kernel takes ports of its own accord.
+fn free_ports(ips: &[IpAddr]) -> [u16; 4] {
+    let is_free = |port: u16| {
+        ips.iter().all(|ip| TcpListener::bind((*ip, port)).is_ok() && UdpSocket::bind((*ip, port)).is_ok())
+    };
+    let seed = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.subsec_nanos());
+    let drawn = (0..1000).map(|n| 12_000 + ((u64::from(seed) + n * 7919) % 20_000) as u16);
+    let ports: Vec<u16> = drawn.filter(|port| *port != METRICS_PORT && is_free(*port)).take(4).collect();
+    ports.try_into().unwrap_or_else(|_| cannot_run("no free ports"))
 }
 
 fn launch(root: &Path, settings: &Path, log: &Path, descriptors: u64) -> Child {
@@ -611,7 +629,9 @@
         let until = Instant::now() + Duration::from_secs(15);
         while !self.is_ready() {
             if Instant::now() > until {
-                cannot_run(&format!("{} doesn't get ready", self.name));
+                let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+                let last = log.lines().last().unwrap_or_default();
+                cannot_run(&format!("{} doesn't get ready; it wrote last: {last}", self.name));
             }
             sleep(ms(50));
         }
