test(standin): a port that a process has drawn is reserved for it

Cause: each process draws all its ports first, from one range, and binds them later; two test processes that each draw 144 of 20,000 ports expect one in common. Ruled out: the kernel's own ports (the range lies below).

--- a/crates/celerytide-standin/tests/launch.rs
+++ b/crates/celerytide-standin/tests/launch.rs
@@ -43,6 +43,14 @@
     assert!(matches!(Process::start(&options), Err(Error::Spawn { .. })));
 }
 
+/// Guards against: two processes that draw their ports early draw the same one.
+#[test]
+fn a_port_that_was_drawn_is_reserved_for_its_process() {
+    let port = launch::free_port().expect("port");
+    let reservation = std::net::UdpSocket::bind(("127.254.0.1", port));
+    assert!(reservation.is_err(), "another process could draw {port}");
+}
+
 #[test]
 fn free_addresses_can_be_bound() {
     let addr = launch::free_addr().expect("address");
