feat(edge): an instance may advertise another address to its peers than the one it listens on

For links between routers that pass a relay, in tests or in a deployment; without the setting nothing changes.

--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -141,7 +141,7 @@
     pub fn new(settings: Settings, protocol: P) -> Edge<P> {
         let now = now_boot();
         let stopping = CancellationToken::new();
-        let own = settings.peers.unwrap_or(settings.callers);
+        let own = settings.peer_address();
         let descriptors = settings
             .descriptors
             .unwrap_or(DEFAULT_DESCRIPTORS)
--- a/crates/celerytide-edge/src/settings/mod.rs
+++ b/crates/celerytide-edge/src/settings/mod.rs
@@ -19,6 +19,8 @@
         pub readiness: SocketAddr,
         /// Listening address for other instances.
         pub peers: Option<SocketAddr>,
+        /// Address at which other instances reach `peers`, if it is another one.
+        pub advertised: Option<SocketAddr>,
         /// UDP address for digests of other instances; the port is the same on all instances.
         pub digests: Option<SocketAddr>,
         /// Listening address for reading metrics.
@@ -162,6 +164,13 @@
     }
 }
 
+impl Settings {
+    /// Address by which other instances know this one.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.advertised.or(self.peers).unwrap_or(self.callers)
+    }
+}
+
 impl Bounds {
     /// Time from SIGTERM to SIGKILL.
     pub fn grace(&self) -> Duration {
