--- a/crates/celerytide-soak/src/check/mod.rs
+++ b/crates/celerytide-soak/src/check/mod.rs
@@ -74,6 +74,8 @@
     pub head_after: Option<Duration>,
     /// Time that the request says is left for it.
     pub time_left: Option<Duration>,
+    /// Time at which the runner had ended its work; `None` if it worked to the end of the run.
+    pub ended: Option<Duration>,
 }
 
 /// What a runner announces about itself in a response.
@@ -152,6 +154,8 @@
 pub enum Guarantee {
     /// A request that may run once ran more than once.
     Twice,
+    /// A stream went on at a runner while the one before still worked on it.
+    Overlap,
     /// A request was reported as not run, but it ran.
     NotRun,
     /// A success is not a runner's complete response to this request.
@@ -211,6 +215,8 @@
 const PLAIN_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time beyond that timeout within which a final response has to arrive.
 const LATE_TOLERANCE: Duration = Duration::from_millis(500);
+/// Time after a stream goes on elsewhere within which the runner before has ended its work.
+const OVERLAP_TOLERANCE: Duration = Duration::from_millis(400);
 /// Number of late responses in a run from which the guarantee is violated; the platform has the same limit.
 const LATE_LIMIT: usize = 8;
 /// Time after sending within which a cut request is no loss if no runner ran it: it may have been sent while the router
@@ -227,6 +233,7 @@
     let mut violations = Vec::new();
     for call in &history.calls {
         violations.extend(checker.check_runs(call));
+        violations.extend(checker.check_overlap(call));
         violations.extend(checker.check_response(call));
         violations.extend(checker.check_loss(call));
     }
@@ -286,6 +293,26 @@
         matches!(status, 400..=404 | 413 | 431).then(|| violation(Guarantee::Denied, call, format!("status {status}")))
     }
 
+    /// A stream that went on although the runner before still worked on it, over a link without a fault.
+    fn check_overlap(&self, call: &Call) -> Option<Violation> {
+        if call.kind != RequestKind::Resume {
+            return None;
+        }
+        let mut runs = self.runs_of(&call.id).to_vec();
+        runs.sort_by_key(|run| run.at);
+        let still_works = |pair: &&[&Arrival]| {
+            let (before, next) = (pair[0], pair[1]);
+            let limit = next.at + OVERLAP_TOLERANCE;
+            let on_link = |(runner, s): &(String, Span)| *runner == before.runner && s.overlaps(before.at, limit);
+            let has_link_fault = self.history.link_faults.iter().any(on_link);
+            let works_on = before.ended.is_none_or(|ended| ended > limit);
+            works_on && !has_link_fault && !self.had_outage(call.router, before.at, limit)
+        };
+        let pair = runs.windows(2).find(still_works)?;
+        let details = format!("it went on at {}, and {} works on", pair[1].runner, pair[0].runner);
+        Some(violation(Guarantee::Overlap, call, details))
+    }
+
     fn check_response(&self, call: &Call) -> Option<Violation> {
         let response = &call.response;
         if !(200..300).contains(&response.status) {
--- a/crates/celerytide-soak/src/main.rs
+++ b/crates/celerytide-soak/src/main.rs
@@ -32,6 +32,9 @@
     /// routers in each run
     #[argh(option, default = "ROUTERS")]
     routers: usize,
+    /// cut the links between all routers for long
+    #[argh(switch)]
+    cut_peers: bool,
     /// play fresh seeds for so many minutes instead of a count
     #[argh(option)]
     minutes: Option<u64>,
@@ -51,6 +54,7 @@
             seed,
             length: Duration::from_secs(args.seconds),
             routers: args.routers,
+            cuts_peers: args.cut_peers,
         });
         played += 1;
         println!(
--- a/crates/celerytide-soak/src/plan/mod.rs
+++ b/crates/celerytide-soak/src/plan/mod.rs
@@ -14,7 +14,12 @@
 pub const ROUTERS: usize = 4;
 /// Number of runners in a run: the first half serves plain requests, the second half streams.
 pub const RUNNERS: usize = 8;
-/// Time at the start of a run without faults.
+/// Time before the faults in which requests are served: the window of the retry budget, in which a process that has just
+/// started has no part of the allowance.
+pub const WARM_UP: Duration = Duration::from_millis(10_500);
+/// Time for which the links between routers are cut before the faults of a run with a long cut.
+pub const LONG_CUT: Duration = Duration::from_secs(44);
+/// Time from the end of the warm-up to the first fault.
 const START_DELAY: Duration = Duration::from_millis(600);
 /// Maximum time between the starts of two faults in milliseconds; faults last longer, so they overlap.
 const MAX_GAP_MS: u64 = 500;
@@ -36,6 +41,15 @@
 const COMPOUND_DURATION_MS: std::ops::Range<u64> = 300..2500;
 /// Keeps their seeds apart from those of other faults.
 const COMPOUND_SEED: u64 = 0x57_0000_0000;
+
+/// One run of this many spends the retry budget: the plain service fails, and all routers start again meanwhile.
+const SPENDING_RUNS: u64 = 3;
+/// Time for which the service fails in such a run.
+const SPENDING_TIME: Duration = Duration::from_secs(9);
+/// Times at which all routers are killed, from the beginning of the failures.
+const SPENDING_KILLS: [Duration; 2] = [Duration::from_secs(3), Duration::from_secs(6)];
+/// Time for which they are down.
+const KILL_TIME: Duration = Duration::from_millis(200);
 /// Time for which a crashed runner is down.
 const CRASH_TIME: Duration = Duration::from_millis(200);
 
@@ -70,6 +84,8 @@
     ZoneOut,
     /// Kills all routers and restarts them at the end.
     KillAll,
+    /// Cuts the links between all routers.
+    PeerLinks,
     /// Changes how all runners of a service respond: of the engines, or of the plain service.
     Service {
         /// Whether it is the service of the engines.
@@ -99,7 +115,24 @@
     down: CRASH_TIME,
 };
 
-/// Draws the steps of a run with this number of routers; the last one begins before `length`.
+/// Draws the steps of a run in which the links between all routers are cut from the warm-up to the end of the other faults,
+/// for longer than [`LONG_CUT`].
+pub fn draw_with_cut(seed: u64, length: Duration, routers: usize) -> Vec<Step> {
+    let mut steps = draw(seed, length, routers);
+    steps.iter_mut().for_each(|step| step.at += LONG_CUT);
+    steps.retain(|step| step.fault != Fault::PeerLinks);
+    let end = steps.iter().map(|step| step.at + step.duration).max();
+    let cut = Step {
+        at: WARM_UP,
+        duration: end.unwrap_or_default().saturating_sub(WARM_UP),
+        fault: Fault::PeerLinks,
+    };
+    steps.insert(0, cut);
+    steps
+}
+
+/// Draws the steps of a run with this number of routers; the last one begins before `length` has passed since the warm-up,
+/// but for those of a run that spends the retry budget.
 pub fn draw(seed: u64, length: Duration, routers: usize) -> Vec<Step> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut at = START_DELAY;
@@ -115,10 +148,43 @@
     }
     steps.append(&mut limits);
     steps.append(&mut draw_compound_faults(seed, length));
+    if seed.is_multiple_of(SPENDING_RUNS) {
+        steps.retain(|step| !step.fault.signals_routers());
+        steps.splice(0..0, spending_steps());
+    }
+    steps.iter_mut().for_each(|step| step.at += WARM_UP);
     steps.sort_by_key(|step| step.at);
     steps
 }
 
+/// The plain service fails, and all routers start again twice meanwhile.
+fn spending_steps() -> impl Iterator<Item = Step> {
+    let failure = Step {
+        at: Duration::ZERO,
+        duration: SPENDING_TIME,
+        fault: Fault::Service {
+            is_engine: false,
+            mode: RunnerMode::Failed,
+        },
+    };
+    let kill = |at| Step {
+        at,
+        duration: KILL_TIME,
+        fault: Fault::KillAll,
+    };
+    std::iter::once(failure).chain(SPENDING_KILLS.map(kill))
+}
+
+impl Fault {
+    /// Whether routers get a signal.
+    fn signals_routers(&self) -> bool {
+        matches!(
+            self,
+            Fault::Pause(_) | Fault::Kill(_) | Fault::Term(_) | Fault::Hup(_) | Fault::KillAll
+        )
+    }
+}
+
 /// Draws the runners that name rate limits. They have a generator of their own, since they last longer than other faults,
 /// so that a window with the limit is over before it ends.
 fn draw_limits(seed: u64, length: Duration) -> Vec<Step> {
@@ -156,8 +222,9 @@
     ];
     let mode = failures.choose(rng).copied().unwrap_or(RunnerMode::Failed);
     let runner = rng.random_range(0..RUNNERS);
-    match rng.random_range(0..8) {
+    match rng.random_range(0..9) {
         0 => Fault::KillAll,
+        8 => Fault::PeerLinks,
         1..=3 => Fault::Service {
             is_engine: rng.random(),
             mode,
@@ -270,6 +337,7 @@
         RunnerMode::Failed,
         RunnerMode::Garbage,
         RunnerMode::Lost,
+        RunnerMode::NoResponse,
         RunnerMode::Endless(Endless::Comments),
         RunnerMode::Endless(Endless::Event),
         RunnerMode::Endless(Endless::DripBody),
--- a/crates/celerytide-soak/src/run/callers.rs
+++ b/crates/celerytide-soak/src/run/callers.rs
@@ -101,7 +101,7 @@
     fn call(&self, mut conn: Conn, id: String, kind: RequestKind, router: usize, started: Instant) -> Option<Conn> {
         let method = if kind == RequestKind::Once { "POST" } else { "GET" };
         let body = if kind == RequestKind::Once { "form" } else { "" };
-        let text = request(method, &format!("{}{id}", path(kind)), &headers(&id, DEADLINE_MS), body);
+        let text = request(method, path(kind), &headers(&id, DEADLINE_MS), body);
         // The request was not sent if the connection has ended in the meantime.
         conn.reader.get_mut().write_all(text.as_bytes()).ok()?;
         let sent = started.elapsed();
@@ -149,9 +149,9 @@
 
 fn path(kind: RequestKind) -> &'static str {
     match kind {
-        RequestKind::Safe => "/safe/",
-        RequestKind::Once => "/once/",
-        RequestKind::Stream => "/stream/",
-        RequestKind::Resume => "/resume/",
+        RequestKind::Safe => "/safe/x",
+        RequestKind::Once => "/once/x",
+        RequestKind::Stream => "/stream/x",
+        RequestKind::Resume => "/resume/x",
     }
 }
--- a/crates/celerytide-soak/src/run/fleet.rs
+++ b/crates/celerytide-soak/src/run/fleet.rs
@@ -13,7 +13,7 @@
 use super::callers::Callers;
 use crate::check::{Arrival, REPEAT_RATIO, REPEAT_SLACK, RunnerNotice};
 use crate::plan::{self, Fault, RUNNERS};
-use crate::testbed::{Addresses, Router, TestBed, eventually};
+use crate::testbed::{Addresses, PeerLinks, Router, TestBed, eventually};
 
 /// The availability zone that faults take out of service.
 const EVACUATED_ZONE: &str = "z2";
@@ -38,6 +38,7 @@
     /// Relay address of each runner.
     links: Vec<SocketAddr>,
     relay: Process,
+    peer_links: PeerLinks,
     version: u64,
     /// Start of each runner, in Unix milliseconds.
     start_unix_ms: Vec<u64>,
@@ -76,8 +77,10 @@
         let routes = relay::routes(relay.addr()).expect("routes");
         let mut links: Vec<SocketAddr> = routes.iter().map(|route| route.listen).collect();
         bed.store_addr = links.pop().expect("the store's route");
+        let mut addresses: Vec<Addresses> = (0..routers).map(|_| bed.addresses()).collect();
         let mut fleet = Fleet {
-            addresses: (0..routers).map(|_| bed.addresses()).collect(),
+            peer_links: PeerLinks::open(&mut addresses),
+            addresses,
             bed,
             routers: Vec::new(),
             runners,
@@ -106,7 +109,7 @@
 
     /// Starts a router, or starts it again at its addresses. The seeds stay, as on the platform.
     fn start_router(&mut self, index: usize) -> Router {
-        let seeds: Vec<SocketAddr> = self.addresses.iter().take(SEEDS).map(|at| at.peers).collect();
+        let seeds: Vec<SocketAddr> = self.addresses.iter().take(SEEDS).map(Addresses::for_peers).collect();
         self.routers_started += 1;
         let name = format!("r{}", self.routers_started);
         self.bed.router_at(&name, self.addresses[index], &seeds)
@@ -171,6 +174,7 @@
             }
             Fault::ZoneOut => self.set_zone_out(true),
             Fault::KillAll => (0..self.routers.len()).for_each(|index| self.signal(index, Signal::SIGKILL)),
+            Fault::PeerLinks => self.peer_links.cut(),
             Fault::Service { is_engine, mode } => service(*is_engine).for_each(|index| self.runners[index].set(*mode)),
             Fault::Crash(index) => self.runners[*index].crash_on(Some(plan::CRASHING)),
         }
@@ -206,6 +210,7 @@
             Fault::ZoneOut => self.set_zone_out(false),
             Fault::Restore => self.restore(),
             Fault::KillAll => (0..self.routers.len()).for_each(|index| self.restart(index, callers)),
+            Fault::PeerLinks => self.peer_links.heal(),
             Fault::Service { is_engine, .. } => {
                 service(*is_engine).for_each(|index| self.runners[index].set(plan::normal_mode(index)));
             }
@@ -283,6 +288,7 @@
                 limit: a.limit.and_then(|limit| limit.parse().ok()),
                 time_left: a.deadline_ms.parse().ok().map(Duration::from_millis),
                 head_after: head_after(a.mode),
+                ended: a.ended.map(|at| at.saturating_duration_since(started)),
             };
             runner.arrivals().into_iter().map(arrival)
         };
@@ -330,6 +336,7 @@
     StoreLink,
     Configuration,
     Zone,
+    PeerLinks,
 }
 
 /// Indices of the runners of a service.
@@ -350,6 +357,7 @@
         Fault::StoreLink(_) => Target::StoreLink,
         Fault::Configure => Target::Configuration,
         Fault::ZoneOut => Target::Zone,
+        Fault::PeerLinks => Target::PeerLinks,
     };
     vec![target]
 }
--- a/crates/celerytide-soak/src/run/mod.rs
+++ b/crates/celerytide-soak/src/run/mod.rs
@@ -23,6 +23,8 @@
     pub length: Duration,
     /// Number of routers.
     pub routers: usize,
+    /// Whether the links between all routers are cut for long.
+    pub cuts_peers: bool,
 }
 
 /// Result of a run.
@@ -45,7 +47,11 @@
 
 /// Runs the plan of a seed once.
 pub fn run(opts: Options) -> Report {
-    let steps = plan::draw(opts.seed, opts.length, opts.routers);
+    let steps = if opts.cuts_peers {
+        plan::draw_with_cut(opts.seed, opts.length, opts.routers)
+    } else {
+        plan::draw(opts.seed, opts.length, opts.routers)
+    };
     let mut fleet = Fleet::start(opts.seed, opts.routers);
     let callers = Callers::new(fleet.addresses());
     let mut history = History::default();
@@ -133,6 +139,6 @@
             runner: fleet::runner_id(*runner),
             span,
         }),
-        Fault::Hup(_) | Fault::Configure | Fault::ZoneOut | Fault::NameLimit(..) => {}
+        Fault::PeerLinks | Fault::Hup(_) | Fault::Configure | Fault::ZoneOut | Fault::NameLimit(..) => {}
     }
 }
--- a/crates/celerytide-soak/src/testbed/mod.rs
+++ b/crates/celerytide-soak/src/testbed/mod.rs
@@ -1,5 +1,7 @@
 //! Test bed: routers as separate processes between stand-ins for the platform's store and runners.
 
+mod peer_links;
+
 use std::cell::Cell;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
@@ -10,6 +12,8 @@
 use celerytide_standin::platform::caller::{self, KEY, Response};
 use celerytide_standin::platform::{Entry, ROUTES, Runner, RunnerMode, START_UNIX_MS, Store, VERSION};
 
+pub use peer_links::PeerLinks;
+
 /// Timeout of [`eventually`].
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time between two checks of a condition.
@@ -47,12 +51,21 @@
     pub readiness: SocketAddr,
     /// For other routers.
     pub peers: SocketAddr,
+    /// Where others reach `peers`, if not there.
+    pub advertised: Option<SocketAddr>,
     /// Of the metrics.
     pub metrics: SocketAddr,
     /// For digests, which others send to the same port of each router.
     pub digests: SocketAddr,
 }
 
+impl Addresses {
+    /// Where other routers reach this one.
+    pub fn for_peers(&self) -> SocketAddr {
+        self.advertised.unwrap_or(self.peers)
+    }
+}
+
 /// A router process; killed on drop.
 pub struct Router {
     process: Process,
@@ -114,6 +127,7 @@
             callers,
             readiness,
             peers: SocketAddr::new(ip, peers.port()),
+            advertised: None,
             metrics,
             digests: SocketAddr::new(ip, self.digest_port),
         }
@@ -132,12 +146,14 @@
             peers,
             metrics,
             digests,
+            ..
         } = at;
+        let advertised = at.for_peers();
         let (store, repeat_slack, repeat_ratio) = (self.store_addr, self.repeat_slack, self.repeat_ratio);
         let seeds: Vec<String> = seeds.iter().map(|s| format!("\"{s}\"")).collect();
         let seeds = seeds.join(",");
         let settings = format!(
-            "instance: {name}\nzone: z1\ncallers: \"{callers}\"\nreadiness: \"{readiness}\"\npeers: \"{peers}\"\nmetrics: \"{metrics}\"\ndigests: \"{digests}\"\nseeds: [{seeds}]\nstore: \"{store}\"\ndescriptors: 1000\nbounds:\n  stop_s: 4\n  apply_ms: 2000\n  regain_ms: 3000\n  repeat_slack: {repeat_slack}\n  repeat_ratio: {repeat_ratio}\n",
+            "instance: {name}\nzone: z1\ncallers: \"{callers}\"\nreadiness: \"{readiness}\"\npeers: \"{peers}\"\nadvertised: \"{advertised}\"\nmetrics: \"{metrics}\"\ndigests: \"{digests}\"\nseeds: [{seeds}]\nstore: \"{store}\"\ndescriptors: 1000\nbounds:\n  stop_s: 4\n  apply_ms: 2000\n  regain_ms: 3000\n  repeat_slack: {repeat_slack}\n  repeat_ratio: {repeat_ratio}\n",
         );
         let path = self.dir.join(format!("{name}.yaml"));
         std::fs::write(&path, settings).expect("settings");
--- a/crates/celerytide-soak/tests/check.rs
+++ b/crates/celerytide-soak/tests/check.rs
@@ -55,6 +55,7 @@
         limit: None,
         head_after: Some(Duration::ZERO),
         time_left: Some(ms(1400)),
+        ended: Some(ms(at + 100)),
     }
 }
 
@@ -116,7 +117,7 @@
     change: fn(&mut History),
 }
 
-const VIOLATIONS: [ViolationCase; 22] = [
+const VIOLATIONS: [ViolationCase; 23] = [
     ViolationCase {
         name: "a request to a runner after its notice that it leaves",
         guarantee: Guarantee::Notice,
@@ -158,6 +159,11 @@
         guarantee: Guarantee::Twice,
         change: |h| h.arrivals.push(arrival("stream", "i5", 4200)),
     },
+    ViolationCase {
+        name: "a stream goes on elsewhere while its first runner works on",
+        guarantee: Guarantee::Overlap,
+        change: |h| h.arrivals[3].ended = Some(ms(4800)),
+    },
     ViolationCase {
         name: "a refused request runs later",
         guarantee: Guarantee::NotRun,
@@ -292,7 +298,7 @@
     change: fn(&mut History),
 }
 
-const EXCUSED: [ExcusedCase; 7] = [
+const EXCUSED: [ExcusedCase; 8] = [
     ExcusedCase {
         name: "the router was killed",
         change: |h| {
@@ -338,6 +344,13 @@
             h.runner_restarts.push(("i3".to_owned(), ms(6500)));
         },
     },
+    ExcusedCase {
+        name: "a runner behind a cut link works on",
+        change: |h| {
+            h.arrivals[3].ended = None;
+            h.link_faults.push(("i4".to_owned(), span(4200, 4400)));
+        },
+    },
     ExcusedCase {
         name: "a runner broke a stream off",
         change: |h| {
@@ -365,5 +378,5 @@
         .map(|s| s.fault)
         .collect();
     let kinds: std::collections::HashSet<_> = faults.iter().map(std::mem::discriminant).collect();
-    assert_eq!(kinds.len(), 16, "kinds of faults");
+    assert_eq!(kinds.len(), 17, "kinds of faults");
 }
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -1,6 +1,6 @@
 //! A runner that serves requests and fails or violates the protocol on demand.
 
-use std::io::{BufReader, Write};
+use std::io::{BufReader, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::{sleep, spawn};
@@ -58,7 +58,7 @@
     Garbage,
     /// The request runs, and the connection ends without a response.
     Lost,
-    /// No response; the connection stays open for 20 seconds.
+    /// No response; the runner works until its client closes the connection, 20 seconds at the longest.
     NoResponse,
     /// A sealed response with the notice that the runner leaves.
     Leaving,
@@ -152,6 +152,8 @@
     pub limit: Option<&'static str>,
     /// Milliseconds that the request says are left for it, as written; empty without.
     pub deadline_ms: String,
+    /// When the runner had ended its work on it; `None` while it still works.
+    pub ended: Option<Instant>,
 }
 
 struct Shared {
@@ -167,6 +169,19 @@
     address: SocketAddr,
 }
 
+impl Shared {
+    /// Records an arrival; returns its index.
+    fn record(&self, arrival: Arrival) -> usize {
+        let mut arrivals = lock(&self.arrivals);
+        arrivals.push(arrival);
+        arrivals.len() - 1
+    }
+
+    fn record_end(&self, index: usize) {
+        lock(&self.arrivals)[index].ended = Some(Instant::now());
+    }
+}
+
 /// A runner on a thread of its own.
 #[derive(Clone)]
 pub struct Runner {
@@ -175,6 +190,10 @@
     shared: Arc<Shared>,
 }
 
+/// Longest work without a response.
+const MAX_SILENCE: Duration = Duration::from_secs(20);
+/// Interval at which a runner without a response looks whether its client has left.
+const CLOSE_POLL: Duration = Duration::from_millis(20);
 /// Time from a complete response to the bytes behind it.
 const TRAILING_DELAY: Duration = Duration::from_millis(30);
 /// Refusals that belong to no request, for [`RunnerMode::Trailing`].
@@ -269,7 +288,7 @@
         lock(&shared.requests).push(req.clone());
         let mode = *lock(&shared.mode);
         let limit = *lock(&shared.limit);
-        lock(&shared.arrivals).push(Arrival {
+        let index = shared.record(Arrival {
             id: req.header("x-attempt-id").to_owned(),
             at: Instant::now(),
             ran: !matches!(
@@ -279,6 +298,7 @@
             mode,
             limit,
             deadline_ms: req.header("x-deadline-ms").to_owned(),
+            ended: None,
         });
         if let RunnerMode::RefusedAgain { names_id } = mode {
             let id = req.header("x-attempt-id").to_owned();
@@ -291,10 +311,13 @@
             // Fails only if the connection has ended already.
             send_response(&mut out, "503 Full", &format!("{named}x-not-executed: 1\r\n"), "");
             if refusal == req.header("x-attempt-id") {
+                shared.record_end(index);
                 continue;
             }
         }
-        if !respond(shared, &mut out, &req, mode, limit) {
+        let stays_open = respond(shared, &mut out, &req, mode, limit);
+        shared.record_end(index);
+        if !stays_open {
             // Fails only if the connection has ended already.
             let _ = out.shutdown(Shutdown::Both);
             return;
@@ -373,7 +396,7 @@
         }
         RunnerMode::Lost => false,
         RunnerMode::NoResponse => {
-            sleep(Duration::from_secs(20));
+            wait_for_close(out, MAX_SILENCE);
             false
         }
         RunnerMode::Events { all, cut, gap_ms } => {
@@ -392,6 +415,21 @@
     sent.unwrap_or(false)
 }
 
+/// Waits until the client closes the connection, or for `longest`.
+fn wait_for_close(conn: &TcpStream, longest: Duration) {
+    let until = Instant::now() + longest;
+    // Without a read timeout, the wait would last until the client closes the connection.
+    let _ = conn.set_read_timeout(Some(CLOSE_POLL));
+    while Instant::now() < until {
+        match conn.peek(&mut [0]) {
+            Ok(0) => return,
+            Ok(_) => sleep(CLOSE_POLL),
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+            Err(_) => return,
+        }
+    }
+}
+
 fn send_response(out: &mut TcpStream, status: &str, headers: &str, body: &str) -> bool {
     let length = body.len();
     let response = format!("HTTP/1.1 {status}\r\n{headers}content-length: {length}\r\n\r\n{body}");
--- a/crates/celerytide-standin/src/relay/mod.rs
+++ b/crates/celerytide-standin/src/relay/mod.rs
@@ -1,6 +1,6 @@
 //! A TCP relay between two processes that injects network faults: delays, partitions, stalls and resets.
 //!
-//! One process has a route for each `--to`; a route listens on its own port and forwards bytes to its target. Tests set
+//! One process has a route for each `--to`; a route listens on a port of its own at its target's IP address and forwards bytes to its target. Tests set
 //! the mode of a route by `PUT /__routes/N` and read the state of all routes by `GET /__routes`.
 
 mod connection;
--- a/crates/celerytide-standin/src/relay/route.rs
+++ b/crates/celerytide-standin/src/relay/route.rs
@@ -4,7 +4,7 @@
     cell::{Cell, RefCell},
     future::{Future, poll_fn},
     io,
-    net::{Ipv4Addr, SocketAddr, TcpListener as StdListener, TcpStream as StdStream},
+    net::{SocketAddr, TcpListener as StdListener, TcpStream as StdStream},
     os::fd::{AsFd, AsRawFd},
     pin::pin,
     rc::{Rc, Weak},
@@ -48,7 +48,7 @@
 
 impl Route {
     pub(super) fn open(to: SocketAddr) -> io::Result<Rc<Self>> {
-        let listener = StdListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let listener = StdListener::bind((to.ip(), 0))?;
         listener.set_nonblocking(true)?;
         reset_on_close(&listener)?;
         Ok(Rc::new(Self {
