--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -40,6 +40,21 @@
     Misdirected,
     /// A successful response without a seal.
     Unsealed,
+    /// The first bytes of the head of a sealed response, then the end of the connection; the body has a length or, in a
+    /// stream, ends with the connection.
+    HeadCut {
+        /// Bytes that are sent.
+        bytes: usize,
+        /// Whether it is the head of a stream.
+        is_stream: bool,
+    },
+    /// One mode for requests without `Last-Event-Id`, another for streams that go on.
+    Resumed {
+        /// Mode for a stream from its start.
+        first: &'static RunnerMode,
+        /// Mode for one that goes on.
+        then: &'static RunnerMode,
+    },
     /// Half of the body, then the end of the connection.
     Truncated,
     /// A body without a length that ends with the connection.
@@ -92,6 +107,8 @@
                 | RunnerMode::Garbage
                 | RunnerMode::Lost
                 | RunnerMode::NoResponse
+                | RunnerMode::HeadCut { .. }
+                | RunnerMode::Resumed { .. }
         )
     }
 }
@@ -326,10 +343,16 @@
 }
 
 /// Responds to a request; true if the connection stays open.
-fn respond(shared: &Shared, out: &mut TcpStream, req: &Request, mode: RunnerMode, limit: Option<&'static str>) -> bool {
+fn respond(
+    shared: &Shared,
+    out: &mut TcpStream,
+    req: &Request,
+    mode: RunnerMode,
+    named_limit: Option<&'static str>,
+) -> bool {
     let id = req.header("x-attempt-id");
     let body = format!("answer of {} to {id}", shared.id);
-    let limit = limit.map_or(String::new(), |value| format!("server-limit: {value}\r\n"));
+    let limit = named_limit.map_or(String::new(), |value| format!("server-limit: {value}\r\n"));
     let sealed = format!("x-attempt-id: {id}\r\nx-response-seal: {SEAL}\r\n{limit}");
     let not_run = format!("x-attempt-id: {id}\r\nx-not-executed: 1\r\n{limit}");
     if let Some(crashing) = shared.crashes.of(req) {
@@ -366,6 +389,15 @@
             drop(out.write_all(head.as_bytes()));
             false
         }
+        RunnerMode::HeadCut { bytes, is_stream } => {
+            let head = sealed_head(&sealed, body.len(), is_stream);
+            drop(out.write_all(&head.as_bytes()[..bytes.min(head.len())]));
+            false
+        }
+        RunnerMode::Resumed { first, then } => {
+            let is_first = req.header("last-event-id").is_empty();
+            respond(shared, out, req, if is_first { *first } else { *then }, named_limit)
+        }
         RunnerMode::Unframed => {
             drop(out.write_all(format!("HTTP/1.1 200 OK\r\n{sealed}\r\n{body}").as_bytes()));
             false
@@ -407,6 +439,16 @@
     }
 }
 
+/// The head of a successful response.
+fn sealed_head(sealed: &str, length: usize, is_stream: bool) -> String {
+    let rest = if is_stream {
+        "content-type: text/event-stream\r\n".to_owned()
+    } else {
+        format!("content-length: {length}\r\n")
+    };
+    format!("HTTP/1.1 200 OK\r\n{sealed}{rest}\r\n")
+}
+
 /// Counts a client that closed the connection before the stream ended; true if the connection stays open.
 fn stream(shared: &Shared, sent: std::io::Result<bool>) -> bool {
     if sent.is_err() {
