fix(edge): silence makes no fleet smaller when the retries of all are divided

Cause: each divided the fixed allowance by the instances that it had heard of in the last 40 s, and silence was taken for absence. A process that started behind the cut knew the seeds and itself only. Class: a bound over all instances that is divided by a number which a partition makes smaller.

Fix: an instance counts for an hour after it was last heard, and gossip tells of some silent ones, too, so that a process that starts behind a cut learns of them from an older one. A process that has never heard from another one, though its settings name others, lives on its own requests, as each does in its first window. Endpoints with a limited rate are shared as before (one that is gone would leave its turn unused). A retry that is refused is logged with the number of instances that it was counted with.

Why it works: what a process divides by never falls within an hour, so parts of all that know each other add up to the allowance whoever hears whom. Cost: instances that are gone for good keep their part unused for an hour.

--- a/crates/celerytide-edge/src/budget/mod.rs
+++ b/crates/celerytide-edge/src/budget/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! A process knows neither what the one before it at its address has used nor, at first, how many instances there are.
 //! It has its part of the fixed allowance only once a whole window has passed since its start; until then it lives on its
-//! own requests, which no other process counts.
+//! own requests, which no other process counts. The same holds for a process that starts cut off from all others.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -61,15 +61,11 @@
         self.bucket(service, now).requests += 1;
     }
 
-    /// Takes one retry if any is left; `instances` share the allowance.
-    pub fn take(&mut self, service: &str, instances: usize, now: BootTime) -> bool {
+    /// Takes one retry if any is left; `instances` share the allowance, `None` if their number isn't known.
+    pub fn take(&mut self, service: &str, instances: Option<usize>, now: BootTime) -> bool {
         let limits = self.limits;
-        let has_slack = now.since(self.started) >= limits.window;
-        let slack = if has_slack {
-            limits.slack / instances.max(1) as f64
-        } else {
-            0.0
-        };
+        let sharing = instances.filter(|_| now.since(self.started) >= limits.window);
+        let slack = sharing.map_or(0.0, |instances| limits.slack / instances.max(1) as f64);
         let buckets = self.buckets(service, now);
         let in_window = buckets.iter().filter(|b| now.since(b.at) < limits.window);
         let requests: u32 = in_window.map(|b| b.requests).sum();
--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -265,8 +265,12 @@
     /// Takes one retry of a request to `service` from the budget, if any is left.
     pub fn take_retry(&self, service: &str) -> bool {
         let now = now_boot();
-        let instances = self.members.borrow().sharing_limits(now).len();
-        self.retry_budget.borrow_mut().take(service, instances, now)
+        let instances = self.members.borrow().fleet_size(now);
+        let is_taken = self.retry_budget.borrow_mut().take(service, instances, now);
+        if !is_taken {
+            info!(service, instances, "budget: no retry left");
+        }
+        is_taken
     }
 
     /// Applies the effects of an update of the view.
--- a/crates/celerytide-edge/src/peers/members.rs
+++ b/crates/celerytide-edge/src/peers/members.rs
@@ -13,11 +13,16 @@
 
 /// Age up to which an instance counts as alive.
 const LIVE_AGE: Duration = Duration::from_secs(8);
-/// Age up to which an instance counts when limits are shared: longer than network partitions usually last, so that an
-/// instance that is cut off takes no larger share.
+/// Age up to which an instance is selected for endpoints whose rate is limited: one that is gone would leave its turn
+/// unused.
 const SHARE_AGE: Duration = Duration::from_secs(40);
+/// Age up to which an instance counts as part of the fleet. Silence doesn't tell whether an instance is gone or cut off, so
+/// this is far longer than partitions last.
+const FLEET_AGE: Duration = Duration::from_secs(3600);
 /// Most entries in one message.
 const MAX_ENTRIES: usize = 24;
+/// Entries of silent instances among these, so that a process that starts behind a partition learns of them.
+const MAX_SILENT_ENTRIES: usize = 6;
 /// Other instances up to which a fleet is small: each sends everything to all others and reads the store itself.
 const MAX_SMALL: usize = 16;
 
@@ -80,7 +85,7 @@
     pub fn merge(&mut self, entries: &[PeerEntry], now: BootTime) {
         for entry in entries.iter().filter(|e| e.address != self.own) {
             let age = Duration::from_millis(entry.age_ms);
-            if age > SHARE_AGE {
+            if age > FLEET_AGE {
                 continue;
             }
             let Some(at) = now.since_start().checked_sub(age).map(BootTime::from_start) else {
@@ -89,7 +94,7 @@
             let known = self.last_heard.entry(entry.address).or_insert(at);
             *known = (*known).max(at);
         }
-        self.last_heard.retain(|_, at| now.since(*at) < SHARE_AGE);
+        self.last_heard.retain(|_, at| now.since(*at) < FLEET_AGE);
     }
 
     /// This instance's own address.
@@ -106,14 +111,25 @@
             .filter(fresh)
     }
 
-    /// Entries for a peer: this instance and a sample of the live ones.
+    /// Instances that haven't been heard from for some time, and when each last was.
+    fn silent(&self, now: BootTime) -> impl Iterator<Item = (SocketAddr, BootTime)> {
+        let is_silent = move |(_, at): &(SocketAddr, BootTime)| (LIVE_AGE..FLEET_AGE).contains(&now.since(*at));
+        self.last_heard
+            .iter()
+            .map(|(address, at)| (*address, *at))
+            .filter(is_silent)
+    }
+
+    /// Entries for a peer: this instance, a sample of the live ones and some silent ones.
     pub fn entries_for_peer(&self, now: BootTime) -> Vec<PeerEntry> {
         let own = PeerEntry {
             address: self.own,
             age_ms: 0,
         };
-        let sample = self.live(now).choose_multiple(&mut rand::rng(), MAX_ENTRIES - 1);
-        let sample = sample.into_iter().map(|(address, at)| PeerEntry {
+        let silent = self.silent(now).choose_multiple(&mut rand::rng(), MAX_SILENT_ENTRIES);
+        let live = self.live(now);
+        let sample = live.choose_multiple(&mut rand::rng(), MAX_ENTRIES - 1 - silent.len());
+        let sample = sample.into_iter().chain(silent).map(|(address, at)| PeerEntry {
             address,
             age_ms: millis(now.since(at)),
         });
@@ -144,7 +160,7 @@
         live.choose_multiple(&mut rand::rng(), most)
     }
 
-    /// Instances that share limits with this one, including itself.
+    /// Instances that share the rates of limited endpoints with this one, including itself.
     pub fn sharing_limits(&self, now: BootTime) -> Instances {
         let recent = self.last_heard.iter().filter(|(_, at)| now.since(**at) < SHARE_AGE);
         let recent = recent.map(|(address, _)| *address);
@@ -155,6 +171,22 @@
         all
     }
 
+    /// Number of instances, including this one, among which a bound on all of them is divided: all that were heard of in
+    /// the last hour, and the seeds. `None` if the settings name others and none was ever heard from: a process that starts
+    /// cut off can't tell how many there are.
+    pub fn fleet_size(&self, now: BootTime) -> Option<usize> {
+        let known = self.last_heard.iter().filter(|(_, at)| now.since(**at) < FLEET_AGE);
+        let known = known.map(|(address, _)| *address);
+        let mut others: Instances = known.collect();
+        if others.is_empty() && !self.seeds.is_empty() {
+            return None;
+        }
+        others.extend(self.seeds.iter().copied());
+        others.sort_unstable();
+        others.dedup();
+        Some(others.len() + 1)
+    }
+
     /// Time since this instance started.
     pub fn age(&self, now: BootTime) -> Duration {
         now.since(self.started)
--- a/crates/celerytide-edge/tests/decisions.rs
+++ b/crates/celerytide-edge/tests/decisions.rs
@@ -76,7 +76,7 @@
         for n in 0..case.per_s * 10 {
             let now = at(n * 1000 / case.per_s);
             budget.count_request("s", now);
-            let taken = usize::from(budget.take("s", case.instances, now));
+            let taken = usize::from(budget.take("s", Some(case.instances), now));
             all += taken;
             in_third_second += if (2000..3000).contains(&(n * 1000 / case.per_s)) {
                 taken
@@ -351,3 +351,28 @@
         .count();
     assert_eq!(still, 0, "the dead instance is forgotten");
 }
+
+/// Guards against: an instance that is cut off from others for long, or starts so, takes a larger part of a bound on all.
+#[test]
+fn silence_makes_no_fleet_smaller() {
+    let minutes = |n: u64| at(n * 60_000);
+    let (seed, old, young) = (instance(1), instance(2), instance(9));
+    let mut members = Members::new(old, &[seed], at(0));
+    assert_eq!(members.fleet_size(at(0)), None, "nobody was heard from");
+    for other in instances(8).into_iter().filter(|other| *other != old) {
+        members.record_contact(other, at(0));
+    }
+    let sizes = [1, 10, 59].map(|n| members.fleet_size(minutes(n)));
+    assert_eq!(sizes, [Some(8); 3], "others are silent for up to an hour");
+    assert_eq!(members.sharing_limits(minutes(1)), [seed, old]);
+    // A process that starts behind the same cut learns of the silent ones from the old one.
+    let mut started = Members::new(young, &[seed], minutes(1));
+    for _ in 0..20 {
+        started.merge(&members.entries_for_peer(minutes(2)), minutes(2));
+    }
+    assert_eq!(started.fleet_size(minutes(2)), Some(9));
+    assert_eq!(started.live_peers(minutes(2)), [old]);
+    members.merge(&[], minutes(61));
+    assert_eq!(members.fleet_size(minutes(61)), None, "after an hour all are forgotten");
+    assert_eq!(Members::new(old, &[], at(0)).fleet_size(at(0)), Some(1), "the only one");
+}
--- a/crates/celerytide-edge/tests/retries.rs
+++ b/crates/celerytide-edge/tests/retries.rs
@@ -89,7 +89,7 @@
                 for _ in 0..u.int_in_range(0..=most_per_step)? {
                     requests.push(now);
                     instance.budget.count_request(SERVICE, at(now));
-                    if instance.budget.take(SERVICE, instance.known(all, now), at(now)) {
+                    if instance.budget.take(SERVICE, Some(instance.known(all, now)), at(now)) {
                         retries.push(now);
                     }
                 }
@@ -116,7 +116,7 @@
         budget.count_request(SERVICE, at(now));
         // Many streams break off at the same moment.
         let fails = now > WINDOW_MS * 2 && (now % 1000 >= 950 || now % WINDOW_MS < 50);
-        while fails && budget.take(SERVICE, 1, at(now)) {
+        while fails && budget.take(SERVICE, Some(1), at(now)) {
             retries.push(now);
         }
     }
