fix(edge): a stream that broke off inside an event isn't whole without that event

Cause: the end of the continuation's body was judged by that body alone; that its stream lacked an event was forgotten. Class: the end of a part stands for the end of the whole.

Fix: a stream that broke off, stalled or overflowed inside an event lacks one until an event is passed on; the regular end of a body without an event doesn't end it. The stream goes on elsewhere within its route's attempts, or is cut off.

--- a/crates/celerytide-edge/src/events/mod.rs
+++ b/crates/celerytide-edge/src/events/mod.rs
@@ -27,8 +27,8 @@
     /// The body ended inside an event.
     #[snafu(display("it ended inside an event"))]
     InsideEvent,
-    /// The body ended with the connection and had no event.
-    #[snafu(display("the connection ended before the first event"))]
+    /// The body had no event, though its stream lacks one.
+    #[snafu(display("it ended before the first event"))]
     NoEvent,
 }
 
@@ -69,13 +69,14 @@
         self.buf.len()
     }
 
-    /// Checks at the end of the body that the stream is whole. If only the end of the connection delimits the body
-    /// (`until_close`), a body without an event is no stream: its endpoint may have crashed before the first one.
-    pub fn check_end(&self, until_close: bool) -> Result<(), Torn> {
+    /// Checks at the end of the body that the stream is whole. With `needs_event`, a body without an event is no stream: only
+    /// the end of the connection delimits it, and its endpoint may have crashed before the first one; or the stream broke
+    /// off inside an event before, so that one more is due.
+    pub fn check_end(&self, needs_event: bool) -> Result<(), Torn> {
         if !self.buf.is_empty() {
             return Err(Torn::InsideEvent);
         }
-        if until_close && !self.has_events {
+        if needs_event && !self.has_events {
             return Err(Torn::NoEvent);
         }
         Ok(())
--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -93,6 +93,7 @@
         limit_per_s: None,
         framing: None,
         rest_bytes: 0,
+        lacks_event: false,
         first_byte: None,
         gap: Gap::default(),
     };
@@ -174,6 +175,8 @@
     framing: Option<&'static str>,
     /// Bytes of an unfinished event at the end of the last stream.
     rest_bytes: usize,
+    /// Whether the stream broke off inside an event and none has followed: it isn't whole without one more.
+    lacks_event: bool,
     /// Time from the start to the first byte of a response.
     first_byte: Option<Duration>,
     /// The longest gap between two events.
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -96,20 +96,32 @@
     last_event: &mut Option<Bytes>,
 ) -> StreamEnd {
     let mut splitter = EventSplitter::default();
+    let ended = copy_events(fwd, upstream, out, last_event, &mut splitter).await;
+    fwd.lacks_event |= splitter.rest_bytes() > 0;
+    ended
+}
+
+async fn copy_events<P: Protocol>(
+    fwd: &mut Forwarding<'_, P>,
+    upstream: &mut Upstream<P>,
+    out: &mut ChunkWriter,
+    last_event: &mut Option<Bytes>,
+    splitter: &mut EventSplitter,
+) -> StreamEnd {
     let mut stall_timer = StallTimer::new(stall_after(fwd), now_boot());
     let mut last: Option<BootTime> = None;
     let mut is_good = false;
     loop {
         let data = match timeout(fwd.time_left(), upstream.next()).await {
             Err(_) => return StreamEnd::Late,
-            Ok(None) => return end_of_body(fwd, upstream, &splitter),
+            Ok(None) => return end_of_body(fwd, upstream, splitter),
             Ok(Some(Ok(data))) => {
                 fwd.first_byte
                     .get_or_insert_with(|| now_boot().since(fwd.request.began));
                 data
             }
             Ok(Some(Err(error))) => {
-                let at = note_break_off(fwd, upstream, &splitter, &error);
+                let at = note_break_off(fwd, upstream, splitter, &error);
                 return if is_crash(&error.source) {
                     StreamEnd::Broken(at)
                 } else {
@@ -128,6 +140,7 @@
             fwd.record_gap(last.replace(now), now, upstream);
             if event.has_data {
                 stall_timer.reset(now);
+                fwd.lacks_event = false;
             }
             fwd.bind(upstream);
             if event.id.is_some() {
@@ -189,7 +202,8 @@
     upstream: &Upstream<P>,
     splitter: &EventSplitter,
 ) -> StreamEnd {
-    match splitter.check_end(upstream.response.framing == Framing::UntilClose) {
+    let needs_event = fwd.lacks_event || upstream.response.framing == Framing::UntilClose;
+    match splitter.check_end(needs_event) {
         Ok(()) => {
             fwd.rest_bytes = 0;
             if splitter.has_events() {
