--- a/crates/celerytide-soak/src/main.rs
+++ b/crates/celerytide-soak/src/main.rs
@@ -59,7 +59,7 @@
         played += 1;
         println!(
             "seed {seed}: {} faults, {} requests, {} broken",
-            outcome.faults,
+            outcome.steps.len(),
             outcome.calls,
             outcome.violations.len()
         );
@@ -74,6 +74,10 @@
         for (guarantee, count) in printed {
             println!("  {guarantee:?}: {count} in all");
         }
+        let planned = outcome.steps.iter().filter(|_| !outcome.violations.is_empty());
+        for step in planned {
+            println!("    {:?} for {:?}: {:?}", step.at, step.duration, step.fault);
+        }
         for line in outcome.lines.iter().take(MAX_LINES) {
             println!("    {line}");
         }
--- a/crates/celerytide-soak/src/run/mod.rs
+++ b/crates/celerytide-soak/src/run/mod.rs
@@ -34,8 +34,8 @@
     pub violations: Vec<Violation>,
     /// Number of requests sent.
     pub calls: usize,
-    /// Number of faults in the plan.
-    pub faults: usize,
+    /// The plan, in order of time.
+    pub steps: Vec<Step>,
     /// Log lines of the routers about the requests of the violations.
     pub lines: Vec<String>,
 }
@@ -74,7 +74,7 @@
         lines: fleet.lines_of(&ids),
         violations,
         calls: history.calls.len(),
-        faults: steps.len(),
+        steps,
     }
 }
 
--- a/crates/celerytide-standin/src/platform/endless.rs
+++ b/crates/celerytide-standin/src/platform/endless.rs
@@ -1,6 +1,6 @@
 //! Endless or very slow responses, sent until the caller closes the connection, to test limits on memory and time.
 
-use std::io::Write;
+use std::io::{ErrorKind, Write};
 use std::net::TcpStream;
 use std::thread::sleep;
 use std::time::Duration;
@@ -40,6 +40,18 @@
     DripBody,
 }
 
+/// Whether the client has closed the connection, as far as is known without waiting.
+pub(super) fn is_closed(conn: &TcpStream) -> bool {
+    // Both fail only on a socket that is closed here.
+    let _ = conn.set_nonblocking(true);
+    let peeked = conn.peek(&mut [0]);
+    let _ = conn.set_nonblocking(false);
+    match peeked {
+        Ok(bytes) => bytes == 0,
+        Err(error) => error.kind() != ErrorKind::WouldBlock,
+    }
+}
+
 /// Pause after each byte of a slow response and after each piece of an event stream.
 const DRIP_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause after each piece of fast data: 16 MB per second, which readers can keep up with.
@@ -48,14 +60,14 @@
 const PIECE_BYTES: usize = 16 * 1024;
 
 impl Endless {
-    /// Sends a response that starts with the header lines `headers`; returns only once a write fails because the client
+    /// Sends a response that starts with the header lines `headers`; returns only once the client
     /// has closed the connection.
     pub fn send(self, out: &mut TcpStream, headers: &str) {
         let (opening, repeated, interval) = self.parts(headers);
         let mut sent = out.write_all(opening.as_bytes());
-        while sent.is_ok() {
-            sent = out.write_all(&repeated);
+        while sent.is_ok() && !is_closed(out) {
             sleep(interval);
+            sent = out.write_all(&repeated);
         }
     }
 
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -1,13 +1,13 @@
 //! A runner that serves requests and fails or violates the protocol on demand.
 
-use std::io::{BufReader, ErrorKind, Write};
+use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
-use super::Endless;
 use super::crash::{Crashes, Crashing};
+use super::endless::{Endless, is_closed};
 use super::events::{self, TornStream};
 use super::request::{self, Request};
 
@@ -460,15 +460,8 @@
 /// Waits until the client closes the connection, or for `longest`.
 fn wait_for_close(conn: &TcpStream, longest: Duration) {
     let until = Instant::now() + longest;
-    // Without a read timeout, the wait would last until the client closes the connection.
-    let _ = conn.set_read_timeout(Some(CLOSE_POLL));
-    while Instant::now() < until {
-        match conn.peek(&mut [0]) {
-            Ok(0) => return,
-            Ok(_) => sleep(CLOSE_POLL),
-            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
-            Err(_) => return,
-        }
+    while Instant::now() < until && !is_closed(conn) {
+        sleep(CLOSE_POLL);
     }
 }
 
