--- a/crates/celerytide-standin/src/platform/events.rs
+++ b/crates/celerytide-standin/src/platform/events.rs
@@ -15,6 +15,8 @@
 pub enum StreamFraming {
     /// Chunks, with the last chunk.
     Chunks,
+    /// Chunks without the last one: the connection ends before it.
+    Unfinished,
     /// A stated length.
     Length,
     /// The end of the connection.
@@ -60,14 +62,25 @@
         let response = match self.framing {
             StreamFraming::Close => format!("{head}\r\n{body}"),
             StreamFraming::Length => format!("{head}content-length: {length}\r\n\r\n{body}"),
+            StreamFraming::Unfinished if body.is_empty() => format!("{head}{CHUNKED}"),
+            StreamFraming::Unfinished => format!("{head}{CHUNKED}{length:x}\r\n{body}\r\n"),
             StreamFraming::Chunks if body.is_empty() => format!("{head}{CHUNKED}0\r\n\r\n"),
             StreamFraming::Chunks => format!("{head}{CHUNKED}{length:x}\r\n{body}\r\n0\r\n\r\n"),
         };
         out.write_all(response.as_bytes())?;
-        Ok(self.framing != StreamFraming::Close)
+        Ok(matches!(self.framing, StreamFraming::Chunks | StreamFraming::Length))
     }
 }
 
+/// Sends the first events, whatever the request names as the last one; true if the connection stays open.
+pub(super) fn send_from_start(out: &mut TcpStream, sealed: &str, count: u32) -> io::Result<bool> {
+    let body: String = (1..=count).map(event).collect();
+    let length = body.len();
+    let response = format!("HTTP/1.1 200 OK\r\n{sealed}{CONTENT_TYPE}{CHUNKED}{length:x}\r\n{body}\r\n0\r\n\r\n");
+    out.write_all(response.as_bytes())?;
+    Ok(true)
+}
+
 /// Sends one byte of an event at a time until the client closes the connection.
 pub(super) fn send_drip(out: &mut TcpStream, sealed: &str, gap: Duration) -> io::Result<bool> {
     out.write_all(format!("HTTP/1.1 200 OK\r\n{sealed}{CONTENT_TYPE}{CHUNKED}").as_bytes())?;
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -91,6 +91,8 @@
     },
     /// A stream whose body ends in good order, whole or not.
     Torn(TornStream),
+    /// A whole stream of this many events from the first one on, whatever event the request names as the last one.
+    FromStart(u32),
 }
 
 impl RunnerMode {
@@ -435,6 +437,7 @@
             let gap = Duration::from_millis(gap_ms);
             stream(shared, events::send_events(out, req, &sealed, all, cut, gap))
         }
+        RunnerMode::FromStart(count) => stream(shared, events::send_from_start(out, &sealed, count)),
         RunnerMode::Torn(torn) => stream(shared, torn.send(out, req, &sealed)),
     }
 }
