fix(edge): a response continues a stream only if it states so and begins behind the last event

Cause: any sealed success counted as a continuation. A seal proves that an endpoint ran the request, not that its body goes on where the caller's part ends. Class: a response believed for more than it states.

Fix: one type knows what the caller has of a stream and is asked on both paths (Continuity): a continuation has the status that the caller was told (200 where it takes the stream up), a body, the media type of event streams, and its first id is behind the last one that was passed on. Anything else counts as an attempt that may have run; the stream goes on elsewhere within its route's attempts, or is cut off (502 before a head).

--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -6,6 +6,7 @@
 //! to the caller.
 
 mod body;
+mod continuity;
 mod headers;
 mod refusal;
 mod send;
@@ -29,6 +30,7 @@
 use crate::software::Software;
 use crate::stop;
 
+use continuity::Continuity;
 use refusal::{Refusal, RetryHint, refuse};
 use send::{Backlog, Sent, Upstream};
 
@@ -93,7 +95,7 @@
         limit_per_s: None,
         framing: None,
         rest_bytes: 0,
-        lacks_event: false,
+        continuity: Continuity::new(request.take_up.as_ref().and_then(|t| t.last_event.clone())),
         first_byte: None,
         gap: Gap::default(),
     };
@@ -175,8 +177,8 @@
     framing: Option<&'static str>,
     /// Bytes of an unfinished event at the end of the last stream.
     rest_bytes: usize,
-    /// Whether the stream broke off inside an event and none has followed: it isn't whole without one more.
-    lacks_event: bool,
+    /// What the caller has of a stream.
+    continuity: Continuity,
     /// Time from the start to the first byte of a response.
     first_byte: Option<Duration>,
     /// The longest gap between two events.
@@ -235,7 +237,7 @@
                 return self.give_up(out, "no-repeat-left").await;
             }
             self.note_pick(&pick);
-            let sent = send::send(self, &service, pick, None).await;
+            let sent = send::send(self, &service, pick).await;
             let next = match sent {
                 Sent::Response(upstream) if self.is_final(&upstream) => {
                     return self.relay(out, upstream, &service).await;
--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -125,19 +125,14 @@
     pub running: u32,
 }
 
-/// Sends the request to the picked endpoint; `last_event` resumes a stream after that event.
-pub async fn send<P: Protocol>(
-    fwd: &Forwarding<'_, P>,
-    service: &Service,
-    pick: Pick<P>,
-    last_event: Option<&[u8]>,
-) -> Sent<P> {
+/// Sends the request to the picked endpoint; a stream of which the caller has events goes on after the last one.
+pub async fn send<P: Protocol>(fwd: &Forwarding<'_, P>, service: &Service, pick: Pick<P>) -> Sent<P> {
     let edge = fwd.edge;
     let time_left = fwd.time_left();
     let overrides = Overrides {
         endpoint: &pick.endpoint.id,
         time_left,
-        last_event,
+        last_event: fwd.continuity.last_event(),
     };
     let mut call = Call::new(pick.endpoint.address, fwd.req.method.clone(), "/");
     fwd.req
@@ -267,7 +262,16 @@
 /// request never runs is no endpoint's to give without a statement, if the request may run once only.
 fn unproven<P: Protocol>(fwd: &Forwarding<'_, P>, response: &Response, is_sealed: bool) -> Option<&'static str> {
     if response.status.is_success() {
-        return (!is_sealed).then_some("answer-unsealed");
+        let is_stream = fwd.request.route.kind.is_stream();
+        let continues = || {
+            fwd.continuity
+                .accepts(response.status, &response.headers, response.framing)
+        };
+        return match () {
+            () if !is_sealed => Some("answer-unsealed"),
+            () if is_stream && !continues() => Some("stream-not-continued"),
+            () => None,
+        };
     }
     let may_run_once = !fwd.request.route.kind.is_idempotent();
     let promises = fwd.edge.protocol.promises_not_run(response.status);
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -8,7 +8,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use celerytide_catalog::{RouteKind, Service};
 use celerytide_http::server::{ChunkWriter, Responder};
 use celerytide_http::sse::StallTimer;
@@ -59,10 +58,10 @@
     let Ok(mut out) = out.stream(status, headers::to_caller(&first.response.headers)).await else {
         return End::new("caller-left", status.as_u16());
     };
-    let mut last_event: Option<Bytes> = None;
+    fwd.continuity.begin(status);
     let mut upstream = first;
     loop {
-        let ended = copy(fwd, &mut upstream, &mut out, &mut last_event).await;
+        let ended = copy(fwd, &mut upstream, &mut out).await;
         fwd.may_have_run_count += 1;
         let (cause, may_repeat) = match ended {
             StreamEnd::Whole => {
@@ -78,7 +77,7 @@
         };
         upstream.end(Outcome::Bad);
         let next = match may_repeat {
-            true => resume(fwd, service, last_event.as_deref()).await,
+            true => resume(fwd, service).await,
             false => None,
         };
         match next {
@@ -93,11 +92,10 @@
     fwd: &mut Forwarding<'_, P>,
     upstream: &mut Upstream<P>,
     out: &mut ChunkWriter,
-    last_event: &mut Option<Bytes>,
 ) -> StreamEnd {
     let mut splitter = EventSplitter::default();
-    let ended = copy_events(fwd, upstream, out, last_event, &mut splitter).await;
-    fwd.lacks_event |= splitter.rest_bytes() > 0;
+    let ended = copy_events(fwd, upstream, out, &mut splitter).await;
+    fwd.continuity.end_response(splitter.rest_bytes());
     ended
 }
 
@@ -105,7 +103,6 @@
     fwd: &mut Forwarding<'_, P>,
     upstream: &mut Upstream<P>,
     out: &mut ChunkWriter,
-    last_event: &mut Option<Bytes>,
     splitter: &mut EventSplitter,
 ) -> StreamEnd {
     let mut stall_timer = StallTimer::new(stall_after(fwd), now_boot());
@@ -140,12 +137,11 @@
             fwd.record_gap(last.replace(now), now, upstream);
             if event.has_data {
                 stall_timer.reset(now);
-                fwd.lacks_event = false;
             }
-            fwd.bind(upstream);
-            if event.id.is_some() {
-                *last_event = event.id;
+            if !fwd.continuity.push(&event) {
+                return StreamEnd::Stopped("stream-repeats");
             }
+            fwd.bind(upstream);
             if out.send(event.raw).await.is_err() {
                 return StreamEnd::Gone;
             }
@@ -202,7 +198,7 @@
     upstream: &Upstream<P>,
     splitter: &EventSplitter,
 ) -> StreamEnd {
-    let needs_event = fwd.lacks_event || upstream.response.framing == Framing::UntilClose;
+    let needs_event = fwd.continuity.lacks_event() || upstream.response.framing == Framing::UntilClose;
     match splitter.check_end(needs_event) {
         Ok(()) => {
             fwd.rest_bytes = 0;
@@ -242,11 +238,7 @@
 }
 
 /// Continues the stream at another endpoint, if its route allows that and a retry is left.
-async fn resume<P: Protocol>(
-    fwd: &mut Forwarding<'_, P>,
-    service: &Rc<Service>,
-    last_event: Option<&[u8]>,
-) -> Option<Box<Upstream<P>>> {
+async fn resume<P: Protocol>(fwd: &mut Forwarding<'_, P>, service: &Rc<Service>) -> Option<Box<Upstream<P>>> {
     let edge = fwd.edge;
     while fwd.request.route.kind == RouteKind::ResumableStream
         && fwd.may_have_run_count < fwd.request.route.max_attempts
@@ -267,7 +259,7 @@
             return None;
         }
         fwd.note_pick(&pick);
-        match send(fwd, service, pick, last_event).await {
+        match send(fwd, service, pick).await {
             Sent::Response(upstream) if upstream.response.status.is_success() => {
                 info!(
                     request = fwd.request.id,
--- a/crates/celerytide-edge/src/request/mod.rs
+++ b/crates/celerytide-edge/src/request/mod.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use celerytide_catalog::{Catalog, Customer, KeyLookup, Route, RouteKind, Urgency};
 use celerytide_http::server::Request;
 use celerytide_types::BootTime;
@@ -46,6 +47,8 @@
 pub struct TakeUp {
     /// Id of the caller's request that brought its first event; `None` if the caller doesn't say.
     pub first_request: Option<String>,
+    /// Id of the last event that the caller has, if it has any.
+    pub last_event: Option<Bytes>,
 }
 
 /// Why a request isn't forwarded; it has not run.
@@ -129,6 +132,7 @@
     let is_one = named.all(|other| Some(other) == first);
     let first_request = first.filter(|_| is_one).and_then(|id| id.to_str().ok());
     Some(TakeUp {
+        last_event: last_event.map(|id| Bytes::copy_from_slice(id.as_bytes())),
         first_request: first_request.filter(|id| !id.is_empty()).map(str::to_owned),
     })
 }
