fix(edge): the rate of a limited endpoint is shared with instances that may be cut off

Fix: the instances that hear each other use together the part of the rate that is theirs by number; silent ones count for an hour. Which instances are selected stays as it was, so that one that is gone leaves no turn unused. Evidence: a_cold_endpoint_is_not_overloaded_by_instances_that_do_not_hear_each_other failed with the share taken as 1 (318 of 275) and passes; all tests of the crate pass. Cost: after a real loss the rest of the rate is unused for up to an hour.

--- a/crates/celerytide-edge/src/edge/limited.rs
+++ b/crates/celerytide-edge/src/edge/limited.rs
@@ -13,10 +13,11 @@
 use crate::rate_limit::{Change, LimitEntry, MIN_RATE, StatedLimit, usable_rate};
 
 impl<P: Protocol> Edge<P> {
-    /// Requests per second that all instances together send to an endpoint; `None` without a limit.
+    /// Requests per second that the instances that hear each other send to an endpoint; `None` without a limit.
     pub(super) fn rate(&self, service: &Service, known: &KnownEndpoint, now: BootTime) -> Option<f64> {
         let cold = is_cold(service, known, now).then_some(service.cold_rate);
-        usable_rate(cold, self.named_limits.borrow().per_s(&known.endpoint))
+        let per_s = usable_rate(cold, self.named_limits.borrow().per_s(&known.endpoint))?;
+        Some(per_s * self.members.borrow().rate_share(now))
     }
 
     /// Time in which the endpoints that could get a request take one from all instances together; `None` if one of them
@@ -81,7 +82,9 @@
                     start, from, to, source, version, "limit: the endpoint's rate changed"
                 );
                 if let Some(per_s) = usable_rate(None, to) {
-                    let instances = self.members.borrow().sharing_limits(now);
+                    let members = self.members.borrow();
+                    let per_s = per_s * members.rate_share(now);
+                    let instances = members.sharing_limits(now);
                     self.rate_limiter.borrow_mut().begin(id, per_s, &instances, now);
                 }
             }
--- a/crates/celerytide-edge/src/peers/members.rs
+++ b/crates/celerytide-edge/src/peers/members.rs
@@ -187,6 +187,14 @@
         Some(others.len() + 1)
     }
 
+    /// Part of a rate, from 0 to 1, that the instances of [`Members::sharing_limits`] may use together: the silent ones may be
+    /// cut off and use theirs. It is 1 if the size of the fleet isn't known.
+    pub fn rate_share(&self, now: BootTime) -> f64 {
+        let sharing = self.sharing_limits(now).len();
+        let all = self.fleet_size(now).unwrap_or(sharing);
+        sharing as f64 / all.max(sharing) as f64
+    }
+
     /// Time since this instance started.
     pub fn age(&self, now: BootTime) -> Duration {
         now.since(self.started)
--- a/crates/celerytide-edge/tests/decisions.rs
+++ b/crates/celerytide-edge/tests/decisions.rs
@@ -153,6 +153,34 @@
     }
 }
 
+/// Guards against: instances that are cut off from each other for long each use more than their part of a rate.
+#[test]
+fn a_cold_endpoint_is_not_overloaded_by_instances_that_do_not_hear_each_other() {
+    const PER_S: f64 = 18.0;
+    const CUT_MS: u64 = 60_000;
+    let all = instances(9);
+    let seeds = &all[..3];
+    let mut members: Vec<Members> = all.iter().map(|own| Members::new(*own, seeds, at(0))).collect();
+    for own in &mut members {
+        all.iter().for_each(|other| own.record_contact(*other, at(0)));
+    }
+    let mut limiters: Vec<RateLimiter> = all.iter().map(|i| RateLimiter::new(*i, at(0))).collect();
+    let mut sent = 0;
+    let per_s = usable_rate(Some(PER_S), None).expect("a rate");
+    for ms in (CUT_MS..CUT_MS + 10_000).step_by(5) {
+        for (limiter, own) in limiters.iter_mut().zip(&members) {
+            let (known, per_s) = (own.sharing_limits(at(ms)), per_s * own.rate_share(at(ms)));
+            if limiter.allows("e", per_s, &known, at(ms)) {
+                limiter.record("e", per_s, &known, at(ms));
+                sent += 1;
+            }
+        }
+    }
+    let most = PER_S * 10.0 * 1.5 + 5.0;
+    assert!(f64::from(sent) <= most, "{sent} in 10 s, {most} allowed");
+    assert!(sent > 0);
+}
+
 #[test]
 fn a_new_instance_sends_nothing_to_cold_endpoints() {
     let own = instances(1);
