fix(http): a request that is given up resets its connection

Cause: the connection was closed in order, and the kernel goes on sending what isn't acknowledged. Class: giving a request up ended our interest in it, not the request.

Fix: a connection that is dropped with a request in flight is reset (linger of zero), which also drops what the endpoint hasn't received. One whose response was read to its end is closed as before.

--- a/crates/celerytide-http/src/client/conn.rs
+++ b/crates/celerytide-http/src/client/conn.rs
@@ -27,6 +27,19 @@
     socket: Socket,
     /// Whether a request was sent on it before the current one.
     pub(super) is_used: bool,
+    /// Whether a request was sent on it whose response hasn't been read to its end.
+    pub(super) is_in_flight: bool,
+}
+
+/// A connection with a request in flight is reset: closed in order, the kernel would go on sending bytes that the endpoint
+/// hasn't acknowledged, and a request that was given up behind a partition would arrive when it has healed.
+impl Drop for Conn {
+    fn drop(&mut self) {
+        if self.is_in_flight {
+            // Fails only on a socket that has no connection left.
+            let _ = self.socket.set_linger(Some(Duration::ZERO));
+        }
+    }
 }
 
 impl Conn {
@@ -41,6 +54,7 @@
             writer: Writer::new(w, opts.write_timeout),
             socket,
             is_used: false,
+            is_in_flight: false,
         })
     }
 
@@ -56,6 +70,7 @@
     /// written. An endpoint may respond before it has read a long body: the rest is then not written, and the
     /// connection can't be reused.
     pub(super) async fn send(&mut self, call: &Call) -> Result<(ResponseHead, bool), Cause> {
+        self.is_in_flight = true;
         let Conn { reader, writer, .. } = self;
         if call.body.len() <= MAX_COPY_BYTES {
             return match write(writer, call).await {
--- a/crates/celerytide-http/src/client/mod.rs
+++ b/crates/celerytide-http/src/client/mod.rs
@@ -4,8 +4,8 @@
 //! was closed or holds unexpected bytes is dropped, and the next one is tried. Once the first write has been issued,
 //! the request may have been sent, and nothing is retried.
 //!
-//! Dropping the future of [`Client::send`] or a [`Response`] before its end closes the connection, which tells the
-//! endpoint that the result is no longer needed.
+//! Dropping the future of [`Client::send`] or a [`Response`] before its end resets the connection, which tells the
+//! endpoint that the result is no longer needed, and drops what it hasn't received yet.
 
 mod call;
 mod conn;
--- a/crates/celerytide-http/src/client/response.rs
+++ b/crates/celerytide-http/src/client/response.rs
@@ -174,9 +174,11 @@
     }
 
     fn return_to_pool(&mut self) {
-        if let Some(conn) = self.conn.take()
-            && self.is_reusable
-        {
+        let Some(mut conn) = self.conn.take() else {
+            return;
+        };
+        conn.is_in_flight = false;
+        if self.is_reusable {
             self.pool.put(self.addr, conn, self.http_keep_alive);
         }
     }
--- a/crates/celerytide-http/tests/endpoints.rs
+++ b/crates/celerytide-http/tests/endpoints.rs
@@ -349,3 +349,61 @@
         support::join_thread(thread).await;
     });
 }
+
+/// How a request ends, and how its endpoint sees the end of the connection.
+struct EndCase {
+    name: &'static str,
+    response: &'static [u8],
+    /// Whether the connection is reset.
+    is_reset: bool,
+}
+
+const END_CASES: [EndCase; 3] = [
+    EndCase {
+        name: "given up before a response",
+        response: b"",
+        is_reset: true,
+    },
+    EndCase {
+        name: "given up inside a body",
+        response: b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nab",
+        is_reset: true,
+    },
+    EndCase {
+        name: "complete",
+        response: b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nab",
+        is_reset: false,
+    },
+];
+
+/// Guards against: a request that was given up behind a partition is delivered by the kernel when the partition has healed.
+#[test]
+fn a_request_that_is_given_up_resets_its_connection() {
+    run(async {
+        for case in END_CASES {
+            let listener = std::net::TcpListener::bind(support::ANY_PORT).expect("listener");
+            let addr = listener.local_addr().expect("address");
+            let thread = std::thread::spawn(move || {
+                let (mut peer, _) = listener.accept().expect("accept");
+                let mut buf = [0; 4096];
+                let read = std::io::Read::read(&mut peer, &mut buf).expect("request");
+                assert!(read > 0);
+                std::io::Write::write_all(&mut peer, case.response).expect("response");
+                let end = std::io::Read::read(&mut peer, &mut buf);
+                assert!(end.as_ref().map_or(true, |read| *read == 0), "{}: {end:?}", case.name);
+                std::thread::sleep(Duration::from_millis(50));
+                // The first write succeeds on a connection that the other side has closed in order.
+                let written = std::io::Write::write_all(&mut peer, b"x");
+                assert_eq!(written.is_err(), case.is_reset, "{}: {written:?}", case.name);
+            });
+            let mut call = call(addr);
+            call.bounds.first_byte_timeout = Duration::from_millis(200);
+            call.bounds.between_bytes_timeout = Duration::from_millis(200);
+            let got = Client::new(Options::default())
+                .send_buffered(call, MAX_BODY_BYTES, &CancellationToken::new())
+                .await;
+            assert_eq!(got.is_err(), case.is_reset, "{}", case.name);
+            support::join_thread(thread).await;
+        }
+    });
+}
