--- a/crates/celerytide-http/src/client/mod.rs
+++ b/crates/celerytide-http/src/client/mod.rs
@@ -49,6 +49,12 @@
         self.pool.idle_count()
     }
 
+    /// Drops idle connections that can't be reused, which would otherwise stay open until their next use: those that the
+    /// endpoint closed, or on which bytes came that belong to no response. Costs one system call for each connection.
+    pub fn drop_ended(&self) {
+        self.pool.drop_ended();
+    }
+
     /// Sends `call` and waits for the head of the response. Cancelling `cx` closes the connection.
     pub async fn send(&self, call: Call, cx: &CancellationToken) -> Result<Response, SendError> {
         let mut stage = Stage::Connect;
--- a/crates/celerytide-http/src/client/pool.rs
+++ b/crates/celerytide-http/src/client/pool.rs
@@ -165,6 +165,15 @@
         }
     }
 
+    /// Drops idle connections that expired, closed or hold unexpected bytes.
+    pub(super) fn drop_ended(&self) {
+        let now = now_boot();
+        self.idle.borrow_mut().retain(|_, list| {
+            list.retain(|idle_conn| now < idle_conn.expires_at && idle_conn.conn.is_reusable());
+            !list.is_empty()
+        });
+    }
+
     /// Time for which a connection is reused whose endpoint states this idle timeout. The endpoint may state any number of
     /// seconds, so the timeout is never multiplied.
     fn reuse_time(&self, stated: Duration) -> Duration {
--- a/crates/celerytide-http/tests/pool.rs
+++ b/crates/celerytide-http/tests/pool.rs
@@ -256,3 +256,25 @@
         }
     });
 }
+
+/// Guards against: bytes that belong to no response, or the end of a connection, stay unnoticed until its next use.
+#[test]
+fn idle_connections_that_have_ended_are_dropped_without_a_use() {
+    let cases = [
+        ("open", Behavior::Serve, 1),
+        ("closed", Behavior::Close, 0),
+        ("bytes behind a response", Behavior::LateSecondResponse, 0),
+    ];
+    run(async {
+        for (name, behavior, left) in cases {
+            let endpoint = start(behavior);
+            let client = Client::new(Options::default());
+            let cx = CancellationToken::new();
+            let response = client.send_buffered(call(endpoint.addr, false), 1024, &cx);
+            response.await.expect(name);
+            sleep(PAUSE * 5).await;
+            client.drop_ended();
+            assert_eq!(client.idle_count(), left, "{name}");
+        }
+    });
+}
