test(soak): Leaving can fail, and a request that isn't told its time counts

Found while the checks were tried against a router that is broken on purpose: Leaving couldn't fail. A runner was published as leaving for 1.8 s at the most, the check begins after 2 s, and any fault of any runner excused it. Now a runner leaves for 2.5 s longer, and only faults of the store, of the way to that runner and of the router excuse. Periods of runner faults are no longer recorded: nothing uses them.

--- a/crates/celerytide-soak/src/check/mod.rs
+++ b/crates/celerytide-soak/src/check/mod.rs
@@ -133,8 +133,6 @@
     pub outages: Vec<RouterOutage>,
     /// Periods in which the store or its link was faulty.
     pub store_faults: Vec<Span>,
-    /// Periods in which a runner or its link was faulty.
-    pub runner_faults: Vec<Span>,
     /// Runners with the periods in which their link was faulty.
     pub link_faults: Vec<(String, Span)>,
     /// Periods in which runners were published as leaving.
@@ -384,10 +382,12 @@
                 return false;
             };
             let since = span.from.saturating_sub(REGAIN_TIME);
-            let is_faulty = |spans: &[Span]| spans.iter().any(|s| s.overlaps(since, arrival.at));
+            let had_store_fault = h.store_faults.iter().any(|s| s.overlaps(since, arrival.at));
+            let on_link = |(runner, s): &(String, Span)| *runner == arrival.runner && s.overlaps(since, arrival.at);
+            let had_link_fault = h.link_faults.iter().any(on_link);
             let router = routers.get(arrival.id.as_str()).copied().unwrap_or_default();
             let had_outage = self.had_outage(router, span.from, arrival.at);
-            !had_outage && !is_faulty(&h.store_faults) && !is_faulty(&h.runner_faults)
+            !had_outage && !had_store_fault && !had_link_fault
         };
         let violations = h.arrivals.iter().filter(reached_leaving).map(|arrival| Violation {
             guarantee: Guarantee::Leaving,
--- a/crates/celerytide-soak/src/check/retries.rs
+++ b/crates/celerytide-soak/src/check/retries.rs
@@ -92,15 +92,16 @@
         })
     }
 
-    /// Arrivals that were told more time than their caller gave.
+    /// Arrivals that were told more time than their caller gave, or none.
     pub(super) fn check_time_left(&self) -> Option<Violation> {
         let calls: HashMap<&str, &Call> = self.history.calls.iter().map(|c| (c.id.as_str(), c)).collect();
         let is_long = |arrival: &&Arrival| {
-            let (Some(call), Some(left)) = (calls.get(arrival.id.as_str()), arrival.time_left) else {
+            let Some(call) = calls.get(arrival.id.as_str()) else {
                 return false;
             };
             // A router that was paused may not have read the request when it was sent.
-            let is_long = arrival.at + left > call.sent + DEADLINE + TIME_TOLERANCE;
+            let end = call.sent + DEADLINE + TIME_TOLERANCE;
+            let is_long = arrival.time_left.is_none_or(|left| arrival.at + left > end);
             is_long && !self.had_outage(call.router, call.sent, arrival.at)
         };
         let long: Vec<&Arrival> = self.history.arrivals.iter().filter(is_long).collect();
--- a/crates/celerytide-soak/src/plan/mod.rs
+++ b/crates/celerytide-soak/src/plan/mod.rs
@@ -25,6 +25,8 @@
 const MAX_GAP_MS: u64 = 500;
 /// Range of the duration of a fault in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 150..1800;
+/// Time by which a runner is published as leaving for longer: each router has to know it only 2 s later.
+const LEAVING_TIME: Duration = Duration::from_millis(2500);
 
 /// Runners that name a rate limit in a run.
 const LIMITED_RUNNERS: usize = 3;
@@ -146,6 +148,11 @@
         });
         at += Duration::from_millis(rng.random_range(0..MAX_GAP_MS));
     }
+    for step in &mut steps {
+        if matches!(step.fault, Fault::Leave(_)) {
+            step.duration += LEAVING_TIME;
+        }
+    }
     steps.append(&mut limits);
     steps.append(&mut draw_compound_faults(seed, length));
     if seed.is_multiple_of(SPENDING_RUNS) {
--- a/crates/celerytide-soak/src/run/mod.rs
+++ b/crates/celerytide-soak/src/run/mod.rs
@@ -123,22 +123,20 @@
         }
         Fault::Pause(router) | Fault::Kill(router) => history.outages.push(RouterOutage { router: *router, span }),
         Fault::Store(_) | Fault::StoreLink(_) | Fault::Restore => history.store_faults.push(span),
-        Fault::Service { .. } | Fault::Crash(_) => history.runner_faults.push(span),
-        Fault::Link(n, _) => {
-            history.link_faults.push((fleet::runner_id(*n), span));
-            history.runner_faults.push(span);
-        }
-        Fault::Runner(n, mode) => {
-            history.runner_faults.push(span);
-            if *mode == RunnerMode::Leaving {
-                history.runner_restarts.push((fleet::runner_id(*n), to));
-            }
-        }
+        Fault::Link(n, _) => history.link_faults.push((fleet::runner_id(*n), span)),
+        Fault::Runner(n, RunnerMode::Leaving) => history.runner_restarts.push((fleet::runner_id(*n), to)),
         Fault::Term(router) => history.restarts.push(RouterOutage { router: *router, span }),
         Fault::Leave(runner) => history.leaving.push(Leaving {
             runner: fleet::runner_id(*runner),
             span,
         }),
-        Fault::PeerLinks | Fault::Hup(_) | Fault::Configure | Fault::ZoneOut | Fault::NameLimit(..) => {}
+        Fault::Runner(..)
+        | Fault::NameLimit(..)
+        | Fault::Service { .. }
+        | Fault::Crash(_)
+        | Fault::PeerLinks
+        | Fault::Hup(_)
+        | Fault::Configure
+        | Fault::ZoneOut => {}
     }
 }
--- a/crates/celerytide-soak/tests/check.rs
+++ b/crates/celerytide-soak/tests/check.rs
@@ -117,7 +117,7 @@
     change: fn(&mut History),
 }
 
-const VIOLATIONS: [ViolationCase; 23] = [
+const VIOLATIONS: [ViolationCase; 24] = [
     ViolationCase {
         name: "a request to a runner after its notice that it leaves",
         guarantee: Guarantee::Notice,
@@ -269,6 +269,20 @@
             }
         },
     },
+    ViolationCase {
+        name: "runners aren't told how much time is left",
+        guarantee: Guarantee::TimeLeft,
+        change: |h| {
+            for n in 0..21 {
+                let id = format!("untold{n}");
+                h.calls.push(call(&id, RequestKind::Safe, response(502, "")));
+                h.arrivals.push(Arrival {
+                    time_left: None,
+                    ..arrival(&id, "i0", 4100)
+                });
+            }
+        },
+    },
     ViolationCase {
         name: "a router ends by itself",
         guarantee: Guarantee::Ended,
