--- a/crates/celerytide-soak/src/plan/mod.rs
+++ b/crates/celerytide-soak/src/plan/mod.rs
@@ -44,9 +44,9 @@
 /// Keeps their seeds apart from those of other faults.
 const COMPOUND_SEED: u64 = 0x57_0000_0000;
 
-/// One run of this many spends the retry budget: the plain service fails, and all routers start again meanwhile.
-const SPENDING_RUNS: u64 = 3;
-/// Time for which the service fails in such a run.
+/// Kinds of runs, which take turns: one spends the retry budget, one has a store without faults, one has all faults.
+const RUN_KINDS: u64 = 3;
+/// Time for which the plain service fails in a run that spends the retry budget.
 const SPENDING_TIME: Duration = Duration::from_secs(9);
 /// Times at which all routers are killed, from the beginning of the failures.
 const SPENDING_KILLS: [Duration; 2] = [Duration::from_secs(3), Duration::from_secs(6)];
@@ -155,9 +155,14 @@
     }
     steps.append(&mut limits);
     steps.append(&mut draw_compound_faults(seed, length));
-    if seed.is_multiple_of(SPENDING_RUNS) {
-        steps.retain(|step| !step.fault.signals_routers());
-        steps.splice(0..0, spending_steps());
+    match seed % RUN_KINDS {
+        0 => {
+            steps.retain(|step| !step.fault.signals_routers());
+            steps.splice(0..0, spending_steps());
+        }
+        // Faults of the store excuse a router that doesn't know which runners leave.
+        1 => steps.retain(|step| !step.fault.concerns_store()),
+        _ => {}
     }
     steps.iter_mut().for_each(|step| step.at += WARM_UP);
     steps.sort_by_key(|step| step.at);
@@ -183,6 +188,11 @@
 }
 
 impl Fault {
+    /// Whether the store or the way to it is faulty.
+    fn concerns_store(&self) -> bool {
+        matches!(self, Fault::Store(_) | Fault::StoreLink(_) | Fault::Restore)
+    }
+
     /// Whether routers get a signal.
     fn signals_routers(&self) -> bool {
         matches!(
