--- a/crates/celerytide-soak/src/check/mod.rs
+++ b/crates/celerytide-soak/src/check/mod.rs
@@ -452,7 +452,7 @@
         let late: Vec<&str> = h.calls.iter().filter(is_late).map(|call| call.id.as_str()).collect();
         (late.len() >= LATE_LIMIT).then(|| Violation {
             guarantee: Guarantee::Late,
-            details: format!("{} requests, the first {:?}", late.len(), late.first()),
+            details: format!("{} and others, {} requests", late[0], late.len()),
         })
     }
 
@@ -462,9 +462,11 @@
         let after: Vec<&Call> = self.history.calls.iter().filter(safe).collect();
         let served = after.iter().filter(|call| call.response.status == 200).count();
         let enough = served as f64 >= after.len() as f64 * MIN_SERVED_SHARE && !after.is_empty();
+        let refused = after.iter().find(|call| call.response.status != 200);
+        let first = refused.map_or("none", |call| call.id.as_str());
         (!enough).then(|| Violation {
             guarantee: Guarantee::Recover,
-            details: format!("{served} of {} served", after.len()),
+            details: format!("{first} wasn't served, {served} of {} were", after.len()),
         })
     }
 }
