--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -213,6 +213,7 @@
         info!(
             request = fwd.request.id,
             endpoint = id,
+            on_used_connection = !response.is_first,
             "send: another process listens at the endpoint's address"
         );
         edge.record(&service.id, id, Outcome::Unreached);
@@ -230,6 +231,7 @@
             request = fwd.request.id,
             endpoint = id,
             status,
+            on_used_connection = !response.is_first,
             after_ms = since_ms(&pick),
             "send: rejected"
         );
@@ -242,6 +244,7 @@
             endpoint = id,
             status,
             is_sealed = response.headers.contains_key(&edge.protocol.header_names().seal),
+            on_used_connection = !response.is_first,
             cause,
             "send: the response doesn't prove what it says"
         );
