--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -31,6 +31,9 @@
         /// Whether the refusals name a request.
         names_id: bool,
     },
+    /// This status, which states that the request did not run, to the first request on a connection. The refusal is written
+    /// once more in front of the response to the next one, which runs.
+    CopiedRefusal(&'static str),
     /// The request runs, and this status without a seal or any other proof answers it.
     Unproven(&'static str),
     /// As `Good`, and some milliseconds later these bytes, which belong to no request.
@@ -284,6 +287,7 @@
     };
     let mut conn = BufReader::new(conn);
     let mut refused: Option<String> = None;
+    let mut copy: Option<String> = None;
     while let Some(req) = request::read(&mut conn) {
         lock(&shared.requests).push(req.clone());
         let mode = *lock(&shared.mode);
@@ -301,6 +305,17 @@
             ended: None,
             connection: number,
         });
+        if let RunnerMode::CopiedRefusal(status) = mode {
+            let refusal = refusal(status, &req);
+            let Some(earlier) = copy.replace(refusal.clone()) else {
+                lock(&shared.arrivals)[index].ran = false;
+                shared.record_end(index);
+                // Fails only if the connection has ended already.
+                let _ = out.write_all(refusal.as_bytes());
+                continue;
+            };
+            let _ = out.write_all(earlier.as_bytes());
+        }
         if let RunnerMode::RefusedAgain { names_id } = mode {
             let id = req.header("x-attempt-id").to_owned();
             let refusal = refused.replace(id.clone()).unwrap_or(id);
@@ -344,7 +359,9 @@
         return false;
     }
     match mode {
-        RunnerMode::Good | RunnerMode::RefusedAgain { .. } => send_response(out, "200 OK", &sealed, &body),
+        RunnerMode::Good | RunnerMode::RefusedAgain { .. } | RunnerMode::CopiedRefusal(_) => {
+            send_response(out, "200 OK", &sealed, &body)
+        }
         RunnerMode::GoodWith(line) => send_response(out, "200 OK", &format!("{line}\r\n{sealed}"), &body),
         RunnerMode::Late(ms) => {
             sleep(Duration::from_millis(ms));
@@ -426,6 +443,12 @@
     }
 }
 
+/// A response with this status that states that the request did not run.
+fn refusal(status: &str, req: &Request) -> String {
+    let id = req.header("x-attempt-id");
+    format!("HTTP/1.1 {status}\r\nx-attempt-id: {id}\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n")
+}
+
 /// The head of a successful response.
 fn sealed_head(sealed: &str, length: usize, is_stream: bool) -> String {
     let rest = if is_stream {
