fix(http): a request never uses a connection on which it was answered with a failure

What callers saw: 503, not run, for a request that ran (REFUSED), and requests that may run once ran two or three times (TWICE), on the users' own machines.

Cause: an answer counts as this request's if it has its id. A request that comes to one connection twice has the same id both times, so the copy of its first refusal passes for the refusal of the second attempt. The router's own tries exclude an endpoint by its id, but connections are pooled by address: an endpoint that is listed under two ids, or a caller that sends its request again under the same id, brings it to the same connection. Class: an identity that doesn't tell two attempts apart is used as proof of one of them.

Change: a connection remembers the hashed ids that were answered on it with anything but a success, and the pool gives it to no request with one of them; such a request takes another idle connection or opens one. A success that states "not run" closes its connection.

--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -235,6 +235,10 @@
             after_ms = since_ms(&pick),
             "send: rejected"
         );
+        if response.status.is_success() {
+            // The client takes a success for the last answer to its request.
+            response.close();
+        }
         return Sent::Rejected("endpoint-full");
     }
     if let Some(cause) = unproven(fwd, &response, claim) {
--- a/crates/celerytide-http/src/client/conn.rs
+++ b/crates/celerytide-http/src/client/conn.rs
@@ -11,6 +11,7 @@
 use monoio::time::timeout;
 use socket2::Socket;
 
+use super::answered::Answered;
 use super::{Call, Cause, Options};
 use crate::h1::{BodyLength, Reader, ResponseHead, Writer, connect, put_request_head};
 
@@ -29,6 +30,8 @@
     pub(super) is_used: bool,
     /// Whether a request was sent on it whose response hasn't been read to its end.
     pub(super) is_in_flight: bool,
+    /// Requests that were answered with a failure on it.
+    pub(super) answered: Answered,
 }
 
 /// A connection with a request in flight is reset: closed in order, the kernel would go on sending bytes that the endpoint
@@ -55,6 +58,7 @@
             socket,
             is_used: false,
             is_in_flight: false,
+            answered: Answered::default(),
         })
     }
 
--- a/crates/celerytide-http/src/client/mod.rs
+++ b/crates/celerytide-http/src/client/mod.rs
@@ -2,12 +2,14 @@
 //!
 //! An error tells how far the request got ([`Stage`]). An idle connection is dropped as soon as the endpoint closes or
 //! resets it or sends unexpected bytes. It is checked once more before it is reused, since the runtime may not have
-//! reported that yet; the next one is then tried. Once the first write has been issued, the request may have been sent,
+//! reported that yet; the next one is then tried. A connection on which the same request was answered with a failure isn't
+//! reused for it, since the endpoint may write that answer once more. Once the first write has been issued, the request may have been sent,
 //! and nothing is retried.
 //!
 //! Dropping the future of [`Client::send`] or a [`Response`] before its end resets the connection, which tells the
 //! endpoint that the result is no longer needed, and drops what it hasn't received yet.
 
+mod answered;
 mod call;
 mod conn;
 mod error;
@@ -27,6 +29,7 @@
 pub use pool::Options;
 pub use response::Response;
 
+use answered::hash_id;
 use conn::Conn;
 use error::send_error;
 use pool::{BufferReservation, Pool};
@@ -101,7 +104,8 @@
         if call.fresh {
             None
         } else {
-            self.pool.take(call.addr, call.max_idle)
+            let id = call.headers.get(&self.pool.options().id_header).map(hash_id);
+            self.pool.take(call.addr, call.max_idle, id)
         }
     }
 
--- a/crates/celerytide-http/src/client/pool.rs
+++ b/crates/celerytide-http/src/client/pool.rs
@@ -18,6 +18,7 @@
 use http::HeaderName;
 use monoio::time::timeout;
 
+use super::answered::IdHash;
 use super::conn::Conn;
 
 const MAX_IDLE_PER_ADDR: usize = 64;
@@ -139,21 +140,31 @@
     }
 
     /// Takes the most recently used connection; drops connections that expired, closed or hold unexpected bytes. One that
-    /// was idle for longer than `max_idle` stays in the pool, and `None` is returned.
-    pub(super) fn take(&self, addr: SocketAddr, max_idle: Option<Duration>) -> Option<Conn> {
+    /// was idle for longer than `max_idle`, or on which the request `id` was answered before, stays in the pool.
+    pub(super) fn take(&self, addr: SocketAddr, max_idle: Option<Duration>, id: Option<IdHash>) -> Option<Conn> {
         let now = now_boot();
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&addr)?;
-        while let Some(idle_conn) = list.pop() {
-            if now < idle_conn.expires_at && idle_conn.conn.is_reusable() {
-                if max_idle.is_some_and(|max| now.since(idle_conn.idle_since) > max) {
-                    list.push(idle_conn);
-                    return None;
-                }
-                return Some(idle_conn.conn);
+        let is_too_old = |of: &IdleConn| max_idle.is_some_and(|max| now.since(of.idle_since) > max);
+        let was_answered = |on: &IdleConn| id.is_some_and(|id| on.conn.answered.contains(id));
+        let mut index = list.len();
+        while let Some(i) = index.checked_sub(1) {
+            index = i;
+            if now >= list[i].expires_at || !list[i].conn.is_reusable() {
+                list.remove(i);
+                continue;
+            }
+            // All connections before it have been idle for longer.
+            if is_too_old(&list[i]) {
+                return None;
             }
+            if !was_answered(&list[i]) {
+                return Some(list.remove(i).conn);
+            }
+        }
+        if list.is_empty() {
+            idle.remove(&addr);
         }
-        idle.remove(&addr);
         None
     }
 
@@ -163,7 +174,8 @@
         let is_full = self.idle_count() >= self.opts.idle_total;
         let mut idle = self.idle.borrow_mut();
         let count = idle.get(&addr).map_or(0, Vec::len);
-        if is_full || count >= self.opts.idle_per_addr || self.poll_ended(&mut conn).is_ready() {
+        let is_surplus = is_full || count >= self.opts.idle_per_addr || conn.answered.is_full();
+        if is_surplus || self.poll_ended(&mut conn).is_ready() {
             return;
         }
         conn.reader.release_buffer();
--- a/crates/celerytide-http/src/client/response.rs
+++ b/crates/celerytide-http/src/client/response.rs
@@ -12,6 +12,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use monoio::time::{sleep, timeout};
 
+use super::answered::hash_id;
 use super::conn::Conn;
 use super::error::{SendError, Stage, send_error};
 use super::pool::Pool;
@@ -71,7 +72,7 @@
     /// request was completely written (`is_written`).
     pub(super) fn new(
         head: ResponseHead,
-        conn: Conn,
+        mut conn: Conn,
         call: &Call,
         is_written: bool,
         deadline: BootTime,
@@ -80,6 +81,11 @@
         if has_foreign_id(call, &head.headers, &pool.options().id_header) {
             return Err(send_error(Stage::Written, Cause::RequestIdMismatch));
         }
+        if !head.status.is_success()
+            && let Some(id) = call.headers.get(&pool.options().id_header)
+        {
+            conn.answered.insert(hash_id(id));
+        }
         let names_request = names_id(call, &head.headers, &pool.options().id_header);
         let framing = response_framing(
             &call.method,
