--- a/review/lib/bed.rs
+++ b/review/lib/bed.rs
@@ -464,7 +464,7 @@
     pub dir: PathBuf,
     pub store: Store,
     net: [u8; 3],
-    ports: [u16; 4],
+    ports: [u16; 5],
     nodes: u8,
 }
 
@@ -519,6 +519,7 @@
             ("listen.ready_address", at(self.ports[1]).to_string()),
             ("listen.control|json", format!("\"{}\"", at(self.ports[2]))),
             ("internal_port_range.0", self.ports[3].to_string()),
+            ("internal_port_range.1", self.ports[4].to_string()),
             ("platform.address", self.store.address.to_string()),
             ("limits.file_descriptors", DESCRIPTORS.to_string()),
             ("limits.memory_mb", MEMORY_MB.to_string()),
@@ -564,14 +565,14 @@
     }
 }
 
-/// Four ports that are free on all of `ips`, below the range from which the kernel takes ports of its own accord.
-fn free_ports(ips: &[IpAddr]) -> [u16; 4] {
+/// Five ports that are free on all of `ips`, below the range from which the kernel takes ports of its own accord.
+fn free_ports(ips: &[IpAddr]) -> [u16; 5] {
     let is_free = |port: u16| {
         ips.iter().all(|ip| TcpListener::bind((*ip, port)).is_ok() && UdpSocket::bind((*ip, port)).is_ok())
     };
     let seed = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.subsec_nanos());
     let drawn = (0..1000).map(|n| 12_000 + ((u64::from(seed) + n * 7919) % 20_000) as u16);
-    let ports: Vec<u16> = drawn.filter(|port| *port != METRICS_PORT && is_free(*port)).take(4).collect();
+    let ports: Vec<u16> = drawn.filter(|port| *port != METRICS_PORT && is_free(*port)).take(5).collect();
     ports.try_into().unwrap_or_else(|_| cannot_run("no free ports"))
 }
 
