test(platform): copies of answers at six places on a connection

A runner of its own kind writes its first answer to a request twice: 503, 429, 408 and 421 with the request's id, 421 without one, a failure, a success, and an interim response. The copy comes directly behind the answer, on the idle connection, in front of the next head, inside that head, inside the body of a stream, or after one more request. The caller sends the same request again under its id, or two other ones first; safe requests, requests that run once, streams and streams that may be resumed. No request may run more often than its sends allow, be told "not run" and have run, or get another one's answer.

--- /dev/null
+++ b/crates/celerytide-standin/src/platform/copies.rs
@@ -0,0 +1,165 @@
+//! A runner that writes an answer once more, at a place on its connection that a test chooses.
+
+use std::io::{self, Write};
+use std::net::TcpStream;
+use std::thread::sleep;
+use std::time::Duration;
+
+use super::request::Request;
+use super::runner::{Arrival, SEAL};
+
+/// First letter of the ids of requests whose first answer is copied; others are served at once.
+const COPIED: char = 'q';
+/// Time from an answer to its copy on an idle connection.
+const IDLE_DELAY: Duration = Duration::from_millis(30);
+/// Body of a stream.
+pub const TWO_EVENTS: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n";
+/// Length of its first event in bytes.
+const EVENT_BYTES: usize = TWO_EVENTS.len() / 2;
+
+/// Which answer is copied, and where its copy is written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Copying {
+    /// The first answer to a request whose id begins with `q`.
+    pub answer: CopiedAnswer,
+    /// Where it is written once more.
+    pub place: CopyPlace,
+}
+
+/// An answer that is copied.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CopiedAnswer {
+    /// This status, which states that the request did not run.
+    Refusal(&'static str),
+    /// A 421 that names no request.
+    NamelessMisdirected,
+    /// A sealed error 500: the request ran.
+    Failure,
+    /// A sealed success.
+    Success,
+    /// A sealed success; the copy is an interim response with the request's id.
+    Interim,
+}
+
+/// Where a copy is written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CopyPlace {
+    /// Directly behind the answer.
+    AtOnce,
+    /// While the connection is idle.
+    Idle,
+    /// In front of the next response on the connection.
+    BeforeNext,
+    /// Inside the head of the next response.
+    InHead,
+    /// Behind the first event of the next response, or in front of the body of one that isn't a stream.
+    InBody,
+    /// In front of the response after the next one.
+    AfterAnother,
+}
+
+impl Copying {
+    /// Whether this request's answer is copied.
+    pub(super) fn copies(req: &Request, earlier: &[Arrival]) -> bool {
+        let id = req.header("x-attempt-id");
+        id.starts_with(COPIED) && earlier.iter().all(|arrival| arrival.id != id)
+    }
+
+    /// Whether a request runs whose answer is copied.
+    pub(super) fn runs(self) -> bool {
+        !matches!(
+            self.answer,
+            CopiedAnswer::Refusal(_) | CopiedAnswer::NamelessMisdirected
+        )
+    }
+
+    fn answer(self, req: &Request) -> String {
+        match self.answer {
+            CopiedAnswer::Refusal(status) => refusal(status, req),
+            CopiedAnswer::NamelessMisdirected => {
+                "HTTP/1.1 421 Misdirected\r\nx-instance-id: other\r\ncontent-length: 0\r\n\r\n".to_owned()
+            }
+            CopiedAnswer::Failure => format!(
+                "HTTP/1.1 500 Failed\r\nx-attempt-id: {}\r\nx-response-seal: {SEAL}\r\ncontent-length: 0\r\n\r\n",
+                req.header("x-attempt-id")
+            ),
+            CopiedAnswer::Success | CopiedAnswer::Interim => good(req).concat(),
+        }
+    }
+
+    fn copy(self, req: &Request) -> String {
+        let id = req.header("x-attempt-id");
+        match self.answer {
+            CopiedAnswer::Interim => format!("HTTP/1.1 103 Early\r\nx-attempt-id: {id}\r\n\r\n"),
+            _ => self.answer(req),
+        }
+    }
+}
+
+/// The copy that is still to be written on a connection.
+#[derive(Debug, Default)]
+pub(super) struct PendingCopy {
+    copy: String,
+    /// Responses in front of it.
+    after: usize,
+}
+
+impl PendingCopy {
+    /// Answers a request and keeps the copy, unless it is written at once.
+    pub(super) fn answer(&mut self, out: &mut TcpStream, req: &Request, copying: Copying) -> io::Result<()> {
+        let answer = copying.answer(req);
+        let copy = copying.copy(req);
+        match copying.place {
+            CopyPlace::AtOnce => return out.write_all((answer + &copy).as_bytes()),
+            CopyPlace::Idle => {
+                out.write_all(answer.as_bytes())?;
+                sleep(IDLE_DELAY);
+                return out.write_all(copy.as_bytes());
+            }
+            CopyPlace::AfterAnother => self.after = 1,
+            CopyPlace::BeforeNext | CopyPlace::InHead | CopyPlace::InBody => self.after = 0,
+        }
+        self.copy = copy;
+        out.write_all(answer.as_bytes())
+    }
+
+    /// Serves a request, with the copy in its place if there is one.
+    pub(super) fn serve(&mut self, out: &mut TcpStream, req: &Request, place: CopyPlace) -> io::Result<()> {
+        let [begin, head, body] = good(req);
+        if self.after > 0 {
+            self.after -= 1;
+            return out.write_all((begin + &head + &body).as_bytes());
+        }
+        let copy = std::mem::take(&mut self.copy);
+        let bytes = match place {
+            CopyPlace::InHead => [begin, copy, head, body],
+            CopyPlace::InBody => [begin, head, copy, body],
+            _ => [copy, begin, head, body],
+        };
+        bytes.iter().try_for_each(|piece| out.write_all(piece.as_bytes()))
+    }
+}
+
+/// A good response in three pieces, the second up to the first event.
+fn good(req: &Request) -> [String; 3] {
+    let id = req.header("x-attempt-id");
+    let begin = format!("HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\n");
+    let head = format!("x-response-seal: {SEAL}\r\n");
+    if req.line.contains("/stream/") || req.line.contains("/resume/") {
+        let (first, second) = TWO_EVENTS.split_at(EVENT_BYTES);
+        let head = head + "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+        return [begin, head + &chunk(first), chunk(second) + "0\r\n\r\n"];
+    }
+    let body = format!("answer to {id}");
+    [begin, format!("{head}content-length: {}\r\n\r\n", body.len()), body]
+}
+
+fn chunk(data: &str) -> String {
+    format!("{:x}\r\n{data}\r\n", data.len())
+}
+
+/// A response with this status that states that the request did not run.
+pub(super) fn refusal(status: &str, req: &Request) -> String {
+    let id = req.header("x-attempt-id");
+    format!("HTTP/1.1 {status}\r\nx-attempt-id: {id}\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n")
+}
--- a/crates/celerytide-standin/src/platform/mod.rs
+++ b/crates/celerytide-standin/src/platform/mod.rs
@@ -4,6 +4,7 @@
 //! they receive. [`caller`] is a blocking client for the router under test.
 
 pub mod caller;
+mod copies;
 mod crash;
 mod endless;
 mod events;
@@ -13,6 +14,7 @@
 mod statement;
 mod store;
 
+pub use copies::{CopiedAnswer, CopyPlace, Copying, TWO_EVENTS};
 pub use crash::{Crashing, Trigger};
 pub use endless::Endless;
 pub use events::{StreamFraming, TornStream};
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -6,6 +6,7 @@
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
+use super::copies::{Copying, PendingCopy, refusal};
 use super::crash::{Crashes, Crashing};
 use super::endless::{Endless, is_closed};
 use super::events::{self, TornStream};
@@ -34,6 +35,8 @@
     /// This status, which states that the request did not run, to the first request on a connection. The refusal is written
     /// once more in front of the response to the next one, which runs.
     CopiedRefusal(&'static str),
+    /// The first answer to certain requests is written twice.
+    Copied(Copying),
     /// The request runs, and this status without a seal or any other proof answers it.
     Unproven(&'static str),
     /// As `Good`, and some milliseconds later these bytes, which belong to no request.
@@ -288,8 +291,10 @@
     let mut conn = BufReader::new(conn);
     let mut refused: Option<String> = None;
     let mut copy: Option<String> = None;
+    let mut pending_copy = PendingCopy::default();
     while let Some(req) = request::read(&mut conn) {
         lock(&shared.requests).push(req.clone());
+        let is_copied = Copying::copies(&req, &lock(&shared.arrivals));
         let mode = *lock(&shared.mode);
         let limit = *lock(&shared.limit);
         let index = shared.record(Arrival {
@@ -298,13 +303,24 @@
             ran: !matches!(
                 mode,
                 RunnerMode::NotRun | RunnerMode::Misdirected | RunnerMode::Paused(_)
-            ) && (refused.is_some() || !matches!(mode, RunnerMode::RefusedAgain { .. })),
+            ) && (refused.is_some() || !matches!(mode, RunnerMode::RefusedAgain { .. }))
+                && !matches!(mode, RunnerMode::Copied(copying) if is_copied && !copying.runs()),
             mode,
             limit,
             deadline_ms: req.header("x-deadline-ms").to_owned(),
             ended: None,
             connection: number,
         });
+        if let RunnerMode::Copied(copying) = mode {
+            let sent = match is_copied {
+                true => pending_copy.answer(&mut out, &req, copying),
+                false => pending_copy.serve(&mut out, &req, copying.place),
+            };
+            shared.record_end(index);
+            // An error means that the connection has ended, which the next read finds too.
+            drop(sent);
+            continue;
+        }
         if let RunnerMode::CopiedRefusal(status) = mode {
             let refusal = refusal(status, &req);
             let Some(earlier) = copy.replace(refusal.clone()) else {
@@ -359,7 +375,7 @@
         return false;
     }
     match mode {
-        RunnerMode::Good | RunnerMode::RefusedAgain { .. } | RunnerMode::CopiedRefusal(_) => {
+        RunnerMode::Good | RunnerMode::RefusedAgain { .. } | RunnerMode::CopiedRefusal(_) | RunnerMode::Copied(_) => {
             send_response(out, "200 OK", &sealed, &body)
         }
         RunnerMode::GoodWith(line) => send_response(out, "200 OK", &format!("{line}\r\n{sealed}"), &body),
@@ -443,12 +459,6 @@
     }
 }
 
-/// A response with this status that states that the request did not run.
-fn refusal(status: &str, req: &Request) -> String {
-    let id = req.header("x-attempt-id");
-    format!("HTTP/1.1 {status}\r\nx-attempt-id: {id}\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n")
-}
-
 /// The head of a successful response.
 fn sealed_head(sealed: &str, length: usize, is_stream: bool) -> String {
     let rest = if is_stream {
