--- a/crates/celerytide-standin/src/platform/store.rs
+++ b/crates/celerytide-standin/src/platform/store.rs
@@ -29,6 +29,8 @@
     Slow(u64),
     /// 410 to each watch: the history that it needs is gone.
     HistoryLost,
+    /// As `HistoryLost`; each page of the list is written once more in front of the next page on its connection.
+    CopiedPages,
     /// An endless response.
     Endless(Endless),
 }
@@ -190,8 +192,10 @@
         return;
     };
     let mut conn = BufReader::new(conn);
+    let mut page_copy = String::new();
     while let Some(req) = request::read(&mut conn) {
         let mode = *lock(&shared.mode);
+        let is_page = req.line.contains("/-/kv-range");
         match mode {
             StoreMode::Reset => return,
             StoreMode::Silent => {
@@ -200,12 +204,12 @@
             }
             StoreMode::Slow(ms) => sleep(Duration::from_millis(ms)),
             StoreMode::Endless(endless) => return endless.send(&mut out, ""),
-            StoreMode::Serve | StoreMode::Busy | StoreMode::HistoryLost => {}
+            StoreMode::Serve | StoreMode::Busy | StoreMode::HistoryLost | StoreMode::CopiedPages => {}
         }
         let response = match mode {
             StoreMode::Busy => Some((503, json!({}))),
-            _ if req.line.contains("/-/kv-range") => Some((200, list_page(shared, &req))),
-            StoreMode::HistoryLost => Some((410, json!({}))),
+            _ if is_page => Some((200, list_page(shared, &req))),
+            StoreMode::HistoryLost | StoreMode::CopiedPages => Some((410, json!({}))),
             _ => watch(shared, &req),
         };
         let Some((status, body)) = response else {
@@ -216,7 +220,12 @@
         let era = era_header_line(shared);
         let head =
             format!("HTTP/1.1 {status} X\r\ncontent-type: application/json\r\n{era}content-length: {length}\r\n\r\n");
-        if out.write_all(format!("{head}{body}").as_bytes()).is_err() {
+        let mut response = format!("{head}{body}");
+        if is_page && mode == StoreMode::CopiedPages {
+            let copy = std::mem::replace(&mut page_copy, response.clone());
+            response.insert_str(0, &copy);
+        }
+        if out.write_all(response.as_bytes()).is_err() {
             return;
         }
     }
