--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -17,6 +17,7 @@
 use crate::edge::{Edge, InFlight, Pick};
 use crate::health::Outcome;
 use crate::peers::digest::start_hash;
+use crate::placement::shared_blocks;
 use crate::protocol::Protocol;
 use crate::quarantine::{BreakOff, is_crash};
 use crate::rate_limit::StatedLimit;
@@ -162,6 +163,7 @@
         start = pick.endpoint.start,
         %error,
         after_ms = since_ms(&pick),
+        parts = ?shared_blocks(&fwd.request.prompt),
         "send: failed"
     );
     if error.may_have_run() {
