--- a/crates/celerytide-standin/src/platform/crash.rs
+++ b/crates/celerytide-standin/src/platform/crash.rs
@@ -11,6 +11,8 @@
 
 /// Time from the begin of a run to the crash.
 const TIME_TO_CRASH: Duration = Duration::from_millis(60);
+/// Time between two events before a crash.
+const EVENT_GAP: Duration = Duration::from_millis(50);
 /// Interval at which a runner tries to listen again.
 const BIND_INTERVAL: Duration = Duration::from_millis(20);
 /// Header that lists the parts of a prompt.
@@ -54,10 +56,30 @@
     }
 }
 
+impl Crashing {
+    /// Sends what comes before the crash; events for `streams_for`, and nothing if the client has gone.
+    fn send_start(self, out: &mut TcpStream, sealed: &str, streams_for: Duration) -> std::io::Result<()> {
+        if !self.sends_head {
+            return Ok(());
+        }
+        let head = format!("HTTP/1.1 200 OK\r\n{sealed}content-type: text/event-stream\r\n\r\n");
+        out.write_all(head.as_bytes())?;
+        let began = Instant::now();
+        let mut number = 0;
+        while began.elapsed() < streams_for {
+            number += 1;
+            out.write_all(format!("id: {number}\ndata: event {number}\n\n").as_bytes())?;
+            sleep(EVENT_GAP);
+        }
+        Ok(())
+    }
+}
+
 /// Connections and crashes of one runner.
 #[derive(Debug, Default)]
 pub(super) struct Crashes {
     crashing: Mutex<Option<Crashing>>,
+    streams_for: Mutex<Duration>,
     connections: Mutex<Vec<TcpStream>>,
     crashed_at: Mutex<Vec<Instant>>,
     down: Mutex<Option<Duration>>,
@@ -68,6 +90,10 @@
         *lock(&self.crashing) = crashing;
     }
 
+    pub(super) fn stream_before(&self, time: Duration) {
+        *lock(&self.streams_for) = time;
+    }
+
     /// Times of the crashes so far.
     pub(super) fn times(&self) -> Vec<Instant> {
         lock(&self.crashed_at).clone()
@@ -87,10 +113,8 @@
 
     /// Begins to run a request, and ends all connections.
     pub(super) fn crash(&self, address: SocketAddr, out: &mut TcpStream, sealed: &str, crashing: Crashing) {
-        if crashing.sends_head {
-            let head = format!("HTTP/1.1 200 OK\r\n{sealed}content-type: text/event-stream\r\n\r\n");
-            drop(out.write_all(head.as_bytes()));
-        }
+        let streams_for = *lock(&self.streams_for);
+        drop(crashing.send_start(out, sealed, streams_for));
         sleep(TIME_TO_CRASH);
         if lock(&self.down).replace(crashing.down).is_some() {
             return;
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -251,6 +251,11 @@
         self.shared.crashes.set(crashing);
     }
 
+    /// Sets for how long events follow the head before a crash.
+    pub fn stream_before_crash(&self, time: Duration) {
+        self.shared.crashes.stream_before(time);
+    }
+
     /// Times of the crashes so far.
     pub fn crashes(&self) -> Vec<Instant> {
         self.shared.crashes.times()
