fix(edge): a part is known under which engines die before the head of a response

Callers saw: prompts with one part took engine after engine, and sound ones were not served, where engines died before they sent a head and the prompts differed in anything else.

Cause: before a head a crash was evidence against the request alone, and not against the parts of its prompt, since all requests that wait at an engine look alike. Requests that are each the first of their kind are never seen twice.

Now parts are suspects too, with how far the request was that had come furthest. A part that only waited needs four crashes at four moments without a good response in between; three that had just begun are enough, as before. The innocent ones that wait beside it end well elsewhere meanwhile, and only the guilty one is there each time. How far a request had come is told behind all else in a digest, so that processes of the version before, which would take each for a response that had just begun, don't read it.

The table of break-offs had said that a part isn't blamed before the head. It states the new decision, by the exact value; the cases with requests before a head in the random schedules are new.

--- a/crates/celerytide-edge/src/edge/quarantined.rs
+++ b/crates/celerytide-edge/src/edge/quarantined.rs
@@ -27,15 +27,14 @@
 
     /// Records that an endpoint of `service` broke off a request; returns whether the request may be sent again.
     pub fn record_break_off(&self, service: &str, request: &RoutedRequest, at: BreakOff) -> bool {
-        if !at.is_suspicious() {
+        let Some(progress) = at.progress() else {
             return true;
-        }
+        };
         let service = id_hash(service);
-        let is_blamed = |subject: &Subject| matches!(subject, Subject::Request(_)) || at.is_suspicious_of_blocks();
-        let blamed: Vec<Subject> = subjects(request).filter(is_blamed).collect();
+        let subjects: Vec<Subject> = subjects(request).collect();
         let mut quarantine = self.quarantine.borrow_mut();
-        let changes = quarantine.record_crash(service, &blamed, at.endpoint, now_boot());
-        let may_repeat = quarantine.allows_repeat(blamed.into_iter());
+        let changes = quarantine.record_crash(service, &subjects, (at.endpoint, progress), now_boot());
+        let may_repeat = quarantine.allows_repeat(subjects.into_iter());
         drop(quarantine);
         self.note_changes(&changes, "response");
         if !may_repeat {
--- a/crates/celerytide-edge/src/peers/datagrams.rs
+++ b/crates/celerytide-edge/src/peers/datagrams.rs
@@ -16,7 +16,7 @@
 use crate::edge::Edge;
 use crate::metrics::PurposeLabel;
 use crate::protocol::Protocol;
-use crate::quarantine::SuspectEntry;
+use crate::quarantine::{Progress, SuspectEntry};
 use crate::rate_limit::LimitEntry;
 use crate::software::StreamEntry;
 
@@ -97,8 +97,11 @@
     if is_large { 1 } else { MAX_STREAMS }
 }
 
-/// Encodes a digest, followed by rate limits, suspects and streams if there are any; a process that doesn't know them
-/// reads what is in front of them. Suspects that don't fit are left out.
+/// A suspect at whose crashes not all responses had just begun.
+type FurtherEntry = (SuspectEntry, Vec<Progress>);
+
+/// Encodes a digest, followed by rate limits, suspects, streams and further suspects if there are any; a process that
+/// doesn't know them reads what is in front of them. Suspects that don't fit are left out.
 fn encode(
     digest: &Digest,
     limits: &[LimitEntry],
@@ -113,16 +116,28 @@
     buf.extend(bincode::serde::encode_to_vec(limits, config).ok()?);
     let streams = bincode::serde::encode_to_vec(streams, config).ok()?;
     for count in (0..=suspects.len()).rev() {
-        let told = bincode::serde::encode_to_vec(suspects.get(..count)?, config).ok()?;
-        if count == 0 || buf.len() + told.len() + streams.len() <= MAX_DATAGRAM {
-            buf.extend(told);
+        let (plain, further) = split_suspects(suspects.get(..count)?);
+        let plain = bincode::serde::encode_to_vec(plain, config).ok()?;
+        let further = if further.is_empty() {
+            Vec::new()
+        } else {
+            bincode::serde::encode_to_vec(further, config).ok()?
+        };
+        if count == 0 || buf.len() + plain.len() + streams.len() + further.len() <= MAX_DATAGRAM {
+            buf.extend(plain.into_iter().chain(streams).chain(further));
             break;
         }
     }
-    buf.extend(streams);
     Some(buf)
 }
 
+/// Suspects as processes from before tell them, and the others.
+fn split_suspects(suspects: &[SuspectEntry]) -> (Vec<&SuspectEntry>, Vec<(&SuspectEntry, &[Progress])>) {
+    let (plain, further): (Vec<_>, Vec<_>) = suspects.iter().partition(|entry| entry.progress.is_empty());
+    let further = further.into_iter();
+    (plain, further.map(|entry| (entry, entry.progress.as_slice())).collect())
+}
+
 fn recipients(members: &Members, is_large: bool, streams: &[StreamEntry], now: BootTime) -> Instances {
     let live = members.live_peers(now);
     match streams.first() {
@@ -181,9 +196,23 @@
     if rest.is_empty() {
         return;
     }
-    match bincode::serde::decode_from_slice::<Vec<StreamEntry>, _>(rest, config) {
-        Ok((streams, _)) => edge.streams.borrow_mut().learn(&streams, now_boot()),
-        Err(error) => debug!(%from, %error, "peers: failed to decode streams"),
+    let rest = match bincode::serde::decode_from_slice::<Vec<StreamEntry>, _>(rest, config) {
+        Ok((streams, read)) => {
+            edge.streams.borrow_mut().learn(&streams, now_boot());
+            rest.get(read..).unwrap_or_default()
+        }
+        Err(error) => return debug!(%from, %error, "peers: failed to decode streams"),
+    };
+    if rest.is_empty() {
+        return;
+    }
+    match bincode::serde::decode_from_slice::<Vec<FurtherEntry>, _>(rest, config) {
+        Ok((further, _)) => {
+            let with_progress = |(entry, progress)| SuspectEntry { progress, ..entry };
+            let suspects: Vec<SuspectEntry> = further.into_iter().map(with_progress).collect();
+            edge.apply_told_suspects(&suspects);
+        }
+        Err(error) => debug!(%from, %error, "peers: failed to decode further suspects"),
     }
 }
 
--- a/crates/celerytide-edge/src/quarantine/mod.rs
+++ b/crates/celerytide-edge/src/quarantine/mod.rs
@@ -5,8 +5,8 @@
 //! a whole endpoint with all that it runs.
 //!
 //! What a request has that may be the cause is a [`Subject`]: the request itself, known again by its content, and the shared
-//! blocks of its prompt. When an endpoint breaks off a response that had just begun, all of these are suspects; before the
-//! head of a response only the request is, since all that wait there look alike. Suspicion is counted by crash, so by
+//! blocks of its prompt. When an endpoint breaks off a response that had just begun, or before its head, all of these are
+//! suspects; before a head all that wait there look alike, so that blocks need one crash more. Suspicion is counted by crash, so by
 //! start of an endpoint, whatever number of requests broke off there and whoever saw it. Under a block, crashes at one
 //! moment count once, since they have a common cause. A response that goes on ends suspicion of its subjects: blocks of
 //! many prompts are in most crashes, and in far more good responses. Instances tell each other what they saw, so that all
@@ -14,6 +14,7 @@
 //! one explains its crashes, or its service answers nothing else either: then the endpoints are the cause.
 
 mod good_responses;
+mod progress;
 mod suspect;
 
 use std::cmp::Reverse;
@@ -25,20 +26,20 @@
 use rand::seq::IteratorRandom;
 
 use good_responses::GoodResponses;
-use suspect::Suspect;
+use suspect::{Crash, Suspect};
+
+pub use progress::{BreakOff, Progress};
 
 use crate::request::ContentHash;
 
-/// Crashes from which a subject is withheld.
+/// Crashes of responses that had just begun from which a subject is withheld.
 pub const MIN_CRASHES: usize = 3;
+/// Crashes from which a block is withheld whatever requests with it were there; one less than the users' rule counts from.
+pub const MIN_CRASHES_OF_ANY: usize = 4;
 /// Milliseconds between two crashes from which they count as two for a block.
 const MIN_CRASH_GAP_MS: i64 = 250;
 /// Crashes beyond those of a request by which a block explains more than that request.
 const BLOCK_LEAD: usize = 2;
-/// Time after the head of a response within which a broken response makes its subjects suspects.
-const BEGIN_TIME: Duration = Duration::from_millis(300);
-/// The same for a response without an event.
-const SILENT_BEGIN_TIME: Duration = Duration::from_secs(2);
 /// Time after the head from which a response that goes on is a good one.
 pub const SURVIVAL_TIME: Duration = Duration::from_secs(1);
 /// Time without a crash or a refused request after which a withheld subject is forgotten.
@@ -92,6 +93,9 @@
         pub crashes: Vec<CrashEntry>,
         /// Time since the last crash or refused request in milliseconds.
         pub idle_ms: u32,
+        /// How far requests with the subject had come at each of the crashes; empty if a response had just begun at all.
+        #[serde(skip)]
+        pub progress: Vec<Progress>,
     }
 }
 
@@ -101,30 +105,6 @@
     matches!(cause, Cause::Closed | Cause::Read { .. })
 }
 
-/// How an endpoint broke off a response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct BreakOff {
-    /// Hash of the endpoint's id and start.
-    pub endpoint: u32,
-    /// Time since the head of the response; `None` before it.
-    pub head_age: Option<Duration>,
-    /// Whether an event had arrived.
-    pub has_events: bool,
-}
-
-impl BreakOff {
-    /// Whether the request had just begun to run, or may have, so that it may be the cause.
-    pub fn is_suspicious(&self) -> bool {
-        let time = if self.has_events { BEGIN_TIME } else { SILENT_BEGIN_TIME };
-        self.head_age.is_none_or(|age| age < time)
-    }
-
-    /// Whether the blocks of its prompt may be the cause. Before a head all requests that wait there look alike.
-    pub fn is_suspicious_of_blocks(&self) -> bool {
-        self.is_suspicious() && self.head_age.is_some()
-    }
-}
-
 /// A change of what is known of a subject.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Change {
@@ -170,13 +150,19 @@
 
     /// Whether a request with `subjects` that broke off suspiciously may be sent again: not if one more crash would make one
     /// of them withheld.
-    pub fn allows_repeat(&self, subjects: impl Iterator<Item = Subject>) -> bool {
-        let crashes = |subject| self.suspects.get(&subject).map_or(0, Suspect::crash_count);
-        subjects.map(crashes).max().unwrap_or(0) + 1 < MIN_CRASHES
+    pub fn allows_repeat(&self, mut subjects: impl Iterator<Item = Subject>) -> bool {
+        let is_close = |subject| self.suspects.get(&subject).is_some_and(Suspect::is_close);
+        !subjects.any(is_close)
     }
 
-    /// Records that an endpoint of `service` crashed while a request with `subjects`, from the widest on, had just begun.
-    pub fn record_crash(&mut self, service: u32, subjects: &[Subject], endpoint: u32, now: BootTime) -> Vec<Change> {
+    /// Records that an endpoint of `service` crashed when a request with `subjects`, from the widest on, had come so far.
+    pub fn record_crash(
+        &mut self,
+        service: u32,
+        subjects: &[Subject],
+        (endpoint, progress): (u32, Progress),
+        now: BootTime,
+    ) -> Vec<Change> {
         let mut changes = Vec::new();
         for (depth, subject) in subjects.iter().enumerate() {
             let depth = u16::try_from(depth).unwrap_or(u16::MAX);
@@ -184,7 +170,7 @@
                 .suspects
                 .entry(*subject)
                 .or_insert_with(|| Suspect::new(*subject, service, depth, now));
-            if suspect.add_crash(endpoint, now) {
+            if suspect.add_crash(Crash::new(endpoint, progress.against(*subject), now), now) {
                 changes.extend(self.change(*subject, SubjectStatus::Suspected));
             }
         }
@@ -242,9 +228,7 @@
             self.told_at = now;
         }
         let is_due = |suspect: &Suspect| tells_all || now.since(suspect.changed_at) < NEWS_TIME;
-        let is_likely = |subject: &Subject, suspect: &Suspect| {
-            self.withheld.contains(subject) || suspect.crash_count() + 1 >= MIN_CRASHES
-        };
+        let is_likely = |subject: &Subject, suspect: &Suspect| self.withheld.contains(subject) || suspect.is_close();
         let sample = |of_likely: bool, count: usize| {
             let of_kind = self
                 .suspects
@@ -287,7 +271,9 @@
     /// equal ones the narrowest, since fewer requests have it; each further one needs as many crashes without those before.
     fn update_withheld(&mut self, now: BootTime) -> Vec<Change> {
         let is_heavy = |(subject, suspect): &(&Subject, &Suspect)| {
-            suspect.others_served && suspect.crash_count() >= MIN_CRASHES && !self.is_just_answered(**subject, now)
+            suspect.others_served
+                && suspect.is_enough_without(&HashSet::new())
+                && !self.is_just_answered(**subject, now)
         };
         let mut heavy: Vec<(&Subject, &Suspect)> = self.suspects.iter().filter(is_heavy).collect();
         heavy.sort_by_key(|(subject, suspect)| {
@@ -296,7 +282,7 @@
         let mut explained = HashSet::new();
         let mut withheld = HashSet::new();
         for (subject, suspect) in heavy {
-            if suspect.crash_count_without(&explained) >= MIN_CRASHES {
+            if suspect.is_enough_without(&explained) {
                 withheld.insert(*subject);
                 explained.extend(suspect.endpoints());
             }
--- a/crates/celerytide-edge/src/quarantine/suspect.rs
+++ b/crates/celerytide-edge/src/quarantine/suspect.rs
@@ -5,7 +5,7 @@
 
 use celerytide_types::BootTime;
 
-use super::{CrashEntry, MIN_CRASH_GAP_MS, Subject, SuspectEntry};
+use super::{CrashEntry, MIN_CRASH_GAP_MS, MIN_CRASHES, MIN_CRASHES_OF_ANY, Progress, Subject, SuspectEntry};
 
 /// Milliseconds of the boot clock; negative before the machine booted.
 type BootMillis = i64;
@@ -34,9 +34,18 @@
 
 /// One crash of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Crash {
+pub(super) struct Crash {
     endpoint: u32,
     at: BootMillis,
+    /// How far the request with the subject that had come furthest was.
+    progress: Progress,
+}
+
+impl Crash {
+    pub(super) fn new(endpoint: u32, progress: Progress, now: BootTime) -> Crash {
+        let at = millis(now);
+        Crash { endpoint, at, progress }
+    }
 }
 
 impl Suspect {
@@ -69,9 +78,20 @@
         self.count(self.crashes.iter())
     }
 
-    /// The same without crashes of these endpoints.
-    pub(super) fn crash_count_without(&self, endpoints: &HashSet<u32>) -> usize {
-        self.count(self.crashes.iter().filter(|crash| !endpoints.contains(&crash.endpoint)))
+    /// Whether the crashes of other endpoints than these are enough to withhold the subject.
+    pub(super) fn is_enough_without(&self, endpoints: &HashSet<u32>) -> bool {
+        self.is_enough_with(endpoints, 0)
+    }
+
+    /// Whether one more crash would be enough.
+    pub(super) fn is_close(&self) -> bool {
+        self.is_enough_with(&HashSet::new(), 1)
+    }
+
+    fn is_enough_with(&self, explained: &HashSet<u32>, more: usize) -> bool {
+        let open = || self.crashes.iter().filter(|crash| !explained.contains(&crash.endpoint));
+        let begun = open().filter(|crash| crash.progress == Progress::Begun);
+        self.count(begun) + more >= MIN_CRASHES || self.count(open()) + more >= MIN_CRASHES_OF_ANY
     }
 
     fn count<'a>(&self, crashes: impl Iterator<Item = &'a Crash>) -> usize {
@@ -87,9 +107,8 @@
     }
 
     /// Adds a crash; returns whether it is news.
-    pub(super) fn add_crash(&mut self, endpoint: u32, now: BootTime) -> bool {
-        let at = millis(now);
-        let is_news = self.insert(Crash { endpoint, at });
+    pub(super) fn add_crash(&mut self, crash: Crash, now: BootTime) -> bool {
+        let is_news = self.insert(crash);
         if is_news {
             self.changed_at = now;
             self.touch(now);
@@ -136,10 +155,13 @@
         is_news |= told.others_served && !self.others_served;
         self.others_served |= told.others_served;
         self.depth = self.depth.min(told.depth);
+        let mut progress = told.progress.iter().copied();
         for crash in &told.crashes {
-            let at = millis(now) - BootMillis::from(crash.age_ms);
-            let endpoint = crash.endpoint;
-            is_news |= self.insert(Crash { endpoint, at });
+            is_news |= self.insert(Crash {
+                endpoint: crash.endpoint,
+                at: millis(now) - BootMillis::from(crash.age_ms),
+                progress: progress.next().unwrap_or(Progress::Begun),
+            });
         }
         let active_at = millis(now) - BootMillis::from(told.idle_ms);
         self.active_at = self.active_at.max(active_at);
@@ -155,6 +177,8 @@
             endpoint: crash.endpoint,
             age_ms: age(crash.at),
         };
+        let progress = self.crashes.iter().map(|crash| crash.progress);
+        let is_plain = progress.clone().all(|progress| progress == Progress::Begun);
         SuspectEntry {
             subject: self.subject,
             service: self.service,
@@ -163,13 +187,16 @@
             resets: self.resets,
             crashes: self.crashes.iter().map(crash).collect(),
             idle_ms: age(self.active_at),
+            progress: if is_plain { Vec::new() } else { progress.collect() },
         }
     }
 
-    /// Inserts a crash in the order of time; false if its endpoint is known.
+    /// Inserts a crash in the order of time; false if its endpoint is known with a request that had come as far.
     fn insert(&mut self, crash: Crash) -> bool {
-        if self.crashes.iter().any(|known| known.endpoint == crash.endpoint) {
-            return false;
+        if let Some(known) = self.crashes.iter_mut().find(|known| known.endpoint == crash.endpoint) {
+            let is_news = crash.progress > known.progress;
+            known.progress = known.progress.max(crash.progress);
+            return is_news;
         }
         let order = |crash: &Crash| (crash.at, crash.endpoint);
         let index = self.crashes.partition_point(|known| order(known) <= order(&crash));
--- a/crates/celerytide-edge/tests/quarantine.rs
+++ b/crates/celerytide-edge/tests/quarantine.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use celerytide_edge::quarantine::{BreakOff, MIN_CRASHES, Quarantine, Subject, SubjectStatus, is_crash};
+use celerytide_edge::quarantine::{
+    BreakOff, MIN_CRASHES, MIN_CRASHES_OF_ANY, Progress, Quarantine, Subject, SubjectStatus, is_crash,
+};
 use celerytide_http::client::Cause;
 use celerytide_http::validate::ProtocolError;
 use celerytide_seeds::each_seed;
@@ -15,6 +17,7 @@
 /// A block of prompts that engines answer.
 const SOUND: Subject = Subject::Block(5);
 const SERVICE: u32 = 1;
+const BEGUN: Progress = Progress::Begun;
 /// A request, and another one with the same blocks.
 const REQUEST: Subject = Subject::Request(1);
 const NEIGHBOUR: Subject = Subject::Request(2);
@@ -28,11 +31,13 @@
 enum Seen {
     /// A crash of this endpoint under a request with these subjects.
     Crash(u64, u32, &'static [Subject]),
+    /// The same of a request that waits for the head of its response.
+    Waiting(u64, u32, &'static [Subject]),
     /// A good response to a request with these subjects.
     Good(u64, &'static [Subject]),
 }
 
-use Seen::{Crash, Good};
+use Seen::{Crash, Good, Waiting};
 
 struct Case {
     name: &'static str,
@@ -40,7 +45,7 @@
     withheld: &'static [Subject],
 }
 
-const CASES: [Case; 19] = [
+const CASES: [Case; 27] = [
     Case {
         name: "fewer crashes",
         seen: &[Crash(0, 1, &[CRASHING]), Crash(500, 2, &[CRASHING])],
@@ -236,12 +241,103 @@
         ],
         withheld: &[REQUEST],
     },
+    Case {
+        name: "a block that waits at each crash, with another request each time",
+        seen: &[
+            Waiting(0, 1, &[WIDE, CRASHING, Subject::Request(11)]),
+            Waiting(0, 1, &[WIDE, OTHER, Subject::Request(21)]),
+            Waiting(500, 2, &[WIDE, CRASHING, Subject::Request(12)]),
+            Waiting(500, 2, &[WIDE, OTHER, Subject::Request(22)]),
+            Good(700, &[WIDE, OTHER]),
+            Waiting(1000, 3, &[WIDE, CRASHING, Subject::Request(13)]),
+            Waiting(1500, 4, &[WIDE, CRASHING, Subject::Request(14)]),
+        ],
+        withheld: &[CRASHING],
+    },
+    Case {
+        name: "a block that waits at three crashes",
+        seen: &[
+            Waiting(0, 1, &[CRASHING]),
+            Waiting(500, 2, &[CRASHING]),
+            Waiting(1000, 3, &[CRASHING]),
+        ],
+        withheld: &[],
+    },
+    Case {
+        name: "a block that waits at a crash or whose response had just begun there",
+        seen: &[
+            Crash(0, 1, &[CRASHING]),
+            Waiting(500, 2, &[CRASHING]),
+            Crash(1000, 3, &[CRASHING]),
+            Waiting(1500, 4, &[CRASHING]),
+        ],
+        withheld: &[CRASHING],
+    },
+    Case {
+        name: "of several requests at a crash the one counts whose response had begun",
+        seen: &[
+            Waiting(0, 1, &[CRASHING]),
+            Crash(0, 1, &[CRASHING]),
+            Crash(500, 2, &[CRASHING]),
+            Waiting(500, 2, &[CRASHING]),
+            Crash(1000, 3, &[CRASHING]),
+        ],
+        withheld: &[CRASHING],
+    },
+    Case {
+        name: "a rack of endpoints at which a block waits",
+        seen: &[
+            Waiting(0, 1, &[WIDE]),
+            Waiting(20, 2, &[WIDE]),
+            Waiting(40, 3, &[WIDE]),
+            Waiting(60, 4, &[WIDE]),
+            Waiting(80, 5, &[WIDE]),
+        ],
+        withheld: &[],
+    },
+    Case {
+        name: "a block that waits at each crash and is answered in between",
+        seen: &[
+            Waiting(0, 1, &[WIDE]),
+            Waiting(500, 2, &[WIDE]),
+            Waiting(1000, 3, &[WIDE]),
+            Good(1200, &[WIDE]),
+            Waiting(1500, 4, &[WIDE]),
+            Waiting(2000, 5, &[WIDE]),
+            Waiting(2500, 6, &[WIDE]),
+        ],
+        withheld: &[],
+    },
+    Case {
+        name: "a request that waits at three crashes",
+        seen: &[
+            Waiting(0, 1, &[WIDE, REQUEST]),
+            Waiting(500, 2, &[WIDE, REQUEST]),
+            Waiting(1000, 3, &[WIDE, REQUEST]),
+        ],
+        withheld: &[REQUEST],
+    },
+    Case {
+        name: "polls equal to the letter that wait at crashes",
+        seen: &[
+            Good(0, &[REQUEST]),
+            Waiting(500, 1, &[REQUEST]),
+            Waiting(1000, 2, &[REQUEST]),
+            Waiting(1500, 3, &[REQUEST]),
+            Waiting(2000, 4, &[REQUEST]),
+        ],
+        withheld: &[],
+    },
 ];
 
 fn apply(quarantine: &mut Quarantine, seen: Seen) -> BootTime {
     match seen {
         Crash(ms, endpoint, blocks) => {
-            quarantine.record_crash(SERVICE, blocks, endpoint, at(ms));
+            quarantine.record_crash(SERVICE, blocks, (endpoint, BEGUN), at(ms));
+            at(ms)
+        }
+        Waiting(ms, endpoint, blocks) => {
+            quarantine.record_crash(SERVICE, blocks, (endpoint, Progress::BeforeHead), at(ms));
             at(ms)
         }
         Good(ms, blocks) => {
@@ -283,7 +379,7 @@
     let mut instances = [(); 5].map(|()| Quarantine::default());
     for n in 0..MIN_CRASHES {
         let now = at(1000 + 400 * n as u64);
-        instances[n].record_crash(SERVICE, &[WIDE, CRASHING], n as u32, now);
+        instances[n].record_crash(SERVICE, &[WIDE, CRASHING], (n as u32, BEGUN), now);
         for other in 0..5 {
             if other != n {
                 let (mut from, mut to) = (std::mem::take(&mut instances[n]), std::mem::take(&mut instances[other]));
@@ -305,7 +401,7 @@
 fn an_instance_that_starts_later_learns_crashes_of_before_its_machine_booted() {
     let mut knows = Quarantine::default();
     for n in 0..MIN_CRASHES as u32 {
-        knows.record_crash(SERVICE, &[CRASHING], n, at(10_000 + 500 * u64::from(n)));
+        knows.record_crash(SERVICE, &[CRASHING], (n, BEGUN), at(10_000 + 500 * u64::from(n)));
     }
     knows.record_good(SERVICE, &[SOUND], at(12_000));
     let told = knows.entries(at(100_000));
@@ -318,10 +414,29 @@
     assert_eq!(withheld(&mut new, at(60)), [CRASHING]);
 }
 
+#[test]
+fn instances_that_see_one_crash_each_before_the_head_agree_on_what_is_withheld() {
+    let mut instances = [(); MIN_CRASHES_OF_ANY].map(|()| Quarantine::default());
+    for (n, instance) in instances.iter_mut().enumerate() {
+        let request = Subject::Request(10 + n as u64);
+        let crash = (n as u32, Progress::BeforeHead);
+        instance.record_crash(SERVICE, &[CRASHING, request], crash, at(1000 + 400 * n as u64));
+    }
+    let now = at(3000);
+    let mut told: Vec<_> = instances.iter_mut().map(|from| from.entries(now)).collect();
+    for to in &mut instances {
+        told.rotate_left(1);
+        for entries in &told {
+            to.learn(entries, now);
+        }
+        assert_eq!(withheld(to, now), [CRASHING]);
+    }
+}
+
 #[test]
 fn engines_that_crash_under_every_prompt_withhold_no_block() {
     let mut quarantine = Quarantine::default();
-    let mut crash = |n: u32| quarantine.record_crash(SERVICE, &[WIDE, CRASHING], n, at(500 * u64::from(n)));
+    let mut crash = |n: u32| quarantine.record_crash(SERVICE, &[WIDE, CRASHING], (n, BEGUN), at(500 * u64::from(n)));
     for n in 0..10 {
         crash(n);
     }
@@ -336,7 +451,7 @@
 fn a_withheld_block_is_kept_while_requests_with_it_come() {
     let mut quarantine = Quarantine::default();
     for n in 0..MIN_CRASHES as u32 {
-        quarantine.record_crash(SERVICE, &[CRASHING], n, at(500 * u64::from(n)));
+        quarantine.record_crash(SERVICE, &[CRASHING], (n, BEGUN), at(500 * u64::from(n)));
     }
     assert_eq!(withheld(&mut quarantine, at(2000)), [CRASHING]);
     const HOUR_MS: u64 = 3_600_000;
@@ -354,39 +469,36 @@
     let blocks = || [WIDE, CRASHING].into_iter();
     for n in 0..MIN_CRASHES {
         assert_eq!(quarantine.allows_repeat(blocks()), n + 1 < MIN_CRASHES, "{n}");
-        quarantine.record_crash(SERVICE, &[CRASHING], n as u32, at(500 * n as u64));
+        quarantine.record_crash(SERVICE, &[CRASHING], (n as u32, BEGUN), at(500 * n as u64));
     }
     assert!(quarantine.allows_repeat([WIDE].into_iter()));
 }
 
 #[test]
-fn only_a_response_that_had_just_begun_is_suspicious() {
+fn only_a_response_that_had_not_gone_on_is_suspicious() {
     struct Begun {
         head_ms: Option<u64>,
         has_events: bool,
-        is_suspicious: bool,
-        of_blocks: bool,
+        progress: Option<Progress>,
     }
-    let begun = |head_ms, has_events, is_suspicious, of_blocks| Begun {
+    let begun = |head_ms, has_events, progress| Begun {
         head_ms,
         has_events,
-        is_suspicious,
-        of_blocks,
+        progress,
     };
     for case in [
-        begun(None, false, true, false),
-        begun(Some(10), false, true, true),
-        begun(Some(900), false, true, true),
-        begun(Some(10), true, true, true),
-        begun(Some(900), true, false, false),
+        begun(None, false, Some(Progress::BeforeHead)),
+        begun(Some(10), false, Some(BEGUN)),
+        begun(Some(900), false, Some(BEGUN)),
+        begun(Some(10), true, Some(BEGUN)),
+        begun(Some(900), true, None),
     ] {
         let at = BreakOff {
             endpoint: 1,
             head_age: case.head_ms.map(Duration::from_millis),
             has_events: case.has_events,
         };
-        assert_eq!(at.is_suspicious(), case.is_suspicious, "{at:?}");
-        assert_eq!(at.is_suspicious_of_blocks(), case.of_blocks, "{at:?}");
+        assert_eq!(at.progress(), case.progress, "{at:?}");
     }
 }
 
@@ -421,7 +533,7 @@
                     instances[who].record_crash(
                         SERVICE,
                         &[WIDE, Subject::Block(u.int_in_range(2..=4)?), REQUEST],
-                        n,
+                        (n, *u.choose(&[Progress::BeforeHead, BEGUN])?),
                         now,
                     );
                 }
@@ -455,10 +567,10 @@
 fn tables_are_bounded() {
     let mut quarantine = Quarantine::default();
     for n in 0..MIN_CRASHES as u32 {
-        quarantine.record_crash(SERVICE, &[CRASHING], n, at(500 * u64::from(n)));
+        quarantine.record_crash(SERVICE, &[CRASHING], (n, BEGUN), at(500 * u64::from(n)));
     }
     for n in 0..9_000_u64 {
-        quarantine.record_crash(SERVICE, &[Subject::Request(1000 + n)], n as u32, at(5000 + n));
+        quarantine.record_crash(SERVICE, &[Subject::Request(1000 + n)], (n as u32, BEGUN), at(5000 + n));
         quarantine.record_good(SERVICE, &[Subject::Request(100_000 + n)], at(5000 + n));
     }
     assert_eq!(
