fix(http): a response without an id isn't taken from an endpoint that names requests

What callers would see: through celerytide-entry, the answer to an earlier request. The router already gave up such a response on a connection that had been used.

Cause: the client rejected a response with another id and took one without any. The entry's model calls and the calls that may be repeated use connections again and look at no id themselves, so a late second answer without an id passed for the next one.

Change: a connection remembers that a response on it named its request; from then on one without the header is rejected as another request's. Endpoints that never name requests are treated as before, since nothing tells their answers apart.

Evidence: a_response_without_an_id_is_taken_though_the_endpoint_names_requests, red before (row "at first": taken, taken) and green after it.

--- a/crates/celerytide-http/src/client/conn.rs
+++ b/crates/celerytide-http/src/client/conn.rs
@@ -32,6 +32,8 @@
     pub(super) is_in_flight: bool,
     /// Requests that were answered with a failure on it.
     pub(super) answered: Answered,
+    /// Whether a response on it named its request.
+    pub(super) names_requests: bool,
 }
 
 /// A connection with a request in flight is reset: closed in order, the kernel would go on sending bytes that the endpoint
@@ -59,6 +61,7 @@
             is_used: false,
             is_in_flight: false,
             answered: Answered::default(),
+            names_requests: false,
         })
     }
 
--- a/crates/celerytide-http/src/client/error.rs
+++ b/crates/celerytide-http/src/client/error.rs
@@ -76,7 +76,7 @@
         /// The violated rule.
         source: ProtocolError,
     },
-    /// The response carries the id of another request.
+    /// The response carries the id of another request, or none though the endpoint names requests.
     #[snafu(display("the answer belongs to another request"))]
     RequestIdMismatch,
     /// Too many interim responses, or `101 Switching Protocols`.
--- a/crates/celerytide-http/src/client/pool.rs
+++ b/crates/celerytide-http/src/client/pool.rs
@@ -47,8 +47,8 @@
     pub user_timeout: Duration,
     /// Time after which a write without progress fails.
     pub write_timeout: Duration,
-    /// Header that holds the request id. A response with another value belongs to another request and is rejected; one
-    /// without the header is accepted.
+    /// Header that holds the request id. A response with another value belongs to another request and is rejected, and so is
+    /// one without the header on a connection on which an earlier response had it.
     pub id_header: HeaderName,
     /// Accepts responses without a declared length, which end when their connection closes.
     pub until_close: bool,
--- a/crates/celerytide-http/src/client/response.rs
+++ b/crates/celerytide-http/src/client/response.rs
@@ -78,7 +78,9 @@
         deadline: BootTime,
         pool: Rc<Pool>,
     ) -> Result<Self, SendError> {
-        if has_foreign_id(call, &head.headers, &pool.options().id_header) {
+        let names_request = names_id(call, &head.headers, &pool.options().id_header);
+        let lacks_id = conn.names_requests && !names_request && call.headers.contains_key(&pool.options().id_header);
+        if lacks_id || has_foreign_id(call, &head.headers, &pool.options().id_header) {
             return Err(send_error(Stage::Written, Cause::RequestIdMismatch));
         }
         if !head.status.is_success()
@@ -86,7 +88,7 @@
         {
             conn.answered.insert(hash_id(id));
         }
-        let names_request = names_id(call, &head.headers, &pool.options().id_header);
+        conn.names_requests |= names_request;
         let framing = response_framing(
             &call.method,
             head.status,
--- a/crates/celerytide-http/tests/answered.rs
+++ b/crates/celerytide-http/tests/answered.rs
@@ -1,4 +1,4 @@
-//! Connections that a request doesn't use, since it was answered with a failure on them.
+//! Connections that a request doesn't use, since it was answered with a failure on them, and responses that it doesn't take.
 
 mod support;
 
@@ -108,3 +108,59 @@
     assert!(first.iter().all(|connection| *connection == 1), "{connections:?}");
     assert_eq!(rest, [2, 2], "the refused request again: any connection but the first");
 }
+
+/// Whether the endpoint names the request in each of its responses on a connection; which of them the client takes.
+struct NamingCase {
+    name: &'static str,
+    names: &'static [bool],
+    is_taken: &'static [bool],
+}
+
+#[rustfmt::skip]
+const NAMING_CASES: [NamingCase; 4] = [
+    NamingCase { name: "always", names: &[true, true], is_taken: &[true, true] },
+    NamingCase { name: "never", names: &[false, false], is_taken: &[true, true] },
+    NamingCase { name: "at first", names: &[true, false], is_taken: &[true, false] },
+    NamingCase { name: "from the second on", names: &[false, true, false], is_taken: &[true, true, false] },
+];
+
+/// Starts an endpoint that names the request in some responses.
+fn start_naming(names: &'static [bool]) -> SocketAddr {
+    let listener = TcpListener::bind(ANY_PORT).expect("listener");
+    let addr = listener.local_addr().expect("address");
+    spawn(move || {
+        let (mut peer, _) = listener.accept().expect("peer");
+        let mut buf = [0; 4096];
+        for (number, is_named) in names.iter().enumerate() {
+            let _ = peer.read(&mut buf);
+            let id = if *is_named {
+                format!("{ID}: {number}\r\n")
+            } else {
+                String::new()
+            };
+            let response = format!("HTTP/1.1 200 OK\r\n{id}content-length: 0\r\n\r\n");
+            let _ = peer.write_all(response.as_bytes());
+        }
+    });
+    addr
+}
+
+/// An endpoint names all its requests; one that it doesn't name is the answer to nobody, or to one before.
+#[test]
+fn a_response_without_an_id_is_taken_though_the_endpoint_names_requests() {
+    for case in &NAMING_CASES {
+        let addr = start_naming(case.names);
+        let is_taken = run(async move {
+            let client = Client::new(Options::default());
+            let mut is_taken = Vec::new();
+            for number in 0..case.names.len() {
+                let mut call = Call::new(addr, Method::GET, "/");
+                call.headers.insert(ID, HeaderValue::from(number));
+                let response = client.send_buffered(call, MAX_BODY, &CancellationToken::new()).await;
+                is_taken.push(response.is_ok());
+            }
+            is_taken
+        });
+        assert_eq!(is_taken, case.is_taken, "{}", case.name);
+    }
+}
