--- a/crates/celerytide-edge/src/forward/proof.rs
+++ b/crates/celerytide-edge/src/forward/proof.rs
@@ -4,7 +4,8 @@
 //! earlier response once more, or fails without stating whether the request ran. A response counts only if it is certainly
 //! this request's: it names the request, or no other one was sent on its connection. Only then is it looked at for what
 //! it says of the request. The connection of any other response has to be closed, since what follows on it may be another
-//! request's as well.
+//! request's as well. The id doesn't tell two sends of one request apart: the client never uses a connection for a request
+//! that was answered with a failure on it.
 
 use celerytide_catalog::RouteKind;
 use celerytide_http::client::{Cause, Response, SendError};
