test(standin): a crash in the middle of a stream isn't its regular end

The stand-in streamed events before a crash with no framing but the end of the connection, so that a crash between two events was a whole stream to any reader, and a resumed stream began again at the first event. It sends chunks now, and goes on after the event that the request names. The tests of crashes long after the head had been red partly for that.

--- a/crates/celerytide-standin/src/platform/crash.rs
+++ b/crates/celerytide-standin/src/platform/crash.rs
@@ -15,6 +15,10 @@
 const EVENT_GAP: Duration = Duration::from_millis(50);
 /// Interval at which a runner tries to listen again.
 const BIND_INTERVAL: Duration = Duration::from_millis(20);
+/// Framing of streams with events, so that a crash isn't taken for their end.
+const CHUNKED: &str = "transfer-encoding: chunked\r\n";
+/// Header of a resumed stream, with the number of its last event.
+const LAST_EVENT: &str = "last-event-id";
 /// Header that lists the parts of a prompt.
 const PARTS: &str = "x-prefix-hash";
 
@@ -58,17 +62,25 @@
 
 impl Crashing {
     /// Sends what comes before the crash; events for `streams_for`, and nothing if the client has gone.
-    fn send_start(self, out: &mut TcpStream, sealed: &str, streams_for: Duration) -> std::io::Result<()> {
+    fn send_start(
+        self,
+        out: &mut TcpStream,
+        req: &Request,
+        sealed: &str,
+        streams_for: Duration,
+    ) -> std::io::Result<()> {
         if !self.sends_head {
             return Ok(());
         }
-        let head = format!("HTTP/1.1 200 OK\r\n{sealed}content-type: text/event-stream\r\n\r\n");
+        let framing = if streams_for.is_zero() { "" } else { CHUNKED };
+        let head = format!("HTTP/1.1 200 OK\r\n{sealed}content-type: text/event-stream\r\n{framing}\r\n");
         out.write_all(head.as_bytes())?;
         let began = Instant::now();
-        let mut number = 0;
+        let mut number: u32 = req.header(LAST_EVENT).parse().unwrap_or(0);
         while began.elapsed() < streams_for {
             number += 1;
-            out.write_all(format!("id: {number}\ndata: event {number}\n\n").as_bytes())?;
+            let event = format!("id: {number}\ndata: event {number}\n\n");
+            out.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
             sleep(EVENT_GAP);
         }
         Ok(())
@@ -112,9 +124,16 @@
     }
 
     /// Begins to run a request, and ends all connections.
-    pub(super) fn crash(&self, address: SocketAddr, out: &mut TcpStream, sealed: &str, crashing: Crashing) {
+    pub(super) fn crash(
+        &self,
+        address: SocketAddr,
+        out: &mut TcpStream,
+        req: &Request,
+        sealed: &str,
+        crashing: Crashing,
+    ) {
         let streams_for = *lock(&self.streams_for);
-        drop(crashing.send_start(out, sealed, streams_for));
+        drop(crashing.send_start(out, req, sealed, streams_for));
         sleep(TIME_TO_CRASH);
         if lock(&self.down).replace(crashing.down).is_some() {
             return;
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -360,7 +360,7 @@
     let sealed = format!("x-attempt-id: {id}\r\nx-response-seal: {SEAL}\r\n{limit}");
     let not_run = format!("x-attempt-id: {id}\r\nx-not-executed: 1\r\n{limit}");
     if let Some(crashing) = shared.crashes.of(req) {
-        shared.crashes.crash(shared.address, out, &sealed, crashing);
+        shared.crashes.crash(shared.address, out, req, &sealed, crashing);
         return false;
     }
     match mode {
