fix(edge): a response that goes on acquits only of crashes that came earlier after their head

Callers saw: prompts with one part took engine after engine where the engines died a second or more after the head with events until then.

Cause: 1 s of events counted as a good response of all parts of its prompt, and a break-off later than 0.3 s after the first event blamed nobody. So a part under which engines die after 1.5 s was acquitted by each of its own requests.

Now every break-off within 16 s of the head is evidence, with the time since the head; crashes count together when their times are alike (0.3 s and a quarter), from four on. A response acquits of the crashes that it came further than, at 1, 2, 4, 8 and 16 s, and of all when it is whole. What runs beside the cause is anywhere in its stream, and passes the point elsewhere; the cause never passes it. How far a request and a response had come is kept for each crash as the greater of two, so that the order in which instances hear of it doesn't matter. The service counts as serving others only by responses that came further than the crashes, so that engines of a bad version withhold nothing late either.

Not told apart: a stream that only the end of its connection delimits, and an engine that dies under a request that its caller has left.

--- a/crates/celerytide-edge/src/edge/quarantined.rs
+++ b/crates/celerytide-edge/src/edge/quarantined.rs
@@ -7,7 +7,7 @@
 use crate::peers::digest::id_hash;
 use crate::placement::shared_blocks;
 use crate::protocol::Protocol;
-use crate::quarantine::{BreakOff, Change, Subject, SubjectStatus, SuspectEntry};
+use crate::quarantine::{BreakOff, Change, Reached, Subject, SubjectStatus, SuspectEntry};
 use crate::request::RoutedRequest;
 
 impl<P: Protocol> Edge<P> {
@@ -43,11 +43,13 @@
         may_repeat
     }
 
-    /// Records that a response of `service` to a request went on.
-    pub fn record_good_response(&self, service: &str, request: &RoutedRequest) {
+    /// Records that a response of `service` to a request came so far.
+    pub fn record_good_response(&self, service: &str, request: &RoutedRequest, reached: Reached) {
         let service = id_hash(service);
         let subjects: Vec<Subject> = subjects(request).collect();
-        let changes = self.quarantine.borrow_mut().record_good(service, &subjects, now_boot());
+        let mut quarantine = self.quarantine.borrow_mut();
+        let changes = quarantine.record_good(service, &subjects, reached, now_boot());
+        drop(quarantine);
         self.note_changes(&changes, "response");
     }
 
--- a/crates/celerytide-edge/src/forward/body.rs
+++ b/crates/celerytide-edge/src/forward/body.rs
@@ -14,7 +14,7 @@
 use super::{DEADLINE, End, Forwarding, MIN_TIME_LEFT, headers};
 use crate::health::Outcome;
 use crate::protocol::Protocol;
-use crate::quarantine::is_crash;
+use crate::quarantine::{Reached, is_crash};
 
 /// Largest body that is buffered to its end, in bytes.
 const MAX_BUFFERED: usize = 64 * 1024;
@@ -108,7 +108,8 @@
 /// Ends a response that came whole.
 fn end_whole<P: Protocol>(fwd: &Forwarding<'_, P>, upstream: Box<Upstream<P>>) {
     if upstream.is_success {
-        fwd.edge.record_good_response(&upstream.service, fwd.request);
+        fwd.edge
+            .record_good_response(&upstream.service, fwd.request, Reached::End);
     }
     let outcome = outcome_of(upstream.response.status);
     upstream.end(outcome);
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -23,7 +23,7 @@
 use crate::health::Outcome;
 use crate::placement::shared_blocks;
 use crate::protocol::Protocol;
-use crate::quarantine::{BreakOff, SURVIVAL_TIME, is_crash};
+use crate::quarantine::{BreakOff, Checkpoints, Reached, is_crash};
 
 /// Cause of a stream that broke off.
 const BROKEN: &str = "stream-broken";
@@ -108,7 +108,7 @@
 ) -> StreamEnd {
     let mut stall_timer = StallTimer::new(stall_after(fwd), now_boot());
     let mut last: Option<BootTime> = None;
-    let mut is_good = false;
+    let mut checkpoints = Checkpoints::default();
     loop {
         let data = match timeout(fwd.time_left(), upstream.next()).await {
             Err(_) => return StreamEnd::Late,
@@ -147,9 +147,10 @@
                 return StreamEnd::Gone;
             }
         }
-        if !is_good && splitter.has_events() && upstream.head_age() > SURVIVAL_TIME {
-            is_good = true;
-            fwd.edge.record_good_response(&upstream.service, fwd.request);
+        if splitter.has_events()
+            && let Some(reached) = checkpoints.pass(upstream.head_age())
+        {
+            fwd.edge.record_good_response(&upstream.service, fwd.request, reached);
         }
         if fwd.time_left().is_zero() {
             return StreamEnd::Late;
@@ -204,7 +205,8 @@
         Ok(()) => {
             fwd.rest_bytes = 0;
             if splitter.has_events() {
-                fwd.edge.record_good_response(&upstream.service, fwd.request);
+                fwd.edge
+                    .record_good_response(&upstream.service, fwd.request, Reached::End);
             }
             StreamEnd::Whole
         }
--- a/crates/celerytide-edge/src/peers/datagrams.rs
+++ b/crates/celerytide-edge/src/peers/datagrams.rs
@@ -16,7 +16,7 @@
 use crate::edge::Edge;
 use crate::metrics::PurposeLabel;
 use crate::protocol::Protocol;
-use crate::quarantine::{Progress, SuspectEntry};
+use crate::quarantine::{Evidence, SuspectEntry};
 use crate::rate_limit::LimitEntry;
 use crate::software::StreamEntry;
 
@@ -98,7 +98,7 @@
 }
 
 /// A suspect at whose crashes not all responses had just begun.
-type FurtherEntry = (SuspectEntry, Vec<Progress>);
+type FurtherEntry = (SuspectEntry, Vec<Evidence>);
 
 /// Encodes a digest, followed by rate limits, suspects, streams and further suspects if there are any; a process that
 /// doesn't know them reads what is in front of them. Suspects that don't fit are left out.
@@ -132,10 +132,10 @@
 }
 
 /// Suspects as processes from before tell them, and the others.
-fn split_suspects(suspects: &[SuspectEntry]) -> (Vec<&SuspectEntry>, Vec<(&SuspectEntry, &[Progress])>) {
-    let (plain, further): (Vec<_>, Vec<_>) = suspects.iter().partition(|entry| entry.progress.is_empty());
+fn split_suspects(suspects: &[SuspectEntry]) -> (Vec<&SuspectEntry>, Vec<(&SuspectEntry, &[Evidence])>) {
+    let (plain, further): (Vec<_>, Vec<_>) = suspects.iter().partition(|entry| entry.evidence.is_empty());
     let further = further.into_iter();
-    (plain, further.map(|entry| (entry, entry.progress.as_slice())).collect())
+    (plain, further.map(|entry| (entry, entry.evidence.as_slice())).collect())
 }
 
 fn recipients(members: &Members, is_large: bool, streams: &[StreamEntry], now: BootTime) -> Instances {
@@ -208,8 +208,8 @@
     }
     match bincode::serde::decode_from_slice::<Vec<FurtherEntry>, _>(rest, config) {
         Ok((further, _)) => {
-            let with_progress = |(entry, progress)| SuspectEntry { progress, ..entry };
-            let suspects: Vec<SuspectEntry> = further.into_iter().map(with_progress).collect();
+            let with_evidence = |(entry, evidence)| SuspectEntry { evidence, ..entry };
+            let suspects: Vec<SuspectEntry> = further.into_iter().map(with_evidence).collect();
             edge.apply_told_suspects(&suspects);
         }
         Err(error) => debug!(%from, %error, "peers: failed to decode further suspects"),
--- a/crates/celerytide-edge/src/quarantine/mod.rs
+++ b/crates/celerytide-edge/src/quarantine/mod.rs
@@ -5,11 +5,11 @@
 //! a whole endpoint with all that it runs.
 //!
 //! What a request has that may be the cause is a [`Subject`]: the request itself, known again by its content, and the shared
-//! blocks of its prompt. When an endpoint breaks off a response that had just begun, or before its head, all of these are
-//! suspects; before a head all that wait there look alike, so that blocks need one crash more. Suspicion is counted by crash, so by
+//! blocks of its prompt. When an endpoint breaks off a response, all of these are suspects. Before a head, and long after it,
+//! all that wait or run there look alike, so that more crashes are needed, at about the same time after the head. Suspicion is counted by crash, so by
 //! start of an endpoint, whatever number of requests broke off there and whoever saw it. Under a block, crashes at one
-//! moment count once, since they have a common cause. A response that goes on ends suspicion of its subjects: blocks of
-//! many prompts are in most crashes, and in far more good responses. Instances tell each other what they saw, so that all
+//! moment count once, since they have a common cause. A response that comes further than those at the crashes ends suspicion of its
+//! subjects: blocks of many prompts are in most crashes, and in far more good responses. Instances tell each other what they saw, so that all
 //! reach the same decision. A subject with [`MIN_CRASHES`] crashes and no good response since is withheld, unless another
 //! one explains its crashes, or its service answers nothing else either: then the endpoints are the cause.
 
@@ -25,10 +25,10 @@
 use celerytide_types::{BootTime, data};
 use rand::seq::IteratorRandom;
 
-use good_responses::GoodResponses;
+use good_responses::{GoodResponse, GoodResponses};
 use suspect::{Crash, Suspect};
 
-pub use progress::{BreakOff, Progress};
+pub use progress::{BreakOff, Checkpoints, Evidence, Progress, Reached};
 
 use crate::request::ContentHash;
 
@@ -40,8 +40,6 @@
 const MIN_CRASH_GAP_MS: i64 = 250;
 /// Crashes beyond those of a request by which a block explains more than that request.
 const BLOCK_LEAD: usize = 2;
-/// Time after the head from which a response that goes on is a good one.
-pub const SURVIVAL_TIME: Duration = Duration::from_secs(1);
 /// Time without a crash or a refused request after which a withheld subject is forgotten.
 const KEEP_TIME: Duration = Duration::from_secs(24 * 3600);
 /// The same for a subject that isn't withheld.
@@ -93,9 +91,9 @@
         pub crashes: Vec<CrashEntry>,
         /// Time since the last crash or refused request in milliseconds.
         pub idle_ms: u32,
-        /// How far requests with the subject had come at each of the crashes; empty if a response had just begun at all.
+        /// What each of the crashes proves; empty if a response had just begun at all and none has come further.
         #[serde(skip)]
-        pub progress: Vec<Progress>,
+        pub evidence: Vec<Evidence>,
     }
 }
 
@@ -179,17 +177,18 @@
         changes
     }
 
-    /// Records that a response of `service` to a request with `subjects` went on.
-    pub fn record_good(&mut self, service: u32, subjects: &[Subject], now: BootTime) -> Vec<Change> {
+    /// Records that a response of `service` to a request with `subjects` came so far.
+    pub fn record_good(&mut self, service: u32, subjects: &[Subject], reached: Reached, now: BootTime) -> Vec<Change> {
+        let good = GoodResponse { reached, at: now };
         let mut is_news = false;
         for subject in subjects {
-            self.good_responses.record(*subject, now);
+            self.good_responses.record(*subject, good);
         }
         for (subject, suspect) in &mut self.suspects {
             is_news |= if subjects.contains(subject) {
-                suspect.reset(now, now)
+                suspect.reset(good, now)
             } else {
-                suspect.service == service && suspect.note_other_served(now)
+                suspect.service == service && suspect.note_other_served(good)
             };
         }
         if is_news { self.update_withheld(now) } else { Vec::new() }
@@ -207,8 +206,8 @@
                 .entry(entry.subject)
                 .or_insert_with(|| Suspect::new(entry.subject, entry.service, entry.depth, now));
             is_news |= suspect.merge(entry, now);
-            if let Some(good_at) = self.good_responses.last(entry.subject) {
-                is_news |= suspect.reset(good_at, now);
+            for good in self.good_responses.of(entry.subject) {
+                is_news |= suspect.reset(*good, now);
             }
         }
         if !is_news {
--- a/crates/celerytide-edge/src/quarantine/suspect.rs
+++ b/crates/celerytide-edge/src/quarantine/suspect.rs
@@ -5,7 +5,8 @@
 
 use celerytide_types::BootTime;
 
-use super::{CrashEntry, MIN_CRASH_GAP_MS, MIN_CRASHES, MIN_CRASHES_OF_ANY, Progress, Subject, SuspectEntry};
+use super::good_responses::GoodResponse;
+use super::{CrashEntry, Evidence, MIN_CRASH_GAP_MS, MIN_CRASHES, MIN_CRASHES_OF_ANY, Progress, Subject, SuspectEntry};
 
 /// Milliseconds of the boot clock; negative before the machine booted.
 type BootMillis = i64;
@@ -37,14 +38,19 @@
 pub(super) struct Crash {
     endpoint: u32,
     at: BootMillis,
-    /// How far the request with the subject that had come furthest was.
-    progress: Progress,
+    evidence: Evidence,
 }
 
 impl Crash {
     pub(super) fn new(endpoint: u32, progress: Progress, now: BootTime) -> Crash {
-        let at = millis(now);
-        Crash { endpoint, at, progress }
+        Crash {
+            endpoint,
+            at: millis(now),
+            evidence: Evidence {
+                progress,
+                reached: None,
+            },
+        }
     }
 }
 
@@ -72,10 +78,26 @@
         Duration::from_millis(u64::try_from(millis(now) - self.active_at).unwrap_or(0))
     }
 
-    /// Crashes at different endpoints; under a block also at different moments, since some of its many requests are at
-    /// each endpoint.
+    /// Crashes at different endpoints, at about the same time after the head; under a block also at different moments, since
+    /// some of its many requests are at each endpoint.
     pub(super) fn crash_count(&self) -> usize {
-        self.count(self.crashes.iter())
+        self.count_alike(&HashSet::new())
+    }
+
+    /// The most crashes that may have one cause, without those of `explained` endpoints.
+    fn count_alike(&self, explained: &HashSet<u32>) -> usize {
+        let first = self.unexplained(explained).map(|crash| crash.evidence.progress);
+        let alike = |first: Progress| {
+            let crashes = self.unexplained(explained);
+            self.count(crashes.filter(|crash| first.is_like(crash.evidence.progress)))
+        };
+        first.map(alike).max().unwrap_or(0)
+    }
+
+    /// Crashes that no response acquits the subject of, without those of these endpoints.
+    fn unexplained<'a>(&'a self, explained: &'a HashSet<u32>) -> impl Iterator<Item = &'a Crash> {
+        let held = self.crashes.iter().filter(|crash| crash.evidence.holds());
+        held.filter(|crash| !explained.contains(&crash.endpoint))
     }
 
     /// Whether the crashes of other endpoints than these are enough to withhold the subject.
@@ -89,9 +111,9 @@
     }
 
     fn is_enough_with(&self, explained: &HashSet<u32>, more: usize) -> bool {
-        let open = || self.crashes.iter().filter(|crash| !explained.contains(&crash.endpoint));
-        let begun = open().filter(|crash| crash.progress == Progress::Begun);
-        self.count(begun) + more >= MIN_CRASHES || self.count(open()) + more >= MIN_CRASHES_OF_ANY
+        let is_begun = |crash: &&Crash| crash.evidence.progress == Progress::Begun;
+        let begun = self.unexplained(explained).filter(is_begun);
+        self.count(begun) + more >= MIN_CRASHES || self.count_alike(explained) + more >= MIN_CRASHES_OF_ANY
     }
 
     fn count<'a>(&self, crashes: impl Iterator<Item = &'a Crash>) -> usize {
@@ -101,9 +123,10 @@
         }
     }
 
-    /// Endpoints that crashed.
+    /// Endpoints that crashed, and that no response acquits the subject of.
     pub(super) fn endpoints(&self) -> impl Iterator<Item = u32> {
-        self.crashes.iter().map(|crash| crash.endpoint)
+        let held = self.crashes.iter().filter(|crash| crash.evidence.holds());
+        held.map(|crash| crash.endpoint)
     }
 
     /// Adds a crash; returns whether it is news.
@@ -116,26 +139,37 @@
         is_news
     }
 
-    /// Drops the crashes before a good response that ended at `good_at`; returns whether there were any.
-    pub(super) fn reset(&mut self, good_at: BootTime, now: BootTime) -> bool {
-        let before = self.crashes.len();
-        self.crashes.retain(|crash| crash.at > millis(good_at));
-        let is_news = self.crashes.len() < before;
+    /// Notes a good response after the crashes; returns whether it is news.
+    pub(super) fn reset(&mut self, good: GoodResponse, now: BootTime) -> bool {
+        let mut is_news = false;
+        for crash in self.crashes.iter_mut().filter(|crash| crash.at <= millis(good.at)) {
+            is_news |= crash.evidence.holds() && good.reached.is_beyond(crash.evidence.progress);
+            crash.evidence.reached = crash.evidence.reached.max(Some(good.reached));
+        }
         if is_news {
-            self.resets = self.resets.saturating_add(1);
-            self.others_served = false;
             self.changed_at = now;
+            self.clear_unfounded();
         }
         is_news
     }
 
-    /// Notes that the service answered a request without the subject; returns whether it is news.
-    pub(super) fn note_other_served(&mut self, now: BootTime) -> bool {
-        if self.others_served || self.crashes.is_empty() {
+    /// Drops the crashes if none of them is evidence any more.
+    fn clear_unfounded(&mut self) {
+        if !self.crashes.is_empty() && !self.crashes.iter().any(|crash| crash.evidence.holds()) {
+            self.crashes.clear();
+            self.resets = self.resets.saturating_add(1);
+            self.others_served = false;
+        }
+    }
+
+    /// Notes a good response of the service without the subject; returns whether it is news.
+    pub(super) fn note_other_served(&mut self, good: GoodResponse) -> bool {
+        let is_beyond = |crash: &Crash| good.reached.is_beyond(crash.evidence.progress);
+        if self.others_served || self.crashes.is_empty() || !self.crashes.iter().all(is_beyond) {
             return false;
         }
         self.others_served = true;
-        self.changed_at = now;
+        self.changed_at = good.at;
         true
     }
 
@@ -155,18 +189,19 @@
         is_news |= told.others_served && !self.others_served;
         self.others_served |= told.others_served;
         self.depth = self.depth.min(told.depth);
-        let mut progress = told.progress.iter().copied();
+        let mut evidence = told.evidence.iter().copied();
         for crash in &told.crashes {
             is_news |= self.insert(Crash {
                 endpoint: crash.endpoint,
                 at: millis(now) - BootMillis::from(crash.age_ms),
-                progress: progress.next().unwrap_or(Progress::Begun),
+                evidence: evidence.next().unwrap_or(Evidence::BEGUN),
             });
         }
         let active_at = millis(now) - BootMillis::from(told.idle_ms);
         self.active_at = self.active_at.max(active_at);
         if is_news {
             self.changed_at = now;
+            self.clear_unfounded();
         }
         is_news
     }
@@ -177,8 +212,8 @@
             endpoint: crash.endpoint,
             age_ms: age(crash.at),
         };
-        let progress = self.crashes.iter().map(|crash| crash.progress);
-        let is_plain = progress.clone().all(|progress| progress == Progress::Begun);
+        let evidence = self.crashes.iter().map(|crash| crash.evidence);
+        let is_plain = evidence.clone().all(|evidence| evidence == Evidence::BEGUN);
         SuspectEntry {
             subject: self.subject,
             service: self.service,
@@ -187,16 +222,15 @@
             resets: self.resets,
             crashes: self.crashes.iter().map(crash).collect(),
             idle_ms: age(self.active_at),
-            progress: if is_plain { Vec::new() } else { progress.collect() },
+            evidence: if is_plain { Vec::new() } else { evidence.collect() },
         }
     }
 
-    /// Inserts a crash in the order of time; false if its endpoint is known with a request that had come as far.
+    /// Inserts a crash in the order of time; false if all of it is known.
     fn insert(&mut self, crash: Crash) -> bool {
         if let Some(known) = self.crashes.iter_mut().find(|known| known.endpoint == crash.endpoint) {
-            let is_news = crash.progress > known.progress;
-            known.progress = known.progress.max(crash.progress);
-            return is_news;
+            let evidence = known.evidence.and(crash.evidence);
+            return std::mem::replace(&mut known.evidence, evidence) != evidence;
         }
         let order = |crash: &Crash| (crash.at, crash.endpoint);
         let index = self.crashes.partition_point(|known| order(known) <= order(&crash));
--- a/crates/celerytide-edge/tests/ordinary_crashes.rs
+++ b/crates/celerytide-edge/tests/ordinary_crashes.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use arbtest::arbitrary::{Result, Unstructured};
-use celerytide_edge::quarantine::{BreakOff, Quarantine, SURVIVAL_TIME, Subject};
+use celerytide_edge::quarantine::{BreakOff, Checkpoints, Quarantine, Reached, Subject};
 use celerytide_seeds::each_seed;
 use celerytide_types::BootTime;
 
@@ -22,7 +22,7 @@
     to_head: Duration,
     /// Time from the head to the end.
     length: Duration,
-    is_good: bool,
+    checkpoints: Checkpoints,
     subjects: [Subject; 4],
 }
 
@@ -37,7 +37,7 @@
             sent_at: now,
             to_head: Duration::from_millis(u.int_in_range(30..=600)?),
             length: Duration::from_millis(u.int_in_range(300..=4000)?),
-            is_good: false,
+            checkpoints: Checkpoints::default(),
             subjects: [
                 Subject::Block(1),
                 Subject::Block(100 + kind),
@@ -58,9 +58,9 @@
             return false;
         };
         let has_ended = age >= self.length;
-        if has_ended || (age > SURVIVAL_TIME && !self.is_good) {
-            self.is_good = true;
-            quarantine.record_good(SERVICE, &self.subjects, now);
+        let passed = self.checkpoints.pass(age);
+        if let Some(reached) = if has_ended { Some(Reached::End) } else { passed } {
+            quarantine.record_good(SERVICE, &self.subjects, reached, now);
         }
         has_ended
     }
