--- a/crates/celerytide-standin/src/relay/mode.rs
+++ b/crates/celerytide-standin/src/relay/mode.rs
@@ -20,6 +20,8 @@
         },
         /// No new connection is established; open ones continue.
         Stall,
+        /// New connections are refused; open ones continue.
+        Refuse,
         /// No bytes pass in the given directions, on open and new connections.
         Cut {
             /// Nothing reaches the target.
--- a/crates/celerytide-standin/src/relay/route.rs
+++ b/crates/celerytide-standin/src/relay/route.rs
@@ -20,7 +20,8 @@
     errno::Errno,
     libc,
     sys::socket::{
-        self, AddressFamily, Backlog, SockFlag, SockType, SockaddrStorage, listen, setsockopt, socket, sockopt,
+        self, AddressFamily, Backlog, Shutdown, SockFlag, SockType, SockaddrStorage, listen, setsockopt, socket,
+        sockopt,
     },
 };
 
@@ -67,9 +68,10 @@
             Mode::Silent => self.for_each_connection(|conn| conn.silence()),
             Mode::Reset => self.for_each_connection(|conn| conn.reset()),
             Mode::Stall => self.stall(),
+            Mode::Refuse => self.refuse(),
             _ => {}
         }
-        if self.mode.get() == Mode::Stall && mode != Mode::Stall {
+        if is_closed(self.mode.get()) && !is_closed(mode) {
             self.backlog_fillers.borrow_mut().clear();
             let _ = listen(&self.listener, Backlog::MAXCONN);
         }
@@ -94,6 +96,12 @@
         }
     }
 
+    /// Stops listening; the address stays bound.
+    fn refuse(&self) {
+        self.backlog_fillers.borrow_mut().clear();
+        let _ = socket::shutdown(self.listener.as_raw_fd(), Shutdown::Read);
+    }
+
     pub(super) fn mode(&self) -> Mode {
         self.mode.get()
     }
@@ -153,12 +161,17 @@
     }
 }
 
-/// Accepts the next connection; `None` while the route is stalled. The connections that fill the backlog must stay in
+/// Whether no connection is accepted in this mode.
+fn is_closed(mode: Mode) -> bool {
+    matches!(mode, Mode::Stall | Mode::Refuse)
+}
+
+/// Accepts the next connection; `None` while none is accepted. The connections that fill the backlog must stay in
 /// it, since after accepting one another caller could take its place.
 async fn accept_next(route: &Route, listener: &TcpListener) -> Option<io::Result<(TcpStream, SocketAddr)>> {
     let mut next = pin!(listener.accept());
     poll_fn(|cx| match route.mode() {
-        Mode::Stall => Poll::Ready(None),
+        mode if is_closed(mode) => Poll::Ready(None),
         _ => next.as_mut().poll(cx).map(Some),
     })
     .await
