fix(edge): an instance that reaches no endpoint hands its requests to a peer

A request was only ever sent to endpoints by the instance that received it.

A failure detector (reach) finds from the instance's own attempts that no endpoint is reached: three endpoints failed within two seconds and no response came on a new connection. Such an instance hands its requests to a random live peer over the connections between instances; a request whose own attempts all found no connection is handed over too. The peer accepts or declines before the body is sent, runs nothing before it has all of it, and never hands it on, so that what fails before the last part has certainly not run and what fails later is reported as unknown and not repeated.

The relay stand-in binds its port explicitly: after a refusal it listened on another one.

--- a/crates/celerytide-edge/src/daemon/mod.rs
+++ b/crates/celerytide-edge/src/daemon/mod.rs
@@ -147,9 +147,9 @@
         end: CancellationToken::new(),
     };
     listen_status(&edge, &metrics, &account, &shutdown)?;
-    listen_peers(&edge, &shutdown)?;
-    let listener = bind(edge.settings.callers, &edge.limits.get())?;
     let callers = Rc::new(AccountedHandler::new(edge.clone(), account.clone()));
+    listen_peers(&edge, &callers, &shutdown)?;
+    let listener = bind(edge.settings.callers, &edge.limits.get())?;
     monoio::spawn(serve_with_account(
         listener,
         edge.limits.clone(),
@@ -203,12 +203,19 @@
     Ok(())
 }
 
-fn listen_peers<P: Protocol>(edge: &Rc<Edge<P>>, shutdown: &Shutdown) -> Result<(), Error> {
+fn listen_peers<P: Protocol>(
+    edge: &Rc<Edge<P>>,
+    callers: &Rc<AccountedHandler<P>>,
+    shutdown: &Shutdown,
+) -> Result<(), Error> {
     let Some(addr) = edge.settings.peers else {
         return Ok(());
     };
     let listener: TcpListener = bind(addr, &Limits::default())?;
-    let service = Rc::new(peers::Service(edge.clone()));
+    let service = Rc::new(peers::Service {
+        edge: edge.clone(),
+        callers: callers.clone(),
+    });
     monoio::spawn(celerytide_wire::serve(
         listener,
         peers::options(),
--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -7,6 +7,7 @@
 mod pick;
 mod placed;
 mod quarantined;
+mod reached;
 mod taken_up;
 
 use std::cell::{Cell, RefCell};
@@ -45,6 +46,7 @@
 use crate::protocol::Protocol;
 use crate::quarantine::Quarantine;
 use crate::rate_limit::{NamedLimits, RateLimiter};
+use crate::reach::{PeerChoice, Reach};
 use crate::settings::Settings;
 use crate::software::{History, Streams};
 use crate::split::EngineSplit;
@@ -107,6 +109,10 @@
     pub rate_limiter: RefCell<RateLimiter>,
     /// Prompt blocks under which engines crashed.
     pub quarantine: RefCell<Quarantine>,
+    /// Whether endpoints are reached.
+    pub reach: RefCell<Reach>,
+    /// Which peers are asked to serve requests.
+    pub peer_choice: RefCell<PeerChoice>,
     /// Requests that coordinators place or count.
     pub placements: RefCell<coordinator::Client>,
     /// Groups of engines that this instance coordinates.
@@ -191,6 +197,8 @@
             notices: RefCell::default(),
             named_limits: RefCell::default(),
             quarantine: RefCell::default(),
+            reach: RefCell::default(),
+            peer_choice: RefCell::default(),
             placements: RefCell::new(coordinator::Client::new(rand::random())),
             coordination: RefCell::default(),
             placement_urgent: Notify::new(),
--- /dev/null
+++ b/crates/celerytide-edge/src/forward/handed.rs
@@ -0,0 +1,103 @@
+//! Requests that a peer serves for this instance.
+
+use celerytide_http::server::{Responder, ResponsePart};
+use http::StatusCode;
+use tracing::info;
+
+use super::refusal::{Refusal, refuse};
+use super::{DEADLINE, End, Forwarding, MIN_TIME_LEFT};
+use crate::peers::handover::{HandedOver, hand_over};
+use crate::protocol::Protocol;
+
+/// Cause of a request that a peer served, or refused.
+const HANDED_OVER: &str = "handed-over";
+/// Cause of a request that a peer took and didn't finish.
+const PEER_BROKE_OFF: &str = "peer-broke-off";
+
+impl<P: Protocol> Forwarding<'_, P> {
+    /// Lets a peer serve the request if this instance reaches no endpoint; gives the responder back if none takes it.
+    pub(super) async fn hand_over_if_cut_off(&mut self, out: Responder) -> Result<End, Responder> {
+        if self.edge.reach.borrow().is_cut_off() {
+            return self.hand_over(out).await;
+        }
+        Err(out)
+    }
+
+    /// Lets a peer serve a request that reached no endpoint and has not run.
+    pub(super) async fn hand_over_unreached(&mut self, out: Responder) -> Result<End, Responder> {
+        let has_not_run = self.may_have_run_count == 0 && !self.reached_endpoint;
+        if has_not_run && self.edge.reach.borrow().may_help(celerytide_types::now_boot()) {
+            return self.hand_over(out).await;
+        }
+        Err(out)
+    }
+
+    async fn hand_over(&mut self, out: Responder) -> Result<End, Responder> {
+        if self.origin == super::Origin::Peer || self.time_left() < MIN_TIME_LEFT {
+            return Err(out);
+        }
+        let deadline = celerytide_types::now_boot().after(self.time_left());
+        match hand_over(self.edge, self.req, &self.request.id, deadline).await {
+            Some(handed) => Ok(self.relay_handed(out, handed).await),
+            None => Err(out),
+        }
+    }
+
+    async fn relay_handed(&mut self, out: Responder, mut handed: HandedOver) -> End {
+        info!(request = self.request.id, peer = %handed.peer, "handover: a peer has the request");
+        self.endpoint = handed.peer.to_string();
+        match handed.first.take() {
+            Some(ResponsePart::Whole { status, headers, body }) => {
+                if self.edge.protocol.promises_not_run(status) {
+                    let now = celerytide_types::now_boot();
+                    self.edge.reach.borrow_mut().note_no_help(now);
+                }
+                // The caller may have disconnected.
+                let _ = out.whole(status, headers, body).await;
+                End::new(HANDED_OVER, status.as_u16())
+            }
+            Some(ResponsePart::Head { status, headers }) => match out.stream(status, headers).await {
+                Ok(writer) => relay_chunks(writer, handed, status).await,
+                Err(_) => End::new("caller-left", status.as_u16()),
+            },
+            Some(ResponsePart::Chunk(_) | ResponsePart::End) | None => self.fail_handed(out).await,
+        }
+    }
+
+    /// Ends a request that the peer may have run.
+    async fn fail_handed(&mut self, out: Responder) -> End {
+        self.may_have_run_count += 1;
+        let (status, cause) = if self.time_left() < MIN_TIME_LEFT {
+            (StatusCode::GATEWAY_TIMEOUT, DEADLINE)
+        } else {
+            (StatusCode::BAD_GATEWAY, PEER_BROKE_OFF)
+        };
+        refuse(out, &Refusal::failed(status, cause)).await;
+        End::new(cause, status.as_u16())
+    }
+}
+
+/// Relays a body in chunks; one that breaks off is ended without its regular end.
+async fn relay_chunks(
+    mut out: celerytide_http::server::ChunkWriter,
+    mut handed: HandedOver,
+    status: StatusCode,
+) -> End {
+    loop {
+        match handed.next().await {
+            Some(ResponsePart::Chunk(data)) => {
+                if out.send(data).await.is_err() {
+                    return End::new("caller-left", status.as_u16());
+                }
+            }
+            Some(ResponsePart::End) => {
+                // The caller may have disconnected.
+                let _ = out.finish().await;
+                return End::new(HANDED_OVER, status.as_u16());
+            }
+            Some(ResponsePart::Whole { .. } | ResponsePart::Head { .. }) | None => {
+                return End::new(PEER_BROKE_OFF, status.as_u16());
+            }
+        }
+    }
+}
--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -7,6 +7,7 @@
 
 mod body;
 mod continuity;
+mod handed;
 mod headers;
 mod proof;
 mod refusal;
@@ -51,14 +52,30 @@
 
 impl<P: Protocol> Handler for CallerHandler<P> {
     async fn handle(&self, req: Request, out: Responder, cx: CancellationToken) {
+        self.handle_from(Origin::Caller, req, out, cx).await;
+    }
+}
+
+impl<P: Protocol> CallerHandler<P> {
+    /// Handles a request of this origin.
+    pub async fn handle_from(&self, origin: Origin, req: Request, out: Responder, cx: CancellationToken) {
         let edge = &self.0;
         edge.active_requests.set(edge.active_requests.get() + 1);
-        serve(edge, req, out, cx).await;
+        serve(edge, origin, req, out, cx).await;
         edge.active_requests.set(edge.active_requests.get() - 1);
     }
 }
 
-async fn serve<P: Protocol>(edge: &Rc<Edge<P>>, req: Request, out: Responder, cx: CancellationToken) {
+/// Who sent a request to this instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// The caller.
+    Caller,
+    /// A peer that reaches no endpoint.
+    Peer,
+}
+
+async fn serve<P: Protocol>(edge: &Rc<Edge<P>>, origin: Origin, req: Request, out: Responder, cx: CancellationToken) {
     let began = now_boot();
     let Some(routed) = cx.run_until_cancelled(route(edge, &req, began)).await else {
         return info!(
@@ -84,6 +101,7 @@
     };
     let mut fwd = Forwarding {
         edge,
+        origin,
         request: &request,
         req: &req,
         tried: Vec::new(),
@@ -161,6 +179,7 @@
 /// State of forwarding one request.
 struct Forwarding<'a, P: Protocol> {
     edge: &'a Rc<Edge<P>>,
+    origin: Origin,
     request: &'a RoutedRequest,
     req: &'a Request,
     tried: Vec<String>,
@@ -220,6 +239,10 @@
         if !stop::accepts_requests(since) {
             return self.give_up(out, STOPPING).await;
         }
+        let mut out = match self.hand_over_if_cut_off(out).await {
+            Ok(ended) => return ended,
+            Err(out) => out,
+        };
         if let Some(take_up) = &self.request.take_up {
             match edge.resolve_take_up(self.request, take_up).await {
                 Ok(software) => self.bound = Some(software),
@@ -287,6 +310,10 @@
                 }
             };
             if let Next::GiveUp(cause) = next {
+                out = match self.hand_over_unreached(out).await {
+                    Ok(ended) => return ended,
+                    Err(out) => out,
+                };
                 return self.give_up(out, cause).await;
             }
         }
--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -20,6 +20,7 @@
 use crate::protocol::Protocol;
 use crate::quarantine::{BreakOff, is_crash};
 use crate::rate_limit::StatedLimit;
+use crate::reach::Failure;
 use crate::software::{Software, software};
 
 /// Longest time for a new connection.
@@ -151,7 +152,10 @@
     let sent = edge.client.send(call, &CancellationToken::new()).await;
     let proof = Proof::of(&sent, &edge.protocol, fwd.request.route.kind);
     let error = match sent {
-        Ok(response) => return read_head(fwd, service, pick, response, proof),
+        Ok(response) => {
+            edge.note_heard(response.is_first);
+            return read_head(fwd, service, pick, response, proof);
+        }
         Err(error) => error,
     };
     let id = &pick.endpoint.id;
@@ -164,6 +168,7 @@
         after_ms = since_ms(&pick),
         "send: failed"
     );
+    edge.note_unheard(id, failure(&error));
     if error.may_have_run() {
         edge.record(&service.id, id, Outcome::Bad);
         return Sent::Broken {
@@ -175,6 +180,14 @@
     Sent::Unreached("endpoint-unreachable")
 }
 
+fn failure(error: &SendError) -> Failure {
+    if error.may_have_run() {
+        Failure::Written
+    } else {
+        Failure::Connect
+    }
+}
+
 /// Notes that an endpoint broke off before the head of a response; returns whether the request may be sent again.
 fn note_crash<P: Protocol>(fwd: &Forwarding<'_, P>, service: &Service, pick: &Pick<P>) -> bool {
     let at = BreakOff {
--- a/crates/celerytide-edge/src/lib.rs
+++ b/crates/celerytide-edge/src/lib.rs
@@ -1,7 +1,7 @@
 //! A router in one process: it reads what the platform publishes and decides about each request by itself.
 //!
 //! Decisions take facts and times as arguments and do no I/O: [`admission`], [`budget`], [`coordinator`], [`health`],
-//! [`notice`], [`placement`], [`rate_limit`], [`request`], [`split`]. The tasks around them: [`follow`] reads the store, [`peers`]
+//! [`notice`], [`placement`], [`rate_limit`], [`reach`], [`request`], [`split`]. The tasks around them: [`follow`] reads the store, [`peers`]
 //! talks to other instances, [`forward`] serves callers, [`stop`] ends the process. An adapter supplies
 //! [`protocol::Protocol`] for callers and endpoints, and [`source::Source`] for the store.
 
@@ -25,6 +25,7 @@
 pub mod protocol;
 pub mod quarantine;
 pub mod rate_limit;
+pub mod reach;
 pub mod request;
 pub mod settings;
 pub mod software;
--- a/crates/celerytide-edge/src/memory/mod.rs
+++ b/crates/celerytide-edge/src/memory/mod.rs
@@ -4,14 +4,15 @@
 use std::rc::Rc;
 
 use celerytide_catalog::KeyLookup;
+use celerytide_http::memory::NoRoom;
 use celerytide_http::memory::{Account, Limit, Refusal};
-use celerytide_http::server::{Handler, Request, Responder};
+use celerytide_http::server::{HandedBody, Handler, Request, Responder};
 use http::HeaderMap;
 use tokio_util::sync::CancellationToken;
 use tracing::info;
 
 use crate::edge::Edge;
-use crate::forward::CallerHandler;
+use crate::forward::{CallerHandler, Origin};
 use crate::protocol::Protocol;
 use crate::settings::Settings;
 
@@ -44,6 +45,30 @@
         }
     }
 
+    /// State of the process.
+    pub fn edge(&self) -> &Rc<Edge<P>> {
+        &self.inner.0
+    }
+
+    /// Opens a place in the account for a request that a peer hands over.
+    pub fn open_handed(&self, req: &Request) -> Result<HandedBody, NoRoom> {
+        HandedBody::open(&self.account, req.peer.ip(), self.customer(&req.headers))
+    }
+
+    /// Handles a request that a peer handed over.
+    pub async fn handle_handed(&self, req: Request, out: Responder, cx: CancellationToken) {
+        if self.has_descriptors() {
+            return self.inner.handle_from(Origin::Peer, req, out, cx).await;
+        }
+        self.refuse_for_descriptors(out).await;
+    }
+
+    async fn refuse_for_descriptors(&self, out: Responder) {
+        self.account.note_refusal(Refusal::Descriptors);
+        // The caller may have disconnected.
+        let _ = out.refuse_for_descriptors().await;
+    }
+
     /// Whether one more connection to an endpoint stays within the descriptors of the settings.
     fn has_descriptors(&self) -> bool {
         let edge = &self.inner.0;
@@ -63,9 +88,7 @@
         if self.has_descriptors() {
             return self.inner.handle(req, out, cx).await;
         }
-        self.account.note_refusal(Refusal::Descriptors);
-        // The caller may have disconnected.
-        let _ = out.refuse_for_descriptors().await;
+        self.refuse_for_descriptors(out).await;
     }
 
     fn customer(&self, headers: &HeaderMap) -> Option<u64> {
--- a/crates/celerytide-edge/src/metrics/mod.rs
+++ b/crates/celerytide-edge/src/metrics/mod.rs
@@ -24,6 +24,13 @@
     pub outcome: &'static str,
 }
 
+/// Label by what became of something.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct OutcomeLabel {
+    /// What became of it.
+    pub outcome: &'static str,
+}
+
 /// Label of placements.
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct SourceLabel {
@@ -115,6 +122,12 @@
     pub pages: Counter,
     /// 1 while this instance reads the store, 0 while it follows one that does or can't reach the store.
     pub reading: Gauge,
+    /// 1 while this instance reaches no endpoint.
+    pub cut_off: Gauge,
+    /// Requests offered to peers, by what became of the offer.
+    pub handovers: Family<OutcomeLabel, Counter>,
+    /// Requests served for peers.
+    pub served_for_peers: Counter,
     /// Memory that the process may use, in bytes.
     pub memory_limit: Gauge,
     /// Memory charged to connections, in bytes.
@@ -159,6 +172,9 @@
             restores: Counter::default(),
             pages: Counter::default(),
             reading: Gauge::default(),
+            cut_off: Gauge::default(),
+            handovers: Family::default(),
+            served_for_peers: Counter::default(),
             memory_limit: Gauge::default(),
             memory_account: Gauge::default(),
             memory_resident: Gauge::default(),
@@ -231,6 +247,12 @@
         registry.register("store_pages", pages, self.pages.clone());
         let reading = "1 while this instance reads the store, 0 while it follows another or has lost it";
         registry.register("store_reading", reading, self.reading.clone());
+        let cut_off = "1 while this instance reaches no endpoint";
+        registry.register("cut_off", cut_off, self.cut_off.clone());
+        let handovers = "Requests offered to peers, by what became of the offer";
+        registry.register("handovers", handovers, self.handovers.clone());
+        let served = "Requests served for peers";
+        registry.register("served_for_peers", served, self.served_for_peers.clone());
         let limit = "Memory that the process may use";
         registry.register("memory_limit_bytes", limit, self.memory_limit.clone());
         let account = "Memory charged to connections of callers";
--- a/crates/celerytide-edge/src/peers/exchange.rs
+++ b/crates/celerytide-edge/src/peers/exchange.rs
@@ -18,8 +18,9 @@
 use tracing::{debug, info};
 
 use super::members::PeerEntry;
-use super::{relay, streams};
+use super::{handover, relay, streams};
 use crate::edge::{Edge, StoreAccess};
+use crate::memory::AccountedHandler;
 use crate::protocol::Protocol;
 
 /// Interval between calls while the store responds.
@@ -162,14 +163,20 @@
 }
 
 /// Serves calls of other instances.
-pub struct Service<P: Protocol>(pub Rc<Edge<P>>);
+pub struct Service<P: Protocol> {
+    /// State of the process.
+    pub edge: Rc<Edge<P>>,
+    /// Handler of requests that are handed over.
+    pub callers: Rc<AccountedHandler<P>>,
+}
 
 impl<P: Protocol> celerytide_wire::Service for Service<P> {
     async fn serve(&self, method: Method, mut ex: Exchange) {
         match method {
             Method::Peers => {}
-            Method::Follow => return relay::serve(&self.0, ex).await,
-            Method::Streams => return streams::serve(&self.0, ex).await,
+            Method::Follow => return relay::serve(&self.edge, ex).await,
+            Method::Streams => return streams::serve(&self.edge, ex).await,
+            Method::Proxy => return handover::serve(&self.callers, ex).await,
             _ => return debug!(?method, "peers: unsupported method"),
         }
         let Ok(request) = ex.recv_required::<ExchangeRequest>().await else {
@@ -184,7 +191,7 @@
 
 impl<P: Protocol> Service<P> {
     fn build_reply(&self, request: &ExchangeRequest) -> ExchangeReply {
-        let edge = &self.0;
+        let edge = &self.edge;
         let now = now_boot();
         let live = self.merge_live(&request.live, now);
         let view = edge.view.borrow();
@@ -204,7 +211,7 @@
 
     /// Merges the sender's entries; returns this instance's own.
     fn merge_live(&self, live: &[PeerEntry], now: BootTime) -> Vec<PeerEntry> {
-        let mut members = self.0.members.borrow_mut();
+        let mut members = self.edge.members.borrow_mut();
         members.merge(live, now);
         if let Some(sender) = live.first() {
             members.record_contact(sender.address, now);
--- /dev/null
+++ b/crates/celerytide-edge/src/peers/handover/serve.rs
@@ -0,0 +1,136 @@
+//! The peer that serves the request.
+
+use std::rc::Rc;
+
+use celerytide_http::Payload;
+use celerytide_http::server::{HandedBody, HandedPlace, Request, ResponsePart, ResponseParts, responder_in_parts};
+use celerytide_types::now_boot;
+use celerytide_wire::{Error, Exchange};
+use futures::StreamExt;
+use http::header::HeaderValue;
+use tokio_util::sync::CancellationToken;
+use tracing::{debug, info};
+
+use super::{BodyPart, ProxyReply, ProxyRequest, decode_headers};
+use crate::edge::Edge;
+use crate::memory::AccountedHandler;
+use crate::protocol::Protocol;
+
+/// What came of a body.
+enum Received {
+    /// All of it.
+    Whole,
+    /// There is no memory for the rest.
+    NoRoom,
+}
+
+/// Serves one request that a peer hands over.
+pub async fn serve<P: Protocol>(callers: &Rc<AccountedHandler<P>>, mut ex: Exchange) {
+    let Ok(head) = ex.recv_required::<ProxyRequest>().await else {
+        return;
+    };
+    let body_bytes = head.body_bytes;
+    let max_body = callers.edge().limits.get().max_body_bytes as u64;
+    let request = request(callers.edge(), head).filter(|_| body_bytes <= max_body && may_serve(callers.edge()));
+    let Some(mut req) = request else {
+        return decline(ex).await;
+    };
+    let Ok(mut body) = callers.open_handed(&req) else {
+        return decline(ex).await;
+    };
+    match receive(&mut ex, &mut body, body_bytes).await {
+        Ok(Received::Whole) => {}
+        Ok(Received::NoRoom) => return refuse(ex).await,
+        Err(error) => return debug!(%error, "handover: the body didn't come"),
+    }
+    let (payload, place): (Payload, HandedPlace) = body.finish();
+    req.body = payload;
+    respond(callers, ex, req, place).await;
+}
+
+/// Whether this instance can serve a request that another one can't.
+fn may_serve<P: Protocol>(edge: &Edge<P>) -> bool {
+    let is_current = edge.is_ready() && edge.may_serve(now_boot());
+    is_current && !edge.reach.borrow().is_cut_off()
+}
+
+async fn decline(mut ex: Exchange) {
+    if let Err(error) = ex.send_last(&ProxyReply::Declined).await {
+        debug!(%error, "handover: reply not sent");
+    }
+}
+
+/// The request without its body; `None` if it isn't valid.
+fn request<P: Protocol>(edge: &Edge<P>, head: ProxyRequest) -> Option<Request> {
+    let mut headers = decode_headers(head.headers)?;
+    let left = HeaderValue::from(head.left_ms);
+    headers.insert(edge.protocol.header_names().deadline_ms.clone(), left);
+    Some(Request {
+        method: head.method.parse().ok()?,
+        uri: head.target.parse().ok()?,
+        headers,
+        body: Payload::default(),
+        peer: head.caller,
+    })
+}
+
+/// Accepts the request and receives its body.
+async fn receive(ex: &mut Exchange, body: &mut HandedBody, body_bytes: u64) -> Result<Received, Error> {
+    ex.send(&ProxyReply::Accepted).await?;
+    let mut left = body_bytes;
+    loop {
+        let part = ex.recv_required::<BodyPart>().await?;
+        left = left.checked_sub(part.bytes.len() as u64).ok_or(Error::Ended)?;
+        if body.push(&part.bytes).await.is_err() {
+            return Ok(Received::NoRoom);
+        }
+        if left == 0 {
+            return Ok(Received::Whole);
+        }
+    }
+}
+
+/// Refuses the request, which has not run, for lack of memory.
+async fn refuse(mut ex: Exchange) {
+    let (out, parts) = responder_in_parts();
+    let refusing = out.refuse_for_memory();
+    let (_, sent) = futures::join!(refusing, send(&mut ex, parts));
+    if let Err(error) = sent {
+        debug!(%error, "handover: refusal not sent");
+    }
+}
+
+/// Handles the request and sends its response; ends both if the other instance drops the exchange.
+async fn respond<P: Protocol>(callers: &Rc<AccountedHandler<P>>, mut ex: Exchange, req: Request, place: HandedPlace) {
+    callers.edge().counters.served_for_peers.inc();
+    let names = callers.edge().protocol.header_names();
+    let id = req.headers.get(&names.request_id).and_then(|id| id.to_str().ok());
+    info!(request = id, caller = %req.peer, "handover: serves a request of a peer");
+    let (out, parts) = responder_in_parts();
+    let gone = CancellationToken::new();
+    let handling = place.run(callers.handle_handed(req, out, gone.clone()));
+    let sending = async {
+        if let Err(error) = send(&mut ex, parts).await {
+            debug!(%error, "handover: response not sent");
+        }
+        gone.cancel();
+    };
+    futures::join!(handling, sending);
+}
+
+/// Sends the response; fails as soon as the other instance drops the exchange.
+async fn send(ex: &mut Exchange, mut parts: ResponseParts) -> Result<(), Error> {
+    loop {
+        let part = monoio::select! {
+            part = parts.next() => part.ok_or(Error::Ended)?,
+            // Nothing follows the body: only the end of the exchange ends this wait.
+            _ = ex.recv::<BodyPart>() => return Err(Error::Ended),
+        };
+        let is_last = matches!(part, ResponsePart::Whole { .. } | ResponsePart::End);
+        let reply = ProxyReply::from(part);
+        if is_last {
+            return ex.send_last(&reply).await;
+        }
+        ex.send(&reply).await?;
+    }
+}
--- a/crates/celerytide-edge/src/peers/mod.rs
+++ b/crates/celerytide-edge/src/peers/mod.rs
@@ -3,6 +3,7 @@
 mod datagrams;
 pub mod digest;
 mod exchange;
+pub mod handover;
 mod members;
 mod placement;
 pub mod readers;
--- /dev/null
+++ b/crates/celerytide-edge/src/reach/mod.rs
@@ -0,0 +1,140 @@
+//! Failure detector: whether this instance reaches no endpoint at all.
+//!
+//! Designed for a partition between this instance and all endpoints: connections hang, are reset, or live on while new
+//! ones are refused. The head of a response on a new connection proves that endpoints are reachable. One on a used
+//! connection proves only that this connection lives. Whether the endpoints are down for everyone isn't told here: peers
+//! that are cut off themselves say so. docs/design/partition.md describes the design.
+
+mod peers;
+
+pub use peers::PeerChoice;
+
+use std::time::Duration;
+
+use celerytide_types::BootTime;
+
+/// Age up to which a failed attempt counts.
+const WINDOW: Duration = Duration::from_secs(2);
+/// Endpoints that have to fail; all of them if there are fewer.
+const MIN_ENDPOINTS: usize = 3;
+/// Attempts that have to fail.
+const MIN_ATTEMPTS: usize = 3;
+/// Most failed attempts that are remembered.
+const MAX_ATTEMPTS: usize = 16;
+/// Time for which no request is handed over after a failure of its own if a peer couldn't serve one either.
+const NO_HELP_TIME: Duration = Duration::from_secs(1);
+
+/// How an attempt failed without the head of a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// No connection.
+    Connect,
+    /// Silence, or the end of the connection, after the request was written.
+    Written,
+}
+
+/// What is known of the way to the endpoints.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Reachability {
+    /// Nothing speaks against it.
+    #[default]
+    Open,
+    /// No endpoint is reached.
+    CutOff,
+    /// A connection was established after a cut; no response has come on one yet.
+    Trial,
+}
+
+/// A change that is logged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// From now on no endpoint is reached.
+    CutOff,
+    /// From now on requests are tried here again.
+    Trial,
+    /// Endpoints are reached.
+    Open,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Failed {
+    endpoint: u32,
+    failure: Failure,
+    at: BootTime,
+}
+
+/// Failed attempts of late, and what follows from them.
+#[derive(Debug, Default)]
+pub struct Reach {
+    state: Reachability,
+    failed: Vec<Failed>,
+    no_help_until: Option<BootTime>,
+}
+
+impl Reach {
+    /// Whether no endpoint is reached.
+    pub fn is_cut_off(&self) -> bool {
+        self.state == Reachability::CutOff
+    }
+
+    /// Records the head of a response, on a new connection or a used one.
+    pub fn note_heard(&mut self, is_new_connection: bool) -> Option<Change> {
+        if !is_new_connection {
+            self.failed.retain(|failed| failed.failure == Failure::Connect);
+            return None;
+        }
+        self.failed.clear();
+        let was = std::mem::take(&mut self.state);
+        (was != Reachability::Open).then_some(Change::Open)
+    }
+
+    /// Records an attempt at an endpoint, given by the hash of its id, that failed without a response; `known` endpoints
+    /// may get requests.
+    pub fn note_failed(&mut self, endpoint: u32, failure: Failure, known: usize, now: BootTime) -> Option<Change> {
+        self.failed.retain(|failed| now.since(failed.at) < WINDOW);
+        if self.failed.len() >= MAX_ATTEMPTS {
+            self.failed.remove(0);
+        }
+        self.failed.push(Failed {
+            endpoint,
+            failure,
+            at: now,
+        });
+        let is_new = match self.state {
+            Reachability::CutOff => false,
+            Reachability::Trial => true,
+            Reachability::Open => self.is_conclusive(known),
+        };
+        if is_new {
+            self.state = Reachability::CutOff;
+        }
+        is_new.then_some(Change::CutOff)
+    }
+
+    fn is_conclusive(&self, known: usize) -> bool {
+        let mut endpoints: Vec<u32> = self.failed.iter().map(|failed| failed.endpoint).collect();
+        endpoints.sort_unstable();
+        endpoints.dedup();
+        self.failed.len() >= MIN_ATTEMPTS && endpoints.len() >= MIN_ENDPOINTS.min(known.max(1))
+    }
+
+    /// Records that a connection to an endpoint was established by a probe.
+    pub fn note_connected(&mut self) -> Option<Change> {
+        if self.state != Reachability::CutOff {
+            return None;
+        }
+        self.state = Reachability::Trial;
+        self.failed.clear();
+        Some(Change::Trial)
+    }
+
+    /// Records that a peer couldn't serve a request either.
+    pub fn note_no_help(&mut self, now: BootTime) {
+        self.no_help_until = Some(now.after(NO_HELP_TIME));
+    }
+
+    /// Whether a request that reached no endpoint may be handed over.
+    pub fn may_help(&self, now: BootTime) -> bool {
+        self.is_cut_off() || self.no_help_until.is_none_or(|until| until <= now)
+    }
+}
--- a/crates/celerytide-http/src/server/mod.rs
+++ b/crates/celerytide-http/src/server/mod.rs
@@ -6,6 +6,7 @@
 
 mod conn;
 mod error_response;
+mod handed;
 mod listen;
 mod outbound;
 mod queue;
@@ -20,6 +21,7 @@
 use crate::memory::Payload;
 
 pub use error_response::{ErrorBody, ErrorDetail, ErrorOutcome, WORD_HEADER};
+pub use handed::{HandedBody, HandedPlace, ResponsePart, ResponseParts, responder_in_parts};
 pub use listen::{Error, Shutdown, bind, serve, serve_with_account, serve_with_shutdown};
 pub use responder::{ChunkWriter, Disconnected, Responder};
 
--- a/crates/celerytide-standin/src/relay/route.rs
+++ b/crates/celerytide-standin/src/relay/route.rs
@@ -49,7 +49,9 @@
 
 impl Route {
     pub(super) fn open(to: SocketAddr) -> io::Result<Rc<Self>> {
-        let listener = StdListener::bind((to.ip(), 0))?;
+        // A port that the kernel chose isn't kept when the socket stops listening.
+        let free = StdListener::bind((to.ip(), 0))?.local_addr()?;
+        let listener = StdListener::bind(free)?;
         listener.set_nonblocking(true)?;
         reset_on_close(&listener)?;
         Ok(Rc::new(Self {
--- a/crates/celerytide-wire/src/messages/mod.rs
+++ b/crates/celerytide-wire/src/messages/mod.rs
@@ -31,6 +31,8 @@
     Follow,
     /// Between routers: asks what is known of a stream that a caller takes up.
     Streams,
+    /// Between routers: a request that the sender received and can't send to any endpoint.
+    Proxy,
     /// Any to any: fetches the manifest's text.
     Manifest,
     /// Any to any: fetches a section of a manifest.
@@ -51,7 +53,7 @@
     path: &'static str,
 }
 
-const METHODS: [MethodPath; 14] = [
+const METHODS: [MethodPath; 15] = [
     MethodPath {
         method: Method::Permit,
         path: "/1/permit",
@@ -84,6 +86,10 @@
         method: Method::Streams,
         path: "/1/streams",
     },
+    MethodPath {
+        method: Method::Proxy,
+        path: "/1/proxy",
+    },
     MethodPath {
         method: Method::Manifest,
         path: "/1/manifest",
