fix(edge): whether endpoints are reached is judged for each service

An instance that was cut from the endpoints of one service only went back and forth: a probe found an endpoint of another service, the next request failed.

--- a/crates/celerytide-catalog/src/view/mod.rs
+++ b/crates/celerytide-catalog/src/view/mod.rs
@@ -130,15 +130,10 @@
 
     /// Endpoints of `service` that may get new work.
     pub fn usable<'a>(&'a self, service: &'a str, now: BootTime) -> impl Iterator<Item = &'a KnownEndpoint> + 'a {
-        self.all_usable(now)
-            .filter(move |known| known.endpoint.service == service)
-    }
-
-    /// Endpoints of all services that may get work.
-    pub fn all_usable(&self, now: BootTime) -> impl Iterator<Item = &KnownEndpoint> {
-        self.endpoints
-            .values()
-            .filter(move |known| known.is_usable(now) && !self.zones_out.contains(&known.endpoint.zone))
+        self.endpoints.values().filter(move |known| {
+            let endpoint = &known.endpoint;
+            endpoint.service == service && known.is_usable(now) && !self.zones_out.contains(&endpoint.zone)
+        })
     }
 
     /// All known endpoints, usable or not.
--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -11,6 +11,7 @@
 mod taken_up;
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -46,7 +47,7 @@
 use crate::protocol::Protocol;
 use crate::quarantine::Quarantine;
 use crate::rate_limit::{NamedLimits, RateLimiter};
-use crate::reach::{PeerChoice, Reach};
+use crate::reach::Reach;
 use crate::settings::Settings;
 use crate::software::{History, Streams};
 use crate::split::EngineSplit;
@@ -109,10 +110,8 @@
     pub rate_limiter: RefCell<RateLimiter>,
     /// Prompt blocks under which engines crashed.
     pub quarantine: RefCell<Quarantine>,
-    /// Whether endpoints are reached.
-    pub reach: RefCell<Reach>,
-    /// Which peers are asked to serve requests.
-    pub peer_choice: RefCell<PeerChoice>,
+    /// Whether endpoints are reached, by service.
+    pub reach: RefCell<HashMap<ServiceId, Reach>>,
     /// Requests that coordinators place or count.
     pub placements: RefCell<coordinator::Client>,
     /// Groups of engines that this instance coordinates.
@@ -198,7 +197,6 @@
             named_limits: RefCell::default(),
             quarantine: RefCell::default(),
             reach: RefCell::default(),
-            peer_choice: RefCell::default(),
             placements: RefCell::new(coordinator::Client::new(rand::random())),
             coordination: RefCell::default(),
             placement_urgent: Notify::new(),
--- a/crates/celerytide-edge/src/forward/handed.rs
+++ b/crates/celerytide-edge/src/forward/handed.rs
@@ -1,12 +1,14 @@
 //! Requests that a peer serves for this instance.
 
-use celerytide_http::server::{Responder, ResponsePart};
+use celerytide_catalog::Service;
+use celerytide_http::server::{ChunkWriter, Responder, ResponsePart};
+use celerytide_types::now_boot;
 use http::StatusCode;
 use tracing::info;
 
 use super::refusal::{Refusal, refuse};
 use super::{DEADLINE, End, Forwarding, MIN_TIME_LEFT};
-use crate::peers::handover::{HandedOver, hand_over};
+use crate::peers::handover::{HandedOver, Offer, hand_over};
 use crate::protocol::Protocol;
 
 /// Cause of a request that a peer served, or refused.
@@ -15,42 +17,48 @@
 const PEER_BROKE_OFF: &str = "peer-broke-off";
 
 impl<P: Protocol> Forwarding<'_, P> {
-    /// Lets a peer serve the request if this instance reaches no endpoint; gives the responder back if none takes it.
-    pub(super) async fn hand_over_if_cut_off(&mut self, out: Responder) -> Result<End, Responder> {
-        if self.edge.reach.borrow().is_cut_off() {
-            return self.hand_over(out).await;
+    /// Lets a peer serve the request if this instance reaches no endpoint of the service; gives the responder back if none takes it.
+    pub(super) async fn hand_over_if_cut_off(&mut self, out: Responder, service: &Service) -> Result<End, Responder> {
+        if self.edge.is_cut_off(&service.id) {
+            return self.hand_over(out, service).await;
         }
         Err(out)
     }
 
     /// Lets a peer serve a request that reached no endpoint and has not run.
-    pub(super) async fn hand_over_unreached(&mut self, out: Responder) -> Result<End, Responder> {
+    pub(super) async fn hand_over_unreached(&mut self, out: Responder, service: &Service) -> Result<End, Responder> {
         let has_not_run = self.may_have_run_count == 0 && !self.reached_endpoint;
-        if has_not_run && self.edge.reach.borrow().may_help(celerytide_types::now_boot()) {
-            return self.hand_over(out).await;
+        if has_not_run && self.edge.with_reach(&service.id, |reach| reach.may_help(now_boot())) {
+            return self.hand_over(out, service).await;
         }
         Err(out)
     }
 
-    async fn hand_over(&mut self, out: Responder) -> Result<End, Responder> {
+    async fn hand_over(&mut self, out: Responder, service: &Service) -> Result<End, Responder> {
         if self.origin == super::Origin::Peer || self.time_left() < MIN_TIME_LEFT {
             return Err(out);
         }
-        let deadline = celerytide_types::now_boot().after(self.time_left());
-        match hand_over(self.edge, self.req, &self.request.id, deadline).await {
-            Some(handed) => Ok(self.relay_handed(out, handed).await),
+        let deadline = now_boot().after(self.time_left());
+        let offer = Offer {
+            req: self.req,
+            id: &self.request.id,
+            service: &service.id,
+            deadline,
+        };
+        match hand_over(self.edge, &offer).await {
+            Some(handed) => Ok(self.relay_handed(out, handed, service).await),
             None => Err(out),
         }
     }
 
-    async fn relay_handed(&mut self, out: Responder, mut handed: HandedOver) -> End {
+    async fn relay_handed(&mut self, out: Responder, mut handed: HandedOver, service: &Service) -> End {
         info!(request = self.request.id, peer = %handed.peer, "handover: a peer has the request");
         self.endpoint = handed.peer.to_string();
         match handed.first.take() {
             Some(ResponsePart::Whole { status, headers, body }) => {
                 if self.edge.protocol.promises_not_run(status) {
-                    let now = celerytide_types::now_boot();
-                    self.edge.reach.borrow_mut().note_no_help(now);
+                    self.edge
+                        .with_reach(&service.id, |reach| reach.note_no_help(now_boot()));
                 }
                 // The caller may have disconnected.
                 let _ = out.whole(status, headers, body).await;
@@ -78,11 +86,7 @@
 }
 
 /// Relays a body in chunks; one that breaks off is ended without its regular end.
-async fn relay_chunks(
-    mut out: celerytide_http::server::ChunkWriter,
-    mut handed: HandedOver,
-    status: StatusCode,
-) -> End {
+async fn relay_chunks(mut out: ChunkWriter, mut handed: HandedOver, status: StatusCode) -> End {
     loop {
         match handed.next().await {
             Some(ResponsePart::Chunk(data)) => {
--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -239,10 +239,6 @@
         if !stop::accepts_requests(since) {
             return self.give_up(out, STOPPING).await;
         }
-        let mut out = match self.hand_over_if_cut_off(out).await {
-            Ok(ended) => return ended,
-            Err(out) => out,
-        };
         if let Some(take_up) = &self.request.take_up {
             match edge.resolve_take_up(self.request, take_up).await {
                 Ok(software) => self.bound = Some(software),
@@ -257,6 +253,10 @@
             let cause = self.bound.map_or("no-service", |_| PickError::NoSoftware.cause());
             return self.give_up(out, cause).await;
         };
+        let mut out = match self.hand_over_if_cut_off(out, &service).await {
+            Ok(ended) => return ended,
+            Err(out) => out,
+        };
         edge.retry_budget.borrow_mut().count_request(&service.id, now_boot());
         loop {
             if self.time_left() < MIN_TIME_LEFT {
@@ -310,7 +310,7 @@
                 }
             };
             if let Next::GiveUp(cause) = next {
-                out = match self.hand_over_unreached(out).await {
+                out = match self.hand_over_unreached(out, &service).await {
                     Ok(ended) => return ended,
                     Err(out) => out,
                 };
--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -153,7 +153,7 @@
     let proof = Proof::of(&sent, &edge.protocol, fwd.request.route.kind);
     let error = match sent {
         Ok(response) => {
-            edge.note_heard(response.is_first);
+            edge.note_heard(&service.id, response.is_first);
             return read_head(fwd, service, pick, response, proof);
         }
         Err(error) => error,
@@ -168,7 +168,7 @@
         after_ms = since_ms(&pick),
         "send: failed"
     );
-    edge.note_unheard(id, failure(&error));
+    edge.note_unheard(&service.id, id, failure(&error));
     if error.may_have_run() {
         edge.record(&service.id, id, Outcome::Bad);
         return Sent::Broken {
--- a/crates/celerytide-edge/src/metrics/mod.rs
+++ b/crates/celerytide-edge/src/metrics/mod.rs
@@ -122,7 +122,7 @@
     pub pages: Counter,
     /// 1 while this instance reads the store, 0 while it follows one that does or can't reach the store.
     pub reading: Gauge,
-    /// 1 while this instance reaches no endpoint.
+    /// Services of which this instance reaches no endpoint.
     pub cut_off: Gauge,
     /// Requests offered to peers, by what became of the offer.
     pub handovers: Family<OutcomeLabel, Counter>,
@@ -247,8 +247,8 @@
         registry.register("store_pages", pages, self.pages.clone());
         let reading = "1 while this instance reads the store, 0 while it follows another or has lost it";
         registry.register("store_reading", reading, self.reading.clone());
-        let cut_off = "1 while this instance reaches no endpoint";
-        registry.register("cut_off", cut_off, self.cut_off.clone());
+        let cut_off = "Services of which this instance reaches no endpoint";
+        registry.register("services_cut_off", cut_off, self.cut_off.clone());
         let handovers = "Requests offered to peers, by what became of the offer";
         registry.register("handovers", handovers, self.handovers.clone());
         let served = "Requests served for peers";
--- a/crates/celerytide-edge/src/peers/handover/ask.rs
+++ b/crates/celerytide-edge/src/peers/handover/ask.rs
@@ -42,34 +42,30 @@
     }
 }
 
+/// A request that is offered to peers.
+pub struct Offer<'a> {
+    /// The request.
+    pub req: &'a Request,
+    /// Its id, for logs.
+    pub id: &'a str,
+    /// Service for which this instance reaches no endpoint.
+    pub service: &'a str,
+    /// When it must have its response.
+    pub deadline: BootTime,
+}
+
 /// Hands the request to a peer; `None` if none takes it, and the request has not run.
-pub async fn hand_over<P: Protocol>(
-    edge: &Rc<Edge<P>>,
-    req: &Request,
-    id: &str,
-    deadline: BootTime,
-) -> Option<HandedOver> {
+pub async fn hand_over<P: Protocol>(edge: &Rc<Edge<P>>, offer: &Offer<'_>) -> Option<HandedOver> {
     for _ in 0..MAX_ASKED {
         let now = now_boot();
         let live = edge.members.borrow().live_peers(now);
-        let peer = edge.peer_choice.borrow_mut().choose(&live, now)?;
-        let offered = match offer(edge, req, peer, deadline).await {
-            Ok(offered) => offered,
-            Err(error) => {
-                info!(request = id, %peer, %error, "handover: not accepted");
-                None
-            }
-        };
-        match offered {
-            Some(handed) => {
-                count(edge, "handed-over");
-                return Some(handed);
-            }
-            None => {
-                count(edge, "declined");
-                edge.peer_choice.borrow_mut().note_declined(peer, now_boot());
-            }
+        let peer = edge.with_reach(offer.service, |reach| reach.peers.choose(&live, now))?;
+        if let Some(handed) = ask(edge, offer, peer).await {
+            count(edge, "handed-over");
+            return Some(handed);
         }
+        count(edge, "declined");
+        edge.with_reach(offer.service, |reach| reach.peers.note_declined(peer, now_boot()));
     }
     None
 }
@@ -78,20 +74,30 @@
     edge.counters.handovers.get_or_create(&OutcomeLabel { outcome }).inc();
 }
 
+/// Offers the request to one peer; `None` if the peer doesn't take it, and the request has not run.
+async fn ask<P: Protocol>(edge: &Rc<Edge<P>>, offer: &Offer<'_>, peer: SocketAddr) -> Option<HandedOver> {
+    match try_ask(edge, offer, peer).await {
+        Ok(handed) => handed,
+        Err(error) => {
+            info!(request = offer.id, %peer, %error, "handover: not accepted");
+            None
+        }
+    }
+}
+
 /// Offers the request to one peer; `None` if it declined. After an error the request has not run either.
-async fn offer<P: Protocol>(
+async fn try_ask<P: Protocol>(
     edge: &Rc<Edge<P>>,
-    req: &Request,
+    offer: &Offer<'_>,
     peer: SocketAddr,
-    deadline: BootTime,
 ) -> Result<Option<HandedOver>, Error> {
-    let left = deadline.since(now_boot());
-    let accepting = accept(edge, req, peer, left);
+    let left = offer.deadline.since(now_boot());
+    let accepting = accept(edge, offer, peer, left);
     let accepted = timeout(ACCEPT_TIMEOUT.min(left.mul_f64(ACCEPT_SHARE)), accepting).await;
     let Some(mut ex) = accepted.unwrap_or(Err(Error::ConnectTimeout { addr: peer }))? else {
         return Ok(None);
     };
-    let mut parts = parts(&req.body).peekable();
+    let mut parts = parts(&offer.req.body).peekable();
     while let Some(part) = parts.next() {
         let is_last = parts.peek().is_none();
         let sent = ex.send(&BodyPart { bytes: part.to_vec() }).await;
@@ -100,25 +106,27 @@
             sent?;
         }
     }
-    let first = next_part(&mut ex, deadline).await;
+    let first = next_part(&mut ex, offer.deadline).await;
     Ok(Some(HandedOver {
         peer,
         first,
         ex,
-        deadline,
+        deadline: offer.deadline,
     }))
 }
 
 async fn accept<P: Protocol>(
     edge: &Rc<Edge<P>>,
-    req: &Request,
+    offer: &Offer<'_>,
     peer: SocketAddr,
     left: Duration,
 ) -> Result<Option<Exchange>, Error> {
+    let req = offer.req;
     let head = ProxyRequest {
         method: req.method.to_string(),
         target: req.uri.to_string(),
         headers: encode_headers(&req.headers),
+        service: offer.service.to_owned(),
         caller: req.peer,
         left_ms: millis(left),
         body_bytes: req.body.len() as u64,
--- a/crates/celerytide-edge/src/peers/handover/mod.rs
+++ b/crates/celerytide-edge/src/peers/handover/mod.rs
@@ -6,12 +6,12 @@
 mod ask;
 mod serve;
 
-pub use ask::{HandedOver, hand_over};
+pub use ask::{HandedOver, Offer, hand_over};
 pub use serve::serve;
 
 use bytes::Bytes;
 use celerytide_http::server::ResponsePart;
-use celerytide_types::{Millis, data};
+use celerytide_types::{Millis, ServiceId, data};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
 /// Largest part of a body in one message, in bytes.
@@ -26,6 +26,8 @@
         pub target: String,
         /// Headers in order, each with its value.
         pub headers: Vec<(String, Vec<u8>)>,
+        /// Service for which the sender reaches no endpoint.
+        pub service: ServiceId,
         /// Address of the caller.
         pub caller: std::net::SocketAddr,
         /// Time left.
--- a/crates/celerytide-edge/src/peers/handover/serve.rs
+++ b/crates/celerytide-edge/src/peers/handover/serve.rs
@@ -31,7 +31,8 @@
     };
     let body_bytes = head.body_bytes;
     let max_body = callers.edge().limits.get().max_body_bytes as u64;
-    let request = request(callers.edge(), head).filter(|_| body_bytes <= max_body && may_serve(callers.edge()));
+    let is_taken = body_bytes <= max_body && may_serve(callers.edge(), &head.service);
+    let request = request(callers.edge(), head).filter(|_| is_taken);
     let Some(mut req) = request else {
         return decline(ex).await;
     };
@@ -49,9 +50,9 @@
 }
 
 /// Whether this instance can serve a request that another one can't.
-fn may_serve<P: Protocol>(edge: &Edge<P>) -> bool {
+fn may_serve<P: Protocol>(edge: &Edge<P>, service: &str) -> bool {
     let is_current = edge.is_ready() && edge.may_serve(now_boot());
-    is_current && !edge.reach.borrow().is_cut_off()
+    is_current && !edge.is_cut_off(service)
 }
 
 async fn decline(mut ex: Exchange) {
--- a/crates/celerytide-edge/src/reach/mod.rs
+++ b/crates/celerytide-edge/src/reach/mod.rs
@@ -1,6 +1,6 @@
-//! Failure detector: whether this instance reaches no endpoint at all.
+//! Failure detector: whether this instance reaches no endpoint of a service.
 //!
-//! Designed for a partition between this instance and all endpoints: connections hang, are reset, or live on while new
+//! Designed for a partition between this instance and all endpoints, or those of one service: connections hang, are reset, or live on while new
 //! ones are refused. The head of a response on a new connection proves that endpoints are reachable. One on a used
 //! connection proves only that this connection lives. Whether the endpoints are down for everyone isn't told here: peers
 //! that are cut off themselves say so. docs/design/partition.md describes the design.
@@ -48,8 +48,10 @@
 /// A change that is logged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Change {
-    /// From now on no endpoint is reached.
+    /// From now on no endpoint is reached, though nothing spoke against it before.
     CutOff,
+    /// The first attempt after a probe failed.
+    StillCutOff,
     /// From now on requests are tried here again.
     Trial,
     /// Endpoints are reached.
@@ -63,12 +65,15 @@
     at: BootTime,
 }
 
-/// Failed attempts of late, and what follows from them.
+/// Failed attempts of late at the endpoints of one service, and what follows from them.
 #[derive(Debug, Default)]
 pub struct Reach {
     state: Reachability,
     failed: Vec<Failed>,
     no_help_until: Option<BootTime>,
+    is_probed: bool,
+    /// Which peers are asked to serve requests.
+    pub peers: PeerChoice,
 }
 
 impl Reach {
@@ -100,15 +105,13 @@
             failure,
             at: now,
         });
-        let is_new = match self.state {
-            Reachability::CutOff => false,
-            Reachability::Trial => true,
-            Reachability::Open => self.is_conclusive(known),
+        let change = match self.state {
+            Reachability::Trial => Change::StillCutOff,
+            Reachability::Open if self.is_conclusive(known) => Change::CutOff,
+            Reachability::Open | Reachability::CutOff => return None,
         };
-        if is_new {
-            self.state = Reachability::CutOff;
-        }
-        is_new.then_some(Change::CutOff)
+        self.state = Reachability::CutOff;
+        Some(change)
     }
 
     fn is_conclusive(&self, known: usize) -> bool {
@@ -128,6 +131,16 @@
         Some(Change::Trial)
     }
 
+    /// Whether a probe is to begin: none runs yet.
+    pub fn begin_probe(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_probed, true)
+    }
+
+    /// Records that the probe has ended.
+    pub fn end_probe(&mut self) {
+        self.is_probed = false;
+    }
+
     /// Records that a peer couldn't serve a request either.
     pub fn note_no_help(&mut self, now: BootTime) {
         self.no_help_until = Some(now.after(NO_HELP_TIME));
