fix(edge): a handed request's deadline doesn't stand still while its body arrives

The peer took the time left from the head and counted it from the end of the body. Now it counts from the head.

--- a/crates/celerytide-edge/src/peers/handover/serve.rs
+++ b/crates/celerytide-edge/src/peers/handover/serve.rs
@@ -1,10 +1,11 @@
 //! The peer that serves the request.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use celerytide_http::Payload;
 use celerytide_http::server::{HandedBody, HandedPlace, Request, ResponsePart, ResponseParts, responder_in_parts};
-use celerytide_types::now_boot;
+use celerytide_types::{millis, now_boot};
 use celerytide_wire::{Error, Exchange};
 use futures::StreamExt;
 use http::header::HeaderValue;
@@ -30,9 +31,10 @@
         return;
     };
     let body_bytes = head.body_bytes;
+    let deadline = now_boot().after(Duration::from_millis(head.left_ms));
     let max_body = callers.edge().limits.get().max_body_bytes as u64;
     let is_taken = body_bytes <= max_body && may_serve(callers.edge(), &head.service);
-    let request = request(callers.edge(), head).filter(|_| is_taken);
+    let request = request(head).filter(|_| is_taken);
     let Some(mut req) = request else {
         return decline(ex).await;
     };
@@ -46,6 +48,9 @@
     }
     let (payload, place): (Payload, HandedPlace) = body.finish();
     req.body = payload;
+    let left = millis(deadline.since(now_boot()));
+    let name = &callers.edge().protocol.header_names().deadline_ms;
+    req.headers.insert(name.clone(), HeaderValue::from(left));
     respond(callers, ex, req, place).await;
 }
 
@@ -62,10 +67,8 @@
 }
 
 /// The request without its body; `None` if it isn't valid.
-fn request<P: Protocol>(edge: &Edge<P>, head: ProxyRequest) -> Option<Request> {
-    let mut headers = decode_headers(head.headers)?;
-    let left = HeaderValue::from(head.left_ms);
-    headers.insert(edge.protocol.header_names().deadline_ms.clone(), left);
+fn request(head: ProxyRequest) -> Option<Request> {
+    let headers = decode_headers(head.headers)?;
     Some(Request {
         method: head.method.parse().ok()?,
         uri: head.target.parse().ok()?,
