--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -7,9 +7,11 @@
 mod pick;
 mod placed;
 mod quarantined;
+mod reached;
 mod taken_up;
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -45,6 +47,7 @@
 use crate::protocol::Protocol;
 use crate::quarantine::Quarantine;
 use crate::rate_limit::{NamedLimits, RateLimiter};
+use crate::reach::Reach;
 use crate::settings::Settings;
 use crate::software::{History, Streams};
 use crate::split::EngineSplit;
@@ -107,6 +110,8 @@
     pub rate_limiter: RefCell<RateLimiter>,
     /// Prompt blocks under which engines crashed.
     pub quarantine: RefCell<Quarantine>,
+    /// Whether endpoints are reached, by service.
+    pub reach: RefCell<HashMap<ServiceId, Reach>>,
     /// Requests that coordinators place or count.
     pub placements: RefCell<coordinator::Client>,
     /// Groups of engines that this instance coordinates.
@@ -191,6 +196,7 @@
             notices: RefCell::default(),
             named_limits: RefCell::default(),
             quarantine: RefCell::default(),
+            reach: RefCell::default(),
             placements: RefCell::new(coordinator::Client::new(rand::random())),
             coordination: RefCell::default(),
             placement_urgent: Notify::new(),
--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -21,6 +21,7 @@
 use crate::protocol::Protocol;
 use crate::quarantine::{BreakOff, is_crash};
 use crate::rate_limit::StatedLimit;
+use crate::reach::Failure;
 use crate::software::{Software, software};
 
 /// Longest time for a new connection.
@@ -152,7 +153,10 @@
     let sent = edge.client.send(call, &CancellationToken::new()).await;
     let proof = Proof::of(&sent, &edge.protocol, fwd.request.route.kind);
     let error = match sent {
-        Ok(response) => return read_head(fwd, service, pick, response, proof),
+        Ok(response) => {
+            edge.note_heard(&service.id, response.is_first);
+            return read_head(fwd, service, pick, response, proof);
+        }
         Err(error) => error,
     };
     let id = &pick.endpoint.id;
@@ -166,6 +170,7 @@
         parts = ?shared_blocks(&fwd.request.prompt),
         "send: failed"
     );
+    edge.note_unheard(&service.id, id, failure(&error));
     if error.may_have_run() {
         edge.record(&service.id, id, Outcome::Bad);
         return Sent::Broken {
@@ -177,6 +182,14 @@
     Sent::Unreached("endpoint-unreachable")
 }
 
+fn failure(error: &SendError) -> Failure {
+    if error.may_have_run() {
+        Failure::Written
+    } else {
+        Failure::Connect
+    }
+}
+
 /// Notes that an endpoint broke off before the head of a response; returns whether the request may be sent again.
 fn note_crash<P: Protocol>(fwd: &Forwarding<'_, P>, service: &Service, pick: &Pick<P>) -> bool {
     let at = BreakOff {
