fix(edge): an instance that reaches no endpoint takes resets for no crashes

What callers could be told: 503, request-withheld or prompt-withheld, for sound requests, at all instances and for as long as they come.

Cause: a connection that is reset looks like a crash of its endpoint. Since parts are known under which engines die before the head, each reset of a request that waits is evidence against all its parts, and an instance behind a partition sees resets at all endpoints, for seconds.

Change: while an instance reaches no endpoint of a service, break-offs there blame nobody.

Evidence: a_request_is_withheld_after_resets_by_a_partition, red before (RequestWithheld after six resets, the third of which ends the doubt), green after; the same six break-offs without a partition still withhold the request.

--- a/crates/celerytide-edge/src/edge/quarantined.rs
+++ b/crates/celerytide-edge/src/edge/quarantined.rs
@@ -30,6 +30,10 @@
         let Some(progress) = at.progress() else {
             return true;
         };
+        // Resets by a partition of this instance look like crashes of the endpoints.
+        if self.is_cut_off(service) {
+            return true;
+        }
         let service = id_hash(service);
         let subjects: Vec<Subject> = subjects(request).collect();
         let mut quarantine = self.quarantine.borrow_mut();
--- a/crates/celerytide-edge/tests/pick.rs
+++ b/crates/celerytide-edge/tests/pick.rs
@@ -1,4 +1,4 @@
-//! What one instance sends to limited endpoints: every request that is picked for one counts.
+//! What one instance sends to its only endpoint: limits that count each request, and requests that are withheld.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,7 +10,9 @@
 use celerytide_edge::health::Outcome;
 use celerytide_edge::notice::Notice;
 use celerytide_edge::protocol::{HeaderNames, Prompt, Protocol};
+use celerytide_edge::quarantine::{BreakOff, Reached};
 use celerytide_edge::rate_limit::StatedLimit;
+use celerytide_edge::reach::Failure;
 use celerytide_edge::request::RoutedRequest;
 use celerytide_edge::settings;
 use celerytide_types::now_boot;
@@ -194,3 +196,35 @@
         );
     }
 }
+
+/// Requests whose connections are reset, each by another endpoint.
+const RESETS: u32 = 6;
+
+/// An instance that a partition resets took the resets for crashes of endpoints, and withheld what it had sent.
+#[test]
+fn a_request_is_withheld_after_resets_by_a_partition() {
+    for is_partitioned in [false, true] {
+        let edge = instance(&endpoint(Duration::ZERO));
+        let service = service(0.0);
+        let reset = |endpoint| {
+            let at = BreakOff {
+                endpoint,
+                head_age: None,
+                has_events: false,
+            };
+            if is_partitioned {
+                edge.with_reach("s", |reach| reach.note_failed(endpoint, Failure::Written, 1, now_boot()));
+            }
+            edge.record_break_off("s", &request(), at);
+        };
+        (0..RESETS).for_each(reset);
+        let other = RoutedRequest {
+            content: 2,
+            ..request()
+        };
+        edge.record_good_response("s", &other, Reached::End);
+        let picked = pick(&edge, &service).map(|_| ());
+        let is_withheld = picked == Err(PickError::RequestWithheld);
+        assert_eq!(is_withheld, !is_partitioned, "{picked:?}");
+    }
+}
