test(standin): runners that are brittle and fall over when they refuse too much

`Runner::set_brittle(Some(Brittle { rejections_per_s, slots, waiting }))` in crates/celerytide-standin/src/platform/brittle.rs gives a runner slots and a queue. It names `rejections_per_s` in all its answers; all requests may wait for the first 3 s, then `waiting` of them; the others are refused with a 503 that states that they did not run. One more refusal in a second than it bears ends all its connections and it listens again 3 s later. `Runner::falls()` has the ids of the requests refused before each fall. The time that a request takes is that of the mode, such as `RunnerMode::Late(300)`.

--- a/crates/celerytide-standin/src/platform/mod.rs
+++ b/crates/celerytide-standin/src/platform/mod.rs
@@ -3,16 +3,19 @@
 //! They implement as much of the platform's interfaces as the tests need, fail on demand and record the requests that
 //! they receive. [`caller`] is a blocking client for the router under test.
 
+mod brittle;
 pub mod caller;
 mod crash;
 mod endless;
 mod events;
 mod publish;
 mod request;
+mod response;
 mod runner;
 mod statement;
 mod store;
 
+pub use brittle::{Brittle, FALL_TIME, Fall, NOTICE_TIME};
 pub use crash::{Crashing, Trigger};
 pub use endless::Endless;
 pub use events::{StreamFraming, TornStream};
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -6,10 +6,12 @@
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
+use super::brittle::{Brittle, Fall, Place, Room};
 use super::crash::{Crashes, Crashing};
 use super::endless::{Endless, is_closed};
 use super::events::{self, TornStream};
 use super::request::{self, Request};
+use super::response::{refusal, sealed_head, send_response};
 use super::statement::Statement;
 
 /// How a runner responds to requests.
@@ -150,6 +152,7 @@
     /// Requests whose client, the router, closed the connection before the response ended.
     disconnect_count: Mutex<usize>,
     crashes: Crashes,
+    room: Room,
     /// Whether each connection is open, by its number.
     connections: Mutex<Vec<bool>>,
     address: SocketAddr,
@@ -170,6 +173,12 @@
         connections.len() - 1
     }
 
+    /// Records that a request did not run; it has ended.
+    fn record_unrun(&self, index: usize) {
+        lock(&self.arrivals)[index].ran = false;
+        self.record_end(index);
+    }
+
     fn record_end(&self, index: usize) {
         lock(&self.arrivals)[index].ended = Some(Instant::now());
     }
@@ -211,6 +220,7 @@
             arrivals: Mutex::default(),
             disconnect_count: Mutex::default(),
             crashes: Crashes::default(),
+            room: Room::default(),
             connections: Mutex::default(),
             address,
         });
@@ -256,6 +266,16 @@
         self.shared.crashes.times()
     }
 
+    /// Sets the room of the runner, and how much it can refuse; `None` for a runner that isn't brittle.
+    pub fn set_brittle(&self, brittle: Option<Brittle>) {
+        self.shared.room.set(brittle);
+    }
+
+    /// Falls for want of room so far; each is also in [`Runner::crashes`].
+    pub fn falls(&self) -> Vec<Fall> {
+        self.shared.room.falls()
+    }
+
     /// All requests received so far.
     pub fn requests(&self) -> Vec<Request> {
         lock(&self.shared.requests).clone()
@@ -305,11 +325,22 @@
             ended: None,
             connection: number,
         });
+        let place = shared.room.enter(&out, req.header("x-attempt-id"));
+        if !matches!(place, Place::Slot(_)) {
+            shared.record_unrun(index);
+            if !shared
+                .room
+                .turn_away(place, &shared.crashes, &mut out, &req, shared.address)
+            {
+                return;
+            }
+            continue;
+        }
         if let RunnerMode::CopiedRefusal(status) = mode {
             let refusal = refusal(status, &req);
             let Some(earlier) = copy.replace(refusal.clone()) else {
-                lock(&shared.arrivals)[index].ran = false;
-                shared.record_end(index);
+                shared.record_unrun(index);
+                shared.room.leave(place);
                 // Fails only if the connection has ended already.
                 let _ = out.write_all(refusal.as_bytes());
                 continue;
@@ -328,11 +359,13 @@
             send_response(&mut out, "503 Full", &format!("{named}x-not-executed: 1\r\n"), "");
             if refusal == req.header("x-attempt-id") {
                 shared.record_end(index);
+                shared.room.leave(place);
                 continue;
             }
         }
         let stays_open = respond(shared, &mut out, &req, mode, limit);
         shared.record_end(index);
+        shared.room.leave(place);
         if !stays_open {
             // Fails only if the connection has ended already.
             let _ = out.shutdown(Shutdown::Both);
@@ -352,6 +385,7 @@
     let id = req.header("x-attempt-id");
     let body = format!("answer of {} to {id}", shared.id);
     let limit = named_limit.map_or(String::new(), |value| format!("server-limit: {value}\r\n"));
+    let limit = limit + &shared.room.header();
     let sealed = format!("x-attempt-id: {id}\r\nx-response-seal: {SEAL}\r\n{limit}");
     let not_run = format!("x-attempt-id: {id}\r\nx-not-executed: 1\r\n{limit}");
     if let Some(crashing) = shared.crashes.of(req) {
@@ -443,22 +477,6 @@
     }
 }
 
-/// A response with this status that states that the request did not run.
-fn refusal(status: &str, req: &Request) -> String {
-    let id = req.header("x-attempt-id");
-    format!("HTTP/1.1 {status}\r\nx-attempt-id: {id}\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n")
-}
-
-/// The head of a successful response.
-fn sealed_head(sealed: &str, length: usize, is_stream: bool) -> String {
-    let rest = if is_stream {
-        "content-type: text/event-stream\r\n".to_owned()
-    } else {
-        format!("content-length: {length}\r\n")
-    };
-    format!("HTTP/1.1 200 OK\r\n{sealed}{rest}\r\n")
-}
-
 /// Counts a client that closed the connection before the stream ended; true if the connection stays open.
 fn stream(shared: &Shared, sent: std::io::Result<bool>) -> bool {
     if sent.is_err() {
@@ -474,9 +492,3 @@
         sleep(CLOSE_POLL);
     }
 }
-
-fn send_response(out: &mut TcpStream, status: &str, headers: &str, body: &str) -> bool {
-    let length = body.len();
-    let response = format!("HTTP/1.1 {status}\r\n{headers}content-length: {length}\r\n\r\n{body}");
-    out.write_all(response.as_bytes()).is_ok()
-}
