fix(standin): a route that refuses connections keeps its port

A route in `Refuse` lost its port: the kernel takes back a port that it has chosen itself once the socket stops listening. The socket that listens is now bound to a stated port.

--- a/crates/celerytide-standin/src/relay/route.rs
+++ b/crates/celerytide-standin/src/relay/route.rs
@@ -4,8 +4,8 @@
     cell::{Cell, RefCell},
     future::{Future, poll_fn},
     io,
-    net::{SocketAddr, TcpListener as StdListener, TcpStream as StdStream},
-    os::fd::{AsFd, AsRawFd},
+    net::{IpAddr, SocketAddr, TcpListener as StdListener, TcpStream as StdStream},
+    os::fd::{AsFd, AsRawFd, OwnedFd},
     pin::pin,
     rc::{Rc, Weak},
     task::Poll,
@@ -49,7 +49,7 @@
 
 impl Route {
     pub(super) fn open(to: SocketAddr) -> io::Result<Rc<Self>> {
-        let listener = StdListener::bind((to.ip(), 0))?;
+        let listener = bind_lasting(to.ip())?;
         listener.set_nonblocking(true)?;
         reset_on_close(&listener)?;
         Ok(Rc::new(Self {
@@ -177,6 +177,23 @@
     .await
 }
 
+/// Listens on a free port, which the socket keeps while it doesn't listen. The kernel takes back a port that it has chosen
+/// itself, so that the socket that listens is bound to the port of another one.
+fn bind_lasting(ip: IpAddr) -> io::Result<StdListener> {
+    let chosen = bind_reusable(SocketAddr::new(ip, 0))?;
+    let port = StdListener::from(chosen.try_clone()?).local_addr()?.port();
+    let kept = bind_reusable(SocketAddr::new(ip, port))?;
+    listen(&kept, Backlog::MAXCONN)?;
+    Ok(kept.into())
+}
+
+fn bind_reusable(addr: SocketAddr) -> io::Result<OwnedFd> {
+    let fd = socket(AddressFamily::Inet, SockType::Stream, SockFlag::SOCK_CLOEXEC, None)?;
+    setsockopt(&fd, sockopt::ReuseAddr, &true)?;
+    socket::bind(fd.as_raw_fd(), &SockaddrStorage::from(addr))?;
+    Ok(fd)
+}
+
 async fn serve(route: Rc<Route>, from: TcpStream) {
     let conn = Rc::new(Connection::default());
     let Ok(to) = start_connect(route.to) else {
--- a/crates/celerytide-standin/tests/relay.rs
+++ b/crates/celerytide-standin/tests/relay.rs
@@ -154,6 +154,24 @@
     receive(&mut stream, "a");
 }
 
+/// The kernel gave the port of a route that refuses connections to other processes, and the route another one later.
+#[test]
+fn a_route_that_refuses_connections_keeps_its_port() {
+    let relayed = RelayedEcho::start();
+    let mut open = relayed.connect();
+    send(&mut open, "a");
+    receive(&mut open, "a");
+    relayed.set(Mode::Refuse);
+    let refused = TcpStream::connect(relayed.route).map(|_| ()).map_err(|e| e.kind());
+    assert_eq!(refused, Err(ErrorKind::ConnectionRefused));
+    send(&mut open, "b");
+    receive(&mut open, "b");
+    relayed.set(Mode::Pass);
+    let mut new = relayed.connect();
+    send(&mut new, "c");
+    receive(&mut new, "c");
+}
+
 #[test]
 fn an_orderly_end_passes_through() {
     let relayed = RelayedEcho::start();
