--- a/crates/celerytide-soak/src/check/gone.rs
+++ b/crates/celerytide-soak/src/check/gone.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Arrival, Call, Checker, Guarantee, Span, Violation, violation};
+use super::{Arrival, Call, Checker, Guarantee, Violation, violation};
 
 /// Time after its caller has left within which a request may still reach a runner, or be worked on.
 const GONE_TOLERANCE: Duration = Duration::from_millis(500);
@@ -35,8 +35,8 @@
     /// given up.
     fn had_gone_fault(&self, call: &Call, arrival: &Arrival) -> bool {
         let limit = call.ended + GONE_TOLERANCE;
-        let on_link = |(runner, span): &(String, Span)| *runner == arrival.runner && span.overlaps(call.sent, limit);
-        self.had_outage(call.router, call.sent, limit) || self.history.link_faults.iter().any(on_link)
+        let had_link_fault = self.had_link_fault(call.router, &arrival.runner, call.sent, limit);
+        had_link_fault || self.had_outage(call.router, call.sent, limit)
     }
 
     /// Whether another request, sent to the same router behind the caller's end, reached a runner within the tolerance. If
--- a/crates/celerytide-soak/src/check/limits.rs
+++ b/crates/celerytide-soak/src/check/limits.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use super::{Arrival, Checker, Guarantee, REGAIN_TIME, Span, Violation};
+use super::{Arrival, Checker, Guarantee, REGAIN_TIME, Violation};
 
 /// Length of the windows in which arrivals are counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -126,9 +126,7 @@
             .restarts
             .iter()
             .any(|s| s.router == router && s.span.overlaps(since, arrival.at));
-        let on_link =
-            |(runner, s): &(String, Span)| *runner == arrival.runner && s.overlaps(since, arrival.at + RESPONSE_TIME);
-        let had_link_fault = h.link_faults.iter().any(on_link);
+        let had_link_fault = self.had_link_fault(router, &arrival.runner, since, arrival.at + RESPONSE_TIME);
         let told_at = arrival.head_after.map(|after| arrival.at + after);
         RatedArrival {
             router,
--- a/crates/celerytide-soak/src/check/mod.rs
+++ b/crates/celerytide-soak/src/check/mod.rs
@@ -1,7 +1,9 @@
 //! Guarantees of the router, checked over what callers and runners saw.
 
+mod cut_off;
 mod gone;
 mod limits;
+mod notices;
 mod placements;
 mod retries;
 
@@ -11,6 +13,7 @@
 
 use crate::plan::STREAM_EVENTS;
 
+pub use cut_off::{CutOff, RefusedTry};
 pub use limits::{Excess, RatedArrival, find_excess};
 pub use placements::PlacementCounts;
 pub use retries::{REPEAT_RATIO, REPEAT_SLACK};
@@ -144,6 +147,10 @@
     pub leaving: Vec<Leaving>,
     /// Routers that were stopped with SIGTERM and restarted, with the period; not in `outages`.
     pub restarts: Vec<RouterOutage>,
+    /// Requests that weren't sent, since the router refused or had closed the connection.
+    pub refused_tries: Vec<RefusedTry>,
+    /// Periods in which routers were cut off from all runners.
+    pub cut_offs: Vec<CutOff>,
     /// Runners that restarted, with the time of the restart.
     pub runner_restarts: Vec<(String, Duration)>,
     /// Routers that ended by themselves, with the time at which that was seen.
@@ -191,6 +198,8 @@
     Late,
     /// Requests fail although all faults have ended.
     Recover,
+    /// Callers of routers that are cut off from all runners are served far worse than those of the others.
+    CutOff,
     /// A runner got a request that no caller sent.
     Unasked,
     /// Coordinators count requests that have ended.
@@ -212,14 +221,8 @@
     }
 }
 
-/// Time within which a change is known everywhere: `apply_ms` in the settings of the test bed.
-const APPLY_TIME: Duration = Duration::from_secs(2);
 /// Time after an outage within which a router is up to date again: `regain_ms` in the settings of the test bed.
 const REGAIN_TIME: Duration = Duration::from_secs(3);
-/// Time after a notice within which requests already on their way may still reach the runner.
-const NOTICE_DELAY: Duration = Duration::from_millis(500);
-/// Requests that one router may send to a runner during its pause.
-const MAX_REQUESTS_IN_PAUSE: usize = 2;
 /// Response timeout of the plain routes of the test bed.
 const PLAIN_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time beyond that timeout within which a final response has to arrive.
@@ -257,6 +260,7 @@
     violations.extend(checker.check_ended());
     violations.extend(checker.check_late());
     violations.extend(checker.check_recovery());
+    violations.extend(checker.check_cut_offs());
     violations.extend(checker.check_placements());
     violations
 }
@@ -297,6 +301,14 @@
         outages.iter().any(|s| s.router == router && s.span.overlaps(since, to))
     }
 
+    /// Whether the way of a router to a runner was faulty at any time from `from` until `to`.
+    fn had_link_fault(&self, router: usize, runner: &str, from: Duration, to: Duration) -> bool {
+        let h = self.history;
+        let on_link = |(faulty, s): &(String, Span)| faulty == runner && s.overlaps(from, to);
+        let is_cut_off = |cut: &CutOff| cut.routers.contains(&router) && cut.span.overlaps(from, to);
+        h.link_faults.iter().any(on_link) || h.cut_offs.iter().any(is_cut_off)
+    }
+
     fn check_runs(&self, call: &Call) -> Option<Violation> {
         let runs = self.runs_of(&call.id).len();
         let once = matches!(call.kind, RequestKind::Once | RequestKind::Stream);
@@ -325,8 +337,7 @@
         let still_works = |pair: &&[&Arrival]| {
             let (before, next) = (pair[0], pair[1]);
             let limit = next.at + OVERLAP_TOLERANCE;
-            let on_link = |(runner, s): &(String, Span)| *runner == before.runner && s.overlaps(before.at, limit);
-            let has_link_fault = self.history.link_faults.iter().any(on_link);
+            let has_link_fault = self.had_link_fault(call.router, &before.runner, before.at, limit);
             let works_on = before.ended.is_none_or(|ended| ended > limit);
             works_on && !has_link_fault && !self.had_outage(call.router, before.at, limit)
         };
@@ -396,76 +407,6 @@
         })
     }
 
-    fn check_leaving(&self) -> Vec<Violation> {
-        let h = self.history;
-        let routers: HashMap<&str, usize> = h.calls.iter().map(|c| (c.id.as_str(), c.router)).collect();
-        let reached_leaving = |arrival: &&Arrival| {
-            let known = |l: &&Leaving| l.span.from + APPLY_TIME < arrival.at && arrival.at <= l.span.to;
-            let left = h.leaving.iter().filter(|l| l.runner == arrival.runner).find(known);
-            let Some(Leaving { span, .. }) = left else {
-                return false;
-            };
-            let since = span.from.saturating_sub(REGAIN_TIME);
-            let had_store_fault = h.store_faults.iter().any(|s| s.overlaps(since, arrival.at));
-            let on_link = |(runner, s): &(String, Span)| *runner == arrival.runner && s.overlaps(since, arrival.at);
-            let had_link_fault = h.link_faults.iter().any(on_link);
-            let router = routers.get(arrival.id.as_str()).copied().unwrap_or_default();
-            let had_outage = self.had_outage(router, span.from, arrival.at);
-            !had_outage && !had_store_fault && !had_link_fault
-        };
-        let violations = h.arrivals.iter().filter(reached_leaving).map(|arrival| Violation {
-            guarantee: Guarantee::Leaving,
-            details: format!("{} reached {} at {:?}", arrival.id, arrival.runner, arrival.at),
-        });
-        violations.collect()
-    }
-
-    /// Requests that a router sent to a runner despite its notice.
-    fn check_notices(&self) -> Vec<Violation> {
-        let calls: HashMap<&str, &Call> = self.history.calls.iter().map(|c| (c.id.as_str(), c)).collect();
-        let with_notice = self
-            .history
-            .arrivals
-            .iter()
-            .filter(|a| a.notice != RunnerNotice::Nothing);
-        with_notice
-            .filter_map(|source| self.check_notice(source, &calls))
-            .collect()
-    }
-
-    fn check_notice(&self, source: &Arrival, calls: &HashMap<&str, &Call>) -> Option<Violation> {
-        let h = self.history;
-        let call = calls.get(source.id.as_str())?;
-        let runner_restarts = h
-            .runner_restarts
-            .iter()
-            .filter(|(runner, at)| *runner == source.runner && *at > source.at);
-        let (until, max_requests) = match source.notice {
-            RunnerNotice::Nothing => return None,
-            RunnerNotice::Leaves => (runner_restarts.map(|(_, at)| *at).min()?, 0),
-            RunnerNotice::Pauses(pause) => (source.at + pause, MAX_REQUESTS_IN_PAUSE),
-        };
-        let on_link = |(runner, s): &(String, Span)| *runner == source.runner && s.overlaps(source.at, until);
-        let has_link_fault = h.link_faults.iter().any(on_link);
-        let is_restarted = h
-            .restarts
-            .iter()
-            .any(|s| s.router == call.router && s.span.overlaps(source.at, until));
-        if has_link_fault || is_restarted || self.had_outage(call.router, source.at, until) {
-            return None;
-        }
-        let from_router = |a: &&Arrival| calls.get(a.id.as_str()).is_some_and(|c| c.router == call.router);
-        let after_notice = |a: &&Arrival| a.runner == source.runner && source.at + NOTICE_DELAY < a.at && a.at < until;
-        let reached = h.arrivals.iter().filter(after_notice).filter(from_router).count();
-        (reached > max_requests).then(|| Violation {
-            guarantee: Guarantee::Notice,
-            details: format!(
-                "{} at {} said {:?}, {reached} reached it after that",
-                source.id, source.runner, source.notice
-            ),
-        })
-    }
-
     fn check_late(&self) -> Option<Violation> {
         let h = self.history;
         let is_late = |call: &&Call| {
--- a/crates/celerytide-soak/src/main.rs
+++ b/crates/celerytide-soak/src/main.rs
@@ -35,6 +35,9 @@
     /// cut the links between all routers for long
     #[argh(switch)]
     cut_peers: bool,
+    /// cut some routers off from all runners
+    #[argh(switch)]
+    cut_off: bool,
     /// play fresh seeds for so many minutes instead of a count
     #[argh(option)]
     minutes: Option<u64>,
@@ -55,6 +58,7 @@
             length: Duration::from_secs(args.seconds),
             routers: args.routers,
             cuts_peers: args.cut_peers,
+            cuts_off: args.cut_off,
         });
         played += 1;
         println!(
--- a/crates/celerytide-soak/src/plan/mod.rs
+++ b/crates/celerytide-soak/src/plan/mod.rs
@@ -1,5 +1,7 @@
 //! The plan of a run: faults with their times, drawn from a seed.
 
+mod cut_off;
+
 use std::time::Duration;
 
 use celerytide_standin::platform::{
@@ -10,6 +12,10 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
+use crate::testbed::CutForm;
+
+pub use cut_off::draw_with_cut_off;
+
 /// Number of routers in a run, unless it asks for more.
 pub const ROUTERS: usize = 4;
 /// Number of runners in a run: the first half serves plain requests, the second half streams.
@@ -44,6 +50,9 @@
 /// Keeps their seeds apart from those of other faults.
 const COMPOUND_SEED: u64 = 0x57_0000_0000;
 
+/// Availability zones of the runners; those of the routers if some are cut off from all runners.
+pub const ZONES: [&str; 2] = ["z1", "z2"];
+
 /// Kinds of runs, which take turns: one spends the retry budget, one has a store without faults, one has all faults.
 const RUN_KINDS: u64 = 3;
 /// Time for which the plain service fails in a run that spends the retry budget.
@@ -72,6 +81,8 @@
     NameLimit(usize, &'static str),
     /// Changes how the relay treats connections to a runner.
     Link(usize, RelayMode),
+    /// Cuts routers off from all runners.
+    CutOff(Vec<usize>, CutForm),
     /// Changes how the store responds.
     Store(StoreMode),
     /// Changes how the relay treats connections to the store.
@@ -284,6 +295,11 @@
     }
 }
 
+/// Availability zone of the router or runner with this index.
+pub fn zone(index: usize) -> &'static str {
+    ZONES[index % ZONES.len()]
+}
+
 /// Whether a runner serves streams.
 pub fn is_engine(runner: usize) -> bool {
     runner >= RUNNERS / 2
--- a/crates/celerytide-soak/src/run/callers.rs
+++ b/crates/celerytide-soak/src/run/callers.rs
@@ -11,7 +11,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use crate::check::{Call, RequestKind, ResponseRecord};
+use crate::check::{Call, RefusedTry, RequestKind, ResponseRecord};
 
 /// Number of callers in a run.
 pub const CALLER_COUNT: usize = 16;
@@ -39,6 +39,7 @@
     /// Address and number of restarts of each router.
     routers: Mutex<Vec<Process>>,
     calls: Mutex<Vec<Call>>,
+    refused_tries: Mutex<Vec<RefusedTry>>,
     stopped: AtomicBool,
 }
 
@@ -61,6 +62,7 @@
         Callers {
             routers: Mutex::new(routers.into_iter().map(first).collect()),
             calls: Mutex::default(),
+            refused_tries: Mutex::default(),
             stopped: AtomicBool::new(false),
         }
     }
@@ -76,9 +78,17 @@
         self.stopped.store(true, Ordering::Relaxed);
     }
 
-    /// Requests with their responses.
-    pub fn into_calls(self) -> Vec<Call> {
-        self.calls.into_inner().unwrap_or_else(PoisonError::into_inner)
+    /// Requests with their responses, and those that weren't sent.
+    pub fn into_records(self) -> (Vec<Call>, Vec<RefusedTry>) {
+        let calls = self.calls.into_inner().unwrap_or_else(PoisonError::into_inner);
+        let refused = self.refused_tries.into_inner().unwrap_or_else(PoisonError::into_inner);
+        (calls, refused)
+    }
+
+    /// Records a request that wasn't sent, since its connection was refused or has ended.
+    fn note_refused(&self, router: usize, at: Duration) {
+        let mut refused = self.refused_tries.lock().unwrap_or_else(PoisonError::into_inner);
+        refused.push(RefusedTry { router, at });
     }
 
     fn process(&self, router: usize) -> Process {
@@ -102,7 +112,10 @@
             let kept = conns[router].take().filter(|conn| conn.process == self.process(router));
             match kept.or_else(|| connect(self.process(router))) {
                 Some(conn) => conns[router] = self.call(conn, id, kind, router, started, leaves_after),
-                None => sleep(Duration::from_millis(MAX_PAUSE_MS)),
+                None => {
+                    self.note_refused(router, started.elapsed());
+                    sleep(Duration::from_millis(MAX_PAUSE_MS));
+                }
             }
             sleep(Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS)));
         }
@@ -126,7 +139,10 @@
         }
         let text = request(method, path(kind), &headers, body);
         // The request was not sent if the connection has ended in the meantime.
-        conn.reader.get_mut().write_all(text.as_bytes()).ok()?;
+        if conn.reader.get_mut().write_all(text.as_bytes()).is_err() {
+            self.note_refused(router, started.elapsed());
+            return None;
+        }
         let sent = started.elapsed();
         let (response, kept) = match leaves_after {
             Some(time) => {
--- a/crates/celerytide-soak/src/run/fleet.rs
+++ b/crates/celerytide-soak/src/run/fleet.rs
@@ -5,18 +5,19 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use celerytide_standin::launch::{Process, Signal};
+use celerytide_standin::launch::Signal;
 use celerytide_standin::platform::caller::KEY;
 use celerytide_standin::platform::{self, Entry, ROUTES, Runner, RunnerMode, START_UNIX_MS, VERSION};
 use celerytide_standin::relay;
 
+use super::Options;
 use super::callers::Callers;
 use crate::check::{Arrival, REPEAT_RATIO, REPEAT_SLACK, RunnerNotice};
 use crate::plan::{self, Fault, RUNNERS};
-use crate::testbed::{Addresses, PeerLinks, Router, TestBed, eventually};
+use crate::testbed::{Addresses, PeerLinks, Router, RunnerLinks, TestBed, eventually};
 
 /// The availability zone that faults take out of service.
-const EVACUATED_ZONE: &str = "z2";
+const EVACUATED_ZONE: &str = plan::ZONES[1];
 /// Timeout from SIGTERM to the exit of a router: `stop_s` in the settings of the test bed, plus one second.
 const STOP_TIMEOUT: Duration = Duration::from_secs(5);
 /// Downtime of the store before it returns from a snapshot.
@@ -38,9 +39,8 @@
     /// Addresses of each router, also after a restart.
     addresses: Vec<Addresses>,
     runners: Vec<Runner>,
-    /// Relay address of each runner.
-    links: Vec<SocketAddr>,
-    relay: Process,
+    links: RunnerLinks,
+    has_zones: bool,
     peer_links: PeerLinks,
     version: u64,
     /// Start of each runner, in Unix milliseconds.
@@ -66,20 +66,16 @@
 
 impl Fleet {
     /// Starts all processes and waits until the routers are ready.
-    pub fn start(seed: u64, routers: usize) -> Fleet {
-        let mut bed = TestBed::new(&format!("soak-{seed}"));
+    pub fn start(opts: &Options) -> Fleet {
+        let routers = opts.routers;
+        let mut bed = TestBed::new(&format!("soak-{}", opts.seed));
         bed.repeat_ratio = REPEAT_RATIO;
         bed.repeat_slack = REPEAT_SLACK;
         let runners: Vec<Runner> = (0..RUNNERS)
             .map(|index| Runner::start(&runner_id(index), plan::normal_mode(index)).expect("runner"))
             .collect();
-        let targets = runners.iter().map(|r| r.address).chain([bed.store.address]);
-        let targets: Vec<String> = targets.map(|to| to.to_string()).collect();
-        let args: Vec<&str> = targets.iter().flat_map(|to| ["--to", to.as_str()]).collect();
-        let relay = Process::standin("relay", &args).expect("relay");
-        let routes = relay::routes(relay.addr()).expect("routes");
-        let mut links: Vec<SocketAddr> = routes.iter().map(|route| route.listen).collect();
-        bed.store_addr = links.pop().expect("the store's route");
+        let runner_addrs: Vec<SocketAddr> = runners.iter().map(|runner| runner.address).collect();
+        let links = RunnerLinks::open(&bed.store, &runner_addrs, routers);
         let mut addresses: Vec<Addresses> = (0..routers).map(|_| bed.addresses()).collect();
         let mut fleet = Fleet {
             peer_links: PeerLinks::open(&mut addresses),
@@ -88,7 +84,7 @@
             routers: Vec::new(),
             runners,
             links,
-            relay,
+            has_zones: opts.cuts_off,
             version: 1,
             start_unix_ms: vec![START_UNIX_MS; RUNNERS],
             leaving: vec![false; RUNNERS],
@@ -115,6 +111,12 @@
         let seeds: Vec<SocketAddr> = self.addresses.iter().take(SEEDS).map(Addresses::for_peers).collect();
         self.routers_started += 1;
         let name = format!("r{}", self.routers_started);
+        self.bed.store_addr = self.links.store_addr(index);
+        self.bed.zone = if self.has_zones {
+            plan::zone(index)
+        } else {
+            plan::ZONES[0]
+        };
         self.bed.router_at(&name, self.addresses[index], &seeds)
     }
 
@@ -127,8 +129,8 @@
         self.bed.store.publish(&Entry {
             id: &runner_id(index),
             service: if plan::is_engine(index) { "engines" } else { "plain" },
-            address: self.links[index],
-            zone: if index.is_multiple_of(2) { "z1" } else { EVACUATED_ZONE },
+            address: self.runners[index].address,
+            zone: plan::zone(index),
             leaving: self.leaving[index],
             born: self.start_unix_ms[index],
             version: VERSION,
@@ -166,9 +168,10 @@
             }
             Fault::Runner(index, mode) => self.runners[*index].set(*mode),
             Fault::NameLimit(index, limit) => self.runners[*index].name_limit(Some(*limit)),
-            Fault::Link(index, mode) => self.set_relay_mode(*index, *mode),
+            Fault::Link(index, mode) => self.links.set_runner(*index, *mode),
+            Fault::CutOff(routers, form) => self.links.cut_off(routers, *form),
             Fault::Store(mode) => self.bed.store.set_mode(*mode),
-            Fault::StoreLink(mode) => self.set_relay_mode(RUNNERS, *mode),
+            Fault::StoreLink(mode) => self.links.set_store(*mode),
             Fault::Leave(index) => self.publish_leaving(*index, true),
             Fault::Restore => self.snapshot = Some(self.bed.store.snapshot()),
             Fault::Configure => {
@@ -206,9 +209,10 @@
             Fault::Hup(_) | Fault::Configure => {}
             Fault::Runner(index, mode) => self.restore_runner(*index, *mode),
             Fault::NameLimit(index, _) => self.runners[*index].name_limit(None),
-            Fault::Link(index, _) => self.set_relay_mode(*index, relay::Mode::Pass),
+            Fault::Link(index, _) => self.links.set_runner(*index, relay::Mode::Pass),
+            Fault::CutOff(routers, _) => self.links.heal(routers),
             Fault::Store(_) => self.bed.store.set_mode(platform::StoreMode::Serve),
-            Fault::StoreLink(_) => self.set_relay_mode(RUNNERS, relay::Mode::Pass),
+            Fault::StoreLink(_) => self.links.set_store(relay::Mode::Pass),
             Fault::Leave(index) => self.publish_leaving(*index, false),
             Fault::ZoneOut => self.set_zone_out(false),
             Fault::Restore => self.restore(),
@@ -274,11 +278,6 @@
         ended
     }
 
-    /// Sets the mode of a relay route: routes `0..RUNNERS` lead to the runners, route `RUNNERS` to the store.
-    fn set_relay_mode(&self, route: usize, mode: relay::Mode) {
-        relay::set_mode(self.relay.addr(), route, &mode).expect("the relay takes a mode");
-    }
-
     /// Arrivals at all runners, in time since `started`.
     pub fn arrivals(&self, started: Instant) -> Vec<Arrival> {
         let of_runner = |(index, runner): (usize, &Runner)| {
@@ -345,6 +344,7 @@
     Runner(usize),
     Rate(usize),
     Link(usize),
+    RunnerLinks(usize),
     Entry(usize),
     Store,
     StoreLink,
@@ -362,6 +362,7 @@
     let target = match fault {
         Fault::KillAll => return (0..routers).map(Target::Router).collect(),
         Fault::Service { is_engine, .. } => return service(*is_engine).map(Target::Runner).collect(),
+        Fault::CutOff(routers, _) => return routers.iter().copied().map(Target::RunnerLinks).collect(),
         Fault::Pause(index) | Fault::Kill(index) | Fault::Term(index) | Fault::Hup(index) => Target::Router(*index),
         Fault::Runner(index, _) | Fault::Crash(index) => Target::Runner(*index),
         Fault::NameLimit(index, _) => Target::Rate(*index),
--- a/crates/celerytide-soak/src/run/mod.rs
+++ b/crates/celerytide-soak/src/run/mod.rs
@@ -8,7 +8,7 @@
 
 use celerytide_standin::platform::RunnerMode;
 
-use crate::check::{History, Leaving, RouterOutage, Span, Violation, check};
+use crate::check::{CutOff, History, Leaving, RouterOutage, Span, Violation, check};
 use crate::plan::{self, Fault, Step};
 
 use callers::Callers;
@@ -25,6 +25,8 @@
     pub routers: usize,
     /// Whether the links between all routers are cut for long.
     pub cuts_peers: bool,
+    /// Whether some routers are cut off from all runners.
+    pub cuts_off: bool,
 }
 
 /// Result of a run.
@@ -56,12 +58,8 @@
 
 /// Runs the plan of a seed once.
 pub fn run(opts: Options) -> Report {
-    let steps = if opts.cuts_peers {
-        plan::draw_with_cut(opts.seed, opts.length, opts.routers)
-    } else {
-        plan::draw(opts.seed, opts.length, opts.routers)
-    };
-    let mut fleet = Fleet::start(opts.seed, opts.routers);
+    let steps = draw(&opts);
+    let mut fleet = Fleet::start(&opts);
     let callers = Callers::new(fleet.addresses());
     let mut history = History::default();
     let started = Instant::now();
@@ -82,7 +80,7 @@
     });
     history.placements.callers = callers::CALLER_COUNT as u64;
     history.placements.after_load = counted_after(&fleet);
-    history.calls = callers.into_calls();
+    (history.calls, history.refused_tries) = callers.into_records();
     history.arrivals = fleet.arrivals(started);
     let violations = check(&history);
     let ids: Vec<&str> = violations.iter().filter_map(|v| v.details.split(' ').next()).collect();
@@ -95,6 +93,19 @@
     }
 }
 
+fn draw(opts: &Options) -> Vec<Step> {
+    let Options {
+        seed, length, routers, ..
+    } = *opts;
+    if opts.cuts_off {
+        plan::draw_with_cut_off(seed, length, routers)
+    } else if opts.cuts_peers {
+        plan::draw_with_cut(seed, length, routers)
+    } else {
+        plan::draw(seed, length, routers)
+    }
+}
+
 /// Requests that coordinators count.
 fn counted(fleet: &Fleet) -> u64 {
     fleet.placements().iter().map(|(_, count)| count).sum()
@@ -155,6 +166,10 @@
         Fault::Pause(router) | Fault::Kill(router) => history.outages.push(RouterOutage { router: *router, span }),
         Fault::Store(_) | Fault::StoreLink(_) | Fault::Restore => history.store_faults.push(span),
         Fault::Link(n, _) => history.link_faults.push((fleet::runner_id(*n), span)),
+        Fault::CutOff(routers, _) => history.cut_offs.push(CutOff {
+            routers: routers.clone(),
+            span,
+        }),
         Fault::Runner(n, RunnerMode::Leaving) => history.runner_restarts.push((fleet::runner_id(*n), to)),
         Fault::Term(router) => history.restarts.push(RouterOutage { router: *router, span }),
         Fault::Leave(runner) => history.leaving.push(Leaving {
--- a/crates/celerytide-soak/src/testbed/mod.rs
+++ b/crates/celerytide-soak/src/testbed/mod.rs
@@ -2,6 +2,7 @@
 
 mod peer_links;
 mod placement_link;
+mod runner_links;
 
 use std::cell::Cell;
 use std::net::{IpAddr, SocketAddr};
@@ -15,6 +16,7 @@
 
 pub use peer_links::PeerLinks;
 pub use placement_link::PlacementLink;
+pub use runner_links::{CutForm, RunnerLinks};
 
 /// Timeout of [`eventually`].
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
@@ -43,6 +45,8 @@
     pub repeat_ratio: f64,
     /// Limit of the operating system on the descriptors of a router process; `None`: inherited.
     pub descriptor_limit: Option<u32>,
+    /// Availability zone of the next routers.
+    pub zone: &'static str,
     /// Further lines of the settings, each with its line end.
     pub more_settings: String,
     /// UDP port for digests, the same on all routers.
@@ -113,6 +117,7 @@
             repeat_slack: 50,
             repeat_ratio: RATIO_FOR_FEW,
             descriptor_limit: None,
+            zone: "z1",
             more_settings: String::new(),
             digest_port: free_addr().expect("port").port(),
             placement_port: free_addr().expect("port").port(),
@@ -171,11 +176,11 @@
         let placement = at
             .placement
             .map_or(String::new(), |addr| format!("placement: \"{addr}\"\n"));
-        let more = &self.more_settings;
+        let (zone, more) = (self.zone, &self.more_settings);
         let seeds: Vec<String> = seeds.iter().map(|s| format!("\"{s}\"")).collect();
         let seeds = seeds.join(",");
         let settings = format!(
-            "instance: {name}\nzone: z1\ncallers: \"{callers}\"\nreadiness: \"{readiness}\"\npeers: \"{peers}\"\nadvertised: \"{advertised}\"\nmetrics: \"{metrics}\"\ndigests: \"{digests}\"\n{placement}seeds: [{seeds}]\nstore: \"{store}\"\ndescriptors: {DESCRIPTORS}\n{more}bounds:\n  stop_s: 4\n  apply_ms: 2000\n  regain_ms: 3000\n  repeat_slack: {repeat_slack}\n  repeat_ratio: {repeat_ratio}\n",
+            "instance: {name}\nzone: {zone}\ncallers: \"{callers}\"\nreadiness: \"{readiness}\"\npeers: \"{peers}\"\nadvertised: \"{advertised}\"\nmetrics: \"{metrics}\"\ndigests: \"{digests}\"\n{placement}seeds: [{seeds}]\nstore: \"{store}\"\ndescriptors: {DESCRIPTORS}\n{more}bounds:\n  stop_s: 4\n  apply_ms: 2000\n  regain_ms: 3000\n  repeat_slack: {repeat_slack}\n  repeat_ratio: {repeat_ratio}\n",
         );
         let path = self.dir.join(format!("{name}.yaml"));
         std::fs::write(&path, settings).expect("settings");
--- a/crates/celerytide-soak/tests/check.rs
+++ b/crates/celerytide-soak/tests/check.rs
@@ -4,11 +4,12 @@
 
 use std::time::Duration;
 
-use celerytide_soak::check::{Arrival, Guarantee, History, RequestKind, RunnerNotice, check};
+use celerytide_soak::check::{Arrival, Guarantee, History, RefusedTry, RequestKind, RunnerNotice, check};
 use celerytide_soak::plan::{self, Fault, ROUTERS};
+use celerytide_soak::testbed::CutForm;
 use history::{
-    add_left_call, add_limited_arrivals, arrival, arrival_with_notice, call, events, leaving, ms, response,
-    valid_history,
+    add_cut_off, add_left_call, add_limited_arrivals, arrival, arrival_with_notice, call, events, leaving, ms,
+    response, valid_history,
 };
 
 /// A change that violates a guarantee.
@@ -18,7 +19,7 @@
     change: fn(&mut History),
 }
 
-const VIOLATIONS: [ViolationCase; 30] = [
+const VIOLATIONS: [ViolationCase; 32] = [
     ViolationCase {
         name: "a request to a runner after its notice that it leaves",
         guarantee: Guarantee::Notice,
@@ -234,6 +235,23 @@
         guarantee: Guarantee::Ended,
         change: |h| h.ended.push((2, ms(4000))),
     },
+    ViolationCase {
+        name: "callers of a router that is cut off are served far worse",
+        guarantee: Guarantee::CutOff,
+        change: |h| add_cut_off(h, 13_000, 12),
+    },
+    ViolationCase {
+        name: "a router that is cut off refuses connections",
+        guarantee: Guarantee::CutOff,
+        change: |h| {
+            add_cut_off(h, 13_000, 0);
+            let tried = RefusedTry {
+                router: 1,
+                at: ms(13_000),
+            };
+            h.refused_tries.extend([tried; 16]);
+        },
+    },
     ViolationCase {
         name: "a runner gets what nobody sent",
         guarantee: Guarantee::Unasked,
@@ -273,3 +291,20 @@
     let kinds: std::collections::HashSet<_> = faults.iter().map(std::mem::discriminant).collect();
     assert_eq!(kinds.len(), 17, "kinds of faults");
 }
+
+/// Each form, one router, and a whole zone.
+#[test]
+fn routers_are_cut_off_in_each_form() {
+    let length = Duration::from_secs(6);
+    let faults = (0..60).flat_map(|seed| plan::draw_with_cut_off(seed, length, ROUTERS));
+    let cuts = faults.filter_map(|step| match step.fault {
+        Fault::CutOff(routers, form) => Some((routers, form)),
+        _ => None,
+    });
+    let cuts: Vec<(Vec<usize>, CutForm)> = cuts.collect();
+    for form in [CutForm::Hang, CutForm::Reset, CutForm::LiveOn] {
+        for routers in [vec![1], vec![0, 2], vec![1, 3]] {
+            assert!(cuts.contains(&(routers.clone(), form)), "{routers:?} {form:?}");
+        }
+    }
+}
--- a/crates/celerytide-soak/tests/excused.rs
+++ b/crates/celerytide-soak/tests/excused.rs
@@ -2,9 +2,10 @@
 
 mod history;
 
-use celerytide_soak::check::{Arrival, History, RequestKind, RouterOutage, check};
+use celerytide_soak::check::{Arrival, CutOff, History, RequestKind, RouterOutage, check};
 use history::{
-    add_left_call, add_limited_arrivals, arrival, call, events, leaving, left_call, ms, response, span, valid_history,
+    add_cut_off, add_left_call, add_limited_arrivals, arrival, call, events, leaving, left_call, ms, response, span,
+    valid_history,
 };
 
 /// A failure together with the fault that excuses it.
@@ -13,7 +14,7 @@
     change: fn(&mut History),
 }
 
-const EXCUSED: [ExcusedCase; 14] = [
+const EXCUSED: [ExcusedCase; 18] = [
     ExcusedCase {
         name: "nothing reached a runner for half a second after a caller had left",
         change: |h| {
@@ -129,6 +130,34 @@
             h.link_faults.push(("i4".to_owned(), span(4200, 4400)));
         },
     },
+    ExcusedCase {
+        name: "11 of 30 first tries fail at a router that is cut off, 1 in 50 and ten",
+        change: |h| add_cut_off(h, 13_000, 11),
+    },
+    ExcusedCase {
+        name: "a router has been cut off for less than 3 s",
+        change: |h| add_cut_off(h, 12_900, 20),
+    },
+    ExcusedCase {
+        name: "a router that is cut off was killed 3 s before",
+        change: |h| {
+            add_cut_off(h, 14_000, 20);
+            h.outages.push(RouterOutage {
+                router: 1,
+                span: span(11_000, 11_600),
+            });
+        },
+    },
+    ExcusedCase {
+        name: "a runner that a router is cut off from works on",
+        change: |h| {
+            h.arrivals[3].ended = None;
+            h.cut_offs.push(CutOff {
+                routers: vec![0],
+                span: span(4200, 4400),
+            });
+        },
+    },
     ExcusedCase {
         name: "a runner broke a stream off",
         change: |h| {
--- a/crates/celerytide-soak/tests/history/mod.rs
+++ b/crates/celerytide-soak/tests/history/mod.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use celerytide_soak::check::{
-    Arrival, Call, History, Leaving, PlacementCounts, RequestKind, ResponseRecord, RunnerNotice, Span,
+    Arrival, Call, CutOff, History, Leaving, PlacementCounts, RequestKind, ResponseRecord, RunnerNotice, Span,
 };
 use celerytide_soak::plan::STREAM_EVENTS;
 
@@ -101,6 +101,32 @@
     }
 }
 
+/// Adds a cut of router 1 from all runners from 10 s to 20 s, with 30 first tries there and at router 0, sent at `at`. All are
+/// served but `unserved` at router 1.
+pub fn add_cut_off(h: &mut History, at: u64, unserved: usize) {
+    h.cut_offs.push(CutOff {
+        routers: vec![1],
+        span: span(10_000, 20_000),
+    });
+    for n in 0..60 {
+        let id = format!("tried{n}");
+        let is_served = n >= unserved * 2 || n % 2 == 0;
+        let body = format!("answer of i1 to {id}");
+        let answer = if is_served {
+            response(200, &body)
+        } else {
+            response(502, "")
+        };
+        h.arrivals.extend(is_served.then(|| arrival(&id, "i1", at + 10)));
+        h.calls.push(Call {
+            router: n % 2,
+            sent: ms(at),
+            ended: ms(at + 500),
+            ..call(&id, RequestKind::Once, answer)
+        });
+    }
+}
+
 pub fn events(numbers: impl IntoIterator<Item = u32>) -> String {
     numbers
         .into_iter()
--- a/crates/celerytide-standin/src/platform/mod.rs
+++ b/crates/celerytide-standin/src/platform/mod.rs
@@ -14,6 +14,7 @@
 mod runner;
 mod statement;
 mod store;
+mod view;
 
 pub use brittle::{Brittle, FALL_TIME, Fall, NOTICE_TIME};
 pub use crash::{Crashing, Trigger};
--- a/crates/celerytide-standin/src/platform/store.rs
+++ b/crates/celerytide-standin/src/platform/store.rs
@@ -13,6 +13,7 @@
 
 use super::Endless;
 use super::request::{self, Request};
+use super::view::View;
 
 /// How the store responds to requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -87,7 +88,6 @@
 impl Store {
     /// Starts an empty store on a free port.
     pub fn start() -> std::io::Result<Store> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
         let shared = Arc::new(Shared {
             state: Mutex::new(State {
                 content: Content {
@@ -101,17 +101,15 @@
             mode: Mutex::new(StoreMode::Serve),
             era_header: Mutex::new(EraHeader::Counted),
         });
-        let address = listener.local_addr()?;
-        let served = shared.clone();
-        spawn(move || {
-            for conn in listener.incoming().flatten() {
-                let shared = served.clone();
-                spawn(move || serve(&shared, conn));
-            }
-        });
+        let address = listen(&shared, View::default())?;
         Ok(Store { address, shared })
     }
 
+    /// Opens a further address, whose readers get the second address of each pair in place of the first.
+    pub fn open_view(&self, replaced: &[(SocketAddr, SocketAddr)]) -> std::io::Result<SocketAddr> {
+        listen(&self.shared, View::new(replaced))
+    }
+
     /// Writes an item.
     pub fn put(&self, key: &str, value: &[u8]) {
         let content = &mut lock(&self.shared.state).content;
@@ -185,7 +183,22 @@
     json!({"key": key, "value": BASE64_STANDARD.encode(value), "revision": revision, "created": revision, "lease": 0})
 }
 
-fn serve(shared: &Shared, conn: TcpStream) {
+/// Serves the store at a free port.
+fn listen(shared: &Arc<Shared>, view: View) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    let served = shared.clone();
+    let view = Arc::new(view);
+    spawn(move || {
+        for conn in listener.incoming().flatten() {
+            let (shared, view) = (served.clone(), view.clone());
+            spawn(move || serve(&shared, &view, conn));
+        }
+    });
+    Ok(address)
+}
+
+fn serve(shared: &Shared, view: &View, conn: TcpStream) {
     let Ok(mut out) = conn.try_clone() else {
         return;
     };
@@ -208,9 +221,10 @@
             StoreMode::HistoryLost => Some((410, json!({}))),
             _ => watch(shared, &req),
         };
-        let Some((status, body)) = response else {
+        let Some((status, mut body)) = response else {
             return;
         };
+        view.apply(&mut body);
         let body = body.to_string();
         let length = body.len();
         let era = era_header_line(shared);
