--- a/crates/celerytide-standin/src/platform/brittle.rs
+++ b/crates/celerytide-standin/src/platform/brittle.rs
@@ -51,10 +51,10 @@
 }
 
 /// What becomes of a request that has been read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Place {
-    /// It runs; the life of the runner in which its slot counts.
-    Slot(u64),
+#[derive(Debug)]
+pub(super) enum Place<'a> {
+    /// It runs.
+    Slot(Slot<'a>),
     /// It is refused.
     Refused,
     /// It is one too many: the runner falls over.
@@ -63,6 +63,14 @@
     Ended,
 }
 
+/// The slot of a running request; given back on drop.
+#[derive(Debug)]
+pub(super) struct Slot<'a> {
+    room: &'a Room,
+    /// The life of the runner in which it counts.
+    life: u64,
+}
+
 /// Slots of a runner, and the requests that wait for one.
 #[derive(Debug, Default)]
 pub(super) struct Room {
@@ -103,7 +111,7 @@
     }
 
     /// Takes a slot for the request `id`, or waits for one while its client stays.
-    pub(super) fn enter(&self, conn: &TcpStream, id: &str) -> Place {
+    pub(super) fn enter(&self, conn: &TcpStream, id: &str) -> Place<'_> {
         let mut state = lock(&self.state);
         if state.is_full() && !state.may_wait() {
             return state.reject(id, &self.freed);
@@ -121,7 +129,7 @@
             return Place::Ended;
         }
         state.running += 1;
-        Place::Slot(life)
+        Place::Slot(Slot { room: self, life })
     }
 
     fn wait<'a>(&self, state: MutexGuard<'a, State>) -> MutexGuard<'a, State> {
@@ -132,27 +140,28 @@
     /// Refuses a request that gets no slot, or falls over; true if the connection stays open.
     pub(super) fn turn_away(
         &self,
-        place: Place,
+        place: &Place<'_>,
         crashes: &Crashes,
         out: &mut TcpStream,
         req: &Request,
         address: SocketAddr,
     ) -> bool {
-        if place == Place::Falls {
+        if matches!(place, Place::Falls) {
             crashes.crash(address, out, "", FALLING);
             return false;
         }
         let id = req.header("x-attempt-id");
         let headers = format!("x-attempt-id: {id}\r\nx-not-executed: 1\r\n{}", self.header());
-        place == Place::Refused && send_response(out, "503 Full", &headers, "")
+        matches!(place, Place::Refused) && send_response(out, "503 Full", &headers, "")
     }
+}
 
-    /// Gives a slot back.
-    pub(super) fn leave(&self, place: Place) {
-        let mut state = lock(&self.state);
-        if place == Place::Slot(state.life) {
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        let mut state = lock(&self.room.state);
+        if state.life == self.life {
             state.running -= 1;
-            self.freed.notify_one();
+            self.room.freed.notify_one();
         }
     }
 }
@@ -167,7 +176,7 @@
             .is_none_or(|(brittle, since)| since.elapsed() < NOTICE_TIME || self.waiting < brittle.waiting)
     }
 
-    fn reject(&mut self, id: &str, freed: &Condvar) -> Place {
+    fn reject<'a>(&mut self, id: &str, freed: &Condvar) -> Place<'a> {
         let now = Instant::now();
         self.rejected.push_back((now, id.to_owned()));
         self.rejected.retain(|(at, _)| *at + WINDOW > now);
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -6,7 +6,9 @@
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
+use super::arrival::Arrival;
 use super::brittle::{Brittle, Fall, Place, Room};
+use super::copies::{Copying, PendingCopy};
 use super::crash::{Crashes, Crashing};
 use super::endless::{Endless, is_closed};
 use super::events::{self, TornStream};
@@ -36,6 +38,8 @@
     /// This status, which states that the request did not run, to the first request on a connection. The refusal is written
     /// once more in front of the response to the next one, which runs.
     CopiedRefusal(&'static str),
+    /// The first answer to certain requests is written twice.
+    Copied(Copying),
     /// The request runs, and this status without a seal or any other proof answers it.
     Unproven(&'static str),
     /// As `Good`, and some milliseconds later these bytes, which belong to no request.
@@ -121,27 +125,6 @@
     }
 }
 
-/// A request that a runner ran, or refused without running it.
-#[derive(Debug, Clone)]
-pub struct Arrival {
-    /// Attempt id of the request.
-    pub id: String,
-    /// Time at which the whole request had been read.
-    pub at: Instant,
-    /// Whether the runner ran it.
-    pub ran: bool,
-    /// Mode in which the runner responded.
-    pub mode: RunnerMode,
-    /// Rate limit that responses with a head of the runner named then.
-    pub limit: Option<&'static str>,
-    /// Milliseconds that the request says are left for it, as written; empty without.
-    pub deadline_ms: String,
-    /// When the runner had ended its work on it; `None` while it still works.
-    pub ended: Option<Instant>,
-    /// Number of its connection, counted from zero as they were accepted.
-    pub connection: usize,
-}
-
 struct Shared {
     id: String,
     mode: Mutex<RunnerMode>,
@@ -308,8 +291,10 @@
     let mut conn = BufReader::new(conn);
     let mut refused: Option<String> = None;
     let mut copy: Option<String> = None;
+    let mut pending_copy = PendingCopy::default();
     while let Some(req) = request::read(&mut conn) {
         lock(&shared.requests).push(req.clone());
+        let is_copied = Copying::copies(&req, &lock(&shared.arrivals));
         let mode = *lock(&shared.mode);
         let limit = *lock(&shared.limit);
         let index = shared.record(Arrival {
@@ -318,29 +303,41 @@
             ran: !matches!(
                 mode,
                 RunnerMode::NotRun | RunnerMode::Misdirected | RunnerMode::Paused(_)
-            ) && (refused.is_some() || !matches!(mode, RunnerMode::RefusedAgain { .. })),
+            ) && (refused.is_some() || !matches!(mode, RunnerMode::RefusedAgain { .. }))
+                && !matches!(mode, RunnerMode::Copied(copying) if is_copied && !copying.runs()),
             mode,
             limit,
             deadline_ms: req.header("x-deadline-ms").to_owned(),
             ended: None,
             connection: number,
         });
-        let place = shared.room.enter(&out, req.header("x-attempt-id"));
-        if !matches!(place, Place::Slot(_)) {
-            shared.record_unrun(index);
-            if !shared
-                .room
-                .turn_away(place, &shared.crashes, &mut out, &req, shared.address)
-            {
+        let _slot = match shared.room.enter(&out, req.header("x-attempt-id")) {
+            Place::Slot(slot) => slot,
+            away => {
+                shared.record_unrun(index);
+                let stays_open = shared
+                    .room
+                    .turn_away(&away, &shared.crashes, &mut out, &req, shared.address);
+                if stays_open {
+                    continue;
+                }
                 return;
             }
+        };
+        if let RunnerMode::Copied(copying) = mode {
+            let sent = match is_copied {
+                true => pending_copy.answer(&mut out, &req, copying),
+                false => pending_copy.serve(&mut out, &req, copying.place),
+            };
+            shared.record_end(index);
+            // An error means that the connection has ended, which the next read finds too.
+            drop(sent);
             continue;
         }
         if let RunnerMode::CopiedRefusal(status) = mode {
             let refusal = refusal(status, &req);
             let Some(earlier) = copy.replace(refusal.clone()) else {
                 shared.record_unrun(index);
-                shared.room.leave(place);
                 // Fails only if the connection has ended already.
                 let _ = out.write_all(refusal.as_bytes());
                 continue;
@@ -359,13 +356,11 @@
             send_response(&mut out, "503 Full", &format!("{named}x-not-executed: 1\r\n"), "");
             if refusal == req.header("x-attempt-id") {
                 shared.record_end(index);
-                shared.room.leave(place);
                 continue;
             }
         }
         let stays_open = respond(shared, &mut out, &req, mode, limit);
         shared.record_end(index);
-        shared.room.leave(place);
         if !stays_open {
             // Fails only if the connection has ended already.
             let _ = out.shutdown(Shutdown::Both);
@@ -393,7 +388,7 @@
         return false;
     }
     match mode {
-        RunnerMode::Good | RunnerMode::RefusedAgain { .. } | RunnerMode::CopiedRefusal(_) => {
+        RunnerMode::Good | RunnerMode::RefusedAgain { .. } | RunnerMode::CopiedRefusal(_) | RunnerMode::Copied(_) => {
             send_response(out, "200 OK", &sealed, &body)
         }
         RunnerMode::GoodWith(line) => send_response(out, "200 OK", &format!("{line}\r\n{sealed}"), &body),
