test(soak): copies of refusals, and callers that send a refused request again

Behind the other faults of each run the runners of a service, or of both, refuse 40 in 100 of their requests with 503, 429 or 421 and write half of these refusals a second time, 0 to 250 ms later, on the same connection (`RunnerMode::Refusing`). Callers send a request that was refused with 408, 421, 429 or 503 again under the same id, up to four times, on the same connection.

A refusal promises that this send has not run and never will; a request that may run once runs at most once in all sends. An arrival belongs to the last send whose predecessors had been refused by then. NotRun finds a run of a refused send, Twice a second run in all. Attempts, Budget and TimeLeft count each send by itself, Late takes each, and Recover and CutOff count only first tries, so that none of them got weaker.

--- a/crates/celerytide-soak/src/check/cut_off.rs
+++ b/crates/celerytide-soak/src/check/cut_off.rs
@@ -46,7 +46,7 @@
 /// Whether a first try was served.
 fn is_served(call: &Call) -> bool {
     let response = &call.response;
-    response.status == 200 && response.is_sealed && response.is_complete
+    response.status == 200 && response.is_sealed && response.is_complete && call.refused.is_empty()
 }
 
 impl Checker<'_> {
@@ -96,7 +96,7 @@
 
     fn first_tries(&self, span: Span) -> impl Iterator<Item = &Call> {
         let calls = self.history.calls.iter();
-        let compared = calls.filter(move |call| is_compared(span, call.sent) && !call.has_left);
+        let compared = calls.filter(move |call| is_compared(span, call.sent_at(0)) && !call.has_left);
         compared.filter(|call| self.is_in_touch(call.router, call.ended))
     }
 
--- a/crates/celerytide-soak/src/check/mod.rs
+++ b/crates/celerytide-soak/src/check/mod.rs
@@ -53,7 +53,9 @@
     pub kind: RequestKind,
     /// Index of the router in the fleet.
     pub router: usize,
-    /// Time since the start of the run at which it was sent completely.
+    /// Earlier sends under the same id that were refused, from the time at which each was sent to its response.
+    pub refused: Vec<Span>,
+    /// Time since the start of the run at which it was sent completely, for the last time.
     pub sent: Duration,
     /// Time at which its response or its connection ended.
     pub ended: Duration,
@@ -63,6 +65,29 @@
     pub response: ResponseRecord,
 }
 
+/// Whether a status promises that the request has not run and never will, in this send.
+pub fn is_refusal(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
+impl Call {
+    /// Index of the send that an arrival at this time belongs to: the last one whose predecessors had all been refused by
+    /// then.
+    fn send_of(&self, at: Duration) -> usize {
+        self.refused.iter().take_while(|refused| refused.to <= at).count()
+    }
+
+    /// When it was sent, each time.
+    fn sends(&self) -> impl Iterator<Item = Duration> {
+        self.refused.iter().map(|refused| refused.from).chain([self.sent])
+    }
+
+    /// When it was sent, by the index of the send.
+    fn sent_at(&self, send: usize) -> Duration {
+        self.refused.get(send).map_or(self.sent, |refused| refused.from)
+    }
+}
+
 /// Arrival of a request at a runner.
 #[derive(Debug, Clone)]
 pub struct Arrival {
@@ -286,6 +311,10 @@
         }
     }
 
+    fn calls_by_id(&self) -> HashMap<&'a str, &'a Call> {
+        self.history.calls.iter().map(|call| (call.id.as_str(), call)).collect()
+    }
+
     fn arrivals_of(&self, id: &str) -> &[&'a Arrival] {
         self.arrivals.get(id).map_or(&[], Vec::as_slice)
     }
@@ -316,14 +345,18 @@
         if once && runs > 1 {
             return Some(violation(Guarantee::Twice, call, format!("ran {runs} times")));
         }
-        let said_not_run = matches!(status, 408 | 421 | 429 | 503);
-        if once && said_not_run && runs > 0 {
+        if once && is_refusal(status) && runs > 0 {
             return Some(violation(
                 Guarantee::NotRun,
                 call,
                 format!("status {status}, and it ran"),
             ));
         }
+        let ran_of_refused = |run: &&&Arrival| call.send_of(run.at) < call.refused.len();
+        if let Some(run) = self.runs_of(&call.id).iter().find(ran_of_refused).filter(|_| once) {
+            let details = format!("sent {} times, and it ran at {:?}", call.refused.len() + 1, run.at);
+            return Some(violation(Guarantee::NotRun, call, details));
+        }
         matches!(status, 400..=404 | 413 | 431).then(|| violation(Guarantee::Denied, call, format!("status {status}")))
     }
 
@@ -411,8 +444,14 @@
         let h = self.history;
         let is_late = |call: &&Call| {
             let plain = matches!(call.kind, RequestKind::Safe | RequestKind::Once);
-            let had_outage = self.had_outage(call.router, call.sent, call.ended);
-            plain && !had_outage && call.ended.saturating_sub(call.sent) > PLAIN_TIMEOUT + LATE_TOLERANCE
+            let last = Span {
+                from: call.sent,
+                to: call.ended,
+            };
+            let is_long = |send: &Span| send.to.saturating_sub(send.from) > PLAIN_TIMEOUT + LATE_TOLERANCE;
+            let had_outage = |send: &Span| self.had_outage(call.router, send.from, send.to);
+            let mut sends = call.refused.iter().chain([&last]);
+            plain && sends.any(|send| is_long(send) && !had_outage(send))
         };
         let late: Vec<&str> = h.calls.iter().filter(is_late).map(|call| call.id.as_str()).collect();
         (late.len() >= LATE_LIMIT).then(|| Violation {
@@ -423,11 +462,12 @@
 
     fn check_recovery(&self) -> Option<Violation> {
         let from = self.history.faults_ended_at + RECOVERY_TIME;
-        let safe = |call: &&Call| call.kind == RequestKind::Safe && call.sent > from && !call.has_left;
+        let safe = |call: &&Call| call.kind == RequestKind::Safe && call.sent_at(0) > from && !call.has_left;
         let after: Vec<&Call> = self.history.calls.iter().filter(safe).collect();
-        let served = after.iter().filter(|call| call.response.status == 200).count();
+        let is_served = |call: &&&Call| call.response.status == 200 && call.refused.is_empty();
+        let served = after.iter().filter(is_served).count();
         let enough = served as f64 >= after.len() as f64 * MIN_SERVED_SHARE && !after.is_empty();
-        let refused = after.iter().find(|call| call.response.status != 200);
+        let refused = after.iter().find(|call| !is_served(call));
         let first = refused.map_or("none", |call| call.id.as_str());
         (!enough).then(|| Violation {
             guarantee: Guarantee::Recover,
--- a/crates/celerytide-soak/src/check/retries.rs
+++ b/crates/celerytide-soak/src/check/retries.rs
@@ -32,14 +32,14 @@
 
 /// Whether an arrival of a request was told too long a time. A router can't know how long a request waited before it was
 /// read, so that the first arrival may be told as much as its caller gave.
-fn is_told_long(call: &Call, first: &Arrival, arrival: &Arrival) -> bool {
+fn is_told_long(sent: Duration, first: &Arrival, arrival: &Arrival) -> bool {
     let (Some(left), Some(first_left)) = (arrival.time_left, first.time_left) else {
         return true;
     };
     let end = arrival.at + left;
     let is_late = arrival.at > first.at + TIME_TOLERANCE;
     let first_end = first.at + first_left;
-    let ends_late = end > first_end.max(call.sent + DEADLINE) + TIME_TOLERANCE;
+    let ends_late = end > first_end.max(sent + DEADLINE) + TIME_TOLERANCE;
     left > DEADLINE + TIME_TOLERANCE || (is_late && ends_late)
 }
 
@@ -60,7 +60,8 @@
     fn check_service(&self, is_engine: bool) -> Option<Violation> {
         let calls = &self.history.calls;
         let to_service = |call: &&Call| uses_engines(call.kind) == is_engine;
-        let requests: Vec<Duration> = calls.iter().filter(to_service).map(|call| call.sent).collect();
+        let requests = calls.iter().filter(to_service).flat_map(Call::sends);
+        let requests: Vec<Duration> = requests.collect();
         let repeats = self.repeats(is_engine);
         let times: Vec<Duration> = repeats.iter().map(|arrival| arrival.at).collect();
         let allowed = |to: Duration| {
@@ -82,7 +83,7 @@
         })
     }
 
-    /// Arrivals beyond the first of each request at a service, by time.
+    /// Arrivals beyond the first of each send of a request at a service, by time.
     fn repeats(&self, is_engine: bool) -> Vec<&'a Arrival> {
         let of_service = |arrival: &&Arrival| {
             let index = arrival.runner.strip_prefix('i').and_then(|index| index.parse().ok());
@@ -90,36 +91,42 @@
         };
         let mut arrivals: Vec<&Arrival> = self.history.arrivals.iter().filter(of_service).collect();
         arrivals.sort_by_key(|arrival| arrival.at);
+        let calls = self.calls_by_id();
         let mut seen = BTreeSet::new();
-        arrivals.retain(|arrival| !seen.insert(arrival.id.as_str()));
+        arrivals.retain(|arrival| {
+            let send = calls.get(arrival.id.as_str()).map(|call| call.send_of(arrival.at));
+            !seen.insert((arrival.id.as_str(), send))
+        });
         arrivals
     }
 
-    /// A request that ran at, or reached, more runners than its route allows.
+    /// A request that, sent once, ran at or reached more runners than its route allows.
     pub(super) fn check_attempts(&self, call: &Call) -> Option<Violation> {
-        let (runs, arrivals) = (self.runs_of(&call.id).len(), self.arrivals_of(&call.id).len());
+        (0..=call.refused.len()).find_map(|send| self.check_send(call, send))
+    }
+
+    fn check_send(&self, call: &Call, send: usize) -> Option<Violation> {
+        let of_send = |arrivals: &[&Arrival]| arrivals.iter().filter(|a| call.send_of(a.at) == send).count();
+        let runs = of_send(self.runs_of(&call.id));
+        let arrivals = of_send(self.arrivals_of(&call.id));
         let exceeds = runs > MAX_ATTEMPTS || arrivals > MAX_ATTEMPTS + MAX_REFUSED;
-        exceeds.then(|| {
-            violation(
-                Guarantee::Attempts,
-                call,
-                format!("ran {runs} times, reached {arrivals} runners"),
-            )
-        })
+        let details = format!("send {send} ran {runs} times, reached {arrivals} runners");
+        exceeds.then(|| violation(Guarantee::Attempts, call, details))
     }
 
     /// Arrivals that were told no time, more than their caller gave, or, sent once more later, a later end.
     pub(super) fn check_time_left(&self) -> Option<Violation> {
         let mut arrivals: Vec<&'a Arrival> = self.history.arrivals.iter().collect();
         arrivals.sort_by_key(|arrival| arrival.at);
-        let calls: HashMap<&str, &Call> = self.history.calls.iter().map(|c| (c.id.as_str(), c)).collect();
-        let mut firsts: HashMap<&'a str, &'a Arrival> = HashMap::new();
+        let calls = self.calls_by_id();
+        let mut firsts: HashMap<(&'a str, usize), &'a Arrival> = HashMap::new();
         let is_long = |arrival: &&'a Arrival| {
-            let first = *firsts.entry(arrival.id.as_str()).or_insert(arrival);
             let Some(call) = calls.get(arrival.id.as_str()) else {
                 return false;
             };
-            is_told_long(call, first, arrival) && !self.had_outage(call.router, call.sent, arrival.at)
+            let send = call.send_of(arrival.at);
+            let first = *firsts.entry((arrival.id.as_str(), send)).or_insert(arrival);
+            is_told_long(call.sent_at(send), first, arrival) && !self.had_outage(call.router, call.sent, arrival.at)
         };
         let long: Vec<&Arrival> = arrivals.into_iter().filter(is_long).collect();
         (long.len() >= TIME_LIMIT).then(|| Violation {
--- a/crates/celerytide-soak/src/plan/mod.rs
+++ b/crates/celerytide-soak/src/plan/mod.rs
@@ -1,11 +1,12 @@
 //! The plan of a run: faults with their times, drawn from a seed.
 
 mod cut_off;
+mod later;
 
 use std::time::Duration;
 
 use celerytide_standin::platform::{
-    Crashing, Endless, FOREIGN_REFUSALS, RunnerMode, StoreMode, StreamFraming, TornStream, Trigger,
+    Crashing, Endless, FOREIGN_REFUSALS, Refusing, RunnerMode, StoreMode, StreamFraming, TornStream, Trigger,
 };
 use celerytide_standin::relay::Mode as RelayMode;
 use rand::rngs::StdRng;
@@ -175,6 +176,7 @@
         1 => steps.retain(|step| !step.fault.concerns_store()),
         _ => {}
     }
+    later::add(seed, &mut steps);
     steps.iter_mut().for_each(|step| step.at += WARM_UP);
     steps.sort_by_key(|step| step.at);
     steps
@@ -308,16 +310,33 @@
 /// Mode of a runner without a fault.
 pub fn normal_mode(runner: usize) -> RunnerMode {
     if is_engine(runner) {
-        RunnerMode::Events {
-            all: STREAM_EVENTS,
-            cut: 0,
-            gap_ms: 15,
-        }
+        ENGINE_MODE
     } else {
         RunnerMode::Good
     }
 }
 
+/// How the plain runners refuse a share of what they get.
+const PLAIN_REFUSING: RunnerMode = RunnerMode::Refusing(Refusing {
+    percent: 40,
+    work_ms: 60,
+    then: &RunnerMode::Good,
+});
+
+/// How the engines do.
+const ENGINE_REFUSING: RunnerMode = RunnerMode::Refusing(Refusing {
+    percent: 40,
+    work_ms: 60,
+    then: &ENGINE_MODE,
+});
+
+/// Mode of an engine without a fault.
+const ENGINE_MODE: RunnerMode = RunnerMode::Events {
+    all: STREAM_EVENTS,
+    cut: 0,
+    gap_ms: 15,
+};
+
 /// Number of events in each stream.
 pub const STREAM_EVENTS: u32 = 8;
 
--- a/crates/celerytide-soak/src/run/callers.rs
+++ b/crates/celerytide-soak/src/run/callers.rs
@@ -11,7 +11,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use crate::check::{Call, RefusedTry, RequestKind, ResponseRecord};
+use crate::check::{self, Call, RefusedTry, RequestKind, ResponseRecord, Span};
 
 /// Number of callers in a run.
 pub const CALLER_COUNT: usize = 16;
@@ -29,6 +29,10 @@
 const LEAVING_ONE_IN: u32 = 6;
 /// Range of the time after which it is, in milliseconds.
 const LEAVING_AFTER_MS: std::ops::Range<u64> = 20..400;
+/// Times that a caller sends a refused request again under the same id, on the same connection.
+const MAX_AGAIN: usize = 4;
+/// Time from a refusal until the request is sent again.
+const AGAIN_DELAY: Duration = Duration::from_millis(10);
 /// Keeps the seeds of callers that leave apart, so that a seed's requests stay.
 const LEAVING_SEED: u64 = 0x6e_0000_0000;
 /// Distance between the seeds of callers, which keeps them apart from the seeds of plans.
@@ -121,7 +125,8 @@
         }
     }
 
-    /// Sends a request; returns the connection if it can be reused. A caller that leaves closes it without reading.
+    /// Sends a request, and sends it again while it is refused; returns the connection if it can be reused. A caller that
+    /// leaves closes it without reading.
     fn call(
         &self,
         mut conn: Conn,
@@ -138,38 +143,65 @@
             headers.push(("x-token-usage", TOKEN_USAGE));
         }
         let text = request(method, path(kind), &headers, body);
-        // The request was not sent if the connection has ended in the meantime.
-        if conn.reader.get_mut().write_all(text.as_bytes()).is_err() {
+        let Some(first) = exchange(&mut conn, &text, started, leaves_after) else {
             self.note_refused(router, started.elapsed());
             return None;
-        }
-        let sent = started.elapsed();
-        let (response, kept) = match leaves_after {
-            Some(time) => {
-                sleep(time);
-                drop(conn);
-                (Response::default(), None)
-            }
-            None => {
-                let response = read_response(&mut conn.reader).unwrap_or_default();
-                let kept = response.is_reusable().then_some(conn);
-                (response, kept)
-            }
         };
+        let mut exchanges = vec![first];
+        while leaves_after.is_none() && exchanges.len() <= MAX_AGAIN && is_refused(exchanges.last()) {
+            sleep(AGAIN_DELAY);
+            let Some(next) = exchange(&mut conn, &text, started, None) else {
+                break;
+            };
+            exchanges.push(next);
+        }
+        let last = exchanges.pop()?;
+        let kept = last.response.is_reusable().then_some(conn);
         let call = Call {
             id,
             kind,
             router,
-            sent,
-            ended: started.elapsed(),
+            refused: exchanges.iter().map(|refused| refused.span).collect(),
+            sent: last.span.from,
+            ended: last.span.to,
             has_left: leaves_after.is_some(),
-            response: response_record(response),
+            response: response_record(last.response),
         };
         self.calls.lock().unwrap_or_else(PoisonError::into_inner).push(call);
         kept
     }
 }
 
+/// A request as it was sent once, and its response.
+struct Exchange {
+    span: Span,
+    response: Response,
+}
+
+/// Whether a response promises that the request hasn't run and never will, on a connection that can be used again.
+fn is_refused(exchange: Option<&Exchange>) -> bool {
+    exchange.is_some_and(|e| check::is_refusal(e.response.status) && e.response.is_reusable())
+}
+
+/// Sends a request and reads its response, unless its caller leaves; `None` if it couldn't be sent, since the connection has
+/// ended in the meantime.
+fn exchange(conn: &mut Conn, text: &str, started: Instant, leaves_after: Option<Duration>) -> Option<Exchange> {
+    conn.reader.get_mut().write_all(text.as_bytes()).ok()?;
+    let from = started.elapsed();
+    let response = match leaves_after {
+        Some(time) => {
+            sleep(time);
+            Response::default()
+        }
+        None => read_response(&mut conn.reader).unwrap_or_default(),
+    };
+    let to = started.elapsed();
+    Some(Exchange {
+        span: Span { from, to },
+        response,
+    })
+}
+
 fn response_record(response: Response) -> ResponseRecord {
     ResponseRecord {
         status: response.status,
--- a/crates/celerytide-soak/src/run/fleet.rs
+++ b/crates/celerytide-soak/src/run/fleet.rs
@@ -332,6 +332,7 @@
 fn head_after(mode: RunnerMode) -> Option<Duration> {
     match mode {
         RunnerMode::Late(ms) => Some(Duration::from_millis(ms)),
+        RunnerMode::Refusing(refusing) => Some(Duration::from_millis(refusing.work_ms)),
         _ => mode.has_own_head().then_some(Duration::ZERO),
     }
 }
--- a/crates/celerytide-soak/tests/check.rs
+++ b/crates/celerytide-soak/tests/check.rs
@@ -4,12 +4,12 @@
 
 use std::time::Duration;
 
-use celerytide_soak::check::{Arrival, Guarantee, History, RefusedTry, RequestKind, RunnerNotice, check};
+use celerytide_soak::check::{Arrival, Call, Guarantee, History, RefusedTry, RequestKind, RunnerNotice, check};
 use celerytide_soak::plan::{self, Fault, ROUTERS};
 use celerytide_soak::testbed::CutForm;
 use history::{
-    add_cut_off, add_left_call, add_limited_arrivals, arrival, arrival_with_notice, call, events, leaving, ms,
-    response, valid_history,
+    add_cut_off, add_left_call, add_limited_arrivals, add_sent_again, arrival, arrival_with_notice, call, events,
+    leaving, ms, response, span, valid_history,
 };
 
 /// A change that violates a guarantee.
@@ -19,7 +19,7 @@
     change: fn(&mut History),
 }
 
-const VIOLATIONS: [ViolationCase; 32] = [
+const VIOLATIONS: [ViolationCase; 35] = [
     ViolationCase {
         name: "a request to a runner after its notice that it leaves",
         guarantee: Guarantee::Notice,
@@ -71,6 +71,28 @@
         guarantee: Guarantee::NotRun,
         change: |h| h.arrivals.push(arrival("refused", "i2", 8000)),
     },
+    ViolationCase {
+        name: "a request runs before it is refused, and doesn't when it is sent again",
+        guarantee: Guarantee::NotRun,
+        change: |h| add_sent_again(h, &[4100]),
+    },
+    ViolationCase {
+        name: "a refused request runs when it is sent again, and once more",
+        guarantee: Guarantee::Twice,
+        change: |h| add_sent_again(h, &[4220, 4300]),
+    },
+    ViolationCase {
+        name: "requests are refused late, and served soon when they are sent again",
+        guarantee: Guarantee::Late,
+        change: |h| {
+            for n in 0..8 {
+                h.calls.push(Call {
+                    refused: vec![span(1000, 3100)],
+                    ..call(&format!("late{n}"), RequestKind::Once, response(502, ""))
+                });
+            }
+        },
+    },
     ViolationCase {
         name: "a success without a seal",
         guarantee: Guarantee::Mixed,
--- a/crates/celerytide-soak/tests/excused.rs
+++ b/crates/celerytide-soak/tests/excused.rs
@@ -4,8 +4,8 @@
 
 use celerytide_soak::check::{Arrival, CutOff, History, RequestKind, RouterOutage, check};
 use history::{
-    add_cut_off, add_left_call, add_limited_arrivals, arrival, call, events, leaving, left_call, ms, response, span,
-    valid_history,
+    add_cut_off, add_left_call, add_limited_arrivals, add_sent_again, arrival, call, events, leaving, left_call, ms,
+    response, span, valid_history,
 };
 
 /// A failure together with the fault that excuses it.
@@ -14,7 +14,7 @@
     change: fn(&mut History),
 }
 
-const EXCUSED: [ExcusedCase; 18] = [
+const EXCUSED: [ExcusedCase; 20] = [
     ExcusedCase {
         name: "nothing reached a runner for half a second after a caller had left",
         change: |h| {
@@ -158,6 +158,21 @@
             });
         },
     },
+    ExcusedCase {
+        name: "a refused request runs when it is sent again",
+        change: |h| add_sent_again(h, &[4220]),
+    },
+    ExcusedCase {
+        name: "a request reaches four runners each time that it is sent",
+        change: |h| {
+            add_sent_again(h, &[4220]);
+            let times = [4010, 4020, 4030, 4040, 4230, 4240, 4250];
+            h.arrivals.extend(times.map(|at| Arrival {
+                ran: false,
+                ..arrival("again", "i0", at)
+            }));
+        },
+    },
     ExcusedCase {
         name: "a runner broke a stream off",
         change: |h| {
--- a/crates/celerytide-soak/tests/history/mod.rs
+++ b/crates/celerytide-soak/tests/history/mod.rs
@@ -40,6 +40,7 @@
         id: id.to_owned(),
         kind,
         router: 0,
+        refused: Vec::new(),
         sent: ms(4000),
         ended: ms(4500),
         has_left: false,
@@ -47,6 +48,16 @@
     }
 }
 
+/// Adds a request that may run once and is refused at 4.2 s; sent again, it is served. It runs at these times.
+pub fn add_sent_again(h: &mut History, runs: &[u64]) {
+    h.calls.push(Call {
+        refused: vec![span(4000, 4200)],
+        sent: ms(4210),
+        ..call("again", RequestKind::Once, response(200, "answer of i1 to again"))
+    });
+    h.arrivals.extend(runs.iter().map(|at| arrival("again", "i1", *at)));
+}
+
 /// A request whose caller left 200 ms after it.
 pub fn left_call(id: &str) -> Call {
     Call {
--- a/crates/celerytide-standin/src/platform/endless.rs
+++ b/crates/celerytide-standin/src/platform/endless.rs
@@ -3,7 +3,7 @@
 use std::io::{ErrorKind, Write};
 use std::net::TcpStream;
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The part of a response that is sent without end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -40,6 +40,9 @@
     DripBody,
 }
 
+/// Interval at which a runner without a response looks whether its client has left.
+const CLOSE_POLL: Duration = Duration::from_millis(20);
+
 /// Whether the client has closed the connection, as far as is known without waiting.
 pub(super) fn is_closed(conn: &TcpStream) -> bool {
     // Both fail only on a socket that is closed here.
@@ -52,6 +55,14 @@
     }
 }
 
+/// Waits until the client closes the connection, or for `longest`.
+pub(super) fn wait_for_close(conn: &TcpStream, longest: Duration) {
+    let until = Instant::now() + longest;
+    while Instant::now() < until && !is_closed(conn) {
+        sleep(CLOSE_POLL);
+    }
+}
+
 /// Pause after each byte of a slow response and after each piece of an event stream.
 const DRIP_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause after each piece of fast data: 16 MB per second, which readers can keep up with.
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -10,8 +10,9 @@
 use super::brittle::{Brittle, Fall, Place, Room};
 use super::copies::{Copying, PendingCopy};
 use super::crash::{Crashes, Crashing};
-use super::endless::{Endless, is_closed};
+use super::endless::{Endless, wait_for_close};
 use super::events::{self, TornStream};
+use super::refusing::{Refusing, Writing};
 use super::request::{self, Request};
 use super::response::{refusal, sealed_head, send_response};
 use super::statement::Statement;
@@ -40,6 +41,8 @@
     CopiedRefusal(&'static str),
     /// The first answer to certain requests is written twice.
     Copied(Copying),
+    /// A share of the requests is refused, half of these refusals twice.
+    Refusing(Refusing),
     /// The request runs, and this status without a seal or any other proof answers it.
     Unproven(&'static str),
     /// As `Good`, and some milliseconds later these bytes, which belong to no request.
@@ -177,8 +180,6 @@
 
 /// Longest work without a response.
 const MAX_SILENCE: Duration = Duration::from_secs(20);
-/// Interval at which a runner without a response looks whether its client has left.
-const CLOSE_POLL: Duration = Duration::from_millis(20);
 /// Time from a complete response to the bytes behind it.
 const TRAILING_DELAY: Duration = Duration::from_millis(30);
 /// Refusals that belong to no request, for [`RunnerMode::Trailing`].
@@ -292,6 +293,7 @@
     let mut refused: Option<String> = None;
     let mut copy: Option<String> = None;
     let mut pending_copy = PendingCopy::default();
+    let writing = Writing::default();
     while let Some(req) = request::read(&mut conn) {
         lock(&shared.requests).push(req.clone());
         let is_copied = Copying::copies(&req, &lock(&shared.arrivals));
@@ -334,6 +336,14 @@
             drop(sent);
             continue;
         }
+        let mode = match mode {
+            RunnerMode::Refusing(refusing) if refusing.refuse(&req, index, &out, &writing) => {
+                shared.record_unrun(index);
+                continue;
+            }
+            RunnerMode::Refusing(refusing) => *refusing.then,
+            other => other,
+        };
         if let RunnerMode::CopiedRefusal(status) = mode {
             let refusal = refusal(status, &req);
             let Some(earlier) = copy.replace(refusal.clone()) else {
@@ -359,6 +369,7 @@
                 continue;
             }
         }
+        let _writing = writing.begin();
         let stays_open = respond(shared, &mut out, &req, mode, limit);
         shared.record_end(index);
         if !stays_open {
@@ -388,9 +399,11 @@
         return false;
     }
     match mode {
-        RunnerMode::Good | RunnerMode::RefusedAgain { .. } | RunnerMode::CopiedRefusal(_) | RunnerMode::Copied(_) => {
-            send_response(out, "200 OK", &sealed, &body)
-        }
+        RunnerMode::Good
+        | RunnerMode::RefusedAgain { .. }
+        | RunnerMode::CopiedRefusal(_)
+        | RunnerMode::Copied(_)
+        | RunnerMode::Refusing(_) => send_response(out, "200 OK", &sealed, &body),
         RunnerMode::GoodWith(line) => send_response(out, "200 OK", &format!("{line}\r\n{sealed}"), &body),
         RunnerMode::Late(ms) => {
             sleep(Duration::from_millis(ms));
@@ -479,11 +492,3 @@
     }
     sent.unwrap_or(false)
 }
-
-/// Waits until the client closes the connection, or for `longest`.
-fn wait_for_close(conn: &TcpStream, longest: Duration) {
-    let until = Instant::now() + longest;
-    while Instant::now() < until && !is_closed(conn) {
-        sleep(CLOSE_POLL);
-    }
-}
