--- a/crates/celerytide-soak/src/check/cut_off.rs
+++ b/crates/celerytide-soak/src/check/cut_off.rs
@@ -100,7 +100,7 @@
         compared.filter(|call| self.is_in_touch(call.router, call.ended))
     }
 
-    fn is_in_touch(&self, router: usize, at: Duration) -> bool {
+    pub(super) fn is_in_touch(&self, router: usize, at: Duration) -> bool {
         let since = at.saturating_sub(CONTACT_TIME);
         let restarts = &self.history.restarts;
         let is_restarted = restarts
--- a/crates/celerytide-soak/src/check/mod.rs
+++ b/crates/celerytide-soak/src/check/mod.rs
@@ -1,6 +1,7 @@
 //! Guarantees of the router, checked over what callers and runners saw.
 
 mod cut_off;
+mod falls;
 mod gone;
 mod limits;
 mod notices;
@@ -14,6 +15,7 @@
 use crate::plan::STREAM_EVENTS;
 
 pub use cut_off::{CutOff, RefusedTry};
+pub use falls::{BrittleTime, Fall};
 pub use limits::{Excess, RatedArrival, find_excess};
 pub use placements::PlacementCounts;
 pub use retries::{REPEAT_RATIO, REPEAT_SLACK};
@@ -176,6 +178,10 @@
     pub refused_tries: Vec<RefusedTry>,
     /// Periods in which routers were cut off from all runners.
     pub cut_offs: Vec<CutOff>,
+    /// Periods in which the runners of a service were brittle.
+    pub brittle_times: Vec<BrittleTime>,
+    /// Runners that fell over since they had to refuse too much.
+    pub falls: Vec<Fall>,
     /// Runners that restarted, with the time of the restart.
     pub runner_restarts: Vec<(String, Duration)>,
     /// Routers that ended by themselves, with the time at which that was seen.
@@ -225,6 +231,8 @@
     Recover,
     /// Callers of routers that are cut off from all runners are served far worse than those of the others.
     CutOff,
+    /// Runners that say that they are brittle fall over too often.
+    Falls,
     /// A runner got a request that no caller sent.
     Unasked,
     /// Coordinators count requests that have ended.
@@ -286,6 +294,7 @@
     violations.extend(checker.check_late());
     violations.extend(checker.check_recovery());
     violations.extend(checker.check_cut_offs());
+    violations.extend(checker.check_falls());
     violations.extend(checker.check_placements());
     violations
 }
--- a/crates/celerytide-soak/src/main.rs
+++ b/crates/celerytide-soak/src/main.rs
@@ -38,6 +38,9 @@
     /// cut some routers off from all runners
     #[argh(switch)]
     cut_off: bool,
+    /// let the runners of each service be brittle for some time
+    #[argh(switch)]
+    brittle: bool,
     /// play fresh seeds for so many minutes instead of a count
     #[argh(option)]
     minutes: Option<u64>,
@@ -59,13 +62,15 @@
             routers: args.routers,
             cuts_peers: args.cut_peers,
             cuts_off: args.cut_off,
+            is_brittle: args.brittle,
         });
         played += 1;
         println!(
-            "seed {seed}: {} faults, {} requests, at most {} counted by coordinators, {} broken",
+            "seed {seed}: {} faults, {} requests, at most {} counted by coordinators, {} falls, {} broken",
             outcome.steps.len(),
             outcome.calls,
             outcome.most_counted,
+            outcome.falls,
             outcome.violations.len()
         );
         let mut printed: HashMap<Guarantee, usize> = HashMap::new();
--- a/crates/celerytide-soak/src/plan/mod.rs
+++ b/crates/celerytide-soak/src/plan/mod.rs
@@ -1,5 +1,6 @@
 //! The plan of a run: faults with their times, drawn from a seed.
 
+mod brittle;
 mod cut_off;
 mod later;
 
@@ -15,6 +16,7 @@
 
 use crate::testbed::CutForm;
 
+pub use brittle::{BRITTLE, brittle_mode, draw_with_brittle};
 pub use cut_off::draw_with_cut_off;
 
 /// Number of routers in a run, unless it asks for more.
@@ -107,6 +109,11 @@
         /// How they respond.
         mode: RunnerMode,
     },
+    /// The runners of a service are brittle.
+    Brittle {
+        /// Whether it is the service of the engines.
+        is_engine: bool,
+    },
     /// A runner crashes under each request and listens again soon, until the end.
     Crash(usize),
 }
--- a/crates/celerytide-soak/src/run/callers.rs
+++ b/crates/celerytide-soak/src/run/callers.rs
@@ -15,6 +15,8 @@
 
 /// Number of callers in a run.
 pub const CALLER_COUNT: usize = 16;
+/// Number of callers in a run with brittle runners.
+pub const MANY_CALLERS: usize = 48;
 /// Response timeout, longer than that of any route.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(6);
 /// Deadline of requests in milliseconds, as header value; the check counts with the same.
--- a/crates/celerytide-soak/src/run/fleet.rs
+++ b/crates/celerytide-soak/src/run/fleet.rs
@@ -12,7 +12,7 @@
 
 use super::Options;
 use super::callers::Callers;
-use crate::check::{Arrival, REPEAT_RATIO, REPEAT_SLACK, RunnerNotice};
+use crate::check::{Arrival, Fall, REPEAT_RATIO, REPEAT_SLACK, RunnerNotice};
 use crate::plan::{self, Fault, RUNNERS};
 use crate::testbed::{Addresses, PeerLinks, Router, RunnerLinks, TestBed, eventually};
 
@@ -182,6 +182,10 @@
             Fault::KillAll => (0..self.routers.len()).for_each(|index| self.signal(index, Signal::SIGKILL)),
             Fault::PeerLinks => self.peer_links.cut(),
             Fault::Service { is_engine, mode } => service(*is_engine).for_each(|index| self.runners[index].set(*mode)),
+            Fault::Brittle { is_engine } => service(*is_engine).for_each(|index| {
+                self.runners[index].set(plan::brittle_mode(*is_engine));
+                self.runners[index].set_brittle(Some(plan::BRITTLE));
+            }),
             Fault::Crash(index) => self.runners[*index].crash_on(Some(plan::CRASHING)),
         }
         true
@@ -221,6 +225,10 @@
             Fault::Service { is_engine, .. } => {
                 service(*is_engine).for_each(|index| self.runners[index].set(plan::normal_mode(index)));
             }
+            Fault::Brittle { is_engine } => service(*is_engine).for_each(|index| {
+                self.runners[index].set(plan::normal_mode(index));
+                self.runners[index].set_brittle(None);
+            }),
             Fault::Crash(index) => self.runners[*index].crash_on(None),
         }
         for target in targets(fault, self.routers.len()) {
@@ -297,6 +305,21 @@
         self.runners.iter().enumerate().flat_map(of_runner).collect()
     }
 
+    /// Falls of all runners, in time since `started`, by time.
+    pub fn falls(&self, started: Instant) -> Vec<Fall> {
+        let of_runner = |(index, runner): (usize, &Runner)| {
+            let fall = move |fall: platform::Fall| Fall {
+                runner: runner_id(index),
+                at: fall.at.saturating_duration_since(started),
+                rejected: fall.rejected,
+            };
+            runner.falls().into_iter().map(fall)
+        };
+        let mut falls: Vec<Fall> = self.runners.iter().enumerate().flat_map(of_runner).collect();
+        falls.sort_by_key(|fall| fall.at);
+        falls
+    }
+
     /// Routers that count requests in flight or waiting as coordinators, with their counts.
     pub fn placements(&self) -> Vec<(usize, u64)> {
         let count = |router: &Router| {
@@ -355,14 +378,16 @@
 }
 
 /// Indices of the runners of a service.
-fn service(is_engine: bool) -> impl Iterator<Item = usize> {
+pub fn service(is_engine: bool) -> impl Iterator<Item = usize> {
     (0..RUNNERS).filter(move |index| plan::is_engine(*index) == is_engine)
 }
 
 fn targets(fault: &Fault, routers: usize) -> Vec<Target> {
     let target = match fault {
         Fault::KillAll => return (0..routers).map(Target::Router).collect(),
-        Fault::Service { is_engine, .. } => return service(*is_engine).map(Target::Runner).collect(),
+        Fault::Service { is_engine, .. } | Fault::Brittle { is_engine } => {
+            return service(*is_engine).map(Target::Runner).collect();
+        }
         Fault::CutOff(routers, _) => return routers.iter().copied().map(Target::RunnerLinks).collect(),
         Fault::Pause(index) | Fault::Kill(index) | Fault::Term(index) | Fault::Hup(index) => Target::Router(*index),
         Fault::Runner(index, _) | Fault::Crash(index) => Target::Runner(*index),
--- a/crates/celerytide-soak/src/run/mod.rs
+++ b/crates/celerytide-soak/src/run/mod.rs
@@ -8,7 +8,7 @@
 
 use celerytide_standin::platform::RunnerMode;
 
-use crate::check::{CutOff, History, Leaving, RouterOutage, Span, Violation, check};
+use crate::check::{BrittleTime, CutOff, History, Leaving, RouterOutage, Span, Violation, check};
 use crate::plan::{self, Fault, Step};
 
 use callers::Callers;
@@ -27,6 +27,8 @@
     pub cuts_peers: bool,
     /// Whether some routers are cut off from all runners.
     pub cuts_off: bool,
+    /// Whether the runners of each service are brittle for some time.
+    pub is_brittle: bool,
 }
 
 /// Result of a run.
@@ -34,6 +36,8 @@
 pub struct Report {
     /// Violated guarantees.
     pub violations: Vec<Violation>,
+    /// Runners that fell over.
+    pub falls: usize,
     /// Number of requests sent.
     pub calls: usize,
     /// Most requests that coordinators counted at a time, after the faults.
@@ -62,9 +66,14 @@
     let mut fleet = Fleet::start(&opts);
     let callers = Callers::new(fleet.addresses());
     let mut history = History::default();
+    let caller_count = if opts.is_brittle {
+        callers::MANY_CALLERS
+    } else {
+        callers::CALLER_COUNT
+    };
     let started = Instant::now();
     scope(|s| {
-        for n in 0..callers::CALLER_COUNT {
+        for n in 0..caller_count {
             let callers = &callers;
             s.spawn(move || callers.send_until_stopped(opts.seed, n, started));
         }
@@ -78,15 +87,17 @@
         }
         callers.stop();
     });
-    history.placements.callers = callers::CALLER_COUNT as u64;
+    history.placements.callers = caller_count as u64;
     history.placements.after_load = counted_after(&fleet);
     (history.calls, history.refused_tries) = callers.into_records();
     history.arrivals = fleet.arrivals(started);
+    history.falls = fleet.falls(started);
     let violations = check(&history);
     let ids: Vec<&str> = violations.iter().filter_map(|v| v.details.split(' ').next()).collect();
     Report {
         lines: fleet.lines_of(&ids),
         violations,
+        falls: history.falls.len(),
         calls: history.calls.len(),
         most_counted: history.placements.during_load.iter().max().copied().unwrap_or_default(),
         steps,
@@ -97,7 +108,9 @@
     let Options {
         seed, length, routers, ..
     } = *opts;
-    if opts.cuts_off {
+    if opts.is_brittle {
+        plan::draw_with_brittle(seed, length, routers)
+    } else if opts.cuts_off {
         plan::draw_with_cut_off(seed, length, routers)
     } else if opts.cuts_peers {
         plan::draw_with_cut(seed, length, routers)
@@ -166,6 +179,10 @@
         Fault::Pause(router) | Fault::Kill(router) => history.outages.push(RouterOutage { router: *router, span }),
         Fault::Store(_) | Fault::StoreLink(_) | Fault::Restore => history.store_faults.push(span),
         Fault::Link(n, _) => history.link_faults.push((fleet::runner_id(*n), span)),
+        Fault::Brittle { is_engine } => history.brittle_times.push(BrittleTime {
+            runners: fleet::service(*is_engine).map(fleet::runner_id).collect(),
+            span,
+        }),
         Fault::CutOff(routers, _) => history.cut_offs.push(CutOff {
             routers: routers.clone(),
             span,
--- a/crates/celerytide-soak/tests/check.rs
+++ b/crates/celerytide-soak/tests/check.rs
@@ -8,8 +8,8 @@
 use celerytide_soak::plan::{self, Fault, ROUTERS};
 use celerytide_soak::testbed::CutForm;
 use history::{
-    add_cut_off, add_left_call, add_limited_arrivals, add_sent_again, arrival, arrival_with_notice, call, events,
-    leaving, ms, response, span, valid_history,
+    add_cut_off, add_falls, add_left_call, add_limited_arrivals, add_sent_again, arrival, arrival_with_notice, call,
+    events, leaving, ms, response, span, valid_history,
 };
 
 /// A change that violates a guarantee.
@@ -19,7 +19,7 @@
     change: fn(&mut History),
 }
 
-const VIOLATIONS: [ViolationCase; 35] = [
+const VIOLATIONS: [ViolationCase; 36] = [
     ViolationCase {
         name: "a request to a runner after its notice that it leaves",
         guarantee: Guarantee::Notice,
@@ -274,6 +274,11 @@
             h.refused_tries.extend([tried; 16]);
         },
     },
+    ViolationCase {
+        name: "brittle runners fall over three times",
+        guarantee: Guarantee::Falls,
+        change: |h| add_falls(h, &[("i0", 14_000), ("i1", 16_000), ("i0", 19_000)]),
+    },
     ViolationCase {
         name: "a runner gets what nobody sent",
         guarantee: Guarantee::Unasked,
--- a/crates/celerytide-soak/tests/excused.rs
+++ b/crates/celerytide-soak/tests/excused.rs
@@ -4,8 +4,8 @@
 
 use celerytide_soak::check::{Arrival, CutOff, History, RequestKind, RouterOutage, check};
 use history::{
-    add_cut_off, add_left_call, add_limited_arrivals, add_sent_again, arrival, call, events, leaving, left_call, ms,
-    response, span, valid_history,
+    add_cut_off, add_falls, add_left_call, add_limited_arrivals, add_sent_again, arrival, call, events, leaving,
+    left_call, ms, response, span, valid_history,
 };
 
 /// A failure together with the fault that excuses it.
@@ -14,7 +14,7 @@
     change: fn(&mut History),
 }
 
-const EXCUSED: [ExcusedCase; 20] = [
+const EXCUSED: [ExcusedCase; 22] = [
     ExcusedCase {
         name: "nothing reached a runner for half a second after a caller had left",
         change: |h| {
@@ -173,6 +173,20 @@
             }));
         },
     },
+    ExcusedCase {
+        name: "brittle runners fall over twice, and once after that time",
+        change: |h| add_falls(h, &[("i0", 14_000), ("i1", 16_000), ("i0", 20_100)]),
+    },
+    ExcusedCase {
+        name: "most of what a brittle runner refused came from a router that was killed before",
+        change: |h| {
+            add_falls(h, &[("i0", 14_000), ("i1", 16_000), ("i0", 19_000)]);
+            h.outages.push(RouterOutage {
+                router: 0,
+                span: span(15_500, 15_700),
+            });
+        },
+    },
     ExcusedCase {
         name: "a runner broke a stream off",
         change: |h| {
--- a/crates/celerytide-soak/tests/history/mod.rs
+++ b/crates/celerytide-soak/tests/history/mod.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use celerytide_soak::check::{
-    Arrival, Call, CutOff, History, Leaving, PlacementCounts, RequestKind, ResponseRecord, RunnerNotice, Span,
+    Arrival, BrittleTime, Call, CutOff, Fall, History, Leaving, PlacementCounts, RequestKind, ResponseRecord,
+    RunnerNotice, Span,
 };
 use celerytide_soak::plan::STREAM_EVENTS;
 
@@ -138,6 +139,20 @@
     }
 }
 
+/// Adds a time in which four runners are brittle, and these falls; what they refuse came from router 0.
+pub fn add_falls(h: &mut History, falls: &[(&str, u64)]) {
+    h.brittle_times.push(BrittleTime {
+        runners: ["i0", "i1", "i2", "i3"].map(str::to_owned).to_vec(),
+        span: span(10_000, 20_000),
+    });
+    let rejected = ["safe", "once", "refused"].map(str::to_owned);
+    h.falls.extend(falls.iter().map(|(runner, at)| Fall {
+        runner: (*runner).to_owned(),
+        at: ms(*at),
+        rejected: rejected.to_vec(),
+    }));
+}
+
 pub fn events(numbers: impl IntoIterator<Item = u32>) -> String {
     numbers
         .into_iter()
