fix(edge): one lost probe ends no connection to an endpoint

What callers saw: a request that waits for its endpoint's response without bytes for 2 s loses its connection if one keep-alive probe or its answer is lost, though the endpoint is back a moment later; one that may run once is then answered 502.

Cause: connections to endpoints are probed after 1 s of silence and had a TCP_USER_TIMEOUT of 2 s. A set TCP_USER_TIMEOUT decides when probes give up, whatever their count: at the second probe's time, 2 s after the last segment, one unanswered probe was enough. TCP_KEEPCNT (2) had no effect, and the comment's three intervals weren't kept.

Why this works: at two and a half intervals the second probe is sent, and an answer to it counts; the third probe's time ends the connection. The price is that: a dead endpoint is found up to a second later where nothing else times out. Connections without probes (to the store) stay open while idle, as before.

TCP_KEEPCNT is no longer set, since it has no effect.

--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -49,10 +49,12 @@
 use crate::software::{History, Streams};
 use crate::split::EngineSplit;
 
-/// Silence after which an idle connection is probed; a dead one is detected within three times that.
+/// Silence after which a connection with nothing in flight is probed; one with two unanswered probes is closed when the third
+/// is due.
 const PROBE_IDLE: Duration = Duration::from_secs(1);
-/// Time for which an endpoint may acknowledge nothing before its connection is closed.
-const MAX_SILENCE: Duration = Duration::from_secs(2);
+/// Time for which an endpoint may acknowledge nothing before its connection is closed. It decides when probes give up,
+/// whatever their count: at two intervals one lost probe would end a connection.
+const MAX_SILENCE: Duration = Duration::from_millis(2500);
 /// Idle connections kept per endpoint.
 const IDLE_PER_ENDPOINT: usize = 16;
 /// Share of the descriptors for connections of callers; the rest is for endpoints, peers and the store.
--- a/crates/celerytide-http/src/client/pool.rs
+++ b/crates/celerytide-http/src/client/pool.rs
@@ -43,7 +43,8 @@
     pub idle_total: usize,
     /// Time after which an idle connection is dropped; time in which the machine is suspended counts.
     pub idle_age: Duration,
-    /// `TCP_USER_TIMEOUT`: time after which the kernel drops a connection whose peer acknowledges nothing.
+    /// `TCP_USER_TIMEOUT`: time after which the kernel drops a connection whose peer acknowledges nothing, neither data nor the
+    /// probes of `tcp_keepalive`; without either it drops none.
     pub user_timeout: Duration,
     /// Time after which a write without progress fails.
     pub write_timeout: Duration,
--- a/crates/celerytide-http/src/h1/socket.rs
+++ b/crates/celerytide-http/src/h1/socket.rs
@@ -11,8 +11,6 @@
 use socket2::{Domain, Protocol, Socket, TcpKeepalive, Type};
 
 const BACKLOG: i32 = 1024;
-/// Number of unanswered keepalive probes after which a connection is dropped.
-const KEEPALIVE_RETRIES: u32 = 2;
 /// `TCP_NOTSENT_LOWAT`: unsent bytes that the kernel buffers for a connection to an endpoint.
 const NOTSENT_LOWAT_BYTES: u32 = 128 * 1024;
 /// The same for a connection from a caller, which may read nothing.
@@ -33,7 +31,8 @@
 }
 
 /// Connects to `addr` and returns a second handle, which can be inspected without the runtime.
-/// With `tcp_keepalive` the kernel probes an idle peer at that interval and drops the connection if it does not respond.
+/// With `tcp_keepalive` the kernel probes an idle peer at that interval. It drops the connection at the first probe that is due
+/// `user_timeout` after the peer's last segment: a set `TCP_USER_TIMEOUT` takes the place of a number of unanswered probes.
 pub(crate) async fn connect(
     addr: SocketAddr,
     user_timeout: Duration,
@@ -41,10 +40,7 @@
 ) -> io::Result<(TcpStream, Socket)> {
     let socket = socket(addr, user_timeout)?;
     if let Some(time) = tcp_keepalive {
-        let tcp_keepalive = TcpKeepalive::new()
-            .with_time(time)
-            .with_interval(time)
-            .with_retries(KEEPALIVE_RETRIES);
+        let tcp_keepalive = TcpKeepalive::new().with_time(time).with_interval(time);
         socket.set_tcp_keepalive(&tcp_keepalive)?;
     }
     let started = socket.connect(&addr.into());
