test(soak): sound runners fall silent for a second and go on

Three times in each run, beside the refusals behind the other faults, a runner neither reads nor writes for 0.7 to 1.4 s and goes on. That excuses nothing but Gone, since a silent runner can't notice that its caller has left; Twice, NotRun, Overlap, Lost and Late hold as before.

--- a/crates/celerytide-soak/src/check/mod.rs
+++ b/crates/celerytide-soak/src/check/mod.rs
@@ -182,6 +182,8 @@
     pub brittle_times: Vec<BrittleTime>,
     /// Runners that fell over since they had to refuse too much.
     pub falls: Vec<Fall>,
+    /// Runners with the periods in which they were silent, which excuses only that they don't notice an end.
+    pub silences: Vec<(String, Span)>,
     /// Runners that restarted, with the time of the restart.
     pub runner_restarts: Vec<(String, Duration)>,
     /// Routers that ended by themselves, with the time at which that was seen.
--- a/crates/celerytide-soak/src/plan/later.rs
+++ b/crates/celerytide-soak/src/plan/later.rs
@@ -1,16 +1,21 @@
-//! Faults of whole services behind the others, so that those of single runners don't hide them.
+//! Faults behind the others, so that those of single runners don't hide them: services refuse a share of their requests, and
+//! runners fall silent.
 
 use std::time::Duration;
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use super::{ENGINE_REFUSING, Fault, PLAIN_REFUSING, Step};
+use super::{ENGINE_REFUSING, Fault, PLAIN_REFUSING, RUNNERS, Step};
 
 /// Time from the end of the last fault of a runner.
 const PAUSE: Duration = Duration::from_millis(300);
 /// Time for which services refuse a share of what they get.
 const REFUSING_TIME: Duration = Duration::from_millis(2500);
+/// Runners that fall silent in a run.
+const SILENCES: usize = 3;
+/// Range of the time for which they do, in milliseconds.
+const SILENCE_MS: std::ops::Range<u64> = 700..1400;
 /// Keeps their seeds apart from those of other faults.
 const LATER_SEED: u64 = 0x1a_0000_0000;
 
@@ -32,6 +37,11 @@
         duration: REFUSING_TIME,
         fault: Fault::Service { is_engine, mode },
     }));
+    steps.extend((0..SILENCES).map(|_| Step {
+        at: at + REFUSING_TIME.mul_f64(rng.random()),
+        duration: Duration::from_millis(rng.random_range(SILENCE_MS)),
+        fault: Fault::Silence(rng.random_range(0..RUNNERS)),
+    }));
 }
 
 fn concerns_runners(fault: &Fault) -> bool {
--- a/crates/celerytide-soak/src/plan/mod.rs
+++ b/crates/celerytide-soak/src/plan/mod.rs
@@ -114,6 +114,8 @@
         /// Whether it is the service of the engines.
         is_engine: bool,
     },
+    /// A runner falls silent, and goes on at the end.
+    Silence(usize),
     /// A runner crashes under each request and listens again soon, until the end.
     Crash(usize),
 }
--- a/crates/celerytide-soak/src/run/fleet.rs
+++ b/crates/celerytide-soak/src/run/fleet.rs
@@ -186,6 +186,7 @@
                 self.runners[index].set(plan::brittle_mode(*is_engine));
                 self.runners[index].set_brittle(Some(plan::BRITTLE));
             }),
+            Fault::Silence(index) => self.runners[*index].set_silent(true),
             Fault::Crash(index) => self.runners[*index].crash_on(Some(plan::CRASHING)),
         }
         true
@@ -229,6 +230,7 @@
                 self.runners[index].set(plan::normal_mode(index));
                 self.runners[index].set_brittle(None);
             }),
+            Fault::Silence(index) => self.runners[*index].set_silent(false),
             Fault::Crash(index) => self.runners[*index].crash_on(None),
         }
         for target in targets(fault, self.routers.len()) {
@@ -367,6 +369,7 @@
     Router(usize),
     Runner(usize),
     Rate(usize),
+    Silence(usize),
     Link(usize),
     RunnerLinks(usize),
     Entry(usize),
@@ -392,6 +395,7 @@
         Fault::Pause(index) | Fault::Kill(index) | Fault::Term(index) | Fault::Hup(index) => Target::Router(*index),
         Fault::Runner(index, _) | Fault::Crash(index) => Target::Runner(*index),
         Fault::NameLimit(index, _) => Target::Rate(*index),
+        Fault::Silence(index) => Target::Silence(*index),
         Fault::Link(index, _) => Target::Link(*index),
         Fault::Leave(index) => Target::Entry(*index),
         Fault::Store(_) | Fault::Restore => Target::Store,
--- a/crates/celerytide-soak/src/run/mod.rs
+++ b/crates/celerytide-soak/src/run/mod.rs
@@ -187,6 +187,7 @@
             routers: routers.clone(),
             span,
         }),
+        Fault::Silence(n) => history.silences.push((fleet::runner_id(*n), span)),
         Fault::Runner(n, RunnerMode::Leaving) => history.runner_restarts.push((fleet::runner_id(*n), to)),
         Fault::Term(router) => history.restarts.push(RouterOutage { router: *router, span }),
         Fault::Leave(runner) => history.leaving.push(Leaving {
--- a/crates/celerytide-standin/src/platform/endless.rs
+++ b/crates/celerytide-standin/src/platform/endless.rs
@@ -40,6 +40,8 @@
     DripBody,
 }
 
+/// Longest work without a response.
+const MAX_SILENCE: Duration = Duration::from_secs(20);
 /// Interval at which a runner without a response looks whether its client has left.
 const CLOSE_POLL: Duration = Duration::from_millis(20);
 
@@ -55,9 +57,9 @@
     }
 }
 
-/// Waits until the client closes the connection, or for `longest`.
-pub(super) fn wait_for_close(conn: &TcpStream, longest: Duration) {
-    let until = Instant::now() + longest;
+/// Waits until the client closes the connection, for [`MAX_SILENCE`] at the longest.
+pub(super) fn wait_for_close(conn: &TcpStream) {
+    let until = Instant::now() + MAX_SILENCE;
     while Instant::now() < until && !is_closed(conn) {
         sleep(CLOSE_POLL);
     }
--- a/crates/celerytide-standin/src/platform/events.rs
+++ b/crates/celerytide-standin/src/platform/events.rs
@@ -91,21 +91,21 @@
 }
 
 /// Sends the events after `Last-Event-Id` up to `all`; true if the connection stays open. A stream from the start ends in
-/// the middle of event `cut`.
+/// the middle of event `cut`. `pause` is called between two events.
 pub(super) fn send_events(
     out: &mut TcpStream,
     req: &Request,
     sealed: &str,
     all: u32,
     cut: u32,
-    gap: Duration,
+    pause: impl Fn(),
 ) -> io::Result<bool> {
     out.write_all(format!("HTTP/1.1 200 OK\r\n{sealed}{CONTENT_TYPE}{CHUNKED}").as_bytes())?;
     let from = last_event(req);
     let cut = if from == 0 { cut } else { 0 };
     for number in from + 1..=all {
         if number > from + 1 {
-            sleep(gap);
+            pause();
         }
         let event = event(number);
         let sent = if number == cut {
--- a/crates/celerytide-standin/src/platform/response.rs
+++ b/crates/celerytide-standin/src/platform/response.rs
@@ -5,6 +5,13 @@
 
 use super::request::Request;
 
+/// Refusals that belong to no request, for [`RunnerMode::Trailing`](super::RunnerMode::Trailing).
+pub const FOREIGN_REFUSALS: [&str; 3] = [
+    "HTTP/1.1 503 Full\r\ncontent-length: 0\r\n\r\n",
+    "HTTP/1.1 503 Full\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n",
+    "HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n",
+];
+
 /// A response with this status that states that the request did not run.
 pub(super) fn refusal(status: &str, req: &Request) -> String {
     let id = req.header("x-attempt-id");
