--- a/crates/celerytide-soak/src/check/mod.rs
+++ b/crates/celerytide-soak/src/check/mod.rs
@@ -1,7 +1,10 @@
 //! Guarantees of the router, checked over what callers and runners saw.
 
+mod cut_off;
+mod falls;
 mod gone;
 mod limits;
+mod notices;
 mod placements;
 mod retries;
 
@@ -11,6 +14,8 @@
 
 use crate::plan::STREAM_EVENTS;
 
+pub use cut_off::{CutOff, RefusedTry};
+pub use falls::{BrittleTime, Fall};
 pub use limits::{Excess, RatedArrival, find_excess};
 pub use placements::PlacementCounts;
 pub use retries::{REPEAT_RATIO, REPEAT_SLACK};
@@ -50,7 +55,9 @@
     pub kind: RequestKind,
     /// Index of the router in the fleet.
     pub router: usize,
-    /// Time since the start of the run at which it was sent completely.
+    /// Earlier sends under the same id that were refused, from the time at which each was sent to its response.
+    pub refused: Vec<Span>,
+    /// Time since the start of the run at which it was sent completely, for the last time.
     pub sent: Duration,
     /// Time at which its response or its connection ended.
     pub ended: Duration,
@@ -60,6 +67,29 @@
     pub response: ResponseRecord,
 }
 
+/// Whether a status promises that the request has not run and never will, in this send.
+pub fn is_refusal(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
+impl Call {
+    /// Index of the send that an arrival at this time belongs to: the last one whose predecessors had all been refused by
+    /// then.
+    fn send_of(&self, at: Duration) -> usize {
+        self.refused.iter().take_while(|refused| refused.to <= at).count()
+    }
+
+    /// When it was sent, each time.
+    fn sends(&self) -> impl Iterator<Item = Duration> {
+        self.refused.iter().map(|refused| refused.from).chain([self.sent])
+    }
+
+    /// When it was sent, by the index of the send.
+    fn sent_at(&self, send: usize) -> Duration {
+        self.refused.get(send).map_or(self.sent, |refused| refused.from)
+    }
+}
+
 /// Arrival of a request at a runner.
 #[derive(Debug, Clone)]
 pub struct Arrival {
@@ -144,6 +174,16 @@
     pub leaving: Vec<Leaving>,
     /// Routers that were stopped with SIGTERM and restarted, with the period; not in `outages`.
     pub restarts: Vec<RouterOutage>,
+    /// Requests that weren't sent, since the router refused or had closed the connection.
+    pub refused_tries: Vec<RefusedTry>,
+    /// Periods in which routers were cut off from all runners.
+    pub cut_offs: Vec<CutOff>,
+    /// Periods in which the runners of a service were brittle.
+    pub brittle_times: Vec<BrittleTime>,
+    /// Runners that fell over since they had to refuse too much.
+    pub falls: Vec<Fall>,
+    /// Runners with the periods in which they were silent, which excuses only that they don't notice an end.
+    pub silences: Vec<(String, Span)>,
     /// Runners that restarted, with the time of the restart.
     pub runner_restarts: Vec<(String, Duration)>,
     /// Routers that ended by themselves, with the time at which that was seen.
@@ -191,6 +231,10 @@
     Late,
     /// Requests fail although all faults have ended.
     Recover,
+    /// Callers of routers that are cut off from all runners are served far worse than those of the others.
+    CutOff,
+    /// Runners that say that they are brittle fall over too often.
+    Falls,
     /// A runner got a request that no caller sent.
     Unasked,
     /// Coordinators count requests that have ended.
@@ -212,14 +256,8 @@
     }
 }
 
-/// Time within which a change is known everywhere: `apply_ms` in the settings of the test bed.
-const APPLY_TIME: Duration = Duration::from_secs(2);
 /// Time after an outage within which a router is up to date again: `regain_ms` in the settings of the test bed.
 const REGAIN_TIME: Duration = Duration::from_secs(3);
-/// Time after a notice within which requests already on their way may still reach the runner.
-const NOTICE_DELAY: Duration = Duration::from_millis(500);
-/// Requests that one router may send to a runner during its pause.
-const MAX_REQUESTS_IN_PAUSE: usize = 2;
 /// Response timeout of the plain routes of the test bed.
 const PLAIN_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time beyond that timeout within which a final response has to arrive.
@@ -257,6 +295,8 @@
     violations.extend(checker.check_ended());
     violations.extend(checker.check_late());
     violations.extend(checker.check_recovery());
+    violations.extend(checker.check_cut_offs());
+    violations.extend(checker.check_falls());
     violations.extend(checker.check_placements());
     violations
 }
@@ -282,6 +322,10 @@
         }
     }
 
+    fn calls_by_id(&self) -> HashMap<&'a str, &'a Call> {
+        self.history.calls.iter().map(|call| (call.id.as_str(), call)).collect()
+    }
+
     fn arrivals_of(&self, id: &str) -> &[&'a Arrival] {
         self.arrivals.get(id).map_or(&[], Vec::as_slice)
     }
@@ -297,6 +341,14 @@
         outages.iter().any(|s| s.router == router && s.span.overlaps(since, to))
     }
 
+    /// Whether the way of a router to a runner was faulty at any time from `from` until `to`.
+    fn had_link_fault(&self, router: usize, runner: &str, from: Duration, to: Duration) -> bool {
+        let h = self.history;
+        let on_link = |(faulty, s): &(String, Span)| faulty == runner && s.overlaps(from, to);
+        let is_cut_off = |cut: &CutOff| cut.routers.contains(&router) && cut.span.overlaps(from, to);
+        h.link_faults.iter().any(on_link) || h.cut_offs.iter().any(is_cut_off)
+    }
+
     fn check_runs(&self, call: &Call) -> Option<Violation> {
         let runs = self.runs_of(&call.id).len();
         let once = matches!(call.kind, RequestKind::Once | RequestKind::Stream);
@@ -304,14 +356,18 @@
         if once && runs > 1 {
             return Some(violation(Guarantee::Twice, call, format!("ran {runs} times")));
         }
-        let said_not_run = matches!(status, 408 | 421 | 429 | 503);
-        if once && said_not_run && runs > 0 {
+        if once && is_refusal(status) && runs > 0 {
             return Some(violation(
                 Guarantee::NotRun,
                 call,
                 format!("status {status}, and it ran"),
             ));
         }
+        let ran_of_refused = |run: &&&Arrival| call.send_of(run.at) < call.refused.len();
+        if let Some(run) = self.runs_of(&call.id).iter().find(ran_of_refused).filter(|_| once) {
+            let details = format!("sent {} times, and it ran at {:?}", call.refused.len() + 1, run.at);
+            return Some(violation(Guarantee::NotRun, call, details));
+        }
         matches!(status, 400..=404 | 413 | 431).then(|| violation(Guarantee::Denied, call, format!("status {status}")))
     }
 
@@ -325,8 +381,7 @@
         let still_works = |pair: &&[&Arrival]| {
             let (before, next) = (pair[0], pair[1]);
             let limit = next.at + OVERLAP_TOLERANCE;
-            let on_link = |(runner, s): &(String, Span)| *runner == before.runner && s.overlaps(before.at, limit);
-            let has_link_fault = self.history.link_faults.iter().any(on_link);
+            let has_link_fault = self.had_link_fault(call.router, &before.runner, before.at, limit);
             let works_on = before.ended.is_none_or(|ended| ended > limit);
             works_on && !has_link_fault && !self.had_outage(call.router, before.at, limit)
         };
@@ -396,82 +451,18 @@
         })
     }
 
-    fn check_leaving(&self) -> Vec<Violation> {
-        let h = self.history;
-        let routers: HashMap<&str, usize> = h.calls.iter().map(|c| (c.id.as_str(), c.router)).collect();
-        let reached_leaving = |arrival: &&Arrival| {
-            let known = |l: &&Leaving| l.span.from + APPLY_TIME < arrival.at && arrival.at <= l.span.to;
-            let left = h.leaving.iter().filter(|l| l.runner == arrival.runner).find(known);
-            let Some(Leaving { span, .. }) = left else {
-                return false;
-            };
-            let since = span.from.saturating_sub(REGAIN_TIME);
-            let had_store_fault = h.store_faults.iter().any(|s| s.overlaps(since, arrival.at));
-            let on_link = |(runner, s): &(String, Span)| *runner == arrival.runner && s.overlaps(since, arrival.at);
-            let had_link_fault = h.link_faults.iter().any(on_link);
-            let router = routers.get(arrival.id.as_str()).copied().unwrap_or_default();
-            let had_outage = self.had_outage(router, span.from, arrival.at);
-            !had_outage && !had_store_fault && !had_link_fault
-        };
-        let violations = h.arrivals.iter().filter(reached_leaving).map(|arrival| Violation {
-            guarantee: Guarantee::Leaving,
-            details: format!("{} reached {} at {:?}", arrival.id, arrival.runner, arrival.at),
-        });
-        violations.collect()
-    }
-
-    /// Requests that a router sent to a runner despite its notice.
-    fn check_notices(&self) -> Vec<Violation> {
-        let calls: HashMap<&str, &Call> = self.history.calls.iter().map(|c| (c.id.as_str(), c)).collect();
-        let with_notice = self
-            .history
-            .arrivals
-            .iter()
-            .filter(|a| a.notice != RunnerNotice::Nothing);
-        with_notice
-            .filter_map(|source| self.check_notice(source, &calls))
-            .collect()
-    }
-
-    fn check_notice(&self, source: &Arrival, calls: &HashMap<&str, &Call>) -> Option<Violation> {
-        let h = self.history;
-        let call = calls.get(source.id.as_str())?;
-        let runner_restarts = h
-            .runner_restarts
-            .iter()
-            .filter(|(runner, at)| *runner == source.runner && *at > source.at);
-        let (until, max_requests) = match source.notice {
-            RunnerNotice::Nothing => return None,
-            RunnerNotice::Leaves => (runner_restarts.map(|(_, at)| *at).min()?, 0),
-            RunnerNotice::Pauses(pause) => (source.at + pause, MAX_REQUESTS_IN_PAUSE),
-        };
-        let on_link = |(runner, s): &(String, Span)| *runner == source.runner && s.overlaps(source.at, until);
-        let has_link_fault = h.link_faults.iter().any(on_link);
-        let is_restarted = h
-            .restarts
-            .iter()
-            .any(|s| s.router == call.router && s.span.overlaps(source.at, until));
-        if has_link_fault || is_restarted || self.had_outage(call.router, source.at, until) {
-            return None;
-        }
-        let from_router = |a: &&Arrival| calls.get(a.id.as_str()).is_some_and(|c| c.router == call.router);
-        let after_notice = |a: &&Arrival| a.runner == source.runner && source.at + NOTICE_DELAY < a.at && a.at < until;
-        let reached = h.arrivals.iter().filter(after_notice).filter(from_router).count();
-        (reached > max_requests).then(|| Violation {
-            guarantee: Guarantee::Notice,
-            details: format!(
-                "{} at {} said {:?}, {reached} reached it after that",
-                source.id, source.runner, source.notice
-            ),
-        })
-    }
-
     fn check_late(&self) -> Option<Violation> {
         let h = self.history;
         let is_late = |call: &&Call| {
             let plain = matches!(call.kind, RequestKind::Safe | RequestKind::Once);
-            let had_outage = self.had_outage(call.router, call.sent, call.ended);
-            plain && !had_outage && call.ended.saturating_sub(call.sent) > PLAIN_TIMEOUT + LATE_TOLERANCE
+            let last = Span {
+                from: call.sent,
+                to: call.ended,
+            };
+            let is_long = |send: &Span| send.to.saturating_sub(send.from) > PLAIN_TIMEOUT + LATE_TOLERANCE;
+            let had_outage = |send: &Span| self.had_outage(call.router, send.from, send.to);
+            let mut sends = call.refused.iter().chain([&last]);
+            plain && sends.any(|send| is_long(send) && !had_outage(send))
         };
         let late: Vec<&str> = h.calls.iter().filter(is_late).map(|call| call.id.as_str()).collect();
         (late.len() >= LATE_LIMIT).then(|| Violation {
@@ -482,11 +473,12 @@
 
     fn check_recovery(&self) -> Option<Violation> {
         let from = self.history.faults_ended_at + RECOVERY_TIME;
-        let safe = |call: &&Call| call.kind == RequestKind::Safe && call.sent > from && !call.has_left;
+        let safe = |call: &&Call| call.kind == RequestKind::Safe && call.sent_at(0) > from && !call.has_left;
         let after: Vec<&Call> = self.history.calls.iter().filter(safe).collect();
-        let served = after.iter().filter(|call| call.response.status == 200).count();
+        let is_served = |call: &&&Call| call.response.status == 200 && call.refused.is_empty();
+        let served = after.iter().filter(is_served).count();
         let enough = served as f64 >= after.len() as f64 * MIN_SERVED_SHARE && !after.is_empty();
-        let refused = after.iter().find(|call| call.response.status != 200);
+        let refused = after.iter().find(|call| !is_served(call));
         let first = refused.map_or("none", |call| call.id.as_str());
         (!enough).then(|| Violation {
             guarantee: Guarantee::Recover,
--- a/crates/celerytide-soak/src/plan/mod.rs
+++ b/crates/celerytide-soak/src/plan/mod.rs
@@ -1,15 +1,24 @@
 //! The plan of a run: faults with their times, drawn from a seed.
 
+mod brittle;
+mod cut_off;
+mod later;
+
 use std::time::Duration;
 
 use celerytide_standin::platform::{
-    Crashing, Endless, FOREIGN_REFUSALS, RunnerMode, StoreMode, StreamFraming, TornStream, Trigger,
+    Crashing, Endless, FOREIGN_REFUSALS, Refusing, RunnerMode, StoreMode, StreamFraming, TornStream, Trigger,
 };
 use celerytide_standin::relay::Mode as RelayMode;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
+use crate::testbed::CutForm;
+
+pub use brittle::{BRITTLE, brittle_mode, draw_with_brittle};
+pub use cut_off::draw_with_cut_off;
+
 /// Number of routers in a run, unless it asks for more.
 pub const ROUTERS: usize = 4;
 /// Number of runners in a run: the first half serves plain requests, the second half streams.
@@ -44,6 +53,9 @@
 /// Keeps their seeds apart from those of other faults.
 const COMPOUND_SEED: u64 = 0x57_0000_0000;
 
+/// Availability zones of the runners; those of the routers if some are cut off from all runners.
+pub const ZONES: [&str; 2] = ["z1", "z2"];
+
 /// Kinds of runs, which take turns: one spends the retry budget, one has a store without faults, one has all faults.
 const RUN_KINDS: u64 = 3;
 /// Time for which the plain service fails in a run that spends the retry budget.
@@ -72,6 +84,8 @@
     NameLimit(usize, &'static str),
     /// Changes how the relay treats connections to a runner.
     Link(usize, RelayMode),
+    /// Cuts routers off from all runners.
+    CutOff(Vec<usize>, CutForm),
     /// Changes how the store responds.
     Store(StoreMode),
     /// Changes how the relay treats connections to the store.
@@ -95,6 +109,13 @@
         /// How they respond.
         mode: RunnerMode,
     },
+    /// The runners of a service are brittle.
+    Brittle {
+        /// Whether it is the service of the engines.
+        is_engine: bool,
+    },
+    /// A runner falls silent, and goes on at the end.
+    Silence(usize),
     /// A runner crashes under each request and listens again soon, until the end.
     Crash(usize),
 }
@@ -164,6 +185,7 @@
         1 => steps.retain(|step| !step.fault.concerns_store()),
         _ => {}
     }
+    later::add(seed, &mut steps);
     steps.iter_mut().for_each(|step| step.at += WARM_UP);
     steps.sort_by_key(|step| step.at);
     steps
@@ -284,6 +306,11 @@
     }
 }
 
+/// Availability zone of the router or runner with this index.
+pub fn zone(index: usize) -> &'static str {
+    ZONES[index % ZONES.len()]
+}
+
 /// Whether a runner serves streams.
 pub fn is_engine(runner: usize) -> bool {
     runner >= RUNNERS / 2
@@ -292,16 +319,33 @@
 /// Mode of a runner without a fault.
 pub fn normal_mode(runner: usize) -> RunnerMode {
     if is_engine(runner) {
-        RunnerMode::Events {
-            all: STREAM_EVENTS,
-            cut: 0,
-            gap_ms: 15,
-        }
+        ENGINE_MODE
     } else {
         RunnerMode::Good
     }
 }
 
+/// How the plain runners refuse a share of what they get.
+const PLAIN_REFUSING: RunnerMode = RunnerMode::Refusing(Refusing {
+    percent: 40,
+    work_ms: 60,
+    then: &RunnerMode::Good,
+});
+
+/// How the engines do.
+const ENGINE_REFUSING: RunnerMode = RunnerMode::Refusing(Refusing {
+    percent: 40,
+    work_ms: 60,
+    then: &ENGINE_MODE,
+});
+
+/// Mode of an engine without a fault.
+const ENGINE_MODE: RunnerMode = RunnerMode::Events {
+    all: STREAM_EVENTS,
+    cut: 0,
+    gap_ms: 15,
+};
+
 /// Number of events in each stream.
 pub const STREAM_EVENTS: u32 = 8;
 
--- a/crates/celerytide-soak/tests/excused.rs
+++ b/crates/celerytide-soak/tests/excused.rs
@@ -2,9 +2,10 @@
 
 mod history;
 
-use celerytide_soak::check::{Arrival, History, RequestKind, RouterOutage, check};
+use celerytide_soak::check::{Arrival, CutOff, History, RequestKind, RouterOutage, check};
 use history::{
-    add_left_call, add_limited_arrivals, arrival, call, events, leaving, left_call, ms, response, span, valid_history,
+    add_cut_off, add_falls, add_left_call, add_limited_arrivals, add_sent_again, arrival, call, events, leaving,
+    left_call, ms, response, span, valid_history,
 };
 
 /// A failure together with the fault that excuses it.
@@ -13,7 +14,7 @@
     change: fn(&mut History),
 }
 
-const EXCUSED: [ExcusedCase; 14] = [
+const EXCUSED: [ExcusedCase; 23] = [
     ExcusedCase {
         name: "nothing reached a runner for half a second after a caller had left",
         change: |h| {
@@ -129,6 +130,74 @@
             h.link_faults.push(("i4".to_owned(), span(4200, 4400)));
         },
     },
+    ExcusedCase {
+        name: "11 of 30 first tries fail at a router that is cut off, 1 in 50 and ten",
+        change: |h| add_cut_off(h, 13_000, 11),
+    },
+    ExcusedCase {
+        name: "a router has been cut off for less than 3 s",
+        change: |h| add_cut_off(h, 12_900, 20),
+    },
+    ExcusedCase {
+        name: "a router that is cut off was killed 3 s before",
+        change: |h| {
+            add_cut_off(h, 14_000, 20);
+            h.outages.push(RouterOutage {
+                router: 1,
+                span: span(11_000, 11_600),
+            });
+        },
+    },
+    ExcusedCase {
+        name: "a runner that a router is cut off from works on",
+        change: |h| {
+            h.arrivals[3].ended = None;
+            h.cut_offs.push(CutOff {
+                routers: vec![0],
+                span: span(4200, 4400),
+            });
+        },
+    },
+    ExcusedCase {
+        name: "a refused request runs when it is sent again",
+        change: |h| add_sent_again(h, &[4220]),
+    },
+    ExcusedCase {
+        name: "a request reaches four runners each time that it is sent",
+        change: |h| {
+            add_sent_again(h, &[4220]);
+            let times = [4010, 4020, 4030, 4040, 4230, 4240, 4250];
+            h.arrivals.extend(times.map(|at| Arrival {
+                ran: false,
+                ..arrival("again", "i0", at)
+            }));
+        },
+    },
+    ExcusedCase {
+        name: "brittle runners fall over twice, and once after that time",
+        change: |h| add_falls(h, &[("i0", 14_000), ("i1", 16_000), ("i0", 20_100)]),
+    },
+    ExcusedCase {
+        name: "most of what a brittle runner refused came from a router that was killed before",
+        change: |h| {
+            add_falls(h, &[("i0", 14_000), ("i1", 16_000), ("i0", 19_000)]);
+            h.outages.push(RouterOutage {
+                router: 0,
+                span: span(15_500, 15_700),
+            });
+        },
+    },
+    ExcusedCase {
+        name: "a silent runner doesn't notice that a caller has left",
+        change: |h| {
+            add_left_call(h);
+            h.arrivals.push(Arrival {
+                ended: Some(ms(5200)),
+                ..arrival("left", "i0", 4100)
+            });
+            h.silences.push(("i0".to_owned(), span(4150, 5150)));
+        },
+    },
     ExcusedCase {
         name: "a runner broke a stream off",
         change: |h| {
--- a/crates/celerytide-soak/tests/history/mod.rs
+++ b/crates/celerytide-soak/tests/history/mod.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use celerytide_soak::check::{
-    Arrival, Call, History, Leaving, PlacementCounts, RequestKind, ResponseRecord, RunnerNotice, Span,
+    Arrival, BrittleTime, Call, CutOff, Fall, History, Leaving, PlacementCounts, RequestKind, ResponseRecord,
+    RunnerNotice, Span,
 };
 use celerytide_soak::plan::STREAM_EVENTS;
 
@@ -40,6 +41,7 @@
         id: id.to_owned(),
         kind,
         router: 0,
+        refused: Vec::new(),
         sent: ms(4000),
         ended: ms(4500),
         has_left: false,
@@ -47,6 +49,16 @@
     }
 }
 
+/// Adds a request that may run once and is refused at 4.2 s; sent again, it is served. It runs at these times.
+pub fn add_sent_again(h: &mut History, runs: &[u64]) {
+    h.calls.push(Call {
+        refused: vec![span(4000, 4200)],
+        sent: ms(4210),
+        ..call("again", RequestKind::Once, response(200, "answer of i1 to again"))
+    });
+    h.arrivals.extend(runs.iter().map(|at| arrival("again", "i1", *at)));
+}
+
 /// A request whose caller left 200 ms after it.
 pub fn left_call(id: &str) -> Call {
     Call {
@@ -101,6 +113,46 @@
     }
 }
 
+/// Adds a cut of router 1 from all runners from 10 s to 20 s, with 30 first tries there and at router 0, sent at `at`. All are
+/// served but `unserved` at router 1.
+pub fn add_cut_off(h: &mut History, at: u64, unserved: usize) {
+    h.cut_offs.push(CutOff {
+        routers: vec![1],
+        span: span(10_000, 20_000),
+    });
+    for n in 0..60 {
+        let id = format!("tried{n}");
+        let is_served = n >= unserved * 2 || n % 2 == 0;
+        let body = format!("answer of i1 to {id}");
+        let answer = if is_served {
+            response(200, &body)
+        } else {
+            response(502, "")
+        };
+        h.arrivals.extend(is_served.then(|| arrival(&id, "i1", at + 10)));
+        h.calls.push(Call {
+            router: n % 2,
+            sent: ms(at),
+            ended: ms(at + 500),
+            ..call(&id, RequestKind::Once, answer)
+        });
+    }
+}
+
+/// Adds a time in which four runners are brittle, and these falls; what they refuse came from router 0.
+pub fn add_falls(h: &mut History, falls: &[(&str, u64)]) {
+    h.brittle_times.push(BrittleTime {
+        runners: ["i0", "i1", "i2", "i3"].map(str::to_owned).to_vec(),
+        span: span(10_000, 20_000),
+    });
+    let rejected = ["safe", "once", "refused"].map(str::to_owned);
+    h.falls.extend(falls.iter().map(|(runner, at)| Fall {
+        runner: (*runner).to_owned(),
+        at: ms(*at),
+        rejected: rejected.to_vec(),
+    }));
+}
+
 pub fn events(numbers: impl IntoIterator<Item = u32>) -> String {
     numbers
         .into_iter()
--- a/crates/celerytide-standin/src/platform/copies.rs
+++ b/crates/celerytide-standin/src/platform/copies.rs
@@ -5,8 +5,10 @@
 use std::thread::sleep;
 use std::time::Duration;
 
+use super::arrival::Arrival;
 use super::request::Request;
-use super::runner::{Arrival, SEAL};
+use super::response::refusal;
+use super::runner::SEAL;
 
 /// First letter of the ids of requests whose first answer is copied; others are served at once.
 const COPIED: char = 'q';
@@ -157,9 +159,3 @@
 fn chunk(data: &str) -> String {
     format!("{:x}\r\n{data}\r\n", data.len())
 }
-
-/// A response with this status that states that the request did not run.
-pub(super) fn refusal(status: &str, req: &Request) -> String {
-    let id = req.header("x-attempt-id");
-    format!("HTTP/1.1 {status}\r\nx-attempt-id: {id}\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n")
-}
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -6,11 +6,16 @@
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
-use super::copies::{Copying, PendingCopy, refusal};
+use super::arrival::Arrival;
+use super::brittle::{Brittle, Fall, Place, Room};
+use super::copies::{Copying, PendingCopy};
 use super::crash::{Crashes, Crashing};
-use super::endless::{Endless, is_closed};
+use super::endless::{Endless, wait_for_close};
 use super::events::{self, TornStream};
+use super::refusing::{Refusing, Writing};
 use super::request::{self, Request};
+use super::response::{refusal, sealed_head, send_response};
+use super::silence::Silence;
 use super::statement::Statement;
 
 /// How a runner responds to requests.
@@ -37,6 +42,8 @@
     CopiedRefusal(&'static str),
     /// The first answer to certain requests is written twice.
     Copied(Copying),
+    /// A share of the requests is refused, half of these refusals twice.
+    Refusing(Refusing),
     /// The request runs, and this status without a seal or any other proof answers it.
     Unproven(&'static str),
     /// As `Good`, and some milliseconds later these bytes, which belong to no request.
@@ -122,27 +129,6 @@
     }
 }
 
-/// A request that a runner ran, or refused without running it.
-#[derive(Debug, Clone)]
-pub struct Arrival {
-    /// Attempt id of the request.
-    pub id: String,
-    /// Time at which the whole request had been read.
-    pub at: Instant,
-    /// Whether the runner ran it.
-    pub ran: bool,
-    /// Mode in which the runner responded.
-    pub mode: RunnerMode,
-    /// Rate limit that responses with a head of the runner named then.
-    pub limit: Option<&'static str>,
-    /// Milliseconds that the request says are left for it, as written; empty without.
-    pub deadline_ms: String,
-    /// When the runner had ended its work on it; `None` while it still works.
-    pub ended: Option<Instant>,
-    /// Number of its connection, counted from zero as they were accepted.
-    pub connection: usize,
-}
-
 struct Shared {
     id: String,
     mode: Mutex<RunnerMode>,
@@ -153,6 +139,8 @@
     /// Requests whose client, the router, closed the connection before the response ended.
     disconnect_count: Mutex<usize>,
     crashes: Crashes,
+    room: Room,
+    silence: Silence,
     /// Whether each connection is open, by its number.
     connections: Mutex<Vec<bool>>,
     address: SocketAddr,
@@ -173,6 +161,12 @@
         connections.len() - 1
     }
 
+    /// Records that a request did not run; it has ended.
+    fn record_unrun(&self, index: usize) {
+        lock(&self.arrivals)[index].ran = false;
+        self.record_end(index);
+    }
+
     fn record_end(&self, index: usize) {
         lock(&self.arrivals)[index].ended = Some(Instant::now());
     }
@@ -186,18 +180,8 @@
     shared: Arc<Shared>,
 }
 
-/// Longest work without a response.
-const MAX_SILENCE: Duration = Duration::from_secs(20);
-/// Interval at which a runner without a response looks whether its client has left.
-const CLOSE_POLL: Duration = Duration::from_millis(20);
 /// Time from a complete response to the bytes behind it.
 const TRAILING_DELAY: Duration = Duration::from_millis(30);
-/// Refusals that belong to no request, for [`RunnerMode::Trailing`].
-pub const FOREIGN_REFUSALS: [&str; 3] = [
-    "HTTP/1.1 503 Full\r\ncontent-length: 0\r\n\r\n",
-    "HTTP/1.1 503 Full\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n",
-    "HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n",
-];
 /// Seal of each sealed response.
 pub(super) const SEAL: &str = "3e1b.07";
 
@@ -214,6 +198,8 @@
             arrivals: Mutex::default(),
             disconnect_count: Mutex::default(),
             crashes: Crashes::default(),
+            room: Room::default(),
+            silence: Silence::default(),
             connections: Mutex::default(),
             address,
         });
@@ -264,6 +250,21 @@
         self.shared.crashes.times()
     }
 
+    /// Sets the room of the runner, and how much it can refuse; `None` for a runner that isn't brittle.
+    pub fn set_brittle(&self, brittle: Option<Brittle>) {
+        self.shared.room.set(brittle);
+    }
+
+    /// Lets the runner fall silent, or go on.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.shared.silence.set(is_silent);
+    }
+
+    /// Falls for want of room so far; each is also in [`Runner::crashes`].
+    pub fn falls(&self) -> Vec<Fall> {
+        self.shared.room.falls()
+    }
+
     /// All requests received so far.
     pub fn requests(&self) -> Vec<Request> {
         lock(&self.shared.requests).clone()
@@ -297,7 +298,9 @@
     let mut refused: Option<String> = None;
     let mut copy: Option<String> = None;
     let mut pending_copy = PendingCopy::default();
+    let writing = Writing::default();
     while let Some(req) = request::read(&mut conn) {
+        shared.silence.wait();
         lock(&shared.requests).push(req.clone());
         let is_copied = Copying::copies(&req, &lock(&shared.arrivals));
         let mode = *lock(&shared.mode);
@@ -316,6 +319,19 @@
             ended: None,
             connection: number,
         });
+        let _slot = match shared.room.enter(&out, req.header("x-attempt-id")) {
+            Place::Slot(slot) => slot,
+            away => {
+                shared.record_unrun(index);
+                let stays_open = shared
+                    .room
+                    .turn_away(&away, &shared.crashes, &mut out, &req, shared.address);
+                if stays_open {
+                    continue;
+                }
+                return;
+            }
+        };
         if let RunnerMode::Copied(copying) = mode {
             let sent = match is_copied {
                 true => pending_copy.answer(&mut out, &req, copying),
@@ -326,11 +342,18 @@
             drop(sent);
             continue;
         }
+        let mode = match mode {
+            RunnerMode::Refusing(refusing) if refusing.refuse(&req, index, &out, &writing) => {
+                shared.record_unrun(index);
+                continue;
+            }
+            RunnerMode::Refusing(refusing) => *refusing.then,
+            other => other,
+        };
         if let RunnerMode::CopiedRefusal(status) = mode {
             let refusal = refusal(status, &req);
             let Some(earlier) = copy.replace(refusal.clone()) else {
-                lock(&shared.arrivals)[index].ran = false;
-                shared.record_end(index);
+                shared.record_unrun(index);
                 // Fails only if the connection has ended already.
                 let _ = out.write_all(refusal.as_bytes());
                 continue;
@@ -352,6 +375,7 @@
                 continue;
             }
         }
+        let _writing = writing.begin();
         let stays_open = respond(shared, &mut out, &req, mode, limit);
         shared.record_end(index);
         if !stays_open {
@@ -373,6 +397,7 @@
     let id = req.header("x-attempt-id");
     let body = format!("answer of {} to {id}", shared.id);
     let limit = named_limit.map_or(String::new(), |value| format!("server-limit: {value}\r\n"));
+    let limit = limit + &shared.room.header();
     let sealed = format!("x-attempt-id: {id}\r\nx-response-seal: {SEAL}\r\n{limit}");
     let not_run = format!("x-attempt-id: {id}\r\nx-not-executed: 1\r\n{limit}");
     if let Some(crashing) = shared.crashes.of(req) {
@@ -380,12 +405,15 @@
         return false;
     }
     match mode {
-        RunnerMode::Good | RunnerMode::RefusedAgain { .. } | RunnerMode::CopiedRefusal(_) | RunnerMode::Copied(_) => {
-            send_response(out, "200 OK", &sealed, &body)
-        }
+        RunnerMode::Good
+        | RunnerMode::RefusedAgain { .. }
+        | RunnerMode::CopiedRefusal(_)
+        | RunnerMode::Copied(_)
+        | RunnerMode::Refusing(_) => send_response(out, "200 OK", &sealed, &body),
         RunnerMode::GoodWith(line) => send_response(out, "200 OK", &format!("{line}\r\n{sealed}"), &body),
         RunnerMode::Late(ms) => {
             sleep(Duration::from_millis(ms));
+            shared.silence.wait();
             send_response(out, "200 OK", &sealed, &body)
         }
         RunnerMode::Failed => send_response(out, "500 Failed", &sealed, &body),
@@ -452,28 +480,21 @@
         }
         RunnerMode::Lost => false,
         RunnerMode::NoResponse => {
-            wait_for_close(out, MAX_SILENCE);
+            wait_for_close(out);
             false
         }
         RunnerMode::Events { all, cut, gap_ms } => {
-            let gap = Duration::from_millis(gap_ms);
-            stream(shared, events::send_events(out, req, &sealed, all, cut, gap))
+            let pause = || {
+                sleep(Duration::from_millis(gap_ms));
+                shared.silence.wait();
+            };
+            stream(shared, events::send_events(out, req, &sealed, all, cut, pause))
         }
         RunnerMode::FromStart(count) => stream(shared, events::send_from_start(out, &sealed, count)),
         RunnerMode::Torn(torn) => stream(shared, torn.send(out, req, &sealed)),
     }
 }
 
-/// The head of a successful response.
-fn sealed_head(sealed: &str, length: usize, is_stream: bool) -> String {
-    let rest = if is_stream {
-        "content-type: text/event-stream\r\n".to_owned()
-    } else {
-        format!("content-length: {length}\r\n")
-    };
-    format!("HTTP/1.1 200 OK\r\n{sealed}{rest}\r\n")
-}
-
 /// Counts a client that closed the connection before the stream ended; true if the connection stays open.
 fn stream(shared: &Shared, sent: std::io::Result<bool>) -> bool {
     if sent.is_err() {
@@ -481,17 +502,3 @@
     }
     sent.unwrap_or(false)
 }
-
-/// Waits until the client closes the connection, or for `longest`.
-fn wait_for_close(conn: &TcpStream, longest: Duration) {
-    let until = Instant::now() + longest;
-    while Instant::now() < until && !is_closed(conn) {
-        sleep(CLOSE_POLL);
-    }
-}
-
-fn send_response(out: &mut TcpStream, status: &str, headers: &str, body: &str) -> bool {
-    let length = body.len();
-    let response = format!("HTTP/1.1 {status}\r\n{headers}content-length: {length}\r\n\r\n{body}");
-    out.write_all(response.as_bytes()).is_ok()
-}
