feat(edge): endpoints that bear few rejections get only what they have room for

An endpoint may state how many rejections a second it bears from all instances together (`Server-Brittle`); it fails when it rejects more. Without this, three runners that bear three a second fail ten times within 5 s under 18 callers at nine routers, which have a slot for each caller, and 103 of 7,802 requests are served (the header unread, `platform/tests/rejections.rs`).

Each instance hears only of its own rejections, so the requests in flight are bounded: an endpoint gets its slots and a quarter of the limit more, an engine no more than its memory holds. The places of a service are dealt out in turn among the instances; half of the slots may be lent while digests tell that they are free. In fleets of more than 17 the coordinator places these requests too, plain ones included, never beyond the room. After a rejection an instance pauses there, and returns one request at a time. Limits are learned from answers and digests, as named rates are.

What isn't built stands in docs/design/platform.md.

--- a/crates/celerytide-edge/src/coordinator/cost.rs
+++ b/crates/celerytide-edge/src/coordinator/cost.rs
@@ -11,6 +11,7 @@
 use celerytide_types::BootTime;
 
 use super::engine::{Engine, Tolerance};
+use super::group::Rooms;
 use super::messages::{Demand, IdHash};
 use crate::peers::digest::id_hash;
 
@@ -54,6 +55,8 @@
 pub struct Context<'a> {
     /// The service.
     pub service: &'a Service,
+    /// Engines that get requests only while they have room.
+    pub rooms: &'a Rooms,
     /// Prefill rate of its engines, in tokens per second.
     pub per_s: f64,
     /// Requests that wait for an engine or for their first event, per engine.
@@ -81,6 +84,8 @@
     pub start: Duration,
     /// Whether a slot is free, and nothing waits before the request or the request makes nothing late there.
     pub has_room: bool,
+    /// Whether it may get no request now, since more would be in flight than it certainly has room for.
+    pub is_shut: bool,
     cost_ms: f64,
     last_sent_at: BootTime,
 }
@@ -107,8 +112,10 @@
     let pause_ms = beyond_gap_ms(all_ms, need.demand.max_gap_ms);
     let delay_ms = delay_ms(engine, all_ms, prefill_ms);
     let preempted_ms = ms(preempted_tokens(engine, need, cx.service));
-    let slots = cx.service.engine_slots.unwrap_or(1).max(1);
-    let is_full = engine.running() >= slots;
+    let room = cx.rooms.get(&id_hash(&known.endpoint.id)).copied();
+    let slots = cx.service.engine_slots.unwrap_or(known.endpoint.slots).max(1);
+    let is_shut = room.is_some_and(|room| engine.running() >= room);
+    let is_full = is_shut || engine.running() >= slots;
     let batch_ms = f64::from(engine.running()) / f64::from(slots) * BATCH_COST_MS;
     let at_home = need.home == Some(id_hash(&known.endpoint.id)) && !cx.is_cached_somewhere;
     let saved_ms = if at_home {
@@ -126,6 +133,7 @@
         running: engine.running(),
         start: Duration::from_secs_f64((wait_ms + prefill_ms) / 1000.0),
         has_room: !is_full && (ahead == 0 || harm_ms <= 0.0),
+        is_shut,
         cost_ms,
         last_sent_at: engine.last_sent_at(),
     }
--- a/crates/celerytide-edge/src/coordinator/group.rs
+++ b/crates/celerytide-edge/src/coordinator/group.rs
@@ -1,6 +1,6 @@
 //! Decisions of the coordinator of one group.
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -35,6 +35,12 @@
 /// Waiting requests that are tried again after one event.
 const MAX_TRIED: usize = 32;
 
+/// Most requests in flight at endpoints that may get no more, by hash of their ids.
+pub type Rooms = BTreeMap<IdHash, u32>;
+
+/// Wait that a caller is asked for while all engines are shut.
+const SHUT_WAIT: Duration = Duration::from_millis(100);
+
 /// Engines of a group that may get requests now, by the coordinator's view.
 #[derive(Debug, Clone, Copy)]
 pub struct Engines<'a> {
@@ -42,6 +48,8 @@
     pub service: &'a Service,
     /// The engines; none of them is leaving, paused or limited in its rate.
     pub usable: &'a [&'a KnownEndpoint],
+    /// Those that get requests only while they have room.
+    pub rooms: &'a Rooms,
 }
 
 /// A reply and the instance that it goes to.
@@ -146,9 +154,10 @@
                 engines,
                 now,
             );
-            let becomes_late = best
-                .as_ref()
-                .is_some_and(|best| is_due && !waiting.is_late && !best.has_room && !meets_target(&waiting, best, now));
+            let becomes_late = best.as_ref().is_some_and(|best| {
+                let waits_on = best.is_shut || (!best.has_room && !meets_target(&waiting, best, now));
+                is_due && !waiting.is_late && waits_on
+            });
             if becomes_late && now < waiting.deadline {
                 self.queue.set_late(waiting.key, late_placed_anyway_at(&waiting));
                 // It waits behind others of its urgency, but before less urgent ones.
@@ -175,6 +184,9 @@
         match best {
             _ if waiting.deadline <= now => Some(Verdict::Refused { wait_ms: 0 }),
             None => Some(Verdict::Unable),
+            Some(best) if best.is_shut && is_due => Some(Verdict::Refused {
+                wait_ms: wire_ms(SHUT_WAIT),
+            }),
             Some(best) if best.has_room || is_due => {
                 let Waiting { key, deadline, .. } = *waiting;
                 Some(self.reserve(key, &waiting.request, &best, deadline, service, now))
@@ -265,7 +277,8 @@
         now: BootTime,
     ) -> Option<RatedEngine<'a>> {
         let rated = self.rated(request, home, engines, now);
-        let best = cheapest(rated.iter().copied())?;
+        let open = cheapest(rated.iter().copied().filter(|rated| !rated.is_shut));
+        let best = open.or_else(|| cheapest(rated.iter().copied()))?;
         if best.has_room || best.start <= left.mul_f64(MAX_WAIT_SHARE) {
             return Some(best);
         }
@@ -290,6 +303,7 @@
             .fold(0, |sum: u32, block| sum.saturating_add(block.tokens));
         let cx = Context {
             service: engines.service,
+            rooms: engines.rooms,
             per_s: self.ledger.per_s(),
             waiting: (f64::from(self.ledger.waiting()) + self.queue.len() as f64) / engine_count,
             mean_latency_ratio: self
@@ -341,6 +355,7 @@
         let known = engines.usable.iter().find(is_trial).copied()?;
         let cx = Context {
             service: engines.service,
+            rooms: engines.rooms,
             per_s: self.ledger.per_s(),
             waiting: 0.0,
             mean_latency_ratio: None,
@@ -354,7 +369,8 @@
             home: None,
         };
         let engine = self.ledger.engine(id_hash(&known.endpoint.id))?;
-        Some(rate(known, engine, need, cx))
+        let rated = rate(known, engine, need, cx);
+        (!rated.is_shut).then_some(rated)
     }
 
     fn reserve(
--- a/crates/celerytide-edge/src/coordinator/ledger.rs
+++ b/crates/celerytide-edge/src/coordinator/ledger.rs
@@ -200,6 +200,7 @@
             Sign::Good => Outcome::Good,
             Sign::Bad => Outcome::Bad,
             Sign::Unreached => Outcome::Unreached,
+            Sign::Rejected => return false,
         };
         let engine = self.engines.entry(endpoint).or_default();
         engine.note_outcome(now);
--- a/crates/celerytide-edge/src/coordinator/messages.rs
+++ b/crates/celerytide-edge/src/coordinator/messages.rs
@@ -95,6 +95,8 @@
         Bad,
         /// No connection, or another process at this address.
         Unreached,
+        /// A rejection by an endpoint with a rejection limit; it says nothing about its health.
+        Rejected,
     }
 
     /// All requests of the sender in flight in a group whose numbers are in a range.
--- a/crates/celerytide-edge/src/coordinator/mod.rs
+++ b/crates/celerytide-edge/src/coordinator/mod.rs
@@ -22,5 +22,5 @@
 mod queue;
 
 pub use client::{Client, OwnFlight, Pending};
-pub use group::{Engines, Group};
+pub use group::{Engines, Group, Rooms};
 pub use ledger::{FlightKey, Ledger};
--- a/crates/celerytide-edge/src/edge/coordination.rs
+++ b/crates/celerytide-edge/src/edge/coordination.rs
@@ -11,7 +11,7 @@
 
 use super::Edge;
 use crate::coordinator::groups::{GroupIndex, coordinators, group_count, group_of, home};
-use crate::coordinator::messages::{Event, GroupKey, IdHash, PlaceRequest, Reply, Verdict};
+use crate::coordinator::messages::{Event, GroupKey, IdHash, PlaceRequest, Reply, Sign, Verdict};
 use crate::coordinator::{Engines, FlightKey, Group};
 use crate::notice::Availability;
 use crate::peers::digest::id_hash;
@@ -221,12 +221,22 @@
                 group.note_ended(flight);
                 Some(key)
             }
+            Event::Outcome {
+                endpoint,
+                sign: Sign::Rejected,
+                ..
+            } => {
+                self.note_told_rejection(view, endpoint, now);
+                None
+            }
             Event::Outcome { key, endpoint, sign } => {
                 let service = service_of(view, key, now)?;
                 let usable = self.group_engines(view, service, key, now);
+                let rooms = self.engine_rooms(service, &usable, now);
                 let engines = Engines {
                     service,
                     usable: &usable,
+                    rooms: &rooms,
                 };
                 let mut coordination = self.coordination.borrow_mut();
                 let group = coordination.group_mut(key, now);
@@ -263,9 +273,11 @@
             return Verdict::Unable;
         };
         let usable = self.group_engines(view, service, request.key, now);
+        let rooms = self.engine_rooms(service, &usable, now);
         let engines = Engines {
             service,
             usable: &usable,
+            rooms: &rooms,
         };
         let home = home_of(request, &usable);
         let mut coordination = self.coordination.borrow_mut();
@@ -287,9 +299,11 @@
             return;
         };
         let usable = self.group_engines(view, service, key, now);
+        let rooms = self.engine_rooms(service, &usable, now);
         let engines = Engines {
             service,
             usable: &usable,
+            rooms: &rooms,
         };
         let mut coordination = self.coordination.borrow_mut();
         let home = |request: &PlaceRequest| home_of(request, &usable);
--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -7,6 +7,7 @@
 mod pick;
 mod placed;
 mod quarantined;
+mod rejected;
 mod taken_up;
 
 use std::cell::{Cell, RefCell};
@@ -45,6 +46,7 @@
 use crate::protocol::Protocol;
 use crate::quarantine::Quarantine;
 use crate::rate_limit::{NamedLimits, RateLimiter};
+use crate::rejections::Rejections;
 use crate::settings::Settings;
 use crate::software::{History, Streams};
 use crate::split::EngineSplit;
@@ -105,6 +107,10 @@
     pub named_limits: RefCell<NamedLimits>,
     /// This instance's part of the rates of limited endpoints.
     pub rate_limiter: RefCell<RateLimiter>,
+    /// Rejections per second that endpoints state they bear.
+    pub rejection_limits: RefCell<NamedLimits>,
+    /// How endpoints with a rejection limit rejected this instance.
+    pub rejections: RefCell<Rejections>,
     /// Prompt blocks under which engines crashed.
     pub quarantine: RefCell<Quarantine>,
     /// Requests that coordinators place or count.
@@ -190,6 +196,8 @@
             split: RefCell::default(),
             notices: RefCell::default(),
             named_limits: RefCell::default(),
+            rejection_limits: RefCell::default(),
+            rejections: RefCell::default(),
             quarantine: RefCell::default(),
             placements: RefCell::new(coordinator::Client::new(rand::random())),
             coordination: RefCell::default(),
@@ -313,6 +321,7 @@
         self.rate_limiter.borrow_mut().sweep(now);
         self.notices.borrow_mut().sweep(now);
         self.sweep_named_limits(now);
+        self.sweep_rejections(now);
         self.sweep_quarantine(now);
         self.update_history(now);
         if *update == Update::default() {
--- a/crates/celerytide-edge/src/edge/pick.rs
+++ b/crates/celerytide-edge/src/edge/pick.rs
@@ -8,6 +8,7 @@
 use celerytide_types::{BootTime, now_boot};
 use tracing::info;
 
+use super::rejected::Rooms;
 use super::{
     BY_COORDINATOR, BY_SELF_LIMITED, BY_SELF_TRIAL, BY_SELF_UNUSABLE, Edge, Flight, InFlight, Placement, Source,
 };
@@ -51,6 +52,8 @@
     Paused(BootTime),
     /// All endpoints that could get it name a rate; together they take one request in this time.
     Limited(Duration),
+    /// All endpoints that could get it have a rejection limit and no room; some is expected after this time.
+    NoRoom(Duration),
     /// The engines hold as many tokens as they may.
     Overload,
     /// Engines crash under a part of the prompt.
@@ -69,6 +72,7 @@
             PickError::Leaving => "endpoints-leave",
             PickError::Paused(_) => "endpoints-pause",
             PickError::Limited(_) => "endpoints-limited",
+            PickError::NoRoom(_) => "endpoints-full",
             PickError::Overload => "overload",
             PickError::PromptWithheld => "prompt-withheld",
             PickError::RequestWithheld => "request-withheld",
@@ -92,7 +96,8 @@
         self.check_withheld(request, now)?;
         let view = self.view.borrow();
         let instances = self.members.borrow().sharing_limits(now);
-        let available = self.available(&view, service, tried, &instances, now);
+        let rooms = self.rooms(&view, service, &instances, &placement, now);
+        let available = self.available(&view, service, tried, &instances, &rooms, now);
         let prompt_size = self.prompt_size(&view, request, service);
         let fitting: Vec<&KnownEndpoint> = available.iter().copied().filter(|known| fits(known, bound)).collect();
         if fitting.is_empty() && bound.is_some() {
@@ -173,13 +178,14 @@
         Some(best)
     }
 
-    /// Usable endpoints that neither leave nor pause, and limited ones only if this instance may send there now.
+    /// Usable endpoints that neither leave nor pause, and those with a limit only if this instance may send there now.
     fn available<'a>(
         &self,
         view: &'a View,
         service: &'a Service,
         tried: &[String],
         instances: &Instances,
+        rooms: &Rooms,
         now: BootTime,
     ) -> Vec<&'a KnownEndpoint> {
         let limiter = self.rate_limiter.borrow();
@@ -188,8 +194,12 @@
             if notices.availability(&known.endpoint, now) != Availability::Available {
                 return false;
             }
+            let id = &known.endpoint.id;
+            if !rooms.allows(id) {
+                return false;
+            }
             let rate = self.rate(service, known, now);
-            rate.is_none_or(|per_s| limiter.allows(&known.endpoint.id, per_s, instances, now))
+            rate.is_none_or(|per_s| limiter.allows(id, per_s, instances, now))
         };
         let untried = view
             .usable(&service.id, now)
@@ -250,6 +260,9 @@
         if let Some(interval) = self.limited_interval(view, service, tried, now) {
             return PickError::Limited(interval);
         }
+        if let Some(wait) = self.room_wait(view, service, tried, now) {
+            return PickError::NoRoom(wait);
+        }
         let notices = self.notices.borrow();
         let usable = view.usable(&service.id, now);
         let states: Vec<Availability> = usable.map(|k| notices.availability(&k.endpoint, now)).collect();
@@ -388,6 +401,7 @@
             let id = &choice.known.endpoint.id;
             self.rate_limiter.borrow_mut().record(id, per_s, instances, now);
         }
+        self.count_sent(service, request, &choice.known.endpoint, now);
         let tokens = total_tokens(&request.prompt);
         let limit_per_s = self.named_limits.borrow().per_s(&choice.known.endpoint);
         if limit_per_s.is_some() {
--- a/crates/celerytide-edge/src/edge/placed.rs
+++ b/crates/celerytide-edge/src/edge/placed.rs
@@ -32,6 +32,8 @@
 const WAIT_SHARE: f64 = 0.1;
 /// Least and longest wait for a coordinator's reply.
 const WAIT_RANGE: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(80));
+/// Multiple of it where an endpoint has a rejection limit: hardly any request can be placed without a reply.
+const LIMITED_WAITS: u32 = 3;
 /// Share of that wait after which the question is repeated: the first one or its reply may be lost.
 const REPEAT_SHARE: f64 = 0.4;
 /// Interval at which the coordinator is asked about a request that waits there.
@@ -110,13 +112,16 @@
     request: PlaceRequest,
     /// When its caller stops waiting.
     deadline: BootTime,
+    /// Time for which a reply is awaited.
+    wait: Duration,
     pending: Rc<Pending>,
 }
 
 impl<P: Protocol> Edge<P> {
     /// Whether the requests of a service are placed by coordinators.
     pub fn has_coordinators(&self, service: &Service, now: BootTime) -> bool {
-        let is_on = self.settings.placement.is_some() && service.engine_slots.is_some();
+        let is_placed = service.engine_slots.is_some() || self.has_rejection_limit(service, now);
+        let is_on = self.settings.placement.is_some() && is_placed;
         let gap = self.view.borrow().catalog().tightest_gap(&service.id);
         is_on && gap.is_none_or(|gap| gap >= MIN_GAP) && self.members.borrow().is_large(now)
     }
@@ -192,6 +197,12 @@
         let target = request.route.latency_target.unwrap_or_default();
         let customer = request.customer.as_ref().map_or(0, |customer| id_hash(&customer.id));
         let deadline = request.deadline;
+        let wait = target.mul_f64(WAIT_SHARE).clamp(WAIT_RANGE.0, WAIT_RANGE.1);
+        let waits = if self.has_rejection_limit(service, now) {
+            LIMITED_WAITS
+        } else {
+            1
+        };
         let request = PlaceRequest {
             id,
             key,
@@ -207,6 +218,7 @@
             coordinator,
             request,
             deadline,
+            wait: wait * waits,
             pending,
         })
     }
@@ -218,8 +230,7 @@
         request: &RoutedRequest,
         queued_at: &mut Option<BootTime>,
     ) -> Option<Verdict> {
-        let target = request.route.latency_target.unwrap_or_default();
-        let wait = target.mul_f64(WAIT_SHARE).clamp(WAIT_RANGE.0, WAIT_RANGE.1);
+        let wait = question.wait;
         let repeat_after = wait.mul_f64(REPEAT_SHARE);
         let mut verdict = self.ask_once(question, repeat_after).await;
         if verdict.is_none() {
@@ -305,6 +316,15 @@
 
     /// Tells the coordinator what a request says about its endpoint.
     pub(super) fn tell_outcome(&self, service: &str, endpoint: &str, outcome: Outcome) {
+        let sign = match outcome {
+            Outcome::Good => Sign::Good,
+            Outcome::Bad => Sign::Bad,
+            Outcome::Unreached => Sign::Unreached,
+        };
+        self.tell_sign(service, endpoint, sign);
+    }
+
+    pub(super) fn tell_sign(&self, service: &str, endpoint: &str, sign: Sign) {
         let now = now_boot();
         let known = self.view.borrow().catalog().service(service).cloned();
         if known.is_none_or(|service| !self.has_coordinators(&service, now)) {
@@ -316,11 +336,6 @@
         let Some(coordinator) = self.coordinator(service, key, now) else {
             return;
         };
-        let sign = match outcome {
-            Outcome::Good => Sign::Good,
-            Outcome::Bad => Sign::Bad,
-            Outcome::Unreached => Sign::Unreached,
-        };
         let endpoint = id_hash(endpoint);
         let event = Event::Outcome { key, endpoint, sign };
         self.placements.borrow_mut().tell(coordinator, event);
--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -142,6 +142,7 @@
         PickError::PromptWithheld | PickError::RequestWithheld => RetryHint::After(WITHHELD_WAIT),
         PickError::Paused(until) => RetryHint::After(until.since(now_boot())),
         PickError::Limited(interval) => RetryHint::Spread(interval),
+        PickError::NoRoom(wait) => RetryHint::Spread(wait),
     }
 }
 
--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -225,6 +225,10 @@
     if limit != StatedLimit::Absent || claim == Claim::Success {
         edge.apply_stated_limit(&pick.endpoint, limit, pick.at);
     }
+    let limit = edge.protocol.rejection_limit(&response.headers);
+    if limit != StatedLimit::Absent || claim == Claim::Success {
+        edge.apply_rejection_limit(&pick.endpoint, limit, pick.at);
+    }
     if claim == Claim::NotRun {
         let status = response.status.as_u16();
         info!(
@@ -235,6 +239,7 @@
             after_ms = since_ms(&pick),
             "send: rejected"
         );
+        edge.record_rejected(service, &pick.endpoint);
         if response.status.is_success() {
             // The client takes a success for the last answer to its request.
             response.close();
--- a/crates/celerytide-edge/src/lib.rs
+++ b/crates/celerytide-edge/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod protocol;
 pub mod quarantine;
 pub mod rate_limit;
+pub mod rejections;
 pub mod request;
 pub mod settings;
 pub mod software;
--- a/crates/celerytide-edge/src/metrics/mod.rs
+++ b/crates/celerytide-edge/src/metrics/mod.rs
@@ -73,6 +73,10 @@
     pub limited_requests: Counter,
     /// Endpoints that name a rate limit.
     pub limited_endpoints: Gauge,
+    /// Endpoints that state a rejection limit.
+    pub rejection_limited_endpoints: Gauge,
+    /// Rejections by endpoints that state a rejection limit.
+    pub limited_rejections: Counter,
     /// Sends refused since endpoints crash under the request or a part of its prompt.
     pub withheld_requests: Counter,
     /// Prompt blocks that are withheld.
@@ -138,6 +142,8 @@
             limit_changes: Counter::default(),
             limited_requests: Counter::default(),
             limited_endpoints: Gauge::default(),
+            rejection_limited_endpoints: Gauge::default(),
+            limited_rejections: Counter::default(),
             withheld_requests: Counter::default(),
             withheld_blocks: Gauge::default(),
             withheld_contents: Gauge::default(),
@@ -200,6 +206,16 @@
         registry.register("limited_requests", limited_requests, self.limited_requests.clone());
         let limited_endpoints = "Endpoints that name a rate limit";
         registry.register("limited_endpoints", limited_endpoints, self.limited_endpoints.clone());
+        registry.register(
+            "rejection_limited_endpoints",
+            "Endpoints that state a rejection limit",
+            self.rejection_limited_endpoints.clone(),
+        );
+        registry.register(
+            "limited_rejections",
+            "Rejections by endpoints that state a rejection limit",
+            self.limited_rejections.clone(),
+        );
         let withheld_requests = "Sends refused since endpoints crash under the request or a part of its prompt";
         registry.register("withheld_requests", withheld_requests, self.withheld_requests.clone());
         let withheld_blocks = "Prompt parts that are withheld since engines crash under them";
--- a/crates/celerytide-edge/src/peers/datagrams.rs
+++ b/crates/celerytide-edge/src/peers/datagrams.rs
@@ -66,19 +66,27 @@
             ..Digest::new(backlogs, edge.tokens_in_flight.borrow().entries())
         };
         let limits = edge.limits_to_tell(now);
-        let is_due = digest != Digest::default() && now.since(sent_at) >= REPEAT_INTERVAL;
+        let rejection_limits = edge.rejection_limits_to_tell(now);
+        let has_state = digest != Digest::default() || edge.knows_rejection_limits();
+        let is_due = has_state && now.since(sent_at) >= REPEAT_INTERVAL;
         let suspects = edge.suspects_to_tell(now);
         let streams = edge.streams.borrow_mut().take_untold(max_streams(is_large), now);
-        if digest == sent && !is_due && limits.is_empty() && suspects.is_empty() && streams.is_empty() {
+        let rows = Rows {
+            limits,
+            suspects,
+            streams,
+            rejection_limits,
+        };
+        if digest == sent && !is_due && rows == Rows::default() {
             continue;
         }
-        let Some(buf) = encode(&digest, &limits, &suspects, &streams) else {
+        let Some(buf) = encode(&digest, &rows) else {
             warn!("peers: failed to encode a digest");
             continue;
         };
         sent = digest;
         sent_at = now;
-        let peers = recipients(&edge.members.borrow(), is_large, &streams, now);
+        let peers = recipients(&edge.members.borrow(), is_large, &rows.streams, now);
         for peer in peers {
             edge.counters
                 .control_bytes
@@ -97,29 +105,34 @@
     if is_large { 1 } else { MAX_STREAMS }
 }
 
-/// Encodes a digest, followed by rate limits, suspects and streams if there are any; a process that doesn't know them
-/// reads what is in front of them. Suspects that don't fit are left out.
-fn encode(
-    digest: &Digest,
-    limits: &[LimitEntry],
-    suspects: &[SuspectEntry],
-    streams: &[StreamEntry],
-) -> Option<Vec<u8>> {
+/// What follows a digest, in this order.
+#[derive(Default, PartialEq)]
+struct Rows {
+    limits: Vec<LimitEntry>,
+    suspects: Vec<SuspectEntry>,
+    streams: Vec<StreamEntry>,
+    rejection_limits: Vec<LimitEntry>,
+}
+
+/// Encodes a digest, followed by its rows if there are any; a process that doesn't know some of them reads what is in front
+/// of them. Suspects that don't fit are left out.
+fn encode(digest: &Digest, rows: &Rows) -> Option<Vec<u8>> {
     let config = bincode::config::standard();
     let mut buf = bincode::serde::encode_to_vec(digest, config).ok()?;
-    if limits.is_empty() && suspects.is_empty() && streams.is_empty() {
+    if *rows == Rows::default() {
         return Some(buf);
     }
-    buf.extend(bincode::serde::encode_to_vec(limits, config).ok()?);
-    let streams = bincode::serde::encode_to_vec(streams, config).ok()?;
-    for count in (0..=suspects.len()).rev() {
-        let told = bincode::serde::encode_to_vec(suspects.get(..count)?, config).ok()?;
-        if count == 0 || buf.len() + told.len() + streams.len() <= MAX_DATAGRAM {
+    buf.extend(bincode::serde::encode_to_vec(&rows.limits, config).ok()?);
+    let mut rest = bincode::serde::encode_to_vec(&rows.streams, config).ok()?;
+    rest.extend(bincode::serde::encode_to_vec(&rows.rejection_limits, config).ok()?);
+    for count in (0..=rows.suspects.len()).rev() {
+        let told = bincode::serde::encode_to_vec(rows.suspects.get(..count)?, config).ok()?;
+        if count == 0 || buf.len() + told.len() + rest.len() <= MAX_DATAGRAM {
             buf.extend(told);
             break;
         }
     }
-    buf.extend(streams);
+    buf.extend(rest);
     Some(buf)
 }
 
@@ -181,9 +194,19 @@
     if rest.is_empty() {
         return;
     }
-    match bincode::serde::decode_from_slice::<Vec<StreamEntry>, _>(rest, config) {
-        Ok((streams, _)) => edge.streams.borrow_mut().learn(&streams, now_boot()),
-        Err(error) => debug!(%from, %error, "peers: failed to decode streams"),
+    let rest = match bincode::serde::decode_from_slice::<Vec<StreamEntry>, _>(rest, config) {
+        Ok((streams, read)) => {
+            edge.streams.borrow_mut().learn(&streams, now_boot());
+            rest.get(read..).unwrap_or_default()
+        }
+        Err(error) => return debug!(%from, %error, "peers: failed to decode streams"),
+    };
+    if rest.is_empty() {
+        return;
+    }
+    match bincode::serde::decode_from_slice::<Vec<LimitEntry>, _>(rest, config) {
+        Ok((limits, _)) => edge.apply_told_rejection_limits(&limits),
+        Err(error) => debug!(%from, %error, "peers: failed to decode rejection limits"),
     }
 }
 
--- a/crates/celerytide-edge/src/peers/digest.rs
+++ b/crates/celerytide-edge/src/peers/digest.rs
@@ -121,6 +121,11 @@
         work.fold(Demand::default(), Demand::plus)
     }
 
+    /// Number of instances whose digests still count.
+    pub fn heard(&self, now: BootTime) -> usize {
+        self.by_peer.values().filter(|r| now.since(r.at) < MAX_AGE).count()
+    }
+
     /// Digests that still count, and the number of instances that each one represents.
     fn fresh(&self, others: usize, now: BootTime) -> (Vec<&Received>, f64) {
         let fresh: Vec<&Received> = self.by_peer.values().filter(|r| now.since(r.at) < MAX_AGE).collect();
--- a/crates/celerytide-edge/src/protocol/mod.rs
+++ b/crates/celerytide-edge/src/protocol/mod.rs
@@ -75,6 +75,9 @@
 
     /// The rate limit that a response states.
     fn rate_limit(&self, headers: &HeaderMap) -> StatedLimit;
+
+    /// The rejections per second that a response says its endpoint bears; [`StatedLimit::Absent`] if it bears any number.
+    fn rejection_limit(&self, headers: &HeaderMap) -> StatedLimit;
 }
 
 /// Name of a route's kind in logs.
--- a/crates/celerytide-edge/tests/coordinator_edge.rs
+++ b/crates/celerytide-edge/tests/coordinator_edge.rs
@@ -60,6 +60,10 @@
     fn rate_limit(&self, _: &HeaderMap) -> StatedLimit {
         StatedLimit::Absent
     }
+
+    fn rejection_limit(&self, _: &HeaderMap) -> StatedLimit {
+        StatedLimit::Absent
+    }
 }
 
 fn protocol() -> NoHeaders {
--- a/crates/celerytide-edge/tests/coordinator_orders.rs
+++ b/crates/celerytide-edge/tests/coordinator_orders.rs
@@ -10,7 +10,7 @@
 use celerytide_edge::coordinator::messages::{
     Block, Demand, FlightEntry, GroupKey, IdHash, PlaceRequest, Reply, Report, Sign, Verdict,
 };
-use celerytide_edge::coordinator::{Engines, FlightKey, Group};
+use celerytide_edge::coordinator::{Engines, FlightKey, Group, Rooms};
 use celerytide_edge::health::HealthState;
 use celerytide_edge::peers::digest::id_hash;
 use celerytide_seeds::each_seed;
@@ -173,6 +173,7 @@
         let engines = Engines {
             service: &self.service,
             usable: &usable,
+            rooms: &Rooms::new(),
         };
         let verdict = self.group.place(&place, key.from, None, engines, now);
         match verdict {
@@ -259,6 +260,7 @@
         let engines = Engines {
             service: &self.service,
             usable: &usable,
+            rooms: &Rooms::new(),
         };
         let replies = self.group.retry_waiting(|_| None, engines, now);
         for (from, Reply { id, verdict }) in replies {
@@ -380,6 +382,7 @@
                 let engines = Engines {
                     service: &self.service,
                     usable: &usable,
+                    rooms: &Rooms::new(),
                 };
                 self.group.note_outcome(engine, sign, engines, now);
             }
--- a/crates/celerytide-edge/tests/fleet/network.rs
+++ b/crates/celerytide-edge/tests/fleet/network.rs
@@ -7,7 +7,7 @@
 use celerytide_catalog::KnownEndpoint;
 use celerytide_edge::coordinator::groups::{GroupIndex, home};
 use celerytide_edge::coordinator::messages::{Event, IdHash, Packet, PlaceRequest, Reply, Report, Sign, Verdict};
-use celerytide_edge::coordinator::{Engines, FlightKey, Pending};
+use celerytide_edge::coordinator::{Engines, FlightKey, Pending, Rooms};
 use celerytide_edge::peers::digest::id_hash;
 use futures::FutureExt;
 use rand::Rng;
@@ -124,6 +124,7 @@
         let engines = Engines {
             service: &self.service,
             usable: &usable,
+            rooms: &Rooms::new(),
         };
         let group = self.groups.get_mut(&index)?;
         match event {
@@ -161,6 +162,7 @@
         let engines = Engines {
             service: &self.service,
             usable: &usable,
+            rooms: &Rooms::new(),
         };
         let home = |request: &PlaceRequest| home_of(request, &usable);
         self.groups
--- a/crates/celerytide-edge/tests/pick.rs
+++ b/crates/celerytide-edge/tests/pick.rs
@@ -72,6 +72,10 @@
     fn rate_limit(&self, _: &HeaderMap) -> StatedLimit {
         StatedLimit::Absent
     }
+
+    fn rejection_limit(&self, _: &HeaderMap) -> StatedLimit {
+        StatedLimit::Absent
+    }
 }
 
 fn endpoint(cold_remaining: Duration) -> Endpoint {
--- a/crates/celerytide-edge/tests/scene/mod.rs
+++ b/crates/celerytide-edge/tests/scene/mod.rs
@@ -10,7 +10,7 @@
 use celerytide_edge::coordinator::messages::{
     Block, Demand, FlightEntry, GroupKey, PlaceRequest, Reply, Report, Sign, Verdict,
 };
-use celerytide_edge::coordinator::{Engines, FlightKey, Group};
+use celerytide_edge::coordinator::{Engines, FlightKey, Group, Rooms};
 use celerytide_edge::peers::digest::id_hash;
 use celerytide_types::BootTime;
 
@@ -181,6 +181,7 @@
         let engines = Engines {
             service: &self.service,
             usable: &usable,
+            rooms: &Rooms::new(),
         };
         let verdict = self.group.place(&request, from, None, engines, now);
         self.note(Reply { id, verdict });
@@ -289,6 +290,7 @@
         let engines = Engines {
             service: &self.service,
             usable: &usable,
+            rooms: &Rooms::new(),
         };
         self.group.note_outcome(endpoint, sign, engines, now);
     }
@@ -315,6 +317,7 @@
             let engines = Engines {
                 service: &self.service,
                 usable: &usable,
+                rooms: &Rooms::new(),
             };
             for (_, reply) in self.group.retry_waiting(|_| None, engines, now) {
                 self.note(reply);
