--- a/crates/celerytide-edge/src/lib.rs
+++ b/crates/celerytide-edge/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod quarantine;
 pub mod rate_limit;
 pub mod reach;
+pub mod rejections;
 pub mod request;
 pub mod settings;
 pub mod software;
--- a/crates/celerytide-edge/src/peers/datagrams.rs
+++ b/crates/celerytide-edge/src/peers/datagrams.rs
@@ -8,6 +8,7 @@
 use celerytide_types::{BootTime, now_boot};
 use monoio::net::udp::UdpSocket;
 use monoio::time::sleep;
+use serde::de::DeserializeOwned;
 use tracing::{debug, warn};
 
 use super::digest::Digest;
@@ -66,19 +67,27 @@
             ..Digest::new(backlogs, edge.tokens_in_flight.borrow().entries())
         };
         let limits = edge.limits_to_tell(now);
-        let is_due = digest != Digest::default() && now.since(sent_at) >= REPEAT_INTERVAL;
+        let rejection_limits = edge.rejection_limits_to_tell(now);
+        let has_state = digest != Digest::default() || edge.knows_rejection_limits();
+        let is_due = has_state && now.since(sent_at) >= REPEAT_INTERVAL;
         let suspects = edge.suspects_to_tell(now);
         let streams = edge.streams.borrow_mut().take_untold(max_streams(is_large), now);
-        if digest == sent && !is_due && limits.is_empty() && suspects.is_empty() && streams.is_empty() {
+        let rows = Rows {
+            limits,
+            suspects,
+            streams,
+            rejection_limits,
+        };
+        if digest == sent && !is_due && rows == Rows::default() {
             continue;
         }
-        let Some(buf) = encode(&digest, &limits, &suspects, &streams) else {
+        let Some(buf) = encode(&digest, &rows) else {
             warn!("peers: failed to encode a digest");
             continue;
         };
         sent = digest;
         sent_at = now;
-        let peers = recipients(&edge.members.borrow(), is_large, &streams, now);
+        let peers = recipients(&edge.members.borrow(), is_large, &rows.streams, now);
         for peer in peers {
             edge.counters
                 .control_bytes
@@ -100,31 +109,36 @@
 /// A suspect at whose crashes not all responses had just begun.
 type FurtherEntry = (SuspectEntry, Vec<Evidence>);
 
-/// Encodes a digest, followed by rate limits, suspects, streams and further suspects if there are any; a process that
-/// doesn't know them reads what is in front of them. Suspects that don't fit are left out.
-fn encode(
-    digest: &Digest,
-    limits: &[LimitEntry],
-    suspects: &[SuspectEntry],
-    streams: &[StreamEntry],
-) -> Option<Vec<u8>> {
+/// What follows a digest, in this order; behind it come the suspects at whose crashes not all responses had just begun.
+#[derive(Default, PartialEq)]
+struct Rows {
+    limits: Vec<LimitEntry>,
+    suspects: Vec<SuspectEntry>,
+    streams: Vec<StreamEntry>,
+    rejection_limits: Vec<LimitEntry>,
+}
+
+/// Encodes a digest, followed by its rows if there are any; a process that doesn't know some of them reads what is in front
+/// of them. Suspects that don't fit are left out.
+fn encode(digest: &Digest, rows: &Rows) -> Option<Vec<u8>> {
     let config = bincode::config::standard();
     let mut buf = bincode::serde::encode_to_vec(digest, config).ok()?;
-    if limits.is_empty() && suspects.is_empty() && streams.is_empty() {
+    if *rows == Rows::default() {
         return Some(buf);
     }
-    buf.extend(bincode::serde::encode_to_vec(limits, config).ok()?);
-    let streams = bincode::serde::encode_to_vec(streams, config).ok()?;
-    for count in (0..=suspects.len()).rev() {
-        let (plain, further) = split_suspects(suspects.get(..count)?);
+    buf.extend(bincode::serde::encode_to_vec(&rows.limits, config).ok()?);
+    let mut rest = bincode::serde::encode_to_vec(&rows.streams, config).ok()?;
+    rest.extend(bincode::serde::encode_to_vec(&rows.rejection_limits, config).ok()?);
+    for count in (0..=rows.suspects.len()).rev() {
+        let (plain, further) = split_suspects(rows.suspects.get(..count)?);
         let plain = bincode::serde::encode_to_vec(plain, config).ok()?;
         let further = if further.is_empty() {
             Vec::new()
         } else {
             bincode::serde::encode_to_vec(further, config).ok()?
         };
-        if count == 0 || buf.len() + plain.len() + streams.len() + further.len() <= MAX_DATAGRAM {
-            buf.extend(plain.into_iter().chain(streams).chain(further));
+        if count == 0 || buf.len() + plain.len() + rest.len() + further.len() <= MAX_DATAGRAM {
+            buf.extend(plain.into_iter().chain(rest).chain(further));
             break;
         }
     }
@@ -165,54 +179,44 @@
 }
 
 fn receive<P: Protocol>(edge: &Edge<P>, bytes: &[u8], from: SocketAddr) {
-    let config = bincode::config::standard();
-    let rest = match bincode::serde::decode_from_slice::<Digest, _>(bytes, config) {
-        Ok((digest, read)) => {
-            edge.digests.borrow_mut().insert(from, digest, now_boot());
-            bytes.get(read..).unwrap_or_default()
-        }
-        Err(error) => return debug!(%from, %error, "peers: failed to decode a digest"),
-    };
-    if rest.is_empty() {
-        return;
+    let mut rest = bytes;
+    if let Some(digest) = next_part::<Digest>(&mut rest, from, "a digest") {
+        edge.digests.borrow_mut().insert(from, digest, now_boot());
     }
-    let rest = match bincode::serde::decode_from_slice::<Vec<LimitEntry>, _>(rest, config) {
-        Ok((limits, read)) => {
-            edge.apply_told_limits(&limits);
-            rest.get(read..).unwrap_or_default()
-        }
-        Err(error) => return debug!(%from, %error, "peers: failed to decode rate limits"),
-    };
-    if rest.is_empty() {
-        return;
+    if let Some(limits) = next_part::<Vec<LimitEntry>>(&mut rest, from, "rate limits") {
+        edge.apply_told_limits(&limits);
     }
-    let rest = match bincode::serde::decode_from_slice::<Vec<SuspectEntry>, _>(rest, config) {
-        Ok((suspects, read)) => {
-            edge.apply_told_suspects(&suspects);
-            rest.get(read..).unwrap_or_default()
-        }
-        Err(error) => return debug!(%from, %error, "peers: failed to decode suspects"),
-    };
-    if rest.is_empty() {
-        return;
+    if let Some(suspects) = next_part::<Vec<SuspectEntry>>(&mut rest, from, "suspects") {
+        edge.apply_told_suspects(&suspects);
     }
-    let rest = match bincode::serde::decode_from_slice::<Vec<StreamEntry>, _>(rest, config) {
-        Ok((streams, read)) => {
-            edge.streams.borrow_mut().learn(&streams, now_boot());
-            rest.get(read..).unwrap_or_default()
-        }
-        Err(error) => return debug!(%from, %error, "peers: failed to decode streams"),
-    };
+    if let Some(streams) = next_part::<Vec<StreamEntry>>(&mut rest, from, "streams") {
+        edge.streams.borrow_mut().learn(&streams, now_boot());
+    }
+    if let Some(limits) = next_part::<Vec<LimitEntry>>(&mut rest, from, "rejection limits") {
+        edge.apply_told_rejection_limits(&limits);
+    }
+    if let Some(further) = next_part::<Vec<FurtherEntry>>(&mut rest, from, "further suspects") {
+        let with_evidence = |(entry, evidence)| SuspectEntry { evidence, ..entry };
+        let suspects: Vec<SuspectEntry> = further.into_iter().map(with_evidence).collect();
+        edge.apply_told_suspects(&suspects);
+    }
+}
+
+/// Reads the next part of a datagram; `None` at its end, which is also where a part can't be decoded.
+fn next_part<T: DeserializeOwned>(rest: &mut &[u8], from: SocketAddr, name: &'static str) -> Option<T> {
     if rest.is_empty() {
-        return;
+        return None;
     }
-    match bincode::serde::decode_from_slice::<Vec<FurtherEntry>, _>(rest, config) {
-        Ok((further, _)) => {
-            let with_evidence = |(entry, evidence)| SuspectEntry { evidence, ..entry };
-            let suspects: Vec<SuspectEntry> = further.into_iter().map(with_evidence).collect();
-            edge.apply_told_suspects(&suspects);
+    match bincode::serde::decode_from_slice(rest, bincode::config::standard()) {
+        Ok((part, read)) => {
+            *rest = rest.get(read..).unwrap_or_default();
+            Some(part)
+        }
+        Err(error) => {
+            debug!(%from, %error, "peers: failed to decode {name}");
+            *rest = &[];
+            None
         }
-        Err(error) => debug!(%from, %error, "peers: failed to decode further suspects"),
     }
 }
 
--- a/crates/celerytide-edge/tests/pick.rs
+++ b/crates/celerytide-edge/tests/pick.rs
@@ -74,6 +74,10 @@
     fn rate_limit(&self, _: &HeaderMap) -> StatedLimit {
         StatedLimit::Absent
     }
+
+    fn rejection_limit(&self, _: &HeaderMap) -> StatedLimit {
+        StatedLimit::Absent
+    }
 }
 
 fn endpoint(cold_remaining: Duration) -> Endpoint {
@@ -213,7 +217,9 @@
                 has_events: false,
             };
             if is_partitioned {
-                edge.with_reach("s", |reach| reach.note_failed(endpoint, Failure::Written, 1, now_boot()));
+                edge.with_reach("s", |reach| {
+                    reach.note_failed(endpoint, Failure::Written, 1, now_boot())
+                });
             }
             edge.record_break_off("s", &request(), at);
         };
--- a/crates/celerytide-standin/src/platform/brittle.rs
+++ b/crates/celerytide-standin/src/platform/brittle.rs
@@ -147,7 +147,7 @@
         address: SocketAddr,
     ) -> bool {
         if matches!(place, Place::Falls) {
-            crashes.crash(address, out, "", FALLING);
+            crashes.crash(address, out, req, "", FALLING);
             return false;
         }
         let id = req.header("x-attempt-id");
