--- a/crates/celerytide-dispatch/src/dispatch/mod.rs
+++ b/crates/celerytide-dispatch/src/dispatch/mod.rs
@@ -61,7 +61,8 @@
             | Method::Outcomes
             | Method::Peers
             | Method::Follow
-            | Method::Streams => {
+            | Method::Streams
+            | Method::Proxy => {
                 tracing::warn!(?method, "dispatch: unexpected method, meant for another program");
             }
         }
--- a/crates/celerytide-entry/src/entry/peers.rs
+++ b/crates/celerytide-entry/src/entry/peers.rs
@@ -27,7 +27,13 @@
             Method::Look => ticket::serve_lookup(entry, ex).await,
             Method::Outcomes => ticket::import_outcomes(entry, ex).await,
             Method::Gossip | Method::Manifest | Method::Section | Method::Lists => entry.node.serve(method, ex).await,
-            Method::Permit | Method::Adopt | Method::Handover | Method::Peers | Method::Follow | Method::Streams => {
+            Method::Permit
+            | Method::Adopt
+            | Method::Handover
+            | Method::Peers
+            | Method::Follow
+            | Method::Streams
+            | Method::Proxy => {
                 tracing::warn!(?method, "entry: received a method that only the dispatch serves");
             }
         }
