fix(edge): a request that is tried again at once doesn't hide the part under which engines die

Cause: a request and a part were compared by different counts, the request's by crashes, the part's by moments. Three tries within 0.2 s made three crashes of one request and one moment of the part, so that the request explained all of them, again and again. And of the eight crashes that a record keeps, three tries at a time leave no four moments.

Both are compared by moments now, and 16 crashes are kept.

--- a/crates/celerytide-edge/src/quarantine/mod.rs
+++ b/crates/celerytide-edge/src/quarantine/mod.rs
@@ -333,11 +333,11 @@
     matches!(subject, Subject::Request(_))
 }
 
-/// Crashes by which subjects are compared: a block needs some more than a request to explain more.
+/// Moments with crashes by which subjects are compared: a block needs some more than a request to explain more.
 fn rank(subject: Subject, suspect: &Suspect) -> usize {
     let lead = match subject {
         Subject::Block(_) => 0,
         Subject::Request(_) => BLOCK_LEAD - 1,
     };
-    suspect.crash_count() + lead
+    suspect.moment_count() + lead
 }
--- a/crates/celerytide-edge/src/quarantine/suspect.rs
+++ b/crates/celerytide-edge/src/quarantine/suspect.rs
@@ -11,8 +11,8 @@
 /// Milliseconds of the boot clock; negative before the machine booted.
 type BootMillis = i64;
 
-/// Most crashes that are kept.
-const MAX_CRASHES: usize = 8;
+/// Most crashes that are kept: as many moments as are needed, with the tries of one caller at each.
+const MAX_CRASHES: usize = 16;
 
 /// Crashes under one subject.
 #[derive(Debug, Clone)]
@@ -84,6 +84,11 @@
         self.count_alike(&HashSet::new())
     }
 
+    /// Moments with crashes, also under a request, so that it compares with its blocks.
+    pub(super) fn moment_count(&self) -> usize {
+        count_moments(self.unexplained(&HashSet::new()))
+    }
+
     /// The most crashes that may have one cause, without those of `explained` endpoints.
     fn count_alike(&self, explained: &HashSet<u32>) -> usize {
         let first = self.unexplained(explained).map(|crash| crash.evidence.progress);
--- a/crates/celerytide-edge/tests/quarantine_cases.rs
+++ b/crates/celerytide-edge/tests/quarantine_cases.rs
@@ -44,7 +44,7 @@
     withheld: &'static [Subject],
 }
 
-const CASES: [Case; 34] = [
+const CASES: [Case; 35] = [
     Case {
         name: "fewer crashes",
         seen: &[Crash(0, 1, &[CRASHING]), Crash(500, 2, &[CRASHING])],
@@ -253,6 +253,26 @@
         ],
         withheld: &[CRASHING],
     },
+    Case {
+        name: "a block whose requests are each tried three times in a moment",
+        seen: &[
+            Waiting(0, 1, &[WIDE, CRASHING, REQUEST]),
+            Waiting(70, 2, &[WIDE, CRASHING, REQUEST]),
+            Waiting(140, 3, &[WIDE, CRASHING, REQUEST]),
+            Good(300, &[WIDE, OTHER]),
+            Waiting(500, 4, &[WIDE, CRASHING, NEIGHBOUR]),
+            Waiting(570, 5, &[WIDE, CRASHING, NEIGHBOUR]),
+            Waiting(640, 6, &[WIDE, CRASHING, NEIGHBOUR]),
+            Good(700, &[WIDE, OTHER]),
+            Waiting(1000, 7, &[WIDE, CRASHING, Subject::Request(3)]),
+            Waiting(1070, 8, &[WIDE, CRASHING, Subject::Request(3)]),
+            Waiting(1140, 9, &[WIDE, CRASHING, Subject::Request(3)]),
+            Waiting(1500, 10, &[WIDE, CRASHING, Subject::Request(4)]),
+            Waiting(1570, 11, &[WIDE, CRASHING, Subject::Request(4)]),
+            Waiting(1640, 12, &[WIDE, CRASHING, Subject::Request(4)]),
+        ],
+        withheld: &[CRASHING],
+    },
     Case {
         name: "a block that waits at three crashes",
         seen: &[
