--- /dev/null
+++ b/crates/celerytide-edge/tests/link_faults.rs
@@ -0,0 +1,48 @@
+//! Faults of one instance's own links withhold nothing: the endpoints go on serving other instances.
+
+use std::time::Duration;
+
+use celerytide_edge::quarantine::{MIN_CRASHES_OF_ANY, Progress, Quarantine, Subject};
+use celerytide_types::BootTime;
+
+const SERVICE: u32 = 1;
+/// A block of all prompts.
+const WIDE: Subject = Subject::Block(1);
+/// A block of one session's prompts.
+const SESSION: Subject = Subject::Block(2);
+/// Interval between digests.
+const TICK: Duration = Duration::from_millis(25);
+/// Ticks between two requests of the session.
+const GAP_TICKS: u32 = 20;
+/// Ticks in which the links of one instance reset all connections.
+const FAULT_TICKS: u32 = GAP_TICKS * MIN_CRASHES_OF_ANY as u32;
+/// Ticks after the fault.
+const AFTER_TICKS: u32 = 2400;
+
+fn at(tick: u32) -> BootTime {
+    BootTime::from_start(Duration::from_secs(1) + TICK * tick)
+}
+
+/// An instance whose links to all endpoints reset connections for two seconds had each endpoint counted as crashed. The
+/// block of a session that sends a request each half second was refused by all instances, and nothing ended that.
+#[test]
+fn resets_on_the_links_of_one_instance_withhold_a_block_everywhere() {
+    let mut cut_off = Quarantine::default();
+    let mut sound = Quarantine::default();
+    for tick in 0..FAULT_TICKS + AFTER_TICKS {
+        let now = at(tick);
+        let number = u64::from(tick);
+        if tick < FAULT_TICKS && tick % GAP_TICKS == 0 {
+            let subjects = [WIDE, SESSION, Subject::Request(number)];
+            cut_off.record_crash(SERVICE, &subjects, (tick / GAP_TICKS, Progress::BeforeHead), now);
+        }
+        // Endpoints answer the other instance all the time.
+        sound.record_good(SERVICE, &[WIDE, Subject::Request(10_000 + number)], now);
+        let told = cut_off.entries(now);
+        sound.learn(&told, now);
+        let told = sound.entries(now);
+        cut_off.learn(&told, now);
+    }
+    let withheld = [&cut_off, &sound].map(|of| of.all_withheld().collect::<Vec<Subject>>());
+    assert_eq!(withheld, [vec![], vec![]], "a minute after the fault");
+}
--- a/crates/celerytide-edge/tests/ordinary_crashes.rs
+++ b/crates/celerytide-edge/tests/ordinary_crashes.rs
@@ -1,5 +1,6 @@
 //! Endpoints that crash for reasons of their own withhold nothing, whatever waits or runs there.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use arbtest::arbitrary::{Result, Unstructured};
@@ -14,6 +15,24 @@
 const KINDS: u64 = 3;
 const CUSTOMERS: u64 = 20;
 
+/// Milliseconds that responses take.
+struct Times {
+    /// To the head.
+    to_head: RangeInclusive<u64>,
+    /// From the head to the end.
+    length: RangeInclusive<u64>,
+}
+
+const SHORT: Times = Times {
+    to_head: 30..=600,
+    length: 300..=4000,
+};
+/// Long prompts, or engines at which requests wait.
+const LONG: Times = Times {
+    to_head: 500..=4000,
+    length: 1000..=8000,
+};
+
 /// A request in flight.
 struct Running {
     endpoint: usize,
@@ -27,7 +46,7 @@
 }
 
 impl Running {
-    fn draw(u: &mut Unstructured<'_>, id: u64, endpoint: usize, now: BootTime) -> Result<Running> {
+    fn draw(u: &mut Unstructured<'_>, id: u64, endpoint: usize, now: BootTime, times: &Times) -> Result<Running> {
         let kind = u.int_in_range(0..=KINDS - 1)?;
         let customer = u
             .int_in_range(0..=CUSTOMERS - 1)?
@@ -35,8 +54,8 @@
         Ok(Running {
             endpoint,
             sent_at: now,
-            to_head: Duration::from_millis(u.int_in_range(30..=600)?),
-            length: Duration::from_millis(u.int_in_range(300..=4000)?),
+            to_head: Duration::from_millis(u.int_in_range(times.to_head.clone())?),
+            length: Duration::from_millis(u.int_in_range(times.length.clone())?),
             is_good: false,
             subjects: [
                 Subject::Block(1),
@@ -78,9 +97,8 @@
     }
 }
 
-/// Guards against verdicts on blocks that waited or ran at endpoints which crashed by chance.
-#[test]
-fn crashes_of_endpoints_by_themselves_withhold_nothing() {
+/// Plays series of crashes by chance.
+fn play(times: &Times) {
     each_seed(16_384, 40, |u| {
         let endpoints = u.int_in_range(6..=12)?;
         let per_tick = u.int_in_range(10..=40)?;
@@ -93,7 +111,7 @@
             running.retain_mut(|request| !request.go_on(&mut quarantine, now));
             if u.ratio(per_tick, 20_u32.max(per_tick))? {
                 let endpoint = u.choose_index(endpoints)?;
-                running.push(Running::draw(u, u64::from(tick), endpoint, now)?);
+                running.push(Running::draw(u, u64::from(tick), endpoint, now, times)?);
             }
             if u.ratio(1, gap_ticks)? {
                 let crashed = u.choose_index(endpoints)?;
@@ -111,3 +129,15 @@
         Ok(())
     });
 }
+
+/// Guards against verdicts on blocks that waited or ran at endpoints which crashed by chance.
+#[test]
+fn crashes_of_endpoints_by_themselves_withhold_nothing() {
+    play(&SHORT);
+}
+
+/// Blocks that waited for seconds at four endpoints, with no response that ended in between, were withheld.
+#[test]
+fn crashes_of_endpoints_with_long_waits_withhold_a_block() {
+    play(&LONG);
+}
