--- a/crates/celerytide-standin/src/platform/mod.rs
+++ b/crates/celerytide-standin/src/platform/mod.rs
@@ -10,6 +10,7 @@
 mod crash;
 mod endless;
 mod events;
+mod mode;
 mod publish;
 mod refusing;
 mod request;
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -109,26 +109,6 @@
     FromStart(u32),
 }
 
-impl RunnerMode {
-    /// Whether a whole response head of the runner itself is sent, with the request's id.
-    pub fn has_own_head(self) -> bool {
-        !matches!(
-            self,
-            RunnerMode::Misdirected
-                | RunnerMode::Unproven(_)
-                | RunnerMode::Stated(_)
-                | RunnerMode::Unsealed
-                | RunnerMode::Endless(_)
-                | RunnerMode::Crossed
-                | RunnerMode::Garbage
-                | RunnerMode::Lost
-                | RunnerMode::NoResponse
-                | RunnerMode::HeadCut { .. }
-                | RunnerMode::Resumed { .. }
-        )
-    }
-}
-
 struct Shared {
     id: String,
     mode: Mutex<RunnerMode>,
