fix(edge): an endpoint that goes on answering has not crashed

What callers would see: 503, prompt-withheld, for sound prompts at all instances, after connections were reset or closed by endpoints that run on.

Cause: the end of a connection counts as a crash of its endpoint. Since parts are accused before the head, four such moments withhold a part that few requests share, and nothing showed that the endpoints had not crashed.

Change: a head of a response from the same start of an endpoint, 0.1 to 1 s after a crash, at any instance, takes the crash out of the evidence, which digests carry. A later head may come from a start under the same id that isn't known yet. The test of the links tells the same scenario (endpoints answer the other instance all the time) by the new call.

--- a/crates/celerytide-edge/src/edge/quarantined.rs
+++ b/crates/celerytide-edge/src/edge/quarantined.rs
@@ -1,10 +1,11 @@
 //! Requests that are withheld: what is learned of them, told, and refused for them.
 
+use celerytide_catalog::Endpoint;
 use celerytide_types::{BootTime, now_boot};
 use tracing::{info, warn};
 
 use super::{Edge, PickError};
-use crate::peers::digest::id_hash;
+use crate::peers::digest::{id_hash, start_hash};
 use crate::placement::shared_blocks;
 use crate::protocol::Protocol;
 use crate::quarantine::{BreakOff, Change, Reached, Subject, SubjectStatus, SuspectEntry};
@@ -47,6 +48,16 @@
         may_repeat
     }
 
+    /// Records the head of a response: its endpoint has not crashed a moment ago.
+    pub fn record_answer(&self, endpoint: &Endpoint) {
+        if !self.quarantine.borrow().has_suspects() {
+            return;
+        }
+        let start = start_hash(&endpoint.id, endpoint.start);
+        let changes = self.quarantine.borrow_mut().record_answer(start, now_boot());
+        self.note_changes(&changes, "response");
+    }
+
     /// Records that a response of `service` to a request came so far.
     pub fn record_good_response(&self, service: &str, request: &RoutedRequest, reached: Reached) {
         let service = id_hash(service);
--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -234,6 +234,7 @@
         edge.record(&service.id, id, Outcome::Unreached);
         return Sent::Rejected("endpoint-replaced");
     }
+    edge.record_answer(&pick.endpoint);
     edge.apply_notice(&pick.endpoint, edge.protocol.notice(response.status, &response.headers));
     let limit = edge.protocol.rate_limit(&response.headers);
     // Any response may name a limit; only a success is sure to name one as long as it holds.
--- a/crates/celerytide-edge/src/quarantine/mod.rs
+++ b/crates/celerytide-edge/src/quarantine/mod.rs
@@ -194,6 +194,20 @@
         if is_news { self.update_withheld(now) } else { Vec::new() }
     }
 
+    /// Records an answer of an endpoint, given by the hash of its id and start: it has not crashed a moment ago.
+    pub fn record_answer(&mut self, endpoint: u32, now: BootTime) -> Vec<Change> {
+        let mut is_news = false;
+        for suspect in self.suspects.values_mut() {
+            is_news |= suspect.disprove(endpoint, now);
+        }
+        if is_news { self.update_withheld(now) } else { Vec::new() }
+    }
+
+    /// Whether there are subjects under which endpoints crashed.
+    pub fn has_suspects(&self) -> bool {
+        !self.suspects.is_empty()
+    }
+
     /// Applies what a peer tells.
     pub fn learn(&mut self, told: &[SuspectEntry], now: BootTime) -> Vec<Change> {
         let mut is_news = false;
--- a/crates/celerytide-edge/src/quarantine/suspect.rs
+++ b/crates/celerytide-edge/src/quarantine/suspect.rs
@@ -1,16 +1,22 @@
 //! Crashes under one subject.
 
 use std::collections::HashSet;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use celerytide_types::BootTime;
 
 use super::good_responses::GoodResponse;
-use super::{CrashEntry, Evidence, MIN_CRASH_GAP_MS, MIN_CRASHES, MIN_CRASHES_OF_ANY, Progress, Subject, SuspectEntry};
+use super::{
+    CrashEntry, Evidence, MIN_CRASH_GAP_MS, MIN_CRASHES, MIN_CRASHES_OF_ANY, Progress, Reached, Subject, SuspectEntry,
+};
 
 /// Milliseconds of the boot clock; negative before the machine booted.
 type BootMillis = i64;
 
+/// Milliseconds after a crash in which an answer of the same start of the endpoint shows that it did not crash; a later one may
+/// come from a start that isn't known yet.
+const DISPROOF_MS: RangeInclusive<BootMillis> = 100..=1000;
 /// Most crashes that are kept: as many moments as are needed, with the tries of one caller at each.
 const MAX_CRASHES: usize = 16;
 
@@ -91,11 +97,9 @@
 
     /// The most crashes that may have one cause, without those of `explained` endpoints.
     fn count_alike(&self, explained: &HashSet<u32>) -> usize {
-        let first = self.unexplained(explained).map(|crash| crash.evidence.progress);
-        let alike = |first: Progress| {
-            let crashes = self.unexplained(explained);
-            self.count(crashes.filter(|crash| first.is_like(crash.evidence.progress)))
-        };
+        let recent = || self.unexplained(explained);
+        let first = recent().map(|crash| crash.evidence.progress);
+        let alike = |first: Progress| self.count(recent().filter(|crash| first.is_like(crash.evidence.progress)));
         first.map(alike).max().unwrap_or(0)
     }
 
@@ -158,6 +162,20 @@
         is_news
     }
 
+    /// Notes an answer of an endpoint, perhaps of one that seemed to have crashed; returns whether it is news.
+    pub(super) fn disprove(&mut self, endpoint: u32, now: BootTime) -> bool {
+        let is_disproved = |crash: &&mut Crash| {
+            crash.endpoint == endpoint && crash.evidence.holds() && DISPROOF_MS.contains(&(millis(now) - crash.at))
+        };
+        let Some(crash) = self.crashes.iter_mut().find(is_disproved) else {
+            return false;
+        };
+        crash.evidence.reached = Some(Reached::End);
+        self.changed_at = now;
+        self.clear_unfounded();
+        true
+    }
+
     /// Drops the crashes if none of them is evidence any more.
     fn clear_unfounded(&mut self) {
         if !self.crashes.is_empty() && !self.crashes.iter().any(|crash| crash.evidence.holds()) {
--- a/crates/celerytide-edge/tests/link_faults.rs
+++ b/crates/celerytide-edge/tests/link_faults.rs
@@ -37,6 +37,9 @@
             cut_off.record_crash(SERVICE, &subjects, (tick / GAP_TICKS, Progress::BeforeHead), now);
         }
         // Endpoints answer the other instance all the time.
+        for endpoint in 0..MIN_CRASHES_OF_ANY as u32 {
+            sound.record_answer(endpoint, now);
+        }
         sound.record_good(SERVICE, &[WIDE, Subject::Request(10_000 + number)], Reached::End, now);
         let told = cut_off.entries(now);
         sound.learn(&told, now);
