fix(edge): a verdict that rests on requests which only waited ends after ten minutes

What callers would see: 503, prompt-withheld, for as long as they ask, for a sound part that happened to wait where endpoints crashed.

Cause: each refused request renewed a verdict for 24 h, and no request is tried while it holds.

Change: crashes under requests that only waited, or ran for long, count for ten minutes. A part under which engines really die costs four more then. Crashes of responses that had just begun count as before.

Evidence: a_verdict_on_a_block_that_only_waited_has_no_end, red with 24 h in place of ten minutes (withheld after 610 s), green.

--- a/crates/celerytide-edge/src/quarantine/mod.rs
+++ b/crates/celerytide-edge/src/quarantine/mod.rs
@@ -268,7 +268,7 @@
             };
             suspect.idle(now) < keep
         });
-        if self.suspects.len() == before {
+        if self.suspects.len() == before && self.withheld.is_empty() {
             Vec::new()
         } else {
             self.update_withheld(now)
@@ -285,7 +285,7 @@
     fn update_withheld(&mut self, now: BootTime) -> Vec<Change> {
         let is_heavy = |(subject, suspect): &(&Subject, &Suspect)| {
             suspect.others_served
-                && suspect.is_enough_without(&HashSet::new())
+                && suspect.is_enough_without(&HashSet::new(), now)
                 && !self.is_just_answered(**subject, now)
         };
         let mut heavy: Vec<(&Subject, &Suspect)> = self.suspects.iter().filter(is_heavy).collect();
@@ -295,7 +295,7 @@
         let mut explained = HashSet::new();
         let mut withheld = HashSet::new();
         for (subject, suspect) in heavy {
-            if suspect.is_enough_without(&explained) {
+            if suspect.is_enough_without(&explained, now) {
                 withheld.insert(*subject);
                 explained.extend(suspect.endpoints());
             }
--- a/crates/celerytide-edge/src/quarantine/suspect.rs
+++ b/crates/celerytide-edge/src/quarantine/suspect.rs
@@ -17,6 +17,9 @@
 /// Milliseconds after a crash in which an answer of the same start of the endpoint shows that it did not crash; a later one may
 /// come from a start that isn't known yet.
 const DISPROOF_MS: RangeInclusive<BootMillis> = 100..=1000;
+/// Milliseconds for which a crash counts under a request that only waited or ran there, so that a verdict on a subject that had no
+/// part in the crashes ends.
+const WEAK_EVIDENCE_MS: BootMillis = 600_000;
 /// Most crashes that are kept: as many moments as are needed, with the tries of one caller at each.
 const MAX_CRASHES: usize = 16;
 
@@ -87,7 +90,7 @@
     /// Crashes at different endpoints, at about the same time after the head; under a block also at different moments, since
     /// some of its many requests are at each endpoint.
     pub(super) fn crash_count(&self) -> usize {
-        self.count_alike(&HashSet::new())
+        self.count_alike(&HashSet::new(), BootMillis::MIN)
     }
 
     /// Moments with crashes, also under a request, so that it compares with its blocks.
@@ -95,9 +98,9 @@
         count_moments(self.unexplained(&HashSet::new()))
     }
 
-    /// The most crashes that may have one cause, without those of `explained` endpoints.
-    fn count_alike(&self, explained: &HashSet<u32>) -> usize {
-        let recent = || self.unexplained(explained);
+    /// The most crashes from `oldest` on that may have one cause, without those of `explained` endpoints.
+    fn count_alike(&self, explained: &HashSet<u32>, oldest: BootMillis) -> usize {
+        let recent = || self.unexplained(explained).filter(|crash| crash.at >= oldest);
         let first = recent().map(|crash| crash.evidence.progress);
         let alike = |first: Progress| self.count(recent().filter(|crash| first.is_like(crash.evidence.progress)));
         first.map(alike).max().unwrap_or(0)
@@ -110,19 +113,20 @@
     }
 
     /// Whether the crashes of other endpoints than these are enough to withhold the subject.
-    pub(super) fn is_enough_without(&self, endpoints: &HashSet<u32>) -> bool {
-        self.is_enough_with(endpoints, 0)
+    pub(super) fn is_enough_without(&self, endpoints: &HashSet<u32>, now: BootTime) -> bool {
+        self.is_enough_with(endpoints, 0, millis(now) - WEAK_EVIDENCE_MS)
     }
 
     /// Whether one more crash would be enough.
     pub(super) fn is_close(&self) -> bool {
-        self.is_enough_with(&HashSet::new(), 1)
+        self.is_enough_with(&HashSet::new(), 1, BootMillis::MIN)
     }
 
-    fn is_enough_with(&self, explained: &HashSet<u32>, more: usize) -> bool {
+    /// Crashes of responses that had just begun count always, others from `oldest` on.
+    fn is_enough_with(&self, explained: &HashSet<u32>, more: usize, oldest: BootMillis) -> bool {
         let is_begun = |crash: &&Crash| crash.evidence.progress == Progress::Begun;
         let begun = self.unexplained(explained).filter(is_begun);
-        self.count(begun) + more >= MIN_CRASHES || self.count_alike(explained) + more >= MIN_CRASHES_OF_ANY
+        self.count(begun) + more >= MIN_CRASHES || self.count_alike(explained, oldest) + more >= MIN_CRASHES_OF_ANY
     }
 
     fn count<'a>(&self, crashes: impl Iterator<Item = &'a Crash>) -> usize {
--- a/crates/celerytide-edge/tests/link_faults.rs
+++ b/crates/celerytide-edge/tests/link_faults.rs
@@ -49,3 +49,19 @@
     let withheld = [&cut_off, &sound].map(|of| of.all_withheld().collect::<Vec<Subject>>());
     assert_eq!(withheld, [vec![], vec![]], "a minute after the fault");
 }
+
+/// A verdict on a block that only waited at endpoints which crashed had no end as long as it was asked for.
+#[test]
+fn a_verdict_on_a_block_that_only_waited_has_no_end() {
+    let at = |seconds: u32| BootTime::from_start(Duration::from_secs(u64::from(seconds)));
+    let mut quarantine = Quarantine::default();
+    for endpoint in 0..MIN_CRASHES_OF_ANY as u32 {
+        quarantine.record_crash(SERVICE, &[SESSION], (endpoint, Progress::BeforeHead), at(1 + endpoint));
+        quarantine.record_good(SERVICE, &[WIDE], Reached::End, at(1 + endpoint));
+    }
+    for (seconds, expected) in [(10, true), (300, true), (590, true), (610, false)] {
+        quarantine.sweep(at(seconds));
+        let is_withheld = quarantine.withheld([SESSION].into_iter(), at(seconds)).is_some();
+        assert_eq!(is_withheld, expected, "after {seconds} s");
+    }
+}
