--- a/crates/celerytide-soak/src/check/cut_off.rs
+++ b/crates/celerytide-soak/src/check/cut_off.rs
@@ -80,7 +80,7 @@
         })
     }
 
-    /// First tries at some routers, of callers that stayed, while the routers were in touch.
+    /// First tries at some routers, of callers that stayed, at routers without another fault.
     fn count_tries(&self, span: Span, is_counted: impl Fn(usize) -> bool) -> Tries {
         let calls = self.first_tries(span).filter(|call| is_counted(call.router));
         let mut tries = Tries::default();
--- a/crates/celerytide-soak/src/check/falls.rs
+++ b/crates/celerytide-soak/src/check/falls.rs
@@ -54,7 +54,7 @@
         })
     }
 
-    /// Whether most of what was refused before a fall came from routers in touch.
+    /// Whether most of what was refused before a fall came from routers without a fault of their own.
     fn is_counted(&self, fall: &Fall) -> bool {
         let calls = self.calls_by_id();
         let routers = fall
--- a/crates/celerytide-soak/src/plan/brittle.rs
+++ b/crates/celerytide-soak/src/plan/brittle.rs
@@ -37,7 +37,7 @@
 }
 
 /// Draws the steps of a run in which the services are brittle one after the other. Its other faults spare routers and the
-/// store, so that all routers stay in touch.
+/// store, so that all routers count.
 pub fn draw_with_brittle(seed: u64, length: Duration, routers: usize) -> Vec<Step> {
     let mut rng = StdRng::seed_from_u64(seed ^ BRITTLE_SEED);
     let mut steps = draw(seed, length, routers);
--- a/crates/celerytide-soak/src/plan/cut_off.rs
+++ b/crates/celerytide-soak/src/plan/cut_off.rs
@@ -18,7 +18,7 @@
 const FORMS: [CutForm; 3] = [CutForm::Hang, CutForm::Reset, CutForm::LiveOn];
 
 /// Draws the steps of a run in which some routers are cut off twice. Its other faults spare routers and the store, so that
-/// all routers stay in touch.
+/// all routers count.
 pub fn draw_with_cut_off(seed: u64, length: Duration, routers: usize) -> Vec<Step> {
     let mut rng = StdRng::seed_from_u64(seed ^ CUT_OFF_SEED);
     let mut steps = draw(seed, length, routers);
