fix(soak): two test beds of one name in a process have a folder each

Cause: the folder of a test bed was named by process and name, and the name of a run is its seed. Reproduced at once: two processes of the test, both tests failed in each, with 'log: No such file or directory' beside it.

Change: each bed of a process has a number.

--- a/crates/celerytide-soak/src/testbed/mod.rs
+++ b/crates/celerytide-soak/src/testbed/mod.rs
@@ -7,6 +7,7 @@
 use std::cell::Cell;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -98,6 +99,9 @@
     pub metrics: SocketAddr,
 }
 
+/// Test beds that this process has started.
+static BEDS: AtomicUsize = AtomicUsize::new(0);
+
 impl TestBed {
     /// Starts a store with version 1 of a configuration with `ROUTES`.
     pub fn new(name: &str) -> TestBed {
@@ -109,7 +113,9 @@
     /// Starts an empty store.
     pub fn empty(name: &str) -> TestBed {
         let store = Store::start().expect("store");
-        let dir = std::env::temp_dir().join(format!("celerytide-{}-{name}", std::process::id()));
+        // Several test beds of one process may have the same name.
+        let number = BEDS.fetch_add(1, Ordering::Relaxed);
+        let dir = std::env::temp_dir().join(format!("celerytide-{}-{name}-{number}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("directory");
         TestBed {
             store_addr: store.address,
