fix(http): a request never uses a connection on which it succeeded

Cause: a connection remembered only failures. The copy of a success was taken for the answer to the same request sent once more, and its refusal for that of the third send, which ran.

--- a/crates/celerytide-http/src/client/conn.rs
+++ b/crates/celerytide-http/src/client/conn.rs
@@ -30,7 +30,7 @@
     pub(super) is_used: bool,
     /// Whether a request was sent on it whose response hasn't been read to its end.
     pub(super) is_in_flight: bool,
-    /// Requests that were answered with a failure on it.
+    /// Requests that were answered on it.
     pub(super) answered: Answered,
     /// Whether a response on it named its request.
     pub(super) names_requests: bool,
--- a/crates/celerytide-http/src/client/mod.rs
+++ b/crates/celerytide-http/src/client/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! An error tells how far the request got ([`Stage`]). An idle connection is dropped as soon as the endpoint closes or
 //! resets it or sends unexpected bytes. It is checked once more before it is reused, since the runtime may not have
-//! reported that yet; the next one is then tried. A connection on which the same request was answered with a failure isn't
-//! reused for it, since the endpoint may write that answer once more. Once the first write has been issued, the request
+//! reported that yet; the next one is then tried. A connection on which the same request was answered isn't reused for it,
+//! since the endpoint may write that answer once more. Once the first write has been issued, the request
 //! may have been sent, and nothing is retried.
 //!
 //! Dropping the future of [`Client::send`] or a [`Response`] before its end resets the connection, which tells the
--- a/crates/celerytide-http/src/client/response.rs
+++ b/crates/celerytide-http/src/client/response.rs
@@ -83,10 +83,8 @@
         if lacks_id || has_foreign_id(call, &head.headers, &pool.options().id_header) {
             return Err(send_error(Stage::Written, Cause::RequestIdMismatch));
         }
-        if !head.status.is_success()
-            && let Some(id) = call.headers.get(&pool.options().id_header)
-        {
-            conn.answered.insert(hash_id(id));
+        if let Some(id) = call.headers.get(&pool.options().id_header) {
+            conn.answered.insert(hash_id(id), head.status);
         }
         conn.names_requests |= names_request;
         let framing = response_framing(
