--- a/crates/celerytide-standin/src/platform/store.rs
+++ b/crates/celerytide-standin/src/platform/store.rs
@@ -32,6 +32,8 @@
     HistoryLost,
     /// As `HistoryLost`; each page of the list is written once more in front of the next page on its connection.
     CopiedPages,
+    /// Each watch behind the first one on its connection gets a copy of the first one's response.
+    CopiedWatches,
     /// An endless response.
     Endless(Endless),
 }
@@ -206,6 +208,7 @@
     };
     let mut conn = BufReader::new(conn);
     let mut page_copy = String::new();
+    let mut watch_copy: Option<String> = None;
     while let Some(req) = request::read(&mut conn) {
         let mode = *lock(&shared.mode);
         let is_page = req.line.contains("/-/kv-range");
@@ -217,7 +220,17 @@
             }
             StoreMode::Slow(ms) => sleep(Duration::from_millis(ms)),
             StoreMode::Endless(endless) => return endless.send(&mut out, ""),
-            StoreMode::Serve | StoreMode::Busy | StoreMode::HistoryLost | StoreMode::CopiedPages => {}
+            StoreMode::Serve
+            | StoreMode::Busy
+            | StoreMode::HistoryLost
+            | StoreMode::CopiedPages
+            | StoreMode::CopiedWatches => {}
+        }
+        if let Some(copy) = watch_copy.as_ref().filter(|_| !is_page) {
+            if out.write_all(copy.as_bytes()).is_err() {
+                return;
+            }
+            continue;
         }
         let response = match mode {
             StoreMode::Busy => Some((503, json!({}))),
@@ -239,6 +252,9 @@
             let copy = std::mem::replace(&mut page_copy, response.clone());
             response.insert_str(0, &copy);
         }
+        if !is_page && mode == StoreMode::CopiedWatches {
+            watch_copy = Some(response.clone());
+        }
         if out.write_all(response.as_bytes()).is_err() {
             return;
         }
