fix(edge): a request whose peer broke off goes to another one

Cause: an instance that reaches no endpoint hands a request over once. If the peer ended before the head of its response, the caller was told 502 also where the request may be repeated and another peer could serve it.

Change: such a request is offered again, within the attempts of its route and this instance's retry budget. The offer says how many attempts may have run; the next peer counts them. At-most-once requests still end as unknown.

--- a/crates/celerytide-edge/src/forward/handed.rs
+++ b/crates/celerytide-edge/src/forward/handed.rs
@@ -7,7 +7,7 @@
 use tracing::info;
 
 use super::refusal::{Refusal, refuse};
-use super::{DEADLINE, End, Forwarding, MIN_TIME_LEFT};
+use super::{DEADLINE, End, Forwarding, MIN_TIME_LEFT, Origin};
 use crate::peers::handover::{HandedOver, Offer, hand_over};
 use crate::protocol::Protocol;
 
@@ -35,20 +35,38 @@
     }
 
     async fn hand_over(&mut self, out: Responder, service: &Service) -> Result<End, Responder> {
-        if self.origin == super::Origin::Peer || self.time_left() < MIN_TIME_LEFT {
+        if self.origin != Origin::Caller {
             return Err(out);
         }
-        let deadline = now_boot().after(self.time_left());
-        let offer = Offer {
-            req: self.req,
-            id: &self.request.id,
-            service: &service.id,
-            deadline,
-        };
-        match hand_over(self.edge, &offer).await {
-            Some(handed) => Ok(self.relay_handed(out, handed, service).await),
-            None => Err(out),
+        while self.time_left() >= MIN_TIME_LEFT {
+            let offer = Offer {
+                req: self.req,
+                id: &self.request.id,
+                service: &service.id,
+                attempts: self.may_have_run_count,
+                deadline: now_boot().after(self.time_left()),
+            };
+            let Some(handed) = hand_over(self.edge, &offer).await else {
+                break;
+            };
+            if handed.first.is_some() || !self.may_hand_over_again(&handed, service) {
+                return Ok(self.relay_handed(out, handed, service).await);
+            }
         }
+        Err(out)
+    }
+
+    /// Whether a request that a peer took and didn't finish goes to another one. Counts its attempt then, and the peer isn't
+    /// asked for a while.
+    fn may_hand_over_again(&mut self, handed: &HandedOver, service: &Service) -> bool {
+        if !self.may_run_again() || !self.edge.take_retry(&service.id) {
+            return false;
+        }
+        info!(request = self.request.id, peer = %handed.peer, "handover: the peer didn't finish; another one is asked");
+        self.may_have_run_count += 1;
+        self.edge
+            .with_reach(&service.id, |reach| reach.peers.note_declined(handed.peer, now_boot()));
+        true
     }
 
     async fn relay_handed(&mut self, out: Responder, mut handed: HandedOver, service: &Service) -> End {
--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -72,7 +72,20 @@
     /// The caller.
     Caller,
     /// A peer that reaches no endpoint.
-    Peer,
+    Peer {
+        /// Attempts that may have run before, at peers that didn't finish them.
+        attempts: u32,
+    },
+}
+
+impl Origin {
+    /// Attempts that may have run before this instance got the request.
+    fn earlier_attempts(self) -> u32 {
+        match self {
+            Origin::Caller => 0,
+            Origin::Peer { attempts } => attempts,
+        }
+    }
 }
 
 async fn serve<P: Protocol>(edge: &Rc<Edge<P>>, origin: Origin, req: Request, out: Responder, cx: CancellationToken) {
@@ -107,7 +120,7 @@
         tried: Vec::new(),
         bound: None,
         has_events: false,
-        may_have_run_count: 0,
+        may_have_run_count: origin.earlier_attempts(),
         rejected_count: 0,
         reached_endpoint: false,
         endpoint: String::new(),
--- a/crates/celerytide-edge/src/memory/mod.rs
+++ b/crates/celerytide-edge/src/memory/mod.rs
@@ -55,10 +55,10 @@
         HandedBody::open(&self.account, req.peer.ip(), self.customer(&req.headers))
     }
 
-    /// Handles a request that a peer handed over.
-    pub async fn handle_handed(&self, req: Request, out: Responder, cx: CancellationToken) {
+    /// Handles a request that a peer handed over, with the attempts that may have run before.
+    pub async fn handle_handed(&self, req: Request, attempts: u32, out: Responder, cx: CancellationToken) {
         if self.has_descriptors() {
-            return self.inner.handle_from(Origin::Peer, req, out, cx).await;
+            return self.inner.handle_from(Origin::Peer { attempts }, req, out, cx).await;
         }
         self.refuse_for_descriptors(out).await;
     }
--- a/crates/celerytide-edge/src/peers/handover/ask.rs
+++ b/crates/celerytide-edge/src/peers/handover/ask.rs
@@ -50,6 +50,8 @@
     pub id: &'a str,
     /// Service for which this instance reaches no endpoint.
     pub service: &'a str,
+    /// Attempts that may have run.
+    pub attempts: u32,
     /// When it must have its response.
     pub deadline: BootTime,
 }
@@ -129,6 +131,7 @@
         service: offer.service.to_owned(),
         caller: req.peer,
         left_ms: millis(left),
+        attempts: offer.attempts,
         body_bytes: req.body.len() as u64,
     };
     let mut ex = edge.connections.open(peer, Method::Proxy, &head).await?;
--- a/crates/celerytide-edge/src/peers/handover/mod.rs
+++ b/crates/celerytide-edge/src/peers/handover/mod.rs
@@ -1,7 +1,7 @@
 //! Hands a request to a peer that reaches endpoints, and serves those that peers hand over.
 //!
 //! The peer accepts or declines before it gets the body, and runs nothing before it has the last part of it. What fails
-//! before that part is sent has therefore certainly not run. A request is handed over once.
+//! before that part is sent has therefore certainly not run. A peer hands nothing on.
 
 mod ask;
 mod serve;
@@ -32,6 +32,8 @@
         pub caller: std::net::SocketAddr,
         /// Time left.
         pub left_ms: Millis,
+        /// Attempts that may have run before, at peers that didn't finish them.
+        pub attempts: u32,
         /// Length of the body, which follows in parts.
         pub body_bytes: u64,
     }
--- a/crates/celerytide-edge/src/peers/handover/serve.rs
+++ b/crates/celerytide-edge/src/peers/handover/serve.rs
@@ -17,6 +17,14 @@
 use crate::memory::AccountedHandler;
 use crate::protocol::Protocol;
 
+/// A request that a peer handed over, with its body.
+struct Handed {
+    req: Request,
+    /// Attempts that may have run before.
+    attempts: u32,
+    place: HandedPlace,
+}
+
 /// What came of a body.
 enum Received {
     /// All of it.
@@ -30,7 +38,7 @@
     let Ok(head) = ex.recv_required::<ProxyRequest>().await else {
         return;
     };
-    let body_bytes = head.body_bytes;
+    let (body_bytes, attempts) = (head.body_bytes, head.attempts);
     let deadline = now_boot().after(Duration::from_millis(head.left_ms));
     let max_body = callers.edge().limits.get().max_body_bytes as u64;
     let is_taken = body_bytes <= max_body && may_serve(callers.edge(), &head.service);
@@ -51,7 +59,7 @@
     let left = millis(deadline.since(now_boot()));
     let name = &callers.edge().protocol.header_names().deadline_ms;
     req.headers.insert(name.clone(), HeaderValue::from(left));
-    respond(callers, ex, req, place).await;
+    respond(callers, ex, Handed { req, attempts, place }).await;
 }
 
 /// Whether this instance can serve a request that another one can't.
@@ -105,14 +113,15 @@
 }
 
 /// Handles the request and sends its response; ends both if the other instance drops the exchange.
-async fn respond<P: Protocol>(callers: &Rc<AccountedHandler<P>>, mut ex: Exchange, req: Request, place: HandedPlace) {
+async fn respond<P: Protocol>(callers: &Rc<AccountedHandler<P>>, mut ex: Exchange, handed: Handed) {
+    let Handed { req, attempts, place } = handed;
     callers.edge().counters.served_for_peers.inc();
     let names = callers.edge().protocol.header_names();
     let id = req.headers.get(&names.request_id).and_then(|id| id.to_str().ok());
     info!(request = id, caller = %req.peer, "handover: serves a request of a peer");
     let (out, parts) = responder_in_parts();
     let gone = CancellationToken::new();
-    let handling = place.run(callers.handle_handed(req, out, gone.clone()));
+    let handling = place.run(callers.handle_handed(req, attempts, out, gone.clone()));
     let sending = async {
         if let Err(error) = send(&mut ex, parts).await {
             debug!(%error, "handover: response not sent");
