--- a/crates/celerytide-http/src/client/response.rs
+++ b/crates/celerytide-http/src/client/response.rs
@@ -1,9 +1,7 @@
 //! A response whose body is read as it arrives.
 
-use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,7 +15,7 @@
 use super::error::{SendError, Stage, send_error};
 use super::pool::Pool;
 use super::{Call, Cause};
-use crate::h1::{Body, Piece, ResponseHead};
+use crate::h1::{Body, Piece, ResponseHead, yield_now};
 use crate::memory::{Holder, current_holder};
 use crate::validate::{Framing, response_framing, wants_close};
 
@@ -218,15 +216,7 @@
             return;
         }
         self.bytes_since_yield = 0;
-        let mut yielded = false;
-        poll_fn(|cx| {
-            if std::mem::replace(&mut yielded, true) {
-                return Poll::Ready(());
-            }
-            cx.waker().wake_by_ref();
-            Poll::Pending
-        })
-        .await;
+        yield_now().await;
     }
 
     pub(super) fn pool(&self) -> Rc<Pool> {
--- a/crates/celerytide-http/src/h1/body.rs
+++ b/crates/celerytide-http/src/h1/body.rs
@@ -1,7 +1,9 @@
 //! Reads a body from a connection's buffer, piece by piece.
 //!
 //! Chunks up to [`MAX_DECODED_CHUNK_BYTES`] are decoded by the library once they are completely buffered. A larger
-//! chunk is passed on in pieces as they arrive, so that a peer can't control how much memory is used.
+//! chunk is passed on in pieces as they arrive, so that a peer can't control how much memory is used. Where a whole body is
+//! gathered, small chunks that follow one another are passed on as one piece: a peer that sends a byte in each would take
+//! the processor from all others.
 
 use bytes::{Buf, Bytes, BytesMut};
 use futures::FutureExt;
@@ -14,6 +16,8 @@
 
 /// Maximum data size of a chunk that is buffered completely and decoded by the library; each connection may hold one.
 const MAX_DECODED_CHUNK_BYTES: usize = 8 * 1024;
+/// Data size of a chunk below which those that follow it are passed on with it.
+const SMALL_CHUNK_BYTES: usize = 64;
 const CRLF: &[u8] = b"\r\n";
 
 /// Result of reading a body from the buffer.
@@ -39,6 +43,8 @@
 /// Decoder state of one body.
 pub(crate) struct Body {
     state: State,
+    /// Whether small chunks are passed on together.
+    joins_chunks: bool,
 }
 
 impl Body {
@@ -49,7 +55,18 @@
             Framing::Chunked => State::Size,
             Framing::UntilClose => State::UntilClose,
         };
-        Body { state }
+        Body {
+            state,
+            joins_chunks: false,
+        }
+    }
+
+    /// As [`Body::new`]; small chunks that follow one another are passed on as one piece.
+    pub(crate) fn joining_chunks(framing: Framing) -> Self {
+        Body {
+            joins_chunks: true,
+            ..Body::new(framing)
+        }
     }
 
     /// Whether the body was read to its end.
@@ -126,6 +143,9 @@
             reader.reserve(missing);
             return Ok(Some(Piece::More));
         }
+        if self.joins_chunks && line.size < SMALL_CHUNK_BYTES {
+            return take_small_chunks(buf).map(Some);
+        }
         drop_extension(buf, line);
         decode_chunk(reader).map(Some)
     }
@@ -146,6 +166,24 @@
     }
 }
 
+/// Takes the small chunks that are completely buffered, of which there is one at least.
+fn take_small_chunks(buf: &mut BytesMut) -> Result<Piece, ProtocolError> {
+    let mut data = BytesMut::new();
+    while let Some(line) = scan_chunk_line(buf)? {
+        let end = line.len + CRLF.len() + line.size;
+        let is_last = line.size == 0 || line.size >= SMALL_CHUNK_BYTES;
+        if is_last || buf.len() < end + CRLF.len() {
+            break;
+        }
+        if !buf[end..].starts_with(CRLF) {
+            return Err(ProtocolError::Chunk);
+        }
+        data.extend_from_slice(&buf[line.len + CRLF.len()..end]);
+        buf.advance(end + CRLF.len());
+    }
+    Ok(Piece::Data(data.freeze()))
+}
+
 /// Removes the extensions from a size line by moving the size digits to the line's end.
 fn drop_extension(buf: &mut BytesMut, line: ChunkLine) {
     let extension_len = line.len - line.digits;
--- a/crates/celerytide-http/src/memory/holder.rs
+++ b/crates/celerytide-http/src/memory/holder.rs
@@ -11,6 +11,7 @@
 
 use super::account::{Account, Closing, Refusal};
 use super::ledger::{HolderId, NoRoom, Part};
+use crate::h1::yield_now;
 
 /// What a large response holds: a body that is buffered up to 64 KiB, in a buffer that doubles, and reads of as much.
 const LARGE_RESPONSE_BYTES: usize = 256 * 1024;
@@ -128,19 +129,6 @@
     }
 }
 
-/// Lets all other ready tasks run.
-async fn yield_now() {
-    let mut is_done = false;
-    poll_fn(|cx| {
-        if std::mem::replace(&mut is_done, true) {
-            return Poll::Ready(());
-        }
-        cx.waker().wake_by_ref();
-        Poll::Pending
-    })
-    .await
-}
-
 /// Polls `work` as the handling of a request of `holder`.
 pub(crate) async fn with_holder<T>(holder: Rc<Holder>, work: impl Future<Output = T>) -> T {
     let mut work = std::pin::pin!(work);
--- a/crates/celerytide-http/src/server/conn.rs
+++ b/crates/celerytide-http/src/server/conn.rs
@@ -22,7 +22,9 @@
 use super::outbound::{Outbound, Phase, ResponseStyle};
 use super::{Handler, Request, Responder, Shutdown};
 use crate::Limits;
-use crate::h1::{Body, BodyLength, HeadError, Piece, Reader, RequestHead, WriteError, Writer, put_response_head};
+use crate::h1::{
+    Body, BodyLength, HeadError, Piece, Reader, RequestHead, WriteError, Writer, put_response_head, yield_now,
+};
 use crate::memory::{Closing, Collector, Holder, INLINE_BYTES, NoRoom, Payload, Refusal, with_holder};
 use crate::validate::{Framing, ProtocolError, request_framing, wants_close};
 
@@ -363,7 +365,7 @@
     if let Framing::Length(len) = framing {
         return read_sized_body(reader, holder, len).await;
     }
-    let mut body = Body::new(framing);
+    let mut body = Body::joining_chunks(framing);
     let mut collector = Collector::new(Rc::clone(holder));
     loop {
         match body.next_piece(reader)? {
@@ -372,7 +374,10 @@
                 return Err(ProtocolError::BodyTooLarge.into());
             }
             Piece::Data(data) => collector.push(&data).await?,
-            Piece::More => fill(reader).await?,
+            Piece::More => {
+                fill(reader).await?;
+                yield_now().await;
+            }
         }
     }
 }
@@ -394,7 +399,7 @@
         let missing = len - collector.len();
         let block = collector.open_block().await?;
         match reader.fill_block(block, missing).await {
-            Ok(n) if n > 0 => {}
+            Ok(n) if n > 0 => yield_now().await,
             _ => return Err(ConnEnd::Close),
         }
     }
