--- a/crates/celerytide-soak/src/testbed/mod.rs
+++ b/crates/celerytide-soak/src/testbed/mod.rs
@@ -88,6 +88,7 @@
 /// A router process; killed on drop.
 pub struct Router {
     process: Process,
+    settings: PathBuf,
     log: PathBuf,
     /// Address for callers.
     pub callers: SocketAddr,
@@ -201,6 +202,7 @@
         });
         Router {
             process: process.expect("router"),
+            settings: path,
             log,
             callers,
             readiness,
@@ -254,6 +256,13 @@
         self.process.signal(signal).expect("signal");
     }
 
+    /// Adds a line to the settings file and has the router read it again.
+    pub fn reload_with(&self, line: &str) {
+        let settings = std::fs::read_to_string(&self.settings).expect("settings");
+        std::fs::write(&self.settings, format!("{settings}{line}\n")).expect("settings");
+        self.signal(Signal::SIGHUP);
+    }
+
     /// Peak resident memory of the process in kilobytes.
     pub fn peak_memory_kb(&self) -> usize {
         let path = format!("/proc/{}/status", self.process.pid());
