feat(edge): an operator ends a verdict at one instance for all

Cause: a request or prompt part that is withheld wrongly, or whose endpoints are mended, stayed withheld while it came; a restarted instance learned it again from the others.

Change: `release` in the settings, read again on SIGHUP, names withheld subjects as `kind/id`. A subject that a reload finds added and withheld is reset as by a good response, which digests already carry, so that one instance is enough. Records that share its crashes and aren't withheld are reset too; else the next wider part was withheld in its place. Crashes after that count as ever. Each entry works once, and entries that are there at the start do nothing.

--- a/crates/celerytide-edge/src/daemon/mod.rs
+++ b/crates/celerytide-edge/src/daemon/mod.rs
@@ -294,7 +294,8 @@
         match read_settings(&file) {
             Ok(settings) => {
                 edge.members.borrow_mut().set_seeds(&settings.seeds);
-                info!(seeds = ?settings.seeds, "edge: settings reloaded");
+                info!(seeds = ?settings.seeds, release = ?settings.release, "edge: settings reloaded");
+                edge.release_listed(&settings.released_subjects());
             }
             Err(error) => error!(%error, "edge: reload failed; the settings are unchanged"),
         }
--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -46,7 +46,7 @@
 use crate::placement::EndpointLoads;
 use crate::placement::popularity::Popularity;
 use crate::protocol::Protocol;
-use crate::quarantine::Quarantine;
+use crate::quarantine::{Quarantine, Releases};
 use crate::rate_limit::{NamedLimits, RateLimiter};
 use crate::reach::Reach;
 use crate::rejections::Rejections;
@@ -118,6 +118,8 @@
     pub rejections: RefCell<Rejections>,
     /// Prompt blocks under which engines crashed.
     pub quarantine: RefCell<Quarantine>,
+    /// Subjects of the settings that were released.
+    pub releases: RefCell<Releases>,
     /// Whether endpoints are reached, by service.
     pub reach: RefCell<HashMap<ServiceId, Reach>>,
     /// Requests that coordinators place or count.
@@ -206,6 +208,7 @@
             rejection_limits: RefCell::default(),
             rejections: RefCell::default(),
             quarantine: RefCell::default(),
+            releases: RefCell::new(Releases::at_start(settings.released_subjects())),
             reach: RefCell::default(),
             placements: RefCell::new(coordinator::Client::new(rand::random())),
             coordination: RefCell::default(),
--- a/crates/celerytide-edge/src/edge/quarantined.rs
+++ b/crates/celerytide-edge/src/edge/quarantined.rs
@@ -8,7 +8,7 @@
 use crate::peers::digest::{id_hash, start_hash};
 use crate::placement::shared_blocks;
 use crate::protocol::Protocol;
-use crate::quarantine::{BreakOff, Change, Reached, Subject, SubjectStatus, SuspectEntry};
+use crate::quarantine::{BreakOff, Change, Reached, Releasing, Subject, SubjectStatus, SuspectEntry};
 use crate::request::RoutedRequest;
 
 impl<P: Protocol> Edge<P> {
@@ -18,7 +18,7 @@
             return Ok(());
         };
         self.counters.withheld_requests.inc();
-        let (kind, id) = described(subject);
+        let (kind, id) = (subject.kind(), subject.id());
         info!(request = request.id, kind, id, "quarantine: a send is refused");
         Err(match subject {
             Subject::Block(_) => PickError::PromptWithheld,
@@ -85,9 +85,28 @@
         self.note_changes(&changes, "age");
     }
 
+    /// Releases subjects that the settings newly list.
+    pub fn release_listed(&self, listed: &[Subject]) {
+        let decided = self.releases.borrow_mut().reload(listed, &self.quarantine.borrow());
+        for (subject, releasing) in decided {
+            let (kind, id) = (subject.kind(), subject.id());
+            match releasing {
+                Releasing::Due => {
+                    let changes = self.quarantine.borrow_mut().release(subject, now_boot());
+                    self.note_changes(&changes, "settings");
+                }
+                Releasing::Done => info!(
+                    kind,
+                    id, "quarantine: not released again, the settings listed it before"
+                ),
+                Releasing::NotWithheld => warn!(kind, id, "quarantine: not released, it isn't withheld"),
+            }
+        }
+    }
+
     fn note_changes(&self, changes: &[Change], source: &'static str) {
         for change in changes {
-            let (kind, id) = described(change.subject);
+            let (kind, id) = (change.subject.kind(), change.subject.id());
             let (crashes, resets) = (change.crashes, change.resets);
             match change.status {
                 SubjectStatus::Suspected => info!(kind, id, crashes, resets, source, "quarantine: suspected"),
@@ -110,11 +129,3 @@
     let blocks = blocks.map(|block| Subject::Block(block.id));
     blocks.chain([Subject::Request(request.content)])
 }
-
-/// Kind and id of a subject in logs.
-fn described(subject: Subject) -> (&'static str, String) {
-    match subject {
-        Subject::Block(id) => ("block", format!("{id:x}")),
-        Subject::Request(content) => ("request", format!("{content:x}")),
-    }
-}
--- a/crates/celerytide-edge/src/quarantine/mod.rs
+++ b/crates/celerytide-edge/src/quarantine/mod.rs
@@ -14,7 +14,9 @@
 //! one explains its crashes, or its service answers nothing else either: then the endpoints are the cause.
 
 mod good_responses;
+mod name;
 mod progress;
+mod release;
 mod suspect;
 
 use std::cmp::Reverse;
@@ -28,7 +30,9 @@
 use good_responses::{GoodResponse, GoodResponses};
 use suspect::{Crash, Suspect};
 
+pub use name::NameError;
 pub use progress::{BreakOff, Checkpoints, Evidence, Progress, Reached};
+pub use release::{Releases, Releasing};
 
 use crate::request::ContentHash;
 
@@ -256,6 +260,22 @@
         chosen.into_iter().map(|(_, suspect)| suspect.entry(now)).collect()
     }
 
+    /// Ends a verdict by an operator's decision. Its crashes no longer count, neither for this subject nor for those that it
+    /// explained: a wider block would be withheld in its place. Other withheld subjects stay.
+    pub fn release(&mut self, subject: Subject, now: BootTime) -> Vec<Change> {
+        let Some(released) = self.suspects.get(&subject).filter(|_| self.withheld.contains(&subject)) else {
+            return Vec::new();
+        };
+        let endpoints: HashSet<u32> = released.endpoints().collect();
+        for (other, suspect) in &mut self.suspects {
+            let is_explained = !self.withheld.contains(other) && suspect.endpoints().any(|e| endpoints.contains(&e));
+            if *other == subject || is_explained {
+                suspect.reset_all(now);
+            }
+        }
+        self.update_withheld(now)
+    }
+
     /// Forgets subjects that nobody has asked for in a long time.
     pub fn sweep(&mut self, now: BootTime) -> Vec<Change> {
         self.good_responses.sweep(now);
--- a/crates/celerytide-edge/src/quarantine/suspect.rs
+++ b/crates/celerytide-edge/src/quarantine/suspect.rs
@@ -183,12 +183,22 @@
     /// Drops the crashes if none of them is evidence any more.
     fn clear_unfounded(&mut self) {
         if !self.crashes.is_empty() && !self.crashes.iter().any(|crash| crash.evidence.holds()) {
-            self.crashes.clear();
-            self.resets = self.resets.saturating_add(1);
-            self.others_served = false;
+            self.clear();
         }
     }
 
+    /// Drops the crashes, whatever they prove; peers that know them drop them too, since the record is newer.
+    pub(super) fn reset_all(&mut self, now: BootTime) {
+        self.changed_at = now;
+        self.clear();
+    }
+
+    fn clear(&mut self) {
+        self.crashes.clear();
+        self.resets = self.resets.saturating_add(1);
+        self.others_served = false;
+    }
+
     /// Notes a good response of the service without the subject; returns whether it is news.
     pub(super) fn note_other_served(&mut self, good: GoodResponse) -> bool {
         let is_beyond = |crash: &Crash| good.reached.is_beyond(crash.evidence.progress);
--- a/crates/celerytide-edge/src/settings/mod.rs
+++ b/crates/celerytide-edge/src/settings/mod.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use celerytide_types::{InstanceId, Millis, ZoneId, data};
-use snafu::Snafu;
+use snafu::{ResultExt, Snafu};
+
+use crate::quarantine::{NameError, Subject};
 
 data! {
     /// Settings file (YAML). Unknown fields are ignored.
@@ -30,6 +32,8 @@
         /// Peer addresses of some instances; they may be outdated.
         #[serde(default)]
         pub seeds: Vec<SocketAddr>,
+        /// Subjects whose verdict ends when they are added and the settings are reloaded, as `kind/id`.
+        pub release: Option<Vec<String>>,
         /// Address of the platform's store.
         pub store: SocketAddr,
         /// Times and limits of the installation; each has a default.
@@ -86,6 +90,14 @@
         /// What is wrong with the value.
         reason: &'static str,
     },
+    /// An entry of `release` names no subject.
+    #[snafu(display("settings: release: {name} {source}"))]
+    Release {
+        /// The entry.
+        name: String,
+        /// What is wrong with it.
+        source: NameError,
+    },
 }
 
 /// Top-level fields that no other document has.
@@ -154,6 +166,9 @@
         require("descriptors", descriptors >= MIN_DESCRIPTORS, "is below 64")?;
         let memory_mb = self.memory_mb.unwrap_or(MIN_MEMORY_MB);
         require("memory_mb", memory_mb >= MIN_MEMORY_MB, "is below 24")?;
+        for name in self.release.iter().flatten() {
+            name.parse::<Subject>().context(ReleaseSnafu { name })?;
+        }
         time("bounds.stop_s", b.stop_s, MAX_S)?;
         time("bounds.beat_ms", b.beat_ms.map(|ms| ms as f64), MAX_MS)?;
         time("bounds.regain_ms", b.regain_ms.map(|ms| ms as f64), MAX_MS)?;
@@ -173,6 +188,15 @@
 }
 
 impl Settings {
+    /// Subjects to release.
+    pub fn released_subjects(&self) -> Vec<Subject> {
+        self.release
+            .iter()
+            .flatten()
+            .filter_map(|name| name.parse().ok())
+            .collect()
+    }
+
     /// Address by which other instances know this one.
     pub fn peer_address(&self) -> SocketAddr {
         self.advertised.or(self.peers).unwrap_or(self.callers)
--- a/crates/celerytide-edge/tests/formats.rs
+++ b/crates/celerytide-edge/tests/formats.rs
@@ -105,7 +105,7 @@
     error: Option<&'static str>,
 }
 
-const CASES: [SettingsCase; 11] = [
+const CASES: [SettingsCase; 16] = [
     SettingsCase {
         name: "minimal",
         add: "",
@@ -157,6 +157,31 @@
         add: "descriptors: 3\n",
         error: Some("descriptors"),
     },
+    SettingsCase {
+        name: "nothing to release",
+        add: "release:\n",
+        error: None,
+    },
+    SettingsCase {
+        name: "subjects to release",
+        add: "release: [block/bf75b2f1, request/900ba556c46c4bab]\n",
+        error: None,
+    },
+    SettingsCase {
+        name: "release without a kind",
+        add: "release: [900ba556c46c4bab]\n",
+        error: Some("kind/id"),
+    },
+    SettingsCase {
+        name: "release of an unknown kind",
+        add: "release: [part/1]\n",
+        error: Some("other than block and request"),
+    },
+    SettingsCase {
+        name: "release with an invalid id",
+        add: "release: [block/xyz]\n",
+        error: Some("hexadecimal"),
+    },
     SettingsCase {
         name: "invalid YAML",
         add: "{{{\n",
--- a/crates/celerytide-edge/tests/quarantine.rs
+++ b/crates/celerytide-edge/tests/quarantine.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use celerytide_edge::quarantine::{
-    BreakOff, Checkpoints, MIN_CRASHES, MIN_CRASHES_OF_ANY, Progress, Quarantine, Reached, Subject, SubjectStatus,
-    is_crash,
+    BreakOff, Checkpoints, MIN_CRASHES, MIN_CRASHES_OF_ANY, Progress, Quarantine, Reached, Releases, Releasing,
+    Subject, SubjectStatus, is_crash,
 };
 use celerytide_http::client::Cause;
 use celerytide_http::validate::ProtocolError;
@@ -211,6 +211,53 @@
     }
 }
 
+#[test]
+fn a_release_holds_against_others_and_moves_the_verdict_to_no_wider_block() {
+    let mut instances = [(); 2].map(|()| Quarantine::default());
+    for n in 0..MIN_CRASHES as u32 {
+        instances[0].record_crash(SERVICE, &[WIDE, CRASHING], (n, BEGUN), at(500 * u64::from(n)));
+        instances[0].record_crash(SERVICE, &[OTHER], (10 + n, BEGUN), at(500 * u64::from(n)));
+    }
+    let [mut operated, mut peer] = instances;
+    assert_eq!(withheld(&mut operated, at(2000)), [CRASHING, OTHER]);
+    tell(&mut operated, &mut peer, at(2000));
+    assert_eq!(withheld(&mut peer, at(2100)), [CRASHING, OTHER]);
+    operated.release(CRASHING, at(2200));
+    tell(&mut peer, &mut operated, at(2300));
+    assert_eq!(withheld(&mut operated, at(2400)), [OTHER]);
+    tell(&mut operated, &mut peer, at(2400));
+    assert_eq!(withheld(&mut peer, at(2500)), [OTHER]);
+    for n in 20..20 + MIN_CRASHES as u32 {
+        peer.record_crash(SERVICE, &[WIDE, CRASHING], (n, BEGUN), at(3000 + 500 * u64::from(n)));
+    }
+    assert_eq!(withheld(&mut peer, at(15_000)), [CRASHING, OTHER], "armed again");
+}
+
+#[test]
+fn a_listed_subject_is_released_once() {
+    let mut quarantine = Quarantine::default();
+    for n in 0..MIN_CRASHES as u32 {
+        quarantine.record_crash(SERVICE, &[CRASHING], (n, BEGUN), at(500 * u64::from(n)));
+    }
+    let mut releases = Releases::at_start([CRASHING]);
+    let reloads: [(&[Subject], &[Releasing]); 6] = [
+        (&[CRASHING], &[Releasing::Done]),
+        (&[], &[]),
+        (&[CRASHING], &[Releasing::NotWithheld]),
+        (&[OTHER, CRASHING], &[Releasing::NotWithheld, Releasing::Due]),
+        (&[CRASHING], &[Releasing::Done]),
+        (&[OTHER], &[Releasing::NotWithheld]),
+    ];
+    for (n, (listed, expected)) in reloads.into_iter().enumerate() {
+        if n == 3 {
+            withheld(&mut quarantine, at(3000));
+        }
+        let decided = releases.reload(listed, &quarantine);
+        let decided: Vec<Releasing> = decided.into_iter().map(|(_, releasing)| releasing).collect();
+        assert_eq!(decided, expected, "{n}");
+    }
+}
+
 /// Guards against decisions that depend on the order in which instances tell each other, and against tables that grow.
 #[test]
 fn all_instances_agree_in_the_end_and_stay_bounded() {
