--- a/crates/celerytide-edge/tests/quarantine.rs
+++ b/crates/celerytide-edge/tests/quarantine.rs
@@ -305,6 +305,24 @@
     });
 }
 
+/// Of many crashes in a short time only the latest were kept, which are too few moments for a verdict.
+#[test]
+fn a_block_that_crashes_many_endpoints_a_second_is_withheld() {
+    for (gap_ms, progress) in [
+        (10, BEGUN),
+        (30, BEGUN),
+        (10, Progress::BeforeHead),
+        (30, Progress::BeforeHead),
+    ] {
+        let mut quarantine = Quarantine::default();
+        for n in 0..1000 / gap_ms {
+            quarantine.record_crash(SERVICE, &[CRASHING], (n as u32, progress), at(gap_ms * n));
+        }
+        let found = withheld(&mut quarantine, at(1000));
+        assert_eq!(found, [CRASHING], "{progress:?} each {gap_ms} ms");
+    }
+}
+
 #[test]
 fn tables_are_bounded() {
     let mut quarantine = Quarantine::default();
