fix(edge): many crashes in a short time don't push out the moments before them

Cause: of a suspect's crashes the oldest was dropped first, whatever it proved. Under a block that crashes more than 32 endpoints a second the 16 that are kept span less than half a second, so that three moments 250 ms apart never came together.

Change: the first to go is a crash that begins no moment, of these the one that had come least far, then the oldest; without one the oldest of all.

--- a/crates/celerytide-edge/src/quarantine/suspect.rs
+++ b/crates/celerytide-edge/src/quarantine/suspect.rs
@@ -273,24 +273,47 @@
         let index = self.crashes.partition_point(|known| order(known) <= order(&crash));
         self.crashes.insert(index, crash);
         if self.crashes.len() > MAX_CRASHES {
-            // The oldest goes, whoever learned of it when, so that all instances and all subjects of a crash keep the same.
-            self.crashes.remove(0);
+            self.crashes.remove(self.least_telling());
         }
         self.crashes.contains(&crash)
     }
+
+    /// The crash that goes if there are too many: one that begins no moment, of these the weakest, of equal ones the oldest.
+    /// Else the oldest. It doesn't matter who learned of it when, so that all instances and all subjects of a crash keep the same.
+    fn least_telling(&self) -> usize {
+        let mut moments = Moments::default();
+        let held = self
+            .crashes
+            .iter()
+            .enumerate()
+            .filter(|(_, crash)| crash.evidence.holds());
+        let further = held.filter(|(_, crash)| !moments.begins(crash));
+        let weakest = further.min_by_key(|(_, crash)| crash.evidence.progress);
+        weakest.map_or(0, |(index, _)| index)
+    }
 }
 
 /// Number of crashes, of which those shortly after a counted one don't count: they have a common cause.
 fn count_moments<'a>(crashes: impl Iterator<Item = &'a Crash>) -> usize {
-    let mut last: Option<BootMillis> = None;
-    let is_counted = |crash: &&Crash| {
-        let counts = last.is_none_or(|last| crash.at - last >= MIN_CRASH_GAP_MS);
-        if counts {
-            last = Some(crash.at);
+    let mut moments = Moments::default();
+    crashes.filter(|crash| moments.begins(crash)).count()
+}
+
+/// Moments with crashes, from the oldest on.
+#[derive(Default)]
+struct Moments {
+    last: Option<BootMillis>,
+}
+
+impl Moments {
+    /// Whether a moment begins with this crash.
+    fn begins(&mut self, crash: &Crash) -> bool {
+        let begins = self.last.is_none_or(|last| crash.at - last >= MIN_CRASH_GAP_MS);
+        if begins {
+            self.last = Some(crash.at);
         }
-        counts
-    };
-    crashes.filter(is_counted).count()
+        begins
+    }
 }
 
 fn millis(at: BootTime) -> BootMillis {
--- a/crates/celerytide-edge/tests/quarantine.rs
+++ b/crates/celerytide-edge/tests/quarantine.rs
@@ -261,11 +261,22 @@
 /// Guards against decisions that depend on the order in which instances tell each other, and against tables that grow.
 #[test]
 fn all_instances_agree_in_the_end_and_stay_bounded() {
-    each_seed(2048, 12, |u| {
+    play_schedules(2048, 120, 400);
+}
+
+/// The same with more crashes than are kept.
+#[test]
+fn all_instances_agree_on_many_crashes_in_the_end() {
+    play_schedules(16_384, 600, 40);
+}
+
+/// Schedules of crashes, responses and digests, drawn from so many bytes.
+fn play_schedules(bytes: u32, max_events: u32, max_gap_ms: u64) {
+    each_seed(bytes, 12, |u| {
         let mut instances = [(); 4].map(|()| Quarantine::default());
         let mut now = at(1000);
-        for n in 0..u.int_in_range(20..=120)? {
-            now = now.after(Duration::from_millis(u.int_in_range(0..=400)?));
+        for n in 0..u.int_in_range(20..=max_events)? {
+            now = now.after(Duration::from_millis(u.int_in_range(0..=max_gap_ms)?));
             let who: usize = u.int_in_range(0..=3)?;
             match u.int_in_range(0..=5)? {
                 0 => {
