--- a/crates/celerytide-edge/tests/quarantine.rs
+++ b/crates/celerytide-edge/tests/quarantine.rs
@@ -355,3 +355,91 @@
         "{told:?}"
     );
 }
+
+/// Digests of an instance come this often.
+const TELL_INTERVAL_MS: u64 = 100;
+
+/// Crashes until no instance sends requests any more that crash endpoints; all instances start at once.
+struct Restart {
+    name: &'static str,
+    instances: usize,
+    /// Interval between two such requests in milliseconds.
+    gap_ms: u64,
+    progress: Progress,
+    /// Whether all have the same content.
+    is_one_request: bool,
+    /// Most endpoints that crash.
+    most: usize,
+}
+
+impl Restart {
+    fn crashes(&self) -> usize {
+        let mut fleet: Vec<Quarantine> = (0..self.instances).map(|_| Quarantine::default()).collect();
+        let mut crashes = 0;
+        for ms in 0..20_000_u64 {
+            let now = at(1000 + ms);
+            let sender = (ms / self.gap_ms) as usize % self.instances;
+            let request = if self.is_one_request {
+                REQUEST
+            } else {
+                Subject::Request(1000 + ms)
+            };
+            let block = if self.is_one_request { OTHER } else { CRASHING };
+            let is_due = ms.is_multiple_of(self.gap_ms);
+            if is_due && fleet[sender].withheld([block, request].into_iter(), now).is_none() {
+                crashes += 1;
+                fleet[sender].record_crash(SERVICE, &[WIDE, block, request], (ms as u32, self.progress), now);
+            }
+            if ms % TELL_INTERVAL_MS == 0 {
+                let told: Vec<_> = fleet.iter_mut().flat_map(|from| from.entries(now)).collect();
+                for to in &mut fleet {
+                    // Other requests are served.
+                    to.record_good(SERVICE, &[WIDE, SOUND], Reached::End, now);
+                    to.learn(&told, now);
+                }
+            }
+        }
+        crashes
+    }
+}
+
+/// A verdict is lost when all instances start at once. What that costs is bounded.
+#[test]
+fn a_fleet_that_starts_at_once_loses_few_endpoints_more() {
+    let restart = |name, instances, gap_ms, progress, is_one_request, most| Restart {
+        name,
+        instances,
+        gap_ms,
+        progress,
+        is_one_request,
+        most,
+    };
+    for case in [
+        restart("a block, seldom", 9, 1000, BEGUN, false, 3),
+        restart(
+            "a block before the head, seldom",
+            9,
+            1000,
+            Progress::BeforeHead,
+            false,
+            4,
+        ),
+        restart("a block, often", 9, 100, BEGUN, false, 9),
+        restart(
+            "a block before the head, often",
+            9,
+            100,
+            Progress::BeforeHead,
+            false,
+            12,
+        ),
+        restart("a request, seldom", 9, 1000, BEGUN, true, 3),
+        restart("a request, often", 9, 100, BEGUN, true, 4),
+        restart("a request, large fleet", 60, 100, BEGUN, true, 4),
+        restart("a block, large fleet", 60, 100, BEGUN, false, 9),
+    ] {
+        let crashes = case.crashes();
+        println!("{}: {crashes} crashes", case.name);
+        assert!(crashes <= case.most, "{}: {crashes} crashes", case.name);
+    }
+}
