--- a/crates/celerytide-edge/tests/quarantine.rs
+++ b/crates/celerytide-edge/tests/quarantine.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use celerytide_edge::quarantine::{
-    BreakOff, Checkpoints, MIN_CRASHES, MIN_CRASHES_OF_ANY, Progress, Quarantine, Reached, Subject, SubjectStatus,
-    is_crash,
+    BreakOff, Checkpoints, MIN_CRASHES, MIN_CRASHES_OF_ANY, Progress, Quarantine, Reached, Releases, Releasing,
+    Subject, SubjectStatus, is_crash,
 };
 use celerytide_http::client::Cause;
 use celerytide_http::validate::ProtocolError;
@@ -211,14 +211,72 @@
     }
 }
 
+#[test]
+fn a_release_holds_against_others_and_moves_the_verdict_to_no_wider_block() {
+    let mut instances = [(); 2].map(|()| Quarantine::default());
+    for n in 0..MIN_CRASHES as u32 {
+        instances[0].record_crash(SERVICE, &[WIDE, CRASHING], (n, BEGUN), at(500 * u64::from(n)));
+        instances[0].record_crash(SERVICE, &[OTHER], (10 + n, BEGUN), at(500 * u64::from(n)));
+    }
+    let [mut operated, mut peer] = instances;
+    assert_eq!(withheld(&mut operated, at(2000)), [CRASHING, OTHER]);
+    tell(&mut operated, &mut peer, at(2000));
+    assert_eq!(withheld(&mut peer, at(2100)), [CRASHING, OTHER]);
+    operated.release(CRASHING, at(2200));
+    tell(&mut peer, &mut operated, at(2300));
+    assert_eq!(withheld(&mut operated, at(2400)), [OTHER]);
+    tell(&mut operated, &mut peer, at(2400));
+    assert_eq!(withheld(&mut peer, at(2500)), [OTHER]);
+    for n in 20..20 + MIN_CRASHES as u32 {
+        peer.record_crash(SERVICE, &[WIDE, CRASHING], (n, BEGUN), at(3000 + 500 * u64::from(n)));
+    }
+    assert_eq!(withheld(&mut peer, at(15_000)), [CRASHING, OTHER], "armed again");
+}
+
+#[test]
+fn a_listed_subject_is_released_once() {
+    let mut quarantine = Quarantine::default();
+    for n in 0..MIN_CRASHES as u32 {
+        quarantine.record_crash(SERVICE, &[CRASHING], (n, BEGUN), at(500 * u64::from(n)));
+    }
+    let mut releases = Releases::at_start([CRASHING]);
+    let reloads: [(&[Subject], &[Releasing]); 6] = [
+        (&[CRASHING], &[Releasing::Done]),
+        (&[], &[]),
+        (&[CRASHING], &[Releasing::NotWithheld]),
+        (&[OTHER, CRASHING], &[Releasing::NotWithheld, Releasing::Due]),
+        (&[CRASHING], &[Releasing::Done]),
+        (&[OTHER], &[Releasing::NotWithheld]),
+    ];
+    for (n, (listed, expected)) in reloads.into_iter().enumerate() {
+        if n == 3 {
+            withheld(&mut quarantine, at(3000));
+        }
+        let decided = releases.reload(listed, &quarantine);
+        let decided: Vec<Releasing> = decided.into_iter().map(|(_, releasing)| releasing).collect();
+        assert_eq!(decided, expected, "{n}");
+    }
+}
+
 /// Guards against decisions that depend on the order in which instances tell each other, and against tables that grow.
 #[test]
 fn all_instances_agree_in_the_end_and_stay_bounded() {
-    each_seed(2048, 12, |u| {
+    play_schedules(2048, 120, 400);
+}
+
+/// The same with more crashes than are kept.
+#[test]
+fn all_instances_agree_on_many_crashes_in_the_end() {
+    play_schedules(16_384, 600, 40);
+}
+
+/// Schedules of crashes, responses and digests, drawn from so many bytes.
+fn play_schedules(bytes: u32, max_events: u32, max_gap_ms: u64) {
+    each_seed(bytes, 12, |u| {
         let mut instances = [(); 4].map(|()| Quarantine::default());
         let mut now = at(1000);
-        for n in 0..u.int_in_range(20..=120)? {
-            now = now.after(Duration::from_millis(u.int_in_range(0..=400)?));
+        for n in 0..u.int_in_range(20..=max_events)? {
+            now = now.after(Duration::from_millis(u.int_in_range(0..=max_gap_ms)?));
             let who: usize = u.int_in_range(0..=3)?;
             match u.int_in_range(0..=5)? {
                 0 => {
@@ -258,6 +316,24 @@
     });
 }
 
+/// Of many crashes in a short time only the latest were kept, which are too few moments for a verdict.
+#[test]
+fn a_block_that_crashes_many_endpoints_a_second_is_withheld() {
+    for (gap_ms, progress) in [
+        (10, BEGUN),
+        (30, BEGUN),
+        (10, Progress::BeforeHead),
+        (30, Progress::BeforeHead),
+    ] {
+        let mut quarantine = Quarantine::default();
+        for n in 0..1000 / gap_ms {
+            quarantine.record_crash(SERVICE, &[CRASHING], (n as u32, progress), at(gap_ms * n));
+        }
+        let found = withheld(&mut quarantine, at(1000));
+        assert_eq!(found, [CRASHING], "{progress:?} each {gap_ms} ms");
+    }
+}
+
 #[test]
 fn tables_are_bounded() {
     let mut quarantine = Quarantine::default();
@@ -279,3 +355,91 @@
         "{told:?}"
     );
 }
+
+/// Digests of an instance come this often.
+const TELL_INTERVAL_MS: u64 = 100;
+
+/// Crashes until no instance sends requests any more that crash endpoints; all instances start at once.
+struct Restart {
+    name: &'static str,
+    instances: usize,
+    /// Interval between two such requests in milliseconds.
+    gap_ms: u64,
+    progress: Progress,
+    /// Whether all have the same content.
+    is_one_request: bool,
+    /// Most endpoints that crash.
+    most: usize,
+}
+
+impl Restart {
+    fn crashes(&self) -> usize {
+        let mut fleet: Vec<Quarantine> = (0..self.instances).map(|_| Quarantine::default()).collect();
+        let mut crashes = 0;
+        for ms in 0..20_000_u64 {
+            let now = at(1000 + ms);
+            let sender = (ms / self.gap_ms) as usize % self.instances;
+            let request = if self.is_one_request {
+                REQUEST
+            } else {
+                Subject::Request(1000 + ms)
+            };
+            let block = if self.is_one_request { OTHER } else { CRASHING };
+            let is_due = ms.is_multiple_of(self.gap_ms);
+            if is_due && fleet[sender].withheld([block, request].into_iter(), now).is_none() {
+                crashes += 1;
+                fleet[sender].record_crash(SERVICE, &[WIDE, block, request], (ms as u32, self.progress), now);
+            }
+            if ms % TELL_INTERVAL_MS == 0 {
+                let told: Vec<_> = fleet.iter_mut().flat_map(|from| from.entries(now)).collect();
+                for to in &mut fleet {
+                    // Other requests are served.
+                    to.record_good(SERVICE, &[WIDE, SOUND], Reached::End, now);
+                    to.learn(&told, now);
+                }
+            }
+        }
+        crashes
+    }
+}
+
+/// A verdict is lost when all instances start at once. What that costs is bounded.
+#[test]
+fn a_fleet_that_starts_at_once_loses_few_endpoints_more() {
+    let restart = |name, instances, gap_ms, progress, is_one_request, most| Restart {
+        name,
+        instances,
+        gap_ms,
+        progress,
+        is_one_request,
+        most,
+    };
+    for case in [
+        restart("a block, seldom", 9, 1000, BEGUN, false, 3),
+        restart(
+            "a block before the head, seldom",
+            9,
+            1000,
+            Progress::BeforeHead,
+            false,
+            4,
+        ),
+        restart("a block, often", 9, 100, BEGUN, false, 9),
+        restart(
+            "a block before the head, often",
+            9,
+            100,
+            Progress::BeforeHead,
+            false,
+            12,
+        ),
+        restart("a request, seldom", 9, 1000, BEGUN, true, 3),
+        restart("a request, often", 9, 100, BEGUN, true, 4),
+        restart("a request, large fleet", 60, 100, BEGUN, true, 4),
+        restart("a block, large fleet", 60, 100, BEGUN, false, 9),
+    ] {
+        let crashes = case.crashes();
+        println!("{}: {crashes} crashes", case.name);
+        assert!(crashes <= case.most, "{}: {crashes} crashes", case.name);
+    }
+}
