--- a/crates/celerytide-standin/src/engine/chat.rs
+++ b/crates/celerytide-standin/src/engine/chat.rs
@@ -111,6 +111,10 @@
         .parse()
         .unwrap_or(LOWEST_PRIORITY);
     engine.runs.borrow_mut().push(Run::of(req, &spec.id));
+    if engine.faults.is_deadly(&req.body.to_bytes()) {
+        engine.overload();
+        return Err(Abort);
+    }
     let rx = submit(engine, &prompt, priority, spec.total_tokens);
     let mut writer = ResponseWriter {
         engine,
--- a/crates/celerytide-standin/src/fault/mod.rs
+++ b/crates/celerytide-standin/src/fault/mod.rs
@@ -1,6 +1,6 @@
 //! Faults that a test injects into a stand-in.
 //!
-//! A fault either stays in force (`slow`, `freeze`, `silent`) or applies to the next response only (`late`, `crossed`,
+//! A fault either stays in force (`slow`, `freeze`, `silent`, `deadly`) or applies to the next response only (`late`, `crossed`,
 //! `cut-mid-answer`, `reset`, `status`, `stall`). Faults for the next response are queued in the order in which they were sent.
 
 mod swap;
@@ -78,6 +78,12 @@
             #[serde(default)]
             after_head: bool,
         },
+        /// Engine: each request whose body contains this text crashes the engine when it begins it: all connections are
+        /// closed, all requests are lost, and the engine starts again, until the fault is cleared.
+        Deadly {
+            /// The text.
+            text: String,
+        },
         /// Configuration service: the connection of each request is closed without a response.
         Down,
         /// Configuration service: responses stay as they are now, whatever is published.
@@ -102,6 +108,7 @@
     known_peers: HashSet<SocketAddr>,
     silenced_peers: HashSet<SocketAddr>,
     queued: VecDeque<Fault>,
+    deadly_text: Option<String>,
 }
 
 /// The faults of one stand-in.
@@ -121,6 +128,7 @@
                 let known_peers: Vec<SocketAddr> = state.known_peers.iter().copied().collect();
                 state.silenced_peers.extend(known_peers);
             }
+            Fault::Deadly { text } => state.deadly_text = Some(text),
             Fault::Crossed => state.queued.extend([Fault::Crossed, Fault::Crossed]),
             Fault::Late { .. } | Fault::CutMidAnswer { .. } | Fault::Reset | Fault::Status { .. } => {
                 state.queued.push_back(fault);
@@ -130,6 +138,7 @@
                 state.frozen_until = None;
                 state.silenced_peers.clear();
                 state.queued.clear();
+                state.deadly_text = None;
             }
             Fault::Crash
             | Fault::Cold { .. }
@@ -159,6 +168,13 @@
         self.state.borrow().added_delay
     }
 
+    /// Whether a request with this body crashes the stand-in.
+    pub fn is_deadly(&self, body: &[u8]) -> bool {
+        let state = self.state.borrow();
+        let text = state.deadly_text.as_deref().filter(|text| !text.is_empty());
+        text.is_some_and(|text| body.windows(text.len()).any(|part| part == text.as_bytes()))
+    }
+
     /// Removes and returns the fault for the next response.
     pub fn take_next(&self) -> Option<Fault> {
         self.state.borrow_mut().queued.pop_front()
