--- a/crates/celerytide-dispatch/src/permit/mod.rs
+++ b/crates/celerytide-dispatch/src/permit/mod.rs
@@ -189,6 +189,7 @@
         max_tokens: req.max_tokens,
         prefix: req.prefix,
         avoid: req.avoid,
+        content: req.content,
     }
 }
 
@@ -200,5 +201,6 @@
         // `follow_permit` handles `Moved` itself.
         messages::Ended::Cancelled | messages::Ended::Moved => Ended::Cancelled,
         messages::Ended::NotStarted => Ended::NotStarted,
+        messages::Ended::BrokeOff => Ended::BrokeOff,
     }
 }
--- a/crates/celerytide-dispatch/tests/preempted.rs
+++ b/crates/celerytide-dispatch/tests/preempted.rs
@@ -58,6 +58,7 @@
         max_tokens: None,
         prefix: Vec::new(),
         avoid: Vec::new(),
+        content: None,
     });
     queued.expect("queued")
 }
--- a/crates/celerytide-entry/src/attempts/mod.rs
+++ b/crates/celerytide-entry/src/attempts/mod.rs
@@ -16,6 +16,8 @@
 
 /// Most endpoints on which one request may fail.
 pub const MAX_ATTEMPTS: usize = 4;
+/// Most endpoints that one request may break off before any of the response: each of them may have crashed under it.
+pub const MAX_BROKEN_OFF: usize = 2;
 /// Retry time told to the caller after the endpoints failed.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -38,6 +40,8 @@
     Response(ResponseHead<'a>),
     /// The call failed.
     Failed(&'a SendError),
+    /// The endpoint broke the connection off before any of the response reached the caller.
+    BrokeOff,
     /// The response broke off or was invalid behind its head.
     Broken,
     /// The pool's owner took the endpoint back after the call had begun.
@@ -64,7 +68,7 @@
 pub enum Stop {
     /// The retry budget of this entry is used up.
     NoRetryLeft,
-    /// The request failed on [`MAX_ATTEMPTS`] endpoints.
+    /// The request failed on [`MAX_ATTEMPTS`] endpoints, or [`MAX_BROKEN_OFF`] broke it off.
     AttemptsUsed,
     /// The request may run once only.
     RunsOnce,
@@ -81,6 +85,7 @@
     finding: Option<Finding>,
     is_under_way: bool,
     failed: usize,
+    broken_off: usize,
 }
 
 /// End of an attempt as it is described to the caller.
@@ -99,7 +104,9 @@
         match end {
             AttemptEnd::Unused => Proof::DidNotRun,
             AttemptEnd::Failed(error) if !error.may_have_run() => Proof::DidNotRun,
-            AttemptEnd::Failed(_) | AttemptEnd::Broken | AttemptEnd::Preempted => Proof::MayHaveRun,
+            AttemptEnd::Failed(_) | AttemptEnd::Broken | AttemptEnd::BrokeOff | AttemptEnd::Preempted => {
+                Proof::MayHaveRun
+            }
             AttemptEnd::Response(head) if head.states_not_run() => Proof::DidNotRun,
             AttemptEnd::Response(head) if is_gateway_status(head.status) => Proof::MayHaveRun,
             AttemptEnd::Response(_) => Proof::Ran,
@@ -107,6 +114,16 @@
     }
 }
 
+impl<'a> AttemptEnd<'a> {
+    /// The end of a call that failed after `tokens` tokens of the response.
+    pub fn of_error(error: &'a SendError, tokens: u32) -> AttemptEnd<'a> {
+        match tokens == 0 && error.is_broken_off() {
+            true => AttemptEnd::BrokeOff,
+            false => AttemptEnd::Failed(error),
+        }
+    }
+}
+
 /// What several attempts prove together.
 pub fn combine(proofs: impl IntoIterator<Item = Proof>) -> Proof {
     proofs.into_iter().max().unwrap_or_default()
@@ -149,6 +166,7 @@
         }
         self.is_under_way = false;
         self.failed += usize::from(!matches!(end, AttemptEnd::Preempted | AttemptEnd::Unused));
+        self.broken_off += usize::from(matches!(end, AttemptEnd::BrokeOff));
         self.proof = combine([self.proof, proof]);
         proof
     }
@@ -163,7 +181,7 @@
 
     /// Whether the request failed on as many endpoints as it may.
     pub fn are_used_up(&self) -> bool {
-        self.failed >= MAX_ATTEMPTS
+        self.failed >= MAX_ATTEMPTS || self.broken_off >= MAX_BROKEN_OFF
     }
 
     /// Outcome of a response that is passed on, whose attempt proves `proof`.
@@ -256,7 +274,7 @@
         match end {
             AttemptEnd::Unused => None,
             AttemptEnd::Preempted => Some(Finding::Preempted),
-            AttemptEnd::Broken => Some(Finding::Broken),
+            AttemptEnd::Broken | AttemptEnd::BrokeOff => Some(Finding::Broken),
             AttemptEnd::Failed(_) if proof == Proof::DidNotRun => Some(Finding::Unreachable),
             AttemptEnd::Failed(_) => Some(Finding::Broken),
             AttemptEnd::Response(_) if proof == Proof::DidNotRun => Some(Finding::Refused),
--- a/crates/celerytide-entry/src/model/buffered.rs
+++ b/crates/celerytide-entry/src/model/buffered.rs
@@ -83,9 +83,9 @@
                 lease.settle(Ended::Failed);
             }
             AttemptResult::Failed(error) => {
-                attempts.end(&AttemptEnd::Failed(&error));
+                attempts.end(&AttemptEnd::of_error(&error, 0));
                 entry.record_failure(request, &endpoint, &error.to_string());
-                lease.settle(end_for_error(&error));
+                lease.settle(end_for_error(&error, 0));
             }
         }
         permit_spec.avoid.push(endpoint);
--- a/crates/celerytide-entry/src/model/mod.rs
+++ b/crates/celerytide-entry/src/model/mod.rs
@@ -85,6 +85,7 @@
             prompt_tokens: self.body.prompt_tokens,
             max_tokens: self.body.max_tokens,
             prefix: self.body.prefix.clone(),
+            content: Some(self.body.content_hash(&self.info.customer, &self.path)),
             ..self.info.permit_spec()
         }
     }
--- a/crates/celerytide-entry/src/model/stream.rs
+++ b/crates/celerytide-entry/src/model/stream.rs
@@ -125,9 +125,9 @@
                 lease.settle(Ended::Failed);
             }
             StreamEnd::Failed(error) => {
-                attempts.end(&AttemptEnd::Failed(&error));
+                attempts.end(&AttemptEnd::of_error(&error, caller.tokens));
                 entry.record_failure(request, &endpoint, &error.to_string());
-                lease.settle(end_for_error(&error));
+                lease.settle(end_for_error(&error, caller.tokens));
             }
             StreamEnd::Broken(detail) => {
                 attempts.end(&AttemptEnd::Broken);
--- a/crates/celerytide-entry/src/model_body/mod.rs
+++ b/crates/celerytide-entry/src/model_body/mod.rs
@@ -75,6 +75,13 @@
 }
 
 impl ModelBody {
+    /// Hash of the request, equal for repetitions by the same customer.
+    pub fn content_hash(&self, customer: &str, path: &str) -> u64 {
+        let seed = xxh3_64_with_seed(customer.as_bytes(), 0);
+        let seed = xxh3_64_with_seed(path.as_bytes(), seed);
+        xxh3_64_with_seed(&self.raw, seed)
+    }
+
     /// The body that asks an engine to resume the response after `tokens` tokens.
     pub fn resume_body(&self, tokens: u32) -> Bytes {
         let Some(open) = self.raw.iter().position(|b| *b == b'{') else {
--- a/crates/celerytide-entry/src/permit/client.rs
+++ b/crates/celerytide-entry/src/permit/client.rs
@@ -56,6 +56,8 @@
     pub prefix: Vec<u64>,
     /// Endpoints that failed this request before.
     pub avoid: Vec<EndpointId>,
+    /// Hash of the customer, path and body of a model request.
+    pub content: Option<u64>,
 }
 
 /// Why no permit was granted.
@@ -242,6 +244,7 @@
             max_tokens: spec.max_tokens,
             prefix: spec.prefix.clone(),
             avoid: spec.avoid.clone(),
+            content: spec.content,
         }
     }
 
--- a/crates/celerytide-entry/src/plain/attempt.rs
+++ b/crates/celerytide-entry/src/plain/attempt.rs
@@ -93,10 +93,11 @@
     }
 }
 
-/// What the pool's owner is told about a call that failed.
-pub(crate) fn end_for_error(error: &SendError) -> Ended {
+/// What the pool's owner is told about a call that failed after `tokens` tokens of the response.
+pub(crate) fn end_for_error(error: &SendError, tokens: u32) -> Ended {
     match error.stage {
         Stage::Connect => Ended::NotStarted,
+        Stage::Written | Stage::Body if tokens == 0 && error.is_broken_off() => Ended::BrokeOff,
         Stage::Written | Stage::Body => Ended::Failed,
     }
 }
--- a/crates/celerytide-entry/src/plain/mod.rs
+++ b/crates/celerytide-entry/src/plain/mod.rs
@@ -175,8 +175,8 @@
                 return CallerResponse::passed_on(status, headers, response.body, outcome, &info.request);
             }
             Err(error) => {
-                attempts.end(&AttemptEnd::Failed(&error));
-                lease.settle(end_for_error(&error));
+                attempts.end(&AttemptEnd::of_error(&error, 0));
+                lease.settle(end_for_error(&error, 0));
                 entry.record_failure(&info.request, &endpoint, &error.to_string());
             }
         }
--- a/crates/celerytide-entry/src/request_info/mod.rs
+++ b/crates/celerytide-entry/src/request_info/mod.rs
@@ -73,6 +73,7 @@
             max_tokens: None,
             prefix: Vec::new(),
             avoid: Vec::new(),
+            content: None,
         }
     }
 }
--- a/crates/celerytide-entry/tests/attempts.rs
+++ b/crates/celerytide-entry/tests/attempts.rs
@@ -1,7 +1,11 @@
 //! What the ends of attempts prove, alone and together, and what the caller is told. Guards against `not-run`, and
 //! against the message that nothing was sent, where an endpoint may have begun the request.
 
-use celerytide_entry::attempts::{AttemptEnd, Attempts, MAX_ATTEMPTS, Proof, ResponseHead, Stop, combine};
+use std::io;
+
+use celerytide_entry::attempts::{
+    AttemptEnd, Attempts, MAX_ATTEMPTS, MAX_BROKEN_OFF, Proof, ResponseHead, Stop, combine,
+};
 use celerytide_entry::response::ErrorResponse;
 use celerytide_http::client::{Cause, SendError, Stage};
 use celerytide_types::ExecutionStatus;
@@ -20,6 +24,7 @@
     Status(u16),
     Failed(Stage),
     Broken,
+    BrokeOff,
     Preempted,
     Unused,
 }
@@ -115,6 +120,11 @@
             end: End::Failed(Stage::Body),
             ..Case::default()
         },
+        Case {
+            name: "broken off before any of the response",
+            end: End::BrokeOff,
+            ..Case::default()
+        },
         Case {
             name: "stream broken",
             end: End::Broken,
@@ -143,6 +153,7 @@
     }
     match case.end {
         End::Broken => f(&AttemptEnd::Broken),
+        End::BrokeOff => f(&AttemptEnd::BrokeOff),
         End::Preempted => f(&AttemptEnd::Preempted),
         End::Unused => f(&AttemptEnd::Unused),
         End::Failed(stage) => f(&AttemptEnd::Failed(&SendError {
@@ -306,3 +317,68 @@
         assert_eq!(attempts.are_used_up(), counts, "{}", case.name);
     }
 }
+
+/// An endpoint that crashes under a request ends its connection, and the next one may crash as well.
+#[test]
+fn a_request_that_two_endpoints_broke_off_is_not_tried_at_a_third() {
+    struct BreakCase {
+        name: &'static str,
+        stage: Stage,
+        source: Cause,
+        tokens: u32,
+        max_attempts: usize,
+    }
+    let reset = || io::Error::from(io::ErrorKind::ConnectionReset);
+    let case = |name, stage, source, tokens, max_attempts| BreakCase {
+        name,
+        stage,
+        source,
+        tokens,
+        max_attempts,
+    };
+    let cases = [
+        case("closed, no head", Stage::Written, Cause::Closed, 0, MAX_BROKEN_OFF),
+        case("closed, no token", Stage::Body, Cause::Closed, 0, MAX_BROKEN_OFF),
+        case(
+            "reset",
+            Stage::Written,
+            Cause::Read { source: reset() },
+            0,
+            MAX_BROKEN_OFF,
+        ),
+        case(
+            "write failed",
+            Stage::Written,
+            Cause::Write { source: reset() },
+            0,
+            MAX_BROKEN_OFF,
+        ),
+        case("behind a token", Stage::Body, Cause::Closed, 1, MAX_ATTEMPTS),
+        case("silent", Stage::Written, Cause::FirstByteTimeout, 0, MAX_ATTEMPTS),
+        case(
+            "refused",
+            Stage::Connect,
+            Cause::Connect { source: reset() },
+            0,
+            MAX_ATTEMPTS,
+        ),
+    ];
+    for BreakCase {
+        name,
+        stage,
+        source,
+        tokens,
+        max_attempts,
+    } in cases
+    {
+        let error = SendError { stage, source };
+        let mut attempts = Attempts::default();
+        let mut count = 0;
+        while !attempts.are_used_up() {
+            attempts.begin();
+            attempts.end(&AttemptEnd::of_error(&error, tokens));
+            count += 1;
+        }
+        assert_eq!(count, max_attempts, "{name}");
+    }
+}
--- a/crates/celerytide-http/src/client/error.rs
+++ b/crates/celerytide-http/src/client/error.rs
@@ -124,6 +124,12 @@
     pub fn may_have_run(&self) -> bool {
         self.stage.may_have_run()
     }
+
+    /// Whether the endpoint ended the connection after bytes may have been sent, as one that crashes does.
+    pub fn is_broken_off(&self) -> bool {
+        let is_ended = matches!(self.source, Cause::Closed | Cause::Read { .. } | Cause::Write { .. });
+        self.stage != Stage::Connect && is_ended
+    }
 }
 
 pub(super) fn send_error(stage: Stage, source: Cause) -> SendError {
--- a/crates/celerytide-policy/examples/compare/simulation.rs
+++ b/crates/celerytide-policy/examples/compare/simulation.rs
@@ -176,6 +176,7 @@
                 .chain([(at as u64 + 1) << 40])
                 .collect(),
             avoid,
+            content: None,
         };
         let before = self.pool.history().len();
         match self.pool.offer(boot(self.now), req) {
--- a/crates/celerytide-policy/examples/decide.rs
+++ b/crates/celerytide-policy/examples/decide.rs
@@ -183,6 +183,7 @@
                 .chain((SHARED_BLOCKS..BLOCKS).map(|block| unique ^ block))
                 .collect(),
             avoid: Vec::new(),
+            content: None,
         }
     }
 }
--- a/crates/celerytide-policy/src/check/endpoints/mod.rs
+++ b/crates/celerytide-policy/src/check/endpoints/mod.rs
@@ -267,7 +267,9 @@
         match ended {
             Ended::Whole { .. } if running.epoch == row.epoch && now >= row.cold_until => row.record_success(),
             Ended::Whole { .. } => {}
-            Ended::Failed | Ended::NotStarted => row.mark_cold(now, self.successes_per_slot, self.cold_min),
+            Ended::Failed | Ended::NotStarted | Ended::BrokeOff => {
+                row.mark_cold(now, self.successes_per_slot, self.cold_min)
+            }
             Ended::Slow | Ended::Cancelled => {}
         }
     }
--- a/crates/celerytide-policy/src/lib.rs
+++ b/crates/celerytide-policy/src/lib.rs
@@ -12,6 +12,7 @@
 mod options;
 mod plan;
 mod pool;
+mod quarantine;
 mod request;
 mod status;
 
@@ -27,6 +28,7 @@
 pub use options::{Baseline, DeliberateFault, Options};
 pub use plan::{ClassPlan, CustomerPlan, EndpointPlan, PoolPlan, effective_share, reserved_places};
 pub use pool::Pool;
+pub use quarantine::{Content, Quarantine};
 pub use request::{
     Ended, Grant, LoadReport, Offer, PermitRequest, PermitRequestId, Refusal, Refused, Trust, WarmLimit,
 };
--- a/crates/celerytide-policy/src/pool/mod.rs
+++ b/crates/celerytide-policy/src/pool/mod.rs
@@ -13,6 +13,7 @@
 mod permit;
 mod plan;
 mod preempt;
+mod quarantined;
 mod report;
 pub(crate) mod share;
 
@@ -29,6 +30,7 @@
 use crate::endpoint::table::Table;
 use crate::options::Options;
 use crate::placement::PrefixIndex;
+use crate::quarantine::Quarantine;
 use crate::request::{PermitRequest, PermitRequestId, Refusal, Refused, Trust};
 use crate::status::{PoolStatus, TierStatus};
 use permit::ActivePermit;
@@ -89,6 +91,7 @@
     /// Endpoints in backoff after a failure, ordered by the end of the backoff.
     backoffs: BTreeSet<(BootTime, usize)>,
     prefixes: PrefixIndex,
+    quarantine: Quarantine,
     reservation: Option<Reservation>,
     drain: DrainRate,
     seconds_per_token: Average,
@@ -127,6 +130,7 @@
             preemptions_under_way: 0,
             backoffs: BTreeSet::new(),
             prefixes: PrefixIndex::default(),
+            quarantine: Quarantine::default(),
             reservation: None,
             drain: DrainRate::new(drain),
             seconds_per_token: Average::default(),
--- a/crates/celerytide-policy/src/pool/offer/mod.rs
+++ b/crates/celerytide-policy/src/pool/offer/mod.rs
@@ -22,6 +22,9 @@
         let Some(class) = class.filter(|&class| self.classes[class].is_planned) else {
             return Offer::Refused(self.refuse(now, id, None, Refusal::UnknownClass));
         };
+        if let Some(refused) = self.refuse_withheld(now, id, class, &req) {
+            return Offer::Refused(refused);
+        }
         if let Some(cause) = self.reject(now, class, &req) {
             return Offer::Refused(self.refuse(now, id, Some(class), cause));
         }
--- a/crates/celerytide-policy/src/pool/permit/mod.rs
+++ b/crates/celerytide-policy/src/pool/permit/mod.rs
@@ -6,6 +6,7 @@
 use crate::class::request_cost;
 use crate::endpoint::Endpoint;
 use crate::options::DeliberateFault;
+use crate::quarantine::Content;
 use crate::request::{Ended, PermitRequest};
 
 /// An endpoint is slow if its time per token exceeds the pool's usual time by this factor.
@@ -35,6 +36,7 @@
     pub orphaned: Option<Orphaned>,
     /// Whether preemption has requested its cancellation.
     pub preempted: bool,
+    pub content: Option<Content>,
 }
 
 /// Loss of a permit's connection.
@@ -62,6 +64,7 @@
             adopted: false,
             orphaned: None,
             preempted: false,
+            content: req.content,
         }
     }
 
@@ -121,8 +124,15 @@
             self.drain.record_end(now, hold);
         }
         match ended {
-            Ended::Whole { tokens } => self.record_response(now, &active, tokens),
+            Ended::Whole { tokens } => {
+                self.record_answered(&active);
+                self.record_response(now, &active, tokens);
+            }
             Ended::Failed | Ended::NotStarted => self.record_failure(now, active.endpoint),
+            Ended::BrokeOff => {
+                self.record_failure(now, active.endpoint);
+                self.record_crash(now, &active);
+            }
             Ended::Slow => {
                 self.table.update(active.endpoint, Endpoint::record_slow);
             }
@@ -186,6 +196,7 @@
             max_tokens: None,
             prefix: Vec::new(),
             avoid: Vec::new(),
+            content: None,
         };
         let mut active = ActivePermit::new(now, idx, req, epoch.unwrap_or(0));
         active.class = self.class_indices.get(class).copied();
--- a/crates/celerytide-policy/src/request/mod.rs
+++ b/crates/celerytide-policy/src/request/mod.rs
@@ -4,6 +4,8 @@
 
 use celerytide_types::{BootTime, ClassName, CustomerId, EndpointId, PermitId, RequestId, data};
 
+use crate::quarantine::Content;
+
 /// Number of a permit request, unique within one pool.
 pub type PermitRequestId = u64;
 
@@ -29,6 +31,8 @@
     /// Endpoints on which the request already failed. They are used only if no other endpoint accepts
     /// requests.
     pub avoid: Vec<EndpointId>,
+    /// What it asks for; requests without it are never withheld.
+    pub content: Option<Content>,
 }
 
 /// A permit for one request on one endpoint.
@@ -67,6 +71,8 @@
         Stopping,
         /// Another process owns the pool.
         NotOwner,
+        /// Endpoints crashed under requests with the same content.
+        CrashesEndpoints,
     }
 
     /// How the work under a permit ended.
@@ -85,6 +91,9 @@
         Cancelled,
         /// The connection was refused; the endpoint counts as cold.
         NotStarted,
+        /// The endpoint broke the connection off before any of the response; the endpoint counts as cold, and the content
+        /// of the request is suspected.
+        BrokeOff,
     }
 
     /// How far the owner of a pool may rely on its own counts and view.
@@ -161,6 +170,7 @@
             Refusal::ShedForHigherTier => "shed-for-higher-tier",
             Refusal::Stopping => "stopping",
             Refusal::NotOwner => "not-owner",
+            Refusal::CrashesEndpoints => "crashes-endpoints",
         }
     }
 }
--- a/crates/celerytide-policy/tests/common/history.rs
+++ b/crates/celerytide-policy/tests/common/history.rs
@@ -156,6 +156,7 @@
             max_tokens: None,
             prefix: vec![self.u.int_in_range(0..=3)?, self.u.int_in_range(4..=9)?],
             avoid,
+            content: None,
         })
     }
 
--- a/crates/celerytide-policy/tests/common/mod.rs
+++ b/crates/celerytide-policy/tests/common/mod.rs
@@ -47,6 +47,7 @@
         max_tokens: None,
         prefix: Vec::new(),
         avoid: Vec::new(),
+        content: None,
     }
 }
 
--- a/crates/celerytide-wire/src/messages/mod.rs
+++ b/crates/celerytide-wire/src/messages/mod.rs
@@ -153,6 +153,8 @@
         pub prefix: Vec<u64>,
         /// Endpoints on which the request already failed.
         pub avoid: Vec<EndpointId>,
+        /// Hash of the customer, path and body, equal for requests that are repeated.
+        pub content: Option<u64>,
     }
 
     /// Reply to [`PermitRequest`].
@@ -212,6 +214,8 @@
         NotStarted,
         /// The request continues under another owner.
         Moved,
+        /// The endpoint broke the connection off before any of the response.
+        BrokeOff,
     }
 
     /// Transfers a permit in flight, granted by a previous owner, to the new owner.
