--- a/crates/celerytide-standin/src/engine/chat.rs
+++ b/crates/celerytide-standin/src/engine/chat.rs
@@ -100,6 +100,7 @@
         prompt_tokens: prompt.tokens,
         is_truncated: total_tokens < drawn,
         total_tokens,
+        version: engine.faults.version(),
         id,
     };
     match fault {
--- a/crates/celerytide-standin/src/engine/response.rs
+++ b/crates/celerytide-standin/src/engine/response.rs
@@ -23,6 +23,8 @@
     /// Length of the whole response, including tokens that another engine has sent.
     pub(super) total_tokens: usize,
     pub(super) is_truncated: bool,
+    /// Version that each event of a stream names.
+    pub(super) version: Option<String>,
 }
 
 /// Sends one response.
@@ -126,7 +128,11 @@
         } else {
             r#""text":""#
         };
-        format!(r#"data: {{"id":{id},"object":"{object}","model":{model},"choices":[{{"index":0,{text}"#)
+        let version = self.version.as_ref();
+        let version = version.map_or_else(String::new, |version| {
+            format!(r#""system_fingerprint":{},"#, serde_json::json!(version))
+        });
+        format!(r#"data: {{"id":{id},"object":"{object}","model":{model},{version}"choices":[{{"index":0,{text}"#)
     }
 
     /// The part of each event after its text.
--- a/crates/celerytide-standin/src/fault/mod.rs
+++ b/crates/celerytide-standin/src/fault/mod.rs
@@ -84,6 +84,11 @@
             /// The text.
             text: String,
         },
+        /// Engine: each event of a stream names this version as `system_fingerprint`; not cleared by `none`.
+        Version {
+            /// The version.
+            name: String,
+        },
         /// Configuration service: the connection of each request is closed without a response.
         Down,
         /// Configuration service: responses stay as they are now, whatever is published.
@@ -109,6 +114,7 @@
     silenced_peers: HashSet<SocketAddr>,
     queued: VecDeque<Fault>,
     deadly_text: Option<String>,
+    version: Option<String>,
 }
 
 /// The faults of one stand-in.
@@ -128,6 +134,7 @@
                 let known_peers: Vec<SocketAddr> = state.known_peers.iter().copied().collect();
                 state.silenced_peers.extend(known_peers);
             }
+            Fault::Version { name } => state.version = Some(name),
             Fault::Deadly { text } => state.deadly_text = Some(text),
             Fault::Crossed => state.queued.extend([Fault::Crossed, Fault::Crossed]),
             Fault::Late { .. } | Fault::CutMidAnswer { .. } | Fault::Reset | Fault::Status { .. } => {
@@ -168,6 +175,11 @@
         self.state.borrow().added_delay
     }
 
+    /// The version that events name.
+    pub fn version(&self) -> Option<String> {
+        self.state.borrow().version.clone()
+    }
+
     /// Whether a request with this body crashes the stand-in.
     pub fn is_deadly(&self, body: &[u8]) -> bool {
         let state = self.state.borrow();
