--- a/crates/celerytide-standin/src/engine/chat.rs
+++ b/crates/celerytide-standin/src/engine/chat.rs
@@ -100,6 +100,7 @@
         prompt_tokens: prompt.tokens,
         is_truncated: total_tokens < drawn,
         total_tokens,
+        version: engine.faults.version(),
         id,
     };
     match fault {
@@ -111,6 +112,10 @@
         .parse()
         .unwrap_or(LOWEST_PRIORITY);
     engine.runs.borrow_mut().push(Run::of(req, &spec.id));
+    if engine.faults.is_deadly(&req.body.to_bytes()) {
+        engine.overload();
+        return Err(Abort);
+    }
     let rx = submit(engine, &prompt, priority, spec.total_tokens);
     let mut writer = ResponseWriter {
         engine,
