--- a/crates/celerytide-http/tests/pool.rs
+++ b/crates/celerytide-http/tests/pool.rs
@@ -315,6 +315,27 @@
     });
 }
 
+/// Guards against: endpoints that aren't used any more hold the whole pool, and each request to another one needs a new
+/// connection.
+#[test]
+fn a_full_pool_keeps_no_new_connection() {
+    run(async {
+        let cx = CancellationToken::new();
+        let client = Client::new(Options {
+            idle_total: 2,
+            ..Options::default()
+        });
+        let [unused, used] = [(); 2].map(|()| start(Behavior::Serve));
+        let calls = [(); 2].map(|()| client.send_buffered(call(unused.addr, true), 10, &cx));
+        futures::future::join_all(calls).await;
+        for want in ["1/1", "1/2", "1/3"] {
+            let got = client.send_buffered(call(used.addr, false), 10, &cx).await;
+            assert_eq!(got.expect("response").body, want.as_bytes());
+        }
+        assert_eq!(client.idle_count(), 2);
+    });
+}
+
 /// How idle connections end, without a further use of the client.
 struct EndCase {
     name: &'static str,
