fix(http): a full pool keeps no new connection

Cause: while the pool held its maximum of idle connections, each connection that became idle was closed, also where those in the pool belonged to endpoints that had gone.

Change: the connection that has been idle for longest makes room.

--- a/crates/celerytide-http/src/client/pool.rs
+++ b/crates/celerytide-http/src/client/pool.rs
@@ -169,22 +169,23 @@
         None
     }
 
-    /// Adds a connection whose last response was read to its end.
+    /// Adds a connection whose last response was read to its end; the one that has been idle for longest makes room for it.
     /// `http_keep_alive` is the idle timeout declared by the endpoint; without one, [`Options::idle_age`] applies.
     pub(super) fn put(self: &Rc<Self>, addr: SocketAddr, mut conn: Conn, http_keep_alive: Option<Duration>) {
-        let is_full = self.idle_count() >= self.opts.idle_total;
-        let mut idle = self.idle.borrow_mut();
-        let count = idle.get(&addr).map_or(0, Vec::len);
-        let is_surplus = is_full || count >= self.opts.idle_per_addr || conn.answered.is_full();
-        if is_surplus || self.poll_ended(&mut conn).is_ready() {
+        let count = self.idle.borrow().get(&addr).map_or(0, Vec::len);
+        let is_surplus = count >= self.opts.idle_per_addr || conn.answered.is_full();
+        if self.opts.idle_total == 0 || is_surplus || self.poll_ended(&mut conn).is_ready() {
             return;
         }
+        if self.idle_count() >= self.opts.idle_total {
+            self.drop_oldest();
+        }
         conn.reader.release_buffer();
         conn.reader.allow_large_reads(true);
         conn.is_used = true;
         let now = now_boot();
         let age = http_keep_alive.map_or(self.opts.idle_age, |stated| self.reuse_time(stated));
-        idle.entry(addr).or_default().push(IdleConn {
+        self.idle.borrow_mut().entry(addr).or_default().push(IdleConn {
             conn,
             idle_since: now,
             expires_at: now.after(age),
@@ -194,6 +195,21 @@
         }
     }
 
+    /// Drops the connection that has been idle for longest; it is the first one of its address.
+    fn drop_oldest(&self) {
+        let mut idle = self.idle.borrow_mut();
+        let firsts = idle
+            .iter()
+            .filter_map(|(addr, list)| Some((*addr, list.first()?.idle_since)));
+        let Some((addr, _)) = firsts.min_by_key(|(_, since)| *since) else {
+            return;
+        };
+        if let Some(list) = idle.get_mut(&addr) {
+            list.remove(0);
+        }
+        idle.retain(|_, list| !list.is_empty());
+    }
+
     /// Registers the watching task for a connection that becomes idle; ready if that has already ended.
     fn poll_ended(&self, conn: &mut Conn) -> Poll<()> {
         conn.reader.poll_ended(&mut Context::from_waker(&self.watcher.borrow()))
