--- a/crates/celerytide-standin/src/platform/copies.rs
+++ b/crates/celerytide-standin/src/platform/copies.rs
@@ -1,7 +1,7 @@
 //! A runner that writes an answer once more, at a place on its connection that a test chooses.
 
 use std::io::{self, Write};
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -12,8 +12,12 @@
 
 /// First letter of the ids of requests whose first answer is copied; others are served at once.
 const COPIED: char = 'q';
-/// Time from an answer to its copy on an idle connection.
-const IDLE_DELAY: Duration = Duration::from_millis(30);
+/// First letter of the ids of requests behind whose answer the connection is closed.
+const CLOSED: char = 'c';
+/// First letter of the ids of streams that the end of the connection never delimits.
+const KEPT: char = 'w';
+/// Time from an answer to its copy on an idle connection, and from a copy to the answer of a request that runs.
+const COPY_DELAY: Duration = Duration::from_millis(30);
 /// Body of a stream.
 pub const TWO_EVENTS: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n";
 /// Length of its first event in bytes.
@@ -58,6 +62,24 @@
     InBody,
     /// In front of the response after the next one.
     AfterAnother,
+    /// While the next request runs.
+    UnderWay,
+    /// Inside the first event of the next response, whose body the end of the connection delimits.
+    InOpenEvent,
+    /// Behind the first event of such a body.
+    InOpenBody,
+    /// Behind the last event of such a body.
+    BehindOpenBody,
+}
+
+impl CopyPlace {
+    /// Whether the end of the connection delimits streams.
+    pub fn is_open(self) -> bool {
+        matches!(
+            self,
+            CopyPlace::InOpenEvent | CopyPlace::InOpenBody | CopyPlace::BehindOpenBody
+        )
+    }
 }
 
 impl Copying {
@@ -115,11 +137,11 @@
             CopyPlace::AtOnce => return out.write_all((answer + &copy).as_bytes()),
             CopyPlace::Idle => {
                 out.write_all(answer.as_bytes())?;
-                sleep(IDLE_DELAY);
+                sleep(COPY_DELAY);
                 return out.write_all(copy.as_bytes());
             }
             CopyPlace::AfterAnother => self.after = 1,
-            CopyPlace::BeforeNext | CopyPlace::InHead | CopyPlace::InBody => self.after = 0,
+            _ => self.after = 0,
         }
         self.copy = copy;
         out.write_all(answer.as_bytes())
@@ -127,12 +149,21 @@
 
     /// Serves a request, with the copy in its place if there is one.
     pub(super) fn serve(&mut self, out: &mut TcpStream, req: &Request, place: CopyPlace) -> io::Result<()> {
+        let is_kept = req.header("x-attempt-id").starts_with(KEPT);
+        if place.is_open() && is_stream(req) && !is_kept {
+            return self.serve_open(out, req, place);
+        }
         let [begin, head, body] = good(req);
         if self.after > 0 {
             self.after -= 1;
             return out.write_all((begin + &head + &body).as_bytes());
         }
         let copy = std::mem::take(&mut self.copy);
+        if place == CopyPlace::UnderWay && !copy.is_empty() {
+            out.write_all(copy.as_bytes())?;
+            sleep(COPY_DELAY);
+            return out.write_all((begin + &head + &body).as_bytes());
+        }
         let bytes = match place {
             CopyPlace::InHead => [begin, copy, head, body],
             CopyPlace::InBody => [begin, head, copy, body],
@@ -140,14 +171,45 @@
         };
         bytes.iter().try_for_each(|piece| out.write_all(piece.as_bytes()))
     }
+
+    /// Serves a stream that the end of the connection delimits.
+    fn serve_open(&mut self, out: &mut TcpStream, req: &Request, place: CopyPlace) -> io::Result<()> {
+        let at = match place {
+            CopyPlace::InOpenEvent => EVENT_BYTES / 2,
+            CopyPlace::InOpenBody => EVENT_BYTES,
+            _ => TWO_EVENTS.len(),
+        };
+        let (before, behind) = TWO_EVENTS.split_at(at);
+        let copy = std::mem::take(&mut self.copy);
+        let response = open_head(req) + before + &copy + behind;
+        out.write_all(response.as_bytes())?;
+        out.shutdown(Shutdown::Both)
+    }
+}
+
+fn is_stream(req: &Request) -> bool {
+    req.line.contains("/stream/") || req.line.contains("/resume/")
+}
+
+/// Head of a stream without a declared length.
+fn open_head(req: &Request) -> String {
+    let id = req.header("x-attempt-id");
+    format!(
+        "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-seal: {SEAL}\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n"
+    )
 }
 
 /// A good response in three pieces, the second up to the first event.
 fn good(req: &Request) -> [String; 3] {
     let id = req.header("x-attempt-id");
-    let begin = format!("HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\n");
+    let close = if id.starts_with(CLOSED) {
+        "connection: close\r\n"
+    } else {
+        ""
+    };
+    let begin = format!("HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\n{close}");
     let head = format!("x-response-seal: {SEAL}\r\n");
-    if req.line.contains("/stream/") || req.line.contains("/resume/") {
+    if is_stream(req) {
         let (first, second) = TWO_EVENTS.split_at(EVENT_BYTES);
         let head = head + "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
         return [begin, head + &chunk(first), chunk(second) + "0\r\n\r\n"];
