fix(edge): lines of another response are passed on as an event

Cause: in a stream that a length or the end of its connection delimits, nothing told the copy of an earlier response from events; its lines are fields with unknown names to the splitter.

Change: an event with a line of a response's head (a status line, the id header or a framing header as its field) isn't passed on; the stream ends there, as stream-foreign, and goes on at another endpoint if its route allows that. A head without any of these lines behind the start of a data field isn't told from data, nor is one inside a plain body.

--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -7,6 +7,7 @@
 
 mod body;
 mod continuity;
+mod foreign;
 mod handed;
 mod headers;
 mod proof;
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -16,6 +16,7 @@
 use monoio::time::timeout;
 use tracing::info;
 
+use super::foreign::has_response_head;
 use super::send::{Sent, Upstream, send};
 use super::{End, Forwarding, Gap, headers};
 use crate::edge::{BY_SELF, Placement};
@@ -27,6 +28,8 @@
 
 /// Cause of a stream that broke off.
 const BROKEN: &str = "stream-broken";
+/// Cause of a stream with bytes of another response.
+const FOREIGN: &str = "stream-foreign";
 /// Least time without an event after which a stream that still sends bytes counts as broken.
 const MIN_STALL: Duration = Duration::from_secs(2);
 /// The same as a multiple of the latency target for the first event.
@@ -139,6 +142,9 @@
             if event.has_data {
                 stall_timer.reset(now);
             }
+            if has_response_head(&event, &fwd.edge.protocol.header_names().request_id) {
+                return StreamEnd::Stopped(FOREIGN);
+            }
             if !fwd.continuity.push(&event) {
                 return StreamEnd::Stopped("stream-repeats");
             }
