fix(edge): a stream breaks off though a peer could go on with it

Cause: a stream goes on at another endpoint of its own instance or not at all; requests are handed to peers only before their first attempt.

Change: a stream that may be resumed is offered to a peer as a request that takes it up (last event, id of the request that began it): at once where the instance is cut off, else after its own attempts had no response and one found no connection. It costs one attempt of the route and one retry. The peer's events pass the same check of their ids.

--- a/crates/celerytide-edge/src/forward/handed.rs
+++ b/crates/celerytide-edge/src/forward/handed.rs
@@ -12,7 +12,7 @@
 use crate::protocol::Protocol;
 
 /// Cause of a request that a peer served, or refused.
-const HANDED_OVER: &str = "handed-over";
+pub(super) const HANDED_OVER: &str = "handed-over";
 /// Cause of a request that a peer took and didn't finish.
 const PEER_BROKE_OFF: &str = "peer-broke-off";
 
--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -8,6 +8,7 @@
 mod body;
 mod continuity;
 mod foreign;
+mod go_on;
 mod handed;
 mod headers;
 mod proof;
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -51,6 +51,20 @@
     Gone,
 }
 
+/// What came of the attempts to go on with a stream.
+#[derive(Debug, Default)]
+struct Tries {
+    is_unreached: bool,
+    is_heard: bool,
+}
+
+impl Tries {
+    /// Whether no endpoint responded, and one wasn't reached.
+    fn found_no_way(&self) -> bool {
+        self.is_unreached && !self.is_heard
+    }
+}
+
 /// Relays the stream to its end, over several endpoints if allowed.
 pub async fn relay<P: Protocol>(
     fwd: &mut Forwarding<'_, P>,
@@ -80,13 +94,22 @@
             StreamEnd::Broken(at) => (BROKEN, fwd.edge.record_break_off(&upstream.service, fwd.request, at)),
         };
         upstream.end(Outcome::Bad);
-        let next = match may_repeat {
-            true => resume(fwd, service).await,
-            false => None,
-        };
-        match next {
+        let end = End::new(cause, status.as_u16());
+        if !may_repeat {
+            return end;
+        }
+        let is_cut_off = fwd.edge.is_cut_off(&service.id);
+        if is_cut_off {
+            out = match fwd.go_on_at_peers(out, service, status).await {
+                Ok(ended) => return ended,
+                Err(out) => out,
+            };
+        }
+        let mut tries = Tries::default();
+        match resume(fwd, service, &mut tries).await {
             Some(next) => upstream = next,
-            None => return End::new(cause, status.as_u16()),
+            None if is_cut_off || !tries.found_no_way() => return end,
+            None => return fwd.go_on_at_peers(out, service, status).await.unwrap_or(end),
         }
     }
 }
@@ -176,6 +199,12 @@
 }
 
 impl<P: Protocol> Forwarding<'_, P> {
+    /// Whether the stream may go on elsewhere, as far as its route allows.
+    pub(super) fn may_go_on(&self) -> bool {
+        let route = &self.request.route;
+        route.kind == RouteKind::ResumableStream && self.may_have_run_count < route.max_attempts
+    }
+
     /// Binds the stream to the software of the endpoint that wrote its first event.
     fn bind(&mut self, upstream: &Upstream<P>) {
         if std::mem::replace(&mut self.has_events, true) {
@@ -247,11 +276,13 @@
 }
 
 /// Continues the stream at another endpoint, if its route allows that and a retry is left.
-async fn resume<P: Protocol>(fwd: &mut Forwarding<'_, P>, service: &Rc<Service>) -> Option<Box<Upstream<P>>> {
+async fn resume<P: Protocol>(
+    fwd: &mut Forwarding<'_, P>,
+    service: &Rc<Service>,
+    tries: &mut Tries,
+) -> Option<Box<Upstream<P>>> {
     let edge = fwd.edge;
-    while fwd.request.route.kind == RouteKind::ResumableStream
-        && fwd.may_have_run_count < fwd.request.route.max_attempts
-    {
+    while fwd.may_go_on() {
         let placement = match edge.place(fwd.request, service, &fwd.tried, fwd.bound).await {
             Ok(placement) => placement,
             // A stream that has begun isn't refused: this instance places it.
@@ -274,7 +305,10 @@
             return None;
         }
         fwd.note_pick(&pick);
-        match send(fwd, service, pick).await {
+        let sent = send(fwd, service, pick).await;
+        tries.is_heard |= matches!(sent, Sent::Response(_) | Sent::Rejected(_));
+        tries.is_unreached |= matches!(sent, Sent::Unreached(_));
+        match sent {
             Sent::Response(upstream) if upstream.is_success => {
                 info!(
                     request = fwd.request.id,
