--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -7,6 +7,8 @@
 
 mod body;
 mod continuity;
+mod foreign;
+mod go_on;
 mod handed;
 mod headers;
 mod proof;
