--- a/crates/celerytide-edge/tests/cold.rs
+++ b/crates/celerytide-edge/tests/cold.rs
@@ -152,13 +152,20 @@
 /// Guards against: processes that start while they hear nobody know only the seeds, and each takes the part of one of few.
 #[test]
 fn processes_that_start_cut_off_take_too_large_a_part() {
-    let case = |name, instances| CutCase {
+    let case = |name, instances, groups| CutCase {
         name,
         instances,
-        groups: instances,
+        groups,
         start_again: true,
         cold_rate: 20.0,
     };
-    let broken = play(&[case("nine", 9), case("24", 24), case("60", 60)]);
+    let broken = play(&[
+        case("nine", 9, 9),
+        case("24", 24, 24),
+        case("60", 60, 60),
+        case("24 in pairs", 24, 12),
+        case("60 in three groups with a seed each", 60, 3),
+        case("60 in six groups, three with a seed", 60, 6),
+    ]);
     assert!(broken.is_empty(), "{broken:#?}");
 }
