fix(edge): processes that start cut off assume a fleet of unknown size

Cause: an instance that has heard of nobody since its start knew only the seeds of its settings, and divided a cold or named rate among these. So did each group of instances that hear each other and start together. Change: the part of a rate is taken of the instances that there may be: as many as are known around each seed that was never heard of, and the largest fleet of the design where none was. Parts at endpoints with a rejection limit are as before.

--- a/crates/celerytide-edge/src/edge/rejected.rs
+++ b/crates/celerytide-edge/src/edge/rejected.rs
@@ -111,7 +111,7 @@
             share: Share::new(&service.id, members.own(), instances),
             others,
             heard: (!is_large(others)).then(|| self.digests.borrow().heard(now)),
-            usable: members.rate_share(now),
+            usable: members.known_share(now),
         }
     }
 
--- a/crates/celerytide-edge/src/peers/members.rs
+++ b/crates/celerytide-edge/src/peers/members.rs
@@ -26,6 +26,9 @@
 /// Other instances up to which a fleet is small: each sends everything to all others and reads the store itself.
 const MAX_SMALL: usize = 16;
 
+/// Instances of the largest fleet that the design is for.
+const LARGEST_FLEET: usize = 360;
+
 /// Whether a fleet with this number of `others` is too large for each instance to talk to all.
 pub fn is_large(others: usize) -> bool {
     others > MAX_SMALL
@@ -48,6 +51,8 @@
 #[derive(Debug)]
 pub struct Members {
     own: SocketAddr,
+    /// Whether the settings name this instance, too.
+    is_seed: bool,
     seeds: Vec<SocketAddr>,
     last_heard: BTreeMap<SocketAddr, BootTime>,
     started: BootTime,
@@ -58,6 +63,7 @@
     pub fn new(own: SocketAddr, seeds: &[SocketAddr], started: BootTime) -> Members {
         Members {
             own,
+            is_seed: seeds.contains(&own),
             seeds: seeds.iter().filter(|s| **s != own).copied().collect(),
             last_heard: BTreeMap::new(),
             started,
@@ -66,6 +72,7 @@
 
     /// Replaces the seeds after a reload of the settings.
     pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+        self.is_seed = seeds.contains(&self.own);
         self.seeds = seeds.iter().filter(|s| **s != self.own).copied().collect();
     }
 
@@ -187,12 +194,33 @@
         Some(others.len() + 1)
     }
 
-    /// Part of a rate, from 0 to 1, that the instances of [`Members::sharing_limits`] may use together: the silent ones may be
-    /// cut off and use theirs. It is 1 if the size of the fleet isn't known.
+    /// Part of a rate, from 0 to 1, that the instances of [`Members::sharing_limits`] may use together: the others may be cut
+    /// off and use theirs.
     pub fn rate_share(&self, now: BootTime) -> f64 {
         let sharing = self.sharing_limits(now).len();
-        let all = self.fleet_size(now).unwrap_or(sharing);
-        sharing as f64 / all.max(sharing) as f64
+        sharing as f64 / self.assumed_size(now).max(sharing) as f64
+    }
+
+    /// The same part of all instances that this one knows; it is 1 if it knows only the seeds.
+    pub fn known_share(&self, now: BootTime) -> f64 {
+        let sharing = self.sharing_limits(now).len();
+        let known = self.fleet_size(now).unwrap_or(sharing);
+        sharing as f64 / known.max(sharing) as f64
+    }
+
+    /// Number of instances that there may be. Whoever hears a seed knows the instances that hear the same one. As many may be
+    /// around each seed that wasn't heard of; without any, the fleet is as large as one can be.
+    fn assumed_size(&self, now: BootTime) -> usize {
+        let known = self.fleet_size(now).unwrap_or(self.seeds.len() + 1);
+        let is_heard = |seed: &&SocketAddr| self.last_heard.get(seed).is_some_and(|at| now.since(*at) < FLEET_AGE);
+        let own = usize::from(self.is_seed);
+        let heard = own + self.seeds.iter().filter(is_heard).count();
+        let named = own + self.seeds.len();
+        if heard == named {
+            return known;
+        }
+        let extrapolated = (known * named).checked_div(heard).unwrap_or(LARGEST_FLEET);
+        extrapolated.min(LARGEST_FLEET).max(known)
     }
 
     /// Time since this instance started.
