fix(edge): instances cut off from each other send first requests apart

Cause: when an endpoint becomes cold, the selected instances of each group that hears only itself sent their first request in the same moment; no bound on the rate of each prevents that. Change: while the fleet may have instances that aren't heard, the first request of each waits for a time of its own within its interval, by a hash of its address and the endpoint. A turn is kept as long as the endpoint is cold or names a rate, so that each cold period begins apart, and a caller of few requests isn't kept waiting anew.

--- a/crates/celerytide-edge/src/edge/limited.rs
+++ b/crates/celerytide-edge/src/edge/limited.rs
@@ -8,6 +8,7 @@
 
 use super::Edge;
 use crate::notice::Availability;
+use crate::peers::Instances;
 use crate::peers::digest::id_hash;
 use crate::protocol::Protocol;
 use crate::rate_limit::{Change, LimitEntry, MIN_RATE, StatedLimit, usable_rate};
@@ -20,6 +21,31 @@
         Some(per_s * self.members.borrow().rate_share(now))
     }
 
+    /// Whether this instance may send a request to an endpoint that gets `per_s` from those that hear each other.
+    pub(super) fn rate_allows(&self, endpoint: &str, per_s: f64, instances: &Instances, now: BootTime) -> bool {
+        self.begin_if_apart(endpoint, per_s, instances, now);
+        self.rate_limiter.borrow().allows(endpoint, per_s, instances, now)
+    }
+
+    /// Delays the first request to an endpoint if there may be instances that this one doesn't hear.
+    fn begin_if_apart(&self, endpoint: &str, per_s: f64, instances: &Instances, now: BootTime) {
+        let mut limiter = self.rate_limiter.borrow_mut();
+        if !limiter.has_begun(endpoint) && self.members.borrow().rate_share(now) < 1.0 {
+            limiter.begin_apart(endpoint, per_s, instances, now);
+        }
+    }
+
+    /// Drops the turns at endpoints that are neither cold nor name a rate.
+    pub(super) fn sweep_rates(&self, now: BootTime) {
+        let view = self.view.borrow();
+        let named = self.named_limits.borrow();
+        let is_limited = |id: &str| {
+            let known = view.endpoint(id);
+            known.is_some_and(|known| is_in_cold_period(known, now) || named.per_s(&known.endpoint).is_some())
+        };
+        self.rate_limiter.borrow_mut().sweep(is_limited, now);
+    }
+
     /// Time in which the endpoints that could get a request take one from all instances together; `None` if one of them
     /// names no rate.
     pub(super) fn limited_interval(
@@ -83,9 +109,14 @@
                 );
                 if let Some(per_s) = usable_rate(None, to) {
                     let members = self.members.borrow();
-                    let per_s = per_s * members.rate_share(now);
+                    let share = members.rate_share(now);
                     let instances = members.sharing_limits(now);
-                    self.rate_limiter.borrow_mut().begin(id, per_s, &instances, now);
+                    let mut limiter = self.rate_limiter.borrow_mut();
+                    if share < 1.0 {
+                        limiter.begin_apart(id, per_s * share, &instances, now);
+                    } else {
+                        limiter.begin(id, per_s, &instances, now);
+                    }
                 }
             }
         }
@@ -109,5 +140,9 @@
 }
 
 fn is_cold(service: &Service, known: &KnownEndpoint, now: BootTime) -> bool {
-    service.cold_rate > 0.0 && known.cold_until.is_some_and(|until| now < until)
+    service.cold_rate > 0.0 && is_in_cold_period(known, now)
+}
+
+fn is_in_cold_period(known: &KnownEndpoint, now: BootTime) -> bool {
+    known.cold_until.is_some_and(|until| now < until)
 }
--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -326,7 +326,7 @@
             coordination.reset(id);
         }
         drop((loads, coordination));
-        self.rate_limiter.borrow_mut().sweep(now);
+        self.sweep_rates(now);
         self.notices.borrow_mut().sweep(now);
         self.sweep_named_limits(now);
         self.sweep_rejections(now);
--- a/crates/celerytide-edge/src/edge/pick.rs
+++ b/crates/celerytide-edge/src/edge/pick.rs
@@ -188,7 +188,6 @@
         rooms: &Rooms,
         now: BootTime,
     ) -> Vec<&'a KnownEndpoint> {
-        let limiter = self.rate_limiter.borrow();
         let notices = self.notices.borrow();
         let may_serve = |known: &&KnownEndpoint| {
             if notices.availability(&known.endpoint, now) != Availability::Available {
@@ -199,7 +198,7 @@
                 return false;
             }
             let rate = self.rate(service, known, now);
-            rate.is_none_or(|per_s| limiter.allows(id, per_s, instances, now))
+            rate.is_none_or(|per_s| self.rate_allows(id, per_s, instances, now))
         };
         let untried = view
             .usable(&service.id, now)
--- a/crates/celerytide-edge/src/rate_limit/limiter.rs
+++ b/crates/celerytide-edge/src/rate_limit/limiter.rs
@@ -62,7 +62,27 @@
             return;
         };
         let turn = (part.rank + 1) as f64 / part.selected as f64;
-        let first_at = now.after(part.interval.mul_f64(turn));
+        self.begin_at(endpoint, now.after(part.interval.mul_f64(turn)), now);
+    }
+
+    /// Begins with the part of a rate that became known to instances that don't all hear each other: no order is common to
+    /// them, so each sends its first request at a time of its own within its interval.
+    pub fn begin_apart(&mut self, endpoint: &str, per_s: f64, instances: &[SocketAddr], now: BootTime) {
+        let Some(part) = self.part(endpoint, per_s, instances) else {
+            return;
+        };
+        // The weight that selects instances is high for all that are selected; this one is independent of it.
+        let weight = rendezvous_weight(&self.own.to_string(), endpoint);
+        let turn = weight as f64 / u64::MAX as f64;
+        self.begin_at(endpoint, now.after(part.interval.mul_f64(turn)), now);
+    }
+
+    /// Whether this instance has begun with its part of an endpoint's rate.
+    pub fn has_begun(&self, endpoint: &str) -> bool {
+        self.next_at.contains_key(endpoint)
+    }
+
+    fn begin_at(&mut self, endpoint: &str, first_at: BootTime, now: BootTime) {
         let next_at = self.next_at.entry(endpoint.to_owned()).or_insert(first_at);
         // A wait that a lower rate left behind ends sooner.
         *next_at = if *next_at > now {
@@ -72,9 +92,10 @@
         };
     }
 
-    /// Removes the endpoints for which this instance's wait is over.
-    pub fn sweep(&mut self, now: BootTime) {
-        self.next_at.retain(|_, next_at| *next_at > now);
+    /// Removes the endpoints that have no rate any more and for which this instance's wait is over.
+    pub fn sweep(&mut self, is_limited: impl Fn(&str) -> bool, now: BootTime) {
+        self.next_at
+            .retain(|endpoint, next_at| *next_at > now || is_limited(endpoint));
     }
 
     /// This instance's part of the rate; `None` if it isn't selected for the endpoint.
--- a/crates/celerytide-edge/tests/cold.rs
+++ b/crates/celerytide-edge/tests/cold.rs
@@ -103,6 +103,8 @@
 
 /// Time from the cut to the endpoint's start; longer than silent instances share its rate.
 const CUT_MS: u64 = 50_000;
+/// Time from the endpoint's start to the next one, behind the same cut.
+const AGAIN_MS: u64 = 10_000;
 
 /// What breaks the bound in each case.
 fn play(cases: &[CutCase]) -> Vec<String> {
@@ -111,7 +113,7 @@
         let mut store = Store::new(case.cold_rate, 4000);
         let mut all = fleet(case.instances, |_| Ok(STEP_MS)).expect("a fleet");
         let mut starts = Starts::default();
-        for ms in (0..CALM_MS + CUT_MS + 6000).step_by(STEP_MS as usize) {
+        for ms in (0..CALM_MS + CUT_MS + AGAIN_MS + 6000).step_by(STEP_MS as usize) {
             if ms == CALM_MS {
                 for n in 0..all.len() {
                     all[n].group = n % case.groups;
@@ -120,7 +122,7 @@
                     }
                 }
             }
-            if ms == CALM_MS + CUT_MS {
+            if [CALM_MS + CUT_MS, CALM_MS + CUT_MS + AGAIN_MS].contains(&ms) {
                 store.write(0, Kind::Started, ms);
             }
             step(&mut all, &mut store, ms, &mut starts);
--- a/crates/celerytide-edge/tests/cold_fleet/mod.rs
+++ b/crates/celerytide-edge/tests/cold_fleet/mod.rs
@@ -256,6 +256,11 @@
         if is_first || was_away {
             self.unwatched.push(read);
         }
+        let is_cold = |id: &str| {
+            let until = self.view.endpoint(id).and_then(|known| known.cold_until);
+            until.is_some_and(|until| at(ms) < until)
+        };
+        self.limiter.sweep(is_cold, at(ms));
         (self.revision, self.last_read_ms) = (read.1, ms);
     }
 
@@ -274,7 +279,7 @@
         cause.revision <= self.revision && is_shown
     }
 
-    /// Sends what the instance may send to an endpoint in this step, as `Edge::available` and `Edge::reserve` do.
+    /// Sends what the instance may send to an endpoint in this step, as `Edge::available`, `Edge::rate_allows` and `Edge::reserve` do.
     pub fn send(&mut self, endpoint: &str, service: &Service, ms: u64) -> usize {
         let now = at(ms);
         let Some(known) = self.view.usable(&service.id, now).find(|k| k.endpoint.id == endpoint) else {
@@ -286,6 +291,9 @@
         };
         let per_s = per_s * self.members.rate_share(now);
         let sharing = self.members.sharing_limits(now);
+        if !self.limiter.has_begun(endpoint) && self.members.rate_share(now) < 1.0 {
+            self.limiter.begin_apart(endpoint, per_s, &sharing, now);
+        }
         let mut sent = 0;
         while sent < DEMAND && self.limiter.allows(endpoint, per_s, &sharing, now) {
             self.limiter.record(endpoint, per_s, &sharing, now);
