--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -17,6 +17,7 @@
 use super::response::{refusal, sealed_head, send_response};
 use super::silence::Silence;
 use super::statement::Statement;
+use crate::sockets::reset_on_close;
 
 /// How a runner responds to requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -123,6 +124,10 @@
     silence: Silence,
     /// Whether each connection is open, by its number.
     connections: Mutex<Vec<bool>>,
+    /// Open connections beyond which further ones are reset; `None` without a limit.
+    max_connections: Mutex<Option<usize>>,
+    /// Connections that were reset so far.
+    refused_connections: Mutex<usize>,
     address: SocketAddr,
 }
 
@@ -141,6 +146,17 @@
         connections.len() - 1
     }
 
+    fn open_connections(&self) -> usize {
+        lock(&self.connections).iter().filter(|is_open| **is_open).count()
+    }
+
+    /// Whether a further connection must be reset; counts it.
+    fn refuses_connection(&self) -> bool {
+        let is_full = lock(&self.max_connections).is_some_and(|max| self.open_connections() >= max);
+        *lock(&self.refused_connections) += usize::from(is_full);
+        is_full
+    }
+
     /// Records that a request did not run; it has ended.
     fn record_unrun(&self, index: usize) {
         lock(&self.arrivals)[index].ran = false;
@@ -181,6 +197,8 @@
             room: Room::default(),
             silence: Silence::default(),
             connections: Mutex::default(),
+            max_connections: Mutex::default(),
+            refused_connections: Mutex::default(),
             address,
         });
         let served = shared.clone();
@@ -192,6 +210,11 @@
                     drop((accepted, listener));
                     listener = served.crashes.listen_again(address, down);
                 } else if let Ok((conn, _)) = accepted {
+                    if served.refuses_connection() {
+                        // Fails only if the connection has ended already.
+                        let _ = reset_on_close(&conn);
+                        continue;
+                    }
                     let shared = served.clone();
                     served.crashes.add(&conn);
                     let number = shared.record_connection();
@@ -255,6 +278,21 @@
         lock(&self.shared.arrivals).clone()
     }
 
+    /// Sets the number of open connections beyond which further ones are reset.
+    pub fn set_max_connections(&self, max: usize) {
+        *lock(&self.shared.max_connections) = Some(max);
+    }
+
+    /// Connections that were reset so far since there were too many.
+    pub fn refused_connections(&self) -> usize {
+        *lock(&self.shared.refused_connections)
+    }
+
+    /// Number of open connections.
+    pub fn open_connections(&self) -> usize {
+        self.shared.open_connections()
+    }
+
     /// Whether the connection with this number is open.
     pub fn is_open(&self, connection: usize) -> bool {
         lock(&self.shared.connections)[connection]
--- a/crates/celerytide-standin/src/relay/route.rs
+++ b/crates/celerytide-standin/src/relay/route.rs
@@ -5,7 +5,7 @@
     future::{Future, poll_fn},
     io,
     net::{IpAddr, SocketAddr, TcpListener as StdListener, TcpStream as StdStream},
-    os::fd::{AsFd, AsRawFd, OwnedFd},
+    os::fd::{AsRawFd, OwnedFd},
     pin::pin,
     rc::{Rc, Weak},
     task::Poll,
@@ -18,7 +18,6 @@
 };
 use nix::{
     errno::Errno,
-    libc,
     sys::socket::{
         self, AddressFamily, Backlog, Shutdown, SockFlag, SockType, SockaddrStorage, listen, setsockopt, socket,
         sockopt,
@@ -26,6 +25,7 @@
 };
 
 use super::{Mode, RouteState, connection, connection::Connection, mode::Direction};
+use crate::sockets::reset_on_close;
 
 /// Time between checks of the mode while no connections are accepted.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -214,12 +214,3 @@
         Err(error) => Err(error.into()),
     }
 }
-
-/// Sets `SO_LINGER` to zero, so that closing the socket resets the connection; accepted connections inherit it.
-fn reset_on_close(socket: &impl AsFd) -> io::Result<()> {
-    let linger = libc::linger {
-        l_onoff: 1,
-        l_linger: 0,
-    };
-    Ok(setsockopt(socket, sockopt::Linger, &linger)?)
-}
--- a/crates/celerytide-standin/src/sockets/mod.rs
+++ b/crates/celerytide-standin/src/sockets/mod.rs
@@ -3,9 +3,16 @@
 //! The HTTP server always responds before it closes a connection. The process therefore finds its own sockets in
 //! `/proc/self/fd` and shuts them down. The caller sees the end of the connection, and a reset if it continues to send.
 
-use std::{fs, net::SocketAddr, os::fd::RawFd};
+use std::{
+    fs, io,
+    net::SocketAddr,
+    os::fd::{AsFd, RawFd},
+};
 
-use nix::sys::socket::{Shutdown, SockaddrStorage, getpeername, shutdown};
+use nix::{
+    libc,
+    sys::socket::{Shutdown, SockaddrStorage, getpeername, setsockopt, shutdown, sockopt},
+};
 
 const FD_DIR: &str = "/proc/self/fd";
 
@@ -48,3 +55,12 @@
     }
     addr.as_sockaddr_in6().map(|v6| SocketAddr::from((v6.ip(), v6.port())))
 }
+
+/// Sets `SO_LINGER` to zero, so that closing the socket resets the connection; accepted connections inherit it.
+pub(crate) fn reset_on_close(socket: &impl AsFd) -> io::Result<()> {
+    let linger = libc::linger {
+        l_onoff: 1,
+        l_linger: 0,
+    };
+    Ok(setsockopt(socket, sockopt::Linger, &linger)?)
+}
