fix(edge): idle connections leave an endpoint's connections to requests

Cause: max_connections of a service wasn't read; each instance keeps up to 16 idle connections to an endpoint, whatever the endpoint accepts from all together. Change: the instances keep at most half of it idle, each an equal part by the size of the fleet; the pool takes a limit by address and closes what is beyond it, also when the fleet grows. Not told to peers, since messages of this encoding can't grow: followers in large fleets know no number and keep up to 16 as before.

--- a/crates/celerytide-catalog/src/config/mod.rs
+++ b/crates/celerytide-catalog/src/config/mod.rs
@@ -66,6 +66,10 @@
         pub engine_slots: Option<u32>,
         /// Prompt and output tokens that an engine holds; `None` for a plain service.
         pub engine_tokens: Option<u64>,
+        /// Connections that an endpoint accepts from all callers together; `None` if that isn't known. Peers don't tell it:
+        /// processes of other releases couldn't read their messages.
+        #[serde(skip)]
+        pub max_connections: Option<u32>,
     }
 
     /// A customer and its keys.
--- a/crates/celerytide-catalog/src/view/mod.rs
+++ b/crates/celerytide-catalog/src/view/mod.rs
@@ -252,7 +252,18 @@
         update
     }
 
-    fn set_config(&mut self, config: Config, update: &mut Update) {
+    /// Keeps what a peer's configuration doesn't tell.
+    fn keep_max_connections(&self, config: &mut Config) {
+        for service in &mut config.services {
+            let known = self
+                .catalog
+                .service(&service.id)
+                .and_then(|known| known.max_connections);
+            service.max_connections = service.max_connections.or(known);
+        }
+    }
+
+    fn set_config(&mut self, mut config: Config, update: &mut Update) {
         if self.config.is_some() && config.version <= self.catalog.version() {
             let is_older = config.version < self.catalog.version();
             if let Some(restored) = update.restored.as_mut().filter(|_| is_older) {
@@ -261,6 +272,7 @@
             return;
         }
         update.config = Some(config.version);
+        self.keep_max_connections(&mut config);
         self.catalog = Rc::new(Catalog::new(&config));
         self.config = Some(Rc::new(config));
     }
--- a/crates/celerytide-catalog/tests/restore.rs
+++ b/crates/celerytide-catalog/tests/restore.rs
@@ -30,6 +30,7 @@
             cold_rate: 0.0,
             engine_slots: None,
             engine_tokens: None,
+            max_connections: None,
         }],
         customers: None,
         limits: CallerLimits {
--- a/crates/celerytide-catalog/tests/view.rs
+++ b/crates/celerytide-catalog/tests/view.rs
@@ -53,6 +53,7 @@
             cold_rate: 18.0,
             engine_slots: None,
             engine_tokens: None,
+            max_connections: None,
         }],
         customers: Some(vec![customer("first", 1), customer("second", 2)]),
         limits: CallerLimits {
--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -2,6 +2,7 @@
 
 mod coordination;
 mod freshness;
+mod idle;
 mod in_flight;
 mod limited;
 mod pick;
@@ -327,6 +328,7 @@
         }
         drop((loads, coordination));
         self.sweep_rates(now);
+        self.limit_idle(now);
         self.notices.borrow_mut().sweep(now);
         self.sweep_named_limits(now);
         self.sweep_rejections(now);
--- a/crates/celerytide-edge/src/peers/exchange.rs
+++ b/crates/celerytide-edge/src/peers/exchange.rs
@@ -89,6 +89,7 @@
         if let Some(peer) = peer {
             call(&edge, peer).await;
         }
+        edge.limit_idle(now_boot());
     }
 }
 
--- a/crates/celerytide-edge/src/peers/members.rs
+++ b/crates/celerytide-edge/src/peers/members.rs
@@ -210,7 +210,7 @@
 
     /// Number of instances that there may be. Whoever hears a seed knows the instances that hear the same one. As many may be
     /// around each seed that wasn't heard of; without any, the fleet is as large as one can be.
-    fn assumed_size(&self, now: BootTime) -> usize {
+    pub fn assumed_size(&self, now: BootTime) -> usize {
         let known = self.fleet_size(now).unwrap_or(self.seeds.len() + 1);
         let is_heard = |seed: &&SocketAddr| self.last_heard.get(seed).is_some_and(|at| now.since(*at) < FLEET_AGE);
         let own = usize::from(self.is_seed);
--- a/crates/celerytide-edge/tests/cold_fleet/mod.rs
+++ b/crates/celerytide-edge/tests/cold_fleet/mod.rs
@@ -92,6 +92,7 @@
                 cold_rate,
                 engine_slots: None,
                 engine_tokens: None,
+                max_connections: None,
             },
             endpoints: [State::default(); ENDPOINTS],
             zones_out: [false; 2],
--- a/crates/celerytide-edge/tests/coordinator_edge.rs
+++ b/crates/celerytide-edge/tests/coordinator_edge.rs
@@ -90,6 +90,7 @@
         cold_rate: 0.0,
         engine_slots: Some(SLOTS),
         engine_tokens: Some(171_003),
+        max_connections: None,
     }
 }
 
--- a/crates/celerytide-edge/tests/coordinator_orders.rs
+++ b/crates/celerytide-edge/tests/coordinator_orders.rs
@@ -85,6 +85,7 @@
                 cold_rate: 0.0,
                 engine_slots: Some(SLOTS),
                 engine_tokens: Some(100_000),
+                max_connections: None,
             },
             engines: (0..engines).map(known).collect(),
             requests: BTreeMap::new(),
--- a/crates/celerytide-edge/tests/fleet/mod.rs
+++ b/crates/celerytide-edge/tests/fleet/mod.rs
@@ -138,6 +138,7 @@
         cold_rate: 0.0,
         engine_slots: Some(32),
         engine_tokens: Some(171_003),
+        max_connections: None,
     }
 }
 
--- a/crates/celerytide-edge/tests/pick.rs
+++ b/crates/celerytide-edge/tests/pick.rs
@@ -101,6 +101,7 @@
         cold_rate,
         engine_slots: None,
         engine_tokens: None,
+        max_connections: None,
     }
 }
 
--- a/crates/celerytide-edge/tests/placement.rs
+++ b/crates/celerytide-edge/tests/placement.rs
@@ -26,6 +26,7 @@
         cold_rate: 0.0,
         engine_slots: Some(128),
         engine_tokens: Some(352_253),
+        max_connections: None,
     }
 }
 
--- a/crates/celerytide-edge/tests/rejections.rs
+++ b/crates/celerytide-edge/tests/rejections.rs
@@ -428,6 +428,7 @@
         cold_rate: 0.0,
         engine_slots: None,
         engine_tokens: None,
+        max_connections: None,
     };
     // One endpoint has rejected requests of late.
     let room = |n: usize| if n == 0 { 2 } else { SLOTS as u32 };
--- a/crates/celerytide-edge/tests/scene/mod.rs
+++ b/crates/celerytide-edge/tests/scene/mod.rs
@@ -116,6 +116,7 @@
                 cold_rate: 0.0,
                 engine_slots: Some(SLOTS),
                 engine_tokens: Some(171_003),
+                max_connections: None,
             },
             engines: (0..engines).map(|n| known(&format!("e{n}"))).collect(),
             from: SocketAddr::from(([10, 0, 0, 1], 8229)),
--- a/crates/celerytide-http/src/client/mod.rs
+++ b/crates/celerytide-http/src/client/mod.rs
@@ -16,6 +16,8 @@
 mod pool;
 mod response;
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
@@ -53,6 +55,12 @@
         self.pool.idle_count()
     }
 
+    /// Replaces the maximum numbers of idle connections by address, and closes those beyond them. Addresses without one have
+    /// [`Options::idle_per_addr`].
+    pub fn set_idle_limits(&self, limits: HashMap<SocketAddr, usize>) {
+        self.pool.set_idle_limits(limits);
+    }
+
     /// Largest number of idle connections in the pool.
     pub fn max_idle(&self) -> usize {
         self.pool.options().idle_total
--- a/crates/celerytide-http/src/client/pool.rs
+++ b/crates/celerytide-http/src/client/pool.rs
@@ -85,6 +85,8 @@
 pub(super) struct Pool {
     opts: Options,
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConn>>>,
+    /// Maximum number of idle connections to addresses that take fewer than [`Options::idle_per_addr`].
+    idle_limits: RefCell<HashMap<SocketAddr, usize>>,
     /// Whether the task of [`Pool::watch`] exists.
     is_watched: Cell<bool>,
     /// Wakes that task.
@@ -125,7 +127,8 @@
     pub(super) fn new(opts: Options) -> Self {
         Pool {
             opts,
-            idle: RefCell::new(HashMap::new()),
+            idle: RefCell::default(),
+            idle_limits: RefCell::default(),
             is_watched: Cell::new(false),
             watcher: RefCell::new(Waker::noop().clone()),
             buffered: Cell::new(0),
@@ -140,6 +143,21 @@
         self.idle.borrow().values().map(Vec::len).sum()
     }
 
+    /// Replaces the maximum numbers of idle connections by address; drops those beyond them that were idle for longest.
+    pub(super) fn set_idle_limits(&self, limits: HashMap<SocketAddr, usize>) {
+        self.idle_limits.replace(limits);
+        self.idle.borrow_mut().retain(|addr, list| {
+            let surplus = list.len().saturating_sub(self.max_idle_to(*addr));
+            list.drain(..surplus);
+            !list.is_empty()
+        });
+    }
+
+    fn max_idle_to(&self, addr: SocketAddr) -> usize {
+        let limit = self.idle_limits.borrow().get(&addr).copied();
+        limit.unwrap_or(usize::MAX).min(self.opts.idle_per_addr)
+    }
+
     /// Takes the most recently used connection; drops connections that expired, closed or hold unexpected bytes. One that
     /// was idle for longer than `max_idle`, or on which the request `id` was answered before, stays in the pool.
     pub(super) fn take(&self, addr: SocketAddr, max_idle: Option<Duration>, id: Option<IdHash>) -> Option<Conn> {
@@ -175,7 +193,7 @@
         let is_full = self.idle_count() >= self.opts.idle_total;
         let mut idle = self.idle.borrow_mut();
         let count = idle.get(&addr).map_or(0, Vec::len);
-        let is_surplus = is_full || count >= self.opts.idle_per_addr || conn.answered.is_full();
+        let is_surplus = is_full || count >= self.max_idle_to(addr) || conn.answered.is_full();
         if is_surplus || self.poll_ended(&mut conn).is_ready() {
             return;
         }
--- a/crates/celerytide-http/tests/pool.rs
+++ b/crates/celerytide-http/tests/pool.rs
@@ -284,14 +284,18 @@
     name: &'static str,
     per_addr: usize,
     total: usize,
+    /// Limit of the address that is set when the connections are idle.
+    later: Option<usize>,
     want: usize,
 }
 
 #[rustfmt::skip]
 const LIMIT_CASES: &[LimitCase] = &[
-    LimitCase { name: "none", per_addr: 0, total: 9, want: 0 },
-    LimitCase { name: "for one endpoint", per_addr: 2, total: 9, want: 2 },
-    LimitCase { name: "in all", per_addr: 9, total: 3, want: 3 },
+    LimitCase { name: "none", per_addr: 0, total: 9, later: None, want: 0 },
+    LimitCase { name: "for one endpoint", per_addr: 2, total: 9, later: None, want: 2 },
+    LimitCase { name: "in all", per_addr: 9, total: 3, later: None, want: 3 },
+    LimitCase { name: "for one endpoint, lowered later", per_addr: 9, total: 9, later: Some(2), want: 2 },
+    LimitCase { name: "for one endpoint, raised later", per_addr: 2, total: 9, later: Some(5), want: 2 },
 ];
 
 #[test]
@@ -310,6 +314,8 @@
             for got in futures::future::join_all(calls).await {
                 got.expect(case.name);
             }
+            let limits = case.later.map(|limit| (endpoint.addr, limit));
+            client.set_idle_limits(limits.into_iter().collect());
             assert_eq!(client.idle_count(), case.want, "{}", case.name);
         }
     });
