--- a/crates/celerytide-edge/tests/pick.rs
+++ b/crates/celerytide-edge/tests/pick.rs
@@ -235,3 +235,63 @@
         assert_eq!(is_withheld, !is_partitioned, "{picked:?}");
     }
 }
+
+/// Requests for a limited endpoint that come all the time.
+struct UrgencyCase {
+    name: &'static str,
+    /// One in this many requests is of the most urgent kind, the others of the least urgent one; 0 for none.
+    urgent_in: u32,
+    /// Least part of the served requests that must be urgent.
+    urgent_share: f64,
+}
+
+const URGENCY_CASES: [UrgencyCase; 2] = [
+    UrgencyCase {
+        name: "one in four is urgent",
+        urgent_in: 4,
+        urgent_share: 0.75,
+    },
+    UrgencyCase {
+        name: "none is urgent",
+        urgent_in: 0,
+        urgent_share: 0.0,
+    },
+];
+
+/// Rate that the endpoint names, and the least part of it that is used.
+const NAMED_PER_S: f64 = 8.0;
+const USED_SHARE: f64 = 0.75;
+const PAUSE: Duration = Duration::from_millis(8);
+const TRAFFIC: Duration = Duration::from_secs(4);
+
+/// Guards against: the few requests that a limited endpoint takes go to whoever comes first, not to the most urgent.
+#[test]
+fn a_limited_endpoint_serves_the_least_urgent_first() {
+    for case in &URGENCY_CASES {
+        let endpoint = endpoint(Duration::ZERO);
+        let service = service(0.0);
+        let edge = instance(&endpoint);
+        sleep(STARTUP_TIME);
+        edge.apply_stated_limit(&endpoint, StatedLimit::PerSecond(NAMED_PER_S), now_boot());
+        let began = now_boot();
+        let mut served = [0.0; 2];
+        for n in 0.. {
+            if now_boot().since(began) > TRAFFIC {
+                break;
+            }
+            let position = usize::from(case.urgent_in == 0 || n % case.urgent_in != 0);
+            let urgency = Urgency { position, positions: 2 };
+            let request = RoutedRequest { urgency, ..request() };
+            let picked = edge.pick(&request, &service, &[], None, Placement::by_self(BY_SELF));
+            served[position] += f64::from(u8::from(picked.is_ok()));
+            sleep(PAUSE);
+        }
+        let all = served[0] + served[1];
+        let (name, seen) = (case.name, format!("urgent, others: {served:?}"));
+        assert!(
+            all >= NAMED_PER_S * TRAFFIC.as_secs_f64() * USED_SHARE,
+            "{name}: {seen}"
+        );
+        assert!(served[0] >= all * case.urgent_share, "{name}: {seen}");
+    }
+}
