fix(edge): turns at a limited endpoint are kept for urgent requests first

Cause: the next request of an instance to a limited endpoint went to whichever came first. Change: a turn is kept from the least urgent for half of the instance's interval, from those between for less; the time so waited is taken off the next interval.

--- a/crates/celerytide-edge/src/edge/limited.rs
+++ b/crates/celerytide-edge/src/edge/limited.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use celerytide_catalog::{Endpoint, KnownEndpoint, Service, View};
+use celerytide_catalog::{Endpoint, KnownEndpoint, Service, Urgency, View};
 use celerytide_types::{BootTime, now_boot};
 use tracing::{info, warn};
 
@@ -22,9 +22,17 @@
     }
 
     /// Whether this instance may send a request to an endpoint that gets `per_s` from those that hear each other.
-    pub(super) fn rate_allows(&self, endpoint: &str, per_s: f64, instances: &Instances, now: BootTime) -> bool {
+    pub(super) fn rate_allows(
+        &self,
+        endpoint: &str,
+        per_s: f64,
+        instances: &Instances,
+        urgency: Urgency,
+        now: BootTime,
+    ) -> bool {
         self.begin_if_apart(endpoint, per_s, instances, now);
-        self.rate_limiter.borrow().allows(endpoint, per_s, instances, now)
+        let limiter = self.rate_limiter.borrow();
+        limiter.allows_rank(endpoint, per_s, instances, urgency.rank(), now)
     }
 
     /// Delays the first request to an endpoint if there may be instances that this one doesn't hear.
--- a/crates/celerytide-edge/src/edge/pick.rs
+++ b/crates/celerytide-edge/src/edge/pick.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use celerytide_catalog::{Endpoint, KnownEndpoint, Service, View};
+use celerytide_catalog::{Endpoint, KnownEndpoint, Service, Urgency, View};
 use celerytide_types::{BootTime, now_boot};
 use tracing::info;
 
@@ -97,7 +97,12 @@
         let view = self.view.borrow();
         let instances = self.members.borrow().sharing_limits(now);
         let rooms = self.rooms(&view, service, &instances, &placement, now);
-        let available = self.available(&view, service, tried, &instances, &rooms, now);
+        let shares = Shares {
+            instances: &instances,
+            rooms: &rooms,
+            urgency: request.urgency,
+        };
+        let available = self.available(&view, service, tried, &shares, now);
         let prompt_size = self.prompt_size(&view, request, service);
         let fitting: Vec<&KnownEndpoint> = available.iter().copied().filter(|known| fits(known, bound)).collect();
         if fitting.is_empty() && bound.is_some() {
@@ -184,8 +189,7 @@
         view: &'a View,
         service: &'a Service,
         tried: &[String],
-        instances: &Instances,
-        rooms: &Rooms,
+        shares: &Shares<'_>,
         now: BootTime,
     ) -> Vec<&'a KnownEndpoint> {
         let notices = self.notices.borrow();
@@ -194,11 +198,11 @@
                 return false;
             }
             let id = &known.endpoint.id;
-            if !rooms.allows(id) {
+            if !shares.rooms.allows(id) {
                 return false;
             }
             let rate = self.rate(service, known, now);
-            rate.is_none_or(|per_s| self.rate_allows(id, per_s, instances, now))
+            rate.is_none_or(|per_s| self.rate_allows(id, per_s, shares.instances, shares.urgency, now))
         };
         let untried = view
             .usable(&service.id, now)
@@ -398,7 +402,10 @@
         } = reserving;
         if let Some(per_s) = self.rate(service, choice.known, now) {
             let id = &choice.known.endpoint.id;
-            self.rate_limiter.borrow_mut().record(id, per_s, instances, now);
+            let rank = request.urgency.rank();
+            self.rate_limiter
+                .borrow_mut()
+                .record_rank(id, per_s, instances, rank, now);
         }
         self.count_sent(service, request, &choice.known.endpoint, now);
         let tokens = total_tokens(&request.prompt);
@@ -454,6 +461,13 @@
     }
 }
 
+/// What decides on this instance's part of endpoints with limits.
+struct Shares<'a> {
+    instances: &'a Instances,
+    rooms: &'a Rooms,
+    urgency: Urgency,
+}
+
 /// How a request is counted at its endpoint.
 struct Reserving<'a, P: Protocol> {
     prompt_size: Option<PromptSize>,
--- a/crates/celerytide-edge/src/rate_limit/limiter.rs
+++ b/crates/celerytide-edge/src/rate_limit/limiter.rs
@@ -21,6 +21,10 @@
 /// Time after startup during which no request goes to limited endpoints.
 const STARTUP_TIME: Duration = Duration::from_secs(4);
 
+/// Part of an instance's interval for which a turn is kept from the least urgent requests; the others wait for less. Gaps
+/// between two requests are at least the rest of it.
+const RESERVED_PART: f64 = 0.5;
+
 /// When this instance may next send to each limited endpoint.
 #[derive(Debug)]
 pub struct RateLimiter {
@@ -42,17 +46,37 @@
     /// Whether a request may go to `endpoint` now, which gets `per_s` requests per second from all `instances` (including
     /// this one).
     pub fn allows(&self, endpoint: &str, per_s: f64, instances: &[SocketAddr], now: BootTime) -> bool {
-        if now.since(self.started) < STARTUP_TIME || self.part(endpoint, per_s, instances).is_none() {
+        self.allows_rank(endpoint, per_s, instances, 0.0, now)
+    }
+
+    /// As [`RateLimiter::allows`] for a request of this rank, from 0 for the most urgent ones to 1: the less urgent leave a
+    /// turn to others for a while.
+    pub fn allows_rank(&self, endpoint: &str, per_s: f64, instances: &[SocketAddr], rank: f64, now: BootTime) -> bool {
+        if now.since(self.started) < STARTUP_TIME {
             return false;
         }
-        self.next_at.get(endpoint).is_none_or(|next_at| *next_at <= now)
+        let Some(part) = self.part(endpoint, per_s, instances) else {
+            return false;
+        };
+        let next_at = self.next_at.get(endpoint);
+        next_at.is_none_or(|next_at| next_at.after(part.reserved(rank)) <= now)
     }
 
     /// Counts a request sent to `endpoint`.
     pub fn record(&mut self, endpoint: &str, per_s: f64, instances: &[SocketAddr], now: BootTime) {
-        if let Some(part) = self.part(endpoint, per_s, instances) {
-            self.next_at.insert(endpoint.to_owned(), now.after(part.interval));
-        }
+        self.record_rank(endpoint, per_s, instances, 0.0, now);
+    }
+
+    /// As [`RateLimiter::record`] for a request of this rank. The time for which its turn was reserved isn't lost: the next
+    /// turn comes that much sooner.
+    pub fn record_rank(&mut self, endpoint: &str, per_s: f64, instances: &[SocketAddr], rank: f64, now: BootTime) {
+        let Some(part) = self.part(endpoint, per_s, instances) else {
+            return;
+        };
+        let turn = self.next_at.get(endpoint).copied().unwrap_or(now);
+        let waited = now.since(turn).min(part.reserved(rank));
+        let next_at = now.after(part.interval - waited);
+        self.next_at.insert(endpoint.to_owned(), next_at);
     }
 
     /// Begins with the part of a rate that became known: the selected instances send their first requests one after the
@@ -125,3 +149,10 @@
     /// Time between two requests of this instance.
     interval: Duration,
 }
+
+impl Part {
+    /// Time for which a turn is kept from requests of this rank.
+    fn reserved(&self, rank: f64) -> Duration {
+        self.interval.mul_f64(RESERVED_PART * rank)
+    }
+}
