--- a/crates/celerytide-edge/tests/cold_fleet/mod.rs
+++ b/crates/celerytide-edge/tests/cold_fleet/mod.rs
@@ -92,6 +92,7 @@
                 cold_rate,
                 engine_slots: None,
                 engine_tokens: None,
+                max_connections: None,
             },
             endpoints: [State::default(); ENDPOINTS],
             zones_out: [false; 2],
@@ -208,6 +209,8 @@
     view: View,
     members: Members,
     limiter: RateLimiter,
+    /// Rank of its next request: in turn one of the least urgent and of the most urgent.
+    rank: f64,
     /// Group of the instances that hear each other.
     pub group: usize,
     pub sees_store: bool,
@@ -227,6 +230,7 @@
             view: View::new(Duration::from_millis(BEAT_MS * 4)),
             members: Members::new(own, seeds, at(ms)),
             limiter: RateLimiter::new(own, at(ms)),
+            rank: 1.0,
             group: 0,
             sees_store: true,
             started_ms: ms,
@@ -256,6 +260,11 @@
         if is_first || was_away {
             self.unwatched.push(read);
         }
+        let is_cold = |id: &str| {
+            let until = self.view.endpoint(id).and_then(|known| known.cold_until);
+            until.is_some_and(|until| at(ms) < until)
+        };
+        self.limiter.sweep(is_cold, at(ms));
         (self.revision, self.last_read_ms) = (read.1, ms);
     }
 
@@ -274,7 +283,7 @@
         cause.revision <= self.revision && is_shown
     }
 
-    /// Sends what the instance may send to an endpoint in this step, as `Edge::available` and `Edge::reserve` do.
+    /// Sends what the instance may send to an endpoint in this step, as `Edge::available`, `Edge::rate_allows` and `Edge::reserve` do.
     pub fn send(&mut self, endpoint: &str, service: &Service, ms: u64) -> usize {
         let now = at(ms);
         let Some(known) = self.view.usable(&service.id, now).find(|k| k.endpoint.id == endpoint) else {
@@ -286,9 +295,13 @@
         };
         let per_s = per_s * self.members.rate_share(now);
         let sharing = self.members.sharing_limits(now);
+        if !self.limiter.has_begun(endpoint) && self.members.rate_share(now) < 1.0 {
+            self.limiter.begin_apart(endpoint, per_s, &sharing, now);
+        }
         let mut sent = 0;
-        while sent < DEMAND && self.limiter.allows(endpoint, per_s, &sharing, now) {
-            self.limiter.record(endpoint, per_s, &sharing, now);
+        while sent < DEMAND && self.limiter.allows_rank(endpoint, per_s, &sharing, self.rank, now) {
+            self.limiter.record_rank(endpoint, per_s, &sharing, self.rank, now);
+            self.rank = 1.0 - self.rank;
             sent += 1;
         }
         sent
