fix(edge): a process learns from its peers what a restored store lists wrongly

Cause: after the store comes back older, a view keeps what the lost writes had set: endpoints that leave, endpoints that were removed, zones out of service.

Change: each reply to gossip says what the peer keeps, and a view takes it over as of the peer's position, for the rest of the time; for 2 s if the peer is behind. Times count from the question, so that repeating them extends nothing. The field is the last of the reply and may be absent: earlier releases ignore it, and their replies are read as before.

--- a/crates/celerytide-catalog/src/lib.rs
+++ b/crates/celerytide-catalog/src/lib.rs
@@ -11,4 +11,7 @@
 mod view;
 
 pub use config::{Backend, CallerLimits, Catalog, Config, Customer, KeyLookup, Route, RouteKind, Service, Urgency};
-pub use view::{Change, Endpoint, Era, KnownEndpoint, Position, Restored, Revision, Snapshot, Update, View};
+pub use view::{
+    Change, Endpoint, EndpointStart, Era, Kept, KnownEndpoint, Position, Restored, Revision, Snapshot, StillOut,
+    Unproven, Update, View,
+};
--- a/crates/celerytide-catalog/src/view/mod.rs
+++ b/crates/celerytide-catalog/src/view/mod.rs
@@ -7,6 +7,7 @@
 //! keeps leaving, a zone that was out stays out, and a removed endpoint is used only once it proves to be alive. A write
 //! of the new era overrides all of these.
 
+mod kept;
 mod model;
 mod removed;
 mod replace;
@@ -17,6 +18,7 @@
 
 use celerytide_types::{BootTime, EndpointId, ZoneId};
 
+pub use kept::{EndpointStart, Kept, StillOut, Unproven};
 pub use model::{Change, Endpoint, Era, Position, Restored, Revision, Snapshot, Update};
 
 use crate::{Catalog, Config};
--- a/crates/celerytide-catalog/src/view/model.rs
+++ b/crates/celerytide-catalog/src/view/model.rs
@@ -82,6 +82,8 @@
     pub appeared: Vec<EndpointId>,
     /// Endpoints that started leaving.
     pub leaving: Vec<EndpointId>,
+    /// Endpoints that aren't used before they prove to be alive, by the word of a peer.
+    pub unproven: Vec<EndpointId>,
     /// Endpoints that were removed.
     pub gone: Vec<EndpointId>,
     /// Availability zones taken out of service.
--- a/crates/celerytide-catalog/src/view/replace.rs
+++ b/crates/celerytide-catalog/src/view/replace.rs
@@ -9,7 +9,7 @@
 
 /// Time for which an availability zone stays out although a restored list omits it: longer than an operator's tool
 /// needs to write it again.
-const STILL_OUT: Duration = Duration::from_secs(30);
+pub(super) const STILL_OUT: Duration = Duration::from_secs(30);
 
 impl View {
     /// Applies a whole list. Endpoints absent from it stay for `removal_delay`, since records that expired while the
--- a/crates/celerytide-catalog/tests/restore.rs
+++ b/crates/celerytide-catalog/tests/restore.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use celerytide_catalog::{CallerLimits, Change, Config, Endpoint, Position, Restored, Service, Snapshot, View};
+use celerytide_catalog::{CallerLimits, Change, Config, Endpoint, Kept, Position, Restored, Service, Snapshot, View};
 use celerytide_types::BootTime;
 
 /// Time for which an endpoint that the restored list omits is kept.
@@ -338,3 +338,132 @@
     assert!(sent.zones_out.is_empty());
     assert_eq!(usable(&view, RESTORED_AT_MS), ["a", "b"]);
 }
+
+/// A view that saw what the restore lost: `a` leaves, `c` is gone, zone `y` is out; the restored list says otherwise.
+fn view_that_knows() -> View {
+    let mut view = View::new(RECORD_TTL);
+    let known = vec![a(true), endpoint("b", 1, false), endpoint("c", 1, false)];
+    view.replace(list(pos(1, 90), 7, known, &["y"]), Duration::ZERO, at(0));
+    view.apply(vec![endpoint_gone("c")], pos(1, 91), Duration::ZERO, at(0));
+    view.replace(restored_list(50), REMOVAL_DELAY, at(RESTORED_AT_MS));
+    view
+}
+
+fn restored_list(revision: u64) -> Snapshot {
+    let mut in_zone_y = endpoint("d", 1, false);
+    in_zone_y.zone = "y".to_owned();
+    let listed = vec![a(false), endpoint("b", 1, false), endpoint("c", 1, false), in_zone_y];
+    list(pos(2, revision), 7, listed, &[])
+}
+
+/// What a peer tells a process that knows the list of the restored store only.
+struct ToldCase {
+    name: &'static str,
+    /// What the process listed.
+    listed: fn() -> Snapshot,
+    /// Writes to the process after that.
+    written: fn() -> Vec<Change>,
+    /// Usable endpoints by time since the restore in milliseconds.
+    usable: &'static [(u64, &'static [&'static str])],
+}
+
+const TOLD_CASES: [ToldCase; 6] = [
+    ToldCase {
+        name: "as long as the peer",
+        listed: || restored_list(50),
+        written: Vec::new,
+        usable: &[
+            (0, &["b"]),
+            (4700, &["b"]),
+            (4900, &["b", "c"]),
+            (29_900, &["b", "c"]),
+            (30_000, &["b", "c", "d"]),
+        ],
+    },
+    ToldCase {
+        name: "until they are written",
+        listed: || restored_list(50),
+        written: || {
+            let zone = || "y".to_owned();
+            let both = [a(false), endpoint("c", 1, false)].map(Change::Endpoint);
+            both.into_iter()
+                .chain([Change::ZoneOut(zone()), Change::ZoneBack(zone())])
+                .collect()
+        },
+        usable: &[(0, &["a", "b", "c", "d"])],
+    },
+    ToldCase {
+        name: "a process ahead of the peer: for a short time",
+        listed: || restored_list(51),
+        written: Vec::new,
+        usable: &[(0, &["b"]), (1900, &["b"]), (2000, &["a", "b", "c", "d"])],
+    },
+    ToldCase {
+        name: "another era",
+        listed: || list(pos(3, 50), 7, restored_list(0).endpoints, &[]),
+        written: Vec::new,
+        usable: &[(0, &["a", "b", "c", "d"])],
+    },
+    ToldCase {
+        name: "no list yet",
+        listed: || list(pos(0, 0), 7, vec![], &[]),
+        written: Vec::new,
+        usable: &[(0, &[])],
+    },
+    ToldCase {
+        name: "other starts",
+        listed: || {
+            list(
+                pos(2, 50),
+                7,
+                vec![endpoint("a", 2, false), endpoint("c", 2, false)],
+                &[],
+            )
+        },
+        written: Vec::new,
+        usable: &[(0, &["a", "c"])],
+    },
+];
+
+/// Guards against: a process that starts after a restore uses what leaves, is gone or is out of service.
+#[test]
+fn a_process_learns_what_a_peer_keeps() {
+    for case in &TOLD_CASES {
+        let peer = view_that_knows();
+        let mut view = View::new(RECORD_TTL);
+        view.replace((case.listed)(), REMOVAL_DELAY, at(RESTORED_AT_MS));
+        view.learn_kept(peer.kept(at(RESTORED_AT_MS)), at(RESTORED_AT_MS));
+        let written = (case.written)();
+        if !written.is_empty() {
+            view.apply(written, pos(2, 60), Duration::ZERO, at(RESTORED_AT_MS));
+        }
+        for (ms, expected) in case.usable {
+            view.expire(at(RESTORED_AT_MS + ms));
+            assert_eq!(
+                usable(&view, RESTORED_AT_MS + ms),
+                *expected,
+                "{}: after {ms} ms",
+                case.name
+            );
+        }
+    }
+}
+
+/// Guards against: instances that repeat to each other what they keep, and so keep it for ever.
+#[test]
+fn what_instances_repeat_to_each_other_ends() {
+    let mut views = [view_that_knows(), view_that_knows()];
+    for ms in (0..40_000).step_by(100) {
+        let now = RESTORED_AT_MS + ms;
+        views.iter_mut().for_each(|view| drop(view.expire(at(now))));
+        // The reply is 50 ms old.
+        let kept = views[usize::from(ms % 200 == 0)].kept(at(now));
+        views[usize::from(ms % 200 != 0)].learn_kept(kept, at(now - 50));
+    }
+    for view in &mut views {
+        let now = RESTORED_AT_MS + 30_100;
+        assert_eq!(view.kept(at(now)).zones_out, []);
+        assert_eq!(usable(view, now), ["b", "c", "d"]);
+    }
+    assert_eq!(View::new(RECORD_TTL).kept(at(0)), Kept::default());
+}
--- a/crates/celerytide-edge/src/peers/exchange.rs
+++ b/crates/celerytide-edge/src/peers/exchange.rs
@@ -3,18 +3,19 @@
 //! A call reports the sender's live peers and the position of its view. The reply includes the peer's whole view if
 //! that is newer and the sender can't read the store itself. It also states the version of the peer's configuration,
 //! and includes the configuration if it is newer and the sender doesn't know whether its own is current: a restored
-//! store may list an older one. A view that is behind, or of an earlier era, changes nothing.
+//! store may list an older one. Each reply says what the peer keeps in spite of such a list. A view that is behind, or of an earlier era, changes nothing.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use celerytide_catalog::{Config, Position, Snapshot};
+use celerytide_catalog::{Config, Kept, Position, Snapshot};
 use celerytide_types::{BootTime, Millis, Version, data, millis, now_boot};
 use celerytide_wire::messages::Method;
 use celerytide_wire::{Exchange, Options};
 use monoio::time::{sleep, timeout};
 use rand::Rng;
+use serde::{Deserialize, Deserializer};
 use tracing::{debug, info};
 
 use super::members::PeerEntry;
@@ -65,9 +66,17 @@
         pub config: Version,
         /// Its configuration, if newer and the sender is uncertain of its own.
         pub newer_config: Option<Config>,
+        /// What its view keeps although a restored store says otherwise; earlier releases don't send it.
+        #[serde(deserialize_with = "or_default")]
+        pub kept: Kept,
     }
 }
 
+/// Reads the last field of a message, which earlier releases don't send.
+fn or_default<'de, D: Deserializer<'de>, T: Deserialize<'de> + Default>(decoder: D) -> Result<T, D::Error> {
+    Ok(T::deserialize(decoder).unwrap_or_default())
+}
+
 /// Timeouts of connections between instances.
 pub fn options() -> Options {
     Options {
@@ -117,7 +126,7 @@
     )
     .await
     {
-        Ok(Ok(reply)) => apply_reply(edge, reply),
+        Ok(Ok(reply)) => apply_reply(edge, reply, now),
         Ok(Err(error)) => debug!(%peer, %error, "peers: call failed"),
         Err(_) => debug!(%peer, "peers: no reply in time"),
     }
@@ -134,7 +143,7 @@
         .is_none_or(|at| now.since(at) > STORE_SILENCE)
 }
 
-fn apply_reply<P: Protocol>(edge: &Edge<P>, reply: ExchangeReply) {
+fn apply_reply<P: Protocol>(edge: &Edge<P>, reply: ExchangeReply, asked_at: BootTime) {
     let now = now_boot();
     edge.members.borrow_mut().merge(&reply.live, now);
     if let Some(config) = reply.newer_config {
@@ -148,6 +157,8 @@
     if let Some(view) = reply.view {
         apply_view(edge, view, Duration::from_millis(reply.removal_delay_ms), now);
     }
+    let update = edge.view.borrow_mut().learn_kept(reply.kept, asked_at);
+    edge.apply_update(&update, "peer");
     edge.compare_config(reply.config, now);
 }
 
@@ -206,6 +217,7 @@
             removal_delay_ms: millis(edge.removal_delay(now)),
             config: if edge.may_serve(now) { version } else { 0 },
             newer_config: newer_config.cloned(),
+            kept: view.kept(now),
         }
     }
 
--- a/crates/celerytide-edge/src/peers/mod.rs
+++ b/crates/celerytide-edge/src/peers/mod.rs
@@ -11,6 +11,6 @@
 pub mod streams;
 
 pub use datagrams::{bind, receive_digests, send_digests};
-pub use exchange::{Service, options, run};
+pub use exchange::{ExchangeReply, Service, options, run};
 pub use members::{Instances, Members, is_large};
 pub use placement::{receive_placements, send_placements, tick_placements};
