--- /dev/null
+++ b/crates/celerytide-edge/tests/fleet_size.rs
@@ -0,0 +1,98 @@
+//! Among how many instances a bound on all is divided, while a fleet that starts is cut in two.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use celerytide_edge::peers::Members;
+use celerytide_seeds::each_seed;
+use celerytide_types::BootTime;
+
+/// Random input of a simulation, and seeds from each base seed.
+const INPUT_BYTES: u32 = 4 * 1024;
+const SEED_STEPS: u64 = 10;
+/// Interval of gossip.
+const STEP: Duration = Duration::from_secs(1);
+/// Steps of the cut, and steps after it.
+const CUT_STEPS: u32 = 30;
+const HEALED_STEPS: u32 = 60;
+/// Parts of an allowance that all may take together: a quarter of it is in reserve.
+const MAX_PARTS: f64 = 4.0 / 3.0;
+
+fn at(step: u32) -> BootTime {
+    BootTime::from_start(Duration::from_secs(1000) + STEP * step)
+}
+
+/// Instances that have just started, in two parts.
+struct Fleet {
+    members: HashMap<SocketAddr, Members>,
+    part: HashMap<SocketAddr, bool>,
+}
+
+impl Fleet {
+    fn draw(u: &mut Unstructured<'_>) -> Result<Fleet> {
+        let count = u.int_in_range(2..=60_u8)?;
+        let all: Vec<SocketAddr> = (1..=count).map(|n| SocketAddr::from(([10, 1, 0, n], 8229))).collect();
+        let seeds = &all[..usize::from(u.int_in_range(1..=count.min(4))?)];
+        let mut part = HashMap::new();
+        for own in &all {
+            part.insert(*own, u.ratio(1, 2)?);
+        }
+        let members = all.iter().map(|own| (*own, Members::new(*own, seeds, at(0)))).collect();
+        Ok(Fleet { members, part })
+    }
+
+    fn gossip(&mut self, now: BootTime, is_cut: bool) {
+        let all: Vec<SocketAddr> = self.members.keys().copied().collect();
+        for own in all {
+            let peer = self.members[&own].choose_peer(now);
+            let Some(peer) = peer.filter(|peer| !is_cut || self.part[peer] == self.part[&own]) else {
+                continue;
+            };
+            let request = self.members[&own].entries_for_peer(now);
+            let callee = self.members.get_mut(&peer).expect("peer");
+            callee.merge(&request, now);
+            callee.record_contact(own, now);
+            let reply = callee.entries_for_peer(now);
+            self.members.get_mut(&own).expect("own").merge(&reply, now);
+        }
+    }
+
+    /// Parts of an allowance that all take together.
+    fn parts(&self, now: BootTime) -> f64 {
+        let sizes = self.members.values().filter_map(|m| m.fleet_size(now));
+        sizes.map(|size| 1.0 / size as f64).sum()
+    }
+
+    /// Whether each takes its part.
+    fn is_whole(&self, now: BootTime) -> bool {
+        let all = self.members.len();
+        self.members.values().all(|m| m.fleet_size(now) == Some(all))
+    }
+}
+
+/// Guards against: each half of a fleet that starts cut in two divides the allowance of all by its half and the seeds.
+#[test]
+fn halves_that_start_cut_off_take_no_more_than_one_allowance() {
+    each_seed(INPUT_BYTES, SEED_STEPS, |u| {
+        let mut fleet = Fleet::draw(u)?;
+        let count = fleet.members.len();
+        // Time to hear of each other: a process has no part of the allowance for ten seconds.
+        (0..10).for_each(|step| fleet.gossip(at(step), true));
+        for step in 10..CUT_STEPS + HEALED_STEPS {
+            let is_cut = step < CUT_STEPS;
+            fleet.gossip(at(step), is_cut);
+            let parts = fleet.parts(at(step));
+            assert!(
+                parts <= MAX_PARTS,
+                "{count} instances, step {step}: {parts:.2} allowances"
+            );
+        }
+        assert!(
+            fleet.is_whole(at(CUT_STEPS + HEALED_STEPS)),
+            "all {count} take their part in the end"
+        );
+        Ok(())
+    });
+}
