fix(edge): a fleet that starts cut in two takes one allowance of retries, not two

Cause: a process counts the instances that it has heard and the seeds. Where all start while the fleet is cut, each part divides the allowance by itself and the seeds: 1.8 allowances in all in the first failing series (27 instances).

Change: a process divides its share further by the seeds of its settings for each one that it has known for 10 s. The parts of a fleet know different seeds, so that they take one allowance together. An hour after the start all seeds count: one may be gone for good, and costs its part of the allowance until then.

--- a/crates/celerytide-edge/src/budget/mod.rs
+++ b/crates/celerytide-edge/src/budget/mod.rs
@@ -6,7 +6,8 @@
 //!
 //! A process knows neither what the one before it at its address has used nor, at first, how many instances there are.
 //! It has its part of the fixed allowance only once a whole window has passed since its start; until then it lives on its
-//! own requests, which no other process counts. The same holds for a process that starts cut off from all others.
+//! own requests, which no other process counts. The same holds for a process that starts cut off from all others. One
+//! that reaches only some of its seeds has a smaller part: the fleet may be cut in two, and each half would take all.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -304,7 +304,7 @@
     /// Takes one retry of a request to `service` from the budget, if any is left.
     pub fn take_retry(&self, service: &str) -> bool {
         let now = now_boot();
-        let instances = self.members.borrow().fleet_size(now);
+        let instances = self.members.borrow().allowance_divisor(now);
         let is_taken = self.retry_budget.borrow_mut().take(service, instances, now);
         if !is_taken {
             info!(service, instances, "budget: no retry left");
--- a/crates/celerytide-edge/src/peers/members.rs
+++ b/crates/celerytide-edge/src/peers/members.rs
@@ -19,6 +19,8 @@
 /// Age up to which an instance counts as part of the fleet. Silence doesn't tell whether an instance is gone or cut off, so
 /// this is far longer than partitions last.
 const FLEET_AGE: Duration = Duration::from_secs(3600);
+/// Time for which a seed has to be known before it counts: gossip names the instances of its part of the fleet in that time.
+const SETTLE_TIME: Duration = Duration::from_secs(10);
 /// Most entries in one message.
 const MAX_ENTRIES: usize = 24;
 /// Entries of silent instances among these, so that a process that starts behind a partition learns of them.
@@ -51,6 +53,10 @@
     seeds: Vec<SocketAddr>,
     last_heard: BTreeMap<SocketAddr, BootTime>,
     started: BootTime,
+    /// Whether this instance is a seed itself.
+    is_seed: bool,
+    /// When each seed was first heard of.
+    known_seeds: BTreeMap<SocketAddr, BootTime>,
 }
 
 impl Members {
@@ -58,6 +64,8 @@
     pub fn new(own: SocketAddr, seeds: &[SocketAddr], started: BootTime) -> Members {
         Members {
             own,
+            is_seed: seeds.contains(&own),
+            known_seeds: BTreeMap::new(),
             seeds: seeds.iter().filter(|s| **s != own).copied().collect(),
             last_heard: BTreeMap::new(),
             started,
@@ -66,6 +74,7 @@
 
     /// Replaces the seeds after a reload of the settings.
     pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+        self.is_seed = seeds.contains(&self.own);
         self.seeds = seeds.iter().filter(|s| **s != self.own).copied().collect();
     }
 
@@ -78,6 +87,7 @@
     pub fn record_contact(&mut self, address: SocketAddr, now: BootTime) {
         if address != self.own {
             self.last_heard.insert(address, now);
+            self.note_seeds(now);
         }
     }
 
@@ -95,6 +105,13 @@
             *known = (*known).max(at);
         }
         self.last_heard.retain(|_, at| now.since(*at) < FLEET_AGE);
+        self.note_seeds(now);
+    }
+
+    fn note_seeds(&mut self, now: BootTime) {
+        for seed in self.seeds.iter().filter(|seed| self.last_heard.contains_key(seed)) {
+            self.known_seeds.entry(*seed).or_insert(now);
+        }
     }
 
     /// This instance's own address.
@@ -187,6 +204,24 @@
         Some(others.len() + 1)
     }
 
+    /// Number by which an allowance of all instances is divided: [`Members::fleet_size`], times the seeds for each one that
+    /// this instance knows. Where a fleet starts cut apart, its parts know different seeds, and take no more than one
+    /// allowance together. `None` without any. After an hour all seeds count: some may be gone for good.
+    pub fn allowance_divisor(&self, now: BootTime) -> Option<usize> {
+        let size = self.fleet_size(now)?;
+        let seeds = self.seeds.len() + usize::from(self.is_seed);
+        if seeds == 0 || self.age(now) >= FLEET_AGE {
+            return Some(size);
+        }
+        let known = self.settled_seeds(now) + usize::from(self.is_seed);
+        (known > 0).then(|| (size * seeds).div_ceil(known))
+    }
+
+    fn settled_seeds(&self, now: BootTime) -> usize {
+        let known = self.seeds.iter().filter_map(|seed| self.known_seeds.get(seed));
+        known.filter(|at| now.since(**at) >= SETTLE_TIME).count()
+    }
+
     /// Part of a rate, from 0 to 1, that the instances of [`Members::sharing_limits`] may use together: the silent ones may be
     /// cut off and use theirs. It is 1 if the size of the fleet isn't known.
     pub fn rate_share(&self, now: BootTime) -> f64 {
