--- a/crates/celerytide-edge/src/peers/members.rs
+++ b/crates/celerytide-edge/src/peers/members.rs
@@ -19,6 +19,8 @@
 /// Age up to which an instance counts as part of the fleet. Silence doesn't tell whether an instance is gone or cut off, so
 /// this is far longer than partitions last.
 const FLEET_AGE: Duration = Duration::from_secs(3600);
+/// Time for which a seed has to be known before it counts: gossip names the instances of its part of the fleet in that time.
+const SETTLE_TIME: Duration = Duration::from_secs(10);
 /// Most entries in one message.
 const MAX_ENTRIES: usize = 24;
 /// Entries of silent instances among these, so that a process that starts behind a partition learns of them.
@@ -56,6 +58,8 @@
     seeds: Vec<SocketAddr>,
     last_heard: BTreeMap<SocketAddr, BootTime>,
     started: BootTime,
+    /// When each seed was first heard of.
+    known_seeds: BTreeMap<SocketAddr, BootTime>,
 }
 
 impl Members {
@@ -64,6 +68,7 @@
         Members {
             own,
             is_seed: seeds.contains(&own),
+            known_seeds: BTreeMap::new(),
             seeds: seeds.iter().filter(|s| **s != own).copied().collect(),
             last_heard: BTreeMap::new(),
             started,
@@ -85,6 +90,7 @@
     pub fn record_contact(&mut self, address: SocketAddr, now: BootTime) {
         if address != self.own {
             self.last_heard.insert(address, now);
+            self.note_seeds(now);
         }
     }
 
@@ -102,6 +108,13 @@
             *known = (*known).max(at);
         }
         self.last_heard.retain(|_, at| now.since(*at) < FLEET_AGE);
+        self.note_seeds(now);
+    }
+
+    fn note_seeds(&mut self, now: BootTime) {
+        for seed in self.seeds.iter().filter(|seed| self.last_heard.contains_key(seed)) {
+            self.known_seeds.entry(*seed).or_insert(now);
+        }
     }
 
     /// This instance's own address.
@@ -194,6 +207,24 @@
         Some(others.len() + 1)
     }
 
+    /// Number by which an allowance of all instances is divided: [`Members::fleet_size`], times the seeds for each one that
+    /// this instance knows. Where a fleet starts cut apart, its parts know different seeds, and take no more than one
+    /// allowance together. `None` without any. After an hour all seeds count: some may be gone for good.
+    pub fn allowance_divisor(&self, now: BootTime) -> Option<usize> {
+        let size = self.fleet_size(now)?;
+        let seeds = self.seeds.len() + usize::from(self.is_seed);
+        if seeds == 0 || self.age(now) >= FLEET_AGE {
+            return Some(size);
+        }
+        let known = self.settled_seeds(now) + usize::from(self.is_seed);
+        (known > 0).then(|| (size * seeds).div_ceil(known))
+    }
+
+    fn settled_seeds(&self, now: BootTime) -> usize {
+        let known = self.seeds.iter().filter_map(|seed| self.known_seeds.get(seed));
+        known.filter(|at| now.since(**at) >= SETTLE_TIME).count()
+    }
+
     /// Part of a rate, from 0 to 1, that the instances of [`Members::sharing_limits`] may use together: the others may be cut
     /// off and use theirs.
     pub fn rate_share(&self, now: BootTime) -> f64 {
@@ -209,14 +240,15 @@
     }
 
     /// Number of instances that there may be. Whoever hears a seed knows the instances that hear the same one. As many may be
-    /// around each seed that wasn't heard of; without any, the fleet is as large as one can be.
+    /// around each seed that wasn't heard of; without any, the fleet is as large as one can be. After an hour all seeds count:
+    /// some may be gone for good.
     pub fn assumed_size(&self, now: BootTime) -> usize {
         let known = self.fleet_size(now).unwrap_or(self.seeds.len() + 1);
         let is_heard = |seed: &&SocketAddr| self.last_heard.get(seed).is_some_and(|at| now.since(*at) < FLEET_AGE);
         let own = usize::from(self.is_seed);
         let heard = own + self.seeds.iter().filter(is_heard).count();
         let named = own + self.seeds.len();
-        if heard == named {
+        if heard == named || self.age(now) >= FLEET_AGE {
             return known;
         }
         let extrapolated = (known * named).checked_div(heard).unwrap_or(LARGEST_FLEET);
