fix(cli): check names a wrong entry of release with its line

Cause: the settings' new error wasn't told by celerytide check; the workspace didn't build.

Change: a fault of the field release, with what is allowed.

Measured: a new case of check.rs; the test passes.

--- a/crates/celerytide-cli/src/check/mod.rs
+++ b/crates/celerytide-cli/src/check/mod.rs
@@ -176,6 +176,14 @@
             message: reason.to_owned(),
             allowed: "what docs/SETTINGS.md says".to_owned(),
         },
+        settings::Error::Release { name, source } => Fault {
+            file: file.to_owned(),
+            line: line_of(text, "release"),
+            column: 1,
+            field: "release".to_owned(),
+            message: format!("{name} {source}"),
+            allowed: "block/ID or request/ID".to_owned(),
+        },
     };
     Err(CheckError::Faults(vec![fault]))
 }
--- a/crates/celerytide-cli/tests/check.rs
+++ b/crates/celerytide-cli/tests/check.rs
@@ -30,7 +30,7 @@
 const ROUTER: &[u8] =
     b"instance: r1\nzone: z1\ncallers: 127.0.0.1:8080\nreadiness: 127.0.0.1:8081\nstore: 127.0.0.1:7000\nrack: b4\n";
 
-const CASES: [Case; 13] = [
+const CASES: [Case; 14] = [
     Case {
         name: "manifest without faults",
         text: MANIFEST.as_bytes(),
@@ -86,6 +86,18 @@
         ],
         err: &[],
     },
+    Case {
+        name: "router settings that release what has no kind",
+        text: b"instance: r1\nzone: z1\ncallers: 127.0.0.1:8080\nreadiness: 127.0.0.1:8081\nstore: 127.0.0.1:7000\n\
+                release: [block/1f, prompt/1f]\n",
+        kind: None,
+        exit: Exit::Findings,
+        out: &[
+            "FILE:6:1: release: prompt/1f has a kind other than block and request (allowed: block/ID or request/ID)",
+            "FILE: 1 fault; read as router",
+        ],
+        err: &[],
+    },
     Case {
         name: "kind given on the command line",
         text: DISPATCH.as_bytes(),
