--- a/crates/celerytide-standin/src/platform/copies.rs
+++ b/crates/celerytide-standin/src/platform/copies.rs
@@ -18,8 +18,9 @@
 const KEPT: char = 'w';
 /// Time from an answer to its copy on an idle connection, and from a copy to the answer of a request that runs.
 const COPY_DELAY: Duration = Duration::from_millis(30);
-/// Body of a stream.
-pub const TWO_EVENTS: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n";
+/// Body of a stream, with text of a response's head in its data and comments.
+pub const TWO_EVENTS: &str =
+    "id: 1\n: content-length: 1\ndata: HTTP/1.1 201\n\nid: 2\n: content-length: 2\ndata: HTTP/1.1 202\n\n";
 /// Length of its first event in bytes.
 const EVENT_BYTES: usize = TWO_EVENTS.len() / 2;
 
