--- a/crates/celerytide-edge/src/edge/limited.rs
+++ b/crates/celerytide-edge/src/edge/limited.rs
@@ -7,7 +7,6 @@
 use tracing::{info, warn};
 
 use super::Edge;
-use crate::notice::Availability;
 use crate::peers::Instances;
 use crate::peers::digest::id_hash;
 use crate::protocol::Protocol;
@@ -63,13 +62,8 @@
         tried: &[String],
         now: BootTime,
     ) -> Option<Duration> {
-        let notices = self.notices.borrow();
         let named = self.named_limits.borrow();
-        let is_available = |known: &&KnownEndpoint| {
-            let availability = notices.availability(&known.endpoint, now);
-            availability == Availability::Available && !tried.contains(&known.endpoint.id)
-        };
-        let available = view.usable(&service.id, now).filter(is_available);
+        let available = self.untried(view, service, tried, now).into_iter();
         let rates: Option<Vec<f64>> = available
             .map(|known| {
                 named.per_s(&known.endpoint)?;
--- a/crates/celerytide-edge/src/edge/pick.rs
+++ b/crates/celerytide-edge/src/edge/pick.rs
@@ -183,7 +183,23 @@
         Some(best)
     }
 
-    /// Usable endpoints that neither leave nor pause, and those with a limit only if this instance may send there now.
+    /// Usable endpoints that neither leave nor pause and that the request wasn't sent to.
+    pub(super) fn untried<'a>(
+        &self,
+        view: &'a View,
+        service: &'a Service,
+        tried: &[String],
+        now: BootTime,
+    ) -> Vec<&'a KnownEndpoint> {
+        let notices = self.notices.borrow();
+        let is_untried = |known: &&KnownEndpoint| {
+            let availability = notices.availability(&known.endpoint, now);
+            availability == Availability::Available && !tried.contains(&known.endpoint.id)
+        };
+        view.usable(&service.id, now).filter(is_untried).collect()
+    }
+
+    /// Of these, those with a limit only if this instance may send there now.
     fn available<'a>(
         &self,
         view: &'a View,
@@ -192,11 +208,7 @@
         shares: &Shares<'_>,
         now: BootTime,
     ) -> Vec<&'a KnownEndpoint> {
-        let notices = self.notices.borrow();
         let may_serve = |known: &&KnownEndpoint| {
-            if notices.availability(&known.endpoint, now) != Availability::Available {
-                return false;
-            }
             let id = &known.endpoint.id;
             if !shares.rooms.allows(id) {
                 return false;
@@ -204,10 +216,8 @@
             let rate = self.rate(service, known, now);
             rate.is_none_or(|per_s| self.rate_allows(id, per_s, shares.instances, shares.urgency, now))
         };
-        let untried = view
-            .usable(&service.id, now)
-            .filter(|known| !tried.contains(&known.endpoint.id));
-        untried.filter(may_serve).collect()
+        let untried = self.untried(view, service, tried, now);
+        untried.into_iter().filter(may_serve).collect()
     }
 
     /// Size of the prompt where engines are divided, by the average of the prompts about its document, so that only one
--- a/crates/celerytide-edge/src/edge/rejected.rs
+++ b/crates/celerytide-edge/src/edge/rejected.rs
@@ -10,7 +10,6 @@
 use super::{BY_SELF, Edge, Placement};
 use crate::coordinator::Rooms as EngineRooms;
 use crate::coordinator::messages::{IdHash, Sign};
-use crate::notice::Availability;
 use crate::peers::digest::id_hash;
 use crate::peers::{Instances, is_large};
 use crate::protocol::{Prompt, Protocol};
@@ -132,14 +131,9 @@
         tried: &[String],
         now: BootTime,
     ) -> Option<Duration> {
-        let notices = self.notices.borrow();
         let limits = self.rejection_limits.borrow();
         let rejections = self.rejections.borrow();
-        let is_available = |known: &&KnownEndpoint| {
-            let availability = notices.availability(&known.endpoint, now);
-            availability == Availability::Available && !tried.contains(&known.endpoint.id)
-        };
-        let available = view.usable(&service.id, now).filter(is_available);
+        let available = self.untried(view, service, tried, now).into_iter();
         let waits: Option<Vec<Duration>> = available
             .map(|known| {
                 limits.per_s(&known.endpoint)?;
