--- a/crates/celerytide-edge/src/peers/datagrams.rs
+++ b/crates/celerytide-edge/src/peers/datagrams.rs
@@ -13,6 +13,7 @@
 
 use super::digest::Digest;
 use super::members::{Instances, Members};
+use super::receive::receive;
 use super::streams;
 use crate::edge::Edge;
 use crate::metrics::PurposeLabel;
@@ -163,22 +164,10 @@
 
 /// Receives digests of others until the process ends.
 pub async fn receive_digests<P: Protocol>(edge: Rc<Edge<P>>, socket: Rc<UdpSocket>) {
-    let mut buf = vec![0_u8; MAX_DATAGRAM];
-    loop {
-        let (received, back) = socket.recv_from(buf).await;
-        buf = back;
-        match received {
-            Ok((n, from)) => receive(&edge, buf.get(..n).unwrap_or_default(), from),
-            Err(error) => {
-                debug!(%error, "peers: failed to receive a datagram");
-                sleep(INTERVAL).await;
-            }
-        }
-        buf.resize(MAX_DATAGRAM, 0);
-    }
+    receive(&socket, MAX_DATAGRAM, |bytes, from| apply(&edge, bytes, from)).await;
 }
 
-fn receive<P: Protocol>(edge: &Edge<P>, bytes: &[u8], from: SocketAddr) {
+fn apply<P: Protocol>(edge: &Edge<P>, bytes: &[u8], from: SocketAddr) {
     let mut rest = bytes;
     if let Some(digest) = next_part::<Digest>(&mut rest, from, "a digest") {
         edge.digests.borrow_mut().insert(from, digest, now_boot());
--- a/crates/celerytide-edge/src/peers/mod.rs
+++ b/crates/celerytide-edge/src/peers/mod.rs
@@ -7,6 +7,7 @@
 mod members;
 mod placement;
 pub mod readers;
+mod receive;
 pub mod relay;
 pub mod streams;
 
--- a/crates/celerytide-edge/src/peers/placement.rs
+++ b/crates/celerytide-edge/src/peers/placement.rs
@@ -9,6 +9,7 @@
 use monoio::time::sleep;
 use tracing::debug;
 
+use super::receive::receive;
 use crate::coordinator::messages::{MAX_DATAGRAM, Packet, datagrams};
 use crate::edge::Edge;
 use crate::metrics::PurposeLabel;
@@ -24,8 +25,6 @@
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two ticks from which the process counts as having been suspended: what it knows of others is outdated.
 const FROZEN_FOR: Duration = Duration::from_millis(1500);
-/// Wait after a failed read.
-const RETRY_DELAY: Duration = Duration::from_millis(25);
 /// Label of the traffic in metrics.
 const PURPOSE: &str = "placement";
 
@@ -86,22 +85,10 @@
 
 /// Receives messages until the process ends.
 pub async fn receive_placements<P: Protocol>(edge: Rc<Edge<P>>, socket: Rc<UdpSocket>) {
-    let mut buf = vec![0_u8; MAX_DATAGRAM];
-    loop {
-        let (received, back) = socket.recv_from(buf).await;
-        buf = back;
-        match received {
-            Ok((n, from)) => receive(&edge, buf.get(..n).unwrap_or_default(), from),
-            Err(error) => {
-                debug!(%error, "place: failed to receive a datagram");
-                sleep(RETRY_DELAY).await;
-            }
-        }
-        buf.resize(MAX_DATAGRAM, 0);
-    }
+    receive(&socket, MAX_DATAGRAM, |bytes, from| apply(&edge, bytes, from)).await;
 }
 
-fn receive<P: Protocol>(edge: &Edge<P>, bytes: &[u8], from: SocketAddr) {
+fn apply<P: Protocol>(edge: &Edge<P>, bytes: &[u8], from: SocketAddr) {
     match bincode::serde::decode_from_slice::<Packet, _>(bytes, bincode::config::standard()) {
         Ok((Packet::Events(events), _)) => edge.coordinate(from, events),
         Ok((Packet::Replies(replies), _)) => edge.apply_replies(from, &replies),
