fix(edge): one seed that is gone for good takes no part of the rates

Cause: as many instances as are known were assumed around each seed that was never heard of; seeds may be gone for good, and one of three then took about a third of all rates. Change: groups are counted beyond the two that endpoints bear by the used shares; an instance that was heard of at all assumes no largest fleet.

--- a/crates/celerytide-edge/src/peers/members.rs
+++ b/crates/celerytide-edge/src/peers/members.rs
@@ -29,6 +29,9 @@
 /// Instances of the largest fleet that the design is for.
 const LARGEST_FLEET: usize = 360;
 
+/// Groups of instances that may each use a whole rate: what endpoints bear beyond the shares of rates that are used.
+const BORNE_GROUPS: usize = 2;
+
 /// Whether a fleet with this number of `others` is too large for each instance to talk to all.
 pub fn is_large(others: usize) -> bool {
     others > MAX_SMALL
@@ -208,19 +211,19 @@
         sharing as f64 / known.max(sharing) as f64
     }
 
-    /// Number of instances that there may be. Whoever hears a seed knows the instances that hear the same one. As many may be
-    /// around each seed that wasn't heard of; without any, the fleet is as large as one can be.
+    /// Number of instances that there may be; the largest fleet's if none was ever heard of. Otherwise as many as this one
+    /// knows may be around each seed that it hasn't heard of. Seeds may also be gone for good, so only the groups are counted
+    /// that the shares of rates that are used leave no room for.
     pub fn assumed_size(&self, now: BootTime) -> usize {
-        let known = self.fleet_size(now).unwrap_or(self.seeds.len() + 1);
-        let is_heard = |seed: &&SocketAddr| self.last_heard.get(seed).is_some_and(|at| now.since(*at) < FLEET_AGE);
-        let own = usize::from(self.is_seed);
-        let heard = own + self.seeds.iter().filter(is_heard).count();
-        let named = own + self.seeds.len();
-        if heard == named {
-            return known;
-        }
-        let extrapolated = (known * named).checked_div(heard).unwrap_or(LARGEST_FLEET);
-        extrapolated.min(LARGEST_FLEET).max(known)
+        let Some(known) = self.fleet_size(now) else {
+            return LARGEST_FLEET;
+        };
+        let is_unheard = |seed: &&SocketAddr| self.last_heard.get(seed).is_none_or(|at| now.since(*at) >= FLEET_AGE);
+        let unheard = self.seeds.iter().filter(is_unheard).count();
+        let named = self.seeds.len() + usize::from(self.is_seed);
+        let groups = (unheard + 1).min(named).max(BORNE_GROUPS);
+        let assumed = known * groups / BORNE_GROUPS;
+        assumed.min(LARGEST_FLEET).max(known)
     }
 
     /// Time since this instance started.
--- a/crates/celerytide-edge/tests/decisions.rs
+++ b/crates/celerytide-edge/tests/decisions.rs
@@ -404,3 +404,22 @@
     assert_eq!(members.fleet_size(minutes(61)), None, "after an hour all are forgotten");
     assert_eq!(Members::new(old, &[], at(0)).fleet_size(at(0)), Some(1), "the only one");
 }
+
+/// Guards against: one seed that is gone for good takes a part of all rates, or several that aren't heard take none.
+#[test]
+fn seeds_that_are_gone_lower_all_rates() {
+    let cases = [(0, 1.0), (1, 1.0), (2, 2.0 / 3.0)];
+    for (gone, share) in cases {
+        let all = instances(8);
+        let seeds: Vec<SocketAddr> = (0..3 - gone)
+            .map(|n| all[n])
+            .chain(instances(20)[18..18 + gone].to_vec())
+            .collect();
+        let mut members = Members::new(all[7], &seeds, at(0));
+        let alone = members.rate_share(at(0));
+        assert!(alone < 0.02, "{gone} gone, nobody heard: {alone}");
+        all.iter().for_each(|other| members.record_contact(*other, at(0)));
+        let got = members.rate_share(at(0));
+        assert!((got - share).abs() < 0.01, "{gone} gone: {got}");
+    }
+}
