fix(edge): instances that are cut off together take no stream up at the version they know

Cause: a take-up that nobody knows goes on if one version was alone, by a word of the store of up to 3 s, and no more were silent than replied. Half of a fleet that is cut off together from the store and the others replies to itself.

Change: if an asked instance is silent, one that reads the store asks it for a response, 0.1 s after the last one at the earliest, and decides by what it knows then; without a response in 0.5 s the take-up is refused as not run. A follower in a large fleet still takes a word of up to 3 s for fresh.

--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -136,6 +136,10 @@
     pub streams: RefCell<Streams>,
     /// Wakes the sender of digests: a stream is to be told.
     pub stream_news: Notify,
+    /// When a response of the store was last asked for at once.
+    pub store_wanted_at: Cell<Option<BootTime>>,
+    /// Wakes the reader of the store: a response is wanted at once.
+    pub store_wanted: Notify,
     /// Other instances.
     pub members: RefCell<Members>,
     /// Connections to other instances.
@@ -215,6 +219,8 @@
             history: RefCell::default(),
             streams: RefCell::default(),
             stream_news: Notify::new(),
+            store_wanted_at: Cell::new(None),
+            store_wanted: Notify::new(),
             limits: Rc::new(Cell::new(limits)),
             counters: Counters::default(),
             store_responded_at: Cell::new(None),
--- a/crates/celerytide-edge/src/edge/taken_up.rs
+++ b/crates/celerytide-edge/src/edge/taken_up.rs
@@ -7,13 +7,15 @@
 use celerytide_types::{BootTime, ServiceId, now_boot};
 use tracing::info;
 
-use super::Edge;
+use super::{Edge, StoreAccess};
 use crate::metrics::TakeUpLabel;
 use crate::peers::streams::{StreamRequest, ask};
 use crate::protocol::Protocol;
 use crate::request::{RoutedRequest, TakeUp};
 use crate::software::{self, Doubt, Knowledge, Replies, Software, StreamName, decide, stream_name};
 
+/// Longest wait for a response of the store before a stream is taken up.
+const STORE_WAIT: Duration = Duration::from_millis(500);
 /// How often a stream is told in a small fleet; a datagram may be lost.
 const TOLD_TIMES: u32 = 2;
 
@@ -42,6 +44,20 @@
         }
     }
 
+    /// Whether the store responds now; its response is in the view then. An instance that follows another one doesn't ask.
+    async fn store_responds(&self) -> bool {
+        if self.store_access.get() == StoreAccess::Following {
+            return true;
+        }
+        let asked_at = now_boot();
+        self.store_wanted_at.set(Some(asked_at));
+        self.store_wanted.notify_waiters();
+        let has_responded = || self.store_responded_at.get().is_some_and(|at| at > asked_at);
+        let is_over = |now: BootTime| now.since(asked_at) >= STORE_WAIT;
+        self.wait_until(|now| has_responded() || is_over(now)).await;
+        has_responded()
+    }
+
     /// The software at which a stream goes on that a caller takes up.
     pub async fn resolve_take_up(&self, request: &RoutedRequest, take_up: &TakeUp) -> Result<Software, Doubt> {
         let stream = take_up.first_request.as_deref().map(stream_name);
@@ -51,9 +67,13 @@
         let others = if matches!(own, Knowledge::Begun(_)) {
             Replies::default()
         } else {
-            ask(self, &StreamRequest::new(stream, services, window)).await
+            ask(self, &StreamRequest::new(stream, services.clone(), window)).await
+        };
+        let decided = if others.need_store() && !self.store_responds().await {
+            Err(Doubt::Unsure)
+        } else {
+            decide(self.knowledge(stream, &services, window, now_boot()), &others)
         };
-        let decided = decide(own, &others);
         let outcome = match decided {
             Ok(_) => "goes-on",
             Err(doubt) => doubt.cause(),
--- a/crates/celerytide-edge/src/follow/mod.rs
+++ b/crates/celerytide-edge/src/follow/mod.rs
@@ -36,6 +36,10 @@
 /// in force. Together with the margin for the reply it is short enough that a follower leaves a silent reader while there
 /// is time to read the store.
 const LARGE_FLEET_WATCH_SHARE: f64 = 0.3;
+/// Wait of a watch whose response is wanted at once.
+const WANTED_WAIT: Duration = Duration::from_millis(1);
+/// Least time between a response and the next one that is wanted at once, which bounds the calls.
+const WANTED_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for the response to a watch after its wait.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(500);
 /// Time limit for a page of the list.
@@ -171,7 +175,10 @@
         bounds.recovery_time().mul_f64(WATCH_SHARE)
     };
     let known = edge.view.borrow().position();
-    let response = source.watch(known.revision, wait, RESPONSE_MARGIN).await;
+    let response = monoio::select! {
+        response = source.watch(known.revision, wait, RESPONSE_MARGIN) => response,
+        () = response_wanted(edge) => source.watch(known.revision, WANTED_WAIT, RESPONSE_MARGIN).await,
+    };
     let (changes, position) = sync.apply_changes(response, known)?;
     let now = now_boot();
     let removal_delay = record_response(edge, sync, now);
@@ -179,11 +186,23 @@
     let update = edge.view.borrow_mut().apply(changes, position, removal_delay, now);
     apply_update(edge, &update, "store", now);
     if has_changes {
-        sleep(bounds.apply_time().mul_f64(BATCH_SHARE)).await;
+        monoio::select! {
+            () = sleep(bounds.apply_time().mul_f64(BATCH_SHARE)) => {}
+            () = response_wanted(edge) => {}
+        }
     }
     Ok(())
 }
 
+/// Waits until a response of the store is wanted that is later than the last one.
+async fn response_wanted<P: Protocol>(edge: &Edge<P>) {
+    while edge.store_wanted_at.get() <= edge.store_responded_at.get() {
+        edge.store_wanted.notified().await;
+    }
+    let since = edge.store_responded_at.get().map(|at| now_boot().since(at));
+    sleep(WANTED_INTERVAL.saturating_sub(since.unwrap_or_default())).await;
+}
+
 /// Gets newer changes from `reader`; reads the store directly for a while if that fails. Returns whether the reader can
 /// read the store.
 async fn follow<P: Protocol>(edge: &Edge<P>, reader: SocketAddr) -> bool {
--- a/crates/celerytide-edge/src/software/take_up.rs
+++ b/crates/celerytide-edge/src/software/take_up.rs
@@ -29,6 +29,13 @@
 }
 
 impl Replies {
+    /// Whether a response of the store is needed: some were silent, and none of the others knows where the stream began. Those
+    /// that reply may be cut off together.
+    pub fn need_store(&self) -> bool {
+        let is_known = self.known.iter().any(|known| matches!(known, Knowledge::Begun(_)));
+        self.silent > 0 && !is_known
+    }
+
     /// Whether more were silent than replied: this instance may be cut off, and others may know of newer software.
     fn are_few(&self) -> bool {
         self.silent > self.known.len()
