fix(edge): a take-up waits for the store only if it would go on

Cause: where an instance was silent, a take-up that is refused in any case waited up to 0.5 s for the store as well.

Change: the store is asked only if the decision without it is a yes.

--- a/crates/celerytide-edge/src/edge/taken_up.rs
+++ b/crates/celerytide-edge/src/edge/taken_up.rs
@@ -69,10 +69,13 @@
         } else {
             ask(self, &StreamRequest::new(stream, services.clone(), window)).await
         };
-        let decided = if others.need_store() && !self.store_responds().await {
-            Err(Doubt::Unsure)
+        let needs_store = others.need_store() && decide(own, &others).is_ok();
+        let is_in_touch = !needs_store || self.store_responds().await;
+        let own = self.knowledge(stream, &services, window, now_boot());
+        let decided = if is_in_touch {
+            decide(own, &others)
         } else {
-            decide(self.knowledge(stream, &services, window, now_boot()), &others)
+            Err(Doubt::Unsure)
         };
         let outcome = match decided {
             Ok(_) => "goes-on",
@@ -84,6 +87,7 @@
             first = take_up.first_request,
             ?own,
             ?others,
+            is_in_touch,
             outcome,
             "stream: taken up"
         );
