fix(entry): a stream goes on only at an engine of its own version

Cause: a broken stream was resumed at any endpoint that resumes, whatever its software.

Change: the first event binds a stream to the version that it names as system_fingerprint. An engine that names another one, or none, is left for another engine, without counting as failed. Where none is named nothing tells versions apart, as before.

--- a/crates/celerytide-entry/src/lib.rs
+++ b/crates/celerytide-entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod auth;
 pub mod chunk_text;
 pub mod daemon;
+pub mod engine_version;
 pub mod entry;
 pub mod headers;
 pub mod limits;
--- a/crates/celerytide-entry/src/model/stream.rs
+++ b/crates/celerytide-entry/src/model/stream.rs
@@ -17,6 +17,7 @@
 use super::ModelRequest;
 use crate::attempts::{AttemptEnd, Attempts, Stop, is_gateway_status};
 use crate::chunk_text::has_text;
+use crate::engine_version::StreamVersion;
 use crate::entry::Entry;
 use crate::headers;
 use crate::permit::{Lease, PermitError};
@@ -42,6 +43,8 @@
     Failed(SendError),
     /// The stream broke a rule, described here; the caller has received all tokens counted so far.
     Broken(String),
+    /// The engine's version isn't the one from which the caller has received text.
+    OtherVersion,
     Preempted,
     CallerLeft,
 }
@@ -52,6 +55,7 @@
     writer: Option<ChunkWriter>,
     tokens: u32,
     reported_tokens: u32,
+    version: StreamVersion,
 }
 
 pub(super) async fn serve(entry: &Rc<Entry>, model: ModelRequest, out: Responder, cx: CancellationToken) {
@@ -60,6 +64,7 @@
         writer: None,
         tokens: 0,
         reported_tokens: 0,
+        version: StreamVersion::default(),
     };
     let ended = run(entry, &model, &mut caller, &cx).await;
     let request = &model.info.request;
@@ -129,6 +134,11 @@
                 entry.record_failure(request, &endpoint, &error.to_string());
                 lease.settle(end_for_error(&error, caller.tokens));
             }
+            StreamEnd::OtherVersion => {
+                attempts.end(&AttemptEnd::Broken);
+                entry.node.trace_log.add_step(request, "other-version", &endpoint);
+                lease.settle(Ended::Cancelled);
+            }
             StreamEnd::Broken(detail) => {
                 attempts.end(&AttemptEnd::Broken);
                 entry.record_failure(request, &endpoint, &detail);
@@ -200,6 +210,7 @@
 ) -> StreamEnd {
     let mut reader = Reader::new(MAX_EVENT_BYTES);
     let mut stall_timer = StallTimer::new(max_stall, now_boot());
+    let mut is_checked = false;
     loop {
         let data = monoio::select! {
             data = response.next() => data,
@@ -212,9 +223,10 @@
             None => return StreamEnd::Broken(String::from("the stream ended without [DONE]")),
         };
         reader.push(&data);
-        let batch = match take_events(&mut reader, caller) {
+        let batch = match take_events(&mut reader, caller, &mut is_checked) {
             Ok(batch) => batch,
-            Err(detail) => return StreamEnd::Broken(detail),
+            Err(Rejected::Broken(detail)) => return StreamEnd::Broken(detail),
+            Err(Rejected::OtherVersion) => return StreamEnd::OtherVersion,
         };
         let now = now_boot();
         if !batch.bytes.is_empty() {
@@ -239,16 +251,29 @@
     done: bool,
 }
 
-fn take_events(reader: &mut Reader, caller: &mut CallerStream) -> Result<Batch, String> {
+/// Why a stream isn't forwarded any further.
+enum Rejected {
+    /// It broke a rule, described here.
+    Broken(String),
+    /// It comes from another version than the text that the caller has.
+    OtherVersion,
+}
+
+/// Takes the events that have arrived; the first one of an attempt tells whether the stream may go on with it.
+fn take_events(reader: &mut Reader, caller: &mut CallerStream, is_checked: &mut bool) -> Result<Batch, Rejected> {
     let mut batch = Batch {
         bytes: BytesMut::new(),
         done: false,
     };
-    while let Some(event) = reader.next_event().map_err(|error| error.to_string())? {
+    let broken = |error: celerytide_http::sse::Error| Rejected::Broken(error.to_string());
+    while let Some(event) = reader.next_event().map_err(broken)? {
         if event.data.as_ref() == DONE {
             batch.done = true;
             return Ok(batch);
         }
+        if !std::mem::replace(is_checked, true) && !caller.version.admits(&event.data, caller.tokens) {
+            return Err(Rejected::OtherVersion);
+        }
         caller.tokens = caller.tokens.saturating_add(u32::from(has_text(&event.data)));
         let name = std::str::from_utf8(&event.name).ok().filter(|name| !name.is_empty());
         write_event(&mut batch.bytes, name, &event.data);
--- a/crates/celerytide-entry/tests/call.rs
+++ b/crates/celerytide-entry/tests/call.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use celerytide_entry::chunk_text::has_text;
+use celerytide_entry::engine_version::StreamVersion;
 use celerytide_entry::headers::caller_headers;
 use celerytide_entry::model_body;
 use celerytide_entry::request_info::request_id;
@@ -244,3 +245,38 @@
         Some(&HeaderValue::from_static("not-run"))
     );
 }
+
+/// Text of two engine versions must not be joined in one stream.
+#[test]
+fn a_stream_is_bound_to_the_version_of_its_text() {
+    struct VersionCase {
+        name: &'static str,
+        first: &'static str,
+        next: &'static str,
+        admitted: bool,
+    }
+    const NONE: &str = r#"{"choices":[]}"#;
+    const V1: &str = r#"{"system_fingerprint":"v1","choices":[]}"#;
+    const V2: &str = r#"{"system_fingerprint":"v2","choices":[]}"#;
+    let case = |name, first, next, admitted| VersionCase {
+        name,
+        first,
+        next,
+        admitted,
+    };
+    let cases = [
+        case("the same", V1, V1, true),
+        case("another", V1, V2, false),
+        case("the next names none", V1, NONE, false),
+        case("the first named none", NONE, V1, false),
+        case("neither names one", NONE, NONE, true),
+        case("null", NONE, r#"{"system_fingerprint":null}"#, true),
+        case("no JSON", V1, "v1", false),
+    ];
+    for case in cases {
+        let mut version = StreamVersion::default();
+        assert!(version.admits(b"{}", 0), "{}: broke off before any text", case.name);
+        assert!(version.admits(case.first.as_bytes(), 0), "{}", case.name);
+        assert_eq!(version.admits(case.next.as_bytes(), 1), case.admitted, "{}", case.name);
+    }
+}
--- a/crates/celerytide-standin/src/engine/response.rs
+++ b/crates/celerytide-standin/src/engine/response.rs
@@ -110,12 +110,15 @@
             true => serde_json::json!({ "index": 0, "delta": {}, "finish_reason": self.finish_reason() }),
             false => serde_json::json!({ "index": 0, "text": "", "finish_reason": self.finish_reason() }),
         };
-        let event = serde_json::json!({
+        let mut event = serde_json::json!({
             "id": self.id,
             "object": self.chunk_object(),
             "model": self.model,
             "choices": [choice],
         });
+        if let Some(version) = &self.version {
+            event["system_fingerprint"] = serde_json::json!(version);
+        }
         format!("data: {event}\n\n")
     }
 
