fix(http): a connection on which an answer names no request isn't used again by our daemons

Cause: an answer without x-request-id was taken on the word of its place on the connection, so that a late copy of one was taken for the next request's answer. Endpoints that name requests were covered, those that never do were not.

Change: the client of entry and dispatch reuses a connection only after an answer that names its request, or where the request has no id (load reports). The test waits until its endpoint is the one that answers.

--- a/crates/celerytide-faults/tests/nameless.rs
+++ b/crates/celerytide-faults/tests/nameless.rs
@@ -6,9 +6,9 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread::{sleep, spawn};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use celerytide_faults::{Harness, HarnessOptions, wait_until};
+use celerytide_faults::{Harness, HarnessOptions};
 use http::Method;
 
 const REQUESTS: usize = 6;
@@ -62,6 +62,20 @@
     }
 }
 
+/// Sends requests until the endpoint that was published answers.
+async fn wait_for_endpoint(harness: &Harness) {
+    let end = Instant::now() + PUBLISH_TIMEOUT;
+    for i in 0.. {
+        assert!(Instant::now() < end, "the manifest is not in force");
+        let outcome = harness
+            .plain(0, &format!("w-{i}"), Method::GET, "/services/forms/wait")
+            .await;
+        if outcome.body.starts_with(b"/") {
+            return;
+        }
+    }
+}
+
 #[test]
 fn a_copy_of_an_answer_that_names_no_request_is_not_taken_for_the_next_one() {
     for place in [Place::AtOnce, Place::Idle, Place::BeforeNext] {
@@ -78,14 +92,8 @@
             }
         };
         harness.fleet.publish(replace).expect("manifest");
-        let version = harness.fleet.manifest.version;
         Harness::block_on(async {
-            let is_in_force = || harness.dispatch_status(0)["manifest"]["version"] == version;
-            assert!(
-                wait_until(PUBLISH_TIMEOUT, is_in_force).await,
-                "{}",
-                harness.dispatch_status(0)
-            );
+            wait_for_endpoint(&harness).await;
             for i in 0..REQUESTS {
                 let path = format!("/services/forms/p{i}");
                 let outcome = harness.plain(0, &format!("r-{i}"), Method::GET, &path).await;
--- a/crates/celerytide-http/src/client/pool.rs
+++ b/crates/celerytide-http/src/client/pool.rs
@@ -51,6 +51,9 @@
     /// Header that holds the request id. A response with another value belongs to another request and is rejected, and so is
     /// one without the header on a connection on which an earlier response had it.
     pub id_header: HeaderName,
+    /// Reuses a connection after a response that doesn't name its request, though the request has an id. Nothing tells a late
+    /// copy of such a response from the next one.
+    pub reuse_nameless: bool,
     /// Accepts responses without a declared length, which end when their connection closes.
     pub until_close: bool,
     /// Maximum number of bytes buffered by all concurrent [`send_buffered`](super::Client::send_buffered) calls.
@@ -68,6 +71,7 @@
             user_timeout: USER_TIMEOUT,
             write_timeout: WRITE_TIMEOUT,
             id_header: HeaderName::from_static(REQUEST_ID_HEADER),
+            reuse_nameless: true,
             until_close: false,
             max_buffered: MAX_BUFFERED_BYTES,
             tcp_keepalive: None,
--- a/crates/celerytide-http/src/client/response.rs
+++ b/crates/celerytide-http/src/client/response.rs
@@ -79,7 +79,8 @@
         pool: Rc<Pool>,
     ) -> Result<Self, SendError> {
         let names_request = names_id(call, &head.headers, &pool.options().id_header);
-        let lacks_id = conn.names_requests && !names_request && call.headers.contains_key(&pool.options().id_header);
+        let has_id = call.headers.contains_key(&pool.options().id_header);
+        let lacks_id = conn.names_requests && !names_request && has_id;
         if lacks_id || has_foreign_id(call, &head.headers, &pool.options().id_header) {
             return Err(send_error(Stage::Written, Cause::RequestIdMismatch));
         }
@@ -87,6 +88,8 @@
             conn.answered.insert(hash_id(id), head.status);
         }
         conn.names_requests |= names_request;
+        let may_reuse = names_request || !has_id || pool.options().reuse_nameless;
+        let is_kept = is_written && may_reuse && !wants_close(head.version, &head.headers);
         let framing = response_framing(
             &call.method,
             head.status,
@@ -98,7 +101,7 @@
         let kind = head.headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
         let is_event_stream = kind.is_some_and(|kind| kind.starts_with(EVENT_STREAM));
         let mut response = Response {
-            is_reusable: is_written && framing != Framing::UntilClose && !wants_close(head.version, &head.headers),
+            is_reusable: is_kept && framing != Framing::UntilClose,
             http_keep_alive: keep_alive_timeout(&head.headers),
             status: head.status,
             headers: head.headers,
--- a/crates/celerytide-node/src/start/mod.rs
+++ b/crates/celerytide-node/src/start/mod.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use celerytide_http::client::Client;
+use celerytide_http::client::{self, Client};
 use celerytide_http::server;
 use celerytide_kernel::audit::{Audit, Kind};
 use celerytide_kernel::metrics::Metrics;
@@ -191,7 +191,7 @@
             incarnation,
             membership,
             connections: ConnectionPool::new(wire_options, abort.clone()),
-            client: Client::new(celerytide_http::client::Options::default()),
+            client: Client::new(client_options()),
             audit,
             trace_log: kernel
                 .register(names::TRACE_LOG, Rc::new(TraceLog::default()))
@@ -291,6 +291,14 @@
     TcpListener::bind(addr).context(ListenSnafu { addr })
 }
 
+/// An answer that names no request may be followed by a copy of itself, which would be taken for the next request's.
+fn client_options() -> client::Options {
+    client::Options {
+        reuse_nameless: false,
+        ..client::Options::default()
+    }
+}
+
 fn membership_options(incarnation: Incarnation, view_age: Option<Duration>) -> Options {
     let mut opts = Options {
         incarnation,
