--- a/crates/celerytide-entry/src/model/stream.rs
+++ b/crates/celerytide-entry/src/model/stream.rs
@@ -225,7 +225,8 @@
         reader.push(&data);
         let batch = match take_events(&mut reader, caller, &mut is_checked) {
             Ok(batch) => batch,
-            Err(ended) => return ended,
+            Err(Rejected::Broken(detail)) => return StreamEnd::Broken(detail),
+            Err(Rejected::OtherVersion) => return StreamEnd::OtherVersion,
         };
         let now = now_boot();
         if !batch.bytes.is_empty() {
@@ -250,20 +251,28 @@
     done: bool,
 }
 
+/// Why a stream isn't forwarded any further.
+enum Rejected {
+    /// It broke a rule, described here.
+    Broken(String),
+    /// It comes from another version than the text that the caller has.
+    OtherVersion,
+}
+
 /// Takes the events that have arrived; the first one of an attempt tells whether the stream may go on with it.
-fn take_events(reader: &mut Reader, caller: &mut CallerStream, is_checked: &mut bool) -> Result<Batch, StreamEnd> {
+fn take_events(reader: &mut Reader, caller: &mut CallerStream, is_checked: &mut bool) -> Result<Batch, Rejected> {
     let mut batch = Batch {
         bytes: BytesMut::new(),
         done: false,
     };
-    let broken = |error: celerytide_http::sse::Error| StreamEnd::Broken(error.to_string());
+    let broken = |error: celerytide_http::sse::Error| Rejected::Broken(error.to_string());
     while let Some(event) = reader.next_event().map_err(broken)? {
         if event.data.as_ref() == DONE {
             batch.done = true;
             return Ok(batch);
         }
         if !std::mem::replace(is_checked, true) && !caller.version.admits(&event.data, caller.tokens) {
-            return Err(StreamEnd::OtherVersion);
+            return Err(Rejected::OtherVersion);
         }
         caller.tokens = caller.tokens.saturating_add(u32::from(has_text(&event.data)));
         let name = std::str::from_utf8(&event.name).ok().filter(|name| !name.is_empty());
