fix(edge): a stream that a peer went on with and broke off isn't offered to another peer

Found by review. Cause: a peer that breaks off within a stream may have run as many attempts as the route has left, but counted as one; with three attempts allowed a fourth could run. A 502 of the peer counted as none. A crash under the stream went to another peer past the look at repeats.

Change: one peer is asked. If it broke off, or failed otherwise than as not run, no attempt is left. Names say what they are.

The case itself has no test.

--- a/crates/celerytide-edge/src/forward/go_on.rs
+++ b/crates/celerytide-edge/src/forward/go_on.rs
@@ -16,50 +16,51 @@
 use crate::peers::handover::{HandedOver, Offer, hand_over};
 use crate::protocol::Protocol;
 
-/// How a peer's part of a stream ended.
-enum Part {
+/// How a peer's continuation of a stream ended.
+enum PeerEnd {
     /// With the regular end of the stream.
     Whole,
-    /// The peer broke off, or its events don't continue the stream.
-    Broken,
-    /// The peer's instance refused the request.
-    Refused,
+    /// The peer refused the request, which has not run there.
+    NotRun,
+    /// The peer broke off or failed, or its events don't continue the stream.
+    MayHaveRun,
     /// The caller disconnected.
     Gone,
 }
 
 impl<P: Protocol> Forwarding<'_, P> {
-    /// Lets peers continue the stream; gives the writer back if none does.
-    pub(super) async fn go_on_at_peers(
+    /// Lets a peer continue the stream; gives the writer back if it doesn't reach the end.
+    pub(super) async fn go_on_at_peer(
         &mut self,
         mut out: ChunkWriter,
         service: &Service,
         status: StatusCode,
     ) -> Result<End, ChunkWriter> {
-        while self.origin == Origin::Caller && self.may_go_on() && self.time_left() >= MIN_TIME_LEFT {
-            if !self.edge.take_retry(&service.id) {
-                info!(request = self.request.id, "stream: no repeat left to go on at a peer");
-                break;
+        if self.origin != Origin::Caller || !self.may_go_on() || self.time_left() < MIN_TIME_LEFT {
+            return Err(out);
+        }
+        if !self.edge.take_retry(&service.id) {
+            info!(request = self.request.id, "stream: no repeat left to go on at a peer");
+            return Err(out);
+        }
+        let Some(handed) = self.offer_rest(service).await else {
+            return Err(out);
+        };
+        self.endpoint = handed.peer.to_string();
+        match self.copy_handed(handed, &mut out).await {
+            PeerEnd::Whole => {
+                // The caller may have disconnected.
+                let _ = out.finish().await;
+                Ok(End::new(HANDED_OVER, status.as_u16()))
             }
-            let Some(handed) = self.offer_rest(service).await else {
-                break;
-            };
-            let peer = handed.peer;
-            self.endpoint = peer.to_string();
-            match self.copy_handed(handed, &mut out).await {
-                Part::Whole => {
-                    // The caller may have disconnected.
-                    let _ = out.finish().await;
-                    return Ok(End::new(HANDED_OVER, status.as_u16()));
-                }
-                Part::Gone => return Ok(End::new("caller-left", status.as_u16())),
-                Part::Refused => break,
-                Part::Broken => self.may_have_run_count += 1,
+            PeerEnd::Gone => Ok(End::new("caller-left", status.as_u16())),
+            PeerEnd::NotRun => Err(out),
+            PeerEnd::MayHaveRun => {
+                // The peer may have used all attempts that were left.
+                self.may_have_run_count = self.request.route.max_attempts;
+                Err(out)
             }
-            self.edge
-                .with_reach(&service.id, |reach| reach.peers.note_declined(peer, now_boot()));
         }
-        Err(out)
     }
 
     /// Offers the rest of the stream to peers; `None` if none takes it.
@@ -100,15 +101,19 @@
     }
 
     /// Passes on the events of a peer.
-    async fn copy_handed(&mut self, mut handed: HandedOver, out: &mut ChunkWriter) -> Part {
+    async fn copy_handed(&mut self, mut handed: HandedOver, out: &mut ChunkWriter) -> PeerEnd {
         match handed.first.take() {
             Some(ResponsePart::Head { status, headers })
                 if self.continuity.accepts(status, &headers, Framing::Chunked) => {}
             Some(ResponsePart::Whole { status, .. }) => {
                 info!(request = self.request.id, peer = %handed.peer, %status, "stream: a peer doesn't go on");
-                return Part::Refused;
+                return if self.edge.protocol.promises_not_run(status) {
+                    PeerEnd::NotRun
+                } else {
+                    PeerEnd::MayHaveRun
+                };
             }
-            _ => return Part::Broken,
+            _ => return PeerEnd::MayHaveRun,
         }
         info!(request = self.request.id, peer = %handed.peer, "stream: goes on at a peer");
         let mut splitter = EventSplitter::default();
@@ -122,25 +127,25 @@
         handed: &mut HandedOver,
         out: &mut ChunkWriter,
         splitter: &mut EventSplitter,
-    ) -> Part {
+    ) -> PeerEnd {
         loop {
             let data = match handed.next().await {
                 Some(ResponsePart::Chunk(data)) => data,
                 Some(ResponsePart::End) if splitter.check_end(self.continuity.lacks_event()).is_ok() => {
-                    return Part::Whole;
+                    return PeerEnd::Whole;
                 }
-                _ => return Part::Broken,
+                _ => return PeerEnd::MayHaveRun,
             };
             if !splitter.push(&data) {
-                return Part::Broken;
+                return PeerEnd::MayHaveRun;
             }
             while let Some(event) = splitter.next_event() {
                 if !self.continuity.push(&event) {
-                    return Part::Broken;
+                    return PeerEnd::MayHaveRun;
                 }
                 self.has_events = true;
                 if out.send(event.raw).await.is_err() {
-                    return Part::Gone;
+                    return PeerEnd::Gone;
                 }
             }
         }
--- a/crates/celerytide-edge/src/forward/stream.rs
+++ b/crates/celerytide-edge/src/forward/stream.rs
@@ -53,15 +53,15 @@
 
 /// What came of the attempts to go on with a stream.
 #[derive(Debug, Default)]
-struct Tries {
-    is_unreached: bool,
-    is_heard: bool,
+struct ResumeAttempts {
+    has_unreached: bool,
+    has_response: bool,
 }
 
-impl Tries {
+impl ResumeAttempts {
     /// Whether no endpoint responded, and one wasn't reached.
-    fn found_no_way(&self) -> bool {
-        self.is_unreached && !self.is_heard
+    fn reached_none(&self) -> bool {
+        self.has_unreached && !self.has_response
     }
 }
 
@@ -100,16 +100,16 @@
         }
         let is_cut_off = fwd.edge.is_cut_off(&service.id);
         if is_cut_off {
-            out = match fwd.go_on_at_peers(out, service, status).await {
+            out = match fwd.go_on_at_peer(out, service, status).await {
                 Ok(ended) => return ended,
                 Err(out) => out,
             };
         }
-        let mut tries = Tries::default();
+        let mut tries = ResumeAttempts::default();
         match resume(fwd, service, &mut tries).await {
             Some(next) => upstream = next,
-            None if is_cut_off || !tries.found_no_way() => return end,
-            None => return fwd.go_on_at_peers(out, service, status).await.unwrap_or(end),
+            None if is_cut_off || !tries.reached_none() => return end,
+            None => return fwd.go_on_at_peer(out, service, status).await.unwrap_or(end),
         }
     }
 }
@@ -279,7 +279,7 @@
 async fn resume<P: Protocol>(
     fwd: &mut Forwarding<'_, P>,
     service: &Rc<Service>,
-    tries: &mut Tries,
+    tries: &mut ResumeAttempts,
 ) -> Option<Box<Upstream<P>>> {
     let edge = fwd.edge;
     while fwd.may_go_on() {
@@ -306,8 +306,8 @@
         }
         fwd.note_pick(&pick);
         let sent = send(fwd, service, pick).await;
-        tries.is_heard |= matches!(sent, Sent::Response(_) | Sent::Rejected(_));
-        tries.is_unreached |= matches!(sent, Sent::Unreached(_));
+        tries.has_response |= matches!(sent, Sent::Response(_) | Sent::Rejected(_));
+        tries.has_unreached |= matches!(sent, Sent::Unreached(_));
         match sent {
             Sent::Response(upstream) if upstream.is_success => {
                 info!(
