fix(edge): an instance that hears of nobody for an hour counts itself and its seeds

Found by review.

Measured: a_lone_instance_is_one_of_the_largest_fleet_for_ever; fleet_size.rs, cold.rs, decisions.rs and retries.rs pass.

--- a/crates/celerytide-edge/src/peers/members.rs
+++ b/crates/celerytide-edge/src/peers/members.rs
@@ -32,7 +32,7 @@
 const LARGEST_FLEET: usize = 360;
 
 /// Groups of instances that may each use a whole rate: what endpoints bear beyond the shares of rates that are used.
-const BORNE_GROUPS: usize = 2;
+const TOLERATED_GROUPS: usize = 2;
 
 /// Whether a fleet with this number of `others` is too large for each instance to talk to all.
 pub fn is_large(others: usize) -> bool {
@@ -214,7 +214,7 @@
     /// this instance knows. Where a fleet starts cut apart, its parts know different seeds, and take no more than one
     /// allowance together. `None` without any. After an hour all seeds count: some may be gone for good.
     pub fn allowance_divisor(&self, now: BootTime) -> Option<usize> {
-        let size = self.fleet_size(now)?;
+        let size = self.fleet_size(now).or_else(|| self.size_after_silence(now))?;
         let seeds = self.seeds.len() + usize::from(self.is_seed);
         if seeds == 0 || self.age(now) >= FLEET_AGE {
             return Some(size);
@@ -223,6 +223,11 @@
         (known > 0).then(|| (size * seeds).div_ceil(known))
     }
 
+    /// Size of the fleet for an instance that hears of nobody for so long that the others count as gone.
+    fn size_after_silence(&self, now: BootTime) -> Option<usize> {
+        (self.age(now) >= FLEET_AGE).then(|| self.seeds.len() + 1)
+    }
+
     fn settled_seeds(&self, now: BootTime) -> usize {
         let known = self.seeds.iter().filter_map(|seed| self.known_seeds.get(seed));
         known.filter(|at| now.since(**at) >= SETTLE_TIME).count()
@@ -246,14 +251,14 @@
     /// knows may be around each seed that it hasn't heard of. Seeds may also be gone for good, so only the groups are counted
     /// that the shares of rates that are used leave no room for.
     pub fn assumed_size(&self, now: BootTime) -> usize {
-        let Some(known) = self.fleet_size(now) else {
+        let Some(known) = self.fleet_size(now).or_else(|| self.size_after_silence(now)) else {
             return LARGEST_FLEET;
         };
         let is_unheard = |seed: &&SocketAddr| self.last_heard.get(seed).is_none_or(|at| now.since(*at) >= FLEET_AGE);
         let unheard = self.seeds.iter().filter(is_unheard).count();
         let named = self.seeds.len() + usize::from(self.is_seed);
-        let groups = (unheard + 1).min(named).max(BORNE_GROUPS);
-        let assumed = known * groups / BORNE_GROUPS;
+        let groups = (unheard + 1).min(named).max(TOLERATED_GROUPS);
+        let assumed = known * groups / TOLERATED_GROUPS;
         assumed.min(LARGEST_FLEET).max(known)
     }
 
--- a/crates/celerytide-edge/tests/fleet_size.rs
+++ b/crates/celerytide-edge/tests/fleet_size.rs
@@ -114,3 +114,15 @@
         Ok(())
     });
 }
+
+/// An instance whose only peer was gone for good took its part of the largest fleet without end, and no allowance.
+#[test]
+fn a_lone_instance_is_one_of_the_largest_fleet_for_ever() {
+    let seeds = [1, 2].map(|n| SocketAddr::from(([10, 0, 0, n], 7000)));
+    let members = Members::new(seeds[0], &seeds, BootTime::from_start(Duration::ZERO));
+    let at = |s| BootTime::from_start(Duration::from_secs(s));
+    assert_eq!(members.allowance_divisor(at(3599)), None);
+    assert!(members.rate_share(at(3599)) < 0.01);
+    assert_eq!(members.allowance_divisor(at(3600)), Some(2));
+    assert!(members.rate_share(at(3600)) >= 0.5);
+}
