fix(edge): an entry of release that found nothing withheld ends no later verdict

Found by review. Cause: an entry whose subject wasn't withheld at the reload stayed pending. With one file on all instances, the first one releases, the others find nothing, and a reload for another reason ended the next, right, verdict.

Change: an entry counts by the reload that finds it first.

--- a/crates/celerytide-edge/src/quarantine/release.rs
+++ b/crates/celerytide-edge/src/quarantine/release.rs
@@ -1,13 +1,14 @@
 //! Which subjects of the settings' list are to be released at a reload.
 //!
 //! The list stays in the file when its work is done, and the settings are also reloaded for other reasons. A subject is
-//! therefore released once for each time that it is put on the list; crashes after that count as ever.
+//! therefore released once for each time that it is put on the list, by the reload that finds it there first, and not if it
+//! isn't withheld then; crashes after that count as ever.
 
 use std::collections::HashSet;
 
 use super::{Quarantine, Subject};
 
-/// Listed subjects whose release is done.
+/// Subjects that were on the list at the last reload.
 #[derive(Debug, Default)]
 pub struct Releases {
     done: HashSet<Subject>,
@@ -18,7 +19,7 @@
 pub enum Releasing {
     /// Its verdict ends.
     Due,
-    /// It was released when it was put on the list, or was on it when the process started.
+    /// It was on the list before.
     Done,
     /// It isn't withheld here.
     NotWithheld,
@@ -41,13 +42,13 @@
     }
 
     fn decide(&mut self, subject: Subject, withheld: &HashSet<Subject>) -> Releasing {
-        if self.done.contains(&subject) {
+        if !self.done.insert(subject) {
             return Releasing::Done;
         }
-        if !withheld.contains(&subject) {
-            return Releasing::NotWithheld;
+        if withheld.contains(&subject) {
+            Releasing::Due
+        } else {
+            Releasing::NotWithheld
         }
-        self.done.insert(subject);
-        Releasing::Due
     }
 }
