perf(edge): whether instances may be apart is worked out once for each pick

Found by review. Cause: for each limited endpoint that an instance isn't selected for, each pick took the share of the fleet again, which sorts all members.

Measured: pick.rs, rate_limits.rs, cold.rs pass; the time itself was not measured.

--- a/crates/celerytide-edge/src/edge/limited.rs
+++ b/crates/celerytide-edge/src/edge/limited.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use celerytide_catalog::{Endpoint, KnownEndpoint, Service, Urgency, View};
+use celerytide_catalog::{Endpoint, KnownEndpoint, Service, View};
 use celerytide_types::{BootTime, now_boot};
 use tracing::{info, warn};
 
 use super::Edge;
-use crate::peers::Instances;
+use super::pick::Shares;
 use crate::peers::digest::id_hash;
 use crate::protocol::Protocol;
 use crate::rate_limit::{Change, LimitEntry, MIN_RATE, StatedLimit, usable_rate};
@@ -20,26 +20,14 @@
         Some(per_s * self.members.borrow().rate_share(now))
     }
 
-    /// Whether this instance may send a request to an endpoint that gets `per_s` from those that hear each other.
-    pub(super) fn rate_allows(
-        &self,
-        endpoint: &str,
-        per_s: f64,
-        instances: &Instances,
-        urgency: Urgency,
-        now: BootTime,
-    ) -> bool {
-        self.begin_if_apart(endpoint, per_s, instances, now);
-        let limiter = self.rate_limiter.borrow();
-        limiter.allows_rank(endpoint, per_s, instances, urgency.rank(), now)
-    }
-
-    /// Delays the first request to an endpoint if there may be instances that this one doesn't hear.
-    fn begin_if_apart(&self, endpoint: &str, per_s: f64, instances: &Instances, now: BootTime) {
+    /// Whether this instance may send a request now to an endpoint that gets `per_s` from those that hear each other; sets the
+    /// time of its first request if they may not be all.
+    pub(super) fn rate_allows(&self, endpoint: &str, per_s: f64, shares: &Shares<'_>, now: BootTime) -> bool {
         let mut limiter = self.rate_limiter.borrow_mut();
-        if !limiter.has_begun(endpoint) && self.members.borrow().rate_share(now) < 1.0 {
-            limiter.begin_apart(endpoint, per_s, instances, now);
+        if shares.may_be_apart && !limiter.has_begun(endpoint) {
+            limiter.begin_apart(endpoint, per_s, shares.instances, now);
         }
+        limiter.allows_rank(endpoint, per_s, shares.instances, shares.urgency.rank(), now)
     }
 
     /// Drops the turns at endpoints that are neither cold nor name a rate.
--- a/crates/celerytide-edge/src/edge/pick.rs
+++ b/crates/celerytide-edge/src/edge/pick.rs
@@ -101,6 +101,7 @@
             instances: &instances,
             rooms: &rooms,
             urgency: request.urgency,
+            may_be_apart: self.members.borrow().rate_share(now) < 1.0,
         };
         let available = self.available(&view, service, tried, &shares, now);
         let prompt_size = self.prompt_size(&view, request, service);
@@ -214,7 +215,7 @@
                 return false;
             }
             let rate = self.rate(service, known, now);
-            rate.is_none_or(|per_s| self.rate_allows(id, per_s, shares.instances, shares.urgency, now))
+            rate.is_none_or(|per_s| self.rate_allows(id, per_s, shares, now))
         };
         let untried = self.untried(view, service, tried, now);
         untried.into_iter().filter(may_serve).collect()
@@ -472,10 +473,12 @@
 }
 
 /// What decides on this instance's part of endpoints with limits.
-struct Shares<'a> {
-    instances: &'a Instances,
+pub(super) struct Shares<'a> {
+    pub(super) instances: &'a Instances,
     rooms: &'a Rooms,
-    urgency: Urgency,
+    pub(super) urgency: Urgency,
+    /// Whether there may be instances that this one doesn't hear.
+    pub(super) may_be_apart: bool,
 }
 
 /// How a request is counted at its endpoint.
