fix(policy): two endpoints that crash under two equal requests each are two crashes, not three

Found by review. Cause: the end of a request was compared with the last crash only; ends at a, b, a in one moment counted three times and withheld the content.

--- a/crates/celerytide-policy/tests/quarantine.rs
+++ b/crates/celerytide-policy/tests/quarantine.rs
@@ -27,7 +27,7 @@
 
 use Event::{Crash, Success};
 
-const CASES: [Case; 6] = [
+const CASES: [Case; 7] = [
     Case {
         name: "two crashes",
         events: &[Crash(0, "a"), Crash(1000, "b")],
@@ -46,6 +46,12 @@
         withheld: &[],
         free: &[1],
     },
+    Case {
+        name: "two endpoints that crash under two requests each",
+        events: &[Crash(0, "a"), Crash(10, "b"), Crash(20, "a"), Crash(30, "b")],
+        withheld: &[],
+        free: &[1],
+    },
     Case {
         name: "an answer in between",
         events: &[Crash(0, "a"), Crash(1000, "b"), Success, Crash(2000, "c")],
