--- a/crates/celerytide-edge/tests/cold_fleet/mod.rs
+++ b/crates/celerytide-edge/tests/cold_fleet/mod.rs
@@ -209,8 +209,8 @@
     view: View,
     members: Members,
     limiter: RateLimiter,
-    /// Rank of its next request: in turn one of the least urgent and of the most urgent.
-    rank: f64,
+    /// Ranks of its next requests in turn: in a third of the instances all are most urgent, in a third all are least urgent.
+    ranks: [f64; 2],
     /// Group of the instances that hear each other.
     pub group: usize,
     pub sees_store: bool,
@@ -230,7 +230,7 @@
             view: View::new(Duration::from_millis(BEAT_MS * 4)),
             members: Members::new(own, seeds, at(ms)),
             limiter: RateLimiter::new(own, at(ms)),
-            rank: 1.0,
+            ranks: [[0.0, 0.0], [1.0, 0.0], [1.0, 1.0]][n % 3],
             group: 0,
             sees_store: true,
             started_ms: ms,
@@ -299,9 +299,9 @@
             self.limiter.begin_apart(endpoint, per_s, &sharing, now);
         }
         let mut sent = 0;
-        while sent < DEMAND && self.limiter.allows_rank(endpoint, per_s, &sharing, self.rank, now) {
-            self.limiter.record_rank(endpoint, per_s, &sharing, self.rank, now);
-            self.rank = 1.0 - self.rank;
+        while sent < DEMAND && self.limiter.allows_rank(endpoint, per_s, &sharing, self.ranks[0], now) {
+            self.limiter.record_rank(endpoint, per_s, &sharing, self.ranks[0], now);
+            self.ranks.swap(0, 1);
             sent += 1;
         }
         sent
--- a/crates/celerytide-edge/tests/rate_limits.rs
+++ b/crates/celerytide-edge/tests/rate_limits.rs
@@ -42,11 +42,12 @@
 /// Length of a simulation.
 const LENGTH_MS: u64 = 20_000;
 
-/// An instance that has a request waiting at any time, in turn one of the least urgent and of the most urgent.
+/// An instance that has a request waiting at any time.
 struct Sender {
     limiter: RateLimiter,
     address: SocketAddr,
-    rank: f64,
+    /// Ranks of its next requests in turn: in a third of the instances all are most urgent, in a third all are least urgent.
+    ranks: [f64; 2],
 }
 
 impl Sender {
@@ -54,7 +55,7 @@
         Sender {
             limiter: RateLimiter::new(instance(n), started),
             address: instance(n),
-            rank: 1.0,
+            ranks: [[0.0, 0.0], [1.0, 0.0], [1.0, 1.0]][n % 3],
         }
     }
 }
@@ -99,9 +100,9 @@
             }
         }
         for (sender, view) in senders.iter_mut().zip(&known) {
-            if sender.limiter.allows_rank("e", per_s, view, sender.rank, at(ms)) {
-                sender.limiter.record_rank("e", per_s, view, sender.rank, at(ms));
-                sender.rank = 1.0 - sender.rank;
+            if sender.limiter.allows_rank("e", per_s, view, sender.ranks[0], at(ms)) {
+                sender.limiter.record_rank("e", per_s, view, sender.ranks[0], at(ms));
+                sender.ranks.swap(0, 1);
                 sent.push(ms);
             }
         }
