--- a/review/lib-2/bed.rs
+++ b/review/lib-2/bed.rs
@@ -524,9 +524,12 @@
 // Consumers
 
 /// The final answer of one request; status 0 if the connection ended without one.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Answer {
     pub status: u16,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    /// Whether the answer came to its regular end.
     pub is_whole: bool,
 }
 
@@ -542,29 +545,32 @@
     }
 
     /// Sends one request and waits for its answer.
-    pub fn send(&mut self, method: &str, path: &str, id: &str, deadline_ms: u64) -> Answer {
-        let none = Answer { status: 0, is_whole: false };
-        self.exchange(method, path, id, deadline_ms).unwrap_or(none)
+    pub fn send(&mut self, method: &str, path: &str, id: &str, deadline_ms: u64, body: &[u8]) -> Answer {
+        self.exchange(method, path, id, deadline_ms, body).unwrap_or_default()
     }
 
-    fn exchange(&mut self, method: &str, path: &str, id: &str, deadline_ms: u64) -> io::Result<Answer> {
+    fn exchange(&mut self, method: &str, path: &str, id: &str, deadline_ms: u64, sent: &[u8]) -> io::Result<Answer> {
         let (mut stream, mut input) = match self.connection.take() {
             Some(connection) => connection,
             None => (TcpStream::connect_timeout(&self.router, Duration::from_secs(1))?, Input::new()),
         };
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(Duration::from_millis(deadline_ms + 1000)))?;
-        let length = if method == "POST" { "Content-Length: 0\r\n" } else { "" };
+        let length = match method {
+            "POST" => format!("Content-Length: {}\r\n", sent.len()),
+            _ => String::new(),
+        };
         let text = format!(
             "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\nApi-Key: {KEY}\r\n{length}\r\n"
         );
         stream.write_all(text.as_bytes())?;
+        stream.write_all(sent)?;
         let head = input.head(&mut stream)?.ok_or(io::ErrorKind::UnexpectedEof)?;
         let body = input.body(&mut stream, &head);
         let closes = head.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
         if body.is_ok() && !closes {
             self.connection = Some((stream, input));
         }
-        Ok(Answer { status: head.status, is_whole: body.is_ok() })
+        Ok(Answer { status: head.status, headers: head.headers, is_whole: body.is_ok(), body: body.unwrap_or_default() })
     }
 }
