fix(catalog): a late write brings no endpoint back that leaves, is gone or has started again

Cause: a view takes every single write, and every list of the era that it knows, as newer than what it has. The store's revision says when the store performed a write; only the record's start and sequence say when the endpoint wrote it, and the sequence wasn't read. Only lists of a restored store were checked, and only against the start. The class is wider than the case: a list, a relay, a peer's view and the first list of a new process undo a departure, a removal or a restart in the same way.

Change: records of an endpoint are ordered by start and sequence (`view/order.rs`). An older record changes nothing. A record that brings back a removed endpoint may be late, too, and its sequence doesn't tell, since heartbeats that change nothing else aren't published: the endpoint isn't used until the store has kept the record for as long as only a live endpoint's stays. The same proof lets an older record hold in the end, so that a clock that was set back shuts no endpoint out. It needs a response of the store, and starts again after an outage; until now the time alone was enough. Peers are told which listed records are older or unproven.

--- a/crates/celerytide-catalog/src/lib.rs
+++ b/crates/celerytide-catalog/src/lib.rs
@@ -12,6 +12,6 @@
 
 pub use config::{Backend, CallerLimits, Catalog, Config, Customer, KeyLookup, Route, RouteKind, Service, Urgency};
 pub use view::{
-    Change, Endpoint, EndpointStart, Era, Kept, KnownEndpoint, Position, Restored, Revision, Snapshot, StillOut,
-    Unproven, Update, View,
+    Change, Endpoint, EndpointStart, Era, Kept, KnownEndpoint, Position, Restored, Revision, Sequence, Snapshot,
+    StillOut, Unproven, Update, View,
 };
--- a/crates/celerytide-catalog/src/view/kept.rs
+++ b/crates/celerytide-catalog/src/view/kept.rs
@@ -1,18 +1,21 @@
-//! What a view keeps although a restored store says otherwise, for instances that don't know it.
+//! What a view keeps although the store says otherwise, for instances that don't know it.
 //!
 //! A process that starts after a restore has only the restored list, and would use endpoints that leave or are gone and
-//! zones that are out of service. Its peers saw the lost writes.
+//! zones that are out of service. The same holds after a late write, which puts an older record of an endpoint into the
+//! store. Its peers saw the writes that are lost or undone.
 //!
 //! What a peer keeps is taken over as of the peer's position: later writes end it here as they do there. If the peer is
 //! behind this view, a write that ended it may be known here already, so it is taken over for a short time only. Times
 //! count from before the peer was asked, so that they don't grow when instances repeat them to each other.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use celerytide_types::{BootTime, EndpointId, ZoneId, data};
 
+use super::order::{Doubt, Outdated};
 use super::replace::STILL_OUT;
-use super::{KnownEndpoint, Position, Update, View};
+use super::{KnownEndpoint, Position, Sequence, Update, View};
 
 /// Time for which the word of a peer counts that is behind this view: longer than a peer takes to catch up.
 const BEHIND_TIME: Duration = Duration::from_secs(2);
@@ -24,6 +27,9 @@
         pub id: EndpointId,
         /// Its start.
         pub start: Option<u64>,
+        /// Highest known sequence of that start. Messages carry it in a field of their own, as that of an endpoint.
+        #[serde(skip)]
+        pub newest: Option<Sequence>,
     }
 
     /// An endpoint that isn't used for some time.
@@ -42,7 +48,7 @@
         pub remaining: Duration,
     }
 
-    /// What a view keeps although the restored store says otherwise.
+    /// What a view keeps although the store says otherwise.
     #[derive(Default)]
     pub struct Kept {
         /// Position of the view.
@@ -57,12 +63,12 @@
 }
 
 impl View {
-    /// What this view keeps although the restored store says otherwise.
+    /// What this view keeps although the store says otherwise.
     pub fn kept(&self, now: BootTime) -> Kept {
-        let leaving = self.endpoints.values().filter(|k| k.still_leaving);
+        let leaving = self.endpoints.values().filter(|k| k.is_told_as_leaving());
         let unproven = self.endpoints.values().filter_map(|k| {
-            let endpoint = endpoint_start(k);
-            remaining(k.unproven_until?, now).map(|remaining| Unproven { endpoint, remaining })
+            let (endpoint, doubt) = k.unproven()?;
+            doubt.remaining(now).map(|remaining| Unproven { endpoint, remaining })
         });
         let zones_out = self.still_out.iter().filter_map(|(zone, until)| {
             let zone = zone.clone();
@@ -84,10 +90,12 @@
         }
         let is_behind = kept.position < self.position;
         for endpoint in kept.leaving {
-            if is_behind {
-                self.learn_unproven(&endpoint, asked_at.after(BEHIND_TIME), &mut update);
-            } else {
-                self.learn_leaving(&endpoint, &mut update);
+            match self.compare_newest(&endpoint) {
+                Some(Ordering::Greater) => {}
+                None | Some(Ordering::Equal) if is_behind => {
+                    self.learn_unproven(&endpoint, asked_at.after(BEHIND_TIME), &mut update);
+                }
+                _ => self.learn_leaving(&endpoint, asked_at, &mut update),
             }
         }
         let most = if is_behind { BEHIND_TIME } else { STILL_OUT };
@@ -100,21 +108,35 @@
         update
     }
 
-    fn learn_leaving(&mut self, start: &EndpointStart, update: &mut Update) {
+    /// Compares the newest record known here with the newest one that the peer knows.
+    fn compare_newest(&mut self, start: &EndpointStart) -> Option<Ordering> {
+        let own = self.known_start(start).and_then(|k| k.newest);
+        own.zip(start.newest).map(|(own, newest)| own.cmp(&newest))
+    }
+
+    fn learn_leaving(&mut self, start: &EndpointStart, asked_at: BootTime, update: &mut Update) {
+        let proven_at = asked_at.after(self.record_ttl);
         let known = self.known_start(start);
-        if let Some(known) = known.filter(|k| !k.endpoint.leaving && !k.still_leaving) {
+        if let Some(known) = known.filter(|k| !k.is_leaving()) {
             known.still_leaving = true;
+            known.newest = known.newest.max(start.newest);
+            let endpoint = known.endpoint.clone();
+            known.outdated = start.newest.map(|_| Outdated { endpoint, proven_at });
             update.leaving.push(start.id.clone());
         }
     }
 
     fn learn_unproven(&mut self, start: &EndpointStart, until: BootTime, update: &mut Update) {
         let known = self.known_start(start);
-        if let Some(known) = known.filter(|k| k.unproven_until.is_none_or(|own| own < until)) {
-            if known.unproven_until.is_none() {
+        if let Some(known) = known.filter(|k| k.doubt.is_none_or(|own| own.until() < until)) {
+            if known.doubt.is_none() {
                 update.unproven.push(start.id.clone());
             }
-            known.unproven_until = Some(until);
+            known.doubt = Some(match known.doubt {
+                Some(Doubt::Unproven(_)) => Doubt::Unproven(until),
+                Some(Doubt::Until(_)) | None => Doubt::Until(until),
+            });
+            known.newest = known.newest.max(start.newest);
         }
     }
 
@@ -133,10 +155,45 @@
     }
 }
 
+impl KnownEndpoint {
+    /// Whether peers that have only the store's record must learn that it leaves.
+    fn is_told_as_leaving(&self) -> bool {
+        let is_undone = self.outdated.as_ref().is_some_and(|held| self.is_of_start(held));
+        self.still_leaving || self.endpoint.leaving && is_undone
+    }
+
+    /// The start that isn't used, and for how long: this one, or an earlier one whose record the store holds.
+    fn unproven(&self) -> Option<(EndpointStart, Doubt)> {
+        let earlier = self.outdated.as_ref().filter(|held| !self.is_of_start(held));
+        if let Some(Outdated { endpoint, proven_at }) = earlier {
+            let start = EndpointStart {
+                id: endpoint.id.clone(),
+                start: endpoint.start,
+                newest: endpoint.sequence,
+            };
+            return Some((start, Doubt::Unproven(*proven_at)));
+        }
+        self.doubt.map(|doubt| (endpoint_start(self), doubt))
+    }
+
+    fn is_of_start(&self, held: &Outdated) -> bool {
+        held.endpoint.start == self.endpoint.start
+    }
+}
+
+impl Doubt {
+    /// Time for which peers are to share the doubt; they ask again before it ends if there is no proof yet.
+    fn remaining(self, now: BootTime) -> Option<Duration> {
+        let least = matches!(self, Doubt::Unproven(_)).then_some(BEHIND_TIME);
+        remaining(self.until(), now).or(least)
+    }
+}
+
 fn endpoint_start(known: &KnownEndpoint) -> EndpointStart {
     EndpointStart {
         id: known.endpoint.id.clone(),
         start: known.endpoint.start,
+        newest: known.newest,
     }
 }
 
--- a/crates/celerytide-catalog/src/view/mod.rs
+++ b/crates/celerytide-catalog/src/view/mod.rs
@@ -5,10 +5,11 @@
 //! some seconds before: writes since the backup are missing until they are repeated. Such a list may add to the view, but
 //! undoes nothing that lost writes may have set. Endpoints that it omits are kept for a removal delay, a leaving endpoint
 //! keeps leaving, a zone that was out stays out, and a removed endpoint is used only once it proves to be alive. A write
-//! of the new era overrides all of these.
+//! of the new era overrides all of these, unless it is a late one ([`order`]).
 
 mod kept;
 mod model;
+mod order;
 mod removed;
 mod replace;
 
@@ -19,10 +20,11 @@
 use celerytide_types::{BootTime, EndpointId, ZoneId};
 
 pub use kept::{EndpointStart, Kept, StillOut, Unproven};
-pub use model::{Change, Endpoint, Era, Position, Restored, Revision, Snapshot, Update};
+pub use model::{Change, Endpoint, Era, Position, Restored, Revision, Sequence, Snapshot, Update};
 
 use crate::{Catalog, Config};
-use removed::RemovedEndpoints;
+use order::{Doubt, Outdated};
+use removed::{RemovedEndpoints, Return};
 
 /// An endpoint with state derived from the history of its record.
 #[derive(Debug, Clone)]
@@ -33,29 +35,51 @@
     pub cold_until: Option<BootTime>,
     /// Set while its record is absent: the endpoint is removed at this time unless the record returns.
     pub missing_until: Option<BootTime>,
-    /// It was leaving before a restore whose list says that it isn't.
+    /// It was leaving before a restore whose list says that it isn't, or by the word of a peer.
     still_leaving: bool,
-    /// Set if a restore brought back its record after its removal: it isn't used before this time. If the record still
-    /// exists then, a live endpoint must have renewed it.
-    unproven_until: Option<BootTime>,
+    /// Set if its record returned after its removal: it isn't used until the record proves to be renewed.
+    doubt: Option<Doubt>,
+    /// Highest known sequence of this start.
+    newest: Option<Sequence>,
+    /// The older record that the store holds instead.
+    outdated: Option<Outdated>,
 }
 
 impl KnownEndpoint {
     /// Creates an endpoint of which only the record is known.
     pub fn new(endpoint: Rc<Endpoint>) -> KnownEndpoint {
         KnownEndpoint {
-            endpoint,
             cold_until: None,
             missing_until: None,
             still_leaving: false,
-            unproven_until: None,
+            doubt: None,
+            newest: endpoint.sequence,
+            outdated: None,
+            endpoint,
         }
     }
 
     fn is_usable(&self, now: BootTime) -> bool {
         let is_kept = self.missing_until.is_none_or(|until| now < until);
-        let is_proven = self.unproven_until.is_none_or(|until| until <= now);
-        is_kept && is_proven && !self.endpoint.leaving && !self.still_leaving
+        let is_proven = self.doubt.is_none_or(|doubt| doubt.is_over(now));
+        is_kept && is_proven && !self.is_leaving()
+    }
+
+    /// Reports what is kept in spite of a restored list, and a return that isn't proven.
+    fn report(&self, update: &mut Update) {
+        let id = &self.endpoint.id;
+        match &mut update.restored {
+            Some(restored) => {
+                if self.still_leaving {
+                    restored.still_leaving.push(id.clone());
+                }
+                if self.doubt.is_some() {
+                    restored.unproven.push(id.clone());
+                }
+            }
+            None if self.doubt.is_some() => update.unproven.push(id.clone()),
+            None => {}
+        }
     }
 }
 
@@ -97,6 +121,8 @@
     /// Zones that stay out until this time although a restored list omits them.
     still_out: BTreeMap<ZoneId, BootTime>,
     removed: RemovedEndpoints,
+    /// Changes that followers get with the next ones.
+    unrelayed: Vec<Change>,
     /// Time after which the record of a dead endpoint has expired.
     record_ttl: Duration,
 }
@@ -199,6 +225,7 @@
                 Change::ZoneBack(zone) => self.zone_back(&zone, now, &mut update),
             }
         }
+        self.apply_proofs(removal_delay, now, &mut update);
         update
     }
 
@@ -230,9 +257,11 @@
         if self.batches.len() == MAX_BATCHES {
             self.batches.pop_front();
         }
+        let mut all = std::mem::take(&mut self.unrelayed);
+        all.extend_from_slice(changes);
         self.batches.push_back(Batch {
             from: self.position.revision,
-            changes: changes.to_vec(),
+            changes: all,
         });
     }
 
@@ -244,7 +273,11 @@
         let gone = self.endpoints.iter().filter(|(_, k)| is_expired(k));
         let gone: Vec<EndpointId> = gone.map(|(id, _)| id.clone()).collect();
         for id in gone {
+            let outdated = self.endpoints.get_mut(&id).and_then(|k| k.outdated.take());
             self.remove(&id, now, &mut update);
+            if let Some(Outdated { endpoint, .. }) = outdated {
+                self.set_endpoint((*endpoint).clone(), RecordSource::List, now, &mut update);
+            }
         }
         let back = self.still_out.iter().filter(|(_, until)| **until <= now);
         let back: Vec<ZoneId> = back.map(|(zone, _)| zone.clone()).collect();
@@ -281,41 +314,46 @@
 
     fn set_endpoint(&mut self, endpoint: Endpoint, source: RecordSource, now: BootTime, update: &mut Update) {
         let previous = self.endpoints.get(&endpoint.id);
+        if previous.is_some_and(|known| known.outlasts(&endpoint)) {
+            return self.keep_newer(endpoint, source, now, update);
+        }
+        let returned = self.removed.take(&endpoint, now);
+        if let Some(Return::Repeated(known)) = returned {
+            update.gone.retain(|id| *id != endpoint.id);
+            self.endpoints.insert(endpoint.id, known);
+            return;
+        }
         let same_start = previous.filter(|k| k.endpoint.start == endpoint.start);
+        let is_proof = source == RecordSource::Write && endpoint.sequence.is_none();
         let mut known = KnownEndpoint {
             cold_until: (!endpoint.cold_remaining.is_zero()).then(|| now.after(endpoint.cold_remaining)),
-            missing_until: None,
-            still_leaving: same_start.is_some_and(|k| keeps_leaving(k, &endpoint, source)),
-            unproven_until: same_start
-                .and_then(|k| k.unproven_until)
-                .filter(|_| source != RecordSource::Write),
-            endpoint: Rc::new(endpoint),
+            still_leaving: same_start.is_some_and(|k| k.keeps_leaving(&endpoint, source)),
+            doubt: same_start.and_then(|k| k.doubt).filter(|_| !is_proof),
+            ..KnownEndpoint::new(Rc::new(endpoint))
         };
         let endpoint = &known.endpoint;
         if let Some(same_start) = same_start {
             known.cold_until = known.cold_until.max(same_start.cold_until);
+            // A record without a sequence may be newer than all known ones.
+            known.newest = known
+                .newest
+                .map(|sequence| same_start.newest.unwrap_or_default().max(sequence));
         } else {
             update.appeared.push(endpoint.id.clone());
             if source != RecordSource::FirstList {
                 let cold_period = self.catalog.service(&endpoint.service).map(|s| s.cold_period);
                 known.cold_until = known.cold_until.max(cold_period.map(|time| now.after(time)));
             }
-            if source == RecordSource::RestoredList && self.removed.contains(endpoint, now) {
-                known.unproven_until = Some(now.after(self.record_ttl));
-            }
+        }
+        if let Some(Return::Unproven { newest }) = returned {
+            let is_ordered = newest.is_some() || source == RecordSource::RestoredList;
+            known.doubt = is_ordered.then(|| Doubt::Unproven(now.after(self.record_ttl)));
+            known.newest = newest;
         }
         if endpoint.leaving && !same_start.is_some_and(|k| k.endpoint.leaving) {
             update.leaving.push(endpoint.id.clone());
         }
-        if let Some(restored) = &mut update.restored {
-            if known.still_leaving {
-                restored.still_leaving.push(endpoint.id.clone());
-            }
-            if known.unproven_until.is_some() {
-                restored.unproven.push(endpoint.id.clone());
-            }
-        }
-        self.removed.remove(&endpoint.id);
+        known.report(update);
         self.endpoints.insert(known.endpoint.id.clone(), known);
     }
 
@@ -324,12 +362,13 @@
             self.remove(id, now, update);
         } else if let Some(known) = self.endpoints.get_mut(id) {
             known.missing_until.get_or_insert(now.after(removal_delay));
+            known.outdated = None;
         }
     }
 
     fn remove(&mut self, id: &str, now: BootTime, update: &mut Update) {
         if let Some(known) = self.endpoints.remove(id) {
-            self.removed.insert(&known.endpoint, now);
+            self.removed.insert(known, now);
             update.gone.push(id.to_owned());
         }
     }
@@ -354,13 +393,3 @@
         update.zones_back.push(zone.to_owned());
     }
 }
-
-/// Whether a leaving endpoint keeps leaving although its `record` says that it isn't.
-fn keeps_leaving(known: &KnownEndpoint, record: &Endpoint, source: RecordSource) -> bool {
-    let was_leaving = match source {
-        RecordSource::RestoredList => known.endpoint.leaving || known.still_leaving,
-        RecordSource::List => known.still_leaving,
-        RecordSource::FirstList | RecordSource::Write => false,
-    };
-    was_leaving && !record.leaving
-}
--- a/crates/celerytide-catalog/src/view/model.rs
+++ b/crates/celerytide-catalog/src/view/model.rs
@@ -11,6 +11,8 @@
 pub type Revision = u64;
 /// Counter of the store's restores from a backup; after each, revisions are assigned a second time.
 pub type Era = u64;
+/// Counter of the records that one start of an endpoint has written.
+pub type Sequence = u64;
 
 data! {
     /// Position in the history of the platform's store. Positions are ordered; revisions compare within one era only.
@@ -42,6 +44,10 @@
         pub start: Option<u64>,
         /// Version of its software; what two versions write doesn't fit together.
         pub version: String,
+        /// Orders the records of one start; `None` if unknown. Messages carry it in a field of their own: processes of
+        /// other releases couldn't read it here.
+        #[serde(skip)]
+        pub sequence: Option<Sequence>,
     }
 
     /// One change of what the platform publishes.
@@ -86,6 +92,8 @@
     pub unproven: Vec<EndpointId>,
     /// Endpoints that were removed.
     pub gone: Vec<EndpointId>,
+    /// Endpoints of which the store holds an older record than the view.
+    pub outdated: Vec<EndpointId>,
     /// Availability zones taken out of service.
     pub zones_out: Vec<ZoneId>,
     /// Availability zones taken back into service.
--- a/crates/celerytide-catalog/src/view/replace.rs
+++ b/crates/celerytide-catalog/src/view/replace.rs
@@ -40,6 +40,7 @@
         }
         self.replace_endpoints(snapshot.endpoints, source, removal_delay, now, &mut update);
         self.replace_zones(snapshot.zones_out, source, now, &mut update);
+        self.apply_proofs(removal_delay, now, &mut update);
         update
     }
 
--- /dev/null
+++ b/crates/celerytide-catalog/tests/older_records.rs
@@ -0,0 +1,673 @@
+//! Records of an endpoint that reach a view although a newer one was known: by a late write, a list, a peer or a relay.
+
+use std::time::Duration;
+
+use celerytide_catalog::{CallerLimits, Change, Config, Endpoint, Position, Service, Snapshot, View};
+use celerytide_types::BootTime;
+
+/// Time for which missing records are kept after an outage of the store.
+const REMOVAL_DELAY: Duration = Duration::from_millis(1800);
+/// Time after which the store drops the record of a dead endpoint.
+const RECORD_TTL: Duration = Duration::from_millis(4800);
+/// Revision of the first list.
+const FIRST_REVISION: u64 = 100;
+/// Port of an endpoint's first start; a later start listens on the next one.
+const FIRST_PORT: u16 = 80;
+
+fn at(ms: u64) -> BootTime {
+    BootTime::from_start(Duration::from_millis(ms))
+}
+
+fn pos(era: u64, revision: u64) -> Position {
+    Position { era, revision }
+}
+
+fn config(version: u64) -> Config {
+    Config {
+        version,
+        routes: Vec::new(),
+        services: vec![Service {
+            id: "s".to_owned(),
+            cold_period: Duration::from_secs(3),
+            cold_rate: 18.0,
+            engine_slots: None,
+            engine_tokens: None,
+            max_connections: None,
+        }],
+        customers: None,
+        limits: CallerLimits {
+            head_bytes: 1,
+            body_bytes: 1,
+            head_time: Duration::from_secs(1),
+            idle_time: Duration::from_secs(1),
+        },
+    }
+}
+
+fn record(start: u64, sequence: Option<u64>, leaving: bool) -> Endpoint {
+    Endpoint {
+        id: "a".to_owned(),
+        service: "s".to_owned(),
+        address: ([10, 0, 0, 1], FIRST_PORT + start as u16).into(),
+        zone: "z".to_owned(),
+        slots: 6,
+        leaving,
+        cold_remaining: Duration::ZERO,
+        start: Some(start),
+        version: String::new(),
+        sequence,
+    }
+}
+
+fn ready(start: u64, sequence: u64) -> Endpoint {
+    record(start, Some(sequence), false)
+}
+
+fn leaving(start: u64, sequence: u64) -> Endpoint {
+    record(start, Some(sequence), true)
+}
+
+/// A record in a message of an earlier release.
+fn untold(endpoint: Endpoint) -> Endpoint {
+    Endpoint {
+        sequence: None,
+        ..endpoint
+    }
+}
+
+fn written(endpoint: Endpoint) -> Vec<Change> {
+    vec![Change::Endpoint(endpoint)]
+}
+
+fn gone() -> Vec<Change> {
+    vec![Change::EndpointGone("a".to_owned())]
+}
+
+fn list(position: Position, endpoints: Vec<Endpoint>) -> Snapshot {
+    Snapshot {
+        read_to: position.revision,
+        position,
+        config: Some(config(7)),
+        endpoints,
+        zones_out: Vec::new(),
+    }
+}
+
+/// What reaches the view.
+#[derive(Clone, Copy)]
+enum Event {
+    /// Changes of a watch or a relay; none if the store says that nothing has changed.
+    Changes(fn() -> Vec<Change>),
+    /// Changes in the first response after an outage of the store.
+    AfterOutage(fn() -> Vec<Change>),
+    /// A list of the same era, from the store or from a peer.
+    List(fn() -> Vec<Endpoint>),
+    /// A list of a store that was restored from a backup.
+    RestoredList(fn() -> Vec<Endpoint>),
+    /// Nothing: the store is silent.
+    Silence,
+}
+
+/// An event, and the start that is used after it.
+struct Step {
+    at_ms: u64,
+    event: Event,
+    used: Option<u64>,
+}
+
+/// A known record, and what follows.
+struct OlderCase {
+    name: &'static str,
+    known: fn() -> Endpoint,
+    steps: &'static [Step],
+}
+
+const fn step(at_ms: u64, event: Event, used: Option<u64>) -> Step {
+    Step { at_ms, event, used }
+}
+
+/// The store says that nothing has changed.
+const UNCHANGED: Event = Event::Changes(Vec::new);
+
+const CASES: [OlderCase; 28] = [
+    OlderCase {
+        name: "watch: an older heartbeat after the report of a departure, until the next heartbeat",
+        known: || ready(1, 3),
+        steps: &[
+            step(1000, Event::Changes(|| written(leaving(1, 18))), None),
+            step(4000, Event::Changes(|| written(ready(1, 17))), None),
+            step(5000, Event::Changes(|| written(leaving(1, 21))), None),
+            step(20_000, UNCHANGED, None),
+        ],
+    },
+    OlderCase {
+        name: "watch: the same, until the record is deleted",
+        known: || ready(1, 3),
+        steps: &[
+            step(1000, Event::Changes(|| written(leaving(1, 18))), None),
+            step(4000, Event::Changes(|| written(ready(1, 17))), None),
+            step(8000, Event::Changes(gone), None),
+            step(20_000, UNCHANGED, None),
+        ],
+    },
+    OlderCase {
+        name: "watch: two older heartbeats in a row",
+        known: || leaving(1, 18),
+        steps: &[
+            step(1000, Event::Changes(|| written(ready(1, 16))), None),
+            step(2000, Event::Changes(|| written(ready(1, 17))), None),
+            step(3000, UNCHANGED, None),
+        ],
+    },
+    OlderCase {
+        name: "watch: an older report of a departure that the endpoint took back",
+        known: || leaving(1, 17),
+        steps: &[
+            step(1000, Event::Changes(|| written(ready(1, 18))), Some(1)),
+            step(2000, Event::Changes(|| written(leaving(1, 17))), Some(1)),
+        ],
+    },
+    OlderCase {
+        name: "watch: a record with the same sequence doesn't end a departure",
+        known: || leaving(1, 18),
+        steps: &[step(1000, Event::Changes(|| written(ready(1, 18))), None)],
+    },
+    OlderCase {
+        name: "watch: an older record that the store keeps, so that a live endpoint renews it",
+        known: || leaving(1, 18),
+        steps: &[
+            step(1000, Event::Changes(|| written(ready(1, 16))), None),
+            step(5700, UNCHANGED, None),
+            step(5800, UNCHANGED, Some(1)),
+        ],
+    },
+    OlderCase {
+        name: "watch: the store is silent when the older record could hold",
+        known: || leaving(1, 18),
+        steps: &[
+            step(1000, Event::Changes(|| written(ready(1, 16))), None),
+            step(9000, Event::Silence, None),
+            step(9100, Event::AfterOutage(Vec::new), None),
+            step(10_900, UNCHANGED, None),
+            step(13_800, UNCHANGED, None),
+            step(13_900, UNCHANGED, Some(1)),
+        ],
+    },
+    OlderCase {
+        name: "list: an older heartbeat after the report",
+        known: || leaving(1, 18),
+        steps: &[
+            step(1000, Event::List(|| vec![ready(1, 16)]), None),
+            step(3000, Event::List(|| vec![ready(1, 16)]), None),
+            step(4000, Event::List(|| vec![leaving(1, 20)]), None),
+        ],
+    },
+    OlderCase {
+        name: "list: repeated lists don't put off the proof",
+        known: || leaving(1, 18),
+        steps: &[
+            step(1000, Event::List(|| vec![ready(1, 16)]), None),
+            step(5000, Event::List(|| vec![ready(1, 16)]), None),
+            step(5800, UNCHANGED, Some(1)),
+        ],
+    },
+    OlderCase {
+        name: "relay: an older heartbeat by the word of an earlier release",
+        known: || leaving(1, 18),
+        steps: &[step(1000, Event::Changes(|| written(untold(ready(1, 16)))), None)],
+    },
+    OlderCase {
+        name: "relay: the report by the word of an earlier release, then an older heartbeat",
+        known: || ready(1, 3),
+        steps: &[
+            step(1000, Event::Changes(|| written(untold(leaving(1, 18)))), None),
+            step(4000, Event::Changes(|| written(ready(1, 17))), None),
+        ],
+    },
+    OlderCase {
+        name: "relay: neither record has a sequence, so the store's order counts",
+        known: || untold(leaving(1, 1)),
+        steps: &[step(1000, Event::Changes(|| written(untold(ready(1, 1)))), Some(1))],
+    },
+    OlderCase {
+        name: "restored list: an older heartbeat, and a late one after it",
+        known: || leaving(1, 18),
+        steps: &[
+            step(1000, Event::RestoredList(|| vec![ready(1, 3)]), None),
+            step(2000, Event::Changes(|| written(ready(1, 17))), None),
+            step(3000, Event::Changes(|| written(leaving(1, 19))), None),
+        ],
+    },
+    OlderCase {
+        name: "restored list: an earlier start, and a late write of it",
+        known: || ready(5, 2),
+        steps: &[
+            step(1000, Event::RestoredList(|| vec![leaving(1, 30)]), Some(5)),
+            step(1500, Event::Changes(|| written(leaving(1, 31))), Some(5)),
+            step(2500, Event::Changes(|| written(ready(5, 4))), Some(5)),
+        ],
+    },
+    OlderCase {
+        name: "removed after its report: an older heartbeat brings the record back until it lapses",
+        known: || leaving(1, 18),
+        steps: &[
+            step(1000, Event::Changes(gone), None),
+            step(2000, Event::Changes(|| written(ready(1, 17))), None),
+            step(5600, Event::Changes(gone), None),
+            step(20_000, UNCHANGED, None),
+        ],
+    },
+    OlderCase {
+        name: "removed without a report: a heartbeat that is newer than the published one",
+        known: || ready(1, 3),
+        steps: &[
+            step(1000, Event::Changes(gone), None),
+            step(2000, Event::Changes(|| written(ready(1, 19))), None),
+            step(3000, Event::Changes(|| written(ready(1, 20))), None),
+            step(5600, Event::Changes(gone), None),
+            step(20_000, UNCHANGED, None),
+        ],
+    },
+    OlderCase {
+        name: "removed: a list has the record again",
+        known: || ready(1, 3),
+        steps: &[
+            step(1000, Event::List(Vec::new), None),
+            step(2000, Event::List(|| vec![ready(1, 19)]), None),
+            step(5600, Event::List(Vec::new), None),
+        ],
+    },
+    OlderCase {
+        name: "removed: a live endpoint returns",
+        known: || ready(1, 3),
+        steps: &[
+            step(1000, Event::Changes(gone), None),
+            step(2000, Event::Changes(|| written(ready(1, 19))), None),
+            step(6700, UNCHANGED, None),
+            step(6800, UNCHANGED, Some(1)),
+        ],
+    },
+    OlderCase {
+        name: "removed: the store is silent when the record's time ends",
+        known: || ready(1, 3),
+        steps: &[
+            step(1000, Event::Changes(gone), None),
+            step(2000, Event::Changes(|| written(ready(1, 19))), None),
+            step(9000, Event::Silence, None),
+            step(9100, Event::AfterOutage(gone), None),
+        ],
+    },
+    OlderCase {
+        name: "removed and written by another start: its own",
+        known: || leaving(1, 18),
+        steps: &[
+            step(1000, Event::Changes(gone), None),
+            step(2000, Event::Changes(|| written(ready(2, 1))), Some(2)),
+            step(3000, Event::Changes(|| written(ready(1, 17))), Some(2)),
+        ],
+    },
+    OlderCase {
+        name: "lapsed in an outage: back by a newer heartbeat",
+        known: || ready(1, 3),
+        steps: &[
+            step(9000, Event::AfterOutage(gone), Some(1)),
+            step(9800, Event::Changes(|| written(ready(1, 12))), Some(1)),
+            step(20_000, UNCHANGED, Some(1)),
+        ],
+    },
+    OlderCase {
+        name: "lapsed in an outage: an older heartbeat doesn't show that it lives",
+        known: || ready(1, 12),
+        steps: &[
+            step(9000, Event::AfterOutage(gone), Some(1)),
+            step(9800, Event::Changes(|| written(ready(1, 11))), None),
+            step(13_400, Event::Changes(gone), None),
+            step(20_000, UNCHANGED, None),
+        ],
+    },
+    OlderCase {
+        name: "restart: a heartbeat of the start before",
+        known: || ready(1, 18),
+        steps: &[
+            step(1000, Event::Changes(|| written(ready(2, 1))), Some(2)),
+            step(2000, Event::Changes(|| written(ready(1, 19))), Some(2)),
+            step(3000, Event::Changes(|| written(ready(2, 3))), Some(2)),
+        ],
+    },
+    OlderCase {
+        name: "restart: the report of the start before doesn't take out the new one, nor the reverse",
+        known: || ready(1, 18),
+        steps: &[
+            step(1000, Event::Changes(|| written(ready(2, 1))), Some(2)),
+            step(2000, Event::Changes(|| written(leaving(1, 19))), Some(2)),
+            step(3000, Event::Changes(|| written(leaving(2, 3))), None),
+            step(4000, Event::Changes(|| written(ready(1, 17))), None),
+            step(5000, Event::List(|| vec![ready(1, 17)]), None),
+        ],
+    },
+    OlderCase {
+        name: "restart: both starts are gone, and a heartbeat of the earlier one is late",
+        known: || ready(1, 18),
+        steps: &[
+            step(1000, Event::Changes(|| written(ready(2, 1))), Some(2)),
+            step(2000, Event::Changes(gone), None),
+            step(3000, Event::Changes(|| written(ready(1, 19))), None),
+            step(6600, Event::Changes(gone), None),
+        ],
+    },
+    OlderCase {
+        name: "restart: the new start lapsed in an outage, and a heartbeat of the earlier one is late",
+        known: || ready(5, 3),
+        steps: &[
+            step(9000, Event::AfterOutage(gone), Some(5)),
+            step(9500, Event::Changes(|| written(ready(1, 19))), Some(5)),
+            step(10_800, UNCHANGED, None),
+            step(15_500, UNCHANGED, None),
+            step(15_600, UNCHANGED, Some(1)),
+        ],
+    },
+    OlderCase {
+        name: "restart: a clock that was set back, so that the new start counts as the earlier one",
+        known: || ready(5, 18),
+        steps: &[
+            step(1000, Event::Changes(|| written(ready(4, 1))), Some(5)),
+            step(5700, UNCHANGED, Some(5)),
+            step(5800, UNCHANGED, Some(4)),
+        ],
+    },
+    OlderCase {
+        name: "a leaving endpoint that says later that it is ready",
+        known: || leaving(1, 18),
+        steps: &[step(1000, Event::Changes(|| written(ready(1, 19))), Some(1))],
+    },
+];
+
+fn used(view: &View, ms: u64) -> Option<u64> {
+    view.usable("s", at(ms)).next().and_then(|known| known.endpoint.start)
+}
+
+/// Applies events to a view as they come from the store.
+struct Feed {
+    view: View,
+    position: Position,
+}
+
+impl Feed {
+    fn new(known: Endpoint) -> Feed {
+        let position = pos(1, FIRST_REVISION);
+        let mut view = View::new(RECORD_TTL);
+        view.replace(list(position, vec![known]), Duration::ZERO, at(0));
+        Feed { view, position }
+    }
+
+    fn changes(&mut self, changes: Vec<Change>, removal_delay: Duration, ms: u64) {
+        self.position.revision += changes.len() as u64;
+        self.view.apply(changes, self.position, removal_delay, at(ms));
+    }
+
+    fn play(&mut self, event: Event, ms: u64) {
+        match event {
+            Event::Changes(changes) => self.changes(changes(), Duration::ZERO, ms),
+            Event::AfterOutage(changes) => self.changes(changes(), REMOVAL_DELAY, ms),
+            Event::List(endpoints) => {
+                self.position.revision += 1;
+                let listed = list(self.position, endpoints());
+                self.view.replace(listed, Duration::ZERO, at(ms));
+            }
+            Event::RestoredList(endpoints) => {
+                self.position = pos(self.position.era + 1, self.position.revision - 50);
+                let listed = list(self.position, endpoints());
+                self.view.replace(listed, REMOVAL_DELAY, at(ms));
+            }
+            Event::Silence => {}
+        }
+        self.view.expire(at(ms));
+    }
+}
+
+/// Guards against: an older record of an endpoint that reaches a view undoes a departure, a removal or a restart.
+#[test]
+fn an_older_record_undoes_no_newer_one() {
+    let mut failed = Vec::new();
+    for case in &CASES {
+        let mut feed = Feed::new((case.known)());
+        for step in case.steps {
+            feed.play(step.event, step.at_ms);
+            let used = used(&feed.view, step.at_ms);
+            if used != step.used {
+                failed.push(format!("{}: {used:?} after {} ms", case.name, step.at_ms));
+            }
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+/// Guards against: a report in the last page of a list is undone by the heartbeat before it, which the watch from the
+/// first page repeats.
+#[test]
+fn repeated_changes_undo_no_report_of_a_later_page() {
+    let mut view = View::new(RECORD_TTL);
+    let listed = Snapshot {
+        read_to: 105,
+        ..list(pos(1, 100), vec![leaving(1, 18)])
+    };
+    view.replace(listed, Duration::ZERO, at(0));
+    let repeated = [ready(1, 17), leaving(1, 18)].map(Change::Endpoint).to_vec();
+    view.apply(repeated, pos(1, 110), Duration::ZERO, at(1000));
+    assert_eq!(used(&view, 1000), None);
+    view.apply(Vec::new(), pos(1, 110), Duration::ZERO, at(9000));
+    assert_eq!(used(&view, 9000), None, "the store doesn't hold the older record");
+}
+
+/// Guards against: changes that the view knew are repeated, and an endpoint that was replaced meanwhile counts as one that
+/// came back after its removal.
+#[test]
+fn a_repeated_removal_leaves_the_record_behind_it_in_use() {
+    let mut feed = Feed::new(ready(1, 3));
+    feed.changes(gone(), Duration::ZERO, 1000);
+    feed.changes(written(ready(2, 1)), Duration::ZERO, 2000);
+    feed.changes(Vec::new(), Duration::ZERO, 5100);
+    let repeated = gone().into_iter().chain(written(ready(2, 1))).collect();
+    let update = feed.view.apply(repeated, pos(1, 110), Duration::ZERO, at(5200));
+    assert_eq!(update, Default::default());
+    assert_eq!(used(&feed.view, 5200), Some(2));
+    let cold_until = feed.view.endpoint("a").and_then(|known| known.cold_until);
+    assert_eq!(cold_until, Some(at(5000)), "it doesn't start again");
+}
+
+/// What a peer saw, and what the store holds when another process starts.
+struct JoinCase {
+    name: &'static str,
+    /// Record that both know at first.
+    known: fn() -> Endpoint,
+    /// Changes that only the peer saw.
+    seen: &'static [fn() -> Vec<Change>],
+    /// What the new process lists; the peer saw it, too.
+    listed: fn() -> Endpoint,
+    /// Later changes, and the start that the new process uses after each; the peer is asked after each, too.
+    later: &'static [Step],
+}
+
+const JOIN_CASES: [JoinCase; 5] = [
+    JoinCase {
+        name: "an older heartbeat after a report",
+        known: || ready(1, 3),
+        seen: &[|| written(leaving(1, 18)), || written(ready(1, 16))],
+        listed: || ready(1, 16),
+        later: &[
+            step(2000, UNCHANGED, None),
+            step(3000, Event::Changes(|| written(ready(1, 17))), None),
+            step(4000, Event::Changes(|| written(leaving(1, 20))), None),
+            step(9000, UNCHANGED, None),
+        ],
+    },
+    JoinCase {
+        name: "an older heartbeat after a report, which holds in the end",
+        known: || ready(1, 3),
+        seen: &[|| written(leaving(1, 18)), || written(ready(1, 16))],
+        listed: || ready(1, 16),
+        later: &[step(2000, UNCHANGED, None), step(9000, UNCHANGED, Some(1))],
+    },
+    JoinCase {
+        name: "a heartbeat after the removal",
+        known: || ready(1, 3),
+        seen: &[gone, || written(ready(1, 19))],
+        listed: || ready(1, 19),
+        later: &[
+            step(2000, UNCHANGED, None),
+            step(5000, Event::Changes(gone), None),
+            step(9000, UNCHANGED, None),
+        ],
+    },
+    JoinCase {
+        name: "a heartbeat of an earlier start",
+        known: || ready(1, 18),
+        seen: &[|| written(ready(2, 1)), || written(ready(1, 19))],
+        listed: || ready(1, 19),
+        later: &[
+            step(2000, UNCHANGED, None),
+            step(3000, Event::Changes(|| written(ready(2, 3))), Some(2)),
+        ],
+    },
+    JoinCase {
+        name: "a later start",
+        known: || ready(1, 18),
+        seen: &[|| written(leaving(1, 19)), || written(ready(2, 1))],
+        listed: || ready(2, 1),
+        later: &[step(2000, UNCHANGED, Some(2))],
+    },
+];
+
+/// Guards against: a process that starts after a late write knows only the older record, and uses an endpoint that its
+/// peers know to leave or to be gone.
+#[test]
+fn a_new_process_learns_which_listed_record_is_older() {
+    for case in &JOIN_CASES {
+        let mut peer = Feed::new((case.known)());
+        for (n, change) in case.seen.iter().enumerate() {
+            peer.changes(change(), Duration::ZERO, 500 * n as u64);
+        }
+        let mut view = View::new(RECORD_TTL);
+        view.replace(list(peer.position, vec![(case.listed)()]), Duration::ZERO, at(1000));
+        view.learn_kept(peer.view.kept(at(1000)), at(1000));
+        let mut new = Feed {
+            view,
+            position: peer.position,
+        };
+        for step in case.later {
+            peer.play(step.event, step.at_ms);
+            new.play(step.event, step.at_ms);
+            new.view.learn_kept(peer.view.kept(at(step.at_ms)), at(step.at_ms));
+            assert_eq!(
+                used(&new.view, step.at_ms),
+                step.used,
+                "{}: {} ms",
+                case.name,
+                step.at_ms
+            );
+        }
+    }
+}
+
+/// Guards against: a peer that is behind reports a departure after the endpoint has taken it back, and the process that
+/// knows better drops the endpoint.
+#[test]
+fn a_peer_that_is_behind_undoes_no_newer_record() {
+    let mut peer = Feed::new(leaving(1, 18));
+    peer.changes(written(ready(1, 16)), Duration::ZERO, 500);
+    let mut new = Feed::new(ready(1, 19));
+    new.view.learn_kept(peer.view.kept(at(1000)), at(1000));
+    assert_eq!(used(&new.view, 1000), Some(1), "at the same position");
+    new.changes(Vec::new(), Duration::ZERO, 1100);
+    new.changes(vec![Change::ZoneOut("y".to_owned())], Duration::ZERO, 1200);
+    new.changes(vec![Change::ZoneBack("y".to_owned())], Duration::ZERO, 1300);
+    new.view.learn_kept(peer.view.kept(at(1400)), at(1400));
+    assert_eq!(used(&new.view, 1400), Some(1), "at a later position");
+}
+
+/// Guards against: a follower that has the newer record by a snapshot never learns that the older one holds.
+#[test]
+fn a_follower_learns_that_an_older_record_holds() {
+    let mut reader = Feed::new(ready(5, 18));
+    reader.changes(written(ready(4, 1)), Duration::ZERO, 1000);
+    let mut follower = View::new(RECORD_TTL);
+    follower.replace(reader.view.snapshot(), Duration::ZERO, at(1100));
+    reader.changes(Vec::new(), Duration::ZERO, 6000);
+    assert_eq!(used(&reader.view, 6000), Some(4));
+    reader.changes(vec![Change::ZoneOut("y".to_owned())], Duration::ZERO, 6100);
+    let changes = reader.view.changes_after(follower.position()).expect("kept");
+    follower.apply(changes, reader.position, Duration::ZERO, at(6100));
+    follower.apply(Vec::new(), reader.position, Duration::ZERO, at(11_000));
+    assert_eq!(used(&follower, 11_000), Some(4));
+}
+
+/// A zone, a key or a configuration in the place of an endpoint: data with an older position or version.
+struct OtherCase {
+    name: &'static str,
+    /// Applies older data to a view at revision 110 with configuration 7 and zone `z` back in use.
+    apply: fn(&mut View),
+}
+
+const OTHER_CASES: [OtherCase; 6] = [
+    OtherCase {
+        name: "zone: taken out, by an older watch or relay",
+        apply: |view| {
+            let out = vec![Change::ZoneOut("z".to_owned())];
+            view.apply(out, pos(1, 105), Duration::ZERO, at(2000));
+        },
+    },
+    OtherCase {
+        name: "zone: taken out, by an older list or a peer's view",
+        apply: |view| {
+            let out = Snapshot {
+                zones_out: vec!["z".to_owned()],
+                ..list(pos(1, 105), vec![ready(1, 3)])
+            };
+            view.replace(out, Duration::ZERO, at(2000));
+        },
+    },
+    OtherCase {
+        name: "zone: changes that the view knew are repeated",
+        apply: |view| {
+            let zone = || "z".to_owned();
+            let both = vec![Change::ZoneOut(zone()), Change::ZoneBack(zone())];
+            view.apply(both, pos(1, 111), Duration::ZERO, at(2000));
+        },
+    },
+    OtherCase {
+        name: "configuration and its keys: a late write",
+        apply: |view| {
+            view.apply(vec![Change::Config(config(6))], pos(1, 111), Duration::ZERO, at(2000));
+        },
+    },
+    OtherCase {
+        name: "configuration and its keys: a list with a late write",
+        apply: |view| {
+            let listed = Snapshot {
+                config: Some(config(6)),
+                ..list(pos(1, 111), vec![ready(1, 3)])
+            };
+            view.replace(listed, Duration::ZERO, at(2000));
+        },
+    },
+    OtherCase {
+        name: "configuration and its keys: a peer's",
+        apply: |view| {
+            view.learn_config(config(6));
+        },
+    },
+];
+
+#[test]
+fn an_older_zone_or_configuration_undoes_no_newer_one() {
+    for case in &OTHER_CASES {
+        let mut feed = Feed::new(ready(1, 3));
+        feed.changes(vec![Change::ZoneOut("z".to_owned())], Duration::ZERO, 500);
+        feed.changes(vec![Change::ZoneBack("z".to_owned())], Duration::ZERO, 600);
+        feed.position.revision = 110;
+        feed.changes(Vec::new(), Duration::ZERO, 1000);
+        (case.apply)(&mut feed.view);
+        assert_eq!(used(&feed.view, 2000), Some(1), "{}", case.name);
+        assert_eq!(feed.view.catalog().version(), 7, "{}", case.name);
+    }
+}
--- a/crates/celerytide-catalog/tests/view.rs
+++ b/crates/celerytide-catalog/tests/view.rs
@@ -76,6 +76,7 @@
         cold_remaining: Duration::ZERO,
         start: Some(start),
         version: String::new(),
+        sequence: None,
     }
 }
 
--- a/crates/celerytide-edge/src/peers/exchange.rs
+++ b/crates/celerytide-edge/src/peers/exchange.rs
@@ -3,7 +3,8 @@
 //! A call reports the sender's live peers and the position of its view. The reply includes the peer's whole view if
 //! that is newer and the sender can't read the store itself. It also states the version of the peer's configuration,
 //! and includes the configuration if it is newer and the sender doesn't know whether its own is current: a restored
-//! store may list an older one. Each reply says what the peer keeps in spite of such a list. A view that is behind, or of an earlier era, changes nothing.
+//! store may list an older one. Each reply says what the peer keeps in spite of such a list or of a late write. A view that
+//! is behind, or of an earlier era, changes nothing.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -15,10 +16,10 @@
 use celerytide_wire::{Exchange, Options};
 use monoio::time::{sleep, timeout};
 use rand::Rng;
-use serde::{Deserialize, Deserializer};
 use tracing::{debug, info};
 
 use super::members::PeerEntry;
+use super::sequences::{ReplySequences, or_default};
 use super::{handover, relay, streams};
 use crate::edge::{Edge, StoreAccess};
 use crate::memory::AccountedHandler;
@@ -66,17 +67,15 @@
         pub config: Version,
         /// Its configuration, if newer and the sender is uncertain of its own.
         pub newer_config: Option<Config>,
-        /// What its view keeps although a restored store says otherwise; earlier releases don't send it.
+        /// What its view keeps although the store says otherwise; earlier releases don't send it.
         #[serde(deserialize_with = "or_default")]
         pub kept: Kept,
+        /// Sequences of the endpoints above; earlier releases don't send them.
+        #[serde(deserialize_with = "or_default")]
+        pub sequences: ReplySequences,
     }
 }
 
-/// Reads the last field of a message, which earlier releases don't send.
-fn or_default<'de, D: Deserializer<'de>, T: Deserialize<'de> + Default>(decoder: D) -> Result<T, D::Error> {
-    Ok(T::deserialize(decoder).unwrap_or_default())
-}
-
 /// Timeouts of connections between instances.
 pub fn options() -> Options {
     Options {
@@ -144,8 +143,9 @@
         .is_none_or(|at| now.since(at) > STORE_SILENCE)
 }
 
-fn apply_reply<P: Protocol>(edge: &Edge<P>, reply: ExchangeReply, asked_at: BootTime) {
+fn apply_reply<P: Protocol>(edge: &Edge<P>, mut reply: ExchangeReply, asked_at: BootTime) {
     let now = now_boot();
+    reply.sequences.restore(reply.view.as_mut(), &mut reply.kept);
     edge.members.borrow_mut().merge(&reply.live, now);
     if let Some(config) = reply.newer_config {
         info!(
@@ -212,13 +212,15 @@
         let newer_config = view
             .config()
             .filter(|_| request.is_config_uncertain && version > request.config);
+        let (sent, kept) = (sends_view.then(|| view.snapshot()), view.kept(now));
         ExchangeReply {
             live,
-            view: sends_view.then(|| view.snapshot()),
+            sequences: ReplySequences::new(sent.as_ref(), &kept),
+            view: sent,
             removal_delay_ms: millis(edge.removal_delay(now)),
             config: if edge.may_serve(now) { version } else { 0 },
             newer_config: newer_config.cloned(),
-            kept: view.kept(now),
+            kept,
         }
     }
 
--- a/crates/celerytide-edge/src/peers/mod.rs
+++ b/crates/celerytide-edge/src/peers/mod.rs
@@ -9,6 +9,7 @@
 pub mod readers;
 mod receive;
 pub mod relay;
+pub mod sequences;
 pub mod streams;
 
 pub use datagrams::{bind, receive_digests, send_digests};
--- a/crates/celerytide-edge/src/peers/relay.rs
+++ b/crates/celerytide-edge/src/peers/relay.rs
@@ -17,6 +17,7 @@
 use snafu::Snafu;
 use tracing::debug;
 
+use super::sequences::{Sequences, of_result, or_default, restore_result};
 use crate::edge::{Edge, StoreAccess};
 use crate::protocol::Protocol;
 
@@ -42,6 +43,9 @@
         pub age_ms: Millis,
         /// How long endpoints without a record are still kept.
         pub removal_delay_ms: Millis,
+        /// Sequences of the endpoints in the result; earlier releases don't send them.
+        #[serde(deserialize_with = "or_default")]
+        pub sequences: Sequences,
     }
 
     /// What is newer than the follower's view.
@@ -103,7 +107,8 @@
         connections.call::<FollowRequest, FollowReply>(reader, Method::Follow, &request),
     )
     .await;
-    let reply = called.map_err(|_| Error::TimedOut { timeout: call_timeout })??;
+    let mut reply = called.map_err(|_| Error::TimedOut { timeout: call_timeout })??;
+    restore_result(&mut reply.result, std::mem::take(&mut reply.sequences));
     match reply.result {
         FollowResult::NotYet => Err(Error::NotYet),
         FollowResult::Lost => Err(Error::Lost),
@@ -155,6 +160,7 @@
         },
     };
     FollowReply {
+        sequences: of_result(&result),
         result,
         age_ms: edge.store_responded_at.get().map_or(0, |at| millis(now.since(at))),
         removal_delay_ms: millis(edge.removal_delay(now)),
--- a/crates/celerytide-edge/tests/cold_fleet/mod.rs
+++ b/crates/celerytide-edge/tests/cold_fleet/mod.rs
@@ -117,6 +117,7 @@
             cold_remaining: Duration::from_millis(state.stated_until_ms.saturating_sub(ms)),
             start: Some(state.start),
             version: String::new(),
+            sequence: None,
         }
     }
 
--- a/crates/celerytide-edge/tests/coordinator_edge.rs
+++ b/crates/celerytide-edge/tests/coordinator_edge.rs
@@ -109,6 +109,7 @@
         cold_remaining: Duration::ZERO,
         start: Some(1),
         version: String::new(),
+        sequence: None,
     }
 }
 
--- a/crates/celerytide-edge/tests/coordinator_orders.rs
+++ b/crates/celerytide-edge/tests/coordinator_orders.rs
@@ -59,6 +59,7 @@
         cold_remaining: Duration::ZERO,
         start: None,
         version: String::new(),
+        sequence: None,
     }))
 }
 
--- a/crates/celerytide-edge/tests/fleet/mod.rs
+++ b/crates/celerytide-edge/tests/fleet/mod.rs
@@ -155,6 +155,7 @@
         cold_remaining: Duration::ZERO,
         start: None,
         version: String::new(),
+        sequence: None,
     }));
     EngineModel {
         known,
--- a/crates/celerytide-edge/tests/notices.rs
+++ b/crates/celerytide-edge/tests/notices.rs
@@ -21,6 +21,7 @@
         cold_remaining: Duration::ZERO,
         start,
         version: String::new(),
+        sequence: None,
     }
 }
 
--- a/crates/celerytide-edge/tests/pick.rs
+++ b/crates/celerytide-edge/tests/pick.rs
@@ -91,6 +91,7 @@
         cold_remaining,
         start: Some(1),
         version: String::new(),
+        sequence: None,
     }
 }
 
--- a/crates/celerytide-edge/tests/placement.rs
+++ b/crates/celerytide-edge/tests/placement.rs
@@ -42,6 +42,7 @@
             cold_remaining: Duration::ZERO,
             start: None,
             version: String::new(),
+            sequence: None,
         }))
     };
     (0..count).map(known).collect()
--- a/crates/celerytide-edge/tests/rate_limits.rs
+++ b/crates/celerytide-edge/tests/rate_limits.rs
@@ -29,6 +29,7 @@
         cold_remaining: Duration::ZERO,
         start: Some(start),
         version: String::new(),
+        sequence: None,
     }
 }
 
--- a/crates/celerytide-edge/tests/rejections.rs
+++ b/crates/celerytide-edge/tests/rejections.rs
@@ -48,6 +48,7 @@
         cold_remaining: Duration::ZERO,
         start: Some(1),
         version: String::new(),
+        sequence: None,
     }
 }
 
--- a/crates/celerytide-edge/tests/restores.rs
+++ b/crates/celerytide-edge/tests/restores.rs
@@ -54,6 +54,7 @@
         cold_remaining: Duration::ZERO,
         start: Some(start),
         version: String::new(),
+        sequence: None,
     }
 }
 
--- a/crates/celerytide-edge/tests/scene/mod.rs
+++ b/crates/celerytide-edge/tests/scene/mod.rs
@@ -101,6 +101,7 @@
         cold_remaining: Duration::ZERO,
         start: None,
         version: String::new(),
+        sequence: None,
     }))
 }
 
--- a/crates/celerytide-edge/tests/software.rs
+++ b/crates/celerytide-edge/tests/software.rs
@@ -30,6 +30,7 @@
         cold_remaining: Duration::ZERO,
         start: Some(1),
         version: version.to_owned(),
+        sequence: None,
     }))
 }
 
--- a/crates/celerytide-standin/src/platform/mod.rs
+++ b/crates/celerytide-standin/src/platform/mod.rs
@@ -27,7 +27,7 @@
 pub use crash::{Crashing, Trigger};
 pub use endless::Endless;
 pub use events::{StreamFraming, TornStream};
-pub use publish::{Entry, ROUTES, Route, START_UNIX_MS, VERSION};
+pub use publish::{Entry, ROUTES, Route, START_UNIX_MS, VERSION, Write};
 pub use refusing::Refusing;
 pub use request::Request;
 pub use response::FOREIGN_REFUSALS;
--- a/crates/celerytide-standin/src/platform/store.rs
+++ b/crates/celerytide-standin/src/platform/store.rs
@@ -72,6 +72,8 @@
     era: u64,
     lists: usize,
     watches: usize,
+    /// Writes sent by each start of a runner, by its id and start.
+    sequences: BTreeMap<(String, u64), u64>,
 }
 
 struct Shared {
@@ -125,6 +127,14 @@
         self.shared.changed.notify_all();
     }
 
+    /// Sequence of the next write of a runner's start.
+    pub(super) fn next_sequence(&self, id: &str, born: u64) -> u64 {
+        let mut state = lock(&self.shared.state);
+        let sequence = state.sequences.entry((id.to_owned(), born)).or_default();
+        *sequence += 1;
+        *sequence
+    }
+
     /// The value of an item as text; empty if there is none.
     pub fn value(&self, key: &str) -> String {
         let state = lock(&self.shared.state);
