test(soak): the store performs heartbeats late, after their runner has left

Three runners of a run now leave while a heartbeat of theirs from before is still on its way: by their report, by the removal of their entry, or by another start under their id. The runners' writes are numbered for each start.

--- a/crates/celerytide-soak/src/plan/mod.rs
+++ b/crates/celerytide-soak/src/plan/mod.rs
@@ -2,6 +2,7 @@
 
 mod brittle;
 mod cut_off;
+mod late_writes;
 mod later;
 
 use std::time::Duration;
@@ -18,6 +19,7 @@
 
 pub use brittle::{BRITTLE, brittle_mode, draw_with_brittle};
 pub use cut_off::draw_with_cut_off;
+pub use late_writes::{Departure, NEXT_HEARTBEAT};
 
 /// Number of routers in a run, unless it asks for more.
 pub const ROUTERS: usize = 4;
@@ -94,6 +96,15 @@
     Restore,
     /// Publishes a runner as leaving, and as available again at the end.
     Leave(usize),
+    /// A runner leaves, and the store performs a heartbeat that it sent before only after a time; it is back at the end.
+    LateWrite {
+        /// The runner.
+        runner: usize,
+        /// How it leaves.
+        departure: Departure,
+        /// Time from its departure to the late write.
+        late: Duration,
+    },
     /// Publishes a new version of the configuration.
     Configure,
     /// Takes an availability zone out of service until the end.
@@ -176,6 +187,7 @@
     }
     steps.append(&mut limits);
     steps.append(&mut draw_compound_faults(seed, length));
+    steps.append(&mut late_writes::draw_late_writes(seed, length));
     match seed % RUN_KINDS {
         0 => {
             steps.retain(|step| !step.fault.signals_routers());
--- a/crates/celerytide-soak/src/run/fleet.rs
+++ b/crates/celerytide-soak/src/run/fleet.rs
@@ -7,11 +7,12 @@
 
 use celerytide_standin::launch::Signal;
 use celerytide_standin::platform::caller::KEY;
-use celerytide_standin::platform::{self, Entry, ROUTES, Runner, RunnerMode, START_UNIX_MS, VERSION};
+use celerytide_standin::platform::{self, Entry, ROUTES, Runner, RunnerMode, START_UNIX_MS, VERSION, Write};
 use celerytide_standin::relay;
 
 use super::Options;
 use super::callers::Callers;
+use super::late_writes::Due;
 use crate::check::{Arrival, Fall, REPEAT_RATIO, REPEAT_SLACK, RunnerNotice};
 use crate::plan::{self, Fault, RUNNERS};
 use crate::testbed::{Addresses, PeerLinks, Router, RunnerLinks, TestBed, eventually};
@@ -24,6 +25,8 @@
 const STORE_DOWNTIME: Duration = Duration::from_millis(150);
 /// Time from the return of the store until the lost writes are repeated.
 const REWRITE_DELAY: Duration = Duration::from_millis(500);
+/// Milliseconds between two starts of a runner.
+const RESTART_MS: u64 = 1000;
 /// Routers that the settings of all name as seeds.
 const SEEDS: usize = 3;
 /// Maximum number of log lines reported, on average over the requests.
@@ -57,6 +60,8 @@
     logs: Vec<String>,
     /// Time of SIGTERM of each router that is stopping.
     terminated: Vec<Option<Instant>>,
+    /// What happens to entries later.
+    pub(super) due: Vec<Due>,
 }
 
 /// Id of the runner with this index.
@@ -94,6 +99,7 @@
             routers_started: 0,
             logs: Vec::new(),
             terminated: vec![None; routers],
+            due: Vec::new(),
         };
         (0..RUNNERS).for_each(|index| fleet.publish(index));
         for index in 0..routers {
@@ -125,8 +131,9 @@
         self.addresses.iter().map(|at| at.callers).collect()
     }
 
-    fn publish(&self, index: usize) {
-        self.bed.store.publish(&Entry {
+    /// The next write of a runner's entry, which the store hasn't performed yet.
+    pub(super) fn send(&self, index: usize) -> Write {
+        self.bed.store.send(&Entry {
             id: &runner_id(index),
             service: if plan::is_engine(index) { "engines" } else { "plain" },
             address: self.runners[index].address,
@@ -134,11 +141,34 @@
             leaving: self.leaving[index],
             born: self.start_unix_ms[index],
             version: VERSION,
-        });
+        })
     }
 
-    fn publish_leaving(&mut self, index: usize, leaving: bool) {
+    /// Lets the store perform a write.
+    pub(super) fn perform(&self, write: &Write) {
+        self.bed.store.perform(write);
+    }
+
+    pub(super) fn publish(&self, index: usize) {
+        self.perform(&self.send(index));
+    }
+
+    pub(super) fn delete_entry(&self, index: usize) {
+        self.bed.store.delete(&format!("servers/{}", runner_id(index)));
+    }
+
+    /// Sets whether a runner leaves, by its next write.
+    pub(super) fn set_leaving(&mut self, index: usize, leaving: bool) {
         self.leaving[index] = leaving;
+    }
+
+    /// A runner starts again under its id, by its next write.
+    pub(super) fn start_again(&mut self, index: usize) {
+        self.start_unix_ms[index] += RESTART_MS;
+    }
+
+    fn publish_leaving(&mut self, index: usize, leaving: bool) {
+        self.set_leaving(index, leaving);
         self.publish(index);
     }
 
@@ -146,7 +176,7 @@
     fn restore_runner(&mut self, index: usize, mode: RunnerMode) {
         self.runners[index].set(plan::normal_mode(index));
         if mode == RunnerMode::Leaving {
-            self.start_unix_ms[index] += 1000;
+            self.start_again(index);
             self.publish(index);
         }
     }
@@ -173,6 +203,11 @@
             Fault::Store(mode) => self.bed.store.set_mode(*mode),
             Fault::StoreLink(mode) => self.links.set_store(*mode),
             Fault::Leave(index) => self.publish_leaving(*index, true),
+            Fault::LateWrite {
+                runner,
+                departure,
+                late,
+            } => self.leave_before_late_write(*runner, *departure, *late),
             Fault::Restore => self.snapshot = Some(self.bed.store.snapshot()),
             Fault::Configure => {
                 self.version += 3;
@@ -219,6 +254,7 @@
             Fault::Store(_) => self.bed.store.set_mode(platform::StoreMode::Serve),
             Fault::StoreLink(_) => self.links.set_store(relay::Mode::Pass),
             Fault::Leave(index) => self.publish_leaving(*index, false),
+            Fault::LateWrite { runner, departure, .. } => self.return_after_late_write(*runner, *departure),
             Fault::ZoneOut => self.set_zone_out(false),
             Fault::Restore => self.restore(),
             Fault::KillAll => (0..self.routers.len()).for_each(|index| self.restart(index, callers)),
@@ -397,7 +433,7 @@
         Fault::NameLimit(index, _) => Target::Rate(*index),
         Fault::Silence(index) => Target::Silence(*index),
         Fault::Link(index, _) => Target::Link(*index),
-        Fault::Leave(index) => Target::Entry(*index),
+        Fault::Leave(index) | Fault::LateWrite { runner: index, .. } => Target::Entry(*index),
         Fault::Store(_) | Fault::Restore => Target::Store,
         Fault::StoreLink(_) => Target::StoreLink,
         Fault::Configure => Target::Configuration,
--- a/crates/celerytide-soak/src/run/mod.rs
+++ b/crates/celerytide-soak/src/run/mod.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod fleet;
+mod late_writes;
 
 use std::thread::{scope, sleep};
 use std::time::{Duration, Instant};
@@ -144,6 +145,7 @@
     let mut active: Vec<ActiveFault> = Vec::new();
     let mut steps = steps.iter().peekable();
     while steps.peek().is_some() || !active.is_empty() {
+        fleet.perform_due();
         let now = started.elapsed();
         history
             .ended
@@ -190,7 +192,7 @@
         Fault::Silence(n) => history.silences.push((fleet::runner_id(*n), span)),
         Fault::Runner(n, RunnerMode::Leaving) => history.runner_restarts.push((fleet::runner_id(*n), to)),
         Fault::Term(router) => history.restarts.push(RouterOutage { router: *router, span }),
-        Fault::Leave(runner) => history.leaving.push(Leaving {
+        Fault::Leave(runner) | Fault::LateWrite { runner, .. } => history.leaving.push(Leaving {
             runner: fleet::runner_id(*runner),
             span,
         }),
