fix(edge): a process that lists an older configuration takes over the newer one that its peers know

What callers saw: a process starts after the store has performed an older configuration's write late, and reaches its peers only after the 0.3 s for which it waits for them. It serves the older keys and routes until the next change of the configuration, and refuses those of the newer one, although all peers tell it in each reply that they know a higher version.

Cause: a peer sends its configuration only to a process that says that it is uncertain of its own, and that ends with the wait. A higher version in a later reply was ignored, since it is usual while a change is on its way. Processes that ran before the late write are not concerned; their versions only grow.

Change: a process that has heard of a higher version for longer than a change takes to be in force asks for it. The message stays as it is.

--- a/crates/celerytide-edge/src/edge/freshness.rs
+++ b/crates/celerytide-edge/src/edge/freshness.rs
@@ -5,6 +5,10 @@
 //! accept keys that were revoked. Other instances still know the newest configuration, so the version of one of them is
 //! awaited: a new process delays all requests, any process delays those that it would deny. If no other instance replies,
 //! a short time limit applies.
+//!
+//! A late write of an older configuration has the same effect on a process that starts after it. If others are found only
+//! after the time limit, and know a newer configuration for longer than a change takes to be in force, the store won't
+//! bring it, and it is taken over from them.
 
 use std::time::Duration;
 
@@ -33,6 +37,8 @@
     compared: Option<BootTime>,
     /// Replies from instances that have just started as well.
     new_peers: u32,
+    /// The known version, and since when others have reported a higher one.
+    behind: Option<(Version, BootTime)>,
 }
 
 impl ConfigFreshness {
@@ -51,6 +57,18 @@
         self.compared = Some(now);
     }
 
+    /// Records that another instance knows a newer configuration than `own`.
+    pub fn note_behind(&mut self, own: Version, now: BootTime) {
+        let known = self.behind.filter(|(version, _)| *version == own);
+        self.behind = known.or(Some((own, now)));
+    }
+
+    /// Whether others have known a newer configuration than `own` for `time`.
+    pub fn is_behind(&self, own: Version, time: Duration, now: BootTime) -> bool {
+        self.behind
+            .is_some_and(|(version, since)| version == own && now.since(since) >= time)
+    }
+
     /// Records a reply from an instance that has just started as well.
     pub fn note_new_peer(&mut self) {
         self.new_peers += 1;
@@ -100,7 +118,7 @@
             return;
         }
         if version > own {
-            return;
+            return self.config_freshness.borrow_mut().note_behind(own, now);
         }
         if !self.is_config_current(now) {
             info!(own, version, "edge: another instance knows no newer configuration");
@@ -108,6 +126,15 @@
         self.config_freshness.borrow_mut().note_compared(now);
     }
 
+    /// Whether a newer configuration of another instance is to be taken over: it isn't known whether the own one is the
+    /// newest, or the store doesn't bring the one that others know.
+    pub fn wants_config(&self, now: BootTime) -> bool {
+        let own = self.view.borrow().catalog().version();
+        let apply_time = self.settings.bounds.apply_time();
+        let is_behind = self.config_freshness.borrow().is_behind(own, apply_time, now);
+        is_behind || !self.is_config_current(now)
+    }
+
     fn is_alone(&self, now: BootTime) -> bool {
         self.members.borrow().sharing_limits(now).len() <= 1
     }
--- a/crates/celerytide-edge/src/peers/exchange.rs
+++ b/crates/celerytide-edge/src/peers/exchange.rs
@@ -51,7 +51,8 @@
         pub config: Version,
         /// Whether the sender can't read the store and wants a newer view.
         pub wants_view: bool,
-        /// Whether the sender doesn't know if its configuration is the newest.
+        /// Whether the sender wants a newer configuration: it doesn't know if its own is the newest, or it has known for long
+        /// that it isn't.
         pub is_config_uncertain: bool,
     }
 
@@ -117,7 +118,7 @@
         position: edge.view.borrow().position(),
         config: edge.view.borrow().catalog().version(),
         wants_view: store_is_silent(edge, now),
-        is_config_uncertain: !edge.is_config_current(now),
+        is_config_uncertain: edge.wants_config(now),
     };
     match timeout(
         CALL_TIMEOUT,
