fix(http): a response that was reset is not whole though the write of its request took the error

An event stream without a length that is reset at the border of an event ends as complete in the same way.

Cause: the reset makes the pending write fail. That takes the socket's error with it, so that the next reads give the bytes that had arrived and then an orderly end, which delimits such a body. The failed write was dropped, for endpoints that respond and close early.

Change: a response knows how far its request was written. After a failed write the end of the connection is a reset, as a read would have reported it; bodies with a length or in chunks are taken as before. An endpoint that ends such a response in order and reads on, or whose end arrives before the write fails, is not concerned.

Other tests of the crate pass.

--- a/crates/celerytide-http/src/client/conn.rs
+++ b/crates/celerytide-http/src/client/conn.rs
@@ -1,5 +1,6 @@
 //! One connection to an endpoint.
 
+use std::future::Future;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -21,6 +22,17 @@
 /// Maximum size of a body that is copied behind the head and sent in the same write.
 const MAX_COPY_BYTES: usize = 16 * 1024;
 
+/// How far a request was written when the head of its response had been read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Written {
+    /// All of it.
+    Whole,
+    /// A part: the endpoint responded before it had read the rest.
+    Part,
+    /// A part: the connection failed. The failed write takes the socket's error, and later reads see an orderly end.
+    Failed,
+}
+
 /// A connection, with a second handle to inspect its socket.
 pub(super) struct Conn {
     pub(super) reader: Reader,
@@ -73,34 +85,38 @@
         empty && self.reader.buffered() == 0
     }
 
-    /// Writes the request and reads the head of the final response; also returns whether the request was completely
-    /// written. An endpoint may respond before it has read a long body: the rest is then not written, and the
-    /// connection can't be reused.
-    pub(super) async fn send(&mut self, call: &Call) -> Result<(ResponseHead, bool), Cause> {
+    /// Writes the request and reads the head of the final response; also returns how far the request was written. An
+    /// endpoint may respond before it has read a long body: the rest is then not written, and the connection can't be
+    /// reused.
+    pub(super) async fn send(&mut self, call: &Call) -> Result<(ResponseHead, Written), Cause> {
         self.is_in_flight = true;
         let Conn { reader, writer, .. } = self;
         if call.body.len() <= MAX_COPY_BYTES {
-            return match write(writer, call).await {
-                Ok(()) => Ok((read_head(reader, call).await?, true)),
-                // The endpoint may have responded and closed before it had read the complete request. If no
-                // response can be read, the write error is reported.
-                Err(cause @ Cause::Write { .. }) => Ok((read_head(reader, call).await.map_err(|_| cause)?, false)),
-                Err(cause) => Err(cause),
-            };
+            let written = write(writer, call).await;
+            return read_head_after(written, read_head(reader, call)).await;
         }
         let writing = std::pin::pin!(write(writer, call));
         let reading_head = std::pin::pin!(read_head(reader, call));
         match select(writing, reading_head).await {
-            Either::Left((Ok(()), reading_head)) => Ok((reading_head.await?, true)),
-            Either::Left((Err(cause @ Cause::Write { .. }), reading_head)) => {
-                Ok((reading_head.await.map_err(|_| cause)?, false))
-            }
-            Either::Left((Err(cause), _)) => Err(cause),
-            Either::Right((head, _)) => Ok((head?, false)),
+            Either::Left((written, reading_head)) => read_head_after(written, reading_head).await,
+            Either::Right((head, _)) => Ok((head?, Written::Part)),
         }
     }
 }
 
+/// Reads the head after the write has ended. The endpoint may have responded and closed before it had read the complete
+/// request; if no response can be read, the write error is reported.
+async fn read_head_after(
+    written: Result<(), Cause>,
+    reading_head: impl Future<Output = Result<ResponseHead, Cause>>,
+) -> Result<(ResponseHead, Written), Cause> {
+    match written {
+        Ok(()) => Ok((reading_head.await?, Written::Whole)),
+        Err(cause @ Cause::Write { .. }) => Ok((reading_head.await.map_err(|_| cause)?, Written::Failed)),
+        Err(cause) => Err(cause),
+    }
+}
+
 /// Writes the head and the body of the request.
 async fn write(writer: &mut Writer, call: &Call) -> Result<(), Cause> {
     let mut head = BytesMut::new();
--- a/crates/celerytide-http/src/client/response.rs
+++ b/crates/celerytide-http/src/client/response.rs
@@ -1,5 +1,6 @@
 //! A response whose body is read as it arrives.
 
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,7 +12,7 @@
 use monoio::time::{sleep, timeout};
 
 use super::answered::hash_id;
-use super::conn::Conn;
+use super::conn::{Conn, Written};
 use super::error::{SendError, Stage, send_error};
 use super::pool::Pool;
 use super::{Call, Cause};
@@ -62,17 +63,19 @@
     /// The caller's connection, until a large response is charged to it.
     uncharged: Option<Rc<Holder>>,
     is_event_stream: bool,
+    /// How far the request was written.
+    written: Written,
     pool: Rc<Pool>,
 }
 
 impl Response {
     /// Creates a response whose body follows on `conn` and must end by `deadline`. The connection is reused only if the
-    /// request was completely written (`is_written`).
+    /// request was completely written.
     pub(super) fn new(
         head: ResponseHead,
         mut conn: Conn,
         call: &Call,
-        is_written: bool,
+        written: Written,
         deadline: BootTime,
         pool: Rc<Pool>,
     ) -> Result<Self, SendError> {
@@ -87,7 +90,7 @@
         }
         conn.names_requests |= names_request;
         let may_reuse = names_request || !has_id || pool.options().reuse_nameless;
-        let is_kept = is_written && may_reuse && !wants_close(head.version, &head.headers);
+        let is_kept = written == Written::Whole && may_reuse && !wants_close(head.version, &head.headers);
         let framing = response_framing(
             &call.method,
             head.status,
@@ -117,6 +120,7 @@
             received: 0,
             uncharged: current_holder(),
             is_event_stream,
+            written,
             pool,
         };
         if let (Some(_), Some(conn)) = (&response.uncharged, &mut response.conn) {
@@ -205,6 +209,7 @@
         match timeout(bound.min(left), conn.reader.fill()).await {
             Err(_) if left <= bound => Err(Cause::TotalTimeout),
             Err(_) => Err(cause),
+            Ok(Ok(0)) if self.written == Written::Failed => Err(reset()),
             Ok(Ok(0)) if self.body.on_close() => Ok(()),
             Ok(Ok(0)) => Err(Cause::Closed),
             Ok(Ok(_)) => Ok(()),
@@ -245,6 +250,13 @@
     }
 }
 
+/// The connection was reset; its error was reported to the write of the request.
+fn reset() -> Cause {
+    Cause::Read {
+        source: io::ErrorKind::ConnectionReset.into(),
+    }
+}
+
 fn has_foreign_id(call: &Call, headers: &HeaderMap, id_header: &HeaderName) -> bool {
     let Some(own) = call.headers.get(id_header) else {
         return false;
