fix(http): a long request is written to its end though the response has begun

A plain request ends with 504.

Cause: the client reads the head beside the write, and dropped the write as soon as the head was there. The runner waits for bytes that never come. A request that fits into the kernel's buffers was written whole before.

Change: the write goes on in a task while the response is read. It ends with the response: a complete one leaves the rest unwritten, as before, and one that is dropped resets the connection. If all of the request has been written by the end of the response, the connection is reused. A write that fails meanwhile makes the end of the connection a reset, as it did before the head.

--- a/crates/celerytide-http/src/client/conn.rs
+++ b/crates/celerytide-http/src/client/conn.rs
@@ -13,7 +13,9 @@
 use socket2::Socket;
 
 use super::answered::Answered;
+use super::writing::{OngoingWrite, RequestWrite, Written};
 use super::{Call, Cause, Options};
+use crate::Payload;
 use crate::h1::{BodyLength, Reader, ResponseHead, Writer, connect, put_request_head};
 
 /// Maximum number of interim responses skipped before a final response.
@@ -22,21 +24,11 @@
 /// Maximum size of a body that is copied behind the head and sent in the same write.
 const MAX_COPY_BYTES: usize = 16 * 1024;
 
-/// How far a request was written when the head of its response had been read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Written {
-    /// All of it.
-    Whole,
-    /// A part: the endpoint responded before it had read the rest.
-    Part,
-    /// A part: the connection failed. The failed write takes the socket's error, and later reads see an orderly end.
-    Failed,
-}
-
 /// A connection, with a second handle to inspect its socket.
 pub(super) struct Conn {
     pub(super) reader: Reader,
-    writer: Writer,
+    /// `None` while the write of a request goes on in a task.
+    pub(super) writer: Option<Writer>,
     socket: Socket,
     /// Whether a request was sent on it before the current one.
     pub(super) is_used: bool,
@@ -68,7 +60,7 @@
         let (r, w) = stream.into_split();
         Ok(Conn {
             reader: Reader::new(r),
-            writer: Writer::new(w, opts.write_timeout),
+            writer: Some(Writer::new(w, opts.write_timeout)),
             socket,
             is_used: false,
             is_in_flight: false,
@@ -85,21 +77,40 @@
         empty && self.reader.buffered() == 0
     }
 
-    /// Writes the request and reads the head of the final response; also returns how far the request was written. An
-    /// endpoint may respond before it has read a long body: the rest is then not written, and the connection can't be
-    /// reused.
-    pub(super) async fn send(&mut self, call: &Call) -> Result<(ResponseHead, Written), Cause> {
+    /// Writes the request and reads the head of the final response. The write of a long body goes on if the head arrives
+    /// before its end.
+    pub(super) async fn send(&mut self, call: &Call) -> Result<(ResponseHead, RequestWrite), Cause> {
         self.is_in_flight = true;
         let Conn { reader, writer, .. } = self;
+        let Some(mut own_writer) = writer.take() else {
+            return Err(Cause::Closed);
+        };
         if call.body.len() <= MAX_COPY_BYTES {
-            let written = write(writer, call).await;
+            let written = write(&mut own_writer, head_of(call), &call.body).await;
+            *writer = Some(own_writer);
             return read_head_after(written, read_head(reader, call)).await;
         }
-        let writing = std::pin::pin!(write(writer, call));
+        // Boxed because it moves to a task.
+        let writing = Box::pin(write_owned(own_writer, head_of(call), call.body.clone()));
         let reading_head = std::pin::pin!(read_head(reader, call));
         match select(writing, reading_head).await {
-            Either::Left((written, reading_head)) => read_head_after(written, reading_head).await,
-            Either::Right((head, _)) => Ok((head?, Written::Part)),
+            Either::Left(((own_writer, written), reading_head)) => {
+                *writer = Some(own_writer);
+                read_head_after(written, reading_head).await
+            }
+            Either::Right((head, writing)) => Ok((head?, RequestWrite::Ongoing(OngoingWrite::start(writing)))),
+        }
+    }
+
+    /// Takes back the writer of a request; `None` unless all of it was written.
+    pub(super) fn end_write(mut self, write: RequestWrite) -> Option<Conn> {
+        match write {
+            RequestWrite::Ended(Written::Whole) => Some(self),
+            RequestWrite::Ended(_) => None,
+            RequestWrite::Ongoing(write) => {
+                self.writer = Some(write.into_writer()?);
+                Some(self)
+            }
         }
     }
 }
@@ -109,24 +120,32 @@
 async fn read_head_after(
     written: Result<(), Cause>,
     reading_head: impl Future<Output = Result<ResponseHead, Cause>>,
-) -> Result<(ResponseHead, Written), Cause> {
+) -> Result<(ResponseHead, RequestWrite), Cause> {
     match written {
-        Ok(()) => Ok((reading_head.await?, Written::Whole)),
-        Err(cause @ Cause::Write { .. }) => Ok((reading_head.await.map_err(|_| cause)?, Written::Failed)),
+        Ok(()) => Ok((reading_head.await?, RequestWrite::Ended(Written::Whole))),
+        Err(cause @ Cause::Write { .. }) => {
+            let head = reading_head.await.map_err(|_| cause)?;
+            Ok((head, RequestWrite::Ended(Written::Failed)))
+        }
         Err(cause) => Err(cause),
     }
 }
 
-/// Writes the head and the body of the request.
-async fn write(writer: &mut Writer, call: &Call) -> Result<(), Cause> {
+/// Head of the request, as written.
+fn head_of(call: &Call) -> BytesMut {
     let mut head = BytesMut::new();
     let length = match call.method {
         Method::GET | Method::HEAD if call.body.is_empty() => BodyLength::Absent,
         _ => BodyLength::Fixed(call.body.len()),
     };
     put_request_head(&mut head, call, length);
-    let small = call.body.len() <= MAX_COPY_BYTES;
-    let segments = call.body.segments();
+    head
+}
+
+/// Writes the head and the body of the request.
+async fn write(writer: &mut Writer, mut head: BytesMut, body: &Payload) -> Result<(), Cause> {
+    let small = body.len() <= MAX_COPY_BYTES;
+    let segments = body.segments();
     if small {
         segments.iter().for_each(|segment| head.extend_from_slice(segment));
     }
@@ -139,6 +158,11 @@
     Ok(())
 }
 
+async fn write_owned(mut writer: Writer, head: BytesMut, body: Payload) -> (Writer, Result<(), Cause>) {
+    let result = write(&mut writer, head, &body).await;
+    (writer, result)
+}
+
 /// Reads the head of the final response, skipping up to [`MAX_INTERIM`] interim responses.
 async fn read_head(reader: &mut Reader, call: &Call) -> Result<ResponseHead, Cause> {
     for _ in 0..=MAX_INTERIM {
--- a/crates/celerytide-http/src/client/mod.rs
+++ b/crates/celerytide-http/src/client/mod.rs
@@ -15,6 +15,7 @@
 mod error;
 mod pool;
 mod response;
+mod writing;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -103,9 +104,9 @@
         let sending = Box::pin(conn.send(&call));
         let result = timeout(call.bounds.head_timeout.min(call.bounds.total_timeout), sending).await;
         let result = result.unwrap_or(Err(Cause::HeadTimeout));
-        let (head, written) = result.map_err(|cause| send_error(Stage::Written, cause))?;
+        let (head, write) = result.map_err(|cause| send_error(Stage::Written, cause))?;
         let deadline = started.after(call.bounds.total_timeout);
-        Response::new(head, conn, &call, written, deadline, Rc::clone(&self.pool))
+        Response::new(head, conn, &call, write, deadline, Rc::clone(&self.pool))
     }
 
     fn take_pooled(&self, call: &Call) -> Option<Conn> {
--- a/crates/celerytide-http/src/client/response.rs
+++ b/crates/celerytide-http/src/client/response.rs
@@ -12,9 +12,10 @@
 use monoio::time::{sleep, timeout};
 
 use super::answered::hash_id;
-use super::conn::{Conn, Written};
+use super::conn::Conn;
 use super::error::{SendError, Stage, send_error};
 use super::pool::Pool;
+use super::writing::RequestWrite;
 use super::{Call, Cause};
 use crate::h1::{Body, Piece, ResponseHead, yield_now};
 use crate::memory::{Holder, current_holder};
@@ -63,8 +64,8 @@
     /// The caller's connection, until a large response is charged to it.
     uncharged: Option<Rc<Holder>>,
     is_event_stream: bool,
-    /// How far the request was written.
-    written: Written,
+    /// The write of the request; `None` once the body is complete.
+    write: Option<RequestWrite>,
     pool: Rc<Pool>,
 }
 
@@ -75,7 +76,7 @@
         head: ResponseHead,
         mut conn: Conn,
         call: &Call,
-        written: Written,
+        write: RequestWrite,
         deadline: BootTime,
         pool: Rc<Pool>,
     ) -> Result<Self, SendError> {
@@ -90,7 +91,7 @@
         }
         conn.names_requests |= names_request;
         let may_reuse = names_request || !has_id || pool.options().reuse_nameless;
-        let is_kept = written == Written::Whole && may_reuse && !wants_close(head.version, &head.headers);
+        let is_kept = may_reuse && !wants_close(head.version, &head.headers);
         let framing = response_framing(
             &call.method,
             head.status,
@@ -120,7 +121,7 @@
             received: 0,
             uncharged: current_holder(),
             is_event_stream,
-            written,
+            write: Some(write),
             pool,
         };
         if let (Some(_), Some(conn)) = (&response.uncharged, &mut response.conn) {
@@ -209,7 +210,7 @@
         match timeout(bound.min(left), conn.reader.fill()).await {
             Err(_) if left <= bound => Err(Cause::TotalTimeout),
             Err(_) => Err(cause),
-            Ok(Ok(0)) if self.written == Written::Failed => Err(reset()),
+            Ok(Ok(0)) if self.write.as_ref().is_some_and(RequestWrite::has_failed) => Err(reset()),
             Ok(Ok(0)) if self.body.on_close() => Ok(()),
             Ok(Ok(0)) => Err(Cause::Closed),
             Ok(Ok(_)) => Ok(()),
@@ -232,11 +233,11 @@
     }
 
     fn return_to_pool(&mut self) {
-        let Some(mut conn) = self.conn.take() else {
+        let (Some(mut conn), Some(write)) = (self.conn.take(), self.write.take()) else {
             return;
         };
         conn.is_in_flight = false;
-        if self.is_reusable {
+        if let Some(conn) = conn.end_write(write).filter(|_| self.is_reusable) {
             self.pool.put(self.addr, conn, self.http_keep_alive);
         }
     }
--- a/crates/celerytide-http/tests/long_requests.rs
+++ b/crates/celerytide-http/tests/long_requests.rs
@@ -4,6 +4,7 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::{sleep, spawn};
 use std::time::Duration;
 
@@ -19,8 +20,14 @@
 const WORK: Duration = Duration::from_millis(20);
 /// Requests of each case: which of two system calls meets a reset first is left to chance.
 const TIMES: usize = 20;
+const LAST_BYTE: u8 = b'.';
 const UNFRAMED: &[u8] = b"HTTP/1.1 200 OK\r\n\r\nall of it";
 
+/// Time after which a caller leaves.
+const LEFT_AFTER: Duration = Duration::from_millis(100);
+/// Bytes that an endpoint has received of a request whose caller had left.
+static RECEIVED: AtomicUsize = AtomicUsize::new(0);
+
 /// Starts an endpoint that serves each connection on its own thread.
 fn endpoint(serve: fn(TcpStream)) -> SocketAddr {
     let listener = TcpListener::bind(ANY_PORT).expect("listener");
@@ -50,13 +57,35 @@
     bytes
 }
 
+/// Reads the rest of a request; returns whether all of it came, and nothing but it.
+fn read_request(peer: &mut TcpStream) -> bool {
+    let mut buf = vec![0; 64 * 1024];
+    let mut tail: Vec<u8> = Vec::new();
+    while !tail.ends_with(&[LAST_BYTE]) {
+        match peer.read(&mut buf) {
+            Ok(n @ 1..) => tail = buf[..n].to_vec(),
+            _ => return false,
+        }
+    }
+    tail.iter().filter(|byte| **byte != b'x').count() == 1
+}
+
+/// A request of which only the last byte differs.
+fn request(addr: SocketAddr) -> Call {
+    let mut body = vec![b'x'; REQUEST_BYTES];
+    body[REQUEST_BYTES - 1] = LAST_BYTE;
+    let mut call = Call::new(addr, Method::POST, "/");
+    call.body = body.into();
+    call
+}
+
 struct LongCase {
     name: &'static str,
     serve: fn(TcpStream),
     body: Option<&'static str>,
 }
 
-const CASES: [LongCase; 2] = [
+const CASES: [LongCase; 4] = [
     LongCase {
         name: "no length, ended in order, the request is read on",
         serve: |mut peer| {
@@ -76,12 +105,34 @@
         },
         body: None,
     },
+    LongCase {
+        name: "the head first, the body once the request has been read",
+        serve: |mut peer| {
+            begin(&mut peer);
+            let _ = peer.write_all(b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 9\r\n\r\n");
+            if read_request(&mut peer) {
+                let _ = peer.write_all(b"all of it");
+            }
+        },
+        body: Some("all of it"),
+    },
+    LongCase {
+        name: "the same without a length",
+        serve: |mut peer| {
+            begin(&mut peer);
+            let _ = peer.write_all(b"HTTP/1.1 200 OK\r\n\r\nall ");
+            if read_request(&mut peer) {
+                let _ = peer.write_all(b"of it");
+            }
+        },
+        body: Some("all of it"),
+    },
 ];
 
 /// Guards against: a response that only its connection delimits passes as whole although it was reset, since the write of the
-/// request had taken the error.
+/// request had taken the error; and a request that isn't sent to its end since the response began before.
 #[test]
-fn a_reset_response_to_a_long_request_is_not_whole() {
+fn a_long_request_gets_a_whole_response_or_none() {
     for case in &CASES {
         let addr = endpoint(case.serve);
         let got = run(async move {
@@ -91,10 +142,8 @@
             });
             let mut got = Vec::new();
             for _ in 0..TIMES {
-                let mut call = Call::new(addr, Method::POST, "/");
-                call.body = vec![b'x'; REQUEST_BYTES].into();
                 let cx = CancellationToken::new();
-                let response = client.send_buffered(call, MAX_RESPONSE_BYTES, &cx).await;
+                let response = client.send_buffered(request(addr), MAX_RESPONSE_BYTES, &cx).await;
                 got.push(response.ok().map(|response| response.body));
             }
             got
@@ -105,3 +154,57 @@
         assert_eq!(whole.count(), TIMES, "{}", case.name);
     }
 }
+
+/// Serves one request after the other on a connection, each with an early head.
+fn serve_early_heads(mut peer: TcpStream) {
+    loop {
+        begin(&mut peer);
+        let _ = peer.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n");
+        if !read_request(&mut peer) {
+            return;
+        }
+        let _ = peer.write_all(b"all of it");
+    }
+}
+
+#[test]
+fn a_connection_is_reused_once_the_request_behind_an_early_head_was_written() {
+    let addr = endpoint(serve_early_heads);
+    run(async move {
+        let client = Client::new(Options::default());
+        for n in 0..3 {
+            let cx = CancellationToken::new();
+            let response = client.send_buffered(request(addr), MAX_RESPONSE_BYTES, &cx).await;
+            assert_eq!(response.expect("whole").body, "all of it", "{n}");
+            assert_eq!(client.idle_count(), 1, "{n}");
+        }
+    });
+}
+
+/// Sends the head of an endless response and counts what it gets of the request, until the connection ends.
+fn serve_without_end(mut peer: TcpStream) {
+    begin(&mut peer);
+    let _ = peer.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nall");
+    sleep(LEFT_AFTER * 2);
+    let bytes = read_on(&mut peer);
+    RECEIVED.store(bytes, Ordering::SeqCst);
+}
+
+/// Guards against: the rest of a request is written on after its response was dropped.
+#[test]
+fn a_dropped_response_ends_the_write_of_its_request() {
+    let addr = endpoint(serve_without_end);
+    RECEIVED.store(usize::MAX, Ordering::SeqCst);
+    run(async move {
+        let client = Client::new(Options::default());
+        let cx = CancellationToken::new();
+        let response = client.send(request(addr), &cx).await.expect("a head");
+        monoio::time::sleep(LEFT_AFTER).await;
+        drop(response);
+        while RECEIVED.load(Ordering::SeqCst) == usize::MAX {
+            monoio::time::sleep(WORK).await;
+        }
+    });
+    let received = RECEIVED.load(Ordering::SeqCst);
+    assert!(received < REQUEST_BYTES - 4096, "{received} bytes, all of the request");
+}
