fix(edge): instances tell each other how many connections endpoints accept

`max_connections` wasn't told by peers, since a message can't grow in its middle; a process that had its first configuration from a peer ignored the same version from the store, and followers in a large fleet never learned a number that was stated while they ran.

Change: the last field of messages, which brought sequences in, carries these numbers, too; the release before ignores it. A configuration of the known version adds what a peer of that release didn't tell.

--- a/crates/celerytide-catalog/src/config/mod.rs
+++ b/crates/celerytide-catalog/src/config/mod.rs
@@ -66,8 +66,8 @@
         pub engine_slots: Option<u32>,
         /// Prompt and output tokens that an engine holds; `None` for a plain service.
         pub engine_tokens: Option<u64>,
-        /// Connections that an endpoint accepts from all callers together; `None` if that isn't known. Peers don't tell it:
-        /// processes of other releases couldn't read their messages.
+        /// Connections that an endpoint accepts from all callers together; `None` if that isn't known. Messages carry it
+        /// in a field of their own: processes of other releases couldn't read it here.
         #[serde(skip)]
         pub max_connections: Option<u32>,
     }
@@ -114,6 +114,25 @@
 const MAX_TIME: Duration = Duration::from_secs(7 * 24 * 3600);
 
 impl Config {
+    /// Connections that an endpoint of a service accepts, if that is known.
+    fn max_connections(&self, service: &str) -> Option<u32> {
+        let service = self.services.iter().find(|known| known.id == service)?;
+        service.max_connections
+    }
+
+    /// Whether `other` knows the connections that an endpoint accepts of a service for which this one doesn't.
+    pub(crate) fn lacks_max_connections_of(&self, other: &Config) -> bool {
+        let mut unknown = self.services.iter().filter(|service| service.max_connections.is_none());
+        unknown.any(|service| other.max_connections(&service.id).is_some())
+    }
+
+    /// Takes over from `other` what isn't known here of the connections that endpoints accept.
+    pub(crate) fn fill_max_connections(&mut self, other: &Config) {
+        for service in &mut self.services {
+            service.max_connections = service.max_connections.or_else(|| other.max_connections(&service.id));
+        }
+    }
+
     /// Reduces times that are too long; returns their number.
     fn reduce_times(&mut self) -> usize {
         let of_routes = self.routes.iter_mut().flat_map(|route| {
--- a/crates/celerytide-catalog/src/view/mod.rs
+++ b/crates/celerytide-catalog/src/view/mod.rs
@@ -287,27 +287,34 @@
         update
     }
 
-    /// Keeps what a peer's configuration doesn't tell.
-    fn keep_max_connections(&self, config: &mut Config) {
-        for service in &mut config.services {
-            let known = self
-                .catalog
-                .service(&service.id)
-                .and_then(|known| known.max_connections);
-            service.max_connections = service.max_connections.or(known);
+    /// Adds what a peer's configuration didn't tell, from another one of the same version.
+    fn complete_config(&mut self, other: &Config) {
+        let known = self
+            .config
+            .as_deref()
+            .filter(|known| known.lacks_max_connections_of(other));
+        if let Some(mut config) = known.cloned() {
+            config.fill_max_connections(other);
+            self.catalog = Rc::new(Catalog::new(&config));
+            self.config = Some(Rc::new(config));
         }
     }
 
     fn set_config(&mut self, mut config: Config, update: &mut Update) {
         if self.config.is_some() && config.version <= self.catalog.version() {
             let is_older = config.version < self.catalog.version();
+            if !is_older {
+                self.complete_config(&config);
+            }
             if let Some(restored) = update.restored.as_mut().filter(|_| is_older) {
                 restored.older_config = Some(config.version);
             }
             return;
         }
         update.config = Some(config.version);
-        self.keep_max_connections(&mut config);
+        if let Some(known) = &self.config {
+            config.fill_max_connections(known);
+        }
         self.catalog = Rc::new(Catalog::new(&config));
         self.config = Some(Rc::new(config));
     }
--- a/crates/celerytide-catalog/tests/view.rs
+++ b/crates/celerytide-catalog/tests/view.rs
@@ -427,3 +427,67 @@
         assert_eq!(case.urgency.on_scale(2), case.on_scale, "{:?}", case.urgency);
     }
 }
+
+/// A configuration whose only service states how many connections its endpoints accept, if it is known.
+fn config_with(version: u64, max_connections: Option<u32>) -> Config {
+    let mut config = config(version);
+    config.services[0].max_connections = max_connections;
+    config
+}
+
+/// Configurations that arrive one after the other, and what is known in the end.
+struct MaxConnectionsCase {
+    name: &'static str,
+    arriving: [(u64, Option<u32>); 2],
+    version: u64,
+    max_connections: Option<u32>,
+}
+
+const MAX_CONNECTIONS_CASES: [MaxConnectionsCase; 5] = [
+    MaxConnectionsCase {
+        name: "a peer's, then the store's of the same version",
+        arriving: [(5, None), (5, Some(60))],
+        version: 5,
+        max_connections: Some(60),
+    },
+    MaxConnectionsCase {
+        name: "the store's, then a peer's of the same version",
+        arriving: [(5, Some(60)), (5, None)],
+        version: 5,
+        max_connections: Some(60),
+    },
+    MaxConnectionsCase {
+        name: "the store's, then a peer's of a higher version",
+        arriving: [(5, Some(60)), (6, None)],
+        version: 6,
+        max_connections: Some(60),
+    },
+    MaxConnectionsCase {
+        name: "a higher version with another number",
+        arriving: [(5, Some(60)), (6, Some(40))],
+        version: 6,
+        max_connections: Some(40),
+    },
+    MaxConnectionsCase {
+        name: "a lower version",
+        arriving: [(5, None), (4, Some(60))],
+        version: 5,
+        max_connections: None,
+    },
+];
+
+/// Guards against: a process that has its configuration from a peer of an earlier release never learns from the store how
+/// many connections endpoints accept, and its idle connections leave none for other processes.
+#[test]
+fn a_configuration_of_the_same_version_adds_what_a_peer_did_not_tell() {
+    for case in &MAX_CONNECTIONS_CASES {
+        let mut view = View::default();
+        for (revision, (version, max_connections)) in (10..).zip(case.arriving) {
+            let written = Change::Config(config_with(version, max_connections));
+            view.apply(vec![written], Position { era: 0, revision }, Duration::ZERO, at(0));
+        }
+        let service = view.catalog().service("s").expect("known");
+        assert_eq!(service.max_connections, case.max_connections, "{}", case.name);
+        assert_eq!(view.catalog().version(), case.version, "{}", case.name);
+    }
+}
--- a/crates/celerytide-edge/src/peers/exchange.rs
+++ b/crates/celerytide-edge/src/peers/exchange.rs
@@ -18,8 +18,8 @@
 use rand::Rng;
 use tracing::{debug, info};
 
+use super::later_fields::{LaterFields, Slots, or_default};
 use super::members::PeerEntry;
-use super::sequences::{ReplySequences, or_default};
 use super::{handover, relay, streams};
 use crate::edge::{Edge, StoreAccess};
 use crate::memory::AccountedHandler;
@@ -71,9 +71,27 @@
         /// What its view keeps although the store says otherwise; earlier releases don't send it.
         #[serde(deserialize_with = "or_default")]
         pub kept: Kept,
-        /// Sequences of the endpoints above; earlier releases don't send them.
+        /// Later fields of what is above; earlier releases don't send them.
         #[serde(deserialize_with = "or_default")]
-        pub sequences: ReplySequences,
+        pub later: LaterFields,
+    }
+}
+
+impl ExchangeReply {
+    fn slots(&mut self) -> Slots<'_> {
+        Slots::of_reply(self.view.as_mut(), self.newer_config.as_mut(), &mut self.kept)
+    }
+
+    /// Adds the later fields, for sending it.
+    pub fn with_later_fields(mut self) -> ExchangeReply {
+        self.later = self.slots().read();
+        self
+    }
+
+    /// Sets the later fields of a received reply.
+    pub fn restore_later_fields(&mut self) {
+        let fields = std::mem::take(&mut self.later);
+        self.slots().restore(fields);
     }
 }
 
@@ -146,7 +164,7 @@
 
 fn apply_reply<P: Protocol>(edge: &Edge<P>, mut reply: ExchangeReply, asked_at: BootTime) {
     let now = now_boot();
-    reply.sequences.restore(reply.view.as_mut(), &mut reply.kept);
+    reply.restore_later_fields();
     edge.members.borrow_mut().merge(&reply.live, now);
     if let Some(config) = reply.newer_config {
         info!(
@@ -213,16 +231,16 @@
         let newer_config = view
             .config()
             .filter(|_| request.is_config_uncertain && version > request.config);
-        let (sent, kept) = (sends_view.then(|| view.snapshot()), view.kept(now));
-        ExchangeReply {
+        let reply = ExchangeReply {
             live,
-            sequences: ReplySequences::new(sent.as_ref(), &kept),
-            view: sent,
+            view: sends_view.then(|| view.snapshot()),
             removal_delay_ms: millis(edge.removal_delay(now)),
             config: if edge.may_serve(now) { version } else { 0 },
             newer_config: newer_config.cloned(),
-            kept,
-        }
+            kept: view.kept(now),
+            later: LaterFields::default(),
+        };
+        reply.with_later_fields()
     }
 
     /// Merges the sender's entries; returns this instance's own.
--- a/crates/celerytide-edge/src/peers/mod.rs
+++ b/crates/celerytide-edge/src/peers/mod.rs
@@ -4,12 +4,12 @@
 pub mod digest;
 mod exchange;
 pub mod handover;
+pub mod later_fields;
 mod members;
 mod placement;
 pub mod readers;
 mod receive;
 pub mod relay;
-pub mod sequences;
 pub mod streams;
 
 pub use datagrams::{bind, receive_digests, send_digests};
--- a/crates/celerytide-edge/src/peers/relay.rs
+++ b/crates/celerytide-edge/src/peers/relay.rs
@@ -17,7 +17,7 @@
 use snafu::Snafu;
 use tracing::debug;
 
-use super::sequences::{Sequences, of_result, or_default, restore_result};
+use super::later_fields::{LaterFields, Slots, or_default};
 use crate::edge::{Edge, StoreAccess};
 use crate::protocol::Protocol;
 
@@ -43,9 +43,9 @@
         pub age_ms: Millis,
         /// How long endpoints without a record are still kept.
         pub removal_delay_ms: Millis,
-        /// Sequences of the endpoints in the result; earlier releases don't send them.
+        /// Later fields of the result; earlier releases don't send them.
         #[serde(deserialize_with = "or_default")]
-        pub sequences: Sequences,
+        pub later: LaterFields,
     }
 
     /// What is newer than the follower's view.
@@ -67,6 +67,14 @@
     }
 }
 
+impl FollowReply {
+    /// Sets the later fields of a received reply.
+    pub fn restore_later_fields(&mut self) {
+        let fields = std::mem::take(&mut self.later);
+        Slots::of_result(&mut self.result).restore(fields);
+    }
+}
+
 /// Why a reader gave no changes.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -108,7 +116,7 @@
     )
     .await;
     let mut reply = called.map_err(|_| Error::TimedOut { timeout: call_timeout })??;
-    restore_result(&mut reply.result, std::mem::take(&mut reply.sequences));
+    reply.restore_later_fields();
     match reply.result {
         FollowResult::NotYet => Err(Error::NotYet),
         FollowResult::Lost => Err(Error::Lost),
@@ -148,7 +156,7 @@
 fn reply<P: Protocol>(edge: &Edge<P>, position: Position) -> FollowReply {
     let now = now_boot();
     let view = edge.view.borrow();
-    let result = match edge.store_access.get() {
+    let mut result = match edge.store_access.get() {
         StoreAccess::Lost => FollowResult::Lost,
         StoreAccess::Following if !has_fresh_data(edge, now) => FollowResult::NotYet,
         StoreAccess::Following | StoreAccess::Direct => match view.changes_after(position) {
@@ -160,7 +168,7 @@
         },
     };
     FollowReply {
-        sequences: of_result(&result),
+        later: Slots::of_result(&mut result).read(),
         result,
         age_ms: edge.store_responded_at.get().map_or(0, |at| millis(now.since(at))),
         removal_delay_ms: millis(edge.removal_delay(now)),
--- a/crates/celerytide-edge/tests/releases.rs
+++ b/crates/celerytide-edge/tests/releases.rs
@@ -3,10 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use celerytide_catalog::{Change, Endpoint, EndpointStart, Kept, Position, Snapshot, Unproven};
+use celerytide_catalog::{
+    CallerLimits, Change, Config, Endpoint, EndpointStart, Kept, Position, Service, Snapshot, Unproven,
+};
 use celerytide_edge::peers::ExchangeReply;
+use celerytide_edge::peers::later_fields::{LaterFields, Slots};
 use celerytide_edge::peers::relay::{FollowReply, FollowResult};
-use celerytide_edge::peers::sequences::{ReplySequences, of_result, restore_result};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -24,18 +26,36 @@
     version: String,
 }
 
+#[derive(Debug, Serialize, Deserialize)]
+struct EarlierService {
+    id: String,
+    cold_period: Duration,
+    cold_rate: f64,
+    engine_slots: Option<u32>,
+    engine_tokens: Option<u64>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct EarlierConfig {
+    version: u64,
+    routes: Vec<()>,
+    services: Vec<EarlierService>,
+    customers: Option<()>,
+    limits: CallerLimits,
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 struct EarlierSnapshot {
     position: Position,
     read_to: u64,
-    config: Option<()>,
+    config: Option<EarlierConfig>,
     endpoints: Vec<EarlierEndpoint>,
     zones_out: Vec<String>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
 enum EarlierChange {
-    Config(()),
+    Config(EarlierConfig),
     Endpoint(EarlierEndpoint),
     EndpointGone(String),
 }
@@ -65,10 +85,17 @@
     zones_out: Vec<()>,
 }
 
-/// A reader's reply without sequences.
+/// A reader's reply without later fields.
 type EarlierFollowReply = (EarlierResult, u64, u64);
-/// A reply to an exchange without sequences.
-type EarlierReply = (Vec<()>, Option<EarlierSnapshot>, u64, u64, Option<()>, EarlierKept);
+/// A reply to an exchange without later fields.
+type EarlierReply = (
+    Vec<()>,
+    Option<EarlierSnapshot>,
+    u64,
+    u64,
+    Option<EarlierConfig>,
+    EarlierKept,
+);
 
 const POSITION: Position = Position { era: 2, revision: 90 };
 
@@ -105,11 +132,34 @@
     }
 }
 
+fn config(version: u64) -> Config {
+    let service = |id: &str, max_connections| Service {
+        id: id.to_owned(),
+        cold_period: Duration::from_secs(3),
+        cold_rate: 18.0,
+        engine_slots: Some(8),
+        engine_tokens: None,
+        max_connections,
+    };
+    Config {
+        version,
+        routes: Vec::new(),
+        services: vec![service("s", Some(60)), service("t", None), service("u", Some(7))],
+        customers: None,
+        limits: CallerLimits {
+            head_bytes: 1,
+            body_bytes: 2,
+            head_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(4),
+        },
+    }
+}
+
 fn snapshot() -> Snapshot {
     Snapshot {
         position: POSITION,
         read_to: 95,
-        config: None,
+        config: Some(config(7)),
         endpoints: vec![endpoint("a", Some(18)), endpoint("b", None), endpoint("c", Some(3))],
         zones_out: vec!["z".to_owned()],
     }
@@ -120,15 +170,16 @@
         changes: vec![
             Change::Endpoint(endpoint("a", Some(18))),
             Change::EndpointGone("b".to_owned()),
+            Change::Config(config(8)),
             Change::Endpoint(endpoint("a", Some(19))),
         ],
         position: POSITION,
     }
 }
 
-fn follow_reply(result: FollowResult) -> FollowReply {
+fn follow_reply(mut result: FollowResult) -> FollowReply {
     FollowReply {
-        sequences: of_result(&result),
+        later: Slots::of_result(&mut result).read(),
         result,
         age_ms: 300,
         removal_delay_ms: 40,
@@ -145,49 +196,56 @@
         }],
         zones_out: Vec::new(),
     };
-    ExchangeReply {
+    let reply = ExchangeReply {
         live: Vec::new(),
-        sequences: ReplySequences::new(Some(&snapshot()), &kept),
         view: Some(snapshot()),
         removal_delay_ms: 40,
         config: 7,
-        newer_config: None,
+        newer_config: Some(config(9)),
         kept,
-    }
+        later: LaterFields::default(),
+    };
+    reply.with_later_fields()
 }
 
 fn restored(mut reply: FollowReply) -> FollowResult {
-    restore_result(&mut reply.result, reply.sequences);
+    reply.restore_later_fields();
     reply.result
 }
 
-fn result_without_sequences(mut result: FollowResult) -> FollowResult {
-    let none = vec![None; 3];
-    restore_result(&mut result, none);
+/// A result as an earlier release tells it.
+fn without_later_fields(mut result: FollowResult) -> FollowResult {
+    let fields = LaterFields {
+        sequences: vec![None; 9],
+        max_connections: vec![None; 9],
+    };
+    Slots::of_result(&mut result).restore(fields);
     result
 }
 
 #[test]
-fn sequences_arrive_with_their_endpoints() {
+fn later_fields_arrive_where_they_belong() {
     for result in [changes(), FollowResult::Whole(snapshot()), FollowResult::Lost] {
         let read: FollowReply = decode(&encode(&follow_reply(result.clone())));
         assert_eq!(restored(read), result);
     }
     let mut read: ExchangeReply = decode(&encode(&reply()));
-    read.sequences.clone().restore(read.view.as_mut(), &mut read.kept);
-    assert_eq!(read, reply());
+    assert_ne!(read.view, reply().view, "endpoints are sent without");
+    read.restore_later_fields();
+    assert_eq!(read.with_later_fields(), reply());
 }
 
 /// Guards against: a follower of the last release can't read its reader's changes, or reads others.
 #[test]
-fn an_earlier_release_reads_a_reply_with_sequences() {
+fn an_earlier_release_reads_a_reply_with_later_fields() {
     for result in [changes(), FollowResult::Whole(snapshot())] {
         let (read, age_ms, removal_delay_ms): EarlierFollowReply = decode(&encode(&follow_reply(result.clone())));
         assert_eq!((age_ms, removal_delay_ms), (300, 40));
-        assert_eq!(decode::<FollowResult>(&encode(&read)), result_without_sequences(result));
+        assert_eq!(decode::<FollowResult>(&encode(&read)), without_later_fields(result));
     }
-    let (_, view, _, config, _, kept): EarlierReply = decode(&encode(&reply()));
+    let (_, view, _, config, newer, kept): EarlierReply = decode(&encode(&reply()));
     assert_eq!(config, 7);
+    assert_eq!(newer.map(|config| config.version), Some(9));
     assert_eq!(view.expect("sent").endpoints.len(), 3);
     let leaving: Vec<&str> = kept.leaving.iter().map(|start| start.id.as_str()).collect();
     assert_eq!(leaving, ["a", "b"]);
@@ -196,16 +254,16 @@
 
 /// Guards against: an instance of this release can't read what one of the last release sends.
 #[test]
-fn a_reply_without_sequences_is_read() {
+fn a_reply_without_later_fields_is_read() {
     for result in [changes(), FollowResult::Whole(snapshot()), FollowResult::NotYet] {
         let earlier: EarlierResult = decode(&encode(&result));
         let read: FollowReply = decode(&encode(&(earlier, 300_u64, 40_u64)));
         assert_eq!((read.age_ms, read.removal_delay_ms), (300, 40));
-        assert_eq!(restored(read), result_without_sequences(result));
+        assert_eq!(restored(read), without_later_fields(result));
     }
     let earlier: EarlierReply = decode(&encode(&reply()));
     let read: ExchangeReply = decode(&encode(&earlier));
-    assert_eq!(read.sequences, ReplySequences::default());
+    assert_eq!(read.later, LaterFields::default());
     assert_eq!(
         (read.config, read.kept.leaving.len(), read.kept.unproven.len()),
         (7, 2, 1)
@@ -221,5 +279,5 @@
     let reply: ExchangeReply = decode(&earlier);
     assert_eq!((reply.removal_delay_ms, reply.config), (40, 7));
     assert_eq!(reply.kept, Kept::default());
-    assert_eq!(reply.sequences, ReplySequences::default());
+    assert_eq!(reply.later, LaterFields::default());
 }
