fix(catalog): peers don't undo what the store has proved of an endpoint

Cause, found on reading again: an older record that the store keeps for four heartbeats holds. A peer that reached its proof a moment later still told that the endpoint leaves, or is in doubt; the first one learned that from it again, and so on. An endpoint whose clock or counter was set back stayed out of use for as long as instances talked to each other.

Change: a record that the store has proved stays proved until another one arrives; the word of peers on it doesn't count. An endpoint whose record is missing proves nothing.

Test: `what_instances_repeat_to_each_other_ends_with_a_proof` failed before in its first case (unused after 20 s), passes with all three.

--- a/crates/celerytide-catalog/src/view/kept.rs
+++ b/crates/celerytide-catalog/src/view/kept.rs
@@ -6,7 +6,8 @@
 //!
 //! What a peer keeps is taken over as of the peer's position: later writes end it here as they do there. If the peer is
 //! behind this view, a write that ended it may be known here already, so it is taken over for a short time only. Times
-//! count from before the peer was asked, so that they don't grow when instances repeat them to each other.
+//! count from before the peer was asked, so that they don't grow when instances repeat them to each other. What the store
+//! has proved here, no peer undoes.
 
 use std::cmp::Ordering;
 use std::time::Duration;
@@ -149,9 +150,10 @@
         }
     }
 
+    /// The endpoint of which a peer tells, unless the store has proved the record.
     fn known_start(&mut self, start: &EndpointStart) -> Option<&mut KnownEndpoint> {
         let known = self.endpoints.get_mut(&start.id);
-        known.filter(|k| k.endpoint.start == start.start)
+        known.filter(|k| k.endpoint.start == start.start && !k.is_proven)
     }
 }
 
--- a/crates/celerytide-catalog/src/view/mod.rs
+++ b/crates/celerytide-catalog/src/view/mod.rs
@@ -43,6 +43,8 @@
     newest: Option<Sequence>,
     /// The older record that the store holds instead.
     outdated: Option<Outdated>,
+    /// The store kept this record for as long as only a live endpoint's stays: the word of peers that doubt it doesn't count.
+    is_proven: bool,
 }
 
 impl KnownEndpoint {
@@ -55,6 +57,7 @@
             doubt: None,
             newest: endpoint.sequence,
             outdated: None,
+            is_proven: false,
             endpoint,
         }
     }
--- a/crates/celerytide-catalog/src/view/order.rs
+++ b/crates/celerytide-catalog/src/view/order.rs
@@ -132,8 +132,11 @@
 
     /// Ends what the store's response at `now` disproves; returns the record that holds from now on, if another one does.
     fn prove(&mut self, now: BootTime) -> Option<Rc<Endpoint>> {
+        if self.missing_until.is_some() {
+            return None;
+        }
         if self.doubt.is_some_and(|doubt| doubt.until() <= now) {
-            self.doubt = None;
+            self.is_proven = matches!(self.doubt.take(), Some(Doubt::Unproven(_)));
         }
         let proven = self.outdated.take_if(|outdated| outdated.proven_at <= now);
         proven.map(|outdated| outdated.endpoint)
@@ -175,6 +178,9 @@
             // Followers that got the newer record in a snapshot don't know this one.
             self.unrelayed.push(Change::Endpoint((*endpoint).clone()));
             self.set_endpoint((*endpoint).clone(), RecordSource::List, now, update);
+            if let Some(known) = self.endpoints.get_mut(&endpoint.id) {
+                known.is_proven = true;
+            }
         }
     }
 }
--- a/crates/celerytide-catalog/tests/older_records.rs
+++ b/crates/celerytide-catalog/tests/older_records.rs
@@ -585,6 +585,39 @@
     assert_eq!(used(&new.view, 1400), Some(1), "at a later position");
 }
 
+/// Guards against: instances that repeat to each other that an endpoint leaves or is in doubt, and so never use the record
+/// that the store keeps.
+#[test]
+fn what_instances_repeat_to_each_other_ends_with_a_proof() {
+    let known = [leaving(1, 18), ready(1, 3), ready(5, 18)];
+    let seen: [fn() -> Vec<Change>; 3] = [
+        || written(ready(1, 16)),
+        || gone().into_iter().chain(written(ready(1, 19))).collect(),
+        || written(ready(4, 1)),
+    ];
+    for (known, seen) in known.into_iter().zip(seen) {
+        let mut old = Feed::new(known);
+        old.changes(seen(), Duration::ZERO, 500);
+        let Some(Change::Endpoint(held)) = seen().pop() else {
+            panic!("the store holds a record");
+        };
+        let start = held.start;
+        let mut view = View::new(RECORD_TTL);
+        view.replace(list(old.position, vec![held]), Duration::ZERO, at(1000));
+        let position = old.position;
+        let mut feeds = [old, Feed { view, position }];
+        for ms in (1000..20_000).step_by(100) {
+            feeds.iter_mut().for_each(|feed| feed.play(UNCHANGED, ms));
+            let from = usize::from(ms % 200 == 0);
+            let kept = feeds[from].view.kept(at(ms));
+            feeds[1 - from].view.learn_kept(kept, at(ms - 50));
+        }
+        for feed in &feeds {
+            assert_eq!(used(&feed.view, 20_000), start);
+        }
+    }
+}
+
 /// Guards against: a follower that has the newer record by a snapshot never learns that the older one holds.
 #[test]
 fn a_follower_learns_that_an_older_record_holds() {
