fix(catalog): beside the release before, a write ends a departure that a peer told without a sequence

The store's record and the runner's next write couldn't be ordered, so they counted as older; and each of the two processes told the other that the endpoint leaves.

Change: a record that can't be ordered leaves only a departure standing that the endpoint itself reported. A departure by the word of a peer ends with a write, as in the release before, and outlasts a list.

Test: `a_departure_by_the_word_of_an_earlier_release_ends_with_a_write` failed before, passes now; the rows of older_records.rs pass.

--- a/crates/celerytide-catalog/src/view/order.rs
+++ b/crates/celerytide-catalog/src/view/order.rs
@@ -85,11 +85,13 @@
         self.endpoint.leaving || self.still_leaving
     }
 
-    /// Whether `record` must not replace what is known. Only a record that is surely newer ends a departure.
+    /// Whether `record` must not replace what is known. Only a record that is surely newer ends a departure that the
+    /// endpoint itself reported.
     pub(super) fn outlasts(&self, record: &Endpoint) -> bool {
         match order(self, record) {
             Order::Older => true,
-            Order::Unordered | Order::Same => self.is_leaving() && !record.leaving,
+            Order::Unordered => self.endpoint.leaving && !record.leaving,
+            Order::Same => self.is_leaving() && !record.leaving,
             Order::Newer | Order::OtherStart => false,
         }
     }
--- a/crates/celerytide-catalog/tests/older_records.rs
+++ b/crates/celerytide-catalog/tests/older_records.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use celerytide_catalog::{CallerLimits, Change, Config, Endpoint, Position, Service, Snapshot, View};
+use celerytide_catalog::{
+    CallerLimits, Change, Config, Endpoint, EndpointStart, Kept, Position, Service, Snapshot, View,
+};
 use celerytide_types::BootTime;
 
 /// Time for which missing records are kept after an outage of the store.
@@ -569,6 +571,28 @@
     }
 }
 
+/// Guards against: where releases run side by side, a process that has an endpoint and its departure by the word of an earlier
+/// release takes no write for newer, and tells the others for ever that the endpoint leaves.
+#[test]
+fn a_departure_by_the_word_of_an_earlier_release_ends_with_a_write() {
+    let mut feed = Feed::new(untold(ready(1, 1)));
+    let kept = Kept {
+        position: feed.position,
+        leaving: vec![EndpointStart {
+            id: "a".to_owned(),
+            start: Some(1),
+            newest: None,
+        }],
+        ..Kept::default()
+    };
+    feed.view.learn_kept(kept, at(500));
+    feed.play(Event::List(|| vec![ready(1, 1)]), 1000);
+    assert_eq!(used(&feed.view, 1000), None, "the list is no newer");
+    feed.play(Event::Changes(|| written(ready(1, 3))), 2000);
+    assert_eq!(used(&feed.view, 2000), Some(1));
+    assert_eq!(feed.view.kept(at(2000)).leaving, []);
+}
+
 /// Guards against: a peer that is behind reports a departure after the endpoint has taken it back, and the process that
 /// knows better drops the endpoint.
 #[test]
