fix(catalog): the word of peers puts off no proof

Change: a peer's word adds a doubt where there is none, and lengthens only one that a peer told. A doubt that is past its time is no longer told.

Test: `what_instances_repeat_to_each_other_ends_with_a_proof` has a store that responds each 3 s now, and the time by which the proof has to be there; it failed before in its second case, passes with all three.

--- a/crates/celerytide-catalog/src/view/kept.rs
+++ b/crates/celerytide-catalog/src/view/kept.rs
@@ -68,8 +68,8 @@
     pub fn kept(&self, now: BootTime) -> Kept {
         let leaving = self.endpoints.values().filter(|k| k.is_told_as_leaving());
         let unproven = self.endpoints.values().filter_map(|k| {
-            let (endpoint, doubt) = k.unproven()?;
-            doubt.remaining(now).map(|remaining| Unproven { endpoint, remaining })
+            let (endpoint, until) = k.unproven()?;
+            remaining(until, now).map(|remaining| Unproven { endpoint, remaining })
         });
         let zones_out = self.still_out.iter().filter_map(|(zone, until)| {
             let zone = zone.clone();
@@ -129,14 +129,11 @@
 
     fn learn_unproven(&mut self, start: &EndpointStart, until: BootTime, update: &mut Update) {
         let known = self.known_start(start);
-        if let Some(known) = known.filter(|k| k.doubt.is_none_or(|own| own.until() < until)) {
+        if let Some(known) = known.filter(|k| k.may_doubt(until)) {
             if known.doubt.is_none() {
                 update.unproven.push(start.id.clone());
             }
-            known.doubt = Some(match known.doubt {
-                Some(Doubt::Unproven(_)) => Doubt::Unproven(until),
-                Some(Doubt::Until(_)) | None => Doubt::Until(until),
-            });
+            known.doubt = Some(Doubt::Until(until));
             known.newest = known.newest.max(start.newest);
         }
     }
@@ -165,7 +162,7 @@
     }
 
     /// The start that isn't used, and for how long: this one, or an earlier one whose record the store holds.
-    fn unproven(&self) -> Option<(EndpointStart, Doubt)> {
+    fn unproven(&self) -> Option<(EndpointStart, BootTime)> {
         let earlier = self.outdated.as_ref().filter(|held| !self.is_of_start(held));
         if let Some(Outdated { endpoint, proven_at }) = earlier {
             let start = EndpointStart {
@@ -173,21 +170,23 @@
                 start: endpoint.start,
                 newest: endpoint.sequence,
             };
-            return Some((start, Doubt::Unproven(*proven_at)));
+            return Some((start, *proven_at));
         }
-        self.doubt.map(|doubt| (endpoint_start(self), doubt))
+        self.doubt.map(|doubt| (endpoint_start(self), doubt.until()))
     }
 
-    fn is_of_start(&self, held: &Outdated) -> bool {
-        held.endpoint.start == self.endpoint.start
+    /// Whether the word of a peer adds to what is known. A doubt of one's own ends by a proof, and a peer's word doesn't put
+    /// that off.
+    fn may_doubt(&self, until: BootTime) -> bool {
+        match self.doubt {
+            None => true,
+            Some(Doubt::Until(own)) => own < until,
+            Some(Doubt::Unproven(_)) => false,
+        }
     }
-}
 
-impl Doubt {
-    /// Time for which peers are to share the doubt; they ask again before it ends if there is no proof yet.
-    fn remaining(self, now: BootTime) -> Option<Duration> {
-        let least = matches!(self, Doubt::Unproven(_)).then_some(BEHIND_TIME);
-        remaining(self.until(), now).or(least)
+    fn is_of_start(&self, held: &Outdated) -> bool {
+        held.endpoint.start == self.endpoint.start
     }
 }
 
--- a/crates/celerytide-catalog/tests/older_records.rs
+++ b/crates/celerytide-catalog/tests/older_records.rs
@@ -609,8 +609,13 @@
     assert_eq!(used(&new.view, 1400), Some(1), "at a later position");
 }
 
-/// Guards against: instances that repeat to each other that an endpoint leaves or is in doubt, and so never use the record
-/// that the store keeps.
+/// Time between two responses of a store in which nothing changes.
+const RESPONSE_MS: u64 = 3000;
+/// Time by which the store has proved a record of half a second, to an instance that learned of it half a second later.
+const PROVED_MS: u64 = 1000 + 4800 + RESPONSE_MS + 100;
+
+/// Guards against: instances that repeat to each other that an endpoint leaves or is in doubt, and so use the record that
+/// the store keeps later, or never.
 #[test]
 fn what_instances_repeat_to_each_other_ends_with_a_proof() {
     let known = [leaving(1, 18), ready(1, 3), ready(5, 18)];
@@ -630,14 +635,18 @@
         view.replace(list(old.position, vec![held]), Duration::ZERO, at(1000));
         let position = old.position;
         let mut feeds = [old, Feed { view, position }];
-        for ms in (1000..20_000).step_by(100) {
-            feeds.iter_mut().for_each(|feed| feed.play(UNCHANGED, ms));
+        for ms in (1000..PROVED_MS).step_by(100) {
+            for (feed, offset) in feeds.iter_mut().zip([0, RESPONSE_MS / 2]) {
+                if (ms + offset) % RESPONSE_MS == 0 {
+                    feed.play(UNCHANGED, ms);
+                }
+            }
             let from = usize::from(ms % 200 == 0);
             let kept = feeds[from].view.kept(at(ms));
             feeds[1 - from].view.learn_kept(kept, at(ms - 50));
         }
         for feed in &feeds {
-            assert_eq!(used(&feed.view, 20_000), start);
+            assert_eq!(used(&feed.view, PROVED_MS), start);
         }
     }
 }
