fix(edge): new processes learn which endpoints were removed

Cause: only those that saw a removal remember it. Peers told a new process what the store holds wrongly, but not what it may bring back.

Change: a process that asks for a newer configuration, as each does at its start, is told the starts that were removed in the last 15 s, in the last field of the reply. They are doubted as if it had seen the removal.

Four rows in older_peers.rs; releases.rs carries the field.

--- a/crates/celerytide-catalog/src/view/kept.rs
+++ b/crates/celerytide-catalog/src/view/kept.rs
@@ -21,6 +21,9 @@
 /// Time for which the word of a peer counts that is behind this view: longer than a peer takes to catch up.
 const BEHIND_TIME: Duration = Duration::from_secs(2);
 
+/// Time after a removal for which new instances are told of it: longer than a write is late.
+const LATE_WRITE_TIME: Duration = Duration::from_secs(15);
+
 data! {
     /// One start of an endpoint.
     pub struct EndpointStart {
@@ -115,6 +118,20 @@
         own.zip(start.newest).map(|(own, newest)| own.cmp(&newest))
     }
 
+    /// Starts that were removed so recently that a late write may bring them back.
+    pub fn recently_removed(&self, now: BootTime) -> Vec<EndpointStart> {
+        self.removed.since(LATE_WRITE_TIME, now).collect()
+    }
+
+    /// Takes over which starts a peer knows to be removed; those that are known here are not.
+    pub fn learn_removed(&mut self, removed: Vec<EndpointStart>, now: BootTime) {
+        for start in removed {
+            if !self.endpoints.contains_key(&start.id) {
+                self.removed.learn(start, now);
+            }
+        }
+    }
+
     fn learn_leaving(&mut self, start: &EndpointStart, asked_at: BootTime, update: &mut Update) {
         let proven_at = asked_at.after(self.record_ttl);
         let known = self.known_start(start);
--- a/crates/celerytide-catalog/tests/older_peers.rs
+++ b/crates/celerytide-catalog/tests/older_peers.rs
@@ -123,6 +123,61 @@
     assert_eq!(feed.view.kept(at(2000)).leaving, []);
 }
 
+/// A removal that a new process has from a peer, and a record that comes then.
+struct RemovedCase {
+    name: &'static str,
+    /// Time from the removal to the question.
+    asked_after_ms: u64,
+    returned: fn() -> Endpoint,
+    used: Option<u64>,
+}
+
+const REMOVED_CASES: [RemovedCase; 4] = [
+    RemovedCase {
+        name: "an older heartbeat",
+        asked_after_ms: 2000,
+        returned: || ready(1, 17),
+        used: None,
+    },
+    RemovedCase {
+        name: "a heartbeat that is newer than the published one",
+        asked_after_ms: 2000,
+        returned: || ready(1, 30),
+        used: None,
+    },
+    RemovedCase {
+        name: "another start",
+        asked_after_ms: 2000,
+        returned: || ready(2, 1),
+        used: Some(2),
+    },
+    RemovedCase {
+        name: "too long ago for a late write",
+        asked_after_ms: 16_000,
+        returned: || ready(1, 30),
+        used: Some(1),
+    },
+];
+
+/// Guards against: a process that starts between a removal and a late heartbeat doesn't know of the removal.
+#[test]
+fn a_new_process_learns_which_endpoints_were_removed() {
+    for case in &REMOVED_CASES {
+        let mut peer = Feed::new(ready(1, 18));
+        peer.changes(gone(), Duration::ZERO, 500);
+        let asked_at = at(500 + case.asked_after_ms);
+        let mut new = Feed {
+            view: View::new(RECORD_TTL),
+            position: peer.position,
+        };
+        new.view.learn_removed(peer.view.recently_removed(asked_at), asked_at);
+        new.play(Event::List(Vec::new), 500 + case.asked_after_ms);
+        let ms = 600 + case.asked_after_ms;
+        new.changes(written((case.returned)()), Duration::ZERO, ms);
+        assert_eq!(used(&new.view, ms), case.used, "{}", case.name);
+    }
+}
+
 /// Guards against: a peer that is behind reports a departure after the endpoint has taken it back, and the process that
 /// knows better drops the endpoint.
 #[test]
--- a/crates/celerytide-edge/src/peers/exchange.rs
+++ b/crates/celerytide-edge/src/peers/exchange.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use celerytide_catalog::{Config, Kept, Position, Snapshot};
+use celerytide_catalog::{Config, EndpointStart, Kept, Position, Snapshot};
 use celerytide_types::{BootTime, Millis, Version, data, millis, now_boot};
 use celerytide_wire::messages::Method;
 use celerytide_wire::{Exchange, Options};
@@ -18,7 +18,7 @@
 use rand::Rng;
 use tracing::{debug, info};
 
-use super::later_fields::{LaterFields, Slots, or_default};
+use super::later_fields::{LaterFields, RemovedStart, Slots, or_default};
 use super::members::PeerEntry;
 use super::{handover, relay, streams};
 use crate::edge::{Edge, StoreAccess};
@@ -164,6 +164,7 @@
 
 fn apply_reply<P: Protocol>(edge: &Edge<P>, mut reply: ExchangeReply, asked_at: BootTime) {
     let now = now_boot();
+    let removed = std::mem::take(&mut reply.later.removed);
     reply.restore_later_fields();
     edge.members.borrow_mut().merge(&reply.live, now);
     if let Some(config) = reply.newer_config {
@@ -177,6 +178,8 @@
     if let Some(view) = reply.view {
         apply_view(edge, view, Duration::from_millis(reply.removal_delay_ms), now);
     }
+    let removed = removed.into_iter().map(EndpointStart::from).collect();
+    edge.view.borrow_mut().learn_removed(removed, now);
     let update = edge.view.borrow_mut().learn_kept(reply.kept, asked_at);
     edge.apply_update(&update, "peer");
     edge.compare_config(reply.config, now);
@@ -231,6 +234,7 @@
         let newer_config = view
             .config()
             .filter(|_| request.is_config_uncertain && version > request.config);
+        let removed = request.is_config_uncertain.then(|| view.recently_removed(now));
         let reply = ExchangeReply {
             live,
             view: sends_view.then(|| view.snapshot()),
@@ -240,7 +244,9 @@
             kept: view.kept(now),
             later: LaterFields::default(),
         };
-        reply.with_later_fields()
+        let mut reply = reply.with_later_fields();
+        reply.later.removed = removed.into_iter().flatten().map(RemovedStart::from).collect();
+        reply
     }
 
     /// Merges the sender's entries; returns this instance's own.
--- a/crates/celerytide-edge/src/peers/later_fields.rs
+++ b/crates/celerytide-edge/src/peers/later_fields.rs
@@ -3,8 +3,8 @@
 //! Earlier releases read an endpoint and a configuration without them, and ignore what follows the last field that they
 //! know. Their messages end before these fields, which are unknown then.
 
-use celerytide_catalog::{Change, Config, Kept, Sequence, Snapshot};
-use celerytide_types::data;
+use celerytide_catalog::{Change, Config, EndpointStart, Kept, Sequence, Snapshot};
+use celerytide_types::{EndpointId, data};
 use serde::{Deserialize, Deserializer};
 
 use super::relay::FollowResult;
@@ -17,6 +17,32 @@
         pub sequences: Vec<Option<Sequence>>,
         /// Connections that an endpoint accepts, for each service of each configuration.
         pub max_connections: Vec<Option<u32>>,
+        /// Starts that were removed, for an instance that is new.
+        pub removed: Vec<RemovedStart>,
+    }
+
+    /// A start that was removed, with its highest known sequence.
+    pub struct RemovedStart {
+        /// Id of the endpoint.
+        pub id: EndpointId,
+        /// Its start.
+        pub start: Option<u64>,
+        /// Highest known sequence.
+        pub newest: Option<Sequence>,
+    }
+}
+
+impl From<EndpointStart> for RemovedStart {
+    fn from(removed: EndpointStart) -> RemovedStart {
+        let EndpointStart { id, start, newest } = removed;
+        RemovedStart { id, start, newest }
+    }
+}
+
+impl From<RemovedStart> for EndpointStart {
+    fn from(removed: RemovedStart) -> EndpointStart {
+        let RemovedStart { id, start, newest } = removed;
+        EndpointStart { id, start, newest }
     }
 }
 
@@ -90,6 +116,7 @@
         LaterFields {
             sequences: self.sequences.iter().map(|slot| **slot).collect(),
             max_connections: self.max_connections.iter().map(|slot| **slot).collect(),
+            removed: Vec::new(),
         }
     }
 
--- a/crates/celerytide-edge/tests/releases.rs
+++ b/crates/celerytide-edge/tests/releases.rs
@@ -205,7 +205,9 @@
         kept,
         later: LaterFields::default(),
     };
-    reply.with_later_fields()
+    let mut reply = reply.with_later_fields();
+    reply.later.removed.push(start("d", Some(4)).into());
+    reply
 }
 
 fn restored(mut reply: FollowReply) -> FollowResult {
@@ -218,6 +220,7 @@
     let fields = LaterFields {
         sequences: vec![None; 9],
         max_connections: vec![None; 9],
+        removed: Vec::new(),
     };
     Slots::of_result(&mut result).restore(fields);
     result
@@ -231,8 +234,12 @@
     }
     let mut read: ExchangeReply = decode(&encode(&reply()));
     assert_ne!(read.view, reply().view, "endpoints are sent without");
+    let removed = std::mem::take(&mut read.later.removed);
+    assert_eq!(removed, [start("d", Some(4)).into()]);
     read.restore_later_fields();
-    assert_eq!(read.with_later_fields(), reply());
+    let mut read = read.with_later_fields();
+    read.later.removed = removed;
+    assert_eq!(read, reply());
 }
 
 /// Guards against: a follower of the last release can't read its reader's changes, or reads others.
