test(soak): late writes are a kind of fault, and each departure is drawn

It also holds now that each kind of departure before a late write is drawn. Passes with the other tests of the crate.

--- a/crates/celerytide-soak/tests/check.rs
+++ b/crates/celerytide-soak/tests/check.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use celerytide_soak::check::{Arrival, Call, Guarantee, History, RefusedTry, RequestKind, RunnerNotice, check};
-use celerytide_soak::plan::{self, Fault, ROUTERS};
+use celerytide_soak::plan::{self, Departure, Fault, ROUTERS};
 use celerytide_soak::testbed::CutForm;
 use history::{
     add_cut_off, add_falls, add_left_call, add_limited_arrivals, add_sent_again, arrival, arrival_with_notice, call,
@@ -316,7 +316,12 @@
         .map(|s| s.fault)
         .collect();
     let kinds: std::collections::HashSet<_> = faults.iter().map(std::mem::discriminant).collect();
-    assert_eq!(kinds.len(), 18, "kinds of faults");
+    assert_eq!(kinds.len(), 19, "kinds of faults");
+    for departure in [Departure::Reported, Departure::Removed, Departure::Restarted] {
+        let leaves_so =
+            |fault: &Fault| matches!(fault, Fault::LateWrite { departure: drawn, .. } if *drawn == departure);
+        assert!(faults.iter().any(leaves_so), "{departure:?}");
+    }
 }
 
 /// Each form, one router, and a whole zone.
