fix(edge): another endpoint answers where a short body is broken

Callers of requests that may run again got 502 when the answer broke off, or was broken, behind its head, though nothing of it had been sent to them and another endpoint could answer.

Cause: further attempts were decided on when the head was there. Short bodies are gathered before anything is sent on, and their end came after that. `body::relay` now gives the responder back, and the request goes on as one whose head didn't come: within the route's attempts and the retry budget, and not where its content may crash endpoints.

--- a/crates/celerytide-edge/src/forward/body.rs
+++ b/crates/celerytide-edge/src/forward/body.rs
@@ -21,6 +21,21 @@
 /// Cause of a response that broke off.
 const BROKEN: &str = "answer-broken";
 
+/// What came of a response that was to be relayed.
+pub enum Relayed {
+    /// The request has ended.
+    Ended(End),
+    /// The response broke off before anything of it was sent to the caller.
+    Broken {
+        /// Responds to the caller.
+        out: Responder,
+        /// Machine-readable cause, a stable text.
+        cause: &'static str,
+        /// Whether the request may be sent to another endpoint as far as its content goes.
+        may_repeat: bool,
+    },
+}
+
 /// The buffered start of a body.
 enum Buffered {
     /// The whole body.
@@ -30,37 +45,37 @@
 }
 
 /// Relays the response.
-pub async fn relay<P: Protocol>(fwd: &mut Forwarding<'_, P>, out: Responder, mut upstream: Box<Upstream<P>>) -> End {
+pub async fn relay<P: Protocol>(
+    fwd: &mut Forwarding<'_, P>,
+    out: Responder,
+    mut upstream: Box<Upstream<P>>,
+) -> Relayed {
     let status = upstream.response.status;
     let headers = headers::to_caller(&upstream.response.headers);
-    let cause = match timeout(fwd.time_left(), buffer(&mut upstream)).await {
+    let may_repeat = match timeout(fwd.time_left(), buffer(&mut upstream)).await {
         Ok(Ok(Buffered::Complete(body))) => {
             end_whole(fwd, upstream);
             // The caller may have disconnected.
             let _ = out.whole(status, headers, body).await;
-            return End::new("answered", status.as_u16());
+            return Relayed::Ended(End::new("answered", status.as_u16()));
         }
         Ok(Ok(Buffered::Partial(prefix))) => {
             fwd.may_have_run_count += 1;
-            return match out.stream(status, headers).await {
+            return Relayed::Ended(match out.stream(status, headers).await {
                 Ok(writer) => relay_long(fwd, writer, upstream, prefix).await,
                 Err(_) => End::new("caller-left", status.as_u16()),
-            };
-        }
-        Ok(Err(error)) => {
-            note_break_off(fwd, &upstream, &error);
-            BROKEN
+            });
         }
-        Err(_) => DEADLINE,
+        Ok(Err(error)) => note_break_off(fwd, &upstream, &error),
+        Err(_) => false,
     };
     upstream.end(Outcome::Bad);
-    fwd.may_have_run_count += 1;
     let cause = if fwd.time_left() < MIN_TIME_LEFT {
         DEADLINE
     } else {
-        cause
+        BROKEN
     };
-    fwd.give_up(out, cause).await
+    Relayed::Broken { out, cause, may_repeat }
 }
 
 /// Relays a long body. If the endpoint's response breaks off, the caller's is ended without its regular end, so that it
@@ -115,8 +130,8 @@
     upstream.end(outcome);
 }
 
-/// Notes how far a response had come that broke off.
-fn note_break_off<P: Protocol>(fwd: &Forwarding<'_, P>, upstream: &Upstream<P>, error: &SendError) {
+/// Notes how far a response had come that broke off; returns whether the request may be sent again.
+fn note_break_off<P: Protocol>(fwd: &Forwarding<'_, P>, upstream: &Upstream<P>, error: &SendError) -> bool {
     let at = upstream.break_off(false);
     info!(
         request = fwd.request.id,
@@ -127,9 +142,7 @@
         head_ms = at.head_age.map(|age| age.as_millis() as u64),
         "forward: the response broke off"
     );
-    if is_crash(&error.source) {
-        fwd.edge.record_break_off(&upstream.service, fwd.request, at);
-    }
+    !is_crash(&error.source) || fwd.edge.record_break_off(&upstream.service, fwd.request, at)
 }
 
 fn outcome_of(status: http::StatusCode) -> Outcome {
--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -34,6 +34,7 @@
 use crate::software::Software;
 use crate::stop;
 
+use body::Relayed;
 use continuity::Continuity;
 use refusal::{Refusal, RetryHint, refuse};
 use send::{Backlog, Sent, Upstream};
@@ -298,13 +299,21 @@
             let sent = send::send(self, &service, pick).await;
             let next = match sent {
                 Sent::Response(upstream) if self.is_final(&upstream) => {
-                    return self.relay(out, upstream, &service).await;
+                    match self.relay(out, upstream, &service).await {
+                        Relayed::Ended(end) => return end,
+                        Relayed::Broken {
+                            out: unused,
+                            cause,
+                            may_repeat,
+                        } => {
+                            out = unused;
+                            self.after_run(cause, may_repeat)
+                        }
+                    }
                 }
                 Sent::Response(upstream) => {
                     upstream.end(Outcome::Bad);
-                    self.reached_endpoint = true;
-                    self.may_have_run_count += 1;
-                    self.after_failure("endpoint-failed")
+                    self.after_run("endpoint-failed", true)
                 }
                 Sent::Rejected(cause) => {
                     self.reached_endpoint = true;
@@ -315,15 +324,7 @@
                     self.rejected_count += 1;
                     self.after_rejection(cause)
                 }
-                Sent::Broken { cause, may_repeat } => {
-                    self.reached_endpoint = true;
-                    self.may_have_run_count += 1;
-                    if may_repeat {
-                        self.after_failure(cause)
-                    } else {
-                        Next::GiveUp(cause)
-                    }
-                }
+                Sent::Broken { cause, may_repeat } => self.after_run(cause, may_repeat),
             };
             if let Next::GiveUp(cause) = next {
                 out = match self.hand_over_unreached(out, &service).await {
@@ -368,6 +369,17 @@
         Next::Retry
     }
 
+    /// Counts a failed attempt that may have run; `may_repeat` tells whether its content may be sent again.
+    fn after_run(&mut self, cause: &'static str, may_repeat: bool) -> Next {
+        self.reached_endpoint = true;
+        self.may_have_run_count += 1;
+        if may_repeat {
+            self.after_failure(cause)
+        } else {
+            Next::GiveUp(cause)
+        }
+    }
+
     /// Called when the failed attempt has been counted.
     fn after_failure(&self, cause: &'static str) -> Next {
         let route = &self.request.route;
@@ -394,11 +406,11 @@
             .since(now_boot())
     }
 
-    async fn relay(&mut self, out: Responder, upstream: Box<Upstream<P>>, service: &Rc<Service>) -> End {
+    async fn relay(&mut self, out: Responder, upstream: Box<Upstream<P>>, service: &Rc<Service>) -> Relayed {
         self.framing = Some(upstream.response.framing.name());
         let stream = self.request.route.kind.is_stream() && upstream.is_success;
         if stream {
-            return stream::relay(self, out, upstream, service).await;
+            return Relayed::Ended(stream::relay(self, out, upstream, service).await);
         }
         body::relay(self, out, upstream).await
     }
