fix(http): a response whose status is outside 100 to 599 is none

Callers got status 600 or 999 of an endpoint in trouble, with its seal and body, at the first attempt.

Cause: the status was never checked. The library's type holds 100 to 999; 000 fails when it is made, 600 doesn't. `validate::response_status` admits 100 to 599, and the client, which reads the responses of all processes, applies it to final and interim heads.

--- a/crates/celerytide-cli/tests/daemons.rs
+++ b/crates/celerytide-cli/tests/daemons.rs
@@ -38,6 +38,11 @@
     status: 200,
     body: "<html>",
 };
+const NO_STATUS: CannedResponse = CannedResponse {
+    path: "/status",
+    status: 600,
+    body: "{}",
+};
 const FAILING: CannedResponse = CannedResponse {
     path: "/status",
     status: 500,
@@ -52,7 +57,7 @@
     err: &'static str,
 }
 
-const STATUS_CASES: [StatusCase; 6] = [
+const STATUS_CASES: [StatusCase; 7] = [
     StatusCase {
         name: "both processes of an instance",
         responses: &[ENTRY_STATUS, DISPATCH_STATUS],
@@ -123,6 +128,13 @@
         out: "",
         err: "A0: the answer can't be read: expected value at line 1 column 1\n",
     },
+    StatusCase {
+        name: "response has status 600",
+        responses: &[NO_STATUS],
+        exit: Exit::Unreachable,
+        out: "",
+        err: "A0: no answer: request failed (Written): the status is outside 100 to 599\n",
+    },
     StatusCase {
         name: "response has status 500",
         responses: &[FAILING],
--- a/crates/celerytide-http/src/h1/reader.rs
+++ b/crates/celerytide-http/src/h1/reader.rs
@@ -16,7 +16,7 @@
 use snafu::Snafu;
 
 use crate::memory::Holder;
-use crate::validate::{HeadScan, ProtocolError, scan_head};
+use crate::validate::{HeadScan, ProtocolError, response_status, scan_head};
 
 /// Initial and minimum size of a read.
 const MIN_READ_BYTES: usize = 4 * 1024;
@@ -218,7 +218,7 @@
         let decoded = self.framed.next_with(&mut ResponseHeadDecoder).now_or_never();
         match decoded {
             Some(Some(Ok(head))) => Ok(ResponseHead {
-                status: head.status,
+                status: response_status(head.status.as_u16())?,
                 version: head.version,
                 headers: head.headers,
             }),
--- a/crates/celerytide-http/src/validate/error.rs
+++ b/crates/celerytide-http/src/validate/error.rs
@@ -36,6 +36,9 @@
     /// An expectation other than `100-continue`.
     #[snafu(display("the expectation is not supported"))]
     Expectation,
+    /// The status of the response is outside 100 to 599.
+    #[snafu(display("the status is outside 100 to 599"))]
+    Status,
     /// The response has neither a length nor chunked coding.
     #[snafu(display("the end of the answer can't be told"))]
     Unframed,
@@ -46,6 +49,7 @@
     pub fn status(self) -> StatusCode {
         match self {
             ProtocolError::Syntax
+            | ProtocolError::Status
             | ProtocolError::Length
             | ProtocolError::Chunk
             | ProtocolError::Host
@@ -62,6 +66,7 @@
     pub fn code(self) -> &'static str {
         match self {
             ProtocolError::Syntax => "bad-head",
+            ProtocolError::Status => "bad-status",
             ProtocolError::HeadTooLarge => "head-too-large",
             ProtocolError::BodyTooLarge => "body-too-large",
             ProtocolError::Length => "conflicting-length",
--- a/crates/celerytide-load/tests/caller.rs
+++ b/crates/celerytide-load/tests/caller.rs
@@ -1,6 +1,8 @@
 //! The caller tells complete responses from broken ones.
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::thread::spawn;
 
 use celerytide_http::client::{Client, Options};
 use celerytide_load::caller::{self, CallOutcome, CallerRequest};
@@ -68,3 +70,36 @@
         assert_eq!(outcome.gaps.len(), case.want.2.saturating_sub(1), "{}", case.name);
     }
 }
+
+/// Responses that aren't whole HTTP responses.
+const RAW: [&str; 6] = [
+    "HTTP/1.1 000 OK\r\ncontent-length: 2\r\n\r\nok",
+    "HTTP/1.1 600 OK\r\ncontent-length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nContent Length: 2\r\ncontent-length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nno colon\r\ncontent-length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\nzz\r\n\r\n",
+    "HTTP/1.1 200 OK\r\n\r\nok",
+];
+
+/// Starts an endpoint that sends this response to each request.
+fn raw_endpoint(response: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("listener");
+    let addr = listener.local_addr().expect("address");
+    spawn(move || {
+        for mut peer in listener.incoming().flatten() {
+            let _ = peer.read(&mut [0; 4096]);
+            let _ = peer.write_all(response.as_bytes());
+        }
+    });
+    addr
+}
+
+/// Guards against: the load tool counts a request as served whose response is no whole HTTP response.
+#[test]
+fn bytes_that_are_no_response_are_counted_as_served() {
+    for response in RAW {
+        let (outcome, _) = send_chat(raw_endpoint(response), 1);
+        assert!(!outcome.is_complete && !outcome.is_done(), "{response:?}: {outcome:?}");
+        assert!(!outcome.cause.is_empty(), "{response:?}: {outcome:?}");
+    }
+}
