fix(http): trailers must be fields, and chunk extensions must have names

Callers got a chunked answer as whole though a line behind its last chunk was no field: without a colon or a name, with a blank or a control byte in it, or the status line of another answer. The connection was used again.

Cause: trailers and chunk extensions are dropped, and what is dropped wasn't checked. A trailer is now checked like a field of a head, and an extension must have a name and close its quotes. The checks hold for requests, too, which get 400 (`bad-trailer`, `bad-chunk`).

--- a/crates/celerytide-faults/tests/broken_answers.rs
+++ b/crates/celerytide-faults/tests/broken_answers.rs
@@ -19,12 +19,13 @@
 const BROKEN: &str = "broken";
 
 /// Answers with all defects; a body of six bytes that looks whole follows each.
-const ANSWERS: [&str; 6] = [
+const ANSWERS: [&str; 7] = [
     "HTTP/1.1 000 OK\r\ncontent-length: 6\r\n\r\nbroken",
     "HTTP/1.1 600 OK\r\ncontent-length: 6\r\n\r\nbroken",
     "HTTP/1.1 999 OK\r\ncontent-length: 6\r\n\r\nbroken",
     "HTTP/1.1 200 OK\r\nContent Length: 2\r\ncontent-length: 6\r\n\r\nbroken",
     "HTTP/1.1 200 OK\r\nx\u{1}y: 2\r\ncontent-length: 6\r\n\r\nbroken",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\nno colon\r\n\r\n",
     "HTTP/1.1 200 OK\r\n\r\nbroken",
 ];
 
--- a/crates/celerytide-http/src/validate/chunk.rs
+++ b/crates/celerytide-http/src/validate/chunk.rs
@@ -1,9 +1,11 @@
 //! Validates chunk size lines and trailers before the decoder sees them.
 //!
 //! The decoder takes an empty size line for the end of the body, fails on extensions and trailers, and buffers a
-//! complete chunk whatever its declared size.
+//! complete chunk whatever its declared size. Trailers are dropped, and must be fields all the same: other bytes in their
+//! place belong to another message.
 
 use super::ProtocolError;
+use super::head::{check_name, is_name, is_value_byte};
 
 /// Maximum length of a chunk's size line including extensions, without CRLF.
 pub const MAX_CHUNK_LINE_BYTES: usize = 256;
@@ -53,11 +55,17 @@
 
 /// Finds the trailer line at the start of `buf`; `None` if it is incomplete.
 pub fn scan_trailer_line(buf: &[u8]) -> Result<Option<TrailerLine>, ProtocolError> {
-    let line = scan_line(buf, MAX_TRAILER_BYTES)?;
-    Ok(line.map(|len| match len {
-        0 => TrailerLine::End,
-        _ => TrailerLine::Field(len + 2),
-    }))
+    let Some(len) = scan_line(buf, MAX_TRAILER_BYTES)? else {
+        return Ok(None);
+    };
+    let line = buf.get(..len).unwrap_or_default();
+    if line.is_empty() {
+        return Ok(Some(TrailerLine::End));
+    }
+    if check_name(line).is_err() || !line.iter().all(|b| is_value_byte(*b)) {
+        return Err(ProtocolError::Trailer);
+    }
+    Ok(Some(TrailerLine::Field(len + 2)))
 }
 
 fn scan_line(buf: &[u8], max: usize) -> Result<Option<usize>, ProtocolError> {
@@ -76,7 +84,28 @@
     }
 }
 
+/// Whether what follows the digits of a size line is empty or a list of extensions, each with a name.
 fn is_valid_extension(rest: &[u8]) -> bool {
-    let text = rest.trim_ascii_start();
-    text.is_empty() && rest.is_empty() || text.starts_with(b";") && rest.iter().all(|b| *b >= b' ' || *b == b'\t')
+    if rest.is_empty() {
+        return true;
+    }
+    let Some(list) = rest.trim_ascii_start().strip_prefix(b";") else {
+        return false;
+    };
+    let mut is_quoted = false;
+    let mut is_escaped = false;
+    let mut extensions = list.split(|b| {
+        let was_escaped = is_escaped;
+        is_escaped = is_quoted && !was_escaped && *b == b'\\';
+        is_quoted ^= *b == b'"' && !was_escaped;
+        *b == b';' && !is_quoted
+    });
+    let have_names = extensions.all(has_name);
+    have_names && !is_quoted && list.iter().all(|b| is_value_byte(*b))
+}
+
+/// Whether an extension has a name, with or without a value.
+fn has_name(extension: &[u8]) -> bool {
+    let name = extension.split(|b| *b == b'=').next().unwrap_or_default();
+    is_name(name.trim_ascii())
 }
--- a/crates/celerytide-http/src/validate/error.rs
+++ b/crates/celerytide-http/src/validate/error.rs
@@ -24,6 +24,9 @@
     /// The chunk framing is malformed.
     #[snafu(display("the chunked body is broken"))]
     Chunk,
+    /// A line between the last chunk and the end of the body is not a field.
+    #[snafu(display("a trailer is not a field"))]
+    Trailer,
     /// The `host` header is missing or repeated.
     #[snafu(display("exactly one host header is needed"))]
     Host,
@@ -52,6 +55,7 @@
             | ProtocolError::Status
             | ProtocolError::Length
             | ProtocolError::Chunk
+            | ProtocolError::Trailer
             | ProtocolError::Host
             | ProtocolError::Unframed => StatusCode::BAD_REQUEST,
             ProtocolError::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -72,6 +76,7 @@
             ProtocolError::Length => "conflicting-length",
             ProtocolError::Coding => "unsupported-coding",
             ProtocolError::Chunk => "bad-chunk",
+            ProtocolError::Trailer => "bad-trailer",
             ProtocolError::Host => "bad-host",
             ProtocolError::Version => "unsupported-version",
             ProtocolError::Method => "unsupported-method",
--- a/crates/celerytide-http/src/validate/head.rs
+++ b/crates/celerytide-http/src/validate/head.rs
@@ -13,6 +13,8 @@
 
 const HEAD_END: &[u8] = b"\r\n\r\n";
 const CRLF: &[u8] = b"\r\n";
+/// The control byte above the printable ones.
+const DELETE: u8 = 0x7f;
 
 /// Result of scanning a buffer for a head.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -94,18 +96,29 @@
     }
 }
 
-fn check_name(line: &[u8]) -> Result<(), ProtocolError> {
+/// Checks that a field line has a colon and a valid name before it.
+pub(super) fn check_name(line: &[u8]) -> Result<(), ProtocolError> {
     let colon = line.iter().position(|b| *b == b':').ok_or(ProtocolError::Syntax)?;
     let name = line.get(..colon).unwrap_or_default();
     if name.len() > MAX_NAME_BYTES {
         return Err(ProtocolError::HeadTooLarge);
     }
-    if name.is_empty() || !name.iter().all(|b| is_token(*b)) {
+    if !is_name(name) {
         return Err(ProtocolError::Syntax);
     }
     Ok(())
 }
 
+/// Whether the bytes are the name of a field.
+pub(super) fn is_name(name: &[u8]) -> bool {
+    !name.is_empty() && name.iter().all(|b| is_token(*b))
+}
+
+/// Whether a field's value may hold the byte.
+pub(super) fn is_value_byte(b: u8) -> bool {
+    b == b'\t' || (b >= b' ' && b != DELETE)
+}
+
 fn is_token(b: u8) -> bool {
     b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b)
 }
--- a/crates/celerytide-http/tests/broken_responses.rs
+++ b/crates/celerytide-http/tests/broken_responses.rs
@@ -29,7 +29,7 @@
     Case { head, cause }
 }
 
-use ProtocolError::{Status, Syntax};
+use ProtocolError::{Chunk, Status, Syntax, Trailer};
 
 #[rustfmt::skip]
 const HEADS: &[Case] = &[
@@ -85,6 +85,53 @@
     ("", "ab"),
 ];
 
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n";
+
+/// What follows a chunk with data.
+#[rustfmt::skip]
+const CHUNKS: &[Case] = &[
+    broken("\r\n\r\n", Chunk),
+    broken(" \r\n\r\n", Chunk),
+    broken("0 \r\n\r\n", Chunk),
+    broken(" 0\r\n\r\n", Chunk),
+    broken("0x\r\n\r\n", Chunk),
+    broken("0\0\r\n\r\n", Chunk),
+    broken("0;a\x01=b\r\n\r\n", Chunk),
+    broken("0;a\x7f=b\r\n\r\n", Chunk),
+    broken("0;a b=c\r\n\r\n", Chunk),
+    broken("0;\r\n\r\n", Chunk),
+    broken("0;=b\r\n\r\n", Chunk),
+    broken("0;a=b;\r\n\r\n", Chunk),
+    broken("0;a=\"b;c\\\";\r\n\r\n\";\r\n\r\n", Chunk),
+    broken("0\n\r\n", Chunk),
+    broken("0\r\nno colon\r\n\r\n", Trailer),
+    broken("0\r\n: no name\r\n\r\n", Trailer),
+    broken("0\r\nx y: 1\r\n\r\n", Trailer),
+    broken("0\r\nx : 1\r\n\r\n", Trailer),
+    broken("0\r\n x: 1\r\n\r\n", Trailer),
+    broken("0\r\nx\ty: 1\r\n\r\n", Trailer),
+    broken("0\r\nx\0y: 1\r\n\r\n", Trailer),
+    broken("0\r\nx\x7fy: 1\r\n\r\n", Trailer),
+    broken("0\r\nx: a\0b\r\n\r\n", Trailer),
+    broken("0\r\nx: a\x1bb\r\n\r\n", Trailer),
+    broken("0\r\nx: 1\r\nHTTP/1.1 200 OK\r\n\r\n", Trailer),
+    broken("0\r\nx: a\rb\r\n\r\n", Chunk),
+    broken("0\r\nx: a\n\r\n", Chunk),
+];
+
+/// Sound ends of a chunked body.
+const SOUND: [&str; 9] = [
+    "0\r\n\r\n",
+    "000\r\n\r\n",
+    "0;a=b\r\n\r\n",
+    "0 ; a = b ;c\r\n\r\n",
+    "0;a=\"b;c\"\r\n\r\n",
+    "0;a=\"b\\\";=c\";d\r\n\r\n",
+    "0;a=b \r\n\r\n",
+    "0\r\nx-checksum: 1\r\nExpires: \r\n\r\n",
+    "0\r\nx: a\tb \u{e4}\r\n\r\n",
+];
+
 /// Starts an endpoint that sends a good response first on each connection if it keeps connections, and `response` then.
 fn endpoint(response: Vec<u8>, keeps: bool) -> SocketAddr {
     let listener = TcpListener::bind(ANY_PORT).expect("listener");
@@ -153,3 +200,22 @@
         }
     });
 }
+
+#[test]
+fn a_chunked_response_with_a_broken_end_looks_whole() {
+    run(async {
+        for case in CHUNKS {
+            check(&format!("{CHUNKED}{}", case.head), case.cause).await;
+        }
+    });
+}
+
+#[test]
+fn a_chunked_response_with_a_sound_end_is_whole() {
+    run(async {
+        for end in SOUND {
+            let got = request(format!("{CHUNKED}{end}").into_bytes(), false, false).await;
+            assert_eq!(got.expect(end).body, "ab", "{end:?}");
+        }
+    });
+}
--- a/crates/celerytide-load/tests/caller.rs
+++ b/crates/celerytide-load/tests/caller.rs
@@ -72,12 +72,13 @@
 }
 
 /// Responses that aren't whole HTTP responses.
-const RAW: [&str; 6] = [
+const RAW: [&str; 7] = [
     "HTTP/1.1 000 OK\r\ncontent-length: 2\r\n\r\nok",
     "HTTP/1.1 600 OK\r\ncontent-length: 2\r\n\r\nok",
     "HTTP/1.1 200 OK\r\nContent Length: 2\r\ncontent-length: 2\r\n\r\nok",
     "HTTP/1.1 200 OK\r\nno colon\r\ncontent-length: 2\r\n\r\nok",
     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\nzz\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nno colon\r\n\r\n",
     "HTTP/1.1 200 OK\r\n\r\nok",
 ];
 
