fix(http): a body without a length is whole once its request has been written

Callers got a part of an answer as whole, or 502, by chance: an endpoint answers a long request early and without a length, ends its connection in good order and resets it while the request is still being written.

Cause: the end of the connection ended the body at once, whether or not the write of the request had failed by then. In good order ends also the connection of a process that dies with nothing unread, and it is reset when further bytes of the request arrive. The rule is now: the client waits for the write, within the time of the call; if it fails, or the endpoint reads no more, the answer isn't whole. An endpoint that ends its side and reads on gives a whole answer as before.

--- a/crates/celerytide-http/src/client/error.rs
+++ b/crates/celerytide-http/src/client/error.rs
@@ -58,6 +58,9 @@
     /// The endpoint closed the connection before the end of the response.
     #[snafu(display("the endpoint closed before the end"))]
     Closed,
+    /// The endpoint ended a response without a length and read no more of the request.
+    #[snafu(display("the endpoint closed before it had read the request"))]
+    RequestUnread,
     /// No byte arrived within [`Bounds::first_byte_timeout`](super::Bounds::first_byte_timeout).
     #[snafu(display("no first byte in time"))]
     FirstByteTimeout,
--- a/crates/celerytide-http/src/client/response.rs
+++ b/crates/celerytide-http/src/client/response.rs
@@ -15,7 +15,7 @@
 use super::conn::Conn;
 use super::error::{SendError, Stage, send_error};
 use super::pool::Pool;
-use super::writing::RequestWrite;
+use super::writing::{RequestWrite, Written};
 use super::{Call, Cause};
 use crate::h1::{Body, Piece, ResponseHead, yield_now};
 use crate::memory::{Holder, current_holder};
@@ -210,14 +210,35 @@
         match timeout(bound.min(left), conn.reader.fill()).await {
             Err(_) if left <= bound => Err(Cause::TotalTimeout),
             Err(_) => Err(cause),
-            Ok(Ok(0)) if self.write.as_ref().is_some_and(RequestWrite::has_failed) => Err(reset()),
-            Ok(Ok(0)) if self.body.on_close() => Ok(()),
-            Ok(Ok(0)) => Err(Cause::Closed),
+            Ok(Ok(0)) => self.end_by_close().await,
             Ok(Ok(_)) => Ok(()),
             Ok(Err(source)) => Err(Cause::Read { source }),
         }
     }
 
+    /// Handles an orderly end of the connection. An endpoint that dies while a request is being written ends the connection
+    /// in good order and resets it when further bytes arrive. A body that only its connection delimits is therefore complete
+    /// once the request has been written.
+    async fn end_by_close(&mut self) -> Result<(), Cause> {
+        if self.write.as_ref().is_some_and(RequestWrite::has_failed) {
+            return Err(reset());
+        }
+        if !self.body.is_until_close() {
+            return Err(Cause::Closed);
+        }
+        let written = match &self.write {
+            Some(write) => timeout(self.deadline.since(now_boot()), write.ended()).await,
+            None => Ok(Written::Whole),
+        };
+        match written {
+            Err(_) => return Err(Cause::TotalTimeout),
+            Ok(Written::Failed) => return Err(reset()),
+            Ok(Written::Part) => return Err(Cause::RequestUnread),
+            Ok(Written::Whole) => self.body.end_by_close(),
+        }
+        Ok(())
+    }
+
     /// Yields after every [`YIELD_BYTES`], since reads from a fast peer never wait and would starve other tasks.
     async fn yield_after(&mut self, bytes: usize) {
         self.bytes_since_yield += bytes;
--- a/crates/celerytide-http/src/client/writing.rs
+++ b/crates/celerytide-http/src/client/writing.rs
@@ -49,6 +49,17 @@
             RequestWrite::Ongoing(write) => write.state.written.get() == Some(Written::Failed),
         }
     }
+
+    /// Waits until the write has ended.
+    pub(super) async fn ended(&self) -> Written {
+        match self {
+            RequestWrite::Ended(written) => *written,
+            RequestWrite::Ongoing(write) => {
+                write.state.ended.cancelled().await;
+                write.state.written.get().unwrap_or(Written::Part)
+            }
+        }
+    }
 }
 
 /// A write in a task; dropping it ends the task.
@@ -63,6 +74,8 @@
     written: Cell<Option<Written>>,
     /// Kept after the write, since dropping it may close the connection in one direction.
     writer: RefCell<Option<Writer>>,
+    /// Cancelled once the write has ended.
+    ended: CancellationToken,
 }
 
 impl OngoingWrite {
@@ -75,6 +88,7 @@
             if let Some((writer, result)) = task_cx.run_until_cancelled(writing).await {
                 task_state.written.set(Some(Written::of(&result)));
                 task_state.writer.replace(Some(writer));
+                task_state.ended.cancel();
             }
         });
         OngoingWrite {
--- a/crates/celerytide-http/src/h1/body.rs
+++ b/crates/celerytide-http/src/h1/body.rs
@@ -74,12 +74,16 @@
         matches!(self.state, State::End)
     }
 
-    /// Handles an orderly close by the peer; returns whether the body is complete.
-    pub(crate) fn on_close(&mut self) -> bool {
-        if matches!(self.state, State::UntilClose) {
+    /// Whether the body ends when the peer closes the connection.
+    pub(crate) fn is_until_close(&self) -> bool {
+        matches!(self.state, State::UntilClose)
+    }
+
+    /// Ends a body that the close of the connection delimits.
+    pub(crate) fn end_by_close(&mut self) {
+        if self.is_until_close() {
             self.state = State::End;
         }
-        self.is_complete()
     }
 
     /// Takes the next buffered piece of the body.
--- a/crates/celerytide-http/tests/long_requests.rs
+++ b/crates/celerytide-http/tests/long_requests.rs
@@ -85,7 +85,7 @@
     body: Option<&'static str>,
 }
 
-const CASES: [LongCase; 4] = [
+const CASES: [LongCase; 6] = [
     LongCase {
         name: "no length, ended in order, the request is read on",
         serve: |mut peer| {
@@ -105,6 +105,26 @@
         },
         body: None,
     },
+    // An endpoint that dies with nothing unread ends its connection in order, and resets it when further bytes arrive.
+    LongCase {
+        name: "no length, ended in order, reset at once",
+        serve: |mut peer| {
+            begin(&mut peer);
+            let _ = peer.write_all(UNFRAMED);
+            let _ = peer.shutdown(Shutdown::Write);
+        },
+        body: None,
+    },
+    LongCase {
+        name: "no length, ended in order, reset later",
+        serve: |mut peer| {
+            begin(&mut peer);
+            let _ = peer.write_all(UNFRAMED);
+            let _ = peer.shutdown(Shutdown::Write);
+            sleep(WORK);
+        },
+        body: None,
+    },
     LongCase {
         name: "the head first, the body once the request has been read",
         serve: |mut peer| {
