fix(http): the write of a long request is in its task from its start

A request whose endpoint begins its answer early and then reads nothing more was never given up: `write_timeout` didn't hold.

Cause: since the write moved to a task when the head arrived. The runtime's timer wakes the task that polled it first, and that was another one. A trial: a timeout of 300 ms that was polled once and then moved to a task hadn't ended after 3 s. The write now starts in its task, and the call waits for its end or for the head.

--- a/crates/celerytide-http/src/client/conn.rs
+++ b/crates/celerytide-http/src/client/conn.rs
@@ -90,15 +90,16 @@
             *writer = Some(own_writer);
             return read_head_after(written, read_head(reader, call)).await;
         }
-        // Boxed because it moves to a task.
-        let writing = Box::pin(write_owned(own_writer, head_of(call), call.body.clone()));
+        let write = OngoingWrite::start(write_owned(own_writer, head_of(call), call.body.clone()));
+        let ended = Box::pin(write.ended());
         let reading_head = std::pin::pin!(read_head(reader, call));
-        match select(writing, reading_head).await {
-            Either::Left(((own_writer, written), reading_head)) => {
-                *writer = Some(own_writer);
+        match select(ended, reading_head).await {
+            Either::Left((_, reading_head)) => {
+                let (own_writer, written) = write.into_end();
+                *writer = own_writer;
                 read_head_after(written, reading_head).await
             }
-            Either::Right((head, writing)) => Ok((head?, RequestWrite::Ongoing(OngoingWrite::start(writing)))),
+            Either::Right((head, _)) => Ok((head?, RequestWrite::Ongoing(write))),
         }
     }
 
--- a/crates/celerytide-http/src/client/writing.rs
+++ b/crates/celerytide-http/src/client/writing.rs
@@ -1,13 +1,14 @@
 //! The write of a long request, which goes on while its response is read.
 //!
 //! An endpoint may begin its response before it has read the request, and read on later: it then waits for the rest before
-//! it ends the response. The rest is written by a task that ends with the response.
+//! it ends the response. The request is written by a task that ends with the response. The task has the write from its
+//! start, since a timer of the runtime wakes the task that polled it first.
 
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::rc::Rc;
 
-use tokio_util::sync::{CancellationToken, DropGuard};
+use tokio_util::sync::{CancellationToken, DropGuard, WaitForCancellationFutureOwned};
 
 use super::Cause;
 use crate::h1::Writer;
@@ -55,7 +56,7 @@
         match self {
             RequestWrite::Ended(written) => *written,
             RequestWrite::Ongoing(write) => {
-                write.state.ended.cancelled().await;
+                write.ended().await;
                 write.state.written.get().unwrap_or(Written::Part)
             }
         }
@@ -72,6 +73,7 @@
 struct State {
     /// Set once the write has ended.
     written: Cell<Option<Written>>,
+    failure: RefCell<Option<Cause>>,
     /// Kept after the write, since dropping it may close the connection in one direction.
     writer: RefCell<Option<Writer>>,
     /// Cancelled once the write has ended.
@@ -79,7 +81,7 @@
 }
 
 impl OngoingWrite {
-    /// Goes on with `writing` in a task.
+    /// Runs `writing` in a task.
     pub(super) fn start(writing: impl Future<Output = (Writer, Result<(), Cause>)> + 'static) -> OngoingWrite {
         let cx = CancellationToken::new();
         let state = Rc::new(State::default());
@@ -87,6 +89,7 @@
         monoio::spawn(async move {
             if let Some((writer, result)) = task_cx.run_until_cancelled(writing).await {
                 task_state.written.set(Some(Written::of(&result)));
+                task_state.failure.replace(result.err());
                 task_state.writer.replace(Some(writer));
                 task_state.ended.cancel();
             }
@@ -97,6 +100,17 @@
         }
     }
 
+    /// Completes once the write has ended.
+    pub(super) fn ended(&self) -> WaitForCancellationFutureOwned {
+        self.state.ended.clone().cancelled_owned()
+    }
+
+    /// The writer and the result of a write that has ended.
+    pub(super) fn into_end(self) -> (Option<Writer>, Result<(), Cause>) {
+        let result = self.state.failure.take().map_or(Ok(()), Err);
+        (self.state.writer.take(), result)
+    }
+
     /// The writer, if all of the request was written.
     pub(super) fn into_writer(self) -> Option<Writer> {
         let is_whole = self.state.written.get() == Some(Written::Whole);
--- a/crates/celerytide-http/tests/long_requests.rs
+++ b/crates/celerytide-http/tests/long_requests.rs
@@ -8,7 +8,7 @@
 use std::thread::{sleep, spawn};
 use std::time::Duration;
 
-use celerytide_http::client::{Call, Client, Options};
+use celerytide_http::client::{Call, Cause, Client, Options};
 use http::Method;
 use support::{ANY_PORT, run};
 use tokio_util::sync::CancellationToken;
@@ -23,6 +23,8 @@
 const LAST_BYTE: u8 = b'.';
 const UNFRAMED: &[u8] = b"HTTP/1.1 200 OK\r\n\r\nall of it";
 
+/// Time after which a write without progress ends.
+const STALL_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which a caller leaves.
 const LEFT_AFTER: Duration = Duration::from_millis(100);
 /// Bytes that an endpoint has received of a request whose caller had left.
@@ -175,6 +177,31 @@
     }
 }
 
+/// Ends its side of the connection behind a response and reads nothing more.
+fn serve_without_reading(mut peer: TcpStream) {
+    begin(&mut peer);
+    let _ = peer.write_all(UNFRAMED);
+    let _ = peer.shutdown(Shutdown::Write);
+    sleep(STALL_TIMEOUT * 4);
+}
+
+/// Guards against: a response without a length passes as whole though its endpoint never takes the request.
+#[test]
+fn a_response_to_a_request_that_is_never_read_is_whole() {
+    let addr = endpoint(serve_without_reading);
+    let got = run(async move {
+        let client = Client::new(Options {
+            until_close: true,
+            write_timeout: STALL_TIMEOUT,
+            ..Options::default()
+        });
+        let cx = CancellationToken::new();
+        client.send_buffered(request(addr), MAX_RESPONSE_BYTES, &cx).await
+    });
+    let error = got.expect_err("no whole response");
+    assert!(matches!(error.source, Cause::RequestUnread), "{error}");
+}
+
 /// Serves one request after the other on a connection, each with an early head.
 fn serve_early_heads(mut peer: TcpStream) {
     loop {
