fix(edge, entry): a status outside 100 to 599 from a peer is no response

A router that hands a request to a peer of the release before passed on the peer's status 600 to its caller; an entry that replays a stored answer took a number that is no status for 200.

Cause: numbers in messages between processes were checked by the library's type alone. Both use `validate::response_status` now. A reply that is no part of a response ends the hand-over like one that broke off; a stored answer without a status is told by its outcome. The messages are unchanged, so both releases understand each other.

The replay and the relayed answer of the entry were read, not run: only an entry of an older release can send such a number.

--- a/crates/celerytide-edge/src/peers/handover/ask.rs
+++ b/crates/celerytide-edge/src/peers/handover/ask.rs
@@ -152,5 +152,9 @@
 
 async fn next_part(ex: &mut Exchange, deadline: BootTime) -> Option<ResponsePart> {
     let received = timeout(deadline.since(now_boot()), ex.recv::<ProxyReply>()).await;
-    received.ok()?.ok()??.into_part()
+    let part = received.ok()?.ok()??.into_part();
+    if part.is_none() {
+        info!("handover: a peer's reply is no part of a response");
+    }
+    part
 }
--- a/crates/celerytide-edge/src/peers/handover/mod.rs
+++ b/crates/celerytide-edge/src/peers/handover/mod.rs
@@ -11,8 +11,9 @@
 
 use bytes::Bytes;
 use celerytide_http::server::ResponsePart;
+use celerytide_http::validate::response_status;
 use celerytide_types::{Millis, ServiceId, data};
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue};
 
 /// Largest part of a body in one message, in bytes.
 const PART_BYTES: usize = 64 * 1024;
@@ -107,17 +108,17 @@
 }
 
 impl ProxyReply {
-    /// The part of a response; `None` if it is none, or isn't valid.
-    fn into_part(self) -> Option<ResponsePart> {
+    /// The part of a response; `None` if it is none, or isn't valid: a peer of an older release passes on what it was sent.
+    pub fn into_part(self) -> Option<ResponsePart> {
         match self {
             ProxyReply::Accepted | ProxyReply::Declined => None,
             ProxyReply::Whole { status, headers, body } => Some(ResponsePart::Whole {
-                status: StatusCode::from_u16(status).ok()?,
+                status: response_status(status).ok()?,
                 headers: decode_headers(headers)?,
                 body: Bytes::from(body),
             }),
             ProxyReply::Head { status, headers } => Some(ResponsePart::Head {
-                status: StatusCode::from_u16(status).ok()?,
+                status: response_status(status).ok()?,
                 headers: decode_headers(headers)?,
             }),
             ProxyReply::Chunk(bytes) => Some(ResponsePart::Chunk(bytes.into())),
--- a/crates/celerytide-entry/src/ticket/forward.rs
+++ b/crates/celerytide-entry/src/ticket/forward.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use celerytide_http::validate::response_status;
 use celerytide_manifest::{Action, TicketRule};
 use celerytide_once::Ticket;
 use celerytide_types::{ExecutionStatus, RequestOutcome};
@@ -108,7 +109,7 @@
 fn caller_response(relayed: RelayResponse) -> CallerResponse {
     let headers = from_wire(&relayed.headers);
     let outcome = outcome_from(&headers);
-    let status = StatusCode::from_u16(relayed.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let status = response_status(relayed.status).unwrap_or(StatusCode::BAD_GATEWAY);
     CallerResponse {
         status,
         headers,
--- a/crates/celerytide-entry/src/ticket/issuer.rs
+++ b/crates/celerytide-entry/src/ticket/issuer.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use celerytide_http::validate::response_status;
 use celerytide_once::{Attempt, BeginResult, Outcome, StoredResponse, Ticket};
 use celerytide_types::{ExecutionStatus, RequestOutcome, now_boot};
 use celerytide_wire::Exchange;
@@ -163,13 +164,15 @@
 }
 
 fn replay(info: &RequestInfo, outcome: Outcome) -> CallerResponse {
-    let Some(stored) = outcome.response else {
+    let stored = outcome
+        .response
+        .and_then(|s| Some((response_status(s.status).ok()?, s)));
+    let Some((status, stored)) = stored else {
         return outcome_without_response(info, outcome.request);
     };
     let headers: Vec<Header> = serde_json::from_slice(&stored.headers).unwrap_or_default();
     let mut headers = from_wire(&headers);
     headers.extend(outcome_headers(&outcome.request, &info.request));
-    let status = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
     CallerResponse {
         status,
         headers,
