test(standin): the callers of tests and of the soak tell other bytes from a response

The blocking client, by which tests and the soak judge routers, took a response for complete with any status, with lines that are no fields, and with chunks that end anywhere. A router that sent such bytes would have passed. A response is complete now only behind a valid head, and each chunk must end its line.

--- a/crates/celerytide-standin/src/platform/caller.rs
+++ b/crates/celerytide-standin/src/platform/caller.rs
@@ -13,6 +13,9 @@
 /// API key of the customer `acme`.
 pub const KEY: &str = "key-acme";
 
+/// Visible characters that no name of a header holds.
+const NO_NAME_BYTES: &[u8] = b"\"(),/:;<=>?@[\\]{}";
+
 /// A response as far as it was received.
 #[derive(Debug, Default, Clone)]
 pub struct Response {
@@ -22,7 +25,7 @@
     pub head: String,
     /// The body as far as it was received.
     pub body: String,
-    /// Whether the whole body was received.
+    /// Whether the whole body was received, behind a valid head.
     pub is_complete: bool,
 }
 
@@ -119,9 +122,31 @@
         }
         None => read_chunks(conn, &mut response),
     }
+    response.is_complete &= is_head(&response.head);
     Ok(response)
 }
 
+/// Whether the text is a head: a status of three digits from 100 to 599, and a field in each further line.
+fn is_head(text: &str) -> bool {
+    let mut lines = text.lines();
+    lines.next().is_some_and(is_status_line) && lines.all(is_field)
+}
+
+fn is_status_line(line: &str) -> bool {
+    let status = line
+        .strip_prefix("http/1.1 ")
+        .map(|rest| rest.split(' ').next().unwrap_or(rest));
+    status.is_some_and(|status| status.len() == 3 && matches!(status.parse(), Ok(100..=599_u16)))
+}
+
+fn is_field(line: &str) -> bool {
+    let name = line.split_once(':').map_or("", |(name, _)| name);
+    !name.is_empty()
+        && name
+            .bytes()
+            .all(|b| b.is_ascii_graphic() && !NO_NAME_BYTES.contains(&b))
+}
+
 fn read_chunks(conn: &mut BufReader<TcpStream>, response: &mut Response) {
     loop {
         let mut line = String::new();
@@ -132,7 +157,7 @@
             return;
         };
         let mut data = vec![0; size + 2];
-        if conn.read_exact(&mut data).is_err() {
+        if conn.read_exact(&mut data).is_err() || !data.ends_with(b"\r\n") {
             return;
         }
         if size == 0 {
