fix(edge): an interim status of a peer's reply is no final one

A reply with status 100 to 199 would have been passed on as a final response, which a caller reads as an interim one and then waits.

Cause: `into_part` asked only whether the number is a status. Evidence: handed_replies.rs of the edge, two further rows (100, 199), each whole and in parts, 4 of 28 replies failed without the check and none with it; no peer is known to send one.

--- a/crates/celerytide-edge/src/peers/handover/mod.rs
+++ b/crates/celerytide-edge/src/peers/handover/mod.rs
@@ -13,7 +13,7 @@
 use celerytide_http::server::ResponsePart;
 use celerytide_http::validate::response_status;
 use celerytide_types::{Millis, ServiceId, data};
-use http::{HeaderMap, HeaderName, HeaderValue};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
 /// Largest part of a body in one message, in bytes.
 const PART_BYTES: usize = 64 * 1024;
@@ -107,18 +107,24 @@
     }
 }
 
+/// The status of a final response; `None` for another number.
+fn final_status(number: u16) -> Option<StatusCode> {
+    let status = response_status(number).ok()?;
+    (!status.is_informational()).then_some(status)
+}
+
 impl ProxyReply {
     /// The part of a response; `None` if it is none, or isn't valid: a peer of an older release passes on what it was sent.
     pub fn into_part(self) -> Option<ResponsePart> {
         match self {
             ProxyReply::Accepted | ProxyReply::Declined => None,
             ProxyReply::Whole { status, headers, body } => Some(ResponsePart::Whole {
-                status: response_status(status).ok()?,
+                status: final_status(status)?,
                 headers: decode_headers(headers)?,
                 body: Bytes::from(body),
             }),
             ProxyReply::Head { status, headers } => Some(ResponsePart::Head {
-                status: response_status(status).ok()?,
+                status: final_status(status)?,
                 headers: decode_headers(headers)?,
             }),
             ProxyReply::Chunk(bytes) => Some(ResponsePart::Chunk(bytes.into())),
--- a/crates/celerytide-edge/tests/handed_replies.rs
+++ b/crates/celerytide-edge/tests/handed_replies.rs
@@ -20,9 +20,10 @@
     }
 }
 
-const CASES: [Case; 13] = [
+const CASES: [Case; 14] = [
     case(200, SEAL, true),
-    case(100, SEAL, true),
+    case(100, SEAL, false),
+    case(199, SEAL, false),
     case(599, SEAL, true),
     case(0, SEAL, false),
     case(20, SEAL, false),
--- a/crates/celerytide-http/src/lib.rs
+++ b/crates/celerytide-http/src/lib.rs
@@ -9,12 +9,13 @@
 //! - **Lengths.** A head with more than one `content-length`, or with both `content-length` and
 //!   `transfer-encoding`, is rejected and its connection closed. The only transfer coding is `chunked`.
 //! - **Statuses** outside 100 to 599 are rejected.
-//! - **Chunk extensions** are dropped if they are valid; a chunk line longer than [`validate::MAX_CHUNK_LINE_BYTES`] is rejected.
+//! - **Chunk extensions** are dropped; one without a name, or a chunk line longer than
+//!   [`validate::MAX_CHUNK_LINE_BYTES`], is rejected.
 //! - **Trailers** are read up to [`validate::MAX_TRAILER_BYTES`] bytes and dropped; a line that is no field is rejected.
 //! - **Responses delimited by close** (neither a length nor chunked) are rejected with an explicit error, because a
 //!   complete response can't be distinguished from one whose endpoint died halfway. A client whose endpoints are known
-//!   to respond like this accepts them with [`client::Options::until_close`]; a reset is still an error,
-//!   and so is an end before the request has been written.
+//!   to respond like this accepts them with [`client::Options::until_close`]; a reset is still an error, and so
+//!   is an end before the request has been written.
 //! - **Early responses**, sent before a long request body was written, are accepted; the connection isn't reused, since
 //!   the endpoint would read the next request as the rest of that body.
 //! - **Interim responses** (1xx) are skipped; `101` and more than [`client::MAX_INTERIM`] of them are rejected.
--- a/crates/celerytide-http/src/validate/mod.rs
+++ b/crates/celerytide-http/src/validate/mod.rs
@@ -1,9 +1,10 @@
 //! Validation before and after decoding.
 //!
 //! Before: [`scan_head`] finds the end of a head within its size limit and rejects bytes that the decoder can't
-//! handle; [`scan_chunk_line`] does the same for the size line of a chunk. After: [`response_status`] rejects numbers that
-//! aren't a status, and [`request_framing`] and [`response_framing`] determine from a decoded head how its body ends. All of them are pure functions over bytes
-//! that never panic and return a result for every input.
+//! handle; [`scan_chunk_line`] and [`scan_trailer_line`] do the same for the size line of a chunk and for trailers. After:
+//! [`response_status`] rejects numbers that aren't a status, and [`request_framing`] and [`response_framing`] determine
+//! from a decoded head how its body ends. All of them are pure functions over bytes that never panic and return a result
+//! for every input.
 
 mod chunk;
 mod error;
