test(faults): the bed of the broken answers waits for its endpoints in the pools

`a_broken_answer_to_an_action_is_called_done_or_not_run` failed on x86-64 in a third of its runs: "done" where "unknown" is due, answered by the sound endpoint that the manifest had just replaced. The bed waited until the status of both daemons named the new version; the dispatch's pools take the new addresses over a little later.

The raw endpoints get another zone, and the bed waits until the pools in the dispatch's status name it. The checks are as they were.

--- a/crates/celerytide-faults/tests/broken_answers.rs
+++ b/crates/celerytide-faults/tests/broken_answers.rs
@@ -17,6 +17,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Text that only the raw endpoint sends.
 const BROKEN: &str = "broken";
+/// Zone of the raw endpoints, by which the status of the pools tells them.
+const RAW: &str = "zone-b";
 
 /// Answers with all defects; a body of six bytes that looks whole follows each.
 const ANSWERS: [&str; 7] = [
@@ -91,6 +93,7 @@
                 let is_plain = service.id == "forms";
                 if let Some(endpoint) = service.endpoints.first_mut() {
                     endpoint.address = addrs[usize::from(!is_plain)];
+                    endpoint.zone = RAW.into();
                 }
             }
         };
@@ -101,9 +104,29 @@
             assert!(Instant::now() < end, "the manifest is not in force");
             sleep(POLL_INTERVAL);
         }
+        // A dispatch names the new version before its pools have the new endpoints.
+        while bed.raw_endpoints() < addrs.len() {
+            assert!(Instant::now() < end, "the pools have no raw endpoints");
+            sleep(POLL_INTERVAL);
+        }
         bed
     }
 
+    /// Number of raw endpoints in the pools of the dispatch.
+    fn raw_endpoints(&self) -> usize {
+        let status = self.harness.dispatch_status(0);
+        let pools = status["pools"].as_array().cloned().unwrap_or_default();
+        let endpoints = pools
+            .iter()
+            .flat_map(|pool| pool["status"]["endpoints"].as_array().cloned().unwrap_or_default());
+        endpoints
+            .filter(|endpoint| {
+                let is_first = endpoint["id"].as_str().is_some_and(|id| id.ends_with("-0"));
+                is_first && endpoint["zone"] == RAW
+            })
+            .count()
+    }
+
     /// Versions of the manifest at the entry and at the dispatch.
     fn versions(&self) -> [Option<u64>; 2] {
         let statuses = [self.harness.entry_status(0), self.harness.dispatch_status(0)];
