fix(edge): the end of a connection is no sign of a cut from all endpoints

Cause: an attempt that was written and had no response counted as silence, also if the endpoint had ended the connection, or had sent bytes that are no response. Three endpoints in a row were a cut.

Now only no connection and silence count (`SendError::is_silence`). A cut that resets the connections it finds refuses or loses the new ones too, which shows it.

--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use celerytide_catalog::Service;
-use celerytide_http::client::{Bounds, Call, Response, SendError};
+use celerytide_http::client::{Bounds, Call, Cause, Response, SendError};
 use celerytide_types::{BootTime, now_boot};
 use http::header::HOST;
 use tokio_util::sync::CancellationToken;
@@ -170,7 +170,9 @@
         parts = ?shared_blocks(&fwd.request.prompt),
         "send: failed"
     );
-    edge.note_unheard(&service.id, id, failure(&error));
+    if let Some(failure) = failure(&error) {
+        edge.note_unheard(&service.id, id, failure);
+    }
     if error.may_have_run() {
         edge.record(&service.id, id, Outcome::Bad);
         return Sent::Broken {
@@ -182,12 +184,13 @@
     Sent::Unreached("endpoint-unreachable")
 }
 
-fn failure(error: &SendError) -> Failure {
-    if error.may_have_run() {
-        Failure::Written
-    } else {
-        Failure::Connect
+/// What an attempt without a response says of the way to the endpoint; `None` if it says nothing.
+fn failure(error: &SendError) -> Option<Failure> {
+    if error.is_silence() {
+        return Some(Failure::Silent);
     }
+    let has_no_connection = matches!(error.source, Cause::Connect { .. } | Cause::ConnectTimeout);
+    has_no_connection.then_some(Failure::Connect)
 }
 
 /// Notes that an endpoint broke off before the head of a response; returns whether the request may be sent again.
--- a/crates/celerytide-edge/src/reach/mod.rs
+++ b/crates/celerytide-edge/src/reach/mod.rs
@@ -2,8 +2,10 @@
 //!
 //! Designed for a partition between this instance and all endpoints, or those of one service: connections hang, are reset, or live on while new
 //! ones are refused. The head of a response on a new connection proves that endpoints are reachable. One on a used
-//! connection proves only that this connection lives. Whether the endpoints are down for everyone isn't told here: peers
-//! that are cut off themselves say so. docs/design/partition.md describes the design.
+//! connection proves only that this connection lives. An endpoint that ends a connection after it has read a request proves
+//! neither: a cut that ends connections refuses or loses the new ones too, and an endpoint that fails accepts them.
+//! Whether the endpoints are down for everyone isn't told here: peers that are cut off themselves say so.
+//! docs/design/partition.md describes the design.
 
 mod peers;
 
@@ -29,8 +31,8 @@
 pub enum Failure {
     /// No connection.
     Connect,
-    /// Silence, or the end of the connection, after the request was written.
-    Written,
+    /// Silence after the request was written.
+    Silent,
 }
 
 /// What is known of the way to the endpoints.
--- a/crates/celerytide-edge/tests/reach.rs
+++ b/crates/celerytide-edge/tests/reach.rs
@@ -147,7 +147,7 @@
             let now = at(n * case.gap_ms);
             let change = match *sign {
                 Unreached(endpoint) => reach.note_failed(endpoint, Failure::Connect, case.known, now),
-                Silent(endpoint) => reach.note_failed(endpoint, Failure::Written, case.known, now),
+                Silent(endpoint) => reach.note_failed(endpoint, Failure::Silent, case.known, now),
                 Fresh => reach.note_heard(true),
                 Used => reach.note_heard(false),
                 Probed => reach.note_connected(),
--- a/crates/celerytide-http/src/client/error.rs
+++ b/crates/celerytide-http/src/client/error.rs
@@ -128,6 +128,16 @@
         self.stage.may_have_run()
     }
 
+    /// Whether nothing came back after bytes may have been sent, neither a byte nor the end of the connection.
+    pub fn is_silence(&self) -> bool {
+        let is_silent = match &self.source {
+            Cause::FirstByteTimeout | Cause::HeadTimeout | Cause::WriteTimeout => true,
+            Cause::Read { source } | Cause::Write { source } => is_unreached(source),
+            _ => false,
+        };
+        self.stage == Stage::Written && is_silent
+    }
+
     /// Whether the endpoint ended the connection after bytes may have been sent, as one that crashes does.
     pub fn is_broken_off(&self) -> bool {
         let is_ended = matches!(self.source, Cause::Closed | Cause::Read { .. } | Cause::Write { .. });
@@ -135,6 +145,15 @@
     }
 }
 
+/// Whether the kernel gave a connection up since nothing came back.
+fn is_unreached(error: &io::Error) -> bool {
+    use io::ErrorKind::{HostUnreachable, NetworkDown, NetworkUnreachable, TimedOut};
+    matches!(
+        error.kind(),
+        TimedOut | HostUnreachable | NetworkUnreachable | NetworkDown
+    )
+}
+
 pub(super) fn send_error(stage: Stage, source: Cause) -> SendError {
     SendError { stage, source }
 }
