fix(edge): a peer serves a handed request only with the configuration that decides it

Cause: the head of a hand-over named no version, and the peer decided by what it had. It took a newer configuration over only after 1.5 s of silence.

The head names the sender's version. A peer with an older one declines and looks for the newer one at once; its "accepted" names its version, and the body is sent only if that is new enough. Peers of the last landing know neither: they get a request only if they told the version in an exchange, and a head without a version is declined while a live peer has told a newer one than the own. The same code hands streams over. An instance that the store doesn't answer takes a newer configuration over as soon as it is told of it.

--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -43,7 +43,7 @@
 use crate::notice::{Notice, NoticeEffect, Notices};
 use crate::peers::digest::Digests;
 use crate::peers::readers::Readers;
-use crate::peers::{self, Members};
+use crate::peers::{self, Members, ToldConfigs};
 use crate::placement::EndpointLoads;
 use crate::placement::popularity::Popularity;
 use crate::protocol::Protocol;
@@ -95,6 +95,10 @@
     pub view: RefCell<View>,
     /// Whether the configuration is known to be the newest.
     pub config_freshness: RefCell<ConfigFreshness>,
+    /// Versions of the configuration that other instances told.
+    pub told_configs: RefCell<ToldConfigs>,
+    /// Wakes the exchange with other instances: a newer configuration is wanted at once.
+    pub config_wanted: Notify,
     /// Requests in flight at each endpoint.
     pub loads: RefCell<EndpointLoads>,
     /// Traffic of shared prompt blocks.
@@ -203,6 +207,8 @@
             members: RefCell::new(Members::new(own, &settings.seeds, now)),
             view: RefCell::new(View::new(settings.bounds.heartbeat() * MAX_EXPIRY_BEATS)),
             config_freshness: RefCell::default(),
+            told_configs: RefCell::default(),
+            config_wanted: Notify::new(),
             loads: RefCell::default(),
             popularity: RefCell::default(),
             digests: RefCell::default(),
--- a/crates/celerytide-edge/src/peers/exchange.rs
+++ b/crates/celerytide-edge/src/peers/exchange.rs
@@ -16,6 +16,7 @@
 use celerytide_wire::{Exchange, Options};
 use monoio::time::{sleep, timeout};
 use rand::Rng;
+use rand::seq::IteratorRandom;
 use tracing::{debug, info};
 
 use super::later_fields::{LaterFields, RemovedStart, Slots, or_default};
@@ -111,20 +112,36 @@
         monoio::spawn(async move { call(&edge, seed).await });
     }
     loop {
-        sleep(interval(&edge, now_boot()).mul_f64(rand::rng().random_range(1.0 - JITTER..1.0 + JITTER))).await;
-        let peer = edge.members.borrow().choose_peer(now_boot());
-        if let Some(peer) = peer {
+        let pause = interval(&edge, now_boot()).mul_f64(rand::rng().random_range(1.0 - JITTER..1.0 + JITTER));
+        monoio::select! {
+            () = sleep(pause) => {}
+            () = edge.config_wanted.notified() => {}
+        }
+        if let Some(peer) = next_peer(&edge, now_boot()) {
             call(&edge, peer).await;
         }
         edge.limit_idle(now_boot());
     }
 }
 
+/// The next instance to call: one that has told a newer configuration if that is wanted.
+fn next_peer<P: Protocol>(edge: &Edge<P>, now: BootTime) -> Option<SocketAddr> {
+    let members = edge.members.borrow();
+    if edge.is_config_behind(now) && edge.wants_config(now) {
+        let newer = edge.view.borrow().catalog().version() + 1;
+        let told = edge.told_configs.borrow().with_version(&members.live_peers(now), newer);
+        if let Some(peer) = told.into_iter().choose(&mut rand::rng()) {
+            return Some(peer);
+        }
+    }
+    members.choose_peer(now)
+}
+
 fn interval<P: Protocol>(edge: &Edge<P>, now: BootTime) -> Duration {
     let is_new = edge.members.borrow().age(now) < STARTUP_TIME;
     match () {
         () if !edge.is_config_current(now) => UNCERTAIN_INTERVAL,
-        () if is_new || store_is_silent(edge, now) => FAST_INTERVAL,
+        () if is_new || store_is_silent(edge, now) || edge.wants_config(now) => FAST_INTERVAL,
         () => INTERVAL,
     }
 }
@@ -145,7 +162,10 @@
     )
     .await
     {
-        Ok(Ok(reply)) => apply_reply(edge, reply, now),
+        Ok(Ok(reply)) => {
+            edge.note_told_config(peer, reply.config, now);
+            apply_reply(edge, reply, now);
+        }
         Ok(Err(error)) => debug!(%peer, %error, "peers: call failed"),
         Err(_) => debug!(%peer, "peers: no reply in time"),
     }
@@ -228,6 +248,9 @@
         let edge = &self.edge;
         let now = now_boot();
         let live = self.merge_live(&request.live, now);
+        if let Some(sender) = request.live.first() {
+            edge.note_told_config(sender.address, request.config, now);
+        }
         let view = edge.view.borrow();
         let version = view.catalog().version();
         let sends_view = request.wants_view && view.position() > request.position;
--- a/crates/celerytide-edge/src/peers/handover/ask.rs
+++ b/crates/celerytide-edge/src/peers/handover/ask.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use celerytide_http::Payload;
 use celerytide_http::server::{Request, ResponsePart};
-use celerytide_types::{BootTime, millis, now_boot};
+use celerytide_types::{BootTime, Version, millis, now_boot};
 use celerytide_wire::messages::Method;
 use celerytide_wire::{Error, Exchange};
 use monoio::time::timeout;
@@ -61,8 +61,15 @@
     for _ in 0..MAX_ASKED {
         let now = now_boot();
         let live = edge.members.borrow().live_peers(now);
-        let peer = edge.with_reach(offer.service, |reach| reach.peers.choose(&live, now))?;
-        if let Some(handed) = ask(edge, offer, peer).await {
+        let config = edge.view.borrow().catalog().version();
+        let up_to_date = edge.told_configs.borrow().with_version(&live, config);
+        let peer = edge.with_reach(offer.service, |reach| {
+            reach
+                .peers
+                .choose(&up_to_date, now)
+                .or_else(|| reach.peers.choose(&live, now))
+        })?;
+        if let Some(handed) = ask(edge, offer, config, peer).await {
             count(edge, "handed-over");
             return Some(handed);
         }
@@ -77,8 +84,13 @@
 }
 
 /// Offers the request to one peer; `None` if the peer doesn't take it, and the request has not run.
-async fn ask<P: Protocol>(edge: &Rc<Edge<P>>, offer: &Offer<'_>, peer: SocketAddr) -> Option<HandedOver> {
-    match try_ask(edge, offer, peer).await {
+async fn ask<P: Protocol>(
+    edge: &Rc<Edge<P>>,
+    offer: &Offer<'_>,
+    config: Version,
+    peer: SocketAddr,
+) -> Option<HandedOver> {
+    match try_ask(edge, offer, config, peer).await {
         Ok(handed) => handed,
         Err(error) => {
             info!(request = offer.id, %peer, %error, "handover: not accepted");
@@ -91,10 +103,11 @@
 async fn try_ask<P: Protocol>(
     edge: &Rc<Edge<P>>,
     offer: &Offer<'_>,
+    config: Version,
     peer: SocketAddr,
 ) -> Result<Option<HandedOver>, Error> {
     let left = offer.deadline.since(now_boot());
-    let accepting = accept(edge, offer, peer, left);
+    let accepting = accept(edge, offer, config, peer, left);
     let accepted = timeout(ACCEPT_TIMEOUT.min(left.mul_f64(ACCEPT_SHARE)), accepting).await;
     let Some(mut ex) = accepted.unwrap_or(Err(Error::ConnectTimeout { addr: peer }))? else {
         return Ok(None);
@@ -120,6 +133,7 @@
 async fn accept<P: Protocol>(
     edge: &Rc<Edge<P>>,
     offer: &Offer<'_>,
+    config: Version,
     peer: SocketAddr,
     left: Duration,
 ) -> Result<Option<Exchange>, Error> {
@@ -133,11 +147,20 @@
         left_ms: millis(left),
         attempts: offer.attempts,
         body_bytes: req.body.len() as u64,
+        config,
     };
     let mut ex = edge.connections.open(peer, Method::Proxy, &head).await?;
     // An instance of an older version ends the exchange without a reply.
     let reply = ex.recv::<ProxyReply>().await?;
-    Ok((reply == Some(ProxyReply::Accepted)).then_some(ex))
+    let is_accepted = match reply {
+        Some(ProxyReply::AcceptedAt(version)) => version >= config,
+        Some(ProxyReply::Accepted) => edge.told_configs.borrow().has(peer, config),
+        _ => false,
+    };
+    if !is_accepted {
+        info!(request = offer.id, %peer, config, ?reply, "handover: the peer doesn't take it by this configuration");
+    }
+    Ok(is_accepted.then_some(ex))
 }
 
 /// Parts of a body, at least one.
--- a/crates/celerytide-edge/src/peers/handover/mod.rs
+++ b/crates/celerytide-edge/src/peers/handover/mod.rs
@@ -2,6 +2,11 @@
 //!
 //! The peer accepts or declines before it gets the body, and runs nothing before it has the last part of it. What fails
 //! before that part is sent has therefore certainly not run. A peer hands nothing on.
+//!
+//! The request names the version of the configuration by which the sender decided, and a peer takes it only with that
+//! version or a newer one: an older one may lack its route or key, or send it to another service. A peer of an earlier
+//! release doesn't compare. It is handed a request only if it has told that version or a newer one in an exchange, and a
+//! request that it hands over is taken only if no live peer has told a newer version than the own one.
 
 mod ask;
 mod serve;
@@ -12,9 +17,11 @@
 use bytes::Bytes;
 use celerytide_http::server::ResponsePart;
 use celerytide_http::validate::response_status;
-use celerytide_types::{Millis, ServiceId, data};
+use celerytide_types::{Millis, ServiceId, Version, data};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
+use super::later_fields::or_default;
+
 /// Largest part of a body in one message, in bytes.
 const PART_BYTES: usize = 64 * 1024;
 
@@ -37,6 +44,9 @@
         pub attempts: u32,
         /// Length of the body, which follows in parts.
         pub body_bytes: u64,
+        /// Version of the configuration that the peer must have; 0 from earlier releases, which don't send it.
+        #[serde(deserialize_with = "or_default")]
+        pub config: Version,
     }
 
     /// Part of the body; a request without one has one empty part.
@@ -47,7 +57,7 @@
 
     /// Reply of the peer: whether it takes the request, then the response in parts.
     pub enum ProxyReply {
-        /// It serves the request once it has the body.
+        /// It serves the request once it has the body. It is of an earlier release, or the request names no version.
         Accepted,
         /// It can't serve the request, which has not run.
         Declined,
@@ -71,6 +81,8 @@
         Chunk(Vec<u8>),
         /// The regular end of the body.
         End,
+        /// It serves the request once it has the body, by this version of the configuration or a newer one.
+        AcceptedAt(Version),
     }
 }
 
@@ -117,7 +129,7 @@
     /// The part of a response; `None` if it is none, or isn't valid: a peer of an older release passes on what it was sent.
     pub fn into_part(self) -> Option<ResponsePart> {
         match self {
-            ProxyReply::Accepted | ProxyReply::Declined => None,
+            ProxyReply::Accepted | ProxyReply::AcceptedAt(_) | ProxyReply::Declined => None,
             ProxyReply::Whole { status, headers, body } => Some(ResponsePart::Whole {
                 status: final_status(status)?,
                 headers: decode_headers(headers)?,
--- a/crates/celerytide-edge/src/peers/handover/serve.rs
+++ b/crates/celerytide-edge/src/peers/handover/serve.rs
@@ -5,7 +5,7 @@
 
 use celerytide_http::Payload;
 use celerytide_http::server::{HandedBody, HandedPlace, Request, ResponsePart, ResponseParts, responder_in_parts};
-use celerytide_types::{millis, now_boot};
+use celerytide_types::{Version, millis, now_boot};
 use celerytide_wire::{Error, Exchange};
 use futures::StreamExt;
 use http::header::HeaderValue;
@@ -38,10 +38,10 @@
     let Ok(head) = ex.recv_required::<ProxyRequest>().await else {
         return;
     };
-    let (body_bytes, attempts) = (head.body_bytes, head.attempts);
+    let (body_bytes, attempts, config) = (head.body_bytes, head.attempts, head.config);
     let deadline = now_boot().after(Duration::from_millis(head.left_ms));
     let max_body = callers.edge().limits.get().max_body_bytes as u64;
-    let is_taken = body_bytes <= max_body && may_serve(callers.edge(), &head.service);
+    let is_taken = body_bytes <= max_body && may_serve(callers.edge(), &head.service, config);
     let request = request(head).filter(|_| is_taken);
     let Some(mut req) = request else {
         return decline(ex).await;
@@ -49,7 +49,8 @@
     let Ok(mut body) = callers.open_handed(&req) else {
         return decline(ex).await;
     };
-    match receive(&mut ex, &mut body, body_bytes).await {
+    let accepted = accepted(callers.edge(), config);
+    match receive(&mut ex, &mut body, body_bytes, accepted).await {
         Ok(Received::Whole) => {}
         Ok(Received::NoRoom) => return refuse(ex).await,
         Err(error) => return debug!(%error, "handover: the body didn't come"),
@@ -62,10 +63,30 @@
     respond(callers, ex, Handed { req, attempts, place }).await;
 }
 
-/// Whether this instance can serve a request that another one can't.
-fn may_serve<P: Protocol>(edge: &Edge<P>, service: &str) -> bool {
-    let is_current = edge.is_ready() && edge.may_serve(now_boot());
-    is_current && !edge.is_cut_off(service)
+/// Whether this instance can serve a request that another one can't, and has the version of the configuration that this
+/// takes.
+fn may_serve<P: Protocol>(edge: &Edge<P>, service: &str, config: Version) -> bool {
+    let now = now_boot();
+    let needed = match config {
+        0 => edge.newest_told_config(now),
+        named => named,
+    };
+    let own = edge.view.borrow().catalog().version();
+    if own < needed {
+        info!(own, needed, "handover: declined; the own configuration is older");
+        edge.note_newer_config(now);
+        return false;
+    }
+    edge.is_ready() && edge.may_serve(now) && !edge.is_cut_off(service)
+}
+
+/// The reply to a request that is taken; earlier releases name no version, and don't know the newer reply.
+fn accepted<P: Protocol>(edge: &Edge<P>, config: Version) -> ProxyReply {
+    if config == 0 {
+        ProxyReply::Accepted
+    } else {
+        ProxyReply::AcceptedAt(edge.view.borrow().catalog().version())
+    }
 }
 
 async fn decline(mut ex: Exchange) {
@@ -87,8 +108,13 @@
 }
 
 /// Accepts the request and receives its body.
-async fn receive(ex: &mut Exchange, body: &mut HandedBody, body_bytes: u64) -> Result<Received, Error> {
-    ex.send(&ProxyReply::Accepted).await?;
+async fn receive(
+    ex: &mut Exchange,
+    body: &mut HandedBody,
+    body_bytes: u64,
+    accepted: ProxyReply,
+) -> Result<Received, Error> {
+    ex.send(&accepted).await?;
     let mut left = body_bytes;
     loop {
         let part = ex.recv_required::<BodyPart>().await?;
--- a/crates/celerytide-edge/tests/releases.rs
+++ b/crates/celerytide-edge/tests/releases.rs
@@ -7,6 +7,7 @@
     CallerLimits, Change, Config, Endpoint, EndpointStart, Kept, Position, Service, Snapshot, Unproven,
 };
 use celerytide_edge::peers::ExchangeReply;
+use celerytide_edge::peers::handover::{ProxyReply, ProxyRequest};
 use celerytide_edge::peers::later_fields::{LaterFields, Slots};
 use celerytide_edge::peers::relay::{FollowReply, FollowResult};
 use serde::de::DeserializeOwned;
@@ -288,3 +289,70 @@
     assert_eq!(reply.kept, Kept::default());
     assert_eq!(reply.later, LaterFields::default());
 }
+
+/// Head of a request that is handed over, as earlier releases write and read it.
+type EarlierProxyRequest = (
+    String,
+    String,
+    Vec<(String, Vec<u8>)>,
+    String,
+    SocketAddr,
+    u64,
+    u32,
+    u64,
+);
+
+/// A reply to it as earlier releases write and read it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum EarlierProxyReply {
+    Accepted,
+    Declined,
+    Whole {
+        status: u16,
+        headers: Vec<(String, Vec<u8>)>,
+        body: Vec<u8>,
+    },
+    Head {
+        status: u16,
+        headers: Vec<(String, Vec<u8>)>,
+    },
+    Chunk(Vec<u8>),
+    End,
+}
+
+fn proxy_request(config: u64) -> ProxyRequest {
+    ProxyRequest {
+        method: "POST".to_owned(),
+        target: "/once/x".to_owned(),
+        headers: vec![("host".to_owned(), b"a.example".to_vec())],
+        service: "s".to_owned(),
+        caller: ([10, 0, 0, 9], 4000).into(),
+        left_ms: 900,
+        attempts: 1,
+        body_bytes: 4,
+        config,
+    }
+}
+
+/// Guards against: instances of two releases can't hand requests to each other, or read a version where none was sent.
+#[test]
+fn a_request_is_handed_over_between_two_releases() {
+    let sent = proxy_request(7);
+    let read: EarlierProxyRequest = decode(&encode(&sent));
+    assert_eq!((read.1.as_str(), read.6, read.7), ("/once/x", 1, 4));
+    let read: ProxyRequest = decode(&encode(&read));
+    assert_eq!(read, proxy_request(0));
+    assert_eq!(decode::<ProxyRequest>(&encode(&sent)), sent);
+    let known = [
+        EarlierProxyReply::Accepted,
+        EarlierProxyReply::Declined,
+        EarlierProxyReply::Chunk(vec![1, 2]),
+        EarlierProxyReply::End,
+    ];
+    for reply in known {
+        let read: ProxyReply = decode(&encode(&reply));
+        assert_eq!(decode::<EarlierProxyReply>(&encode(&read)), reply);
+    }
+    let accepted = ProxyReply::AcceptedAt(7);
+    assert_eq!(decode::<ProxyReply>(&encode(&accepted)), accepted);
+}
