fix(edge): nothing is denied by a configuration that is known to be older

What callers saw: an instance that had heard of a newer version from a peer, and didn't have it yet, answered 404 and 401 by its own one. Callers don't send such requests again.

Cause: only a new process, or one after a restore of the store, waited before it denied; what others tell of their version counted for nothing here.

What its own configuration allows is served as before.

Before: `an_instance_denies_by_a_configuration_that_it_knows_to_be_older` fails ([404, 401] where [503, 503] is due).

--- a/crates/celerytide-edge/src/forward/mod.rs
+++ b/crates/celerytide-edge/src/forward/mod.rs
@@ -148,7 +148,7 @@
 }
 
 /// Matches the request against the configuration. Waits until a new process may serve by it, and for the newest one if
-/// the route or the customer isn't known.
+/// the route or the customer isn't known; it isn't denied by one that is known to be older.
 async fn route<P: Protocol>(edge: &Rc<Edge<P>>, req: &Request, began: BootTime) -> Result<RoutedRequest, Denial> {
     let has_config = edge.view.borrow().has_config();
     if has_config && !edge.may_serve(began) {
@@ -158,15 +158,22 @@
         let catalog = edge.view.borrow().catalog().clone();
         request::route(req, &catalog, &edge.protocol, began)
     };
+    let routed = route(edge);
+    if !is_denied(&routed) || edge.may_deny(now_boot()) {
+        return routed;
+    }
+    edge.catch_up().await;
     match route(edge) {
-        Err(Denial::NoRoute | Denial::NoCustomer) if !edge.is_config_current(now_boot()) => {
-            edge.wait_until(|now| edge.is_config_current(now)).await;
-            route(edge)
-        }
+        routed if is_denied(&routed) && edge.is_config_behind(now_boot()) => Err(Denial::Outdated),
         routed => routed,
     }
 }
 
+/// Whether the configuration has no route or no key for the request.
+fn is_denied(routed: &Result<RoutedRequest, Denial>) -> bool {
+    matches!(routed, Err(Denial::NoRoute | Denial::NoCustomer))
+}
+
 /// When a caller whose request got no endpoint may retry.
 fn retry_hint(error: PickError) -> RetryHint {
     match error {
--- a/crates/celerytide-edge/src/forward/refusal.rs
+++ b/crates/celerytide-edge/src/forward/refusal.rs
@@ -26,6 +26,8 @@
 
 /// Wait that a caller is asked for while no configuration is known.
 const UNCONFIGURED_WAIT: Duration = Duration::from_millis(1000);
+/// Wait that a caller is asked for while others know a newer configuration.
+const OUTDATED_WAIT: Duration = Duration::from_millis(500);
 
 /// When a refused caller should retry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,12 +58,16 @@
 impl Refusal {
     /// Refusal of a request that isn't forwarded.
     pub fn denied(denial: Denial) -> Refusal {
-        let retry = denial == Denial::Unconfigured;
+        let retry_after = match denial {
+            Denial::Unconfigured => Some(UNCONFIGURED_WAIT),
+            Denial::Outdated => Some(OUTDATED_WAIT),
+            Denial::NoRoute | Denial::NoCustomer => None,
+        };
         Refusal {
             status: denial.status(),
             cause: denial.cause(),
             execution: ExecutionStatus::NotRun,
-            retry_after: retry.then_some(UNCONFIGURED_WAIT),
+            retry_after,
         }
     }
 
--- a/crates/celerytide-edge/src/request/mod.rs
+++ b/crates/celerytide-edge/src/request/mod.rs
@@ -60,13 +60,15 @@
     NoRoute,
     /// The key is missing or unknown.
     NoCustomer,
+    /// No route or key matches, and other instances know a newer configuration.
+    Outdated,
 }
 
 impl Denial {
     /// HTTP status of the refusal.
     pub fn status(self) -> StatusCode {
         match self {
-            Denial::Unconfigured => StatusCode::SERVICE_UNAVAILABLE,
+            Denial::Unconfigured | Denial::Outdated => StatusCode::SERVICE_UNAVAILABLE,
             Denial::NoRoute => StatusCode::NOT_FOUND,
             Denial::NoCustomer => StatusCode::UNAUTHORIZED,
         }
@@ -78,6 +80,7 @@
             Denial::Unconfigured => "no-configuration",
             Denial::NoRoute => "no-route",
             Denial::NoCustomer => "unknown-key",
+            Denial::Outdated => "configuration-outdated",
         }
     }
 }
