fix(edge): no number of returns proves that an endpoint lives

Cause: at most two endpoints of a service, or a tenth, and never more than half, waited for a proof; a further return was taken for a record that the store had lost. A count doesn't tell a departure from a lapse.

Each return waits for the proof now. Where more than half of a service's endpoints wait, the endpoints are asked: a health check answers 200 with the endpoint's id only while it is healthy and doesn't leave, so that a service whose records had lapsed goes on at once, and one that left doesn't. The path of the check goes between instances in a later field, which the last landing ignores; without it nobody is asked.

`where_many_endpoints_return_most_are_used_at_once` asserted the bound. Two tests replace it: over the same table and a further row, none is used before its proof and all are after it, and those that say that they live are used at once, up to half of the service at least.

--- a/crates/celerytide-catalog/src/config/mod.rs
+++ b/crates/celerytide-catalog/src/config/mod.rs
@@ -70,6 +70,9 @@
         /// in a field of their own: processes of other releases couldn't read it here.
         #[serde(skip)]
         pub max_connections: Option<u32>,
+        /// Path of the endpoints' health check; `None` if that isn't known. In a field of its own for the same reason.
+        #[serde(skip)]
+        pub health_path: Option<String>,
     }
 
     /// A customer and its keys.
@@ -114,22 +117,31 @@
 const MAX_TIME: Duration = Duration::from_secs(7 * 24 * 3600);
 
 impl Config {
-    /// Connections that an endpoint of a service accepts, if that is known.
-    fn max_connections(&self, service: &str) -> Option<u32> {
-        let service = self.services.iter().find(|known| known.id == service)?;
-        service.max_connections
+    fn service(&self, id: &str) -> Option<&Service> {
+        self.services.iter().find(|known| known.id == id)
     }
 
-    /// Whether `other` knows the connections that an endpoint accepts of a service for which this one doesn't.
-    pub(crate) fn lacks_max_connections_of(&self, other: &Config) -> bool {
-        let mut unknown = self.services.iter().filter(|service| service.max_connections.is_none());
-        unknown.any(|service| other.max_connections(&service.id).is_some())
+    /// Whether `other` knows more than this one of what earlier releases don't tell of services.
+    pub(crate) fn lacks_later_fields_of(&self, other: &Config) -> bool {
+        self.services.iter().any(|service| {
+            other.service(&service.id).is_some_and(|other| {
+                let lacks_max = service.max_connections.is_none() && other.max_connections.is_some();
+                let lacks_path = service.health_path.is_none() && other.health_path.is_some();
+                lacks_max || lacks_path
+            })
+        })
     }
 
-    /// Takes over from `other` what isn't known here of the connections that endpoints accept.
-    pub(crate) fn fill_max_connections(&mut self, other: &Config) {
+    /// Takes over from `other` what isn't known here of that.
+    pub(crate) fn fill_later_fields(&mut self, other: &Config) {
         for service in &mut self.services {
-            service.max_connections = service.max_connections.or_else(|| other.max_connections(&service.id));
+            let Some(other) = other.service(&service.id) else {
+                continue;
+            };
+            service.max_connections = service.max_connections.or(other.max_connections);
+            if service.health_path.is_none() {
+                service.health_path.clone_from(&other.health_path);
+            }
         }
     }
 
--- a/crates/celerytide-catalog/src/view/mod.rs
+++ b/crates/celerytide-catalog/src/view/mod.rs
@@ -295,9 +295,9 @@
         let known = self
             .config
             .as_deref()
-            .filter(|known| known.lacks_max_connections_of(other));
+            .filter(|known| known.lacks_later_fields_of(other));
         if let Some(mut config) = known.cloned() {
-            config.fill_max_connections(other);
+            config.fill_later_fields(other);
             self.catalog = Rc::new(Catalog::new(&config));
             self.config = Some(Rc::new(config));
         }
@@ -316,7 +316,7 @@
         }
         update.config = Some(config.version);
         if let Some(known) = &self.config {
-            config.fill_max_connections(known);
+            config.fill_later_fields(known);
         }
         self.catalog = Rc::new(Catalog::new(&config));
         self.config = Some(Rc::new(config));
@@ -361,9 +361,7 @@
                 known.doubt = Some(Doubt::Unproven(proven_at));
                 known.newest = newest;
             }
-            Some(Return::Unclear) if self.may_doubt(&endpoint.service) => {
-                known.doubt = Some(Doubt::Unproven(proven_at));
-            }
+            Some(Return::Unclear) => known.doubt = Some(Doubt::Unproven(proven_at)),
             Some(Return::Unordered) if source == RecordSource::RestoredList => {
                 known.doubt = Some(Doubt::Unproven(proven_at));
             }
--- a/crates/celerytide-catalog/src/view/model.rs
+++ b/crates/celerytide-catalog/src/view/model.rs
@@ -90,6 +90,8 @@
     pub leaving: Vec<EndpointId>,
     /// Endpoints that aren't used before they prove to be alive, by the word of a peer.
     pub unproven: Vec<EndpointId>,
+    /// Endpoints that said of themselves that they are alive, and are used again.
+    pub alive: Vec<EndpointId>,
     /// Endpoints that were removed.
     pub gone: Vec<EndpointId>,
     /// Endpoints of which the store holds an older record than the view.
--- a/crates/celerytide-catalog/src/view/order.rs
+++ b/crates/celerytide-catalog/src/view/order.rs
@@ -9,9 +9,11 @@
 //! behind. In both cases the store drops the record after a time unless a live endpoint renews it. If the store still has
 //! it after that time, it holds: then the endpoint lives, and its clock or its counter was set back.
 //!
-//! Where many endpoints of a service return, the store had lost them, and they didn't leave. Then only a few of them wait
-//! for the proof, so that the service goes on.
+//! However many endpoints return, none is used before that: several may leave at a time. Where more than half of a
+//! service's endpoints wait, the store may have lost them, and the rest can't carry the service. Then the endpoints
+//! themselves are asked, and one that says that it is healthy and doesn't leave is used at once.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,11 +21,6 @@
 
 use super::{Change, Endpoint, KnownEndpoint, RecordSource, Update, View};
 
-/// Endpoints of a service that may wait for a proof at a time although their records are newer than the last known ones:
-/// this many, or this share of all if that is more, and never more than half.
-const DOUBTED: usize = 2;
-const DOUBTED_ONE_IN: usize = 10;
-
 /// How a record relates to the newest known one of the same endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Order {
@@ -93,6 +90,10 @@
         self.endpoint.leaving || self.still_leaving
     }
 
+    fn is_doubted(&self, now: BootTime) -> bool {
+        self.doubt.is_some_and(|doubt| !doubt.is_over(now))
+    }
+
     /// Whether `record` must not replace what is known. Only a record that is surely newer ends a departure that the
     /// endpoint itself reported.
     pub(super) fn outlasts(&self, record: &Endpoint) -> bool {
@@ -166,15 +167,35 @@
 }
 
 impl View {
-    /// Whether one more endpoint of `service` may wait for a proof.
-    pub(super) fn may_doubt(&self, service: &str) -> bool {
-        let of_service = self.endpoints.values().filter(|k| k.endpoint.service == service);
-        let (mut all, mut doubted) = (1, 0);
-        for known in of_service.filter(|k| !k.is_leaving()) {
-            all += 1;
-            doubted += usize::from(known.doubt.is_some());
+    /// Whether an endpoint waits for a proof.
+    pub fn has_doubted(&self, now: BootTime) -> bool {
+        self.endpoints.values().any(|known| known.is_doubted(now))
+    }
+
+    /// Endpoints that wait for a proof, of services of which more than half do: they are to be asked.
+    pub fn to_be_asked(&self, now: BootTime) -> Vec<Rc<Endpoint>> {
+        let mut counts: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+        for known in self.endpoints.values().filter(|known| !known.is_leaving()) {
+            let (all, doubted) = counts.entry(&known.endpoint.service).or_default();
+            *all += 1;
+            *doubted += usize::from(known.is_doubted(now));
+        }
+        let is_short = |service: &str| counts.get(service).is_some_and(|(all, doubted)| doubted * 2 > *all);
+        let doubted = self.endpoints.values().filter(|known| known.is_doubted(now));
+        let doubted = doubted.filter(|known| !known.is_leaving() && is_short(&known.endpoint.service));
+        doubted.map(|known| known.endpoint.clone()).collect()
+    }
+
+    /// Applies that an endpoint said of itself that it is healthy and doesn't leave.
+    pub fn learn_alive(&mut self, id: &str, start: Option<u64>) -> Update {
+        let mut update = Update::default();
+        let known = self.endpoints.get_mut(id).filter(|known| known.endpoint.start == start);
+        if let Some(known) = known.filter(|known| known.doubt.is_some()) {
+            known.doubt = None;
+            known.is_proven = true;
+            update.alive.push(id.to_owned());
         }
-        doubted < (all / 2).min(DOUBTED.max(all / DOUBTED_ONE_IN))
+        update
     }
 
     /// Earliest time from which a response of the store may prove something.
--- a/crates/celerytide-catalog/tests/older_records.rs
+++ b/crates/celerytide-catalog/tests/older_records.rs
@@ -324,104 +324,115 @@
     returned: usize,
     /// Whether they had reported that they leave.
     reported: bool,
-    /// How many are used at once.
-    used: usize,
+    /// Whether they are asked if they live.
+    asked: bool,
 }
 
-const RETURN_CASES: [ReturnCase; 7] = [
+const fn returns(name: &'static str, all: usize, returned: usize, asked: bool) -> ReturnCase {
     ReturnCase {
-        name: "the only one",
-        all: 1,
-        returned: 1,
+        name,
+        all,
+        returned,
         reported: false,
-        used: 1,
-    },
-    ReturnCase {
-        name: "one of three",
-        all: 3,
-        returned: 1,
-        reported: false,
-        used: 2,
-    },
-    ReturnCase {
-        name: "two of four",
-        all: 4,
-        returned: 2,
-        reported: false,
-        used: 2,
-    },
-    ReturnCase {
-        name: "all of four",
-        all: 4,
-        returned: 4,
-        reported: false,
-        used: 2,
-    },
-    ReturnCase {
-        name: "a third of twelve",
-        all: 12,
-        returned: 4,
-        reported: false,
-        used: 10,
-    },
-    ReturnCase {
-        name: "all of sixty",
-        all: 60,
-        returned: 60,
-        reported: false,
-        used: 54,
-    },
+        asked,
+    }
+}
+
+const RETURN_CASES: [ReturnCase; 8] = [
+    returns("the only one", 1, 1, true),
+    returns("one of three", 3, 1, false),
+    returns("two of four", 4, 2, false),
+    returns("three of four", 4, 3, true),
+    returns("all of four", 4, 4, true),
+    returns("a third of twelve", 12, 4, false),
+    returns("all of sixty", 60, 60, true),
     ReturnCase {
-        name: "all of four after their reports, which are surely newer",
-        all: 4,
-        returned: 4,
         reported: true,
-        used: 0,
+        ..returns("all of four after their reports, which are surely newer", 4, 4, true)
     },
 ];
 
+fn id(n: usize) -> String {
+    format!("e{n}")
+}
+
+/// A view of endpoints that were removed, some after their reports, and that came back by newer heartbeats.
+fn returned(case: &ReturnCase) -> View {
+    let record = |n: usize, endpoint| other(&id(n), endpoint);
+    let mut view = View::new(RECORD_TTL);
+    let listed = Snapshot {
+        endpoints: (0..case.all).map(|n| record(n, ready(1, 3))).collect(),
+        ..list(pos(1, 100), Vec::new())
+    };
+    view.replace(listed, Duration::ZERO, at(0));
+    let each = |change: &dyn Fn(usize) -> Change| (0..case.returned).map(change).collect::<Vec<Change>>();
+    let mut steps: Vec<Vec<Change>> = Vec::new();
+    if case.reported {
+        steps.push(each(&|n| Change::Endpoint(record(n, leaving(1, 18)))));
+    }
+    steps.push(each(&|n| Change::EndpointGone(id(n))));
+    steps.push(each(&|n| Change::Endpoint(record(n, ready(1, 17)))));
+    for (n, step) in (1..).zip(steps) {
+        view.apply(step, pos(1, 100 + 100 * n), Duration::ZERO, at(500 * n));
+    }
+    view
+}
+
+/// Guards against: several endpoints leave at a time, and the ones whose late heartbeats come behind the first two are used.
+#[test]
+fn however_many_endpoints_return_none_is_used_without_a_proof() {
+    for case in &RETURN_CASES {
+        let mut view = returned(case);
+        let rest = case.all - case.returned;
+        for ms in [2000, 3000, 6200] {
+            view.apply(Vec::new(), pos(1, 800 + ms), Duration::ZERO, at(ms));
+            let used = view.usable("s", at(ms)).count();
+            // The proof of those that had reported counts from their later return.
+            let may_be_proven = ms == 6200 && !case.reported;
+            assert_eq!(
+                used,
+                if may_be_proven { case.all } else { rest },
+                "{}, {ms} ms",
+                case.name
+            );
+        }
+        view.apply(Vec::new(), pos(1, 9000), Duration::ZERO, at(6400));
+        let used = view.usable("s", at(6400)).count();
+        assert_eq!(used, case.all, "{}: all are alive", case.name);
+    }
+}
+
 /// Guards against: a service whose endpoints the store had lost is out of use for as long as their records take to prove that
-/// they live.
+/// they live, or endpoints are asked although the others carry the service.
 #[test]
-fn where_many_endpoints_return_most_are_used_at_once() {
+fn endpoints_that_say_that_they_live_are_used_at_once() {
     for case in &RETURN_CASES {
-        let record = |n: usize, endpoint| other(&format!("e{n}"), endpoint);
-        let known = (0..case.all).map(|n| record(n, ready(1, 3))).collect();
-        let mut view = View::new(RECORD_TTL);
-        let listed = Snapshot {
-            endpoints: known,
-            ..list(pos(1, 100), Vec::new())
-        };
-        view.replace(listed, Duration::ZERO, at(0));
-        let mut steps: Vec<Vec<Change>> = Vec::new();
-        if case.reported {
-            steps.push(
-                (0..case.returned)
-                    .map(|n| Change::Endpoint(record(n, leaving(1, 18))))
-                    .collect(),
+        let mut view = returned(case);
+        let rest = case.all - case.returned;
+        let asked = view.to_be_asked(at(2000));
+        assert_eq!(asked.len(), if case.asked { case.returned } else { 0 }, "{}", case.name);
+        // Enough have said it once no more than half wait.
+        let mut alive = 0;
+        while let Some(endpoint) = view.to_be_asked(at(2000)).first() {
+            assert_eq!(
+                view.learn_alive(&endpoint.id, Some(9)),
+                Default::default(),
+                "another start"
+            );
+            let update = view.learn_alive(&endpoint.id, endpoint.start);
+            assert_eq!(
+                update.alive.as_slice(),
+                std::slice::from_ref(&endpoint.id),
+                "{}",
+                case.name
             );
+            alive += 1;
+            let used = view.usable("s", at(2000)).count();
+            assert_eq!(used, rest + alive, "{}", case.name);
         }
-        steps.push(
-            (0..case.returned)
-                .map(|n| Change::EndpointGone(format!("e{n}")))
-                .collect(),
-        );
-        steps.push(
-            (0..case.returned)
-                .map(|n| Change::Endpoint(record(n, ready(1, 17))))
-                .collect(),
-        );
-        for (n, step) in (1..).zip(steps) {
-            view.apply(step, pos(1, 100 + 100 * n), Duration::ZERO, at(500 * n));
+        if case.asked {
+            assert!((rest + alive) * 2 >= case.all, "{}: {alive}", case.name);
         }
-        assert_eq!(view.usable("s", at(2000)).count(), case.used, "{}", case.name);
-        view.apply(Vec::new(), pos(1, 900), Duration::ZERO, at(6400));
-        assert_eq!(
-            view.usable("s", at(6400)).count(),
-            case.all,
-            "{}: all are alive",
-            case.name
-        );
     }
 }
 
--- a/crates/celerytide-catalog/tests/records/mod.rs
+++ b/crates/celerytide-catalog/tests/records/mod.rs
@@ -34,6 +34,7 @@
             engine_slots: None,
             engine_tokens: None,
             max_connections: None,
+            health_path: None,
         }],
         customers: None,
         limits: CallerLimits {
--- a/crates/celerytide-catalog/tests/view.rs
+++ b/crates/celerytide-catalog/tests/view.rs
@@ -54,6 +54,7 @@
             engine_slots: None,
             engine_tokens: None,
             max_connections: None,
+            health_path: None,
         }],
         customers: Some(vec![customer("first", 1), customer("second", 2)]),
         limits: CallerLimits {
@@ -428,10 +429,12 @@
     }
 }
 
-/// A configuration whose only service states how many connections its endpoints accept, if it is known.
+/// A configuration whose only service states how many connections its endpoints accept, and the path of their health check,
+/// if that is known.
 fn config_with(version: u64, max_connections: Option<u32>) -> Config {
     let mut config = config(version);
     config.services[0].max_connections = max_connections;
+    config.services[0].health_path = max_connections.map(|max| format!("/h{max}"));
     config
 }
 
@@ -488,6 +491,8 @@
         }
         let service = view.catalog().service("s").expect("known");
         assert_eq!(service.max_connections, case.max_connections, "{}", case.name);
+        let path = case.max_connections.map(|max| format!("/h{max}"));
+        assert_eq!(service.health_path, path, "{}", case.name);
         assert_eq!(view.catalog().version(), case.version, "{}", case.name);
     }
 }
--- a/crates/celerytide-edge/src/daemon/mod.rs
+++ b/crates/celerytide-edge/src/daemon/mod.rs
@@ -25,7 +25,7 @@
 use tokio_util::sync::CancellationToken;
 use tracing::{error, info, warn};
 
-use crate::edge::{Edge, StoreAccess};
+use crate::edge::{Edge, StoreAccess, ask_returned};
 use crate::memory::{AccountedHandler, open_account};
 use crate::protocol::Protocol;
 use crate::settings::{self, Settings};
@@ -158,6 +158,7 @@
         account,
     ));
     monoio::spawn(follow::run(edge.clone(), source));
+    monoio::spawn(ask_returned(edge.clone()));
     let s = &edge.settings;
     info!(instance = s.instance, zone = s.zone, callers = %s.callers, store = %s.store, seeds = ?s.seeds, "edge: started");
     monoio::select! {
--- a/crates/celerytide-edge/src/edge/mod.rs
+++ b/crates/celerytide-edge/src/edge/mod.rs
@@ -10,6 +10,7 @@
 mod quarantined;
 mod reached;
 mod rejected;
+mod returned;
 mod taken_up;
 
 use std::cell::{Cell, RefCell};
@@ -34,6 +35,7 @@
 pub use placed::{
     BY_COORDINATOR, BY_SELF, BY_SELF_LIMITED, BY_SELF_TRIAL, BY_SELF_UNUSABLE, Flight, Placement, Source, TooLate,
 };
+pub use returned::ask_returned;
 
 use crate::admission::TokensInFlight;
 use crate::budget::RetryBudget;
@@ -167,6 +169,8 @@
     pub readers: RefCell<Readers>,
     /// Wakes waiting followers: the view changed, or the store was lost.
     pub changed: Notify,
+    /// Wakes the questions to endpoints: one waits for a proof that it lives.
+    pub returned: Notify,
     /// Cancelled when the process is asked to stop.
     pub stopping: CancellationToken,
     /// When it was asked to stop.
@@ -238,6 +242,7 @@
             store_access: Cell::new(StoreAccess::Lost),
             readers: RefCell::default(),
             changed: Notify::new(),
+            returned: Notify::new(),
             connections: ConnectionPool::new(peers::options(), stopping.clone()),
             stopping,
             stopping_since: Cell::new(None),
@@ -353,6 +358,7 @@
             return;
         }
         self.changed.notify_waiters();
+        self.returned.notify_one();
         let view = self.view.borrow();
         if update.config.is_some() {
             self.apply_limits(&view);
--- a/crates/celerytide-edge/src/metrics/mod.rs
+++ b/crates/celerytide-edge/src/metrics/mod.rs
@@ -130,6 +130,8 @@
     pub cut_off: Gauge,
     /// Requests offered to peers, by what became of the offer.
     pub handovers: Family<OutcomeLabel, Counter>,
+    /// Endpoints that were asked after the return of their records, by what they said.
+    pub asked_endpoints: Family<OutcomeLabel, Counter>,
     /// Requests served for peers.
     pub served_for_peers: Counter,
     /// Memory that the process may use, in bytes.
@@ -180,6 +182,7 @@
             reading: Gauge::default(),
             cut_off: Gauge::default(),
             handovers: Family::default(),
+            asked_endpoints: Family::default(),
             served_for_peers: Counter::default(),
             memory_limit: Gauge::default(),
             memory_account: Gauge::default(),
@@ -267,6 +270,8 @@
         registry.register("services_cut_off", cut_off, self.cut_off.clone());
         let handovers = "Requests offered to peers, by what became of the offer";
         registry.register("handovers", handovers, self.handovers.clone());
+        let asked = "Health checks of endpoints whose records returned, by what they said";
+        registry.register("asked_endpoints", asked, self.asked_endpoints.clone());
         let served = "Requests served for peers";
         registry.register("served_for_peers", served, self.served_for_peers.clone());
         let limit = "Memory that the process may use";
--- a/crates/celerytide-edge/src/peers/later_fields.rs
+++ b/crates/celerytide-edge/src/peers/later_fields.rs
@@ -19,6 +19,9 @@
         pub max_connections: Vec<Option<u32>>,
         /// Starts that were removed, for an instance that is new.
         pub removed: Vec<RemovedStart>,
+        /// Path of the health check, for each service of each configuration; the release before doesn't send it.
+        #[serde(deserialize_with = "or_default")]
+        pub health_paths: Vec<Option<String>>,
     }
 
     /// A start that was removed, with its highest known sequence.
@@ -56,6 +59,7 @@
 pub struct Slots<'a> {
     sequences: Vec<&'a mut Option<Sequence>>,
     max_connections: Vec<&'a mut Option<u32>>,
+    health_paths: Vec<&'a mut Option<String>>,
 }
 
 impl<'a> Slots<'a> {
@@ -98,9 +102,10 @@
     }
 
     fn add_config(&mut self, config: &'a mut Config) {
-        let services = config.services.iter_mut();
-        self.max_connections
-            .extend(services.map(|service| &mut service.max_connections));
+        for service in &mut config.services {
+            self.max_connections.push(&mut service.max_connections);
+            self.health_paths.push(&mut service.health_path);
+        }
     }
 
     fn add_change(&mut self, change: &'a mut Change) {
@@ -117,6 +122,7 @@
             sequences: self.sequences.iter().map(|slot| **slot).collect(),
             max_connections: self.max_connections.iter().map(|slot| **slot).collect(),
             removed: Vec::new(),
+            health_paths: self.health_paths.iter().map(|slot| (**slot).clone()).collect(),
         }
     }
 
@@ -128,5 +134,8 @@
         for (slot, max_connections) in self.max_connections.into_iter().zip(fields.max_connections) {
             *slot = max_connections;
         }
+        for (slot, health_path) in self.health_paths.into_iter().zip(fields.health_paths) {
+            *slot = health_path;
+        }
     }
 }
--- a/crates/celerytide-edge/src/protocol/mod.rs
+++ b/crates/celerytide-edge/src/protocol/mod.rs
@@ -23,6 +23,8 @@
     pub customer: HeaderName,
     /// Id of the endpoint that a request is meant for.
     pub endpoint: HeaderName,
+    /// Id of the endpoint that answers, in the answer to a health check.
+    pub endpoint_id: HeaderName,
     /// Urgency, sent to engines; 0 is the most urgent.
     pub urgency: HeaderName,
     /// Id of the last event that the caller received.
--- a/crates/celerytide-edge/tests/cold_fleet/mod.rs
+++ b/crates/celerytide-edge/tests/cold_fleet/mod.rs
@@ -93,6 +93,7 @@
                 engine_slots: None,
                 engine_tokens: None,
                 max_connections: None,
+                health_path: None,
             },
             endpoints: [State::default(); ENDPOINTS],
             zones_out: [false; 2],
--- a/crates/celerytide-edge/tests/coordinator_client.rs
+++ b/crates/celerytide-edge/tests/coordinator_client.rs
@@ -39,6 +39,7 @@
         engine_slots: Some(32),
         engine_tokens: Some(171_003),
         max_connections: None,
+        health_path: None,
     }
 }
 
--- a/crates/celerytide-edge/tests/coordinator_edge.rs
+++ b/crates/celerytide-edge/tests/coordinator_edge.rs
@@ -78,6 +78,7 @@
         endpoint: name("endpoint"),
         urgency: name("urgency"),
         last_event: name("last"),
+        endpoint_id: name("endpoint-id"),
         first_request: name("first"),
         internal: Vec::new(),
     })
@@ -91,6 +92,7 @@
         engine_slots: Some(SLOTS),
         engine_tokens: Some(171_003),
         max_connections: None,
+        health_path: None,
     }
 }
 
--- a/crates/celerytide-edge/tests/coordinator_orders.rs
+++ b/crates/celerytide-edge/tests/coordinator_orders.rs
@@ -87,6 +87,7 @@
                 engine_slots: Some(SLOTS),
                 engine_tokens: Some(100_000),
                 max_connections: None,
+                health_path: None,
             },
             engines: (0..engines).map(known).collect(),
             requests: BTreeMap::new(),
--- a/crates/celerytide-edge/tests/pick.rs
+++ b/crates/celerytide-edge/tests/pick.rs
@@ -40,6 +40,7 @@
             endpoint: name("endpoint"),
             urgency: name("urgency"),
             last_event: name("last"),
+            endpoint_id: name("endpoint-id"),
             first_request: name("first"),
             internal: Vec::new(),
         })
@@ -103,6 +104,7 @@
         engine_slots: None,
         engine_tokens: None,
         max_connections: None,
+        health_path: None,
     }
 }
 
--- a/crates/celerytide-edge/tests/placement.rs
+++ b/crates/celerytide-edge/tests/placement.rs
@@ -27,6 +27,7 @@
         engine_slots: Some(128),
         engine_tokens: Some(352_253),
         max_connections: None,
+        health_path: None,
     }
 }
 
--- a/crates/celerytide-edge/tests/rejections.rs
+++ b/crates/celerytide-edge/tests/rejections.rs
@@ -430,6 +430,7 @@
         engine_slots: None,
         engine_tokens: None,
         max_connections: None,
+        health_path: None,
     };
     // One endpoint has rejected requests of late.
     let room = |n: usize| if n == 0 { 2 } else { SLOTS as u32 };
--- a/crates/celerytide-edge/tests/releases.rs
+++ b/crates/celerytide-edge/tests/releases.rs
@@ -141,6 +141,7 @@
         engine_slots: Some(8),
         engine_tokens: None,
         max_connections,
+        health_path: max_connections.map(|max| format!("/h{max}")),
     };
     Config {
         version,
@@ -222,6 +223,7 @@
         sequences: vec![None; 9],
         max_connections: vec![None; 9],
         removed: Vec::new(),
+        health_paths: vec![None; 9],
     };
     Slots::of_result(&mut result).restore(fields);
     result
@@ -279,6 +281,34 @@
     assert_eq!(read.kept.leaving[0].newest, None);
 }
 
+/// Later fields as the last release writes and reads them: without paths of health checks.
+type LastLaterFields = (
+    Vec<Option<u64>>,
+    Vec<Option<u32>>,
+    Vec<(String, Option<u64>, Option<u64>)>,
+);
+
+/// Guards against: an instance of the last release loses the later fields that it knows, or one of this release can't read
+/// them without the newest.
+#[test]
+fn later_fields_are_read_without_the_newest_one() {
+    let sent = follow_reply(changes());
+    let (read, _, _, later): (EarlierResult, u64, u64, LastLaterFields) = decode(&encode(&sent));
+    assert_eq!(later.0, sent.later.sequences);
+    assert_eq!(later.1, sent.later.max_connections);
+    let reply: FollowReply = decode(&encode(&(read, 300_u64, 40_u64, later)));
+    assert_eq!(reply.later.sequences, sent.later.sequences);
+    assert_eq!(reply.later.health_paths, Vec::<Option<String>>::new());
+    let FollowResult::Changes { changes, .. } = restored(reply) else {
+        panic!("changes were sent");
+    };
+    let Change::Config(config) = &changes[2] else {
+        panic!("a configuration was sent");
+    };
+    assert_eq!(config.services[0].max_connections, Some(60));
+    assert_eq!(config.services[0].health_path, None);
+}
+
 /// Guards against: instances of two releases that don't hear of each other.
 #[test]
 fn a_reply_of_an_earlier_release_is_read() {
--- a/crates/celerytide-edge/tests/scene/mod.rs
+++ b/crates/celerytide-edge/tests/scene/mod.rs
@@ -118,6 +118,7 @@
                 engine_slots: Some(SLOTS),
                 engine_tokens: Some(171_003),
                 max_connections: None,
+                health_path: None,
             },
             engines: (0..engines).map(|n| known(&format!("e{n}"))).collect(),
             from: SocketAddr::from(([10, 0, 0, 1], 8229)),
--- a/crates/celerytide-soak/src/run/fleet.rs
+++ b/crates/celerytide-soak/src/run/fleet.rs
@@ -157,9 +157,10 @@
         self.bed.store.delete(&format!("servers/{}", runner_id(index)));
     }
 
-    /// Sets whether a runner leaves, by its next write.
+    /// Sets whether a runner leaves, by its next write and its health checks from now on.
     pub(super) fn set_leaving(&mut self, index: usize, leaving: bool) {
         self.leaving[index] = leaving;
+        self.runners[index].set_leaving(leaving);
     }
 
     /// A runner starts again under its id, by its next write.
--- a/crates/celerytide-standin/src/platform/publish.rs
+++ b/crates/celerytide-standin/src/platform/publish.rs
@@ -58,6 +58,8 @@
     },
 ];
 
+/// Path of the runners' health check.
+pub(super) const HEALTH_PATH: &str = "/h";
 /// Software version of a runner unless a test says otherwise.
 pub const VERSION: &str = "v1";
 /// Start time of a runner that has not been restarted.
@@ -96,8 +98,8 @@
         let keys: Vec<String> = keys.iter().map(|key| format!("{key:?}")).collect();
         let text = format!(
             r#"{{"version":{version},"routes":[{}],"services":[
-            {{"name":"plain","health_path":"/h","cold_start_s":0,"cold_per_s":0}},
-            {{"name":"engines","health_path":"/h","cold_start_s":1.5,"cold_per_s":20,"engine":{{"slots":8,"kv_capacity":100000}}}}],
+            {{"name":"plain","health_path":"{HEALTH_PATH}","cold_start_s":0,"cold_per_s":0}},
+            {{"name":"engines","health_path":"{HEALTH_PATH}","cold_start_s":1.5,"cold_per_s":20,"engine":{{"slots":8,"kv_capacity":100000}}}}],
             "limits":{{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":5000}},
             "tenants":[{{"name":"acme","api_keys":[{}],"priority":1}}]}}"#,
             routes.join(","),
--- a/crates/celerytide-standin/src/platform/request.rs
+++ b/crates/celerytide-standin/src/platform/request.rs
@@ -4,6 +4,8 @@
 use std::io::{BufRead, BufReader, Read};
 use std::net::TcpStream;
 
+use super::publish::HEALTH_PATH;
+
 /// A request that a stand-in has received.
 #[derive(Debug, Clone, Default)]
 pub struct Request {
@@ -21,6 +23,11 @@
         self.headers.get(name).map_or("", String::as_str)
     }
 
+    /// Whether it is a health check: a GET of the path that the published configuration names.
+    pub fn is_health_check(&self) -> bool {
+        self.line.starts_with(&format!("GET {HEALTH_PATH} "))
+    }
+
     /// The value of the query parameter `name`; empty if it is absent.
     pub fn query(&self, name: &str) -> &str {
         let target = self.line.split(' ').nth(1).unwrap_or_default();
--- a/crates/celerytide-standin/src/platform/runner.rs
+++ b/crates/celerytide-standin/src/platform/runner.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
@@ -129,9 +130,24 @@
     /// Connections that were reset so far.
     refused_connections: Mutex<usize>,
     address: SocketAddr,
+    /// Whether it says in its health checks that it leaves.
+    is_leaving: AtomicBool,
+    /// Health checks that were answered so far.
+    health_checks: AtomicUsize,
 }
 
 impl Shared {
+    /// Answers a health check as the platform's runners do; false if the connection has ended.
+    fn answer_health_check(&self, out: &mut TcpStream) -> bool {
+        self.health_checks.fetch_add(1, Ordering::Relaxed);
+        let status = if self.is_leaving.load(Ordering::Relaxed) {
+            "503 Leaving"
+        } else {
+            "200 OK"
+        };
+        send_response(out, status, &format!("x-instance-id: {}\r\n", self.id), "")
+    }
+
     /// Records an arrival; returns its index.
     fn record(&self, arrival: Arrival) -> usize {
         let mut arrivals = lock(&self.arrivals);
@@ -200,6 +216,8 @@
             max_connections: Mutex::default(),
             refused_connections: Mutex::default(),
             address,
+            is_leaving: AtomicBool::new(false),
+            health_checks: AtomicUsize::new(0),
         });
         let served = shared.clone();
         spawn(move || {
@@ -263,6 +281,16 @@
         self.shared.silence.set(is_silent);
     }
 
+    /// Sets whether the runner says in its health checks that it leaves.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.shared.is_leaving.store(is_leaving, Ordering::Relaxed);
+    }
+
+    /// Number of health checks answered so far.
+    pub fn health_checks(&self) -> usize {
+        self.shared.health_checks.load(Ordering::Relaxed)
+    }
+
     /// Falls for want of room so far; each is also in [`Runner::crashes`].
     pub fn falls(&self) -> Vec<Fall> {
         self.shared.room.falls()
@@ -319,6 +347,12 @@
     let writing = Writing::default();
     while let Some(req) = request::read(&mut conn) {
         shared.silence.wait();
+        if req.is_health_check() {
+            if shared.answer_health_check(&mut out) {
+                continue;
+            }
+            return;
+        }
         lock(&shared.requests).push(req.clone());
         let is_copied = Copying::copies(&req, &lock(&shared.arrivals));
         let mode = *lock(&shared.mode);
