fix(catalog): a late heartbeat is no first record of a new endpoint

Nobody remembers the removal, and run-once requests go to the endpoint up to its exit, where some are cut off.

Cause: a record of an unknown endpoint was used at once, whatever its sequence.

A written record with a sequence above 3 waits for the proof, as a return does, but not after an outage of the store, and not in a first list. A process that has started and found the store silent counts that as an outage.

A row of older_peers.rs asserted that such a record is used at once when the removal is too long ago for peers to tell. That is this fault; the row expects now that it waits, and all rows that it is used once the store has kept it.

--- a/crates/celerytide-catalog/src/view/mod.rs
+++ b/crates/celerytide-catalog/src/view/mod.rs
@@ -128,6 +128,8 @@
     unrelayed: Vec<Change>,
     /// Time after which the record of a dead endpoint has expired.
     record_ttl: Duration,
+    /// Records of live endpoints may have lapsed in an outage of the store of late.
+    is_after_outage: bool,
 }
 
 impl View {
@@ -219,6 +221,7 @@
         }
         self.keep_batch(&changes, position.revision);
         self.position = position;
+        self.is_after_outage = !removal_delay.is_zero();
         for change in changes {
             match change {
                 Change::Config(config) => self.set_config(config, &mut update),
@@ -333,6 +336,7 @@
             self.endpoints.insert(endpoint.id, known);
             return;
         }
+        let is_unknown = previous.is_none();
         let same_start = previous.filter(|k| k.endpoint.start == endpoint.start);
         let is_proof = source == RecordSource::Write && endpoint.sequence.is_none();
         let mut known = KnownEndpoint {
@@ -362,6 +366,9 @@
                 known.newest = newest;
             }
             Some(Return::Unclear) => known.doubt = Some(Doubt::Unproven(proven_at)),
+            None if is_unknown && self.may_be_unremembered(endpoint, source) => {
+                known.doubt = Some(Doubt::Unproven(proven_at));
+            }
             Some(Return::Unordered) if source == RecordSource::RestoredList => {
                 known.doubt = Some(Doubt::Unproven(proven_at));
             }
--- a/crates/celerytide-catalog/src/view/order.rs
+++ b/crates/celerytide-catalog/src/view/order.rs
@@ -9,6 +9,10 @@
 //! behind. In both cases the store drops the record after a time unless a live endpoint renews it. If the store still has
 //! it after that time, it holds: then the endpoint lives, and its clock or its counter was set back.
 //!
+//! Where nobody remembers the removal, a record looks like the first one of an endpoint, except for its sequence: one that is
+//! higher than an endpoint's first records have waits for the proof too. It doesn't after an outage of the store, in which
+//! records of live endpoints lapse.
+//!
 //! However many endpoints return, none is used before that: several may leave at a time. Where more than half of a
 //! service's endpoints wait, the store may have lost them, and the rest can't carry the service. Then the endpoints
 //! themselves are asked, and one that says that it is healthy and doesn't leave is used at once.
@@ -19,7 +23,10 @@
 
 use celerytide_types::BootTime;
 
-use super::{Change, Endpoint, KnownEndpoint, RecordSource, Update, View};
+use super::{Change, Endpoint, KnownEndpoint, RecordSource, Sequence, Update, View};
+
+/// Highest sequence of a first record: the first writes of an endpoint may be lost.
+const FIRST_SEQUENCES: Sequence = 3;
 
 /// How a record relates to the newest known one of the same endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -167,6 +174,13 @@
 }
 
 impl View {
+    /// Whether a record that the store has just written, of an endpoint that isn't known, may be a late one of an endpoint
+    /// whose removal nobody remembers.
+    pub(super) fn may_be_unremembered(&self, record: &Endpoint, source: RecordSource) -> bool {
+        let is_first = record.sequence.is_none_or(|sequence| sequence <= FIRST_SEQUENCES);
+        source == RecordSource::Write && !is_first && !self.is_after_outage
+    }
+
     /// Whether an endpoint waits for a proof.
     pub fn has_doubted(&self, now: BootTime) -> bool {
         self.endpoints.values().any(|known| known.is_doubted(now))
--- a/crates/celerytide-catalog/src/view/replace.rs
+++ b/crates/celerytide-catalog/src/view/replace.rs
@@ -33,6 +33,7 @@
             });
         }
         self.position = snapshot.position;
+        self.is_after_outage = !removal_delay.is_zero();
         self.read_to = snapshot.read_to;
         self.batches.clear();
         if let Some(config) = snapshot.config {
--- a/crates/celerytide-catalog/tests/older_peers.rs
+++ b/crates/celerytide-catalog/tests/older_peers.rs
@@ -152,10 +152,10 @@
         used: Some(2),
     },
     RemovedCase {
-        name: "too long ago for a late write",
+        name: "a heartbeat of an endpoint that was removed too long ago for a peer to tell",
         asked_after_ms: 16_000,
         returned: || ready(1, 30),
-        used: Some(1),
+        used: None,
     },
 ];
 
@@ -175,6 +175,10 @@
         let ms = 600 + case.asked_after_ms;
         new.changes(written((case.returned)()), Duration::ZERO, ms);
         assert_eq!(used(&new.view, ms), case.used, "{}", case.name);
+        let proven = ms + 4800;
+        new.changes(Vec::new(), Duration::ZERO, proven);
+        let start = (case.returned)().start;
+        assert_eq!(used(&new.view, proven), start, "{}: the store keeps it", case.name);
     }
 }
 
--- a/crates/celerytide-catalog/tests/older_records.rs
+++ b/crates/celerytide-catalog/tests/older_records.rs
@@ -436,6 +436,79 @@
     }
 }
 
+/// The record of an endpoint that the view doesn't know, and whose removal nobody remembers.
+struct UnknownCase {
+    name: &'static str,
+    record: fn() -> Endpoint,
+    /// Whether it comes after an outage of the store.
+    after_outage: bool,
+    /// The start that is used at once.
+    used: Option<u64>,
+}
+
+const UNKNOWN_CASES: [UnknownCase; 5] = [
+    UnknownCase {
+        name: "a first record",
+        record: || ready(1, 1),
+        after_outage: false,
+        used: Some(1),
+    },
+    UnknownCase {
+        name: "the first two writes were lost",
+        record: || ready(1, 3),
+        after_outage: false,
+        used: Some(1),
+    },
+    UnknownCase {
+        name: "a heartbeat of an endpoint that has lived for some time",
+        record: || ready(1, 20),
+        after_outage: false,
+        used: None,
+    },
+    UnknownCase {
+        name: "a heartbeat after an outage, in which its record has lapsed",
+        record: || ready(1, 20),
+        after_outage: true,
+        used: Some(1),
+    },
+    UnknownCase {
+        name: "a record by the word of an earlier release",
+        record: || untold(ready(1, 20)),
+        after_outage: false,
+        used: Some(1),
+    },
+];
+
+/// Guards against: all instances start again after a removal, and the late heartbeat of the endpoint that is gone is taken for
+/// the first record of a new one.
+#[test]
+fn a_late_heartbeat_is_believed_where_nobody_remembers_the_removal() {
+    for case in &UNKNOWN_CASES {
+        let mut view = View::new(RECORD_TTL);
+        view.replace(list(pos(1, 100), Vec::new()), Duration::ZERO, at(0));
+        let removal_delay = if case.after_outage {
+            REMOVAL_DELAY
+        } else {
+            Duration::ZERO
+        };
+        view.apply(written((case.record)()), pos(1, 101), removal_delay, at(1000));
+        assert_eq!(used(&view, 1000), case.used, "{}", case.name);
+        view.apply(Vec::new(), pos(1, 101), Duration::ZERO, at(5700));
+        assert_eq!(used(&view, 5700), case.used, "{}", case.name);
+        view.apply(Vec::new(), pos(1, 101), Duration::ZERO, at(5800));
+        assert_eq!(used(&view, 5800), Some(1), "{}: the store keeps it", case.name);
+    }
+}
+
+/// Guards against: a fleet that starts anew waits for proofs of what the store lists.
+#[test]
+fn a_first_list_is_used_at_once() {
+    let mut view = View::new(RECORD_TTL);
+    view.replace(list(pos(1, 100), vec![ready(1, 20)]), Duration::ZERO, at(0));
+    assert_eq!(used(&view, 0), Some(1));
+    assert!(view.to_be_asked(at(0)).is_empty());
+}
+
 /// A zone, a key or a configuration in the place of an endpoint: data with an older position or version.
 struct OtherCase {
     name: &'static str,
--- a/crates/celerytide-edge/src/follow/mod.rs
+++ b/crates/celerytide-edge/src/follow/mod.rs
@@ -292,7 +292,7 @@
 /// Records a response of the store; returns how long endpoints without a record are still kept.
 fn record_response<P: Protocol>(edge: &Edge<P>, sync: &mut SyncState, now: BootTime) -> Duration {
     let before = edge.store_responded_at.replace(Some(now));
-    let silence = before.map(|at| now.since(at)).unwrap_or_default();
+    let silence = now.since(before.unwrap_or(edge.started));
     if sync.may_have_expired(silence, edge.settings.bounds.heartbeat()) || sync.restored {
         edge.removal_delay_until.set(Some(now.after(REREGISTRATION_TIME)));
     }
--- a/crates/celerytide-standin/src/platform/store.rs
+++ b/crates/celerytide-standin/src/platform/store.rs
@@ -40,6 +40,8 @@
 
 /// Most items in a page of a list.
 const PAGE_ITEMS: usize = 3;
+/// Interval of a runner's heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(1200);
 /// Header with the era, which a restore increases by one.
 const ERA_HEADER: &str = "Store-Era";
 
@@ -72,8 +74,8 @@
     era: u64,
     lists: usize,
     watches: usize,
-    /// Writes sent by each start of a runner, by its id and start.
-    sequences: BTreeMap<(String, u64), u64>,
+    /// Sequence of the last write of each start of a runner, and when it was sent, by its id and start.
+    sequences: BTreeMap<(String, u64), (u64, Instant)>,
 }
 
 struct Shared {
@@ -127,11 +129,15 @@
         self.shared.changed.notify_all();
     }
 
-    /// Sequence of the next write of a runner's start.
+    /// Sequence of the next write of a runner's start. It also counts the heartbeats since the last one, which change
+    /// nothing else and aren't published.
     pub(super) fn next_sequence(&self, id: &str, born: u64) -> u64 {
+        let now = Instant::now();
         let mut state = lock(&self.shared.state);
-        let sequence = state.sequences.entry((id.to_owned(), born)).or_default();
-        *sequence += 1;
+        let (sequence, sent_at) = state.sequences.entry((id.to_owned(), born)).or_insert((0, now));
+        let heartbeats = now.duration_since(*sent_at).as_millis() / HEARTBEAT.as_millis();
+        *sequence += 1 + heartbeats as u64;
+        *sent_at = now;
         *sequence
     }
 
