fix(edge): connections that a cut may have ended are no crashes

`Reach` records ends of connections again. They conclude no cut, and end no trial, but three endpoints that end connections in a row may be behind one: then nothing is counted, as before. The test plays resets again; four rows and a test of reach.rs hold both sides.

--- a/crates/celerytide-edge/src/edge/quarantined.rs
+++ b/crates/celerytide-edge/src/edge/quarantined.rs
@@ -32,7 +32,7 @@
             return true;
         };
         // Resets by a partition of this instance look like crashes of the endpoints.
-        if self.is_cut_off(service) {
+        if self.may_be_cut_off(service) {
             return true;
         }
         let service = id_hash(service);
--- a/crates/celerytide-edge/src/edge/reached.rs
+++ b/crates/celerytide-edge/src/edge/reached.rs
@@ -26,6 +26,14 @@
         self.reach.borrow().get(service).is_some_and(Reach::is_cut_off)
     }
 
+    /// Whether connections to endpoints of the service may have been ended by a cut.
+    pub fn may_be_cut_off(&self, service: &str) -> bool {
+        let now = now_boot();
+        let known = self.view.borrow().usable(service, now).count();
+        let reach = self.reach.borrow();
+        reach.get(service).is_some_and(|reach| reach.may_be_cut_off(known, now))
+    }
+
     /// Reads or changes what is known of the way to the endpoints of a service.
     pub fn with_reach<T>(&self, service: &str, change: impl FnOnce(&mut Reach) -> T) -> T {
         let mut reach = self.reach.borrow_mut();
--- a/crates/celerytide-edge/src/forward/send.rs
+++ b/crates/celerytide-edge/src/forward/send.rs
@@ -189,6 +189,9 @@
     if error.is_silence() {
         return Some(Failure::Silent);
     }
+    if error.is_broken_off() {
+        return Some(Failure::Ended);
+    }
     let has_no_connection = matches!(error.source, Cause::Connect { .. } | Cause::ConnectTimeout);
     has_no_connection.then_some(Failure::Connect)
 }
--- a/crates/celerytide-edge/src/reach/mod.rs
+++ b/crates/celerytide-edge/src/reach/mod.rs
@@ -33,6 +33,8 @@
     Connect,
     /// Silence after the request was written.
     Silent,
+    /// The end of the connection after the request was written.
+    Ended,
 }
 
 /// What is known of the way to the endpoints.
@@ -67,6 +69,15 @@
     at: BootTime,
 }
 
+/// Whether these are enough attempts, at enough endpoints.
+fn are_many<'a>(failed: impl Iterator<Item = &'a Failed>, known: usize) -> bool {
+    let mut endpoints: Vec<u32> = failed.map(|failed| failed.endpoint).collect();
+    let attempts = endpoints.len();
+    endpoints.sort_unstable();
+    endpoints.dedup();
+    attempts >= MIN_ATTEMPTS && endpoints.len() >= MIN_ENDPOINTS.min(known.max(1))
+}
+
 /// Failed attempts of late at the endpoints of one service, and what follows from them.
 #[derive(Debug, Default)]
 pub struct Reach {
@@ -108,6 +119,7 @@
             at: now,
         });
         let change = match self.state {
+            _ if failure == Failure::Ended => return None,
             Reachability::Trial => Change::StillCutOff,
             Reachability::Open if self.is_conclusive(known) => Change::CutOff,
             Reachability::Open | Reachability::CutOff => return None,
@@ -117,10 +129,15 @@
     }
 
     fn is_conclusive(&self, known: usize) -> bool {
-        let mut endpoints: Vec<u32> = self.failed.iter().map(|failed| failed.endpoint).collect();
-        endpoints.sort_unstable();
-        endpoints.dedup();
-        self.failed.len() >= MIN_ATTEMPTS && endpoints.len() >= MIN_ENDPOINTS.min(known.max(1))
+        let failed = self.failed.iter().filter(|failed| failed.failure != Failure::Ended);
+        are_many(failed, known)
+    }
+
+    /// Whether the connections that end may be ended by a cut, which isn't sure: as many endpoints failed in a row as for a
+    /// conclusion, in whatever way.
+    pub fn may_be_cut_off(&self, known: usize, now: BootTime) -> bool {
+        let recent = self.failed.iter().filter(|failed| now.since(failed.at) < WINDOW);
+        self.is_cut_off() || are_many(recent, known)
     }
 
     /// Records that a connection to an endpoint was established by a probe.
--- a/crates/celerytide-edge/tests/pick.rs
+++ b/crates/celerytide-edge/tests/pick.rs
@@ -221,7 +221,7 @@
                 has_events: false,
             };
             if is_partitioned {
-                edge.with_reach("s", |reach| reach.note_failed(endpoint, Failure::Silent, 1, now_boot()));
+                edge.with_reach("s", |reach| reach.note_failed(endpoint, Failure::Ended, 1, now_boot()));
             }
             edge.record_break_off("s", &request(), at);
         };
--- a/crates/celerytide-edge/tests/reach.rs
+++ b/crates/celerytide-edge/tests/reach.rs
@@ -16,6 +16,8 @@
     Unreached(u32),
     /// An attempt at this endpoint was written and got no response.
     Silent(u32),
+    /// This endpoint ended the connection of an attempt.
+    Ended(u32),
     /// A response on a new connection.
     Fresh,
     /// A response on a used connection.
@@ -24,7 +26,7 @@
     Probed,
 }
 
-use Sign::{Fresh, Probed, Silent, Unreached, Used};
+use Sign::{Ended, Fresh, Probed, Silent, Unreached, Used};
 
 struct Case {
     name: &'static str,
@@ -36,7 +38,7 @@
     is_cut_off: bool,
 }
 
-const CASES: [Case; 14] = [
+const CASES: [Case; 18] = [
     Case {
         name: "no connection to three endpoints",
         known: 16,
@@ -128,6 +130,34 @@
         signs: &[Unreached(1), Unreached(2), Unreached(3), Probed, Fresh, Unreached(4)],
         is_cut_off: false,
     },
+    Case {
+        name: "endpoints that end connections",
+        known: 16,
+        gap_ms: 5,
+        signs: &[Ended(1), Ended(2), Ended(3), Ended(4), Ended(5)],
+        is_cut_off: false,
+    },
+    Case {
+        name: "two dead endpoints, and others that end connections",
+        known: 16,
+        gap_ms: 5,
+        signs: &[Unreached(1), Ended(3), Unreached(2), Ended(4), Ended(5)],
+        is_cut_off: false,
+    },
+    Case {
+        name: "connections end, and new ones are refused",
+        known: 16,
+        gap_ms: 5,
+        signs: &[Ended(1), Ended(2), Unreached(1), Unreached(2), Unreached(3)],
+        is_cut_off: true,
+    },
+    Case {
+        name: "an endpoint ends the connection of the first attempt of a trial",
+        known: 16,
+        gap_ms: 5,
+        signs: &[Unreached(1), Unreached(2), Unreached(3), Probed, Ended(4)],
+        is_cut_off: false,
+    },
     Case {
         name: "no endpoint is known",
         known: 0,
@@ -148,6 +178,7 @@
             let change = match *sign {
                 Unreached(endpoint) => reach.note_failed(endpoint, Failure::Connect, case.known, now),
                 Silent(endpoint) => reach.note_failed(endpoint, Failure::Silent, case.known, now),
+                Ended(endpoint) => reach.note_failed(endpoint, Failure::Ended, case.known, now),
                 Fresh => reach.note_heard(true),
                 Used => reach.note_heard(false),
                 Probed => reach.note_connected(),
@@ -159,6 +190,21 @@
     }
 }
 
+/// Guards against: the connections that a partition ends are taken for crashes of the endpoints.
+#[test]
+fn connections_that_end_in_a_row_may_have_been_ended_by_a_partition() {
+    let mut reach = Reach::default();
+    for endpoint in [1, 2] {
+        reach.note_failed(endpoint, Failure::Ended, 16, at(0));
+        assert!(!reach.may_be_cut_off(16, at(0)), "{endpoint}");
+    }
+    reach.note_failed(3, Failure::Ended, 16, at(1));
+    assert!(reach.may_be_cut_off(16, at(1)) && !reach.is_cut_off());
+    assert!(!reach.may_be_cut_off(16, at(2500)), "long ago");
+    reach.note_heard(false);
+    assert!(!reach.may_be_cut_off(16, at(2)), "an endpoint answers");
+}
+
 #[test]
 fn requests_are_handed_over_again_after_a_peer_could_not_help() {
     let mut reach = Reach::default();
