test(edge): requests for a limited endpoint come at fixed times

Its loop slept 8 ms after each request, so that on a busy machine urgent requests came seldom enough to leave turns of the endpoint unused.

The requests come at the times that the pause stands for, however late the machine wakes the thread. Traffic, bounds and checks are as they were.

--- a/crates/celerytide-edge/tests/pick.rs
+++ b/crates/celerytide-edge/tests/pick.rs
@@ -277,7 +277,10 @@
         let began = now_boot();
         let mut served = [0.0; 2];
         for n in 0.. {
-            if now_boot().since(began) > TRAFFIC {
+            // Requests come at fixed times, however late the machine wakes this thread.
+            let due = began.after(PAUSE * n);
+            sleep(due.since(now_boot()));
+            if due.since(began) > TRAFFIC {
                 break;
             }
             let position = usize::from(case.urgent_in == 0 || n % case.urgent_in != 0);
@@ -285,7 +288,6 @@
             let request = RoutedRequest { urgency, ..request() };
             let picked = edge.pick(&request, &service, &[], None, Placement::by_self(BY_SELF));
             served[position] += f64::from(u8::from(picked.is_ok()));
-            sleep(PAUSE);
         }
         let all = served[0] + served[1];
         let (name, seen) = (case.name, format!("urgent, others: {served:?}"));
